Workspace, shared types and protocols

Cause: work on the parts can only run side by side once crate boundaries and shared types are fixed. Change: eleven crates, ids and objects of the catalogue, the vocabulary of the two pure machines, the protocols of the outside systems, formatter and linter settings.

--- /dev/null
+++ b/crates/catalog/src/lib.rs
@@ -0,0 +1,13 @@
+//! The named objects of a configuration.
+//!
+//! A [`Document`] is the list of [`Object`]s that an operator writes. [`Set::check`] resolves every
+//! reference at once and yields either a [`Set`], which the rest of the system reads, or every
+//! [`Problem`] found. A set is then split into content-addressed [`chunk`]s for publication.
+
+pub mod id;
+pub mod object;
+pub mod set;
+pub mod tokenizer;
+
+pub use object::{Document, Object};
+pub use set::{Problem, Set};
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command.
+
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon of an entry instance.
+
+fn main() {}
--- /dev/null
+++ b/crates/policy/src/request.rs
@@ -0,0 +1,91 @@
+//! A caller's request as the decisions see it.
+
+use acacia_catalog::id::{AdapterId, ModelId, OrganisationId, ServiceId, VersionId};
+use acacia_catalog::tokenizer::Token;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use strum::Display;
+
+use crate::Time;
+
+/// Name of a cache block: a hash chain over organisation, version, adapter and tokens.
+pub type BlockKey = [u8; 32];
+/// A caller's name for a request that may run only once.
+pub type IdempotencyKey = Arc<str>;
+/// Tokens in one cache piece.
+pub const PIECE_TOKENS: usize = 2_000;
+
+/// One request.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Who pays for it.
+    pub organisation: OrganisationId,
+    /// What is asked.
+    pub work: Work,
+    /// Whether it is short or long.
+    pub class: Class,
+    /// When the caller stops waiting for the first byte.
+    pub deadline: Time,
+}
+
+impl Request {
+    /// Whether running it twice does no harm.
+    pub fn is_idempotent(&self) -> bool {
+        match &self.work {
+            Work::Prompt(_) => true,
+            Work::Call(call) => call.idempotent,
+        }
+    }
+}
+
+/// What a request asks.
+#[derive(Clone, Debug)]
+pub enum Work {
+    /// A completion by a model.
+    Prompt(Prompt),
+    /// A call of a plain service.
+    Call(Call),
+}
+
+/// A completion by a model.
+#[derive(Clone, Debug)]
+pub struct Prompt {
+    /// The model.
+    pub model: ModelId,
+    /// The weight version it runs on, fixed at arrival.
+    pub version: VersionId,
+    /// The adapter.
+    pub adapter: Option<AdapterId>,
+    /// The prompt's tokens.
+    pub tokens: Arc<[Token]>,
+    /// Names of its full pieces, in order.
+    pub blocks: Arc<[BlockKey]>,
+    /// Most tokens of the answer.
+    pub max_tokens: u32,
+}
+
+/// A call of a plain service.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The service.
+    pub service: ServiceId,
+    /// Whether the catalogue lists the operation as one that may be repeated.
+    pub idempotent: bool,
+    /// The caller's key, when it gave one.
+    pub key: Option<IdempotencyKey>,
+    /// Hash of method, path and body, to tell a repeat from another request with the same key.
+    pub fingerprint: [u8; 32],
+}
+
+/// Whether a request is short or long.
+#[derive(
+    Clone, Copy, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Class {
+    /// Served first.
+    Short,
+    /// Patient, but never starved.
+    Long,
+}
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Stand-ins for the outside systems.
+
+fn main() {}
