Thin dispatcher and names of cache blocks

Cause: the daemon, the load tool and the fakes need a dispatcher to build on. Attempt carries the version and the block names that it must run under.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch/event.rs
@@ -1,16 +1,35 @@
-//! The machine that decides each request.
+//! What the dispatcher is told and what it asks for.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use acacia_catalog::id::{Incarnation, StoreId, UpstreamId, VersionId};
-use strum::{Display, IntoStaticStr};
+use strum::{Display, EnumString, IntoStaticStr, VariantNames};
 
 use crate::control::{Answer, Claim, ClaimOutcome, Permit, Ticket, Usage};
 use crate::request::{BlockKey, Request};
 use crate::snapshot::{Load, Snapshot};
 use crate::{Time, Verdict};
 
+/// How requests are spread over upstreams.
+#[derive(
+    Clone, Copy, Debug, Default, Display, EnumString, Eq, IntoStaticStr, PartialEq, VariantNames,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Strategy {
+    /// By estimated time to first token, with cache imports and chosen exports.
+    #[default]
+    Ours,
+    /// To the least loaded upstream; no imports.
+    LeastLoaded,
+    /// By rendezvous of the history, spilling when full; no imports.
+    Affinity,
+    /// As ours, without imports and exports.
+    NoImport,
+    /// As ours, exporting every block after every answer.
+    ExportAll,
+}
+
 /// Unguessable name of one attempt; an answer must echo it.
 pub type AttemptId = u128;
 
@@ -185,7 +204,7 @@
     Replay(Ticket, Answer),
     /// Refuse or fail the request; final.
     Refuse(Ticket, Refusal),
-    /// The request is answered; forget it.
+    /// The request is answered, or its caller left; forget it.
     Finish(Ticket),
     /// Save blocks from an engine to stores, after the answer.
     Export {
@@ -209,6 +228,10 @@
     pub upstream: UpstreamId,
     /// The process life it was chosen for; zero when unknown.
     pub incarnation: Incarnation,
+    /// The weight version that it must run on, of a prompt.
+    pub version: Option<VersionId>,
+    /// Names of the prompt's full pieces under that version.
+    pub blocks: Arc<[BlockKey]>,
     /// Blocks to import before it starts, in order.
     pub imports: Vec<Import>,
     /// How it continues what the caller has been sent.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 //! Control hands the dispatcher an immutable [`Snapshot`] and answers its questions by event. What
 //! became of a request is told by a [`Verdict`].
 
+pub mod cache;
 pub mod control;
 pub mod dispatch;
 pub mod kv;
