--- /dev/null
+++ b/crates/policy/src/cache/hint.rs
@@ -0,0 +1,125 @@
+//! Which engines may hold which blocks, by their late and incomplete events.
+//!
+//! A hint costs time when it is wrong and nothing else. The table is bounded, oldest out first, and
+//! a hint counts for nothing once it is [`AGE`] old or its engine has another process life.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use acacia_catalog::id::Incarnation;
+
+use crate::Time;
+use crate::request::BlockKey;
+
+/// Blocks remembered.
+const LIMIT: usize = 65_536;
+/// Engines remembered for one block.
+const HOLDERS: usize = 3;
+/// Age past which a hint counts for nothing.
+const AGE: Duration = Duration::from_secs(600);
+
+/// Bounded table of hints about engines named by `K`.
+pub struct Hints<K> {
+    blocks: HashMap<u64, [Option<Hint<K>>; HOLDERS]>,
+    order: VecDeque<u64>,
+}
+
+#[derive(Clone, Copy)]
+struct Hint<K> {
+    holder: K,
+    incarnation: Incarnation,
+    at: Time,
+}
+
+impl<K> Default for Hints<K> {
+    fn default() -> Self {
+        Self { blocks: HashMap::new(), order: VecDeque::new() }
+    }
+}
+
+impl<K: Copy + PartialEq> Hints<K> {
+    /// Blocks remembered.
+    pub fn len(&self) -> usize {
+        self.blocks.len()
+    }
+
+    /// Whether nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.blocks.is_empty()
+    }
+
+    /// Takes in that `holder` has a block.
+    pub fn store(&mut self, now: Time, block: &BlockKey, holder: K, incarnation: Incarnation) {
+        let short = short(block);
+        let hint = Hint { holder, incarnation, at: now };
+        if let Some(slots) = self.blocks.get_mut(&short) {
+            place(slots, hint);
+            return;
+        }
+        if self.order.len() >= LIMIT
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.blocks.remove(&oldest);
+        }
+        self.order.push_back(short);
+        let mut slots = [None; HOLDERS];
+        slots[0] = Some(hint);
+        self.blocks.insert(short, slots);
+    }
+
+    /// Takes in that `holder` no longer has a block.
+    pub fn remove(&mut self, block: &BlockKey, holder: K) {
+        if let Some(slots) = self.blocks.get_mut(&short(block)) {
+            for slot in slots.iter_mut().filter(|s| s.is_some_and(|h| h.holder == holder)) {
+                *slot = None;
+            }
+        }
+    }
+
+    /// Engines that seem to hold a prefix of `blocks`, with its length in blocks, longest first.
+    pub fn prefixes(&self, now: Time, blocks: &[BlockKey]) -> Vec<(K, Incarnation, usize)> {
+        let mut open: Vec<(K, Incarnation)> = Vec::new();
+        let mut done = Vec::new();
+        for (index, block) in blocks.iter().enumerate() {
+            let slots = self.blocks.get(&short(block));
+            let holds = |holder: K| {
+                slots.into_iter().flatten().flatten().any(|h| h.holder == holder && h.is_fresh(now))
+            };
+            if index == 0 {
+                let fresh = slots.into_iter().flatten().flatten().filter(|h| h.is_fresh(now));
+                open.extend(fresh.map(|h| (h.holder, h.incarnation)));
+            } else {
+                done.extend(
+                    open.extract_if(.., |(k, _)| !holds(*k)).map(|(k, life)| (k, life, index)),
+                );
+            }
+            if open.is_empty() {
+                break;
+            }
+        }
+        done.extend(open.into_iter().map(|(k, life)| (k, life, blocks.len())));
+        done.sort_by_key(|(_, _, length)| std::cmp::Reverse(*length));
+        done
+    }
+}
+
+impl<K> Hint<K> {
+    fn is_fresh(&self, now: Time) -> bool {
+        now < self.at + AGE
+    }
+}
+
+/// Puts a hint in its holder's place, a free one, or that of the oldest.
+fn place<K: Copy + PartialEq>(slots: &mut [Option<Hint<K>>; HOLDERS], hint: Hint<K>) {
+    let own = slots.iter().position(|s| s.is_some_and(|h| h.holder == hint.holder));
+    let index = own.or_else(|| slots.iter().position(Option::is_none)).unwrap_or_else(|| {
+        let oldest = (0..HOLDERS).min_by_key(|i| slots[*i].map(|h| h.at));
+        oldest.unwrap_or(0)
+    });
+    slots[index] = Some(hint);
+}
+
+/// The part of a block's name that the table is keyed by; two alike cost a wrong hint.
+fn short(block: &BlockKey) -> u64 {
+    super::anchor(block)
+}
--- /dev/null
+++ b/crates/policy/src/cache/link.rs
@@ -0,0 +1,173 @@
+//! Budgets of the links that cache moves over.
+//!
+//! One token bucket a link, filled at this daemon's share of the link's budget. Imports, which a
+//! caller waits for, may run it into debt, and the debt is part of their price; exports may use
+//! what is above half. While the bucket is below half, an organisation may import only while its
+//! own share of the link isn't in debt.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use acacia_catalog::Set;
+use acacia_catalog::id::{OrganisationId, ZoneId};
+
+use super::estimate::Rate;
+use crate::Time;
+
+/// Budget of a link that the configuration doesn't name, in bytes a second.
+const DEFAULT_BUDGET: f64 = 1e9;
+/// Depth of a bucket, in time at the link's whole budget.
+const DEPTH: Duration = Duration::from_secs(1);
+/// Share of a link that any organisation may use while others do.
+const ORGANISATION_SHARE: f64 = 0.25;
+/// Most debt of a bucket, in depths; further imports are refused.
+const DEBT_LIMIT: f64 = 4.0;
+/// Part of a bucket that exports leave alone.
+const RESERVE: f64 = 0.5;
+/// Organisations remembered for one link.
+const ORGANISATION_LIMIT: usize = 256;
+
+/// The links between availability zones.
+#[derive(Default)]
+pub struct Links {
+    zones: HashMap<ZoneId, u16>,
+    buckets: HashMap<(u16, u16), Bucket>,
+    daemons: f64,
+}
+
+/// The price of moving bytes over a link now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Quote {
+    /// Time until the budget's debt is paid.
+    pub wait: f64,
+    /// Seconds that one byte takes.
+    pub seconds_per_byte: f64,
+}
+
+struct Bucket {
+    budget: f64,
+    level: f64,
+    at: Time,
+    observed: Rate,
+    organisations: HashMap<OrganisationId, (f64, Time)>,
+}
+
+impl Links {
+    /// Takes a configuration and the number of daemons that share it in.
+    pub fn configure(&mut self, set: &Set, daemons: u32) {
+        self.daemons = f64::from(daemons.max(1));
+        for zone in set.zones.keys() {
+            let next = u16::try_from(self.zones.len()).unwrap_or(u16::MAX);
+            self.zones.entry(zone.clone()).or_insert(next);
+        }
+        for link in set.links.values() {
+            if let Some(pair) = self.pair(&link.from, &link.to) {
+                let budget = link.bytes_per_second as f64;
+                self.bucket(pair).budget = budget;
+            }
+        }
+    }
+
+    /// What moving bytes for `organisation` costs now; none when it may not.
+    pub fn quote(
+        &mut self,
+        now: Time,
+        from: &ZoneId,
+        to: &ZoneId,
+        organisation: &OrganisationId,
+    ) -> Option<Quote> {
+        let daemons = self.daemons;
+        let pair = self.pair(from, to)?;
+        let bucket = self.bucket(pair);
+        bucket.fill(now, daemons);
+        let depth = bucket.depth();
+        let scarce = bucket.level < RESERVE * depth;
+        let indebted = bucket.share(now, organisation, daemons) < 0.0;
+        if bucket.level < -DEBT_LIMIT * depth || (scarce && indebted) {
+            return None;
+        }
+        let speed = bucket.observed.at(now, bucket.budget);
+        let wait = (-bucket.level).max(0.0) * daemons / bucket.budget;
+        Some(Quote { wait, seconds_per_byte: 1.0 / speed.max(1.0) })
+    }
+
+    /// Charges an import.
+    pub fn import(
+        &mut self,
+        now: Time,
+        from: &ZoneId,
+        to: &ZoneId,
+        organisation: &OrganisationId,
+        bytes: u64,
+    ) {
+        let daemons = self.daemons;
+        let Some(pair) = self.pair(from, to) else { return };
+        let bucket = self.bucket(pair);
+        bucket.fill(now, daemons);
+        bucket.level -= bytes as f64;
+        let share = bucket.share(now, organisation, daemons) - bytes as f64;
+        bucket.keep(now, organisation, share);
+    }
+
+    /// Charges an export if the link has bytes to spare; gives the bytes a second to use.
+    pub fn export(&mut self, now: Time, from: &ZoneId, to: &ZoneId, bytes: u64) -> Option<u64> {
+        let daemons = self.daemons;
+        let pair = self.pair(from, to)?;
+        let bucket = self.bucket(pair);
+        bucket.fill(now, daemons);
+        if bucket.level < RESERVE * bucket.depth() {
+            return None;
+        }
+        bucket.level -= bytes as f64;
+        Some((bucket.budget * RESERVE / daemons) as u64)
+    }
+
+    /// Takes in how fast bytes went.
+    pub fn moved(&mut self, now: Time, from: &ZoneId, to: &ZoneId, bytes: u64, took: Duration) {
+        if let Some(pair) = self.pair(from, to) {
+            self.bucket(pair).observed.observe(now, bytes as f64, took);
+        }
+    }
+
+    fn pair(&self, from: &ZoneId, to: &ZoneId) -> Option<(u16, u16)> {
+        let (a, b) = (*self.zones.get(from)?, *self.zones.get(to)?);
+        Some((a.min(b), a.max(b)))
+    }
+
+    fn bucket(&mut self, pair: (u16, u16)) -> &mut Bucket {
+        self.buckets.entry(pair).or_insert_with(|| Bucket {
+            budget: DEFAULT_BUDGET,
+            level: DEFAULT_BUDGET,
+            at: Time::ZERO,
+            observed: Rate::default(),
+            organisations: HashMap::new(),
+        })
+    }
+}
+
+impl Bucket {
+    fn depth(&self) -> f64 {
+        self.budget * DEPTH.as_secs_f64()
+    }
+
+    fn fill(&mut self, now: Time, daemons: f64) {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        self.level = (self.level + passed * self.budget / daemons).min(self.depth());
+        self.at = now;
+    }
+
+    /// Bytes that an organisation has left of its share.
+    fn share(&self, now: Time, organisation: &OrganisationId, daemons: f64) -> f64 {
+        let depth = self.depth() * ORGANISATION_SHARE;
+        let Some((left, at)) = self.organisations.get(organisation) else { return depth };
+        let passed = now.saturating_sub(*at).as_secs_f64();
+        (left + passed * self.budget * ORGANISATION_SHARE / daemons).min(depth)
+    }
+
+    fn keep(&mut self, now: Time, organisation: &OrganisationId, left: f64) {
+        if self.organisations.len() >= ORGANISATION_LIMIT {
+            self.organisations.retain(|_, (left, _)| *left < 0.0);
+        }
+        self.organisations.insert(organisation.clone(), (left, now));
+    }
+}
--- a/crates/policy/src/cache/mod.rs
+++ b/crates/policy/src/cache/mod.rs
@@ -3,6 +3,18 @@
 //! Nothing here is remembered for an idle history: names and places are computed, and what engines
 //! tell about their own caches is kept as bounded hints that expire.
 
+mod estimate;
+mod hint;
+mod link;
 mod name;
+mod placement;
+mod plan;
+mod saving;
 
+pub use estimate::Rate;
+pub use hint::Hints;
+pub use link::{Links, Quote};
 pub use name::chain;
+pub use placement::{Stores, anchor, rank, seed};
+pub use plan::{Candidate, Estimate, Prompt, Sources, Weights, estimate};
+pub use saving::{Returns, Saved, is_worth};
--- /dev/null
+++ b/crates/policy/src/cache/placement.rs
@@ -0,0 +1,132 @@
+//! Which stores hold a block: weighted rendezvous hashing over the live stores.
+//!
+//! Blocks are placed by segments of [`SEGMENT`] pieces, named by the segment's first block, so that
+//! a long history is found by asking few stores while histories that share a beginning part ways.
+//! The second copy goes to another availability zone where there is one.
+
+use acacia_catalog::id::{StoreId, ZoneId};
+use acacia_catalog::object::Duty;
+
+use crate::request::BlockKey;
+use crate::snapshot::{Snapshot, Warmth};
+
+/// Pieces that are placed together.
+pub const SEGMENT: usize = 8;
+
+/// The stores of a configuration.
+#[derive(Default)]
+pub struct Stores {
+    places: Vec<Place>,
+}
+
+/// One store.
+#[derive(Clone, Debug)]
+struct Place {
+    name: StoreId,
+    zone: ZoneId,
+    seed: u64,
+    bytes: f64,
+    readable: bool,
+    writable: bool,
+}
+
+impl Stores {
+    /// Takes a snapshot in.
+    pub fn refresh(&mut self, snapshot: &Snapshot) {
+        let set = &snapshot.set;
+        self.places = set
+            .stores
+            .values()
+            .map(|store| {
+                let warmth = snapshot.stores.get(&store.name).map(|s| s.warmth);
+                let out = set.zones.get(&store.zone).is_some_and(|z| z.state == Duty::Out);
+                Place {
+                    name: store.name.clone(),
+                    zone: store.zone.clone(),
+                    seed: seed(&store.name),
+                    bytes: (store.memory_bytes as f64 + store.disk_bytes as f64).max(1.0),
+                    readable: warmth != Some(Warmth::Down),
+                    writable: !out && !matches!(warmth, Some(Warmth::Down | Warmth::Closed)),
+                }
+            })
+            .collect();
+    }
+
+    /// Whether no store can be read.
+    pub fn is_empty(&self) -> bool {
+        !self.places.iter().any(|p| p.readable)
+    }
+
+    /// The zone of a store.
+    pub fn zone(&self, store: &StoreId) -> Option<&ZoneId> {
+        self.places.iter().find(|p| p.name == *store).map(|p| &p.zone)
+    }
+
+    /// Stores that may hold blocks of a prompt, each once.
+    pub fn sources(&self, blocks: &[BlockKey], copies: u32) -> Vec<StoreId> {
+        let mut found = Vec::new();
+        for segment in blocks.chunks(SEGMENT) {
+            for place in self.ranked(anchor(&segment[0]), copies, |p| p.readable) {
+                if !found.contains(&place.name) {
+                    found.push(place.name.clone());
+                }
+            }
+        }
+        found
+    }
+
+    /// Stores that the block at `index` of a prompt is to be saved to.
+    pub fn targets(&self, blocks: &[BlockKey], index: usize, copies: u32) -> Vec<StoreId> {
+        let first = index - index % SEGMENT;
+        let places = self.ranked(anchor(&blocks[first]), copies, |p| p.writable);
+        places.into_iter().map(|p| p.name.clone()).collect()
+    }
+
+    /// The best `copies` places, each further one in a zone not yet used where there is one.
+    fn ranked(&self, anchor: u64, copies: u32, may: impl Fn(&Place) -> bool) -> Vec<&Place> {
+        let mut chosen: Vec<&Place> = Vec::new();
+        for _ in 0..copies {
+            let is_free = |p: &&Place| may(p) && chosen.iter().all(|c| c.name != p.name);
+            let is_elsewhere = |p: &&Place| chosen.iter().all(|c| c.zone != p.zone);
+            let free = || self.places.iter().filter(is_free);
+            let found = best(free().filter(is_elsewhere), anchor).or_else(|| best(free(), anchor));
+            match found {
+                Some(place) => chosen.push(place),
+                None => break,
+            }
+        }
+        chosen
+    }
+}
+
+fn best<'a>(places: impl Iterator<Item = &'a Place>, anchor: u64) -> Option<&'a Place> {
+    places.max_by(|a, b| a.score(anchor).total_cmp(&b.score(anchor)))
+}
+
+impl Place {
+    /// Weighted rendezvous score: each store wins in proportion to its bytes.
+    fn score(&self, anchor: u64) -> f64 {
+        let unit = (rank(self.seed, anchor) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+        -self.bytes / unit.ln()
+    }
+}
+
+/// Rendezvous number of a name.
+pub fn seed(name: &str) -> u64 {
+    anchor(blake3::hash(name.as_bytes()).as_bytes())
+}
+
+/// Rendezvous number of a history, from a block.
+pub fn anchor(block: &BlockKey) -> u64 {
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&block[..8]);
+    u64::from_le_bytes(bytes)
+}
+
+/// Rank of a place for a history; the highest is preferred. The finalizer of SplitMix64.
+pub fn rank(seed: u64, anchor: u64) -> u64 {
+    let mut z = seed ^ anchor.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
--- a/crates/policy/src/dispatch/event.rs
+++ b/crates/policy/src/dispatch/event.rs
@@ -226,6 +226,8 @@
     pub id: AttemptId,
     /// Where it runs.
     pub upstream: UpstreamId,
+    /// The permit that it runs under, on a cold upstream.
+    pub permit: Option<Permit>,
     /// The process life it was chosen for; zero when unknown.
     pub incarnation: Incarnation,
     /// The weight version that it must run on, of a prompt.
--- /dev/null
+++ b/crates/policy/src/dispatch/fleet.rs
@@ -0,0 +1,430 @@
+//! Upstreams as the dispatcher sees them: the snapshot, indexed, and this daemon's own evidence.
+//!
+//! Members are grouped in pools by what they serve. The index is built once for each configuration;
+//! a snapshot that keeps the configuration only refreshes standings.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_catalog::Set;
+use acacia_catalog::id::{
+    AdapterId, Incarnation, ModelId, ServiceId, UpstreamId, VersionId, ZoneId,
+};
+use acacia_catalog::object::{Duty, Role, Upstream};
+use slotmap::{SlotMap, new_key_type};
+
+use super::queue::Queue;
+use crate::Time;
+use crate::cache::Rate;
+use crate::control::Permit;
+use crate::request::{Request, Work};
+use crate::snapshot::{Load, Snapshot, Standing, Warmth};
+
+/// Age past which a load report says nothing.
+const LOAD_AGE: Duration = Duration::from_secs(3);
+/// Own starts and ends remembered for each member since its last report.
+const RECENT_LIMIT: usize = 256;
+/// How long a leaving notice stands while no snapshot tells of it.
+const LEAVING_AGE: Duration = Duration::from_secs(30);
+
+new_key_type! {
+    /// Key of a member.
+    pub struct MemberKey;
+    /// Key of a pool.
+    pub struct PoolKey;
+}
+
+/// What the members of one pool serve.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub enum Target {
+    /// A model.
+    Model(ModelId),
+    /// A plain service.
+    Service(ServiceId),
+}
+
+impl Target {
+    /// What a request needs.
+    pub fn of(request: &Request) -> Self {
+        match &request.work {
+            Work::Prompt(prompt) => Self::Model(prompt.model.clone()),
+            Work::Call(call) => Self::Service(call.service.clone()),
+        }
+    }
+
+    fn served(role: &Role) -> Self {
+        match role {
+            Role::Engine { model, .. } => Self::Model(model.clone()),
+            Role::Service { service } => Self::Service(service.clone()),
+        }
+    }
+}
+
+/// Every upstream and pool.
+#[derive(Default)]
+pub struct Fleet {
+    /// Members by key.
+    pub members: SlotMap<MemberKey, Member>,
+    /// Pools by key.
+    pub pools: SlotMap<PoolKey, Pool>,
+    /// Live daemons that share the upstreams, at least one.
+    pub daemons: u32,
+    names: HashMap<UpstreamId, MemberKey>,
+    targets: HashMap<Target, PoolKey>,
+    set: Arc<Set>,
+}
+
+impl Fleet {
+    /// Takes a snapshot in; gives the permits that it made useless.
+    pub fn refresh(&mut self, snapshot: &Snapshot) -> Vec<Permit> {
+        if !Arc::ptr_eq(&self.set, &snapshot.set) {
+            self.rebuild(&snapshot.set);
+        }
+        self.daemons = u32::try_from(snapshot.daemons.len()).unwrap_or(u32::MAX).max(1);
+        let unseen = Standing::default();
+        let mut useless = Vec::new();
+        for member in self.members.values_mut() {
+            let standing = snapshot.upstreams.get(&member.name).unwrap_or(&unseen);
+            member.refresh(standing, &mut useless);
+        }
+        self.sum();
+        useless
+    }
+
+    /// The pool that serves `target`.
+    pub fn pool(&self, target: &Target) -> Option<PoolKey> {
+        self.targets.get(target).copied()
+    }
+
+    /// The member of that name.
+    pub fn member(&self, name: &UpstreamId) -> Option<MemberKey> {
+        self.names.get(name).copied()
+    }
+
+    /// Takes a load report in.
+    pub fn report(&mut self, name: &UpstreamId, load: Load) -> Option<PoolKey> {
+        let key = self.member(name)?;
+        let member = &mut self.members[key];
+        let before = member.room();
+        member.report(load);
+        let (pool, after) = (member.pool, member.room());
+        self.pools[pool].recount(before, after);
+        Some(pool)
+    }
+
+    /// Counts one more request on a member.
+    pub fn begin(&mut self, key: MemberKey, now: Time) {
+        self.shift(key, now, 1);
+    }
+
+    /// Counts one request less on a member.
+    pub fn finish(&mut self, key: MemberKey, now: Time) {
+        self.shift(key, now, -1);
+        let member = &self.members[key];
+        if member.removed && member.in_flight == 0 {
+            self.names.remove(&member.name);
+            self.members.remove(key);
+        }
+    }
+
+    fn shift(&mut self, key: MemberKey, now: Time, by: i32) {
+        let member = &mut self.members[key];
+        let before = member.room();
+        member.shift(now, by);
+        let (pool, after) = (member.pool, member.room());
+        self.pools[pool].recount(before, after);
+    }
+
+    fn rebuild(&mut self, set: &Arc<Set>) {
+        self.set = Arc::clone(set);
+        for pool in self.pools.values_mut() {
+            pool.members.clear();
+            pool.seeds.clear();
+        }
+        for member in self.members.values_mut() {
+            member.removed = true;
+        }
+        for upstream in set.upstreams.values() {
+            self.enter(upstream, set);
+        }
+        let gone: Vec<MemberKey> = self
+            .members
+            .iter()
+            .filter(|(_, m)| m.removed && m.in_flight == 0 && m.permits.is_empty())
+            .map(|(key, _)| key)
+            .collect();
+        for key in gone {
+            let member = self.members.remove(key).expect("key was just listed");
+            self.names.remove(&member.name);
+        }
+    }
+
+    fn enter(&mut self, upstream: &Upstream, set: &Set) {
+        let target = Target::served(&upstream.role);
+        let pool = match self.targets.get(&target) {
+            Some(pool) => *pool,
+            None => {
+                let pool = self.pools.insert(Pool::default());
+                self.targets.insert(target, pool);
+                pool
+            }
+        };
+        let key = match self.names.get(&upstream.name) {
+            Some(key) => *key,
+            None => {
+                let key = self.members.insert(Member::new(upstream, pool));
+                self.names.insert(upstream.name.clone(), key);
+                key
+            }
+        };
+        let zone_out = set.zones.get(&upstream.zone).is_some_and(|z| z.state == Duty::Out);
+        let member = &mut self.members[key];
+        member.configure(upstream, pool);
+        member.out = zone_out || upstream.state == Duty::Out;
+        let seed = member.seed;
+        self.pools[pool].members.push(key);
+        self.pools[pool].seeds.push(seed);
+    }
+
+    fn sum(&mut self) {
+        for pool in self.pools.values_mut() {
+            pool.slots = 0;
+            pool.free = 0;
+            pool.cold.clear();
+            for key in &pool.members {
+                let member = &self.members[*key];
+                match member.warmth {
+                    Warmth::Warm => pool.slots += member.slots,
+                    Warmth::Cold => pool.cold.push(*key),
+                    Warmth::Closed | Warmth::Down => {}
+                }
+                pool.free += member.room();
+            }
+        }
+    }
+}
+
+/// The upstreams that serve one thing, and what waits for them.
+#[derive(Default)]
+pub struct Pool {
+    /// Its members.
+    pub members: Vec<MemberKey>,
+    /// The members' rendezvous numbers, in the same order.
+    pub seeds: Vec<u64>,
+    /// Members in cold start.
+    pub cold: Vec<MemberKey>,
+    /// Slots of warm members.
+    pub slots: u32,
+    /// Slots of warm members that seem free.
+    pub free: u32,
+    /// What waits.
+    pub queue: Queue,
+}
+
+impl Pool {
+    fn recount(&mut self, before: u32, after: u32) {
+        self.free = (self.free + after).saturating_sub(before);
+    }
+}
+
+/// One upstream.
+pub struct Member {
+    /// Its name.
+    pub name: UpstreamId,
+    /// Where it stands.
+    pub zone: ZoneId,
+    /// The pool it serves.
+    pub pool: PoolKey,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// Process life.
+    pub incarnation: Incarnation,
+    /// Requests that this daemon has running there.
+    pub in_flight: u32,
+    /// Prompt tokens of this daemon's requests there that have had no first byte.
+    pub pending_tokens: u64,
+    /// Permits held, with the time that each came.
+    pub permits: Vec<(Permit, Time)>,
+    /// Permits that came lately, to tell a doubled message.
+    pub seen: Vec<Permit>,
+    /// When permits may next be asked for.
+    pub ask_after: Time,
+    /// Prompt tokens a second, learnt.
+    pub prefill: Rate,
+    /// Number for rendezvous, from its name.
+    pub seed: u64,
+    warmth: Warmth,
+    adapters: Vec<AdapterId>,
+    load: Option<Load>,
+    recent: VecDeque<(Time, i32)>,
+    drift: i32,
+    avoid_until: Time,
+    cold_until: Time,
+    leaving: Option<(Incarnation, Time)>,
+    wrong_version: Option<(VersionId, Time)>,
+    out: bool,
+    removed: bool,
+}
+
+impl Member {
+    fn new(upstream: &Upstream, pool: PoolKey) -> Self {
+        Self {
+            name: upstream.name.clone(),
+            zone: upstream.zone.clone(),
+            pool,
+            slots: upstream.slots,
+            incarnation: 0,
+            in_flight: 0,
+            pending_tokens: 0,
+            permits: Vec::new(),
+            seen: Vec::new(),
+            ask_after: Time::ZERO,
+            prefill: Rate::default(),
+            seed: crate::cache::seed(&upstream.name),
+            warmth: Warmth::Cold,
+            adapters: Vec::new(),
+            load: None,
+            recent: VecDeque::new(),
+            drift: 0,
+            avoid_until: Time::ZERO,
+            cold_until: Time::ZERO,
+            leaving: None,
+            wrong_version: None,
+            out: false,
+            removed: false,
+        }
+    }
+
+    /// Whether it may take new work at `now`, by all evidence.
+    pub fn warmth(&self, now: Time) -> Warmth {
+        let leaving = self
+            .leaving
+            .as_ref()
+            .is_some_and(|(life, until)| *life == self.incarnation && now < *until);
+        if self.removed || self.out || leaving {
+            return Warmth::Closed;
+        }
+        match self.warmth {
+            Warmth::Warm if now < self.cold_until => Warmth::Cold,
+            warmth => warmth,
+        }
+    }
+
+    /// Whether it may be given a request at `now`, slots aside.
+    pub fn is_avoided(&self, now: Time) -> bool {
+        now < self.avoid_until
+    }
+
+    /// Requests there by the last report and what this daemon did since.
+    pub fn busy(&self) -> u32 {
+        let reported = self.load.as_ref().map_or(0, |l| l.running + l.waiting);
+        let expected = i64::from(reported) + i64::from(self.drift);
+        u32::try_from(expected).unwrap_or(0).max(self.in_flight)
+    }
+
+    /// Slots that seem free.
+    fn room(&self) -> u32 {
+        match self.warmth {
+            Warmth::Warm => self.slots.saturating_sub(self.busy()),
+            Warmth::Cold | Warmth::Closed | Warmth::Down => 0,
+        }
+    }
+
+    /// Requests that this daemon began there less those that ended since the last report.
+    pub fn drift(&self) -> i32 {
+        self.drift
+    }
+
+    /// Whether one more request fits, with `daemons` sharing it.
+    pub fn has_room(&self, now: Time, daemons: u32) -> bool {
+        let fresh = self.load.as_ref().is_some_and(|l| now < l.sampled_at + LOAD_AGE);
+        let share = if fresh { self.slots } else { self.slots.div_ceil(daemons) };
+        self.in_flight < share && (!fresh || self.busy() < self.slots)
+    }
+
+    /// Whether it holds `version` and `adapter`, as far as is known.
+    pub fn holds(&self, now: Time, version: &VersionId, adapter: Option<&AdapterId>) -> bool {
+        let loaded = self.version().is_none_or(|v| v == version);
+        let refused =
+            self.wrong_version.as_ref().is_some_and(|(v, until)| v == version && now < *until);
+        let adapted = adapter.is_none_or(|a| {
+            self.adapters.contains(a) || self.load.as_ref().is_some_and(|l| l.adapters.contains(a))
+        });
+        loaded && !refused && adapted
+    }
+
+    /// The weight version that it reported.
+    pub fn version(&self) -> Option<&VersionId> {
+        self.load.as_ref().and_then(|l| l.version.as_ref())
+    }
+
+    /// Gives it no request until `until`.
+    pub fn avoid(&mut self, until: Time) {
+        self.avoid_until = self.avoid_until.max(until);
+    }
+
+    /// Holds it for cold until `until`.
+    pub fn cool(&mut self, until: Time) {
+        self.cold_until = self.cold_until.max(until);
+    }
+
+    /// Takes a leaving notice in.
+    pub fn leave(&mut self, now: Time) {
+        self.leaving = Some((self.incarnation, now + LEAVING_AGE));
+    }
+
+    /// Takes in that it refused a version.
+    pub fn refuse_version(&mut self, version: &VersionId, until: Time) {
+        self.wrong_version = Some((version.clone(), until));
+    }
+
+    fn configure(&mut self, upstream: &Upstream, pool: PoolKey) {
+        self.removed = false;
+        self.zone = upstream.zone.clone();
+        self.slots = upstream.slots;
+        self.pool = pool;
+        self.adapters = match &upstream.role {
+            Role::Engine { adapters, .. } => adapters.clone(),
+            Role::Service { .. } => Vec::new(),
+        };
+    }
+
+    fn refresh(&mut self, standing: &Standing, useless: &mut Vec<Permit>) {
+        if self.incarnation != standing.incarnation {
+            self.incarnation = standing.incarnation;
+            self.load = None;
+            self.drift = 0;
+            self.recent.clear();
+            self.prefill = Rate::default();
+        }
+        self.warmth = standing.warmth;
+        if let Some(load) = &standing.load {
+            self.report(load.clone());
+        }
+        let closed = self.removed || self.out || self.warmth != Warmth::Cold;
+        let life = self.incarnation;
+        let stale = |p: &Permit| closed || p.incarnation != life;
+        useless.extend(self.permits.extract_if(.., |(p, _)| stale(p)).map(|(p, _)| p));
+    }
+
+    fn report(&mut self, load: Load) {
+        let stale = self.load.as_ref().is_some_and(|l| load.sampled_at <= l.sampled_at);
+        if stale || (self.incarnation != 0 && load.incarnation != self.incarnation) {
+            return;
+        }
+        while let Some((_, by)) = self.recent.pop_front_if(|(at, _)| *at <= load.sampled_at) {
+            self.drift -= by;
+        }
+        self.load = Some(load);
+    }
+
+    fn shift(&mut self, now: Time, by: i32) {
+        self.in_flight = self.in_flight.saturating_add_signed(by);
+        self.drift += by;
+        self.recent.push_back((now, by));
+        if self.recent.len() > RECENT_LIMIT {
+            self.recent.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/dispatch/life.rs
@@ -0,0 +1,242 @@
+//! The life of one request, a type for each stage.
+//!
+//! A request is received, admitted, claimed if it may run only once and has a key, looked up in the
+//! stores if that may pay, queued, and run. Each transition consumes the earlier stage, and the two
+//! ends, [`Life::refuse`] and [`Life::answer`], consume the request: it ends once.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_catalog::id::{Incarnation, VersionId};
+
+use super::event::{Action, AttemptId, Holding, Reason, Refusal};
+use super::fleet::{MemberKey, PoolKey};
+use super::queue::Org;
+use crate::control::{Answer, Claim, Permit, Ticket};
+use crate::request::{BlockKey, Request};
+use crate::{Time, Verdict};
+
+/// What every stage knows.
+pub struct Core {
+    /// The daemon's number for it.
+    pub ticket: Ticket,
+    /// What was asked.
+    pub request: Request,
+    /// Who pays.
+    pub org: Org,
+    /// The pool that serves it.
+    pub pool: PoolKey,
+    /// When it came.
+    pub arrived: Time,
+    /// When it is looked at again unless something happens.
+    pub due: Time,
+    /// The claim that it holds or asks for.
+    pub claim: Option<Claim>,
+    /// What is known of its attempts.
+    pub verdict: Verdict,
+    /// Attempts so far.
+    pub attempts: u32,
+    /// Output tokens that the caller has been sent.
+    pub sent: u32,
+    /// The weight version that it runs on.
+    pub version: Option<VersionId>,
+    /// Names of its full pieces under that version.
+    pub blocks: Arc<[BlockKey]>,
+    /// What the stores hold of them, once asked.
+    pub holdings: Option<Arc<[Holding]>>,
+    /// The attempt that a broken stream may be resumed from.
+    pub broken: Option<Broken>,
+    /// Whether its caller left; nothing more is said to it.
+    pub gone: bool,
+}
+
+/// An attempt whose stream broke.
+#[derive(Clone, Debug)]
+pub struct Broken {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// Where it ran.
+    pub member: MemberKey,
+    /// The process life that it ran in.
+    pub incarnation: Incarnation,
+}
+
+/// A request in one stage.
+pub struct Life<S> {
+    /// What every stage knows.
+    pub core: Box<Core>,
+    /// What only this stage knows.
+    pub stage: S,
+}
+
+/// Waits for the answer to its claim.
+pub struct Claiming;
+/// Free to run.
+pub struct Admitted;
+/// Waits for what the stores hold.
+pub struct Finding;
+/// Waits for an upstream.
+pub struct Queued;
+/// Runs.
+pub struct Running {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// Where.
+    pub member: MemberKey,
+    /// The process life that it was sent to.
+    pub incarnation: Incarnation,
+    /// The permit that it runs under.
+    pub permit: Option<Permit>,
+    /// When it was sent.
+    pub since: Time,
+    /// Prompt tokens expected to be computed.
+    pub computed: u64,
+    /// Whether a first byte came.
+    pub begun: bool,
+    /// Full pieces that the engine was expected to hold or import.
+    pub covered: usize,
+    /// Whether the attempt resumes an earlier one.
+    pub resumes: bool,
+}
+/// Its last attempt failed.
+pub struct Failed;
+
+/// A request in any stage.
+pub enum Stage {
+    /// Waits for the answer to its claim.
+    Claiming(Life<Claiming>),
+    /// Waits for what the stores hold.
+    Finding(Life<Finding>),
+    /// Waits for an upstream.
+    Queued(Life<Queued>),
+    /// Runs.
+    Running(Life<Running>),
+}
+
+impl Stage {
+    /// What every stage knows.
+    pub fn core(&self) -> &Core {
+        match self {
+            Self::Claiming(life) => &life.core,
+            Self::Finding(life) => &life.core,
+            Self::Queued(life) => &life.core,
+            Self::Running(life) => &life.core,
+        }
+    }
+
+    /// What every stage knows, to change.
+    pub fn core_mut(&mut self) -> &mut Core {
+        match self {
+            Self::Claiming(life) => &mut life.core,
+            Self::Finding(life) => &mut life.core,
+            Self::Queued(life) => &mut life.core,
+            Self::Running(life) => &mut life.core,
+        }
+    }
+}
+
+impl<S> Life<S> {
+    fn become_<T>(self, stage: T) -> Life<T> {
+        Life { core: self.core, stage }
+    }
+
+    /// Ends a request whose caller left; a claim that it holds is released.
+    pub fn drop(self, out: &mut Vec<Action>) {
+        let core = *self.core;
+        if let Some(claim) = core.claim {
+            out.push(Action::ClaimEnded { claim, verdict: core.verdict, answer: None });
+        }
+    }
+
+    /// Ends the request without an answer.
+    pub fn refuse(self, reason: Reason, retry_after: Option<Duration>, out: &mut Vec<Action>) {
+        let core = *self.core;
+        if let Some(claim) = core.claim {
+            out.push(Action::ClaimEnded { claim, verdict: core.verdict, answer: None });
+        }
+        if !core.gone {
+            let refusal = Refusal { reason, verdict: core.verdict, retry_after };
+            out.push(Action::Refuse(core.ticket, refusal));
+        }
+    }
+}
+
+impl Life<Claiming> {
+    /// A request that needs a claim.
+    pub fn claim(core: Core) -> Self {
+        Self { core: Box::new(core), stage: Claiming }
+    }
+
+    /// The claim is held.
+    pub fn grant(self) -> Life<Admitted> {
+        self.become_(Admitted)
+    }
+
+    /// The claim isn't held; the request ends with `last`.
+    pub fn deny(self, last: Action, out: &mut Vec<Action>) {
+        out.push(last);
+    }
+
+    /// The caller left; gives the claim to release once it is answered.
+    pub fn abandon(self) -> Option<Claim> {
+        self.core.claim
+    }
+}
+
+impl Life<Admitted> {
+    /// A request that needs no claim.
+    pub fn admit(core: Core) -> Self {
+        Self { core: Box::new(core), stage: Admitted }
+    }
+
+    /// Asks the stores first.
+    pub fn find(self) -> Life<Finding> {
+        self.become_(Finding)
+    }
+
+    /// Waits for an upstream.
+    pub fn queue(self) -> Life<Queued> {
+        self.become_(Queued)
+    }
+}
+
+impl Life<Finding> {
+    /// The stores answered, or didn't in time.
+    pub fn found(mut self, holdings: Vec<Holding>) -> Life<Admitted> {
+        self.core.holdings = Some(holdings.into());
+        self.become_(Admitted)
+    }
+}
+
+impl Life<Queued> {
+    /// Sends it to an upstream.
+    pub fn run(mut self, running: Running) -> Life<Running> {
+        self.core.attempts += 1;
+        self.become_(running)
+    }
+}
+
+impl Life<Running> {
+    /// The attempt is over.
+    pub fn end(self) -> (Life<Failed>, Running) {
+        (Life { core: self.core, stage: Failed }, self.stage)
+    }
+}
+
+impl Life<Failed> {
+    /// Tries again.
+    pub fn again(self) -> Life<Admitted> {
+        self.become_(Admitted)
+    }
+
+    /// The caller has its answer.
+    pub fn answer(self, answer: Option<Answer>, out: &mut Vec<Action>) {
+        let core = *self.core;
+        if let Some(claim) = core.claim {
+            out.push(Action::ClaimEnded { claim, verdict: Verdict::Ran, answer });
+        }
+        if !core.gone {
+            out.push(Action::Finish(core.ticket));
+        }
+    }
+}
--- a/crates/policy/src/dispatch/machine.rs
+++ b/crates/policy/src/dispatch/machine.rs
@@ -1,262 +1,450 @@
-//! The dispatcher: first thin version, replaced by the full one.
+//! The dispatcher: its state, and how a request gets from arrival to the queue.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
+use std::time::Duration;
 
-use acacia_catalog::id::UpstreamId;
-use acacia_catalog::object::{Role, Upstream};
-use rand::{RngExt, SeedableRng};
+use acacia_catalog::id::OrganisationId;
+use acacia_catalog::object::Profile;
+use rand::SeedableRng;
 use rand_chacha::ChaCha12Rng;
 
-use super::event::{Action, Attempt, AttemptId, Ending, Event, Reason, Refusal, Start, Strategy};
+use super::event::{Action, AttemptId, Event, Holding, Reason, Refusal, Strategy};
+use super::fleet::{Fleet, MemberKey, PoolKey, Target};
+use super::life::{Admitted, Claiming, Core, Finding, Life, Stage};
+use super::queue::{Admission, Entry, Org};
+use super::retry::Budget;
+use super::rule::Rule;
+use super::save::Pending;
+use crate::cache::{Hints, Links, Rate, Returns, Saved, Stores, Weights};
 use crate::control::{Claim, ClaimOutcome, Permit, Ticket, Usage};
 use crate::request::{Request, Work};
-use crate::snapshot::{Snapshot, Warmth};
+use crate::snapshot::Snapshot;
 use crate::{Time, Verdict};
 
-/// Most attempts of one request.
-const MAX_ATTEMPTS: u32 = 6;
+/// Longest wait for the stores' answers.
+const FIND_WAIT: Duration = Duration::from_millis(50);
+/// Longest wait of a broken stream for an upstream to go on at.
+pub const CONTINUE_WAIT: Duration = Duration::from_secs(10);
+/// Requests held at once.
+const JOB_LIMIT: usize = 20_000;
+/// Shortest time after which a refused caller is told to come back.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// How long a cancelled attempt counts as running unless it ends.
+pub const CANCEL_GRACE: Duration = Duration::from_secs(2);
+/// Tokens that one call of a plain service counts for.
+const CALL_COST: u64 = 1_000;
+/// Tokens of prompt that one token of answer counts for.
+const DECODE_COST: u64 = 4;
+/// Most answer tokens that a request is charged for before they come.
+const DECODE_LIMIT: u32 = 256;
 
 /// Decides each request of one daemon.
 pub struct Dispatcher {
-    rng: ChaCha12Rng,
-    snapshot: Arc<Snapshot>,
-    jobs: HashMap<Ticket, Job>,
-    attempts: HashMap<AttemptId, Ticket>,
-    waiting: VecDeque<Ticket>,
-    in_flight: HashMap<UpstreamId, u32>,
-    permits: Vec<Permit>,
+    pub(super) strategy: Strategy,
+    pub(super) rng: ChaCha12Rng,
+    pub(super) snapshot: Arc<Snapshot>,
+    pub(super) fleet: Fleet,
+    pub(super) stores: Stores,
+    pub(super) links: Links,
+    pub(super) hints: Hints<MemberKey>,
+    pub(super) saved: Saved,
+    pub(super) returns: Returns,
+    pub(super) prefill: Rate,
+    pub(super) exports: VecDeque<Pending>,
+    pub(super) jobs: HashMap<Ticket, Stage>,
+    pub(super) attempts: HashMap<AttemptId, Ticket>,
+    pub(super) drains: HashMap<AttemptId, Drain>,
+    pub(super) budget: Budget,
+    pub(super) broken: Option<Rule>,
+    pub(super) damped: bool,
+    timers: BTreeSet<(Time, Ticket)>,
+    orphans: HashMap<Ticket, Claim>,
+    orgs: HashMap<OrganisationId, Org>,
     stopping: bool,
 }
 
-struct Job {
-    request: Request,
-    claim: Option<Claim>,
-    verdict: Verdict,
-    tries: u32,
-    sent: u32,
-    running: Option<(AttemptId, UpstreamId, Option<Permit>)>,
+/// An attempt that was cancelled and may still run.
+pub struct Drain {
+    /// Where.
+    pub member: MemberKey,
+    /// The permit that it runs under.
+    pub permit: Option<Permit>,
+    /// When it no longer counts.
+    pub until: Time,
 }
 
 impl Dispatcher {
     /// A dispatcher whose random choices follow from `seed`.
-    pub fn new(seed: u64, _strategy: Strategy) -> Self {
+    pub fn new(seed: u64, strategy: Strategy) -> Self {
         Self {
+            strategy,
             rng: ChaCha12Rng::seed_from_u64(seed),
             snapshot: Arc::default(),
+            fleet: Fleet::default(),
+            stores: Stores::default(),
+            links: Links::default(),
+            hints: Hints::default(),
+            saved: Saved::default(),
+            returns: Returns::default(),
+            prefill: Rate::default(),
+            exports: VecDeque::new(),
             jobs: HashMap::new(),
             attempts: HashMap::new(),
-            waiting: VecDeque::new(),
-            in_flight: HashMap::new(),
-            permits: Vec::new(),
+            drains: HashMap::new(),
+            budget: Budget::default(),
+            broken: None,
+            damped: true,
+            timers: BTreeSet::new(),
+            orphans: HashMap::new(),
+            orgs: HashMap::new(),
             stopping: false,
         }
     }
 
+    /// Switches a rule off, for a test that shows that its oracle catches it.
+    #[doc(hidden)]
+    pub fn break_rule(&mut self, rule: Rule) {
+        self.broken = Some(rule);
+    }
+
+    /// Switches the damping of herds off, for a measurement.
+    #[doc(hidden)]
+    pub fn undamped(&mut self) {
+        self.damped = false;
+    }
+
+    /// Requests held, and entries of the tables that are bounded.
+    pub fn sizes(&self) -> Sizes {
+        Sizes {
+            jobs: self.jobs.len(),
+            attempts: self.attempts.len() + self.drains.len(),
+            queued: self.fleet.pools.values().map(|p| p.queue.len()).sum(),
+            permits: self.fleet.members.values().map(|m| m.permits.len()).sum(),
+            hints: self.hints.len() + self.saved.len(),
+        }
+    }
+
     /// What follows from `event` at `now`.
     pub fn step(&mut self, now: Time, event: Event) -> Vec<Action> {
-        let mut actions = Vec::new();
+        let mut out = Vec::new();
         match event {
-            Event::Snapshot(snapshot) => self.snapshot = snapshot,
-            Event::Arrived(ticket, request) => self.arrive(ticket, request, &mut actions),
-            Event::Gone(ticket) => self.leave(ticket, &mut actions),
-            Event::Claimed(ticket, outcome) => self.claimed(ticket, outcome, &mut actions),
-            Event::Permit(permit) => self.permits.push(permit),
-            Event::Progress { attempt, tokens } => self.progress(attempt, tokens),
-            Event::Ended { attempt, ending } => self.end(attempt, ending, &mut actions),
+            Event::Tick => self.tick(now, &mut out),
+            Event::Snapshot(snapshot) => self.refresh(now, snapshot, &mut out),
+            Event::Arrived(ticket, request) => self.arrive(now, ticket, request, &mut out),
+            Event::Gone(ticket) => self.leave(now, ticket, &mut out),
+            Event::Claimed(ticket, outcome) => self.claimed(now, ticket, outcome, &mut out),
+            Event::Permit(permit) => self.permitted(now, permit, &mut out),
+            Event::PermitRefused(upstream, wait) => self.unpermitted(now, &upstream, wait),
+            Event::Found(ticket, holdings) => self.found(now, ticket, holdings, &mut out),
+            Event::Progress { attempt, tokens } => self.progress(now, attempt, tokens),
+            Event::Ended { attempt, ending } => self.ended(now, attempt, ending, &mut out),
+            Event::Reported(upstream, load) => {
+                if let Some(pool) = self.fleet.report(&upstream, load) {
+                    self.pump(now, pool, &mut out);
+                }
+            }
+            Event::Cached { upstream, incarnation, stored, removed } => {
+                self.cached(now, &upstream, incarnation, &stored, &removed);
+            }
+            Event::Moved { store, upstream, bytes, took, ok } => {
+                if ok {
+                    self.moved(now, &store, &upstream, bytes, took);
+                }
+            }
             Event::Stop => self.stopping = true,
-            _ => {}
         }
-        self.pump(now, &mut actions);
-        actions
+        out
     }
 
-    fn arrive(&mut self, ticket: Ticket, request: Request, actions: &mut Vec<Action>) {
-        if self.stopping {
-            actions.push(refuse(ticket, Reason::Stopping, Verdict::NotRun));
-            return;
+    fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        while let Some((due, ticket)) = self.timers.first().copied()
+            && due <= now
+        {
+            self.timers.pop_first();
+            self.expire(now, ticket, out);
         }
-        let claim = claim(&request);
-        let job = Job {
-            request,
-            claim: claim.clone(),
-            verdict: Verdict::NotRun,
-            tries: 0,
-            sent: 0,
-            running: None,
-        };
-        self.jobs.insert(ticket, job);
-        match claim {
-            Some(claim) => actions.push(Action::Claim(ticket, claim)),
-            None => self.waiting.push_back(ticket),
+        self.drop_drains(now, out);
+        self.return_permits(now, out);
+        self.export_pending(now, out);
+        self.pump_all(now, out);
+    }
+
+    fn refresh(&mut self, now: Time, snapshot: Arc<Snapshot>, out: &mut Vec<Action>) {
+        for permit in self.fleet.refresh(&snapshot) {
+            out.push(Action::ReturnPermit(permit, Usage::Unused));
         }
+        self.stores.refresh(&snapshot);
+        self.links.configure(&snapshot.set, self.fleet.daemons);
+        self.snapshot = snapshot;
+        self.pump_all(now, out);
     }
 
-    fn claimed(&mut self, ticket: Ticket, outcome: ClaimOutcome, actions: &mut Vec<Action>) {
-        if !self.jobs.contains_key(&ticket) {
-            return;
+    fn pump_all(&mut self, now: Time, out: &mut Vec<Action>) {
+        let waiting: Vec<PoolKey> =
+            self.fleet.pools.iter().filter(|(_, p)| !p.queue.is_empty()).map(|(k, _)| k).collect();
+        for pool in waiting {
+            self.pump(now, pool, out);
         }
-        let refusal = match outcome {
-            ClaimOutcome::Granted => return self.waiting.push_back(ticket),
-            ClaimOutcome::Taken { answer: Some(answer), .. } => Action::Replay(ticket, answer),
-            ClaimOutcome::Taken { verdict, .. } => refuse(ticket, Reason::Repeated, verdict),
-            ClaimOutcome::Mismatch => refuse(ticket, Reason::KeyMismatch, Verdict::NotRun),
-            ClaimOutcome::Unavailable => refuse(ticket, Reason::ClaimUnavailable, Verdict::NotRun),
+    }
+
+    fn arrive(&mut self, now: Time, ticket: Ticket, request: Request, out: &mut Vec<Action>) {
+        let pool = match self.gate(now, &request) {
+            Gate::Open(pool) => pool,
+            Gate::Shut(reason, retry_after) => {
+                let refusal = Refusal { reason, verdict: Verdict::NotRun, retry_after };
+                out.push(Action::Refuse(ticket, refusal));
+                return;
+            }
         };
-        self.jobs.remove(&ticket);
-        actions.push(refusal);
+        let core = self.core(now, ticket, request, pool);
+        let Some(claim) = core.claim.clone() else {
+            return self.admit(now, Life::admit(core), out);
+        };
+        self.wait(core.request.deadline, Stage::Claiming(Life::claim(core)));
+        out.push(Action::Claim(ticket, claim));
     }
 
-    fn leave(&mut self, ticket: Ticket, actions: &mut Vec<Action>) {
-        let Some(job) = self.jobs.remove(&ticket) else { return };
-        self.waiting.retain(|t| *t != ticket);
-        if let Some((id, upstream, permit)) = job.running {
-            self.free(id, &upstream);
-            actions.push(Action::Cancel(id, upstream));
-            actions.extend(permit.map(|p| Action::ReturnPermit(p, Usage::Failed)));
+    /// Whether a request may come in.
+    fn gate(&self, now: Time, request: &Request) -> Gate {
+        let later = Some(RETRY_AFTER);
+        if self.stopping {
+            return Gate::Shut(Reason::Stopping, later);
+        }
+        if self.snapshot.revision == 0 && self.snapshot.set.upstreams.is_empty() {
+            return Gate::Shut(Reason::NotReady, later);
+        }
+        if now >= request.deadline {
+            return Gate::Shut(Reason::Deadline, None);
+        }
+        if self.jobs.len() >= JOB_LIMIT {
+            return Gate::Shut(Reason::Overloaded, later);
+        }
+        match self.fleet.pool(&Target::of(request)) {
+            Some(pool) if self.is_served(now, pool) => Gate::Open(pool),
+            _ => Gate::Shut(Reason::NoUpstream, later),
         }
-        actions.push(Action::Finish(ticket));
     }
 
-    fn progress(&mut self, attempt: AttemptId, tokens: u32) {
-        let job = self.attempts.get(&attempt).and_then(|t| self.jobs.get_mut(t));
-        if let Some(job) = job {
-            job.sent = job.sent.max(tokens);
+    fn core(&mut self, now: Time, ticket: Ticket, request: Request, pool: PoolKey) -> Core {
+        let next = Org::try_from(self.orgs.len()).unwrap_or(Org::MAX);
+        let org = *self.orgs.entry(request.organisation.clone()).or_insert(next);
+        let (version, blocks) = match &request.work {
+            Work::Prompt(p) => (Some(p.version.clone()), Arc::clone(&p.blocks)),
+            Work::Call(_) => (None, Arc::default()),
+        };
+        Core {
+            ticket,
+            org,
+            pool,
+            arrived: now,
+            due: now,
+            claim: claim(&request),
+            verdict: Verdict::NotRun,
+            attempts: 0,
+            sent: 0,
+            version,
+            blocks,
+            holdings: None,
+            broken: None,
+            gone: false,
+            request,
         }
     }
 
-    fn end(&mut self, attempt: AttemptId, ending: Ending, actions: &mut Vec<Action>) {
-        let Some(ticket) = self.attempts.get(&attempt).copied() else { return };
-        let Some(mut job) = self.jobs.remove(&ticket) else { return };
-        let Some((id, upstream, permit)) = job.running.take() else { return };
-        self.free(id, &upstream);
-        let answered = matches!(ending, Ending::Complete { .. } | Ending::Rejected);
-        let usage = if answered { Usage::Answered } else { Usage::Failed };
-        actions.extend(permit.map(|p| Action::ReturnPermit(p, usage)));
-        let answer = match ending {
-            Ending::Complete { answer, .. } => answer,
-            Ending::Rejected => None,
-            Ending::Refused { .. } | Ending::Unsent => {
-                return self.retry(ticket, job, Reason::Overloaded, actions);
-            }
-            Ending::Broken { tokens } => {
-                job.verdict = job.verdict.join(Verdict::MayHaveRun);
-                job.sent = job.sent.max(tokens);
-                return self.retry(ticket, job, Reason::Interrupted, actions);
+    /// Puts a request in the table, to be looked at again at `due`.
+    pub(super) fn wait(&mut self, due: Time, mut stage: Stage) {
+        let core = stage.core_mut();
+        core.due = due;
+        let ticket = core.ticket;
+        self.timers.insert((due, ticket));
+        self.jobs.insert(ticket, stage);
+    }
+
+    /// Takes a request out of the table.
+    pub(super) fn take(&mut self, ticket: Ticket) -> Option<Stage> {
+        let stage = self.jobs.remove(&ticket)?;
+        self.timers.remove(&(stage.core().due, ticket));
+        Some(stage)
+    }
+
+    fn claimed(&mut self, now: Time, ticket: Ticket, outcome: ClaimOutcome, out: &mut Vec<Action>) {
+        if let Some(claim) = self.orphans.remove(&ticket) {
+            if outcome == ClaimOutcome::Granted {
+                out.push(Action::ClaimEnded { claim, verdict: Verdict::NotRun, answer: None });
             }
+            return;
+        }
+        if !matches!(self.jobs.get(&ticket), Some(Stage::Claiming(_))) {
+            return;
+        }
+        let Some(Stage::Claiming(life)) = self.take(ticket) else { return };
+        let last = match outcome {
+            ClaimOutcome::Granted => return self.admit(now, life.grant(), out),
+            ClaimOutcome::Taken { answer: Some(answer), .. } => Action::Replay(ticket, answer),
+            ClaimOutcome::Taken { verdict, .. } => denial(ticket, Reason::Repeated, verdict),
+            ClaimOutcome::Mismatch => denial(ticket, Reason::KeyMismatch, Verdict::NotRun),
+            ClaimOutcome::Unavailable => denial(ticket, Reason::ClaimUnavailable, Verdict::NotRun),
         };
-        if let Some(claim) = job.claim {
-            actions.push(Action::ClaimEnded { claim, verdict: Verdict::Ran, answer });
+        life.deny(last, out);
+    }
+
+    /// Looks a request up in the stores, or queues it at once.
+    pub(super) fn admit(&mut self, now: Time, life: Life<Admitted>, out: &mut Vec<Action>) {
+        let stores = self.stores_to_ask(now, &life.core);
+        if stores.is_empty() {
+            return self.enqueue(now, life, out);
         }
-        actions.push(Action::Finish(ticket));
+        let due = life.core.request.deadline.min(now + FIND_WAIT);
+        out.push(Action::Find(life.core.ticket, stores));
+        self.wait(due, Stage::Finding(life.find()));
     }
 
-    fn retry(&mut self, ticket: Ticket, job: Job, reason: Reason, actions: &mut Vec<Action>) {
-        let harmless = job.verdict == Verdict::NotRun || job.request.is_idempotent();
-        if harmless && job.tries < MAX_ATTEMPTS {
-            self.jobs.insert(ticket, job);
-            self.waiting.push_front(ticket);
+    fn found(&mut self, now: Time, ticket: Ticket, holdings: Vec<Holding>, out: &mut Vec<Action>) {
+        if !matches!(self.jobs.get(&ticket), Some(Stage::Finding(_))) {
             return;
         }
-        give_up(ticket, job, reason, actions);
+        let Some(Stage::Finding(life)) = self.take(ticket) else { return };
+        self.learn_stored(&life.core, &holdings);
+        self.unfound(now, life, holdings, out);
+    }
+
+    fn unfound(
+        &mut self,
+        now: Time,
+        life: Life<Finding>,
+        holdings: Vec<Holding>,
+        out: &mut Vec<Action>,
+    ) {
+        self.enqueue(now, life.found(holdings), out);
     }
 
-    fn free(&mut self, attempt: AttemptId, upstream: &UpstreamId) {
-        self.attempts.remove(&attempt);
-        if let Some(count) = self.in_flight.get_mut(upstream) {
-            *count -= 1;
+    /// Queues a request and sends what can be sent.
+    pub(super) fn enqueue(&mut self, now: Time, life: Life<Admitted>, out: &mut Vec<Action>) {
+        let core = &life.core;
+        let (org, pool) = (core.org, core.pool);
+        let weight = self.weight(&core.request.organisation);
+        let fresh = core.attempts == 0;
+        let entry = self.entry(core);
+        let queue = &mut self.fleet.pools[pool].queue;
+        let expected = queue.wait(org, weight);
+        let late = expected.is_some_and(|wait| now + wait > core.request.deadline);
+        let retry_after = expected.unwrap_or_default().max(RETRY_AFTER);
+        if fresh && late && !queue.is_empty() {
+            return life.refuse(Reason::Overloaded, Some(retry_after), out);
         }
+        if !fresh || self.broken == Some(Rule::Bounds) {
+            queue.push_front(entry, weight);
+        } else if queue.push(entry, weight) == Admission::Full {
+            return life.refuse(Reason::QueueFull, Some(retry_after), out);
+        }
+        let due = match core.sent {
+            0 => core.request.deadline,
+            _ => now + CONTINUE_WAIT,
+        };
+        self.wait(due, Stage::Queued(life.queue()));
+        self.pump(now, pool, out);
     }
 
-    fn pump(&mut self, now: Time, actions: &mut Vec<Action>) {
-        for ticket in std::mem::take(&mut self.waiting) {
-            let Some(mut job) = self.jobs.remove(&ticket) else { continue };
-            if now >= job.request.deadline {
-                give_up(ticket, job, Reason::Deadline, actions);
-                continue;
+    /// A timer of a request ran out.
+    fn expire(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Action>) {
+        match self.take(ticket) {
+            Some(Stage::Claiming(life)) => self.unclaimed(life, out),
+            Some(Stage::Finding(life)) => self.unfound(now, life, Vec::new(), out),
+            Some(Stage::Queued(life)) => {
+                let core = &life.core;
+                let queue = &mut self.fleet.pools[core.pool].queue;
+                queue.remove(core.org, core.request.class, ticket);
+                let reason = if core.sent > 0 { Reason::Interrupted } else { Reason::Deadline };
+                if self.broken != Some(Rule::Answers) {
+                    life.refuse(reason, Some(RETRY_AFTER), out);
+                }
             }
-            if let Some((upstream, permit)) = self.choose(now, &job, actions) {
-                actions.push(self.start(ticket, &mut job, upstream, permit));
-            } else {
-                self.waiting.push_back(ticket);
+            Some(stage @ Stage::Running(_)) => {
+                self.jobs.insert(ticket, stage);
             }
-            self.jobs.insert(ticket, job);
+            None => {}
         }
     }
 
-    fn choose(
-        &mut self,
-        now: Time,
-        job: &Job,
-        actions: &mut Vec<Action>,
-    ) -> Option<(UpstreamId, Option<Permit>)> {
-        let mut best: Option<(u32, UpstreamId)> = None;
-        let mut cold = None;
-        let snapshot = Arc::clone(&self.snapshot);
-        for upstream in snapshot.set.upstreams.values().filter(|u| serves(u, &job.request)) {
-            let busy = self.in_flight.get(&upstream.name).copied().unwrap_or(0);
-            let warmth = snapshot.upstreams.get(&upstream.name).map(|s| s.warmth);
-            match warmth.unwrap_or_default() {
-                Warmth::Warm
-                    if busy < upstream.slots
-                        && best.as_ref().is_none_or(|(least, _)| busy < *least) =>
-                {
-                    best = Some((busy, upstream.name.clone()));
-                }
-                Warmth::Cold => cold = Some(upstream.name.clone()),
-                _ => {}
+    /// The deadline came before the claim; a claim granted later is released.
+    fn unclaimed(&mut self, life: Life<Claiming>, out: &mut Vec<Action>) {
+        let ticket = life.core.ticket;
+        let last = denial(ticket, Reason::ClaimUnavailable, Verdict::NotRun);
+        self.orphans.extend(life.core.claim.clone().map(|claim| (ticket, claim)));
+        life.deny(last, out);
+    }
+
+    /// The caller left.
+    fn leave(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Action>) {
+        match self.take(ticket) {
+            Some(Stage::Claiming(life)) => {
+                self.orphans.extend(life.abandon().map(|claim| (ticket, claim)));
             }
-        }
-        if let Some((_, upstream)) = best {
-            return Some((upstream, None));
-        }
-        let upstream = cold?;
-        while let Some(index) = self.permits.iter().position(|p| p.upstream == upstream) {
-            let permit = self.permits.swap_remove(index);
-            if now < permit.until {
-                return Some((upstream, Some(permit)));
+            Some(Stage::Finding(life)) => life.drop(out),
+            Some(Stage::Queued(life)) => {
+                let core = &life.core;
+                let queue = &mut self.fleet.pools[core.pool].queue;
+                queue.remove(core.org, core.request.class, ticket);
+                life.drop(out);
             }
-            actions.push(Action::ReturnPermit(permit, Usage::Unused));
+            Some(Stage::Running(life)) => self.abandon(now, life, out),
+            None => return,
         }
-        actions.push(Action::AskPermit { upstream, waiting: 1 });
-        None
+        out.push(Action::Finish(ticket));
     }
 
-    fn start(
-        &mut self,
-        ticket: Ticket,
-        job: &mut Job,
-        upstream: UpstreamId,
-        permit: Option<Permit>,
-    ) -> Action {
-        let id = self.rng.random();
-        job.tries += 1;
-        *self.in_flight.entry(upstream.clone()).or_default() += 1;
-        self.attempts.insert(id, ticket);
-        job.running = Some((id, upstream.clone(), permit));
-        let standing = self.snapshot.upstreams.get(&upstream);
-        let (version, blocks) = match &job.request.work {
-            Work::Prompt(p) => (Some(p.version.clone()), Arc::clone(&p.blocks)),
-            Work::Call(_) => (None, Arc::default()),
+    pub(super) fn entry(&self, core: &Core) -> Entry {
+        let cost = match &core.request.work {
+            Work::Prompt(prompt) => {
+                let answer = u64::from(prompt.max_tokens.min(DECODE_LIMIT)) * DECODE_COST;
+                prompt.tokens.len() as u64 + answer
+            }
+            Work::Call(_) => CALL_COST,
         };
-        let start = if job.sent > 0 { Start::Continue { offset: job.sent } } else { Start::Fresh };
-        Action::Start(
-            ticket,
-            Attempt {
-                id,
-                incarnation: standing.map_or(0, |s| s.incarnation),
-                upstream,
-                version,
-                blocks,
-                imports: Vec::new(),
-                start,
-                priority: 0,
-                first_byte_by: job.request.deadline,
-            },
-        )
+        let since = if self.broken == Some(Rule::Ages) { Time::MAX / 2 } else { core.arrived };
+        let class = core.request.class;
+        Entry { ticket: core.ticket, org: core.org, class, cost, since }
+    }
+
+    pub(super) fn weight(&self, organisation: &OrganisationId) -> u32 {
+        self.snapshot.set.organisations.get(organisation).map_or(1, |o| o.weight)
+    }
+
+    pub(super) fn profile(&self, organisation: &OrganisationId) -> Option<&Profile> {
+        let set = &self.snapshot.set;
+        set.profiles.get(&set.organisations.get(organisation)?.profile)
+    }
+
+    pub(super) fn weights(&self, organisation: &OrganisationId) -> Weights {
+        self.profile(organisation).map(Weights::from).unwrap_or_default()
     }
 }
 
+/// Sizes of what a dispatcher keeps.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Sizes {
+    /// Requests.
+    pub jobs: usize,
+    /// Attempts running or cancelled.
+    pub attempts: usize,
+    /// Requests that wait for an upstream.
+    pub queued: usize,
+    /// Permits held.
+    pub permits: usize,
+    /// Hints about blocks.
+    pub hints: usize,
+}
+
+/// Whether a request may come in.
+enum Gate {
+    /// To this pool.
+    Open(PoolKey),
+    /// For this reason; when to come back.
+    Shut(Reason, Option<Duration>),
+}
+
+/// The claim that a request needs.
 fn claim(request: &Request) -> Option<Claim> {
     let Work::Call(call) = &request.work else { return None };
     let key = call.key.clone().filter(|_| !call.idempotent)?;
@@ -264,21 +452,6 @@
     Some(Claim { organisation, key, fingerprint: call.fingerprint })
 }
 
-fn serves(upstream: &Upstream, request: &Request) -> bool {
-    match (&upstream.role, &request.work) {
-        (Role::Engine { model, .. }, Work::Prompt(prompt)) => *model == prompt.model,
-        (Role::Service { service }, Work::Call(call)) => *service == call.service,
-        _ => false,
-    }
-}
-
-fn give_up(ticket: Ticket, job: Job, reason: Reason, actions: &mut Vec<Action>) {
-    if let Some(claim) = job.claim {
-        actions.push(Action::ClaimEnded { claim, verdict: job.verdict, answer: None });
-    }
-    actions.push(refuse(ticket, reason, job.verdict));
-}
-
-fn refuse(ticket: Ticket, reason: Reason, verdict: Verdict) -> Action {
+fn denial(ticket: Ticket, reason: Reason, verdict: Verdict) -> Action {
     Action::Refuse(ticket, Refusal { reason, verdict, retry_after: None })
 }
--- /dev/null
+++ b/crates/policy/src/dispatch/permit.rs
@@ -0,0 +1,130 @@
+//! Permits of cold upstreams: asked for when work would go there, used once, always returned.
+
+use std::time::Duration;
+
+use acacia_catalog::id::UpstreamId;
+
+use super::event::Action;
+use super::fleet::{MemberKey, PoolKey};
+use super::life::Core;
+use super::machine::Dispatcher;
+use super::route::Need;
+use super::rule::Rule;
+use crate::Time;
+use crate::control::{Permit, Usage};
+use crate::snapshot::Warmth;
+
+/// Longest that a permit waits for a request.
+const HOLD: Duration = Duration::from_millis(300);
+/// How long after its end a permit's number is known, for a message that comes twice.
+const DOUBLED: Duration = Duration::from_secs(10);
+/// How long an unanswered question for permits stands.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
+/// Cold upstreams asked for at once.
+const ASK_LIMIT: usize = 2;
+
+impl Dispatcher {
+    /// A permit came.
+    pub(super) fn permitted(&mut self, now: Time, permit: Permit, out: &mut Vec<Action>) {
+        let Some(key) = self.fleet.member(&permit.upstream) else {
+            return out.push(Action::ReturnPermit(permit, Usage::Unused));
+        };
+        let member = &mut self.fleet.members[key];
+        member.seen.retain(|p| now < p.until + DOUBLED);
+        if member.seen.iter().any(|p| p.is_same(&permit)) {
+            return;
+        }
+        member.seen.push(permit.clone());
+        let good = permit.incarnation == member.incarnation
+            && now < permit.until
+            && member.warmth(now) == Warmth::Cold;
+        if !good {
+            return out.push(Action::ReturnPermit(permit, Usage::Unused));
+        }
+        member.ask_after = now;
+        member.permits.push((permit, now));
+        let pool = member.pool;
+        self.pump(now, pool, out);
+    }
+
+    /// No permit comes for now.
+    pub(super) fn unpermitted(&mut self, now: Time, upstream: &UpstreamId, wait: Duration) {
+        if let Some(key) = self.fleet.member(upstream) {
+            self.fleet.members[key].ask_after = now + wait;
+        }
+    }
+
+    /// Gives back permits that ran out or waited too long.
+    pub(super) fn return_permits(&mut self, now: Time, out: &mut Vec<Action>) {
+        let spent =
+            |(permit, since): &mut (Permit, Time)| permit.until <= now || *since + HOLD <= now;
+        for member in self.fleet.members.values_mut().filter(|m| !m.permits.is_empty()) {
+            let old = member.permits.extract_if(.., spent).map(|(permit, _)| permit);
+            out.extend(old.map(|permit| Action::ReturnPermit(permit, Usage::Unused)));
+        }
+    }
+
+    /// Takes a permit that is good now, returning those that are not.
+    pub(super) fn take_permit(
+        &mut self,
+        now: Time,
+        key: MemberKey,
+        out: &mut Vec<Action>,
+    ) -> Option<Permit> {
+        let member = &mut self.fleet.members[key];
+        while let Some((permit, _)) = member.permits.pop() {
+            if permit.incarnation == member.incarnation && now < permit.until {
+                return Some(permit);
+            }
+            out.push(Action::ReturnPermit(permit, Usage::Unused));
+        }
+        None
+    }
+
+    /// Returns the permit of an attempt that is over.
+    pub(super) fn give_back(&self, permit: Option<Permit>, usage: Usage, out: &mut Vec<Action>) {
+        if self.broken != Some(Rule::Returns) {
+            out.extend(permit.map(|permit| Action::ReturnPermit(permit, usage)));
+        }
+    }
+
+    /// Asks for permits of cold upstreams that could serve a request, `waiting` of them.
+    pub(super) fn ask_permits(
+        &mut self,
+        now: Time,
+        core: &Core,
+        waiting: usize,
+        out: &mut Vec<Action>,
+    ) {
+        let cold = self.cold_members(now, core.pool, core);
+        for key in cold.into_iter().take(ASK_LIMIT) {
+            let member = &mut self.fleet.members[key];
+            member.ask_after = now + ASK_AGAIN;
+            let waiting = u32::try_from(waiting).unwrap_or(u32::MAX).min(member.slots).max(1);
+            out.push(Action::AskPermit { upstream: member.name.clone(), waiting });
+        }
+    }
+
+    /// Cold members that may be asked for now, those without one in flight first.
+    fn cold_members(&self, now: Time, pool: PoolKey, core: &Core) -> Vec<MemberKey> {
+        let members = &self.fleet.members;
+        let need = Need::loose(core);
+        let mut cold: Vec<MemberKey> = self.fleet.pools[pool]
+            .cold
+            .iter()
+            .filter_map(|key| members.get(*key).map(|m| (*key, m)))
+            .filter(|(_, m)| m.warmth(now) == Warmth::Cold && m.ask_after <= now)
+            .filter(|(_, m)| m.permits.is_empty() && m.suits(now, &need))
+            .map(|(key, _)| key)
+            .collect();
+        cold.sort_by_key(|key| members[*key].in_flight);
+        cold
+    }
+}
+
+impl Permit {
+    /// Whether two messages are about one permit.
+    fn is_same(&self, other: &Self) -> bool {
+        self.id == other.id && self.owner == other.owner
+    }
+}
--- /dev/null
+++ b/crates/policy/src/dispatch/route.rs
@@ -0,0 +1,383 @@
+//! Where a request goes.
+
+use acacia_catalog::id::{AdapterId, VersionId};
+use rand::RngExt;
+
+use super::event::{Import, Start, Strategy};
+use super::fleet::{Member, MemberKey, PoolKey};
+use super::life::Core;
+use super::machine::Dispatcher;
+use super::rule::Rule;
+use crate::Time;
+use crate::cache::{Candidate, Estimate, Prompt, Sources, anchor, estimate, rank};
+use crate::request::Work;
+use crate::snapshot::Warmth;
+
+/// Pools up to this size are looked at whole.
+const WHOLE: usize = 64;
+/// Members of a larger pool that are drawn at random.
+const DRAWN: usize = 16;
+/// Members that a history prefers.
+const PREFERRED: usize = 3;
+/// Versions tried for a request that has streamed nothing.
+const VERSION_LIMIT: usize = 4;
+/// Part of a pool's slots kept for organisations below their share.
+const RESERVE: u32 = 8;
+/// Prompt tokens a second of an upstream that none of has been seen.
+const PREFILL: f64 = 8_000.0;
+/// Seconds that a request holds a slot, for the wait behind a full upstream.
+const SERVICE: f64 = 1.0;
+/// Seconds that a full batch adds to a request's first token.
+const BATCH: f64 = 0.02;
+/// Milliseconds by which an upstream under a held permit is preferred, so that it warms.
+const WARMING_MS: f64 = 50.0;
+/// Part of the estimate by which a history's preferred upstream is favoured.
+const PREFERENCE: f64 = 0.1;
+/// Part of the estimate that is drawn at random, so that daemons with one report part ways.
+const JITTER: f64 = 0.1;
+
+/// What a request needs of an upstream.
+pub struct Need {
+    /// The weight version; any when absent.
+    pub version: Option<VersionId>,
+    /// The adapter.
+    pub adapter: Option<AdapterId>,
+}
+
+impl Need {
+    /// What a request needs under the version that it has.
+    pub fn of(core: &Core) -> Self {
+        Self { version: core.version.clone(), adapter: adapter(core) }
+    }
+
+    /// What it needs if it may still change its version.
+    pub fn loose(core: &Core) -> Self {
+        let version = core.version.clone().filter(|_| !may_change_version(core));
+        Self { version, adapter: adapter(core) }
+    }
+}
+
+/// Whether a request may go.
+pub enum Choice {
+    /// Along this route.
+    Go(Route),
+    /// Not now.
+    Full,
+}
+
+/// Where and how a request goes.
+pub struct Route {
+    /// The upstream.
+    pub member: MemberKey,
+    /// The version, when it changed.
+    pub version: Option<VersionId>,
+    /// Whether it needs a permit.
+    pub permit: bool,
+    /// Blocks to import.
+    pub imports: Vec<Import>,
+    /// Pieces that the engine will hold.
+    pub covered: usize,
+    /// Prompt tokens to compute.
+    pub computed: u64,
+    /// How it begins.
+    pub start: Start,
+}
+
+impl Member {
+    /// Whether it holds what a request needs.
+    pub fn suits(&self, now: Time, need: &Need) -> bool {
+        match &need.version {
+            Some(version) => self.holds(now, version, need.adapter.as_ref()),
+            None => true,
+        }
+    }
+}
+
+/// A member that may be given a request.
+struct Seat {
+    member: MemberKey,
+    held: usize,
+    preferred: bool,
+    cold: bool,
+}
+
+impl Dispatcher {
+    /// Whether any member may come to serve a pool's requests.
+    pub(super) fn is_served(&self, now: Time, pool: PoolKey) -> bool {
+        let members = &self.fleet.pools[pool].members;
+        members.iter().any(|key| self.fleet.members[*key].warmth(now) != Warmth::Closed)
+    }
+
+    /// Chooses where a request goes now.
+    pub(super) fn choose(&mut self, now: Time, core: &Core) -> Choice {
+        if let Some(route) = self.resume(now, core) {
+            return Choice::Go(route);
+        }
+        let pool = &self.fleet.pools[core.pool];
+        let weight = self.weight(&core.request.organisation);
+        let share = pool.slots / self.fleet.daemons;
+        let scarce = pool.free <= pool.slots / RESERVE;
+        if scarce && core.sent == 0 && !pool.queue.is_within_share(core.org, weight, share) {
+            return Choice::Full;
+        }
+        if let Some(route) = self.route(now, core, &Need::of(core)) {
+            return Choice::Go(route);
+        }
+        if !may_change_version(core) {
+            return Choice::Full;
+        }
+        for version in self.other_versions(now, core) {
+            let need = Need { version: Some(version.clone()), adapter: None };
+            if let Some(route) = self.route(now, core, &need) {
+                return Choice::Go(Route { version: Some(version), ..route });
+            }
+        }
+        Choice::Full
+    }
+
+    /// Back to the engine whose stream broke, if it lives.
+    fn resume(&self, now: Time, core: &Core) -> Option<Route> {
+        let broken = core.broken.as_ref().filter(|_| core.sent > 0)?;
+        let member = self.fleet.members.get(broken.member)?;
+        let permit = match member.warmth(now) {
+            Warmth::Warm => false,
+            Warmth::Cold if !member.permits.is_empty() => true,
+            _ => return None,
+        };
+        let lives = member.incarnation == broken.incarnation;
+        let counted = u32::from(self.drains.contains_key(&broken.attempt));
+        if !lives || member.in_flight - counted >= member.slots {
+            return None;
+        }
+        let start = Start::Resume { earlier: broken.attempt, offset: core.sent };
+        Some(Route {
+            member: broken.member,
+            version: None,
+            permit,
+            imports: Vec::new(),
+            covered: core.blocks.len(),
+            computed: 0,
+            start,
+        })
+    }
+
+    fn route(&mut self, now: Time, core: &Core, need: &Need) -> Option<Route> {
+        let same = need.version == core.version;
+        let options = self.options(now, core, need, same);
+        let (member, cold, estimate, imports) = match self.strategy {
+            Strategy::LeastLoaded => self.least_loaded(core, options),
+            Strategy::Affinity => self.affinity(core, options),
+            Strategy::Ours | Strategy::NoImport | Strategy::ExportAll => {
+                self.cheapest(now, core, options, same)
+            }
+        }?;
+        let start = match core.sent {
+            0 => Start::Fresh,
+            offset => Start::Continue { offset },
+        };
+        Some(Route {
+            member,
+            version: None,
+            permit: cold,
+            covered: estimate.imports.end,
+            computed: estimate.computed as u64,
+            imports,
+            start,
+        })
+    }
+
+    /// Members that may be given the request, with the pieces that each seems to hold.
+    fn options(&mut self, now: Time, core: &Core, need: &Need, same: bool) -> Vec<Seat> {
+        let prefixes = match same {
+            true => self.hints.prefixes(now, &core.blocks),
+            false => Vec::new(),
+        };
+        let preferred = self.preferred(core);
+        let mut keys: Vec<MemberKey> = prefixes.iter().map(|(key, _, _)| *key).collect();
+        keys.extend(&preferred);
+        self.draw(core.pool, &mut keys);
+        keys.sort_unstable();
+        keys.dedup();
+        keys.into_iter()
+            .filter_map(|key| {
+                let member = self.fleet.members.get(key).filter(|m| m.pool == core.pool)?;
+                let cold = self.usable(now, member, need)?;
+                let of_this = |p: &&(MemberKey, u64, usize)| {
+                    p.0 == key && (member.incarnation == 0 || p.1 == member.incarnation)
+                };
+                let held = prefixes.iter().find(of_this).map_or(0, |p| p.2);
+                let preferred = prefixes.is_empty() && preferred.first() == Some(&key);
+                Some(Seat { member: key, held, preferred, cold })
+            })
+            .collect()
+    }
+
+    /// Whether a member may be given a request now, and whether that takes a permit.
+    fn usable(&self, now: Time, member: &Member, need: &Need) -> Option<bool> {
+        let broken = self.broken;
+        let cold = match member.warmth(now) {
+            Warmth::Warm => false,
+            Warmth::Cold if broken == Some(Rule::Permits) => false,
+            Warmth::Cold if !member.permits.is_empty() => true,
+            Warmth::Closed | Warmth::Down if broken == Some(Rule::Closed) => false,
+            Warmth::Cold | Warmth::Closed | Warmth::Down => return None,
+        };
+        let roomy = match cold {
+            true => member.in_flight < member.slots,
+            false => member.has_room(now, self.fleet.daemons) || broken == Some(Rule::Slots),
+        };
+        let fits = roomy && !member.is_avoided(now) && member.suits(now, need);
+        fits.then_some(cold)
+    }
+
+    /// The members that a history prefers, best first, by rendezvous.
+    fn preferred(&self, core: &Core) -> Vec<MemberKey> {
+        let Some(first) = core.blocks.first() else { return Vec::new() };
+        let anchor = anchor(first);
+        let pool = &self.fleet.pools[core.pool];
+        let mut best: Vec<(u64, MemberKey)> = Vec::with_capacity(PREFERRED + 1);
+        for (seed, key) in pool.seeds.iter().zip(&pool.members) {
+            let rank = rank(*seed, anchor);
+            if best.len() < PREFERRED || best.last().is_some_and(|(least, _)| rank > *least) {
+                let at = best.partition_point(|(other, _)| *other > rank);
+                best.insert(at, (rank, *key));
+                best.truncate(PREFERRED);
+            }
+        }
+        best.into_iter().map(|(_, key)| key).collect()
+    }
+
+    /// Adds members to look at: all of a small pool, some of a large one, and those with permits.
+    fn draw(&mut self, pool: PoolKey, keys: &mut Vec<MemberKey>) {
+        let pool = &self.fleet.pools[pool];
+        if pool.members.len() <= WHOLE {
+            keys.extend(&pool.members);
+            return;
+        }
+        for _ in 0..DRAWN {
+            keys.push(pool.members[self.rng.random_range(0..pool.members.len())]);
+        }
+        let members = &self.fleet.members;
+        let permitted =
+            |key: &&MemberKey| members.get(**key).is_some_and(|m| !m.permits.is_empty());
+        keys.extend(pool.cold.iter().filter(permitted).take(DRAWN));
+    }
+
+    fn least_loaded(&mut self, core: &Core, options: Vec<Seat>) -> Chosen {
+        let members = &self.fleet.members;
+        let rng = &mut self.rng;
+        let load = |o: &Seat| {
+            let member = &members[o.member];
+            f64::from(member.busy()) / f64::from(member.slots.max(1))
+        };
+        let keyed = options.into_iter().map(|o| (load(&o), rng.random::<u32>(), o));
+        let least = keyed.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        least.map(|(_, _, o)| (o.member, o.cold, whole(core), Vec::new()))
+    }
+
+    fn affinity(&mut self, core: &Core, options: Vec<Seat>) -> Chosen {
+        for key in self.preferred(core) {
+            if let Some(option) = options.iter().find(|o| o.member == key) {
+                return Some((key, option.cold, whole(core), Vec::new()));
+            }
+        }
+        self.least_loaded(core, options)
+    }
+
+    fn cheapest(&mut self, now: Time, core: &Core, options: Vec<Seat>, same: bool) -> Chosen {
+        let Work::Prompt(prompt) = &core.request.work else {
+            return self.least_loaded(core, options);
+        };
+        let shape = Prompt { tokens: prompt.tokens.len(), pieces: core.blocks.len() };
+        let weights = self.weights(&core.request.organisation);
+        let holdings = core.holdings.clone().filter(|_| same);
+        let mut sources = Sources::new(shape.pieces, holdings);
+        let prior = self.prefill.at(now, PREFILL);
+        let mut best: Option<(f64, Seat, Estimate)> = None;
+        for option in options {
+            self.price(now, core, option.member, &mut sources);
+            let member = &self.fleet.members[option.member];
+            let prefill = member.prefill.at(now, prior);
+            let wait = wait(member, prefill, self.fleet.daemons, self.damped);
+            let candidate = Candidate { held: option.held, wait, prefill };
+            let found = estimate(shape, candidate, &member.zone, &sources, weights);
+            let score = self.adjust(&option, found.score);
+            if best.as_ref().is_none_or(|(least, _, _)| score < *least) {
+                best = Some((score, option, found));
+            }
+        }
+        let (_, option, found) = best?;
+        let zone = &self.fleet.members[option.member].zone;
+        let imports = sources.imports(zone, found.imports.clone(), &core.blocks);
+        Some((option.member, option.cold, found, imports))
+    }
+
+    /// Prices the stores' links to a member's zone, once for each zone.
+    fn price(&mut self, now: Time, core: &Core, key: MemberKey, sources: &mut Sources) {
+        let zone = &self.fleet.members[key].zone;
+        let (links, stores) = (&mut self.links, &self.stores);
+        let organisation = &core.request.organisation;
+        sources.price(zone, |holding| {
+            let from = stores.zone(&holding.store)?;
+            links.quote(now, from, zone, organisation)
+        });
+    }
+
+    /// Adds preference for warming and for a history's place, and the jitter against herds.
+    fn adjust(&mut self, option: &Seat, score: f64) -> f64 {
+        let warming = if option.cold { WARMING_MS } else { 0.0 };
+        let preference = if option.preferred { PREFERENCE } else { 0.0 };
+        let jitter = if self.damped { self.rng.random::<f64>() * JITTER } else { 0.0 };
+        score * (1.0 - preference + jitter) - warming
+    }
+
+    /// Versions of the model other than the request's that upstreams hold.
+    fn other_versions(&self, now: Time, core: &Core) -> Vec<VersionId> {
+        let pool = &self.fleet.pools[core.pool];
+        let mut versions = Vec::new();
+        for member in pool.members.iter().filter_map(|key| self.fleet.members.get(*key)) {
+            let Some(version) = member.version() else { continue };
+            let known = Some(version) == core.version.as_ref() || versions.contains(version);
+            let open = matches!(member.warmth(now), Warmth::Warm | Warmth::Cold);
+            if open && !known && versions.len() < VERSION_LIMIT {
+                versions.push(version.clone());
+            }
+        }
+        versions
+    }
+}
+
+/// An upstream, whether it takes a permit, what it costs and what to import.
+type Chosen = Option<(MemberKey, bool, Estimate, Vec<Import>)>;
+
+/// Seconds that a request waits at a member before its prompt is computed.
+fn wait(member: &Member, prefill: f64, daemons: u32, damped: bool) -> f64 {
+    let others = if damped { daemons.saturating_sub(1) } else { 0 };
+    let unseen = member.drift().max(0) as f64 * f64::from(others);
+    let busy = f64::from(member.busy()) + unseen;
+    let slots = f64::from(member.slots.max(1));
+    let behind = (busy - slots + 1.0).max(0.0) * SERVICE / slots;
+    let batch = (busy / slots).min(1.0) * BATCH;
+    behind + batch + member.pending_tokens as f64 / prefill.max(1.0)
+}
+
+/// The estimate of a strategy that makes none.
+fn whole(core: &Core) -> Estimate {
+    let computed = match &core.request.work {
+        Work::Prompt(prompt) => prompt.tokens.len(),
+        Work::Call(_) => 0,
+    };
+    Estimate { first_token_ms: 0.0, score: 0.0, imports: 0..0, computed }
+}
+
+fn adapter(core: &Core) -> Option<AdapterId> {
+    match &core.request.work {
+        Work::Prompt(prompt) => prompt.adapter.clone(),
+        Work::Call(_) => None,
+    }
+}
+
+/// Whether a request has streamed nothing and is bound to no version by its adapter.
+fn may_change_version(core: &Core) -> bool {
+    core.sent == 0 && core.version.is_some() && adapter(core).is_none()
+}
--- /dev/null
+++ b/crates/policy/src/dispatch/save.rs
@@ -0,0 +1,251 @@
+//! What is asked of the stores before a run, and what is saved to them after it.
+
+use std::time::Duration;
+
+use acacia_catalog::id::{Incarnation, StoreId, UpstreamId, VersionId};
+
+use super::event::{Action, Holding, Strategy};
+use super::fleet::MemberKey;
+use super::life::Core;
+use super::machine::Dispatcher;
+use crate::Time;
+use crate::cache::is_worth;
+use crate::request::{BlockKey, PIECE_TOKENS};
+use crate::snapshot::Warmth;
+
+/// Exports that wait for their link.
+const PENDING_LIMIT: usize = 256;
+/// How long an export waits before it is dropped.
+const PENDING_AGE: Duration = Duration::from_secs(20);
+/// Tokens a second computed where nothing is known.
+const PREFILL: f64 = 8_000.0;
+/// Ranks of stores beyond the copies that are asked, for blocks that were saved while one was out.
+const MORE_RANKS: u32 = 1;
+
+/// An export that waits for its link.
+pub struct Pending {
+    upstream: UpstreamId,
+    incarnation: Incarnation,
+    member: MemberKey,
+    version: VersionId,
+    store: StoreId,
+    blocks: Vec<BlockKey>,
+    bytes: u64,
+    since: Time,
+}
+
+impl Dispatcher {
+    /// The stores worth asking about a request; none if an engine with room seems to hold it.
+    pub(super) fn stores_to_ask(&self, now: Time, core: &Core) -> Vec<StoreId> {
+        let imports = matches!(self.strategy, Strategy::Ours | Strategy::ExportAll);
+        let known = core.holdings.is_some() || core.blocks.is_empty() || core.attempts > 0;
+        if !imports || known || self.stores.is_empty() || self.is_held(now, core) {
+            return Vec::new();
+        }
+        self.stores.sources(&core.blocks, self.copies(core) + MORE_RANKS)
+    }
+
+    /// Whether an engine with room seems to hold all but the last piece or a tenth.
+    fn is_held(&self, now: Time, core: &Core) -> bool {
+        let daemons = self.fleet.daemons;
+        let missing = (core.blocks.len() / 10).max(1);
+        self.hints.prefixes(now, &core.blocks).iter().any(|(key, life, length)| {
+            let Some(member) = self.fleet.members.get(*key) else { return false };
+            length + missing >= core.blocks.len().max(missing + 1)
+                && member.incarnation == *life
+                && member.warmth(now) == Warmth::Warm
+                && member.has_room(now, daemons)
+        })
+    }
+
+    fn copies(&self, core: &Core) -> u32 {
+        self.profile(&core.request.organisation).map_or(1, |p| p.copies.max(1))
+    }
+
+    /// Learns from the stores' answers what is stored and whether prompts return.
+    pub(super) fn learn_stored(&mut self, core: &Core, holdings: &[Holding]) {
+        let holds =
+            |i: usize| holdings.iter().any(|h| h.blocks.get(i).copied().flatten().is_some());
+        let mut any = false;
+        for (index, block) in core.blocks.iter().enumerate() {
+            if holds(index) {
+                any = true;
+                self.saved.insert(block);
+            } else {
+                self.saved.remove(block);
+            }
+        }
+        self.returns.count(&core.request.organisation, any);
+    }
+
+    /// An engine told of its cache.
+    pub(super) fn cached(
+        &mut self,
+        now: Time,
+        upstream: &UpstreamId,
+        incarnation: Incarnation,
+        stored: &[BlockKey],
+        removed: &[BlockKey],
+    ) {
+        let Some(key) = self.fleet.member(upstream) else { return };
+        for block in stored {
+            self.hints.store(now, block, key, incarnation);
+        }
+        for block in removed {
+            self.hints.remove(block, key);
+        }
+    }
+
+    /// Notes that an engine that answered a prompt holds its pieces.
+    pub(super) fn remember_blocks(
+        &mut self,
+        now: Time,
+        core: &Core,
+        member: MemberKey,
+        incarnation: Incarnation,
+    ) {
+        for block in core.blocks.iter() {
+            self.hints.store(now, block, member, incarnation);
+        }
+    }
+
+    /// Bytes moved between a store and an engine.
+    pub(super) fn moved(
+        &mut self,
+        now: Time,
+        store: &StoreId,
+        upstream: &UpstreamId,
+        bytes: u64,
+        took: Duration,
+    ) {
+        let Some(key) = self.fleet.member(upstream) else { return };
+        if let Some(from) = self.stores.zone(store) {
+            self.links.moved(now, from, &self.fleet.members[key].zone, bytes, took);
+        }
+    }
+
+    /// Saves the new pieces of an answered prompt that are worth it.
+    pub(super) fn export(
+        &mut self,
+        now: Time,
+        core: &Core,
+        member: MemberKey,
+        covered: usize,
+        out: &mut Vec<Action>,
+    ) {
+        let exports = matches!(self.strategy, Strategy::Ours | Strategy::ExportAll);
+        if !exports || core.blocks.is_empty() {
+            return;
+        }
+        for pending in self.choose_exports(now, core, member, covered) {
+            self.exports.push_back(pending);
+        }
+        while self.exports.len() > PENDING_LIMIT {
+            self.exports.pop_front();
+        }
+        self.export_pending(now, out);
+    }
+
+    fn choose_exports(
+        &mut self,
+        now: Time,
+        core: &Core,
+        key: MemberKey,
+        covered: usize,
+    ) -> Vec<Pending> {
+        let Some(version) = core.version.clone() else { return Vec::new() };
+        let bytes = self.piece_bytes(&version);
+        let mut grouped: Vec<Pending> = Vec::new();
+        for index in 0..core.blocks.len() {
+            if !self.is_new(core, index, covered) {
+                continue;
+            }
+            for store in self.stores.targets(&core.blocks, index, self.copies(core)) {
+                if !self.is_worth_saving(now, core, key, &store, bytes) {
+                    continue;
+                }
+                let place = grouped.iter().position(|p| p.store == store);
+                let at = place.unwrap_or_else(|| {
+                    grouped.push(self.pending(now, key, &version, store.clone()));
+                    grouped.len() - 1
+                });
+                grouped[at].blocks.push(core.blocks[index]);
+                grouped[at].bytes += bytes;
+            }
+            self.saved.insert(&core.blocks[index]);
+        }
+        grouped
+    }
+
+    fn pending(&self, now: Time, key: MemberKey, version: &VersionId, store: StoreId) -> Pending {
+        let member = &self.fleet.members[key];
+        Pending {
+            upstream: member.name.clone(),
+            incarnation: member.incarnation,
+            member: key,
+            version: version.clone(),
+            store,
+            blocks: Vec::new(),
+            bytes: 0,
+            since: now,
+        }
+    }
+
+    /// Whether a piece isn't known to be stored.
+    fn is_new(&self, core: &Core, index: usize, covered: usize) -> bool {
+        if self.strategy == Strategy::ExportAll {
+            return true;
+        }
+        let likely = core.holdings.is_none() && index < covered;
+        !likely && !self.saved.contains(&core.blocks[index])
+    }
+
+    fn is_worth_saving(
+        &mut self,
+        now: Time,
+        core: &Core,
+        key: MemberKey,
+        store: &StoreId,
+        bytes: u64,
+    ) -> bool {
+        if self.strategy == Strategy::ExportAll {
+            return true;
+        }
+        let organisation = &core.request.organisation;
+        let weights = self.weights(organisation);
+        let member = &self.fleet.members[key];
+        let prefill = member.prefill.at(now, self.prefill.at(now, PREFILL));
+        let Some(to) = self.stores.zone(store) else { return false };
+        let Some(quote) = self.links.quote(now, &member.zone, to, organisation) else {
+            return false;
+        };
+        let link = bytes as f64 * quote.seconds_per_byte;
+        is_worth(self.returns.chance(organisation), prefill, link, weights)
+    }
+
+    fn piece_bytes(&self, version: &VersionId) -> u64 {
+        let version = self.snapshot.set.versions.get(version);
+        version.map_or(1, |v| u64::from(v.bytes_per_token)) * PIECE_TOKENS as u64
+    }
+
+    /// Starts the exports that their links have room for.
+    pub(super) fn export_pending(&mut self, now: Time, out: &mut Vec<Action>) {
+        for pending in std::mem::take(&mut self.exports) {
+            let Some(member) = self.fleet.members.get(pending.member) else { continue };
+            let lives = member.incarnation == pending.incarnation;
+            let Some(to) = self.stores.zone(&pending.store) else { continue };
+            if !lives || pending.since + PENDING_AGE <= now {
+                continue;
+            }
+            match self.links.export(now, &member.zone, to, pending.bytes) {
+                Some(bytes_per_second) => out.push(Action::Export {
+                    upstream: pending.upstream,
+                    version: pending.version,
+                    blocks: pending.blocks.iter().map(|b| (*b, pending.store.clone())).collect(),
+                    bytes_per_second,
+                }),
+                None => self.exports.push_back(pending),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/dispatch/start.rs
@@ -0,0 +1,251 @@
+//! From the queue to an upstream.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_catalog::id::VersionId;
+use rand::RngExt;
+
+use super::event::{Action, Attempt, Reason, Start};
+use super::fleet::{MemberKey, PoolKey};
+use super::life::{Core, Life, Queued, Running, Stage};
+use super::machine::Dispatcher;
+use super::queue::{AGE, Entry};
+use super::route::{Choice, Route};
+use super::rule::Rule;
+use crate::Time;
+use crate::cache::chain;
+use crate::control::{Permit, Usage};
+use crate::request::{BlockKey, Class, Work};
+use crate::snapshot::Warmth;
+
+/// Organisations whose first request finds no place before the rest is left for later.
+const BLOCKED_LIMIT: usize = 16;
+/// Longest wait for the first byte of a stream that goes on elsewhere.
+const CONTINUE_BYTE: Duration = Duration::from_secs(10);
+/// Priority at the engine of a stream that goes on, a short, an aged and a long request.
+const PRIORITIES: [u32; 4] = [0, 1, 2, 10];
+
+impl Dispatcher {
+    /// Sends what waits in a pool for as long as there is room.
+    pub(super) fn pump(&mut self, now: Time, pool: PoolKey, out: &mut Vec<Action>) {
+        let mut blocked = Vec::new();
+        while blocked.len() < BLOCKED_LIMIT {
+            let Some(entry) = self.fleet.pools[pool].queue.pop(now, &blocked) else { break };
+            match self.launch(now, &entry, out) {
+                Launch::Sent | Launch::Ended => {}
+                Launch::Held(weight) => {
+                    self.fleet.pools[pool].queue.push_front(entry, weight);
+                    blocked.push(entry.org);
+                    if !self.has_room(pool) {
+                        break;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether a pool has a slot that seems free, or a permit.
+    fn has_room(&self, pool: PoolKey) -> bool {
+        let pool = &self.fleet.pools[pool];
+        let permitted =
+            |key: &MemberKey| self.fleet.members.get(*key).is_some_and(|m| !m.permits.is_empty());
+        pool.free > 0 || pool.cold.iter().any(permitted)
+    }
+
+    fn launch(&mut self, now: Time, entry: &Entry, out: &mut Vec<Action>) -> Launch {
+        let Some(stage) = self.jobs.remove(&entry.ticket) else { return Launch::Ended };
+        let Stage::Queued(life) = stage else {
+            self.jobs.insert(entry.ticket, stage);
+            return Launch::Ended;
+        };
+        let weight = self.weight(&life.core.request.organisation);
+        if life.core.sent == 0 && now >= life.core.request.deadline {
+            self.jobs.insert(entry.ticket, Stage::Queued(life));
+            self.finish_late(entry, out);
+            return Launch::Ended;
+        }
+        match self.choose(now, &life.core) {
+            Choice::Go(route) => self.go(now, entry, life, route, out),
+            Choice::Full => {
+                let waiting = self.fleet.pools[life.core.pool].queue.len() + 1;
+                self.ask_permits(now, &life.core, waiting, out);
+                self.jobs.insert(entry.ticket, Stage::Queued(life));
+                Launch::Held(weight)
+            }
+        }
+    }
+
+    fn finish_late(&mut self, entry: &Entry, out: &mut Vec<Action>) {
+        if let Some(Stage::Queued(life)) = self.take(entry.ticket) {
+            self.fleet.pools[life.core.pool].queue.drop_idle(entry.org);
+            life.refuse(Reason::Deadline, None, out);
+        }
+    }
+
+    fn go(
+        &mut self,
+        now: Time,
+        entry: &Entry,
+        mut life: Life<Queued>,
+        route: Route,
+        out: &mut Vec<Action>,
+    ) -> Launch {
+        let weight = self.weight(&life.core.request.organisation);
+        self.supersede(now, &mut life.core, &route, out);
+        let permit = match route.permit {
+            true => self.take_permit(now, route.member, out),
+            false => None,
+        };
+        if route.permit && permit.is_none() {
+            self.jobs.insert(entry.ticket, Stage::Queued(life));
+            return Launch::Held(weight);
+        }
+        self.jobs.insert(entry.ticket, Stage::Queued(life));
+        let Some(Stage::Queued(life)) = self.take(entry.ticket) else { return Launch::Ended };
+        self.fleet.pools[life.core.pool].queue.serve(entry, weight, now);
+        if !route.permit {
+            self.ask_permits(now, &life.core, 1, out);
+        }
+        self.send(now, life, route, permit, out);
+        Launch::Sent
+    }
+
+    /// Settles the attempt that a broken stream left behind.
+    fn supersede(&mut self, now: Time, core: &mut Core, route: &Route, out: &mut Vec<Action>) {
+        let Some(broken) = core.broken.take() else { return };
+        if matches!(route.start, Start::Resume { .. }) {
+            if let Some(drain) = self.drains.remove(&broken.attempt) {
+                self.fleet.finish(drain.member, now);
+                self.give_back(drain.permit, Usage::Failed, out);
+            }
+        } else if let Some(member) = self.fleet.members.get(broken.member) {
+            out.push(Action::Cancel(broken.attempt, member.name.clone()));
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Time,
+        mut life: Life<Queued>,
+        route: Route,
+        permit: Option<Permit>,
+        out: &mut Vec<Action>,
+    ) {
+        if let Some(version) = &route.version {
+            self.change_version(&mut life.core, version);
+        }
+        let core = &life.core;
+        if core.attempts == 0 {
+            self.budget.earn();
+        }
+        self.charge(now, core, &route);
+        self.fleet.begin(route.member, now);
+        let member = &mut self.fleet.members[route.member];
+        member.pending_tokens += route.computed;
+        let attempt = Attempt {
+            id: self.rng.random(),
+            upstream: member.name.clone(),
+            permit: permit.clone(),
+            incarnation: member.incarnation,
+            version: core.version.clone(),
+            blocks: self.named(core),
+            imports: route.imports,
+            start: self.shifted(route.start),
+            priority: priority(now, core),
+            first_byte_by: first_byte_by(now, core),
+        };
+        let running = Running {
+            attempt: attempt.id,
+            member: route.member,
+            incarnation: attempt.incarnation,
+            permit,
+            since: now,
+            computed: route.computed,
+            begun: false,
+            covered: route.covered,
+            resumes: matches!(route.start, Start::Resume { .. }),
+        };
+        let ticket = core.ticket;
+        self.attempts.insert(attempt.id, ticket);
+        out.push(Action::Start(ticket, attempt));
+        self.jobs.insert(ticket, Stage::Running(life.run(running)));
+    }
+
+    /// Charges the links for a route's imports.
+    fn charge(&mut self, now: Time, core: &Core, route: &Route) {
+        let zone = &self.fleet.members[route.member].zone;
+        for import in &route.imports {
+            if let Some(from) = self.stores.zone(&import.store) {
+                let organisation = &core.request.organisation;
+                self.links.import(now, from, zone, organisation, import.logical_bytes);
+            }
+        }
+    }
+
+    /// Moves a request that has streamed nothing to another version of its model.
+    fn change_version(&self, core: &mut Core, version: &VersionId) {
+        let Work::Prompt(prompt) = &core.request.work else { return };
+        core.holdings = None;
+        core.version = Some(version.clone());
+        let organisation = self.snapshot.set.organisations.get(&core.request.organisation);
+        core.blocks = match organisation {
+            Some(o) => chain(&o.cache_secret, &prompt.model, version, None, &prompt.tokens).into(),
+            None => Arc::default(),
+        };
+    }
+
+    /// The names of the blocks that an attempt may use.
+    fn named(&self, core: &Core) -> Arc<[BlockKey]> {
+        match &core.request.work {
+            Work::Prompt(prompt) if self.broken == Some(Rule::Names) => Arc::clone(&prompt.blocks),
+            _ => Arc::clone(&core.blocks),
+        }
+    }
+
+    fn shifted(&self, start: Start) -> Start {
+        match start {
+            Start::Resume { earlier, offset } if self.broken == Some(Rule::Offsets) => {
+                Start::Resume { earlier, offset: offset + 1 }
+            }
+            Start::Continue { offset } if self.broken == Some(Rule::Offsets) => {
+                Start::Continue { offset: offset + 1 }
+            }
+            start => start,
+        }
+    }
+
+    /// Whether an upstream may be given new work, for tests.
+    #[doc(hidden)]
+    pub fn warmth(&self, now: Time, upstream: &str) -> Option<Warmth> {
+        let key = self.fleet.member(&upstream.into())?;
+        Some(self.fleet.members[key].warmth(now))
+    }
+}
+
+/// What became of a request that was next in the queue.
+enum Launch {
+    /// It runs.
+    Sent,
+    /// It ended.
+    Ended,
+    /// It waits on; the weight of its organisation.
+    Held(u32),
+}
+
+fn priority(now: Time, core: &Core) -> u32 {
+    let [going_on, short, aged, long] = PRIORITIES;
+    match core.request.class {
+        _ if core.sent > 0 => going_on,
+        Class::Short => short,
+        Class::Long if now >= core.arrived + AGE => aged,
+        Class::Long => long,
+    }
+}
+
+fn first_byte_by(now: Time, core: &Core) -> Time {
+    match core.sent {
+        0 => core.request.deadline,
+        _ => core.request.deadline.max(now + CONTINUE_BYTE),
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/dispatch_world/fake.rs
@@ -0,0 +1,73 @@
+//! Fake upstreams.
+
+use acacia_catalog::id::{Incarnation, UpstreamId, VersionId};
+use acacia_policy::dispatch::{Attempt, AttemptId, Reason, Start};
+use acacia_policy::snapshot::Warmth;
+use rand::RngExt;
+use rand_chacha::ChaCha12Rng;
+
+/// An engine or an instance of a plain service.
+pub struct Upstream {
+    /// Its name.
+    pub name: UpstreamId,
+    /// Whether it is an engine.
+    pub is_engine: bool,
+    /// Slots.
+    pub slots: u32,
+    /// Requests that it bears in cold start.
+    pub cold_limit: u32,
+    /// Process life.
+    pub incarnation: Incarnation,
+    /// What control would say of it.
+    pub warmth: Warmth,
+    /// Version loaded.
+    pub version: Option<VersionId>,
+    /// What runs.
+    pub runs: Vec<Run>,
+}
+
+/// An attempt that runs.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Whose.
+    pub dispatcher: usize,
+    /// Its id.
+    pub attempt: AttemptId,
+    /// Output tokens sent over all attempts.
+    pub sent: u32,
+}
+
+impl Upstream {
+    /// A new process life; what ran breaks.
+    pub fn restart(&mut self) -> Vec<Run> {
+        self.incarnation += 1;
+        self.warmth = Warmth::Cold;
+        std::mem::take(&mut self.runs)
+    }
+
+    /// Loads the other version.
+    pub fn swap(&mut self) {
+        if let Some(version) = &mut self.version {
+            *version = if &**version == "v1" { "v2".into() } else { "v1".into() };
+        }
+    }
+
+    /// Why it refuses an attempt, if it does.
+    pub fn refusal(&self, attempt: &Attempt, rng: &mut ChaCha12Rng) -> Option<Reason> {
+        if let Start::Resume { .. } = attempt.start
+            && rng.random_bool(0.2)
+        {
+            return Some(Reason::Overloaded);
+        }
+        if self.version.is_some() && self.version != attempt.version {
+            return Some(Reason::WrongVersion);
+        }
+        match self.warmth {
+            Warmth::Closed => Some(Reason::Leaving),
+            Warmth::Down => Some(Reason::Overloaded),
+            Warmth::Cold if rng.random_bool(0.1) => Some(Reason::Cold),
+            _ if rng.random_bool(0.05) => Some(Reason::Overloaded),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/dispatch_world/mod.rs
@@ -0,0 +1,452 @@
+//! A small world under virtual time: several dispatchers, fakes of control, claims, stores and
+//! upstreams, and an oracle that watches every action.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+pub mod fake;
+pub mod op;
+pub mod oracle;
+pub mod scene;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_policy::control::{Answer, Claim, ClaimOutcome, Permit, Ticket, Usage};
+use acacia_policy::dispatch::{
+    Action, Attempt, AttemptId, Dispatcher, Ending, Event, Holding, Reason, Rule, Start, Strategy,
+};
+use acacia_policy::snapshot::{Load, Snapshot, Standing, Warmth};
+use acacia_policy::{Time, Verdict};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha12Rng;
+
+use fake::{Run, Upstream};
+use op::Op;
+use oracle::{Fault, Oracle};
+use scene::Scene;
+
+/// Dispatchers in the world.
+pub const DISPATCHERS: usize = 3;
+/// Time that a run's remains are given to end.
+const WIND_DOWN: Duration = Duration::from_secs(60);
+/// Longest deadline of a request.
+const LONG_DEADLINE: u64 = 20_000;
+
+/// Everything.
+pub struct World {
+    /// The time.
+    pub now: Time,
+    /// The watcher.
+    pub oracle: Oracle,
+    /// Steps that dispatchers took.
+    pub steps: u64,
+    scene: Scene,
+    dispatchers: Vec<Dispatcher>,
+    upstreams: Vec<Upstream>,
+    agenda: BinaryHeap<Reverse<Entry>>,
+    events: HashMap<u64, Happening>,
+    sequence: u64,
+    rng: ChaCha12Rng,
+    next_ticket: Ticket,
+    claims: HashMap<Claim, Option<Answer>>,
+    permits: BTreeMap<(u64, usize), usize>,
+    tickets: Vec<(usize, Ticket)>,
+    revision: u64,
+}
+
+type Entry = (Time, u64);
+
+/// Something that comes due.
+#[derive(Clone, Debug)]
+enum Happening {
+    Event(usize, Event),
+    Act(usize, usize, AttemptId, Act),
+}
+
+/// What a fake upstream does with an attempt next.
+#[derive(Clone, Debug)]
+enum Act {
+    Token(u32),
+    Finish,
+}
+
+impl World {
+    /// A world whose chances follow from `seed`.
+    pub fn new(seed: u64, strategy: Strategy, broken: Option<Rule>) -> Self {
+        let scene = Scene::new();
+        let upstreams = scene.upstreams();
+        let mut dispatchers: Vec<Dispatcher> =
+            (0..DISPATCHERS).map(|i| Dispatcher::new(seed * 31 + i as u64, strategy)).collect();
+        for dispatcher in &mut dispatchers {
+            if let Some(rule) = broken {
+                dispatcher.break_rule(rule);
+            }
+        }
+        let mut world = Self {
+            now: Duration::from_secs(1),
+            oracle: Oracle::new(DISPATCHERS),
+            steps: 0,
+            scene,
+            dispatchers,
+            upstreams,
+            agenda: BinaryHeap::new(),
+            events: HashMap::new(),
+            sequence: 0,
+            rng: ChaCha12Rng::seed_from_u64(seed),
+            next_ticket: 0,
+            claims: HashMap::new(),
+            permits: BTreeMap::new(),
+            tickets: Vec::new(),
+            revision: 1,
+        };
+        for d in 0..DISPATCHERS {
+            let snapshot = world.snapshot();
+            world.step(d, Event::Snapshot(snapshot));
+        }
+        world
+    }
+
+    /// Plays operations, then lets everything end; the first broken promise is the error.
+    pub fn play(&mut self, ops: &[Op]) -> Result<(), Fault> {
+        for op in ops {
+            self.apply(op);
+            self.run_until(self.now);
+            (0..DISPATCHERS).for_each(|d| self.oracle.check_bounds(d));
+            self.oracle.verdict()?;
+        }
+        self.wind_down();
+        for dispatcher in &self.dispatchers {
+            self.oracle.check_empty(dispatcher.sizes());
+        }
+        self.oracle.close();
+        self.oracle.verdict()
+    }
+
+    fn apply(&mut self, op: &Op) {
+        match *op {
+            Op::Arrive { dispatcher, kind, org, history, class, key, deadline } => {
+                let deadline =
+                    self.now + Duration::from_millis(u64::from(deadline) % LONG_DEADLINE);
+                let request = self.scene.request(kind, org, history, class, key, deadline);
+                self.arrive(usize::from(dispatcher) % DISPATCHERS, request);
+            }
+            Op::Burst { dispatcher, org, count } => {
+                for i in 0..count {
+                    let deadline = self.now + Duration::from_secs(15);
+                    let request =
+                        self.scene.request(0, org, (i % 4) as u8, i % 3 == 0, 0, deadline);
+                    self.arrive(usize::from(dispatcher) % DISPATCHERS, request);
+                }
+            }
+            Op::Leave { which } => self.caller_leaves(usize::from(which)),
+            Op::Pass { ms } => {
+                let target = self.now + Duration::from_millis(u64::from(ms) % 400 + 1);
+                self.run_until(target);
+                self.tick();
+            }
+            Op::Restart { upstream } => self.restart(usize::from(upstream)),
+            Op::Warm { upstream } => self.change(upstream, |u| u.warmth = Warmth::Warm),
+            Op::Close { upstream } => self.change(upstream, |u| u.warmth = Warmth::Closed),
+            Op::Down { upstream } => self.change(upstream, |u| u.warmth = Warmth::Down),
+            Op::Cool { upstream } => self.change(upstream, |u| u.warmth = Warmth::Cold),
+            Op::Swap { upstream } => self.change(upstream, Upstream::swap),
+            Op::Serve { version } => {
+                self.scene.serve(usize::from(version) % 2);
+                self.publish();
+            }
+            Op::Report { upstream } => self.report(usize::from(upstream)),
+            Op::Evict { which } => self.scene.evict(usize::from(which)),
+        }
+    }
+
+    fn arrive(&mut self, d: usize, request: acacia_policy::Request) {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        self.oracle.arrived(d, ticket, &request);
+        self.tickets.push((d, ticket));
+        self.step(d, Event::Arrived(ticket, request));
+    }
+
+    fn caller_leaves(&mut self, which: usize) {
+        if self.tickets.is_empty() {
+            return;
+        }
+        let recent = self.tickets.len().min(64);
+        let (d, ticket) = self.tickets[self.tickets.len() - 1 - which % recent];
+        if self.oracle.left(ticket) {
+            self.step(d, Event::Gone(ticket));
+        }
+    }
+
+    fn change(&mut self, upstream: u8, change: impl FnOnce(&mut Upstream)) {
+        let at = usize::from(upstream) % self.upstreams.len();
+        change(&mut self.upstreams[at]);
+        self.publish();
+    }
+
+    fn restart(&mut self, upstream: usize) {
+        let at = upstream % self.upstreams.len();
+        let runs = self.upstreams[at].restart();
+        for run in runs {
+            self.end(run.dispatcher, run.attempt, Ending::Broken { tokens: run.sent });
+        }
+        self.publish();
+    }
+
+    /// Publishes a snapshot that reaches each dispatcher with its own delay.
+    fn publish(&mut self) {
+        self.revision += 1;
+        for d in 0..DISPATCHERS {
+            let snapshot = self.snapshot();
+            self.later(0, 150, Happening::Event(d, Event::Snapshot(snapshot)));
+        }
+    }
+
+    fn snapshot(&self) -> Arc<Snapshot> {
+        let upstreams = self
+            .upstreams
+            .iter()
+            .map(|u| {
+                let standing =
+                    Standing { warmth: u.warmth, incarnation: u.incarnation, load: None };
+                (u.name.clone(), standing)
+            })
+            .collect();
+        let daemons = (0..DISPATCHERS).map(|d| (format!("d{d}").into(), "za".into())).collect();
+        Arc::new(Snapshot {
+            revision: self.revision,
+            set: self.scene.set(),
+            upstreams,
+            stores: BTreeMap::new(),
+            daemons,
+            ready: true,
+        })
+    }
+
+    fn report(&mut self, upstream: usize) {
+        let at = upstream % self.upstreams.len();
+        let u = &self.upstreams[at];
+        let load = Load {
+            sampled_at: self.now,
+            incarnation: u.incarnation,
+            running: u.runs.len() as u32,
+            waiting: 0,
+            slots: u.slots,
+            cold: u.warmth == Warmth::Cold,
+            version: u.version.clone(),
+            adapters: Vec::new(),
+        };
+        let name = u.name.clone();
+        for d in 0..DISPATCHERS {
+            let event = Event::Reported(name.clone(), load.clone());
+            self.later(0, 300, Happening::Event(d, event));
+        }
+    }
+
+    fn tick(&mut self) {
+        for d in 0..DISPATCHERS {
+            self.step(d, Event::Tick);
+        }
+    }
+
+    fn wind_down(&mut self) {
+        let end = self.now + WIND_DOWN;
+        while self.now < end {
+            self.run_until(self.now + Duration::from_millis(100));
+            self.tick();
+        }
+    }
+
+    fn run_until(&mut self, target: Time) {
+        while let Some(Reverse((due, id))) = self.agenda.peek().copied()
+            && due <= target
+        {
+            self.agenda.pop();
+            self.now = self.now.max(due);
+            match self.events.remove(&id) {
+                Some(Happening::Event(d, event)) => self.step(d, event),
+                Some(Happening::Act(d, u, attempt, act)) => self.act(d, u, attempt, &act),
+                None => {}
+            }
+        }
+        self.now = self.now.max(target);
+    }
+
+    fn later(&mut self, least: u64, most: u64, happening: Happening) {
+        let delay = Duration::from_millis(self.rng.random_range(least..=most));
+        self.sequence += 1;
+        self.events.insert(self.sequence, happening);
+        self.agenda.push(Reverse((self.now + delay, self.sequence)));
+    }
+
+    /// Gives a dispatcher an event and carries out what it asks.
+    fn step(&mut self, d: usize, event: Event) {
+        self.steps += 1;
+        self.oracle.told(self.now, d, &event);
+        let actions = self.dispatchers[d].step(self.now, event);
+        for action in actions {
+            self.oracle.asked(self.now, d, &action, &self.scene);
+            self.carry_out(d, action);
+        }
+    }
+
+    fn carry_out(&mut self, d: usize, action: Action) {
+        match action {
+            Action::Claim(ticket, claim) => self.claim(d, ticket, claim),
+            Action::ClaimEnded { claim, verdict, answer } => {
+                if verdict == Verdict::NotRun {
+                    self.claims.remove(&claim);
+                } else {
+                    self.claims.insert(claim, answer);
+                }
+            }
+            Action::AskPermit { upstream, waiting } => self.permit(d, &upstream, waiting),
+            Action::ReturnPermit(permit, _) => {
+                self.permits.remove(&(permit.id, d));
+            }
+            Action::Find(ticket, stores) => self.find(d, ticket, &stores),
+            Action::Start(_, attempt) => self.start(d, &attempt),
+            Action::Cancel(attempt, upstream) => self.cancel(d, attempt, &upstream),
+            Action::Export { blocks, .. } => {
+                self.scene.save(blocks);
+            }
+            Action::Replay(..) | Action::Refuse(..) | Action::Finish(_) => {}
+        }
+    }
+
+    fn claim(&mut self, d: usize, ticket: Ticket, claim: Claim) {
+        let outcome = if self.rng.random_bool(0.1) {
+            ClaimOutcome::Unavailable
+        } else if let Some(answer) = self.claims.get(&claim) {
+            let verdict = if answer.is_some() { Verdict::Ran } else { Verdict::MayHaveRun };
+            ClaimOutcome::Taken { verdict, answer: answer.clone() }
+        } else {
+            self.claims.insert(claim, None);
+            ClaimOutcome::Granted
+        };
+        self.later(0, 800, Happening::Event(d, Event::Claimed(ticket, outcome)));
+    }
+
+    fn permit(&mut self, d: usize, upstream: &str, waiting: u32) {
+        let at = self.upstreams.iter().position(|u| *u.name == *upstream).expect("known upstream");
+        let u = &self.upstreams[at];
+        let out = self.permits.values().filter(|i| **i == at).count() as u32;
+        let free = u.cold_limit.saturating_sub(out);
+        if free == 0 || self.rng.random_bool(0.2) {
+            let event = Event::PermitRefused(u.name.clone(), Duration::from_millis(100));
+            self.later(0, 50, Happening::Event(d, event));
+            return;
+        }
+        let (name, incarnation) = (u.name.clone(), u.incarnation);
+        for _ in 0..free.min(waiting) {
+            self.sequence += 1;
+            let permit = Permit {
+                id: self.sequence,
+                owner: "owner".into(),
+                upstream: name.clone(),
+                incarnation,
+                until: self.now + Duration::from_millis(self.rng.random_range(1..600)),
+            };
+            self.permits.insert((permit.id, d), at);
+            self.oracle.granted(d, &permit);
+            self.later(0, 100, Happening::Event(d, Event::Permit(permit.clone())));
+            if self.rng.random_bool(0.1) {
+                self.later(0, 200, Happening::Event(d, Event::Permit(permit)));
+            }
+        }
+    }
+
+    fn find(&mut self, d: usize, ticket: Ticket, stores: &[acacia_catalog::id::StoreId]) {
+        let blocks = self.oracle.blocks(ticket);
+        let found: Vec<Holding> = self.scene.holdings(stores, &blocks);
+        self.later(0, 90, Happening::Event(d, Event::Found(ticket, found)));
+    }
+
+    fn start(&mut self, d: usize, attempt: &Attempt) {
+        let at =
+            self.upstreams.iter().position(|u| u.name == attempt.upstream).expect("known upstream");
+        let id = attempt.id;
+        if self.rng.random_bool(0.05) {
+            return self.end(d, id, Ending::Unsent);
+        }
+        if let Some(reason) = self.upstreams[at].refusal(attempt, &mut self.rng) {
+            return self.end(d, id, Ending::Refused { reason, retry_after: None });
+        }
+        let offset = match attempt.start {
+            Start::Fresh => 0,
+            Start::Resume { offset, .. } | Start::Continue { offset } => offset,
+        };
+        self.oracle.ran(id);
+        let prompt = self.upstreams[at].is_engine;
+        self.upstreams[at].runs.push(Run { dispatcher: d, attempt: id, sent: offset });
+        let act = if prompt { Act::Token(offset + 1) } else { Act::Finish };
+        self.later(1, 200, Happening::Act(d, at, id, act));
+    }
+
+    /// A fake upstream goes on with an attempt.
+    fn act(&mut self, d: usize, at: usize, id: AttemptId, act: &Act) {
+        let Some(index) = self.upstreams[at].runs.iter().position(|r| r.attempt == id) else {
+            return;
+        };
+        if self.rng.random_bool(0.1) {
+            let run = self.upstreams[at].runs.swap_remove(index);
+            return self.end(d, id, Ending::Broken { tokens: run.sent });
+        }
+        match *act {
+            Act::Token(token) => {
+                self.upstreams[at].runs[index].sent = token;
+                let event = Event::Progress { attempt: id, tokens: token };
+                self.step(d, event);
+                let next =
+                    if self.rng.random_bool(0.3) { Act::Finish } else { Act::Token(token + 1) };
+                self.later(1, 200, Happening::Act(d, at, id, next));
+            }
+            Act::Finish => {
+                self.upstreams[at].runs.swap_remove(index);
+                let answer = self.answer(at);
+                let first_byte = Duration::from_millis(5);
+                self.end(d, id, Ending::Complete { cached_tokens: 0, first_byte, answer });
+            }
+        }
+    }
+
+    fn answer(&mut self, at: usize) -> Option<Answer> {
+        let small = !self.upstreams[at].is_engine && self.rng.random_bool(0.5);
+        small.then(|| Answer { status: 200, content_type: "text/plain".into(), body: vec![1] })
+    }
+
+    fn cancel(&mut self, d: usize, id: AttemptId, upstream: &str) {
+        let at = self.upstreams.iter().position(|u| *u.name == *upstream).expect("known upstream");
+        let u = &mut self.upstreams[at];
+        let Some(index) = u.runs.iter().position(|r| r.attempt == id) else { return };
+        let run = u.runs.swap_remove(index);
+        if self.rng.random_bool(0.7) {
+            self.end(d, id, Ending::Broken { tokens: run.sent });
+        }
+    }
+
+    /// Tells a dispatcher that an attempt ended, sometimes twice.
+    fn end(&mut self, d: usize, id: AttemptId, ending: Ending) {
+        let event = Event::Ended { attempt: id, ending };
+        if self.rng.random_bool(0.15) {
+            self.later(10, 2_500, Happening::Event(d, event.clone()));
+        }
+        self.later(0, 0, Happening::Event(d, event));
+    }
+}
+
+/// Whether a reason is one that an upstream gives.
+pub fn is_upstreams(reason: Reason) -> bool {
+    matches!(reason, Reason::Overloaded | Reason::Cold | Reason::Leaving | Reason::WrongVersion)
+}
+
+/// How a permit was used, for messages.
+pub fn usage(usage: Usage) -> &'static str {
+    match usage {
+        Usage::Unused => "unused",
+        Usage::Answered => "answered",
+        Usage::Failed => "failed",
+    }
+}
