Configuration checked whole; batches between daemons

Cause: a document was checked for duplicate names only, and daemons had no way to exchange messages. Conclusion: others can build on both.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -4,10 +4,15 @@
 //! reference at once and yields either a [`Set`], which the rest of the system reads, or every
 //! [`Problem`] found. A set is then split into content-addressed [`chunk`]s for publication.
 
+mod check;
+pub mod generate;
 pub mod id;
 pub mod object;
+pub mod problem;
+pub mod secret;
 pub mod set;
 pub mod tokenizer;
 
 pub use object::{Document, Object};
-pub use set::{Problem, Set};
+pub use problem::Problem;
+pub use set::Set;
--- a/crates/catalog/src/set.rs
+++ b/crates/catalog/src/set.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
 
+use crate::Problem;
+use crate::check;
 use crate::id::{
-    AdapterId, LinkId, ModelId, Name, OrganisationId, ProfileId, ServiceId, StoreId, UpstreamId,
+    AdapterId, LinkId, ModelId, OrganisationId, ProfileId, ServiceId, StoreId, UpstreamId,
     VersionId, ZoneId,
 };
 use crate::object::{
@@ -46,12 +47,48 @@
         let mut problems = Vec::new();
         for object in &document.objects {
             if !set.insert(object.clone()) {
-                problems.push(Problem::new(object, "name", "another object has this name"));
+                problems.push(check::duplicate(object));
             }
         }
+        check::objects(&set, document, &mut problems);
         if problems.is_empty() { Ok(set) } else { Err(problems) }
     }
 
+    /// The document that the set was made of, ordered by kind and name.
+    pub fn document(&self) -> Document {
+        let mut objects = Vec::with_capacity(self.len());
+        objects.extend(self.profiles.values().cloned().map(Object::Profile));
+        objects.extend(self.zones.values().cloned().map(Object::Zone));
+        objects.extend(self.links.values().cloned().map(Object::Link));
+        objects.extend(self.models.values().cloned().map(Object::Model));
+        objects.extend(self.versions.values().cloned().map(Object::Version));
+        objects.extend(self.adapters.values().cloned().map(Object::Adapter));
+        objects.extend(self.services.values().cloned().map(Object::Service));
+        objects.extend(self.organisations.values().cloned().map(Object::Organisation));
+        objects.extend(self.stores.values().cloned().map(Object::Store));
+        objects.extend(self.upstreams.values().cloned().map(Object::Upstream));
+        Document { objects }
+    }
+
+    /// Number of objects.
+    pub fn len(&self) -> usize {
+        self.organisations.len()
+            + self.models.len()
+            + self.versions.len()
+            + self.adapters.len()
+            + self.zones.len()
+            + self.upstreams.len()
+            + self.stores.len()
+            + self.services.len()
+            + self.links.len()
+            + self.profiles.len()
+    }
+
+    /// Whether it has no object.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Adds an object; false when its name was taken.
     fn insert(&mut self, object: Object) -> bool {
         match object {
@@ -68,28 +105,3 @@
         }
     }
 }
-
-/// A fault in a document.
-#[derive(Clone, Debug, Deserialize, Eq, Error, PartialEq, Serialize)]
-#[error("{kind} `{object}`, field `{field}`: {reason}")]
-pub struct Problem {
-    /// Kind of the object.
-    pub kind: String,
-    /// Name of the object.
-    pub object: Name,
-    /// The field at fault.
-    pub field: String,
-    /// What is wrong, and what to do.
-    pub reason: String,
-}
-
-impl Problem {
-    fn new(object: &Object, field: &str, reason: impl Into<String>) -> Self {
-        Self {
-            kind: object.kind().to_owned(),
-            object: object.name().clone(),
-            field: field.to_owned(),
-            reason: reason.into(),
-        }
-    }
-}
--- /dev/null
+++ b/crates/peer/tests/exchange.rs
@@ -0,0 +1,85 @@
+//! A client and a server over loopback.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use acacia_peer::client::Sending;
+use acacia_peer::server::{self, Delivery};
+use acacia_peer::{BODY_LIMIT, Client, Counters, PATH};
+use acacia_policy::message::{Envelope, Message, Sender};
+use salvo::conn::Acceptor;
+use salvo::prelude::*;
+
+type Inbox = Arc<Mutex<Vec<Envelope>>>;
+
+fn envelope(name: &str) -> Envelope {
+    let address = SocketAddr::from(([127, 0, 0, 1], 7000));
+    let from = Sender { daemon: name.into(), zone: "a".into(), address };
+    Envelope { from, message: Message::Hello }
+}
+
+async fn serve(delivery: Delivery) -> (SocketAddr, Inbox, Arc<Counters>) {
+    let inbox = Inbox::default();
+    let counters = Arc::new(Counters::default());
+    let sink = {
+        let inbox = inbox.clone();
+        move |batch: Vec<Envelope>| {
+            if delivery == Delivery::Taken {
+                inbox.lock().unwrap().extend(batch);
+            }
+            delivery
+        }
+    };
+    let router = server::router(sink, counters.clone());
+    let acceptor = TcpListener::new("127.0.0.1:0").bind().await;
+    let address = acceptor.holdings()[0].local_addr.clone().into_std().unwrap();
+    tokio::spawn(Server::new(acceptor).serve(router));
+    (address, inbox, counters)
+}
+
+async fn post(address: SocketAddr, body: Vec<u8>) -> u16 {
+    let url = format!("http://{address}{PATH}");
+    let http = reqwest::Client::builder().no_proxy().build().unwrap();
+    http.post(url).body(body).send().await.unwrap().status().as_u16()
+}
+
+#[tokio::test]
+async fn send_delivered() {
+    let (address, inbox, received) = serve(Delivery::Taken).await;
+    let client = Client::new().unwrap();
+    let batch = [envelope("x"), envelope("y")];
+    assert_eq!(client.send(address, &batch).await, Sending::Sent);
+    assert_eq!(*inbox.lock().unwrap(), batch);
+    assert_eq!(client.counters().messages.get(), 2);
+    assert_eq!(received.messages.get(), 2);
+    assert_eq!(received.bytes.get(), client.counters().bytes.get());
+}
+
+#[tokio::test]
+async fn send_full() {
+    let (address, _, received) = serve(Delivery::Full).await;
+    let client = Client::new().unwrap();
+    assert_eq!(client.send(address, &[envelope("x")]).await, Sending::Dropped);
+    assert_eq!(client.counters().dropped.get(), 1);
+    assert_eq!(client.counters().batches.get(), 0);
+    assert_eq!(received.dropped.get(), 1);
+}
+
+#[tokio::test]
+async fn send_unreachable() {
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let client = Client::new().unwrap();
+    assert_eq!(client.send(closed, &[envelope("x")]).await, Sending::Dropped);
+    assert_eq!(client.counters().dropped.get(), 1);
+}
+
+#[tokio::test]
+async fn receive_refused() {
+    let (address, inbox, received) = serve(Delivery::Taken).await;
+    let client = Client::new().unwrap();
+    assert_eq!(post(address, b"not a batch".to_vec()).await, 400);
+    assert_eq!(post(address, vec![0; BODY_LIMIT + 1]).await, 413);
+    assert_eq!(received.refused.get(), 2);
+    assert!(inbox.lock().unwrap().is_empty());
+    assert_eq!(client.send(address, &[envelope("x")]).await, Sending::Sent);
+}
