--- a/crates/peer/tests/exchange.rs
+++ b/crates/peer/tests/exchange.rs
@@ -25,22 +25,22 @@
         let inbox = inbox.clone();
         move |batch: Vec<Envelope>| {
             if delivery == Delivery::Taken {
-                inbox.lock().unwrap().extend(batch);
+                inbox.lock().expect("no panic before").extend(batch);
             }
             delivery
         }
     };
     let router = server::router(sink, counters.clone());
     let acceptor = TcpListener::new("127.0.0.1:0").bind().await;
-    let address = acceptor.holdings()[0].local_addr.clone().into_std().unwrap();
+    let address = acceptor.holdings()[0].local_addr.clone().into_std().expect("an IP address");
     tokio::spawn(Server::new(acceptor).serve(router));
     (address, inbox, counters)
 }
 
 async fn post(address: SocketAddr, body: Vec<u8>) -> u16 {
     let url = format!("http://{address}{PATH}");
-    let http = reqwest::Client::builder().no_proxy().build().unwrap();
-    http.post(url).body(body).send().await.unwrap().status().as_u16()
+    let http = reqwest::Client::builder().no_proxy().build().expect("a client");
+    http.post(url).body(body).send().await.expect("an answer").status().as_u16()
 }
 
 #[tokio::test]
