Configuration split into content-addressed chunks under a root

Cause: the set had no encoding for the key-value service. Change: chunk::split and join by kind and hash bucket, Root with a history tail that finds a change id and earlier revisions, typed diff that never shows a secret. Conclusion: control can publish by one swap of the root.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -5,14 +5,18 @@
 //! [`Problem`] found. A set is then split into content-addressed [`chunk`]s for publication.
 
 mod check;
+pub mod chunk;
+pub mod diff;
 pub mod generate;
 pub mod id;
 pub mod object;
 pub mod problem;
+pub mod root;
 pub mod secret;
 pub mod set;
 pub mod tokenizer;
 
 pub use object::{Document, Object};
 pub use problem::Problem;
+pub use root::Root;
 pub use set::Set;
