--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder head.
+//! The operators' command.
+
+pub mod load;
+pub mod system;
--- /dev/null
+++ b/crates/cli/src/load/client.rs
@@ -0,0 +1,248 @@
+//! A caller: sends one request and checks the answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use futures::StreamExt;
+use parking_lot::RwLock;
+use serde_json::{Value, json};
+
+use super::record::End;
+
+/// Times that a caller sends a request that was truly not run.
+const SENDS: u32 = 4;
+/// Longest wait before a request is sent again.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// Longest wait for the next byte of an answer.
+const SILENCE: Duration = Duration::from_secs(60);
+
+/// The addresses behind which daemons live, as a balancer knows them.
+#[derive(Clone, Debug, Default)]
+pub struct Balancer {
+    entries: Arc<RwLock<Vec<SocketAddr>>>,
+    next: Arc<AtomicUsize>,
+}
+
+impl Balancer {
+    /// A balancer over these entries.
+    pub fn new(entries: Vec<SocketAddr>) -> Self {
+        Self { entries: Arc::new(RwLock::new(entries)), next: Arc::default() }
+    }
+
+    /// Replaces the entries.
+    pub fn set(&self, entries: Vec<SocketAddr>) {
+        *self.entries.write() = entries;
+    }
+
+    /// The next entry in turn.
+    pub fn pick(&self) -> Option<SocketAddr> {
+        let entries = self.entries.read();
+        let turn = self.next.fetch_add(1, Ordering::Relaxed);
+        entries.get(turn % entries.len().max(1)).copied()
+    }
+}
+
+/// A caller.
+#[derive(Clone, Debug)]
+pub struct Client {
+    http: reqwest::Client,
+    balancer: Balancer,
+}
+
+/// How a request was answered.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The text, so far as it came.
+    pub text: String,
+    /// How it ended, before the text is compared.
+    pub end: End,
+    /// Wall time from the first sending to the first token.
+    pub first_token: Option<Duration>,
+    /// Times that it was sent.
+    pub sends: u32,
+}
+
+/// What one sending came to.
+enum Sent {
+    /// It ended.
+    Ended(End),
+    /// It was not run; it may be sent again after a wait.
+    Again(End, Duration),
+}
+
+impl Client {
+    /// A caller behind a balancer.
+    pub fn new(balancer: Balancer) -> Self {
+        let http = reqwest::Client::builder()
+            .read_timeout(SILENCE)
+            .pool_max_idle_per_host(1_024)
+            .build()
+            .expect("the options are valid");
+        Self { http, balancer }
+    }
+
+    /// Asks for a streamed completion of `prompt` by `tokens` tokens.
+    pub async fn complete(&self, key: &str, model: &str, prompt: &str, tokens: usize) -> Answer {
+        let body = json!({"model": model, "prompt": prompt, "max_tokens": tokens, "stream": true});
+        let body = body.to_string();
+        let build = |entry| {
+            self.http
+                .post(format!("http://{entry}/v1/completions"))
+                .bearer_auth(key)
+                .header("content-type", "application/json")
+                .body(body.clone())
+        };
+        self.persist(build, true).await
+    }
+
+    /// Calls a plain service; `idempotency` names a call that must run at most once.
+    pub async fn call(
+        &self,
+        key: &str,
+        service: &str,
+        path: &str,
+        idempotency: Option<&str>,
+    ) -> Answer {
+        let build = |entry| {
+            let url = format!("http://{entry}/v1/services/{service}{path}");
+            match idempotency {
+                Some(name) => self
+                    .http
+                    .post(url)
+                    .bearer_auth(key)
+                    .header("idempotency-key", name)
+                    .json(&json!({"reference": name})),
+                None => self.http.get(url).bearer_auth(key),
+            }
+        };
+        self.persist(build, false).await
+    }
+
+    /// Sends until the request ended or was refused too often.
+    async fn persist(
+        &self,
+        build: impl Fn(SocketAddr) -> reqwest::RequestBuilder,
+        stream: bool,
+    ) -> Answer {
+        let started = Instant::now();
+        let mut answer = Answer {
+            text: String::new(),
+            end: End::Broken("no entry".to_owned()),
+            first_token: None,
+            sends: 0,
+        };
+        while answer.sends < SENDS {
+            let Some(entry) = self.balancer.pick() else { break };
+            answer.sends += 1;
+            match send(build(entry), stream, started, &mut answer).await {
+                Sent::Ended(end) => {
+                    answer.end = end;
+                    return answer;
+                }
+                Sent::Again(end, wait) => {
+                    answer.end = end;
+                    tokio::time::sleep(wait.min(PATIENCE)).await;
+                }
+            }
+        }
+        answer
+    }
+}
+
+async fn send(
+    request: reqwest::RequestBuilder,
+    stream: bool,
+    started: Instant,
+    answer: &mut Answer,
+) -> Sent {
+    let response = match request.send().await {
+        Ok(response) => response,
+        Err(error) if error.is_connect() => {
+            return Sent::Again(End::Broken("connect".to_owned()), Duration::ZERO);
+        }
+        Err(_) => return Sent::Ended(End::Broken("no answer".to_owned())),
+    };
+    if !response.status().is_success() {
+        return refused(response).await;
+    }
+    if stream {
+        Sent::Ended(read_stream(response, started, answer).await)
+    } else {
+        Sent::Ended(read_body(response, started, answer).await)
+    }
+}
+
+async fn refused(response: reqwest::Response) -> Sent {
+    let status = response.status();
+    let wait = response
+        .headers()
+        .get("retry-after")
+        .and_then(|v| v.to_str().ok()?.parse().ok())
+        .map(Duration::from_secs_f64);
+    let body: Value = response.json().await.unwrap_or_default();
+    let field = |name: &str| body["error"][name].as_str().unwrap_or(status.as_str()).to_owned();
+    let end = End::Refused { code: field("code"), verdict: field("verdict") };
+    match wait {
+        Some(wait) if field("verdict") == "not_run" => Sent::Again(end, wait),
+        _ => Sent::Ended(end),
+    }
+}
+
+async fn read_body(response: reqwest::Response, started: Instant, answer: &mut Answer) -> End {
+    match response.text().await {
+        Ok(text) => {
+            answer.first_token = Some(started.elapsed());
+            answer.text = text;
+            End::Whole
+        }
+        Err(_) => End::Broken("body cut".to_owned()),
+    }
+}
+
+async fn read_stream(response: reqwest::Response, started: Instant, answer: &mut Answer) -> End {
+    let mut bytes = response.bytes_stream();
+    let mut pending = Vec::new();
+    while let Some(chunk) = bytes.next().await {
+        let Ok(chunk) = chunk else { return End::Broken("stream cut".to_owned()) };
+        pending.extend_from_slice(&chunk);
+        while let Some(at) = pending.iter().position(|b| *b == b'\n') {
+            let line: Vec<u8> = pending.drain(..=at).collect();
+            match read_line(&line, started, answer) {
+                Line::More => {}
+                Line::Done => return End::Whole,
+                Line::Failed(end) => return end,
+            }
+        }
+    }
+    End::Broken("no [DONE]".to_owned())
+}
+
+/// What a line of a stream says.
+enum Line {
+    More,
+    Done,
+    Failed(End),
+}
+
+fn read_line(line: &[u8], started: Instant, answer: &mut Answer) -> Line {
+    let Some(data) = line.trim_ascii().strip_prefix(b"data:") else { return Line::More };
+    let data = data.trim_ascii();
+    if data == b"[DONE]" {
+        return Line::Done;
+    }
+    let Ok(event) = serde_json::from_slice::<Value>(data) else {
+        return Line::Failed(End::Broken("an event is not JSON".to_owned()));
+    };
+    if let Some(error) = event.get("error") {
+        let code = error["code"].as_str().unwrap_or("unknown");
+        return Line::Failed(End::Broken(format!("error event: {code}")));
+    }
+    let text = event["choices"][0]["text"].as_str().unwrap_or_default();
+    if !text.is_empty() && answer.first_token.is_none() {
+        answer.first_token = Some(started.elapsed());
+    }
+    answer.text.push_str(text);
+    Line::More
+}
--- /dev/null
+++ b/crates/cli/src/load/play.rs
@@ -0,0 +1,160 @@
+//! Playing a workload against a system.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use acacia_catalog::tokenizer::Tokenizer;
+use acacia_policy::request::PIECE_TOKENS;
+use indicatif::ProgressBar;
+use tokio::sync::Mutex;
+use tokio::task::JoinSet;
+
+use super::client::{Answer, Client};
+use super::record::{End, Kind, Record};
+use super::workload::{Item, Step, TOKEN_BYTES, Workload};
+
+/// What a workload is played against.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// The caller.
+    pub client: Client,
+    /// API keys, one for each organisation.
+    pub keys: Vec<String>,
+    /// The model that prompts name.
+    pub model: String,
+    /// The weight versions whose answers are right.
+    pub versions: Vec<String>,
+    /// The plain service that calls name.
+    pub service: String,
+    /// Factor by which the model's time is sped up.
+    pub scale: f64,
+}
+
+/// The text of a session so far.
+#[derive(Debug, Default)]
+struct Session {
+    history: String,
+    /// Tokens whose cache an engine had at the end of the last turn.
+    held: usize,
+}
+
+/// State that the requests of one play share.
+#[derive(Debug)]
+struct Stage {
+    target: Target,
+    sessions: Vec<Mutex<Session>>,
+}
+
+/// Plays a workload and returns a record for each request.
+pub async fn play(workload: Workload, target: Target, bar: &ProgressBar) -> Vec<Record> {
+    let sessions = (0..workload.sessions).map(|_| Mutex::default()).collect();
+    let stage = Arc::new(Stage { target, sessions });
+    let started = Instant::now();
+    let mut running = JoinSet::new();
+    let mut records = Vec::with_capacity(workload.items.len());
+    for item in workload.items {
+        let due = item.at.div_f64(stage.target.scale);
+        tokio::time::sleep(due.saturating_sub(started.elapsed())).await;
+        running.spawn(perform(Arc::clone(&stage), item));
+        while let Some(done) = running.try_join_next() {
+            collect(done, &mut records, bar);
+        }
+    }
+    while let Some(done) = running.join_next().await {
+        collect(done, &mut records, bar);
+    }
+    records
+}
+
+fn collect(
+    done: Result<Record, tokio::task::JoinError>,
+    records: &mut Vec<Record>,
+    bar: &ProgressBar,
+) {
+    records.push(done.expect("a request's task does not panic"));
+    bar.inc(1);
+}
+
+async fn perform(stage: Arc<Stage>, item: Item) -> Record {
+    let key = &stage.target.keys[item.organisation];
+    match &item.step {
+        Step::Turn { session, returning, text, answer } => {
+            let kind = if *returning { Kind::Return } else { Kind::First };
+            turn(&stage, key, kind, item.at, *session, text, *answer).await
+        }
+        Step::Short { text, answer } => short(&stage, key, item.at, text, *answer).await,
+        Step::Booking { number, .. } => booking(&stage, key, item.at, *number).await,
+        Step::Lookup { number } => {
+            let path = format!("/status/{number}");
+            let answer = stage.target.client.call(key, &stage.target.service, &path, None).await;
+            record(Kind::Lookup, item.at, answer, 0, 0)
+        }
+    }
+}
+
+async fn turn(
+    stage: &Stage,
+    key: &str,
+    kind: Kind,
+    at: Duration,
+    session: usize,
+    text: &str,
+    tokens: usize,
+) -> Record {
+    let mut session = stage.sessions[session].lock().await;
+    session.history.push_str(text);
+    let prompt = session.history.clone();
+    let mut answer = ask(stage, key, &prompt, tokens).await;
+    let prompt_tokens = prompt.len().div_ceil(TOKEN_BYTES);
+    let floor = prompt_tokens - session.held / PIECE_TOKENS * PIECE_TOKENS;
+    if answer.end == End::Whole {
+        session.history.push_str(&answer.text);
+        session.held = prompt_tokens + tokens;
+    }
+    answer.text.clear();
+    record(kind, at, answer, prompt_tokens, floor)
+}
+
+async fn short(stage: &Stage, key: &str, at: Duration, text: &str, tokens: usize) -> Record {
+    let answer = ask(stage, key, text, tokens).await;
+    let prompt_tokens = text.len().div_ceil(TOKEN_BYTES);
+    record(Kind::Short, at, answer, prompt_tokens, prompt_tokens)
+}
+
+async fn booking(stage: &Stage, key: &str, at: Duration, number: usize) -> Record {
+    let name = format!("booking-{number}");
+    let target = &stage.target;
+    let answer = target.client.call(key, &target.service, "/bookings", Some(&name)).await;
+    record(Kind::Booking, at, answer, 0, 0)
+}
+
+/// Asks for a completion and compares it with the only right one.
+async fn ask(stage: &Stage, key: &str, prompt: &str, tokens: usize) -> Answer {
+    let target = &stage.target;
+    let mut answer = target.client.complete(key, &target.model, prompt, tokens).await;
+    if answer.end == End::Whole && !is_right(target, prompt, tokens, &answer.text) {
+        answer.end = End::Wrong("not this prompt's answer".to_owned());
+    }
+    answer
+}
+
+fn is_right(target: &Target, prompt: &str, tokens: usize, text: &str) -> bool {
+    let tokenizer = Tokenizer::QuadByte;
+    let prompt = tokenizer.encode(prompt);
+    target.versions.iter().any(|version| {
+        let right = acacia_standin::engine::answer(version, &prompt, tokens);
+        tokenizer.decode(&right) == text.as_bytes()
+    })
+}
+
+fn record(kind: Kind, at: Duration, answer: Answer, prompt: usize, floor: usize) -> Record {
+    Record {
+        kind,
+        at,
+        end: answer.end,
+        first_token: answer.first_token,
+        prompt_tokens: prompt as u64,
+        floor_tokens: floor as u64,
+        sends: answer.sends,
+    }
+}
--- /dev/null
+++ b/crates/cli/src/load/report.rs
@@ -0,0 +1,203 @@
+//! The figures of one run, and of several side by side.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use strum::IntoEnumIterator;
+
+use super::record::{End, Kind, Record};
+use super::workload::User;
+
+/// Longest time that a histogram holds, in microseconds.
+const LONGEST_US: u64 = 600_000_000;
+/// Significant digits of a histogram.
+const DIGITS: u8 = 3;
+
+/// The figures of one run.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Report {
+    /// Whose workload was played.
+    pub user: User,
+    /// How requests were routed.
+    pub strategy: String,
+    /// Seed of the workload.
+    pub seed: u64,
+    /// Factor by which the model's time was sped up.
+    pub scale: f64,
+    /// Requests by kind and end.
+    pub counts: BTreeMap<Kind, Count>,
+    /// Time to first token by kind, in the model's time.
+    pub first_token: BTreeMap<Kind, Percentiles>,
+    /// Time to first token of returns by phase, in the model's time.
+    pub phases: BTreeMap<String, Percentiles>,
+    /// Prompt tokens.
+    pub tokens: Tokens,
+    /// Bytes moved between stores and engines.
+    pub link: Link,
+    /// Calls that ran more than once, by the service's own counter.
+    pub duplicates: u64,
+    /// Times that an upstream in cold start got more than it bears, by its own counter.
+    pub cold_excess: u64,
+    /// Imports whose block belonged to another request, by the engines' own counters.
+    pub wrong_blocks: u64,
+    /// Errors by code, for a reader.
+    pub errors: BTreeMap<String, u64>,
+    /// Points of the time to first token of returns: time and latency, in the model's seconds.
+    pub points: Vec<(f64, f64)>,
+}
+
+/// Requests of one kind.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Count {
+    /// Sent.
+    pub sent: u64,
+    /// Answered once, whole and rightly.
+    pub whole: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Broken off.
+    pub broken: u64,
+    /// Wrongly answered.
+    pub wrong: u64,
+}
+
+/// Percentiles of a latency, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Percentiles {
+    /// Samples.
+    pub samples: u64,
+    /// Median.
+    pub p50_ms: f64,
+    /// 95 in 100 are faster.
+    pub p95_ms: f64,
+    /// 99 in 100 are faster.
+    pub p99_ms: f64,
+}
+
+/// Prompt tokens of a run.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Tokens {
+    /// In all prompts of sessions that returned.
+    pub prompt: u64,
+    /// Computed by the engines, over all requests, by their own counters.
+    pub computed: u64,
+    /// Fewest that had to be computed, over all requests.
+    pub floor: u64,
+}
+
+impl Tokens {
+    /// Computed tokens over the floor.
+    pub fn over_floor(&self) -> f64 {
+        self.computed as f64 / self.floor.max(1) as f64
+    }
+}
+
+/// Bytes moved between stores and engines, by the engines' own counters.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Link {
+    /// Brought into engines.
+    pub imported: u64,
+    /// Saved from engines.
+    pub exported: u64,
+}
+
+impl Link {
+    /// All bytes.
+    pub fn total(&self) -> u64 {
+        self.imported + self.exported
+    }
+}
+
+/// A stretch of time with a name, in the model's time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Phase {
+    /// Its name.
+    pub name: String,
+    /// Its start.
+    pub from: Duration,
+    /// Its end.
+    pub to: Duration,
+}
+
+/// Counts requests by kind and end.
+pub fn counts(records: &[Record]) -> BTreeMap<Kind, Count> {
+    let mut counts: BTreeMap<Kind, Count> = BTreeMap::new();
+    for record in records {
+        let count = counts.entry(record.kind).or_default();
+        count.sent += 1;
+        match record.end {
+            End::Whole => count.whole += 1,
+            End::Refused { .. } => count.refused += 1,
+            End::Broken(_) => count.broken += 1,
+            End::Wrong(_) => count.wrong += 1,
+        }
+    }
+    counts
+}
+
+/// Counts errors by code.
+pub fn errors(records: &[Record]) -> BTreeMap<String, u64> {
+    let mut errors = BTreeMap::new();
+    for record in records {
+        let text = match &record.end {
+            End::Whole => continue,
+            End::Refused { code, verdict } => {
+                format!("{} refused: {code} ({verdict})", record.kind)
+            }
+            End::Broken(reason) => format!("{} broken: {reason}", record.kind),
+            End::Wrong(reason) => format!("{} wrong: {reason}", record.kind),
+        };
+        *errors.entry(text).or_default() += 1;
+    }
+    errors
+}
+
+/// Time to first token by kind, in the model's time.
+pub fn first_token(records: &[Record], scale: f64) -> BTreeMap<Kind, Percentiles> {
+    Kind::iter()
+        .map(|kind| (kind, percentiles(records.iter().filter(|r| r.kind == kind), scale)))
+        .filter(|(_, p)| p.samples > 0)
+        .collect()
+}
+
+/// Time to first token of returns by phase, in the model's time.
+pub fn phases(records: &[Record], phases: &[Phase], scale: f64) -> BTreeMap<String, Percentiles> {
+    let of = |phase: &Phase| {
+        let inside = records
+            .iter()
+            .filter(|r| r.kind == Kind::Return && r.at >= phase.from && r.at < phase.to);
+        (phase.name.clone(), percentiles(inside, scale))
+    };
+    phases.iter().map(of).collect()
+}
+
+/// Points of the time to first token of returns, in the model's seconds.
+pub fn points(records: &[Record], scale: f64) -> Vec<(f64, f64)> {
+    let point = |r: &Record| {
+        let latency = r.first_token?;
+        (r.kind == Kind::Return).then_some((r.at.as_secs_f64(), latency.as_secs_f64() * scale))
+    };
+    records.iter().filter_map(point).collect()
+}
+
+fn percentiles<'a>(records: impl Iterator<Item = &'a Record>, scale: f64) -> Percentiles {
+    let mut histogram = histogram();
+    for latency in records.filter_map(|r| r.first_token) {
+        let micros = latency.mul_f64(scale).as_micros();
+        histogram.saturating_record(u64::try_from(micros).unwrap_or(LONGEST_US));
+    }
+    summary(&histogram)
+}
+
+/// An empty histogram of microseconds.
+pub fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LONGEST_US, DIGITS).expect("the bounds are valid")
+}
+
+/// The percentiles of a histogram of microseconds.
+pub fn summary(histogram: &Histogram<u64>) -> Percentiles {
+    let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
+    Percentiles { samples: histogram.len(), p50_ms: at(0.50), p95_ms: at(0.95), p99_ms: at(0.99) }
+}
