--- a/crates/catalog/tests/diff.rs
+++ b/crates/catalog/tests/diff.rs
@@ -25,7 +25,8 @@
     let before = set();
     let mut after = set();
     after.zones.get_mut("zone-2").unwrap().state = Duty::Out;
-    let store = after.stores.remove("store-1").unwrap();
+    let mut store = after.stores.remove("store-1").unwrap();
+    store.name = "store-9".into();
     after.stores.insert("store-9".into(), store);
     let found = diff(&before, &after);
     let names: Vec<&str> = found.iter().map(|d| &*d.name).collect();
