--- /dev/null
+++ b/crates/operator/src/client.rs
@@ -0,0 +1,166 @@
+//! Makes the calls.
+
+use std::time::Duration;
+
+use acacia_catalog::Document;
+use acacia_catalog::id::Revision;
+use reqwest::RequestBuilder;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+use crate::call::{
+    Accepted, Apply, Checked, Configuration, Move, Order, Ordered, PREFIX, Past, Rollback, Trace,
+};
+use crate::fault::Body;
+use crate::{Fault, Status};
+
+/// Longest time for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest time for an answer, beyond what the call itself waits.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A client of one daemon.
+#[derive(Clone, Debug)]
+pub struct Client {
+    http: reqwest::Client,
+    server: String,
+    token: String,
+}
+
+/// Why there is no answer.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The daemon refused.
+    #[error(transparent)]
+    Refused(#[from] Fault),
+    /// The daemon could not be reached; the call was not made.
+    #[error("can't reach the daemon: {0}")]
+    Unreachable(reqwest::Error),
+    /// The call was made, but its answer was lost.
+    #[error("the daemon's answer was lost: {0}")]
+    Lost(reqwest::Error),
+    /// The answer is not one of this API.
+    #[error("the answer is not one of the administration API (HTTP {status}): {reason}")]
+    Foreign {
+        /// HTTP status.
+        status: u16,
+        /// Why it can't be read.
+        reason: String,
+    },
+}
+
+/// How a call ended.
+pub type Outcome<T> = Result<T, Error>;
+
+impl Client {
+    /// A client of the daemon at `server`, such as `127.0.0.1:7000`, with an operator's token.
+    ///
+    /// Fails when the TLS backend can't start.
+    pub fn new(
+        server: impl Into<String>,
+        token: impl Into<String>,
+    ) -> Result<Self, reqwest::Error> {
+        // A provider that another client has installed serves as well.
+        let _ = rustls::crypto::ring::default_provider().install_default();
+        let builder = reqwest::Client::builder().no_proxy().connect_timeout(CONNECT_TIMEOUT);
+        let mut server = server.into();
+        if !server.contains("://") {
+            server.insert_str(0, "http://");
+        }
+        let server = server.trim_end_matches('/').to_owned();
+        Ok(Self { http: builder.build()?, server, token: token.into() })
+    }
+
+    /// Checks a document without changing anything.
+    pub async fn check(&self, document: &Document) -> Outcome<Checked> {
+        self.post("check", document, 0).await
+    }
+
+    /// Puts a document in force.
+    pub async fn apply(&self, apply: &Apply) -> Outcome<Accepted> {
+        self.post("apply", apply, apply.wait_ms).await
+    }
+
+    /// Puts an earlier configuration in force.
+    pub async fn rollback(&self, rollback: &Rollback) -> Outcome<Accepted> {
+        self.post("rollback", rollback, rollback.wait_ms).await
+    }
+
+    /// Takes an availability zone out or back.
+    pub async fn zone(&self, zone: &str, shift: &Move) -> Outcome<Accepted> {
+        self.post(&format!("zones/{zone}"), shift, shift.wait_ms).await
+    }
+
+    /// Takes an upstream out or back.
+    pub async fn upstream(&self, upstream: &str, shift: &Move) -> Outcome<Accepted> {
+        self.post(&format!("upstreams/{upstream}"), shift, shift.wait_ms).await
+    }
+
+    /// Sends an order to an upstream.
+    pub async fn order(&self, upstream: &str, order: &Order) -> Outcome<Ordered> {
+        self.post(&format!("upstreams/{upstream}/orders"), order, 0).await
+    }
+
+    /// The configuration of a revision; the one in force when none is named.
+    pub async fn configuration(&self, revision: Option<Revision>) -> Outcome<Configuration> {
+        match revision {
+            None => self.get("configuration").await,
+            Some(revision) => self.get(&format!("configuration?revision={revision}")).await,
+        }
+    }
+
+    /// Accepted changes, latest first.
+    pub async fn history(&self) -> Outcome<Vec<Past>> {
+        self.get("history").await
+    }
+
+    /// How the daemons do.
+    pub async fn status(&self) -> Outcome<Status> {
+        self.get("status").await
+    }
+
+    /// The hops of a recent request.
+    pub async fn trace(&self, id: &str) -> Outcome<Trace> {
+        self.get(&format!("traces/{id}")).await
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Outcome<T> {
+        let url = format!("{}{PREFIX}/{path}", self.server);
+        self.send(self.http.get(url).timeout(ANSWER_TIMEOUT)).await
+    }
+
+    async fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+        wait_ms: u64,
+    ) -> Outcome<T> {
+        let url = format!("{}{PREFIX}/{path}", self.server);
+        let timeout = ANSWER_TIMEOUT + Duration::from_millis(wait_ms);
+        self.send(self.http.post(url).json(body).timeout(timeout)).await
+    }
+
+    async fn send<T: DeserializeOwned>(&self, request: RequestBuilder) -> Outcome<T> {
+        let response = request.bearer_auth(&self.token).send().await.map_err(unanswered)?;
+        let status = response.status();
+        let bytes = response.bytes().await.map_err(Error::Lost)?;
+        let foreign = |e: serde_json::Error| Error::Foreign {
+            status: status.as_u16(),
+            reason: e.to_string(),
+        };
+        if status.is_success() {
+            return serde_json::from_slice(&bytes).map_err(foreign);
+        }
+        let body: Body = serde_json::from_slice(&bytes).map_err(foreign)?;
+        Err(Error::Refused(body.error))
+    }
+}
+
+fn unanswered(error: reqwest::Error) -> Error {
+    if error.is_connect() || error.is_builder() {
+        Error::Unreachable(error)
+    } else {
+        Error::Lost(error)
+    }
+}
--- /dev/null
+++ b/crates/operator/src/server.rs
@@ -0,0 +1,227 @@
+//! The routes.
+
+use std::sync::Arc;
+
+use acacia_catalog::Document;
+use acacia_catalog::id::Revision;
+use acacia_policy::control::{self, OrderOutcome};
+use salvo::http::header::AUTHORIZATION;
+use salvo::http::{ParseError, StatusCode};
+use salvo::prelude::*;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::call::{Configuration, Order, Ordered, PREFIX};
+use crate::change::{self, Target};
+use crate::fault::{Body, Code};
+use crate::{Backend, Fault, Key, Keys, Role};
+
+/// Largest body of a call, in bytes; a configuration of the two-year size is a sixth of it.
+pub const BODY_LIMIT: usize = 32 << 20;
+
+/// The routes of the API.
+pub fn router<B: Backend>(backend: Arc<B>, keys: Arc<Keys>) -> Router {
+    let call = |call| Endpoint { backend: backend.clone(), keys: keys.clone(), call };
+    let path = |path: &str, call| Router::with_path(path).post(call);
+    Router::with_path(PREFIX)
+        .push(path("check", call(Call::Check)))
+        .push(path("apply", call(Call::Apply)))
+        .push(path("rollback", call(Call::Rollback)))
+        .push(path("zones/{name}", call(Call::Zone)))
+        .push(path("upstreams/{name}", call(Call::Upstream)))
+        .push(path("upstreams/{name}/orders", call(Call::Order)))
+        .push(Router::with_path("configuration").get(call(Call::Configuration)))
+        .push(Router::with_path("history").get(call(Call::History)))
+        .push(Router::with_path("status").get(call(Call::Status)))
+        .push(Router::with_path("traces/{name}").get(call(Call::Trace)))
+}
+
+/// The calls.
+#[derive(Clone, Copy, Debug, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+enum Call {
+    Check,
+    Apply,
+    Rollback,
+    Zone,
+    Upstream,
+    Order,
+    Configuration,
+    History,
+    Status,
+    Trace,
+}
+
+impl Call {
+    /// The role that it takes.
+    fn role(self) -> Role {
+        match self {
+            Self::Apply | Self::Rollback | Self::Order => Role::Apply,
+            Self::Zone | Self::Upstream => Role::Move,
+            Self::Check | Self::Configuration | Self::History | Self::Status | Self::Trace => {
+                Role::Read
+            }
+        }
+    }
+}
+
+/// One call over a backend.
+struct Endpoint<B> {
+    backend: Arc<B>,
+    keys: Arc<Keys>,
+    call: Call,
+}
+
+#[async_trait]
+impl<B: Backend> Handler for Endpoint<B> {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _: &mut Depot,
+        response: &mut Response,
+        _: &mut FlowCtrl,
+    ) {
+        match self.answer(request).await {
+            Ok(body) => response.render(Text::Json(body)),
+            Err(fault) => {
+                let status = StatusCode::from_u16(fault.code.status());
+                response.status_code(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
+                response.render(Json(Body { error: fault }));
+            }
+        }
+    }
+}
+
+impl<B: Backend> Endpoint<B> {
+    async fn answer(&self, request: &mut Request) -> Result<String, Fault> {
+        let key = self.authenticate(request)?;
+        let author = key.operator.as_str();
+        let backend = &*self.backend;
+        match self.call {
+            Call::Check => encode(&change::check(backend, body::<Document>(request).await?)?),
+            Call::Apply => encode(&change::apply(backend, author, body(request).await?).await?),
+            Call::Rollback => {
+                encode(&change::rollback(backend, author, body(request).await?).await?)
+            }
+            Call::Zone => {
+                let target = Target::Zone(name(request));
+                encode(&change::shift(backend, author, &target, body(request).await?).await?)
+            }
+            Call::Upstream => {
+                let target = Target::Upstream(name(request));
+                encode(&change::shift(backend, author, &target, body(request).await?).await?)
+            }
+            Call::Order => encode(&self.order(author, request).await?),
+            Call::Configuration => encode(&self.configuration(request).await?),
+            Call::History => encode(&backend.history().await),
+            Call::Status => encode(&backend.status()),
+            Call::Trace => encode(&self.trace(&name(request))?),
+        }
+    }
+
+    /// The operator's key, if it may make the call.
+    fn authenticate(&self, request: &Request) -> Result<Key, Fault> {
+        let header = request.headers().get(AUTHORIZATION).and_then(|h| h.to_str().ok());
+        let token = header.and_then(|h| h.strip_prefix("Bearer "));
+        let Some(key) = token.and_then(|token| self.keys.find(token)) else {
+            let call: &str = self.call.into();
+            tracing::warn!(target: "acacia::audit", call, from = %request.remote_addr(), "no operator");
+            let hint =
+                "send `authorization: Bearer KEY` with a key that the daemon's settings list";
+            return Err(Fault::new(Code::Unauthenticated, "not an operator's key", hint));
+        };
+        let role = self.call.role();
+        if key.allows(role) {
+            return Ok(key);
+        }
+        let message = format!("the key of `{}` lacks the role `{role}`", key.operator);
+        Err(Fault::new(Code::Forbidden, message, "use a key that has it"))
+    }
+
+    async fn order(&self, author: &str, request: &mut Request) -> Result<Ordered, Fault> {
+        let upstream = name(request);
+        let Order { id, duty } = body(request).await?;
+        if !self.backend.snapshot().set.upstreams.contains_key(upstream.as_str()) {
+            return Err(Fault::not_found("upstream", &upstream));
+        }
+        let sent: &str = (&duty).into();
+        tracing::info!(target: "acacia::audit", author, order = %id, upstream, duty = sent, "order");
+        let order = control::Order {
+            upstream: upstream.as_str().into(),
+            duty,
+            fence: 0,
+            id: id.as_str().into(),
+        };
+        match self.backend.order(order).await {
+            outcome @ (OrderOutcome::Accepted | OrderOutcome::Done) => Ok(Ordered { id, outcome }),
+            outcome => {
+                let message = format!("upstream `{upstream}` did not take the order: {outcome}");
+                let hint = "see `acacia status`; the same order id may be sent again";
+                Err(Fault::new(Code::OrderFailed, message, hint))
+            }
+        }
+    }
+
+    async fn configuration(&self, request: &Request) -> Result<Configuration, Fault> {
+        let snapshot = self.backend.snapshot();
+        let revision = match request.queries().get("revision") {
+            None => snapshot.revision,
+            Some(text) => text.parse::<Revision>().map_err(|_| {
+                let message = format!("`{text}` is not a revision");
+                Fault::new(Code::Malformed, message, "write a whole number")
+            })?,
+        };
+        if revision == snapshot.revision {
+            return Ok(Configuration { revision, document: snapshot.set.document().redact() });
+        }
+        let set = self.backend.set_at(revision).await.ok_or_else(|| {
+            let message = format!("revision {revision} is not remembered");
+            Fault::new(Code::NotFound, message, "see the remembered ones with `acacia history`")
+        })?;
+        Ok(Configuration { revision, document: set.document().redact() })
+    }
+
+    fn trace(&self, id: &str) -> Result<crate::call::Trace, Fault> {
+        self.backend.trace(id).ok_or_else(|| {
+            let message = format!("trace `{id}` is not held by this daemon");
+            Fault::new(
+                Code::NotFound,
+                message,
+                "ask the daemon that answered the request, soon after",
+            )
+        })
+    }
+}
+
+fn name(request: &Request) -> String {
+    request.param("name").unwrap_or_default()
+}
+
+async fn body<T: DeserializeOwned>(request: &mut Request) -> Result<T, Fault> {
+    let bytes = request.payload_with_max_size(BODY_LIMIT).await.map_err(|e| unreadable(&e))?;
+    let mut decoder = serde_json::Deserializer::from_slice(bytes);
+    let value = serde_path_to_error::deserialize(&mut decoder).map_err(|error| {
+        let message = format!("at `{}`: {}", error.path(), error.inner());
+        Fault::new(Code::Malformed, message, "mend the place that the message names")
+    })?;
+    decoder
+        .end()
+        .map_err(|error| Fault::new(Code::Malformed, error.to_string(), "send one JSON value"))?;
+    Ok(value)
+}
+
+fn unreadable(error: &ParseError) -> Fault {
+    match error {
+        ParseError::PayloadTooLarge => {
+            let message = format!("the body is above {BODY_LIMIT} bytes");
+            Fault::new(Code::TooLarge, message, "split the configuration over fewer objects")
+        }
+        _ => Fault::new(Code::Malformed, "the body can't be read", "send the body whole"),
+    }
+}
+
+fn encode(value: &impl Serialize) -> Result<String, Fault> {
+    serde_json::to_string(value).map_err(|error| {
+        Fault::new(Code::Malformed, error.to_string(), "report this as a fault of the daemon")
+    })
+}
