--- a/crates/policy/src/control.rs
+++ b/crates/policy/src/control.rs
@@ -1,321 +1,499 @@
 //! The machine that agrees with the other daemons.
+//!
+//! [`Control::step`] takes one event and returns what is to be done. Its parts, one file each:
+//! `membership` (who lives, and whether this daemon may act), `config` and `publication` (the
+//! configuration in force), `standing` (what is known of upstreams), `owner` and `ownership`
+//! (permits for cold upstreams that this daemon grants), `permit` (those that it asks for), `claim`
+//! and `shard` (requests that may run only once) and `order` (orders to upstreams).
+
+mod claim;
+mod config;
+mod epoch;
+mod event;
+mod membership;
+mod order;
+mod outbox;
+mod owner;
+mod ownership;
+mod permit;
+mod publication;
+mod sabotage;
+mod shard;
+mod standing;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_catalog::id::{DaemonId, Incarnation, Name, Revision, UpstreamId, VersionId, ZoneId};
-use acacia_catalog::{Document, Problem};
-use serde::{Deserialize, Serialize};
-use strum::{Display, IntoStaticStr};
-
-use crate::message::Envelope;
-use crate::request::IdempotencyKey;
-use crate::snapshot::{Load, Snapshot};
-use crate::{Time, Verdict, kv};
-
-/// Number of a call to the key-value service, unique in one daemon.
-pub type CallId = u64;
-/// Number of a question that traffic or an operator asked, unique in one daemon.
-pub type Ticket = u64;
-/// Number of a permit, unique for its owner.
-pub type PermitId = u64;
-/// Fencing number: a later holder's is larger.
-pub type Fence = u64;
-/// Name of a change that its operator chose, unique for ever.
-pub type ChangeId = Name;
-
-/// Who a daemon is.
-#[derive(Clone, Debug)]
-pub struct Identity {
-    /// Its name, unique for this process life.
-    pub daemon: DaemonId,
-    /// Its availability zone.
-    pub zone: ZoneId,
-    /// Where peers reach it.
-    pub address: SocketAddr,
-    /// Seed of its random choices.
-    pub seed: u64,
-}
+use acacia_catalog::id::{DaemonId, Revision, UpstreamId};
+use rand::seq::IndexedRandom;
 
-/// Something that happened.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// Time passed; sent at least every [`TICK`].
-    Tick,
-    /// A call to the key-value service ended.
-    Kv(CallId, kv::Outcome),
-    /// A peer's message came.
-    Message(Envelope),
-    /// The live list was read.
-    Listed(Vec<Instance>),
-    /// An upstream or store showed something of itself.
-    Observed(UpstreamId, Observation),
-    /// Traffic asks for permits for a cold upstream.
-    PermitWanted {
-        /// The upstream.
-        upstream: UpstreamId,
-        /// Requests that wait for it.
-        waiting: u32,
-    },
-    /// Traffic gives a permit back.
-    PermitReturned {
-        /// The permit.
-        permit: Permit,
-        /// How the request under it went.
-        usage: Usage,
-    },
-    /// Traffic asks to claim a request that may run only once.
-    ClaimWanted(Ticket, Claim),
-    /// A claimed request ended.
-    ClaimEnded {
-        /// Which.
-        claim: Claim,
-        /// What is known of it.
-        verdict: Verdict,
-        /// The whole answer, when it is small enough to keep.
-        answer: Option<Answer>,
-    },
-    /// An operator wants a configuration in force.
-    ChangeWanted(Ticket, Change),
-    /// An operator wants an upstream to do something.
-    OrderWanted(Ticket, Order),
-    /// An upstream answered an order.
-    Ordered(Order, OrderOutcome),
-    /// The process was told to stop.
-    Stop,
-}
+pub use config::{ROOT_KEY, Record, Root};
+pub use epoch::{EPOCH_KEY, Epoch, EpochNumber};
+pub use event::*;
+pub use membership::{BEAT, HOLD, WAIT_OUT};
+pub use ownership::VALID;
+pub use sabotage::Sabotage;
+pub use shard::Ending;
 
-/// Longest time between two ticks.
-pub const TICK: Duration = Duration::from_millis(100);
-
-/// Something to do.
-#[derive(Clone, Debug)]
-pub enum Action {
-    /// Call the key-value service.
-    Kv(CallId, kv::Request),
-    /// Send a message to a peer.
-    Send(SocketAddr, Envelope),
-    /// Hand the snapshot to traffic.
-    Publish(Arc<Snapshot>),
-    /// Hand a permit to traffic.
-    Permit(Permit),
-    /// Tell traffic that no permit comes soon.
-    PermitRefused {
-        /// The upstream.
-        upstream: UpstreamId,
-        /// When to ask again, from now.
-        retry_after: Duration,
-    },
-    /// Answer `ClaimWanted`.
-    Claimed(Ticket, ClaimOutcome),
-    /// Answer `ChangeWanted`.
-    Changed(Ticket, ChangeOutcome),
-    /// Send an order to an upstream.
-    Order(Order),
-    /// Answer `OrderWanted`.
-    OrderEnded(Ticket, OrderOutcome),
-    /// Write a line about a change of state.
-    Log(Line),
-    /// Everything is handed over; the process may end once traffic has drained.
-    Stopped,
-}
+use crate::message::{Digest, Envelope, Grant, Message, Rumour, Sender};
+use crate::snapshot::{Snapshot, Warmth};
+use crate::{Time, kv};
+use claim::Claims;
+use config::Config;
+use membership::Membership;
+use order::{ORDERS_KEY, Orders};
+use outbox::{Outbox, Purpose};
+use owner::Owner;
+use permit::Wishes;
+use standing::Standings;
 
-/// An instance on the live list.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Instance {
-    /// Its name.
-    pub name: Name,
-    /// What it is.
-    pub kind: InstanceKind,
-    /// Its address.
-    pub address: SocketAddr,
-    /// Its availability zone.
-    pub zone: ZoneId,
-    /// Whether it is leaving.
-    pub leaving: bool,
-    /// Its process life.
-    pub incarnation: Incarnation,
-}
+/// Least time between two snapshots.
+const PUBLISH: Duration = Duration::from_millis(50);
+/// Time between two questions for a first configuration, and for where a new one is in force.
+const ASK: Duration = Duration::from_millis(500);
+/// How long a daemon asks where a change that it published is in force.
+const ASK_FOR: Duration = Duration::from_secs(10);
+/// Longest that a stop waits for the service.
+const STOP: Duration = Duration::from_secs(5);
 
-/// Kinds of instances on the live list.
-#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-#[strum(serialize_all = "snake_case")]
-pub enum InstanceKind {
-    /// One of ours.
-    Daemon,
-    /// An engine or plain service.
-    Upstream,
-    /// A KV cache store.
-    Store,
+/// The decisions of one daemon that concern the others.
+pub struct Control {
+    out: Outbox,
+    membership: Membership,
+    config: Config,
+    standings: Standings,
+    wishes: Wishes,
+    owner: Owner,
+    claims: Claims,
+    orders: Orders,
+    entered: EpochNumber,
+    beat_at: Time,
+    ask_at: Time,
+    ask_until: Time,
+    published_at: Option<Time>,
+    changed: bool,
+    in_force_seen: usize,
+    stop_by: Option<Time>,
+    stopped: bool,
 }
 
-/// What an upstream or store showed of itself.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub enum Observation {
-    /// It answered a request well.
-    Answered(Incarnation),
-    /// It refused as overloaded or cold.
-    Overloaded(Incarnation),
-    /// It refused because it is leaving.
-    Leaving(Incarnation),
-    /// A connection broke or could not be made.
-    Unreachable,
-    /// Its load report.
-    Reported(Load),
-}
+impl Control {
+    /// A daemon that knows nothing but itself and addresses where peers may be.
+    pub fn new(identity: Identity, peers: Vec<SocketAddr>) -> Self {
+        Self::build(&identity, peers, None)
+    }
 
-/// The right to run one request on a cold upstream.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Permit {
-    /// Its number.
-    pub id: PermitId,
-    /// The daemon that granted it.
-    pub owner: DaemonId,
-    /// The upstream.
-    pub upstream: UpstreamId,
-    /// The only process life it is good for.
-    pub incarnation: Incarnation,
-    /// Latest start of the request, by the receiving daemon's clock.
-    pub until: Time,
-}
+    /// A daemon with one rule broken, to show that a check notices.
+    #[doc(hidden)]
+    pub fn sabotaged(identity: Identity, peers: Vec<SocketAddr>, sabotage: Sabotage) -> Self {
+        Self::build(&identity, peers, Some(sabotage))
+    }
 
-/// How a permit was used.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum Usage {
-    /// No request was sent under it.
-    Unused,
-    /// The request was answered.
-    Answered,
-    /// The request failed.
-    Failed,
-}
+    /// Takes an event; what is to be done.
+    pub fn step(&mut self, now: Time, event: Event) -> Vec<Action> {
+        match event {
+            Event::Tick => self.tick(now),
+            Event::Kv(call, outcome) => self.called(now, call, &outcome),
+            Event::Message(envelope) => self.receive(now, envelope),
+            Event::Listed(instances) => self.listed(now, &instances),
+            Event::Observed(upstream, observation) => self.observe(now, &upstream, &observation),
+            Event::PermitWanted { upstream, waiting } => self.wishes.want(now, upstream, waiting),
+            Event::PermitReturned { permit, usage } => self.wishes.give_back(&permit, usage),
+            Event::ClaimWanted(ticket, claim) => self.want_claim(now, ticket, claim),
+            Event::ClaimEnded { claim, verdict, answer } => {
+                let committer = committer(&self.membership, &claim);
+                self.claims.ended(claim, verdict, answer, committer.as_ref(), &mut self.out);
+            }
+            Event::ChangeWanted(ticket, change) => {
+                self.config.publish(ticket, change, &mut self.out);
+            }
+            Event::OrderWanted(ticket, order) => self.orders.want(now, ticket, order),
+            Event::Ordered(order, outcome) => self.orders.ordered(&order, outcome, &mut self.out),
+            Event::Stop => {
+                self.membership.leave();
+                self.stop_by = Some(now + STOP);
+                self.changed = true;
+            }
+        }
+        self.follow_up(now);
+        self.out.take()
+    }
 
-/// The name of a request that may run only once.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct Claim {
-    /// The caller's organisation.
-    pub organisation: Name,
-    /// The caller's key.
-    pub key: IdempotencyKey,
-    /// Hash of the request.
-    pub fingerprint: [u8; 32],
-}
+    /// Number of the membership, and its members.
+    pub fn epoch(&self) -> &Epoch {
+        self.membership.epoch()
+    }
 
-/// Whether a claimed request may start.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum ClaimOutcome {
-    /// This daemon, and no other ever, may send it once.
-    Granted,
-    /// It was claimed before; what is known of it.
-    Taken {
-        /// Whether it ran.
-        verdict: Verdict,
-        /// Its answer, when held.
-        answer: Option<Answer>,
-    },
-    /// The key was used for another request.
-    Mismatch,
-    /// The claim could not be made and is not held; the request did not run.
-    Unavailable,
-}
+    /// Revision in force here.
+    pub fn revision(&self) -> Revision {
+        self.config.revision()
+    }
 
-/// A small whole answer of a plain service.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Answer {
-    /// HTTP status.
-    pub status: u16,
-    /// Content type.
-    pub content_type: String,
-    /// Body.
-    #[serde(with = "serde_bytes")]
-    pub body: Vec<u8>,
-}
+    /// Root of the configuration in force here, with its history.
+    pub fn root(&self) -> &Root {
+        self.config.root()
+    }
 
-/// A configuration that an operator wants in force.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Change {
-    /// Its name.
-    pub id: ChangeId,
-    /// The revision that the operator started from.
-    pub base: Revision,
-    /// Who wants it.
-    pub author: String,
-    /// The whole configuration.
-    pub document: Document,
-}
+    /// Whether an upstream takes requests, as known here.
+    pub fn warmth(&self, upstream: &UpstreamId) -> Warmth {
+        self.standings.warmth(upstream)
+    }
 
-/// What became of a change.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub enum ChangeOutcome {
-    /// It is accepted and will be in force everywhere.
-    Accepted(Revision),
-    /// Another change came first; the revision in force.
-    Conflict(Revision),
-    /// It was refused.
-    Invalid(Vec<Problem>),
-    /// The key-value service is down; the change is not accepted and will not be.
-    Unavailable,
-    /// The service did not tell; ask again with the same change id.
-    Unknown,
-}
+    fn build(identity: &Identity, peers: Vec<SocketAddr>, sabotage: Option<Sabotage>) -> Self {
+        Self {
+            out: Outbox::new(identity),
+            membership: Membership::new(peers, sabotage),
+            config: Config::new(sabotage),
+            standings: Standings::new(sabotage),
+            wishes: Wishes::default(),
+            owner: Owner::new(sabotage),
+            claims: Claims::new(sabotage),
+            orders: Orders::new(sabotage),
+            entered: 0,
+            beat_at: Time::ZERO,
+            ask_at: Time::ZERO,
+            ask_until: Time::ZERO,
+            published_at: None,
+            changed: true,
+            in_force_seen: 0,
+            stop_by: None,
+            stopped: false,
+        }
+    }
 
-/// Something that an upstream is to do.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Order {
-    /// The upstream.
-    pub upstream: UpstreamId,
-    /// What it is to do.
-    pub duty: OrderDuty,
-    /// The holder's fencing number.
-    pub fence: Fence,
-    /// Unique name of the order.
-    pub id: Name,
-}
+    fn tick(&mut self, now: Time) {
+        self.membership.tick(now, &mut self.out);
+        let watcher = self.membership.is_watcher(self.out.me());
+        let peers = self.membership.peers(self.out.me().address);
+        self.config.tick(now, watcher, &peers, &mut self.out);
+        self.ask(now, &peers);
+        self.beat(now);
+        self.standings.tick(now);
+        let grants = self.owner.tick(now, &mut self.membership, &mut self.out);
+        self.deliver(now, grants);
+        for action in self.wishes.refuse() {
+            self.out.push(action);
+        }
+        self.claims.tick(now, &mut self.out);
+        self.give_orders(now);
+        self.stop(now);
+    }
 
-/// What an order asks.
-#[derive(Clone, Debug, Deserialize, Eq, IntoStaticStr, PartialEq, Serialize)]
-#[strum(serialize_all = "snake_case")]
-pub enum OrderDuty {
-    /// Load a weight version.
-    LoadVersion(VersionId),
-    /// Load an adapter.
-    LoadAdapter(Name),
-    /// Change role.
-    SetRole(Name),
-}
+    fn called(&mut self, now: Time, call: CallId, outcome: &kv::Outcome) {
+        match self.out.ended(call, outcome) {
+            Some(Purpose::Epoch(call)) => {
+                self.membership.ended(now, call, outcome, &mut self.out);
+            }
+            Some(Purpose::Config(call)) => {
+                let before = self.config.revision();
+                let publishes = matches!(call, config::Call::Publish(..));
+                self.config.ended(now, call, outcome, &mut self.out);
+                if publishes && self.config.revision() > before {
+                    self.ask_until = now + ASK_FOR;
+                }
+            }
+            Some(Purpose::Claim(call)) => self.claims.called(now, call, outcome, &mut self.out),
+            None => {}
+        }
+    }
+
+    fn receive(&mut self, now: Time, envelope: Envelope) {
+        let from = envelope.from;
+        self.membership.hear(now, &from.daemon);
+        match envelope.message {
+            Message::Hello => {}
+            Message::Digest(digest) => self.digest(now, &from, &digest),
+            Message::EpochPull => {
+                let epoch = self.membership.epoch().clone();
+                self.out.send(from.address, Message::Epoch(epoch));
+            }
+            Message::Epoch(epoch) => {
+                self.membership.learn(now, epoch, &mut self.out);
+            }
+            Message::Probe(probe) => {
+                let revision = self.config.revision();
+                self.membership.probed(&from, &probe, revision, &mut self.out);
+            }
+            Message::Confirm(confirm) => {
+                self.membership.confirmed(now, &from.daemon, &confirm);
+            }
+            message => self.receive_work(now, &from, message),
+        }
+    }
+
+    fn receive_work(&mut self, now: Time, from: &Sender, message: Message) {
+        match message {
+            Message::RootPull if self.config.revision() > 0 => {
+                let root = self.config.root().clone();
+                self.out.send(from.address, Message::Root(root));
+            }
+            Message::Root(root) => self.config.learn(now, root, &mut self.out),
+            Message::ChunkPull(hashes) => {
+                for chunk in hashes.iter().filter_map(|h| self.config.chunk(h)) {
+                    self.out.send(from.address, Message::Chunk(chunk));
+                }
+            }
+            Message::Chunk(chunk) => self.config.learn_chunk(&chunk, &mut self.out),
+            Message::Permits(state) => self.permit_state(now, from, &state),
+            Message::Grant(grant) => self.granted(now, &from.daemon, &grant),
+            Message::HandOver(told) => self.owner.handed(now, from, told, &self.membership),
+            Message::Claims(entries) => self.claims.take(now, from, entries),
+            Message::Claimed(ticket, outcome) => {
+                self.claims.answered(ticket, outcome, &mut self.out);
+            }
+            Message::Order(order) => self.orders.take(from, order, &mut self.out),
+            Message::Ordered(order, outcome) => {
+                self.orders.answered(&order, outcome, &mut self.out);
+            }
+            _ => {}
+        }
+    }
+
+    fn digest(&mut self, now: Time, from: &Sender, digest: &Digest) {
+        self.membership.note_revision(&from.daemon, digest.revision);
+        if digest.epoch > self.membership.epoch().number {
+            self.out.send(from.address, Message::EpochPull);
+        }
+        if self.config.is_behind(digest.revision) {
+            self.out.send(from.address, Message::RootPull);
+        }
+        for rumour in &digest.rumours {
+            if self.standings.hear(now, rumour) {
+                self.owner.reset(now, &rumour.upstream, rumour.incarnation);
+            }
+        }
+    }
+
+    fn listed(&mut self, now: Time, instances: &[Instance]) {
+        let daemons = instances.iter().filter(|i| i.kind == InstanceKind::Daemon);
+        self.membership.add_seeds(daemons.map(|i| i.address));
+        self.standings.list(now, instances);
+    }
+
+    fn observe(&mut self, now: Time, upstream: &UpstreamId, observation: &Observation) {
+        if self.standings.observe(now, upstream, observation) {
+            let incarnation = self.standings.incarnation(upstream);
+            self.owner.reset(now, upstream, incarnation);
+        }
+        if let Observation::Reported(load) = observation {
+            self.owner.reported(now, upstream, load);
+            self.orders.reported(upstream, load, &mut self.out);
+            let grants = self.owner.grant(now, upstream, &mut self.membership, &mut self.out);
+            self.deliver(now, grants);
+        }
+    }
+
+    fn want_claim(&mut self, now: Time, ticket: Ticket, claim: Claim) {
+        let committer = committer(&self.membership, &claim);
+        self.claims.want(now, ticket, claim, committer.as_ref(), &mut self.out);
+        self.claims.tick(now, &mut self.out);
+    }
+
+    fn permit_state(&mut self, now: Time, from: &Sender, state: &crate::message::PermitState) {
+        let number = self.membership.epoch().number;
+        if state.epoch > number {
+            self.out.send(from.address, Message::EpochPull);
+        }
+        if state.epoch < number {
+            let epoch = self.membership.epoch().clone();
+            self.out.send(from.address, Message::Epoch(epoch));
+        }
+        if state.epoch != number {
+            return;
+        }
+        let set = Arc::clone(self.config.set());
+        let (membership, out) = (&mut self.membership, &mut self.out);
+        let grants = self.owner.state(now, from, state, &set, membership, out);
+        if let Some(incarnation) = self.owner.warm(&state.upstream) {
+            let new = self.standings.warmth(&state.upstream) == Warmth::Cold;
+            self.standings.warm(now, &state.upstream, incarnation, new);
+        }
+        self.deliver(now, grants);
+    }
+
+    /// Hands grants to the daemons that asked.
+    fn deliver(&mut self, now: Time, grants: Vec<(Sender, Grant)>) {
+        let me = self.out.me().daemon.clone();
+        for (to, grant) in grants {
+            if to.daemon == me {
+                self.granted(now, &me, &grant);
+            } else {
+                self.out.send(to.address, Message::Grant(grant));
+            }
+        }
+    }
+
+    fn granted(&mut self, now: Time, from: &DaemonId, grant: &Grant) {
+        let Some(actions) = self.wishes.granted(now, from, grant) else { return };
+        for action in actions {
+            self.out.push(action);
+        }
+        if grant.warm && !self.standings.warm(now, &grant.upstream, grant.incarnation, false) {
+            let upstream = grant.upstream.clone();
+            self.out.push(Action::PermitRefused { upstream, retry_after: PUBLISH });
+        }
+    }
+
+    /// Sends the statements that are due.
+    fn state_wishes(&mut self, now: Time) {
+        let epoch = self.membership.epoch();
+        let number = epoch.number;
+        let owner = |u: &UpstreamId| epoch.owner(u).map(|o| o.daemon.clone());
+        let due = self.wishes.due(now, number, owner, |u| self.standings.cold_at(u));
+        let me = self.out.me().clone();
+        for (to, state) in due {
+            if to == me.daemon {
+                self.permit_state(now, &me, &state);
+            } else if let Some(to) = self.membership.epoch().member(&to).map(|m| m.address) {
+                self.out.send(to, Message::Permits(state));
+            }
+        }
+    }
+
+    /// Asks for a first configuration, and where a published one is in force.
+    fn ask(&mut self, now: Time, peers: &[SocketAddr]) {
+        if now < self.ask_at {
+            return;
+        }
+        self.ask_at = now + ASK;
+        if self.config.revision() == 0
+            && let Some(peer) = peers.choose(&mut self.out.rng)
+        {
+            self.out.send(*peer, Message::RootPull);
+        }
+        if self.membership.epoch().number == 0
+            && let Some(peer) = peers.choose(&mut self.out.rng)
+        {
+            self.out.send(*peer, Message::EpochPull);
+        }
+        if now < self.ask_until {
+            self.membership.ask_all(now, &mut self.out);
+        }
+    }
+
+    fn beat(&mut self, now: Time) {
+        if now < self.beat_at {
+            return;
+        }
+        self.beat_at = now + BEAT;
+        for peer in self.membership.digest_peers(&mut self.out) {
+            let digest = self.digest_with(Vec::new());
+            self.out.send(peer, Message::Digest(digest));
+        }
+    }
+
+    fn digest_with(&self, rumours: Vec<Rumour>) -> Digest {
+        let epoch = self.membership.epoch().number;
+        Digest { epoch, revision: self.config.revision(), rumours }
+    }
+
+    /// What follows from any event: a new epoch, a new configuration, news, statements, a snapshot.
+    fn follow_up(&mut self, now: Time) {
+        self.enter_epoch(now);
+        self.state_wishes(now);
+        let configured = self.config.take_changed();
+        if configured {
+            self.standings.configure(now, &Arc::clone(self.config.set()));
+            self.changed = true;
+        }
+        let rumours = self.standings.take_rumours();
+        if configured || !rumours.is_empty() {
+            for peer in self.membership.fanout(&mut self.out) {
+                let digest = self.digest_with(rumours.clone());
+                self.out.send(peer, Message::Digest(digest));
+            }
+        }
+        for name in self.standings.take_changed() {
+            let warmth = self.standings.warmth(&name);
+            self.out.push(Action::Log(Line::WarmthChanged(name, warmth)));
+            self.changed = true;
+        }
+        self.publish(now);
+    }
+
+    fn enter_epoch(&mut self, now: Time) {
+        let number = self.membership.epoch().number;
+        if number == self.entered {
+            return;
+        }
+        self.entered = number;
+        self.changed = true;
+        self.owner.enter(now, &self.membership, &mut self.out);
+        let epoch = self.membership.epoch();
+        let me = &self.out.me().daemon;
+        let holds = epoch.owner(ORDERS_KEY).is_some_and(|o| o.daemon == *me);
+        let held = epoch.owner_before(ORDERS_KEY).is_some_and(|o| o.daemon == *me);
+        if !(holds && held && self.membership.is_continuous()) {
+            self.orders.step_down();
+        }
+    }
+
+    fn give_orders(&mut self, now: Time) {
+        let holder = self.membership.epoch().owner(ORDERS_KEY).cloned();
+        self.orders.tick(now, holder.as_ref(), &mut self.out);
+        let mine = holder.is_some_and(|h| h.daemon == self.out.me().daemon);
+        if !mine || !self.orders.is_wanted() || !self.membership.may_act(now, &mut self.out) {
+            return;
+        }
+        if !self.orders.is_ready() {
+            let first = self.membership.epoch().number == 1;
+            match self.membership.waited_out().filter(|at| first || now >= *at) {
+                Some(at) => self.orders.take_over((!first).then_some(at)),
+                None => return,
+            }
+        }
+        let set = Arc::clone(self.config.set());
+        self.orders.give(now, self.membership.epoch().number, &set, &mut self.out);
+    }
+
+    fn stop(&mut self, now: Time) {
+        let Some(by) = self.stop_by.filter(|_| !self.stopped) else { return };
+        let left = self.membership.has_left(&self.out.me().daemon) && self.claims.is_idle();
+        if left || now >= by {
+            self.stopped = true;
+            self.out.push(Action::Stopped);
+        }
+    }
+
+    fn publish(&mut self, now: Time) {
+        let seen = self.membership.in_force().values().filter(|r| **r == self.config.revision());
+        let seen = seen.count();
+        self.changed |= seen != self.in_force_seen;
+        let due = self.published_at.is_none_or(|at| now >= at + PUBLISH);
+        if !self.changed || !due {
+            return;
+        }
+        self.changed = false;
+        self.in_force_seen = seen;
+        self.published_at = Some(now);
+        let snapshot = self.snapshot();
+        self.out.push(Action::Publish(Arc::new(snapshot)));
+    }
 
-/// What became of an order.
-#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
-#[strum(serialize_all = "snake_case")]
-pub enum OrderOutcome {
-    /// The upstream accepted it.
-    Accepted,
-    /// The upstream has finished it.
-    Done,
-    /// The upstream has seen a larger fencing number.
-    Stale,
-    /// It could not be sent, or no answer came.
-    Failed,
+    fn snapshot(&self) -> Snapshot {
+        let set = Arc::clone(self.config.set());
+        let me = self.out.me();
+        let members = self.membership.epoch().members.iter();
+        let daemons = members.chain([me]).map(|m| (m.daemon.clone(), m.zone.clone())).collect();
+        let mut in_force = self.membership.in_force().clone();
+        in_force.insert(me.daemon.clone(), self.config.revision());
+        Snapshot {
+            revision: self.config.revision(),
+            upstreams: self.standings.view(set.upstreams.keys()),
+            stores: self.standings.view(set.stores.keys()),
+            set,
+            daemons,
+            epoch: self.membership.epoch().number,
+            in_force,
+            owned: self.owner.names(),
+            ready: self.config.revision() > 0 && self.stop_by.is_none(),
+        }
+    }
 }
 
-/// A change of state, for the log.
-#[derive(Clone, Debug, Eq, IntoStaticStr, PartialEq)]
-#[strum(serialize_all = "snake_case")]
-pub enum Line {
-    /// A configuration came into force.
-    InForce(Revision),
-    /// This daemon began to own an upstream's permits.
-    OwnershipTaken(UpstreamId),
-    /// This daemon stopped owning an upstream's permits.
-    OwnershipLeft(UpstreamId),
-    /// An upstream's state changed.
-    WarmthChanged(UpstreamId, crate::snapshot::Warmth),
-    /// The key-value service stopped answering.
-    ServiceDown,
-    /// The key-value service answers again.
-    ServiceBack,
-    /// The membership changed.
-    Epoch(u64, usize),
+/// The daemon that commits a claim's shard.
+fn committer(membership: &Membership, claim: &Claim) -> Option<Sender> {
+    let key = shard::key(shard::shard(claim));
+    membership.epoch().owner(&key).cloned()
 }
--- /dev/null
+++ b/crates/policy/src/control/epoch.rs
@@ -0,0 +1,141 @@
+//! The membership that the daemons agree on, as data.
+//!
+//! An epoch names the live daemons and up to five witnesses among them. It is one value in the
+//! key-value service, replaced by compare-and-swap only, so that epochs form one line.
+
+use acacia_catalog::id::DaemonId;
+use serde::{Deserialize, Serialize};
+
+use crate::message::Sender;
+
+/// Number of an epoch; a later one's is larger.
+pub type EpochNumber = u64;
+
+/// Key of the epoch.
+pub const EPOCH_KEY: &str = "acacia/epoch";
+/// Most witnesses of one epoch.
+const WITNESSES: usize = 5;
+
+/// Why a call was made.
+#[derive(Clone, Debug)]
+pub enum Call {
+    /// Waiting for the epoch to change.
+    Watch,
+    /// Reading the epoch.
+    Read,
+    /// Replacing it by this one.
+    Swap(Epoch),
+}
+
+/// One membership.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Epoch {
+    /// Its number; zero before the first.
+    pub number: EpochNumber,
+    /// The daemons, by name.
+    pub members: Vec<Sender>,
+    /// Daemons that the epoch before had and this one hasn't.
+    pub left: Vec<Sender>,
+    /// Daemons that the epoch before hadn't.
+    pub joined: Vec<DaemonId>,
+    /// Daemons that confirm to holders that no newer epoch is known.
+    pub witnesses: Vec<DaemonId>,
+    /// Witnesses of earlier epochs whose holders may not yet have heard of a later one.
+    pub earlier: Vec<Vec<DaemonId>>,
+}
+
+impl Epoch {
+    /// The member of this name.
+    pub fn member(&self, daemon: &DaemonId) -> Option<&Sender> {
+        let at = self.members.binary_search_by(|m| m.daemon.cmp(daemon)).ok()?;
+        Some(&self.members[at])
+    }
+
+    /// The member that owns a key: the first by rendezvous.
+    pub fn owner(&self, key: &str) -> Option<&Sender> {
+        first(self.members.iter(), key)
+    }
+
+    /// The member that owned a key in the epoch before.
+    pub fn owner_before(&self, key: &str) -> Option<&Sender> {
+        let stayed = self.members.iter().filter(|m| !self.joined.contains(&m.daemon));
+        first(stayed.chain(&self.left), key)
+    }
+
+    /// The first members of a key by rendezvous.
+    pub fn rank(&self, key: &str, count: usize) -> Vec<&Sender> {
+        rank(self.members.iter(), key, count)
+    }
+
+    /// The first members of a key among those of one zone.
+    pub fn rank_in_zone(&self, zone: &str, key: &str, count: usize) -> Vec<&Sender> {
+        rank(self.members.iter().filter(|m| &*m.zone == zone), key, count)
+    }
+
+    /// The epoch after this one, without `leaving` and with `joining`.
+    ///
+    /// `settled` tells that most witnesses of every earlier epoch have taken up this one.
+    #[must_use]
+    pub fn next(&self, leaving: &[DaemonId], joining: Option<&Sender>, settled: bool) -> Self {
+        let left: Vec<_> =
+            self.members.iter().filter(|m| leaving.contains(&m.daemon)).cloned().collect();
+        let stays = self.members.iter().filter(|m| !leaving.contains(&m.daemon));
+        let mut members: Vec<_> = stays.chain(joining).cloned().collect();
+        members.sort();
+        members.dedup();
+        let mut earlier = if settled { Vec::new() } else { self.earlier.clone() };
+        if !self.witnesses.is_empty() {
+            earlier.push(self.witnesses.clone());
+        }
+        let number = self.number + 1;
+        let joined = joining.into_iter().map(|m| m.daemon.clone()).collect();
+        let witnesses = witnesses(&members, number);
+        Self { number, members, left, joined, witnesses, earlier }
+    }
+}
+
+/// Witnesses of an epoch, spread over the zones.
+fn witnesses(members: &[Sender], number: EpochNumber) -> Vec<DaemonId> {
+    let mut ranked = rank(members.iter(), &format!("witness/{number}"), members.len());
+    let mut seen = std::collections::BTreeMap::new();
+    // Within a zone the order stays; a zone's second comes after every zone's first.
+    ranked.sort_by_cached_key(|m| {
+        let turn = seen.entry(m.zone.clone()).or_insert(0);
+        *turn += 1;
+        *turn
+    });
+    ranked.into_iter().take(WITNESSES).map(|m| m.daemon.clone()).collect()
+}
+
+/// How many of a group are most of it.
+pub(super) fn majority(group: &[DaemonId]) -> usize {
+    group.len() / 2 + 1
+}
+
+fn first<'a>(members: impl Iterator<Item = &'a Sender>, key: &str) -> Option<&'a Sender> {
+    let key = hash(key);
+    members.max_by_key(|m| (mix(hash(&m.daemon) ^ key), &m.daemon))
+}
+
+fn rank<'a>(members: impl Iterator<Item = &'a Sender>, key: &str, count: usize) -> Vec<&'a Sender> {
+    let key = hash(key);
+    let mut ranked: Vec<_> = members.collect();
+    ranked
+        .sort_by_cached_key(|m| std::cmp::Reverse((mix(hash(&m.daemon) ^ key), m.daemon.clone())));
+    ranked.truncate(count);
+    ranked
+}
+
+/// FNV-1a, for speed: 800 members are hashed for each upstream.
+fn hash(text: &str) -> u64 {
+    const BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    text.bytes().fold(BASIS, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME))
+}
+
+/// The finalizer of SplitMix64.
+fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- /dev/null
+++ b/crates/policy/src/control/membership.rs
@@ -0,0 +1,517 @@
+//! Which daemons live, and whether this one may act for the others.
+//!
+//! The epoch is agreed through the key-value service. A holder acts under an epoch only while most
+//! of its witnesses have confirmed within [`HOLD`], by the holder's own clock, that they know no
+//! newer one. A successor acts once most witnesses of the earlier epochs have taken up its own and
+//! [`WAIT_OUT`] has passed since, so that no holder of an earlier epoch acts any longer. Two groups
+//! of most witnesses share one, which answers to one epoch only; neither clocks nor the service
+//! need to agree. While the service is down the epoch stands still and holders go on.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use acacia_catalog::id::{DaemonId, Revision};
+use rand::RngExt;
+use rand::seq::IndexedRandom;
+
+use super::epoch::{Call, EPOCH_KEY, Epoch, EpochNumber, majority};
+use super::outbox::{Outbox, Purpose};
+use super::{Action, Line, Sabotage};
+use crate::message::{Confirm, Message, Probe, Sender};
+use crate::{Time, kv};
+
+/// How long a witness's confirmation counts, from the sending of the probe.
+pub const HOLD: Duration = Duration::from_millis(600);
+/// Time between two probes of a holder with something to act on.
+const PROBE: Duration = Duration::from_millis(200);
+/// Time after which no holder of an earlier epoch acts: [`HOLD`] and a tenth for drifting clocks.
+pub const WAIT_OUT: Duration = Duration::from_millis(660);
+/// Time between two digests.
+pub const BEAT: Duration = Duration::from_millis(300);
+/// Silence after which a member is taken for dead.
+const SUSPECT: Duration = Duration::from_millis(1_000);
+/// Time between the turns of two monitors to remove the same member.
+const TURN: Duration = Duration::from_millis(150);
+/// Silence after which a witness of an earlier epoch counts as gone.
+///
+/// A holder would have to be in touch with most of its witnesses, and all of them out of touch with
+/// the service and the new epoch, for that long.
+const GONE: Duration = Duration::from_secs(10);
+/// Wait before a failed call is made again.
+const RETRY: Duration = Duration::from_millis(250);
+/// Daemons that watch over each member.
+const MONITORS: usize = 3;
+/// Up to this many members, news goes to each of them directly.
+const SMALL: usize = 12;
+/// Members that hear news directly in a larger fleet.
+const FANOUT: usize = 4;
+/// Epochs that may follow one another before most witnesses have heard of them.
+const EARLIER: usize = 8;
+
+/// What one daemon knows of the epoch.
+pub(super) struct Membership {
+    seeds: Vec<SocketAddr>,
+    epoch: Epoch,
+    entry_revision: kv::ModRevision,
+    adopted_at: Time,
+    continuous: bool,
+    heard: BTreeMap<DaemonId, Time>,
+    monitored: Vec<DaemonId>,
+    monitors: Vec<SocketAddr>,
+    confirmed: BTreeMap<DaemonId, Time>,
+    taken_up: BTreeMap<DaemonId, EpochNumber>,
+    settled_at: Option<Time>,
+    in_force: BTreeMap<DaemonId, Revision>,
+    service_at: Option<Time>,
+    swapping: bool,
+    calling: bool,
+    call_at: Time,
+    swap_at: Time,
+    probe_at: Time,
+    wanted_until: Time,
+    ticked_at: Time,
+    leaving: bool,
+    sabotage: Option<Sabotage>,
+}
+
+impl Membership {
+    pub fn new(seeds: Vec<SocketAddr>, sabotage: Option<Sabotage>) -> Self {
+        Self {
+            seeds,
+            epoch: Epoch::default(),
+            entry_revision: 0,
+            adopted_at: Time::ZERO,
+            continuous: false,
+            heard: BTreeMap::new(),
+            monitored: Vec::new(),
+            monitors: Vec::new(),
+            confirmed: BTreeMap::new(),
+            taken_up: BTreeMap::new(),
+            settled_at: None,
+            in_force: BTreeMap::new(),
+            service_at: None,
+            swapping: false,
+            calling: false,
+            call_at: Time::ZERO,
+            swap_at: Time::ZERO,
+            probe_at: Time::ZERO,
+            wanted_until: Time::ZERO,
+            ticked_at: Time::ZERO,
+            leaving: false,
+            sabotage,
+        }
+    }
+
+    /// The newest epoch known.
+    pub fn epoch(&self) -> &Epoch {
+        &self.epoch
+    }
+
+    /// Whether the epoch before this one was known here too.
+    pub fn is_continuous(&self) -> bool {
+        self.continuous
+    }
+
+    /// Revision in force at each daemon that told it.
+    pub fn in_force(&self) -> &BTreeMap<DaemonId, Revision> {
+        &self.in_force
+    }
+
+    /// Adds addresses at which peers may be reached before an epoch is known.
+    pub fn add_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
+        for seed in seeds {
+            if !self.seeds.contains(&seed) {
+                self.seeds.push(seed);
+            }
+        }
+    }
+
+    /// Whether this daemon may act under its epoch now; asks the witnesses to go on confirming.
+    pub fn may_act(&mut self, now: Time, out: &mut Outbox) -> bool {
+        self.wanted_until = now + PROBE * 10;
+        self.probe(now, out);
+        if self.sabotage == Some(Sabotage::ActUnconfirmed) {
+            return self.epoch.member(&out.me().daemon).is_some();
+        }
+        self.is_confirmed(now, out)
+    }
+
+    /// When the last holder of an earlier epoch stopped acting; none while that is not known.
+    pub fn waited_out(&self) -> Option<Time> {
+        if self.sabotage == Some(Sabotage::SkipWaitOut) {
+            return Some(self.adopted_at);
+        }
+        self.settled_at.map(|at| at + WAIT_OUT)
+    }
+
+    /// Whether this daemon watches the service for its zone.
+    pub fn is_watcher(&self, me: &Sender) -> bool {
+        let first = self.epoch.rank_in_zone(&me.zone, "watch", 1);
+        first.first().is_some_and(|m| m.daemon == me.daemon)
+    }
+
+    /// Peers that news goes to, this daemon's zone first.
+    pub fn fanout(&self, out: &mut Outbox) -> Vec<SocketAddr> {
+        let me = out.me().clone();
+        let (near, far): (Vec<&Sender>, Vec<&Sender>) = self
+            .epoch
+            .members
+            .iter()
+            .filter(|m| m.daemon != me.daemon)
+            .partition(|m| m.zone == me.zone);
+        if near.len() + far.len() < SMALL {
+            return near.iter().chain(&far).map(|m| m.address).collect();
+        }
+        let close = near.sample(&mut out.rng, FANOUT / 2).map(|m| m.address);
+        let mut chosen: Vec<SocketAddr> = close.collect();
+        chosen.extend(far.sample(&mut out.rng, FANOUT / 2).map(|m| m.address));
+        chosen
+    }
+
+    /// Peers that a regular digest goes to: this daemon's monitors and one other.
+    pub fn digest_peers(&self, out: &mut Outbox) -> Vec<SocketAddr> {
+        let me = out.me().address;
+        let mut peers = self.monitors.clone();
+        let other = self.epoch.members.choose(&mut out.rng).map(|m| m.address);
+        peers.extend(other.filter(|a| *a != me && !self.monitors.contains(a)));
+        if peers.is_empty() {
+            peers.extend(self.seeds.choose(&mut out.rng).copied().filter(|a| *a != me));
+        }
+        peers
+    }
+
+    /// Peers that may have what this daemon misses.
+    pub fn peers(&self, me: SocketAddr) -> Vec<SocketAddr> {
+        let members = self.epoch.members.iter().map(|m| m.address);
+        let mut peers: Vec<_> = members.filter(|a| *a != me).collect();
+        if peers.is_empty() {
+            peers.extend(self.seeds.iter().copied().filter(|a| *a != me));
+        }
+        peers
+    }
+
+    /// Notes that a peer lives.
+    pub fn hear(&mut self, now: Time, from: &DaemonId) {
+        if let Some(at) = self.heard.get_mut(from) {
+            *at = now;
+        }
+    }
+
+    /// Notes the revision in force at a peer.
+    pub fn note_revision(&mut self, from: &DaemonId, revision: Revision) {
+        if self.epoch.member(from).is_some() {
+            let known = self.in_force.entry(from.clone()).or_default();
+            *known = revision.max(*known);
+        }
+    }
+
+    /// Asks every member for the revision in force at it.
+    pub fn ask_all(&self, now: Time, out: &mut Outbox) {
+        let me = out.me().daemon.clone();
+        for member in self.epoch.members.iter().filter(|m| m.daemon != me) {
+            let probe = Probe { epoch: self.epoch.number, sent: now };
+            out.send(member.address, Message::Probe(probe));
+        }
+    }
+
+    /// Answers a holder, as a witness.
+    pub fn probed(&self, from: &Sender, probe: &Probe, revision: Revision, out: &mut Outbox) {
+        let epoch = match self.sabotage {
+            Some(Sabotage::ConfirmAnything) => probe.epoch,
+            _ => self.epoch.number,
+        };
+        let confirm = Confirm { epoch, echo: probe.sent, revision };
+        out.send(from.address, Message::Confirm(confirm));
+        if probe.epoch < self.epoch.number {
+            out.send(from.address, Message::Epoch(self.epoch.clone()));
+        }
+        if probe.epoch > self.epoch.number {
+            out.send(from.address, Message::EpochPull);
+        }
+    }
+
+    /// Takes a witness's answer.
+    pub fn confirmed(&mut self, now: Time, from: &DaemonId, confirm: &Confirm) {
+        self.note_revision(from, confirm.revision);
+        if confirm.epoch == self.epoch.number && confirm.echo <= now {
+            let at = self.confirmed.entry(from.clone()).or_default();
+            *at = confirm.echo.max(*at);
+        }
+        if confirm.epoch >= self.epoch.number {
+            self.taken_up.insert(from.clone(), confirm.epoch);
+            self.settle(now);
+        }
+    }
+
+    /// Takes an epoch that a peer told; true when it is new.
+    pub fn learn(&mut self, now: Time, epoch: Epoch, out: &mut Outbox) -> bool {
+        if epoch.number <= self.epoch.number {
+            return false;
+        }
+        self.adopt(now, epoch, out);
+        true
+    }
+
+    /// Takes the answer to a call; true when the epoch changed.
+    pub fn ended(
+        &mut self,
+        now: Time,
+        call: Call,
+        outcome: &kv::Outcome,
+        out: &mut Outbox,
+    ) -> bool {
+        if outcome.is_ok() {
+            self.service_at = Some(now);
+        }
+        match call {
+            Call::Watch | Call::Read => {
+                self.calling = false;
+                self.call_at = if outcome.is_ok() { now } else { now + RETRY };
+            }
+            Call::Swap(_) => {
+                self.swapping = false;
+                self.swap_at = now + self.jitter(out);
+            }
+        }
+        match (call, outcome) {
+            (Call::Swap(epoch), Ok(kv::Reply::Swapped(revision))) => {
+                self.entry_revision = self.entry_revision.max(*revision);
+                self.learn(now, epoch, out)
+            }
+            (_, Ok(kv::Reply::Got(entry) | kv::Reply::Conflict(entry))) => {
+                self.take_entry(now, entry.as_ref(), out)
+            }
+            _ => false,
+        }
+    }
+
+    /// Starts to leave.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Whether a leaving daemon is out of the epoch.
+    pub fn has_left(&self, me: &DaemonId) -> bool {
+        self.leaving && self.epoch.member(me).is_none()
+    }
+
+    /// Reads the epoch, proposes the next one and probes, as needed.
+    pub fn tick(&mut self, now: Time, out: &mut Outbox) {
+        if now > self.ticked_at + SUSPECT / 2 {
+            // This daemon was paused; the silence says nothing of the others.
+            self.heard.values_mut().for_each(|at| *at = now);
+        }
+        self.ticked_at = now;
+        self.read(now, out);
+        self.propose(now, out);
+        if now < self.wanted_until || self.settled_at.is_none() {
+            self.probe(now, out);
+        }
+        self.settle(now);
+    }
+
+    fn is_confirmed(&self, now: Time, out: &Outbox) -> bool {
+        let me = &out.me().daemon;
+        if self.epoch.member(me).is_none() {
+            return false;
+        }
+        let fresh =
+            |w: &&DaemonId| *w == me || self.confirmed.get(*w).is_some_and(|at| now < *at + HOLD);
+        let count = self.epoch.witnesses.iter().filter(fresh).count();
+        count >= majority(&self.epoch.witnesses)
+    }
+
+    fn probe(&mut self, now: Time, out: &mut Outbox) {
+        if now < self.probe_at || self.epoch.number == 0 {
+            return;
+        }
+        self.probe_at = now + PROBE;
+        let earlier = self.epoch.earlier.iter().flatten();
+        let earlier = earlier.filter(|_| self.settled_at.is_none());
+        let names: std::collections::BTreeSet<_> =
+            self.epoch.witnesses.iter().chain(earlier).collect();
+        let members = self.epoch.members.iter().chain(&self.epoch.left);
+        for member in members.filter(|m| names.contains(&m.daemon)) {
+            if member.daemon != out.me().daemon {
+                let probe = Probe { epoch: self.epoch.number, sent: now };
+                out.send(member.address, Message::Probe(probe));
+            }
+        }
+    }
+
+    /// Notes when most witnesses of every earlier epoch have taken up this one.
+    fn settle(&mut self, now: Time) {
+        if self.settled_at.is_some() || self.epoch.number == 0 {
+            return;
+        }
+        let done = |w: &&DaemonId| {
+            self.taken_up.get(*w).is_some_and(|n| *n >= self.epoch.number) || self.is_gone(now, w)
+        };
+        let most = |group: &Vec<DaemonId>| group.iter().filter(done).count() >= majority(group);
+        if self.epoch.earlier.iter().all(most) {
+            self.settled_at = Some(now);
+        }
+    }
+
+    /// Whether a witness of an earlier epoch counts as gone.
+    fn is_gone(&self, now: Time, witness: &DaemonId) -> bool {
+        let silent = self.heard.get(witness).copied().unwrap_or(self.adopted_at);
+        let since = silent.max(self.adopted_at);
+        now >= since + GONE && self.service_at.is_some_and(|at| now < at + GONE)
+    }
+
+    fn read(&mut self, now: Time, out: &mut Outbox) {
+        let waiting =
+            self.settled_at.is_none() && self.service_at.is_none_or(|at| now > at + GONE / 4);
+        let wanted = self.epoch.number == 0 || waiting || self.is_watcher(out.me());
+        if self.calling || now < self.call_at || !wanted {
+            return;
+        }
+        self.calling = true;
+        let key = EPOCH_KEY.to_owned();
+        let (call, request) = if self.entry_revision == 0 || waiting || !out.service_up() {
+            (Call::Read, kv::Request::Get { key })
+        } else {
+            (Call::Watch, kv::Request::Watch { key, after: self.entry_revision })
+        };
+        out.call(Purpose::Epoch(call), request);
+    }
+
+    fn take_entry(&mut self, now: Time, entry: Option<&kv::Entry>, out: &mut Outbox) -> bool {
+        let Some(entry) = entry else {
+            // The key is absent: the first daemon writes it.
+            return self.start(now, out);
+        };
+        self.entry_revision = self.entry_revision.max(entry.revision);
+        match rmp_serde::from_slice::<Epoch>(&entry.value) {
+            Ok(epoch) => self.learn(now, epoch, out),
+            Err(_) => false,
+        }
+    }
+
+    fn start(&mut self, now: Time, out: &mut Outbox) -> bool {
+        let me = out.me().clone();
+        if self.epoch.number == 0 && !self.swapping && !self.leaving {
+            self.swap(self.epoch.next(&[], Some(&me), true), out);
+        }
+        self.call_at = now + RETRY;
+        false
+    }
+
+    /// Proposes an epoch with this daemon, without the dead, or without this one when it leaves.
+    fn propose(&mut self, now: Time, out: &mut Outbox) {
+        let known = self.entry_revision != 0 && self.epoch.number != 0;
+        let full = self.epoch.earlier.len() >= EARLIER && self.settled_at.is_none();
+        if self.swapping || now < self.swap_at || !known || full {
+            return;
+        }
+        let me = out.me().clone();
+        let member = self.epoch.member(&me.daemon).is_some();
+        let settled = self.settled_at.is_some();
+        let next = match (self.leaving, member) {
+            (true, true) => self.epoch.next(&[me.daemon], None, settled),
+            (false, false) => self.epoch.next(&[], Some(&me), settled),
+            (false, true) => {
+                let dead = self.dead(now, &me.daemon);
+                if dead.is_empty() {
+                    return;
+                }
+                self.epoch.next(&dead, None, settled)
+            }
+            (true, false) => return,
+        };
+        self.swap(next, out);
+    }
+
+    fn swap(&mut self, next: Epoch, out: &mut Outbox) {
+        self.swapping = true;
+        let request = kv::Request::Swap {
+            key: EPOCH_KEY.to_owned(),
+            expected: self.entry_revision,
+            value: rmp_serde::to_vec(&next).ok(),
+            lease: None,
+        };
+        out.call(Purpose::Epoch(Call::Swap(next)), request);
+    }
+
+    /// Members that this daemon monitors and that are silent for too long.
+    fn dead(&self, now: Time, me: &DaemonId) -> Vec<DaemonId> {
+        let silent = |daemon: &&DaemonId| {
+            let heard = self.heard.get(*daemon).copied().unwrap_or(self.adopted_at);
+            let ranked = self.epoch.rank(&monitor_key(daemon), MONITORS + 1);
+            let mut others = ranked.into_iter().filter(|m| m.daemon != **daemon);
+            let turn = others.position(|m| m.daemon == *me).unwrap_or(0) as u32;
+            now >= heard + SUSPECT + TURN * turn
+        };
+        self.monitored.iter().filter(silent).cloned().collect()
+    }
+
+    fn adopt(&mut self, now: Time, epoch: Epoch, out: &mut Outbox) {
+        let me = out.me().clone();
+        self.continuous = epoch.number == self.epoch.number + 1;
+        out.push(Action::Log(Line::Epoch(epoch.number, epoch.members.len())));
+        self.epoch = epoch;
+        self.adopted_at = now;
+        self.confirmed.clear();
+        self.taken_up.retain(|_, number| *number >= self.epoch.number);
+        self.taken_up.insert(me.daemon.clone(), self.epoch.number);
+        self.settled_at = None;
+        self.probe_at = now;
+        self.appoint(now, &me);
+        self.settle(now);
+        self.spread(out);
+        self.probe(now, out);
+    }
+
+    /// Works out who monitors whom.
+    fn appoint(&mut self, now: Time, me: &Sender) {
+        let epoch = &self.epoch;
+        let of = |daemon: &DaemonId| -> Vec<&Sender> {
+            let ranked = epoch.rank(&monitor_key(daemon), MONITORS + 1);
+            ranked.into_iter().filter(|m| m.daemon != *daemon).take(MONITORS).collect()
+        };
+        let watches = |m: &&Sender| of(&m.daemon).iter().any(|w| w.daemon == me.daemon);
+        let monitored: Vec<DaemonId> =
+            epoch.members.iter().filter(watches).map(|m| m.daemon.clone()).collect();
+        self.monitors = of(&me.daemon).iter().map(|m| m.address).collect();
+        // One that is monitored from now on gets its full time to be heard.
+        for daemon in &monitored {
+            if !self.monitored.contains(daemon) {
+                self.heard.insert(daemon.clone(), now);
+            }
+        }
+        self.monitored = monitored;
+        let known = epoch.members.iter().chain(&epoch.left);
+        let names: std::collections::BTreeSet<_> = known.map(|m| m.daemon.clone()).collect();
+        self.heard.retain(|daemon, _| names.contains(daemon));
+        for name in names {
+            self.heard.entry(name).or_insert(now);
+        }
+        self.in_force.retain(|daemon, _| self.epoch.member(daemon).is_some());
+    }
+
+    /// Tells the new epoch to the witnesses and, in a small fleet, to everyone.
+    fn spread(&self, out: &mut Outbox) {
+        let epoch = &self.epoch;
+        let concerned = |m: &&Sender| {
+            epoch.members.len() <= SMALL
+                || epoch.witnesses.contains(&m.daemon)
+                || epoch.earlier.iter().flatten().any(|w| *w == m.daemon)
+        };
+        let me = out.me().daemon.clone();
+        for member in epoch.members.iter().chain(&epoch.left).filter(concerned) {
+            if member.daemon != me {
+                out.send(member.address, Message::Epoch(epoch.clone()));
+            }
+        }
+    }
+
+    fn jitter(&self, out: &mut Outbox) -> Duration {
+        Duration::from_millis(out.rng.random_range(5..50))
+    }
+}
+
+fn monitor_key(daemon: &str) -> String {
+    format!("monitor/{daemon}")
+}
--- /dev/null
+++ b/crates/policy/src/control/order.rs
@@ -0,0 +1,232 @@
+//! Orders to upstreams.
+//!
+//! One daemon gives all orders, so that at most [`LOADS`] weight loads run at once. An order carries
+//! the epoch as its fencing number. A successor starts no load until the loads of its predecessor
+//! have ended, which also covers upstreams that ignore the number.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use acacia_catalog::Set;
+use acacia_catalog::id::{Name, UpstreamId};
+use acacia_catalog::object::{Role, Upstream};
+
+use super::outbox::Outbox;
+use super::{Action, Fence, Order, OrderDuty, OrderOutcome, Sabotage, Ticket};
+use crate::Time;
+use crate::message::{Message, Sender};
+use crate::snapshot::Load;
+
+/// Key by whose owner orders are given.
+pub const ORDERS_KEY: &str = "orders";
+/// Most weight loads that run at once.
+const LOADS: usize = 2;
+/// Longest that a load takes.
+const LOAD: Duration = Duration::from_secs(10);
+/// Time between two tries to reach the daemon that gives orders.
+const AGAIN: Duration = Duration::from_secs(1);
+/// How long an order is tried.
+const HOLD: Duration = Duration::from_secs(120);
+/// Time between two readings of a loading upstream.
+const READ: Duration = Duration::from_millis(250);
+/// Ended orders that are remembered, to answer repeats.
+const ENDED: usize = 256;
+
+/// An order asked for at this daemon.
+struct Request {
+    ticket: Ticket,
+    order: Order,
+    since: Time,
+    next_at: Time,
+}
+
+/// An order that this daemon is to give or has given.
+struct Job {
+    order: Order,
+    asker: Sender,
+    given_at: Option<Time>,
+    read_at: Time,
+}
+
+/// The orders that one daemon asks for and gives.
+#[derive(Default)]
+pub(super) struct Orders {
+    requests: BTreeMap<Name, Request>,
+    jobs: Vec<Job>,
+    ended: VecDeque<(Name, OrderOutcome)>,
+    free_at: Option<Time>,
+    sabotage: Option<Sabotage>,
+}
+
+impl Orders {
+    pub fn new(sabotage: Option<Sabotage>) -> Self {
+        Self { sabotage, ..Self::default() }
+    }
+
+    /// Takes an order that an operator wants.
+    pub fn want(&mut self, now: Time, ticket: Ticket, order: Order) {
+        let request = Request { ticket, order: order.clone(), since: now, next_at: now };
+        self.requests.insert(order.id, request);
+    }
+
+    /// Takes an order that a daemon asks this one to give.
+    pub fn take(&mut self, from: &Sender, order: Order, out: &mut Outbox) {
+        if let Some((_, outcome)) = self.ended.iter().find(|(id, _)| *id == order.id) {
+            out.send(from.address, Message::Ordered(order, *outcome));
+            return;
+        }
+        if !self.jobs.iter().any(|j| j.order.id == order.id) {
+            let read_at = Time::ZERO;
+            self.jobs.push(Job { order, asker: from.clone(), given_at: None, read_at });
+        }
+    }
+
+    /// Takes the end of an order asked for here.
+    pub fn answered(&mut self, order: &Order, outcome: OrderOutcome, out: &mut Outbox) {
+        if let Some(request) = self.requests.remove(&order.id) {
+            out.push(Action::OrderEnded(request.ticket, outcome));
+        }
+    }
+
+    /// Takes an upstream's answer to an order given here.
+    pub fn ordered(&mut self, order: &Order, outcome: OrderOutcome, out: &mut Outbox) {
+        let loads = is_load(order);
+        if outcome == OrderOutcome::Accepted && loads {
+            // It goes on loading; its load report tells when it is done.
+            return;
+        }
+        self.end(&order.id, outcome, out);
+    }
+
+    /// Takes a load report of an upstream that may be loading.
+    pub fn reported(&mut self, upstream: &UpstreamId, load: &Load, out: &mut Outbox) {
+        let done = |job: &&Job| {
+            let OrderDuty::LoadVersion(version) = &job.order.duty else { return false };
+            let loaded = load.version.as_ref() == Some(version);
+            let later = job.given_at.is_some_and(|at| load.sampled_at > at);
+            job.order.upstream == *upstream && loaded && later
+        };
+        if let Some(id) = self.jobs.iter().find(done).map(|j| j.order.id.clone()) {
+            self.end(&id, OrderOutcome::Done, out);
+        }
+    }
+
+    /// Starts again under another epoch.
+    ///
+    /// `since` is when the holder before stopped acting, if there was one.
+    pub fn take_over(&mut self, since: Option<Time>) {
+        self.free_at = Some(since.map_or(Time::ZERO, |at| at + LOAD));
+    }
+
+    /// Drops what this daemon no longer gives.
+    pub fn step_down(&mut self) {
+        self.jobs.clear();
+        self.free_at = None;
+    }
+
+    /// Whether this daemon knows from when it may start loads.
+    pub fn is_ready(&self) -> bool {
+        self.free_at.is_some()
+    }
+
+    /// Whether there is an order to give.
+    pub fn is_wanted(&self) -> bool {
+        !self.jobs.is_empty()
+    }
+
+    /// Asks the daemon that gives orders.
+    pub fn tick(&mut self, now: Time, holder: Option<&Sender>, out: &mut Outbox) {
+        self.expire(now, out);
+        let Some(holder) = holder else { return };
+        let me = out.me().clone();
+        let mut own = Vec::new();
+        for request in self.requests.values_mut().filter(|r| now >= r.next_at) {
+            request.next_at = now + AGAIN;
+            if holder.daemon == me.daemon {
+                own.push(request.order.clone());
+            } else {
+                out.send(holder.address, Message::Order(request.order.clone()));
+            }
+        }
+        for order in own {
+            self.take(&me, order, out);
+        }
+    }
+
+    /// Gives the orders that may be given; the caller may act at this moment.
+    pub fn give(&mut self, now: Time, fence: Fence, set: &Set, out: &mut Outbox) {
+        let Some(free_at) = self.free_at else { return };
+        for at in 0..self.jobs.len() {
+            let loads = is_load(&self.jobs[at].order);
+            let waits = loads && (now < free_at || !self.may_load(&self.jobs[at].order, set));
+            let waits = waits && self.sabotage != Some(Sabotage::LoadFreely);
+            let job = &mut self.jobs[at];
+            if job.given_at.is_none() && !waits {
+                job.given_at = Some(now);
+                job.order.fence = fence;
+                out.push(Action::Order(job.order.clone()));
+            }
+            if loads && job.given_at.is_some() && now >= job.read_at {
+                job.read_at = now + READ;
+                out.push(Action::Probe(job.order.upstream.clone()));
+            }
+        }
+    }
+
+    /// Whether a load leaves the model enough engines and stays within one zone.
+    fn may_load(&self, order: &Order, set: &Set) -> bool {
+        let running: Vec<&Upstream> = self
+            .jobs
+            .iter()
+            .filter(|j| j.given_at.is_some() && is_load(&j.order))
+            .filter_map(|j| set.upstreams.get(&j.order.upstream))
+            .collect();
+        let Some(upstream) = set.upstreams.get(&order.upstream) else { return true };
+        let engines = set.upstreams.values().filter(|u| model(u) == model(upstream)).count();
+        let same = running.iter().filter(|u| model(u) == model(upstream)).count();
+        let one_zone = running.iter().all(|u| u.zone == upstream.zone);
+        let floor = engines < 2 || same < engines / 2;
+        let again = running.iter().any(|u| u.name == upstream.name);
+        running.len() < LOADS && one_zone && floor && !again
+    }
+
+    fn expire(&mut self, now: Time, out: &mut Outbox) {
+        let late = |r: &&Request| now >= r.since + HOLD;
+        let given = |j: &&Job| j.given_at.is_some_and(|at| now >= at + LOAD);
+        let ended: Vec<Name> = self.jobs.iter().filter(given).map(|j| j.order.id.clone()).collect();
+        for id in ended {
+            self.end(&id, OrderOutcome::Failed, out);
+        }
+        let orders: Vec<Order> =
+            self.requests.values().filter(late).map(|r| r.order.clone()).collect();
+        for order in orders {
+            self.answered(&order, OrderOutcome::Failed, out);
+        }
+    }
+
+    fn end(&mut self, id: &Name, outcome: OrderOutcome, out: &mut Outbox) {
+        let Some(at) = self.jobs.iter().position(|j| j.order.id == *id) else { return };
+        let job = self.jobs.remove(at);
+        self.ended.push_back((id.clone(), outcome));
+        if self.ended.len() > ENDED {
+            self.ended.pop_front();
+        }
+        if job.asker.daemon == out.me().daemon {
+            self.answered(&job.order, outcome, out);
+        } else {
+            out.send(job.asker.address, Message::Ordered(job.order, outcome));
+        }
+    }
+}
+
+/// Whether an order makes its upstream load weights.
+fn is_load(order: &Order) -> bool {
+    matches!(order.duty, OrderDuty::LoadVersion(_))
+}
+
+fn model(upstream: &Upstream) -> Option<&Name> {
+    match &upstream.role {
+        Role::Engine { model, .. } => Some(model),
+        Role::Service { .. } => None,
+    }
+}
--- /dev/null
+++ b/crates/policy/src/control/outbox.rs
@@ -0,0 +1,101 @@
+//! What a step leaves to be done.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::{Action, CallId, Identity, Line, claim, config, epoch};
+use crate::kv;
+use crate::message::{Envelope, Message, Sender};
+
+/// Why a call to the key-value service was made.
+#[derive(Clone, Debug)]
+pub(super) enum Purpose {
+    /// For the membership.
+    Epoch(epoch::Call),
+    /// For the configuration.
+    Config(config::Call),
+    /// For claims.
+    Claim(claim::Call),
+}
+
+/// Actions of the current step and calls that have no answer yet.
+pub(super) struct Outbox {
+    sender: Sender,
+    actions: Vec<Action>,
+    calls: BTreeMap<CallId, Purpose>,
+    next_call: CallId,
+    service_up: bool,
+    /// Source of this daemon's random choices.
+    pub rng: ChaCha8Rng,
+}
+
+impl Outbox {
+    pub fn new(identity: &Identity) -> Self {
+        let sender = Sender {
+            daemon: identity.daemon.clone(),
+            zone: identity.zone.clone(),
+            address: identity.address,
+        };
+        Self {
+            sender,
+            actions: Vec::new(),
+            calls: BTreeMap::new(),
+            next_call: 1,
+            service_up: true,
+            rng: ChaCha8Rng::seed_from_u64(identity.seed),
+        }
+    }
+
+    /// Who this daemon is to its peers.
+    pub fn me(&self) -> &Sender {
+        &self.sender
+    }
+
+    /// Whether the key-value service answered last time.
+    pub fn service_up(&self) -> bool {
+        self.service_up
+    }
+
+    /// Calls the key-value service.
+    pub fn call(&mut self, purpose: Purpose, request: kv::Request) {
+        let id = self.next_call;
+        self.next_call += 1;
+        self.calls.insert(id, purpose);
+        self.actions.push(Action::Kv(id, request));
+    }
+
+    /// Takes the purpose of a call that ended; none for an answer that came twice.
+    pub fn ended(&mut self, call: CallId, outcome: &kv::Outcome) -> Option<Purpose> {
+        let purpose = self.calls.remove(&call)?;
+        self.note(outcome);
+        Some(purpose)
+    }
+
+    /// Sends a message to a peer.
+    pub fn send(&mut self, to: SocketAddr, message: Message) {
+        let envelope = Envelope { from: self.sender.clone(), message };
+        self.actions.push(Action::Send(to, envelope));
+    }
+
+    /// Adds an action.
+    pub fn push(&mut self, action: Action) {
+        self.actions.push(action);
+    }
+
+    /// The actions so far.
+    pub fn take(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    fn note(&mut self, outcome: &kv::Outcome) {
+        let up = !matches!(outcome, Err(kv::Failure::Unavailable | kv::Failure::Ambiguous));
+        if up != self.service_up {
+            self.service_up = up;
+            let line = if up { Line::ServiceBack } else { Line::ServiceDown };
+            self.push(Action::Log(line));
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/control/owner.rs
@@ -0,0 +1,259 @@
+//! Every cold upstream that this daemon owns.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use acacia_catalog::Set;
+use acacia_catalog::id::{DaemonId, UpstreamId};
+use acacia_catalog::object::{Role, Upstream};
+
+use super::membership::Membership;
+use super::outbox::Outbox;
+use super::ownership::{Capacity, Ghosts, Ownership, VALID_OUT};
+use super::{Action, Line, PermitId, Sabotage};
+use crate::Time;
+use crate::message::{Grant, HandOver, Message, PermitState, Sender};
+use crate::snapshot::Load;
+
+/// How long an owner remembers an upstream that nobody asks about.
+const FORGET: Duration = Duration::from_secs(30);
+/// Longest that a request of an earlier holder runs on an instance that reports no load.
+const RUN: Duration = Duration::from_secs(10);
+/// Up to this many members, a leaving or smaller share is told to every successor.
+const SMALL: usize = 16;
+
+/// What one daemon owns.
+pub(super) struct Owner {
+    owned: BTreeMap<UpstreamId, Ownership>,
+    handed: BTreeMap<DaemonId, HandOver>,
+    /// From when an upstream that was never asked about surely runs nothing of an earlier holder.
+    clean_at: Option<Time>,
+    next: PermitId,
+    sabotage: Option<Sabotage>,
+}
+
+impl Owner {
+    pub fn new(sabotage: Option<Sabotage>) -> Self {
+        let (owned, handed) = (BTreeMap::new(), BTreeMap::new());
+        Self { owned, handed, clean_at: None, next: 1, sabotage }
+    }
+
+    /// Cold upstreams whose permits this daemon grants.
+    pub fn names(&self) -> Vec<UpstreamId> {
+        self.owned.keys().cloned().collect()
+    }
+
+    /// Takes up a new epoch: hands over what it no longer owns.
+    pub fn enter(&mut self, now: Time, membership: &Membership, out: &mut Outbox) {
+        let epoch = membership.epoch();
+        let me = out.me().daemon.clone();
+        let number = epoch.number;
+        self.handed.retain(|_, h| h.epoch >= number);
+        let first = number == 1 && epoch.member(&me).is_some();
+        if first {
+            self.clean_at = Some(Time::ZERO);
+        }
+        if membership.is_continuous() && !first {
+            self.hand_over(now, membership, out);
+        }
+        let mine = |u: &UpstreamId| epoch.owner(u).is_some_and(|o| o.daemon == me);
+        let before = |u: &UpstreamId| epoch.owner_before(u).is_some_and(|o| o.daemon == me);
+        let continuous = membership.is_continuous();
+        self.owned.retain(|upstream, ownership| {
+            let keeps = continuous && mine(upstream) && before(upstream);
+            if keeps {
+                ownership.epoch = number;
+                ownership.keep(now, |d| epoch.member(d).is_some());
+            } else {
+                out.push(Action::Log(Line::OwnershipLeft(upstream.clone())));
+            }
+            keeps
+        });
+        let alone = continuous && epoch.joined.iter().all(|d| *d != me) && epoch.left.is_empty();
+        if !alone && !first {
+            self.clean_at = None;
+        }
+    }
+
+    /// Takes what a predecessor tells.
+    pub fn handed(&mut self, now: Time, from: &Sender, told: HandOver, membership: &Membership) {
+        self.handed.insert(from.daemon.clone(), told);
+        let epoch = membership.epoch();
+        let all_clean = epoch.members.iter().all(|m| {
+            let told = self.handed.get(&m.daemon);
+            epoch.joined.contains(&m.daemon)
+                || told.is_some_and(|h| h.clean && h.epoch == epoch.number)
+        });
+        if all_clean && epoch.left.is_empty() {
+            self.clean_at.get_or_insert(now);
+        }
+    }
+
+    /// Takes a daemon's statement; grants what is free.
+    pub fn state(
+        &mut self,
+        now: Time,
+        from: &Sender,
+        state: &PermitState,
+        set: &Set,
+        membership: &mut Membership,
+        out: &mut Outbox,
+    ) -> Vec<(Sender, Grant)> {
+        let upstream = &state.upstream;
+        let Some(capacity) = set.upstreams.get(upstream).map(capacity) else { return Vec::new() };
+        if !self.owned.contains_key(upstream)
+            && !self.take_over(now, upstream, capacity, membership, out)
+        {
+            return Vec::new();
+        }
+        let Some(ownership) = self.owned.get_mut(upstream) else { return Vec::new() };
+        let was_warm = ownership.is_warm();
+        if !ownership.state(now, from, state) {
+            return Vec::new();
+        }
+        let mut grants = self.grant(now, upstream, membership, out);
+        let Some(ownership) = self.owned.get(upstream) else { return grants };
+        if !was_warm && ownership.is_warm() {
+            // The first to know is whoever asked.
+            grants.retain(|(to, _)| to.daemon != from.daemon);
+        }
+        if !grants.iter().any(|(to, _)| to.daemon == from.daemon) {
+            grants.extend(ownership.answer(&from.daemon, upstream, Vec::new()));
+        }
+        grants
+    }
+
+    /// Grants what is free of one upstream, if this daemon may act at this moment.
+    pub fn grant(
+        &mut self,
+        now: Time,
+        upstream: &UpstreamId,
+        membership: &mut Membership,
+        out: &mut Outbox,
+    ) -> Vec<(Sender, Grant)> {
+        let number = membership.epoch().number;
+        let Some(ownership) = self.owned.get_mut(upstream) else { return Vec::new() };
+        if ownership.epoch != number || !membership.may_act(now, out) {
+            return Vec::new();
+        }
+        if ownership.take_read(now) {
+            out.push(Action::Probe(upstream.clone()));
+        }
+        let limited = self.sabotage != Some(Sabotage::IgnoreColdLimit);
+        ownership.grant(now, upstream, limited, &mut self.next)
+    }
+
+    /// Grants what has become free.
+    pub fn tick(
+        &mut self,
+        now: Time,
+        membership: &mut Membership,
+        out: &mut Outbox,
+    ) -> Vec<(Sender, Grant)> {
+        self.owned.retain(|_, o| now < o.used_at() + FORGET || o.running() != Some(0));
+        let names = self.names();
+        names.iter().flat_map(|u| self.grant(now, u, membership, out)).collect()
+    }
+
+    /// Takes a load report of an owned upstream.
+    pub fn reported(&mut self, now: Time, upstream: &UpstreamId, load: &Load) {
+        if let Some(ownership) = self.owned.get_mut(upstream) {
+            ownership.reported(now, load);
+        }
+    }
+
+    /// An owned upstream turned cold.
+    pub fn reset(&mut self, now: Time, upstream: &UpstreamId, incarnation: u64) {
+        if let Some(ownership) = self.owned.get_mut(upstream) {
+            ownership.reset(now, incarnation);
+        }
+    }
+
+    /// Whether an owned upstream is through its cold start, and for which process life.
+    pub fn warm(&self, upstream: &UpstreamId) -> Option<u64> {
+        let ownership = self.owned.get(upstream).filter(|o| o.is_warm())?;
+        Some(ownership.incarnation())
+    }
+
+    /// Begins to own an upstream; false while that is not allowed.
+    fn take_over(
+        &mut self,
+        now: Time,
+        upstream: &UpstreamId,
+        capacity: Capacity,
+        membership: &Membership,
+        out: &mut Outbox,
+    ) -> bool {
+        let Some(ghosts) = self.ghosts(now, upstream, capacity, membership, out) else {
+            return false;
+        };
+        let number = membership.epoch().number;
+        let ownership = Ownership::new(now, number, capacity, ghosts);
+        self.owned.insert(upstream.clone(), ownership);
+        out.push(Action::Log(Line::OwnershipTaken(upstream.clone())));
+        true
+    }
+
+    /// What earlier holders may have left running; none while they may still act.
+    fn ghosts(
+        &mut self,
+        now: Time,
+        upstream: &UpstreamId,
+        capacity: Capacity,
+        membership: &Membership,
+        out: &Outbox,
+    ) -> Option<Ghosts> {
+        let epoch = membership.epoch();
+        let before = epoch.owner_before(upstream);
+        let told = before.and_then(|b| self.handed.get(&b.daemon));
+        if let Some(hand_over) = told.filter(|h| h.epoch == epoch.number) {
+            let listed = hand_over.running.iter().find(|(u, _)| u == upstream);
+            match listed {
+                Some((_, running)) => return Some(Ghosts::Known(*running)),
+                None if hand_over.clean => return Some(capacity.unseen(now)),
+                None => {}
+            }
+        }
+        let mine =
+            before.is_some_and(|b| b.daemon == out.me().daemon) && membership.is_continuous();
+        let from = match membership.waited_out() {
+            _ if mine || epoch.number == 1 => now,
+            Some(at) if now >= at => at,
+            _ => return None,
+        };
+        let clean_at = *self.clean_at.get_or_insert(from + VALID_OUT + RUN);
+        if self.sabotage == Some(Sabotage::ForgetRunning) {
+            return Some(Ghosts::Known(0));
+        }
+        let clean = now >= clean_at;
+        Some(if clean { capacity.unseen(now) } else { Ghosts::Unknown(from + VALID_OUT) })
+    }
+
+    /// Tells the successors what may be running.
+    fn hand_over(&self, now: Time, membership: &Membership, out: &mut Outbox) {
+        let epoch = membership.epoch();
+        let me = out.me().daemon.clone();
+        let clean = self.clean_at.is_some_and(|at| now >= at);
+        let leaves = epoch.member(&me).is_none();
+        for member in epoch.members.iter().filter(|m| m.daemon != me) {
+            let gains = leaves || epoch.joined.contains(&member.daemon);
+            let owns = |u: &UpstreamId| epoch.owner(u).is_some_and(|o| o.daemon == member.daemon);
+            let known = self.owned.iter().filter(|(u, _)| owns(u));
+            let running: Vec<(UpstreamId, u32)> =
+                known.filter_map(|(u, o)| Some((u.clone(), o.running()?))).collect();
+            if gains && (epoch.members.len() <= SMALL || !running.is_empty()) {
+                let all = self.owned.iter().filter(|(u, _)| owns(u)).count() == running.len();
+                let hand_over = HandOver { epoch: epoch.number, running, clean: clean && all };
+                out.send(member.address, Message::HandOver(hand_over));
+            }
+        }
+    }
+}
+
+fn capacity(upstream: &Upstream) -> Capacity {
+    Capacity {
+        cold: upstream.cold_limit,
+        slots: upstream.slots,
+        reports: matches!(upstream.role, Role::Engine { .. }),
+    }
+}
--- /dev/null
+++ b/crates/policy/src/control/ownership.rs
@@ -0,0 +1,311 @@
+//! Permits for cold upstreams, as their owner grants them.
+//!
+//! An owner counts what it granted until it comes back, and what earlier holders may have left
+//! running: all of it until a load report, sampled when no earlier holder could start anything any
+//! more, tells how much there is. A permit must be used within [`VALID`] of the asking, by the
+//! asking daemon's clock, so that an owner that was paused in mid-grant does no harm.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use acacia_catalog::id::{DaemonId, Incarnation, UpstreamId};
+
+use super::PermitId;
+use super::epoch::EpochNumber;
+use crate::Time;
+use crate::message::{Grant, PermitState, Sender};
+use crate::snapshot::Load;
+
+/// How long after the asking a permit may be used.
+pub const VALID: Duration = Duration::from_millis(400);
+/// [`VALID`] by the slowest clock.
+pub const VALID_OUT: Duration = Duration::from_millis(440);
+/// Time within which every daemon has heard that an upstream turned cold.
+const SPREAD: Duration = Duration::from_millis(1_000);
+/// Longest that a request of an earlier holder runs on an instance that reports no load.
+const RUN: Duration = Duration::from_secs(10);
+/// Time between two readings of a load.
+const READ: Duration = Duration::from_millis(150);
+/// Age after which a load report says nothing of the cold start.
+const FRESH: Duration = Duration::from_secs(2);
+
+/// What the owner needs to know of an upstream.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Capacity {
+    /// Requests that it bears in cold start.
+    pub cold: u32,
+    /// Requests that it bears when warm.
+    pub slots: u32,
+    /// Whether it reports its load.
+    pub reports: bool,
+}
+
+impl Capacity {
+    /// What runs where nothing of an earlier holder can be running, as far as is known.
+    pub fn unseen(self, now: Time) -> Ghosts {
+        if self.reports { Ghosts::Unknown(now) } else { Ghosts::Known(0) }
+    }
+}
+
+/// What earlier holders may have left running.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Ghosts {
+    /// At most so many.
+    Known(u32),
+    /// Not known; what runs after this time is all there is.
+    Unknown(Time),
+}
+
+/// The permits of one cold upstream.
+pub(super) struct Ownership {
+    /// The membership by which this daemon owns it.
+    pub epoch: EpochNumber,
+    capacity: Capacity,
+    incarnation: Incarnation,
+    holders: BTreeMap<DaemonId, Holder>,
+    ghosts: Ghosts,
+    limit: u32,
+    answered: u32,
+    says_warm: bool,
+    warm: bool,
+    warm_at: Time,
+    read_at: Time,
+    used_at: Time,
+}
+
+/// What one daemon holds.
+struct Holder {
+    sender: Sender,
+    state: PermitState,
+    granted: BTreeMap<PermitId, u64>,
+    counted: u32,
+    heard_at: Time,
+}
+
+impl Ownership {
+    pub fn new(now: Time, epoch: EpochNumber, capacity: Capacity, ghosts: Ghosts) -> Self {
+        Self {
+            epoch,
+            capacity,
+            incarnation: 0,
+            holders: BTreeMap::new(),
+            ghosts,
+            limit: capacity.cold,
+            answered: 0,
+            says_warm: false,
+            warm: false,
+            warm_at: Time::ZERO,
+            read_at: Time::ZERO,
+            used_at: now,
+        }
+    }
+
+    /// Whether the upstream is through its cold start.
+    pub fn is_warm(&self) -> bool {
+        self.warm
+    }
+
+    /// The process life that permits are granted for.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// When a daemon last asked.
+    pub fn used_at(&self) -> Time {
+        self.used_at
+    }
+
+    /// Requests that may be running, for a successor; none while that isn't known.
+    pub fn running(&self) -> Option<u32> {
+        match self.ghosts {
+            Ghosts::Known(ghosts) => Some(ghosts + self.held()),
+            Ghosts::Unknown(_) => None,
+        }
+    }
+
+    /// Whether the upstream's load should be read now.
+    pub fn take_read(&mut self, now: Time) -> bool {
+        let wanted = self.holders.values().any(|h| h.state.waiting > 0);
+        let cold = !self.says_warm || self.ghosts != Ghosts::Known(0);
+        let read = wanted && cold && self.capacity.reports && now >= self.read_at;
+        if read {
+            self.read_at = now + READ;
+        }
+        read
+    }
+
+    /// Starts again from the cold limit: the upstream restarted or was overloaded.
+    pub fn reset(&mut self, now: Time, incarnation: Incarnation) {
+        self.restart(incarnation);
+        self.ghosts = match self.ghosts {
+            Ghosts::Unknown(at) => Ghosts::Unknown(at.max(now + SPREAD)),
+            // Others may have taken it for warm and sent without a permit.
+            Ghosts::Known(_) => Ghosts::Unknown(now + SPREAD),
+        };
+    }
+
+    /// Takes a load report.
+    pub fn reported(&mut self, now: Time, load: &Load) {
+        if self.incarnation == 0 {
+            self.incarnation = load.incarnation;
+        }
+        if load.incarnation != self.incarnation {
+            self.reset(now, load.incarnation);
+        }
+        let running = load.running + load.waiting;
+        self.ghosts = match self.ghosts {
+            Ghosts::Unknown(at) if load.sampled_at < at => Ghosts::Unknown(at),
+            Ghosts::Unknown(_) => Ghosts::Known(running),
+            Ghosts::Known(ghosts) => Ghosts::Known(ghosts.min(running)),
+        };
+        self.says_warm = !load.cold && now.saturating_sub(load.sampled_at) < FRESH;
+    }
+
+    /// Takes what a daemon holds and wants; false when it is older than what is known.
+    pub fn state(&mut self, now: Time, from: &Sender, state: &PermitState) -> bool {
+        self.used_at = now;
+        let holder = self.holders.entry(from.daemon.clone()).or_insert_with(|| Holder {
+            sender: from.clone(),
+            state: state.clone(),
+            granted: BTreeMap::new(),
+            counted: state.answered,
+            heard_at: now,
+        });
+        if state.number < holder.state.number {
+            return false;
+        }
+        let news = state.cold_at > holder.state.cold_at || holder.state.number == state.number;
+        let cold = state.cold_at.filter(|_| news).map(|at| state.sent.saturating_sub(at));
+        holder.heard_at = now;
+        holder.state = state.clone();
+        // Grants for earlier statements are no longer accepted; what isn't held came back.
+        holder.granted.retain(|id, number| *number >= state.number || state.held.contains(id));
+        let answered = state.answered.saturating_sub(holder.counted);
+        holder.counted = state.answered;
+        self.ramp(now, answered);
+        // The sender saw it cold after it became warm here.
+        if self.warm && cold.is_some_and(|age| now.saturating_sub(age) >= self.warm_at) {
+            self.reset(now, self.incarnation);
+        }
+        true
+    }
+
+    /// Counts what the members that left hold as left running.
+    pub fn keep(&mut self, now: Time, lives: impl Fn(&DaemonId) -> bool) {
+        let gone: Vec<_> = self.holders.keys().filter(|d| !lives(d)).cloned().collect();
+        for daemon in gone {
+            let held = self.holders.remove(&daemon).map_or(0, |h| h.granted.len());
+            if held > 0 {
+                let from = now + VALID_OUT;
+                self.ghosts = match self.ghosts {
+                    Ghosts::Unknown(at) => Ghosts::Unknown(at.max(from)),
+                    Ghosts::Known(_) => Ghosts::Unknown(from),
+                };
+            }
+        }
+    }
+
+    /// Grants what is free; the owner must be allowed to act at this moment.
+    ///
+    /// `next` numbers permits.
+    pub fn grant(
+        &mut self,
+        now: Time,
+        upstream: &UpstreamId,
+        limited: bool,
+        next: &mut PermitId,
+    ) -> Vec<(Sender, Grant)> {
+        self.expire(now);
+        let mut grants: BTreeMap<DaemonId, Vec<PermitId>> = BTreeMap::new();
+        let mut free = if limited { self.free() } else { u32::MAX };
+        while let Some(daemon) = self.neediest(now).filter(|_| free > 0 && !self.warm) {
+            free -= 1;
+            let id = *next;
+            *next += 1;
+            if let Some(holder) = self.holders.get_mut(&daemon) {
+                holder.granted.insert(id, holder.state.number);
+                holder.state.waiting -= 1;
+            }
+            grants.entry(daemon).or_default().push(id);
+        }
+        grants.into_iter().filter_map(|(d, ids)| self.answer(&d, upstream, ids)).collect()
+    }
+
+    /// The answer to a daemon's latest statement.
+    pub fn answer(
+        &self,
+        daemon: &DaemonId,
+        upstream: &UpstreamId,
+        permits: Vec<PermitId>,
+    ) -> Option<(Sender, Grant)> {
+        let holder = self.holders.get(daemon)?;
+        let grant = Grant {
+            upstream: upstream.clone(),
+            epoch: self.epoch,
+            number: holder.state.number,
+            echo: holder.state.sent,
+            incarnation: self.incarnation,
+            permits,
+            warm: self.warm,
+        };
+        Some((holder.sender.clone(), grant))
+    }
+
+    fn restart(&mut self, incarnation: Incarnation) {
+        self.incarnation = incarnation;
+        self.limit = self.capacity.cold;
+        self.answered = 0;
+        self.says_warm = false;
+        self.warm = false;
+    }
+
+    /// Raises the limit as answers come.
+    fn ramp(&mut self, now: Time, answered: u32) {
+        self.answered += answered;
+        let step = if self.capacity.reports { self.limit } else { self.limit * 2 };
+        let may = self.says_warm || !self.capacity.reports;
+        if !may || self.answered < step {
+            return;
+        }
+        self.answered = 0;
+        self.limit = (self.limit * 2).min(self.capacity.slots);
+        if self.limit == self.capacity.slots {
+            self.warm = true;
+            self.warm_at = now;
+        }
+    }
+
+    fn expire(&mut self, now: Time) {
+        if let Ghosts::Unknown(at) = self.ghosts
+            && now >= at + RUN
+            && !self.capacity.reports
+        {
+            self.ghosts = Ghosts::Known(0);
+        }
+    }
+
+    fn held(&self) -> u32 {
+        self.holders.values().map(|h| h.granted.len() as u32).sum()
+    }
+
+    fn free(&self) -> u32 {
+        match self.ghosts {
+            Ghosts::Unknown(_) => 0,
+            Ghosts::Known(ghosts) => {
+                let bears = if self.may_exceed() { self.limit } else { self.capacity.cold };
+                bears.saturating_sub(self.held() + ghosts)
+            }
+        }
+    }
+
+    fn may_exceed(&self) -> bool {
+        self.says_warm || !self.capacity.reports
+    }
+
+    /// The daemon that waits and holds least, asked recently enough for a permit to reach it.
+    fn neediest(&self, now: Time) -> Option<DaemonId> {
+        let recent = |h: &&Holder| h.state.waiting > 0 && now < h.heard_at + VALID / 2;
+        let waiting = self.holders.iter().filter(|(_, h)| recent(h));
+        waiting.min_by_key(|(_, h)| h.granted.len()).map(|(d, _)| d.clone())
+    }
+}
--- /dev/null
+++ b/crates/policy/src/control/shard.rs
@@ -0,0 +1,144 @@
+//! One shard of the claims: what the key-value service holds under one key.
+
+use serde::{Deserialize, Serialize};
+
+use super::{Answer, Claim};
+use crate::{Verdict, kv};
+
+/// Shards of the claims.
+pub const SHARDS: u8 = 4;
+/// Most bytes of one shard's value; the service holds values up to a megabyte.
+const SHARD_BYTES: usize = 900_000;
+/// Bytes of a record without its answer, rounded up.
+const RECORD_BYTES: usize = 104;
+/// Most bytes of an answer that is kept.
+const ANSWER_BYTES: usize = 2_048;
+
+/// Number of a shard.
+pub type ShardNumber = u8;
+/// Name of a claim: a hash of organisation and key.
+pub type ClaimId = [u8; 16];
+/// Name of one try to make a claim, unique for ever.
+pub type Nonce = [u8; 16];
+
+/// The claims under one key.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Shard {
+    /// By name.
+    pub records: std::collections::BTreeMap<ClaimId, Record>,
+}
+
+/// One claim.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Record {
+    /// Hash of the request, shortened.
+    pub fingerprint: ClaimId,
+    /// Who made it.
+    pub nonce: Nonce,
+    /// What is known of the request.
+    pub verdict: Verdict,
+    /// Its answer, when small.
+    pub answer: Option<Answer>,
+}
+
+/// The end of a claimed request.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Ending {
+    /// The claim.
+    pub claim: Claim,
+    /// Who made it.
+    pub nonce: Nonce,
+    /// What is known of the request.
+    pub verdict: Verdict,
+    /// Its answer, when small.
+    pub answer: Option<Answer>,
+}
+
+impl Shard {
+    /// The shard that an entry holds.
+    pub fn decode(entry: Option<&kv::Entry>) -> Option<Self> {
+        match entry {
+            None => Some(Self::default()),
+            Some(entry) => rmp_serde::from_slice(&entry.value).ok(),
+        }
+    }
+
+    /// Whether another record fits.
+    pub fn has_room(&self) -> bool {
+        self.bytes() + RECORD_BYTES <= SHARD_BYTES
+    }
+
+    /// Drops answers until the shard fits; a claim itself is never dropped here.
+    pub fn trim(&mut self) {
+        let mut bytes = self.bytes();
+        for record in self.records.values_mut() {
+            if bytes <= SHARD_BYTES {
+                return;
+            }
+            bytes -= record.answer.take().map_or(0, |a| a.body.len() + a.content_type.len());
+        }
+    }
+
+    /// Adds a claim; false when its name is taken.
+    pub fn add(&mut self, claim: &Claim, nonce: Nonce) -> bool {
+        let id = id(claim);
+        if self.records.contains_key(&id) {
+            return false;
+        }
+        let fingerprint = fingerprint(claim);
+        let verdict = Verdict::MayHaveRun;
+        self.records.insert(id, Record { fingerprint, nonce, verdict, answer: None });
+        true
+    }
+
+    /// Notes the end of a claimed request; a request that did not run is claimed no longer.
+    pub fn end(&mut self, ending: &Ending) {
+        let id = id(&ending.claim);
+        let Some(record) = self.records.get_mut(&id).filter(|r| r.nonce == ending.nonce) else {
+            return;
+        };
+        if ending.verdict == Verdict::NotRun {
+            self.records.remove(&id);
+            return;
+        }
+        record.verdict = record.verdict.join(ending.verdict);
+        record.answer = ending.answer.clone().filter(|a| a.body.len() <= ANSWER_BYTES);
+    }
+
+    fn bytes(&self) -> usize {
+        let answers = self.records.values().filter_map(|r| r.answer.as_ref());
+        let bodies: usize = answers.map(|a| a.body.len() + a.content_type.len()).sum();
+        self.records.len() * RECORD_BYTES + bodies
+    }
+}
+
+/// Key of a shard.
+pub fn key(shard: ShardNumber) -> kv::Key {
+    format!("acacia/claims/{shard}")
+}
+
+/// The shard of a claim.
+pub fn shard(claim: &Claim) -> ShardNumber {
+    id(claim)[0] % SHARDS
+}
+
+/// The name of a claim.
+pub fn id(claim: &Claim) -> ClaimId {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&(claim.organisation.len() as u64).to_le_bytes());
+    hasher.update(claim.organisation.as_bytes());
+    hasher.update(claim.key.as_bytes());
+    short(hasher.finalize().as_bytes())
+}
+
+/// The shortened hash of a claim's request.
+pub fn fingerprint(claim: &Claim) -> ClaimId {
+    short(&claim.fingerprint)
+}
+
+/// The first half of a hash.
+pub fn short(hash: &[u8; 32]) -> [u8; 16] {
+    let mut short = [0; 16];
+    short.copy_from_slice(&hash[..16]);
+    short
+}
--- a/crates/policy/src/snapshot.rs
+++ b/crates/policy/src/snapshot.rs
@@ -25,6 +25,12 @@
     pub stores: BTreeMap<StoreId, Standing>,
     /// Live daemons and their availability zones, this one included.
     pub daemons: BTreeMap<DaemonId, ZoneId>,
+    /// Number of the membership that the daemons agree on; zero before the first.
+    pub epoch: u64,
+    /// Revision in force at each daemon that told it.
+    pub in_force: BTreeMap<DaemonId, Revision>,
+    /// Cold upstreams whose permits this daemon grants.
+    pub owned: Vec<UpstreamId>,
     /// Whether this daemon may take requests.
     pub ready: bool,
 }
