--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -7,6 +7,7 @@
 mod check;
 pub mod chunk;
 pub mod diff;
+pub mod file;
 pub mod generate;
 pub mod id;
 pub mod object;
@@ -16,6 +17,7 @@
 pub mod set;
 pub mod tokenizer;
 
+pub use file::File;
 pub use object::{Document, Object};
 pub use problem::Problem;
 pub use root::Root;
--- /dev/null
+++ b/crates/cli/src/command/apply.rs
@@ -0,0 +1,118 @@
+//! `acacia apply`.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use acacia_catalog::id::Revision;
+use acacia_operator::call::Accepted;
+use acacia_operator::fault::Code;
+use acacia_operator::{call, client};
+use bpaf::Bpaf;
+use tokio::time::sleep;
+
+use crate::connection::{Connection, connection};
+use crate::output::{self, Format, format};
+use crate::source::Source;
+use crate::{Exit, Failure};
+
+/// Times that a change with an unknown outcome is asked again.
+const ATTEMPTS: u32 = 10;
+/// Time between two of them.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Puts a file in force.
+#[derive(Bpaf, Clone, Debug)]
+pub struct Apply {
+    #[bpaf(external)]
+    pub(super) format: Format,
+    #[bpaf(external)]
+    connection: Connection,
+    #[bpaf(external)]
+    patience: Patience,
+    /// Revision that the file was made from; without it, the file's own, or 0 for the first
+    #[bpaf(long, argument("REVISION"))]
+    base: Option<Revision>,
+    /// Name of the change, to ask again after an unknown outcome; random without it
+    #[bpaf(long, argument("ID"))]
+    id: Option<String>,
+    /// The configuration; `-` reads standard input
+    #[bpaf(positional("FILE"), complete_shell(bpaf::ShellComp::File { mask: Some("*.json") }))]
+    file: PathBuf,
+}
+
+/// Whether to wait until a change is in force.
+#[derive(Bpaf, Clone, Copy, Debug)]
+pub struct Patience {
+    /// Wait until the change is in force on every live daemon
+    #[bpaf(long)]
+    wait: bool,
+    /// Longest wait, in seconds
+    #[bpaf(long, argument("SECONDS"), fallback(10), display_fallback)]
+    timeout: u64,
+}
+
+impl Patience {
+    /// Milliseconds to wait.
+    pub(super) fn wait_ms(self) -> u64 {
+        if self.wait { self.timeout.saturating_mul(1_000) } else { 0 }
+    }
+
+    /// Prints an accepted change; fails when it was waited for in vain.
+    pub(super) fn finish(self, format: Format, accepted: &Accepted) -> Result<(), Failure> {
+        output::print(format, accepted);
+        if self.wait && !accepted.force.is_everywhere() {
+            let message = "accepted, but not yet in force on every live daemon";
+            return Err(Failure::new(Exit::Pending, "pending", message)
+                .hint("see `acacia status` for the daemons that lag"));
+        }
+        Ok(())
+    }
+}
+
+impl Apply {
+    pub(super) async fn run(self) -> Result<(), Failure> {
+        let source = Source::read(&self.file)?;
+        let client = self.connection.client()?;
+        let apply = call::Apply {
+            id: self.id.clone().unwrap_or_else(random_id).into(),
+            base: self.base.or(source.file.revision).unwrap_or(0),
+            document: source.file.document.clone(),
+            wait_ms: self.patience.wait_ms(),
+        };
+        match persist(&apply.id, || client.apply(&apply)).await {
+            Ok(accepted) => self.patience.finish(self.format, &accepted),
+            Err(failure) => Err(match &failure.fault {
+                Some(fault) if !fault.problems.is_empty() => source.invalid(&fault.problems),
+                _ => failure,
+            }),
+        }
+    }
+}
+
+/// A change id that no other change has.
+pub(super) fn random_id() -> String {
+    format!("{:032x}", rand::random::<u128>())
+}
+
+/// Makes a call, and again while its outcome is unknown; the change id makes that harmless.
+pub(super) async fn persist<F>(id: &str, call: impl Fn() -> F) -> Result<Accepted, Failure>
+where
+    F: Future<Output = client::Outcome<Accepted>>,
+{
+    for _ in 1..ATTEMPTS {
+        match call().await {
+            Ok(accepted) => return Ok(accepted),
+            Err(client::Error::Lost(_)) => {}
+            Err(client::Error::Refused(fault)) if fault.code == Code::Unknown => {}
+            Err(error) => return Err(error.into()),
+        }
+        sleep(PAUSE).await;
+    }
+    call().await.map_err(|error| {
+        let failure = Failure::from(error);
+        match failure.exit {
+            Exit::Unknown => failure.hint(format!("ask again with `--id {id}`")),
+            _ => failure,
+        }
+    })
+}
--- /dev/null
+++ b/crates/cli/src/command/check.rs
@@ -0,0 +1,55 @@
+//! `acacia check`.
+
+use std::path::PathBuf;
+
+use acacia_operator::client::Error;
+use bpaf::Bpaf;
+use serde::Serialize;
+
+use crate::Failure;
+use crate::connection::{Connection, connection};
+use crate::output::{self, Format, Report, format};
+use crate::source::Source;
+
+/// Checks a file, against a daemon's configuration when one is named.
+#[derive(Bpaf, Clone, Debug)]
+pub struct Check {
+    #[bpaf(external)]
+    pub(super) format: Format,
+    #[bpaf(external, optional)]
+    connection: Option<Connection>,
+    /// The configuration; `-` reads standard input
+    #[bpaf(positional("FILE"), complete_shell(bpaf::ShellComp::File { mask: Some("*.json") }))]
+    file: PathBuf,
+}
+
+/// A document that keeps every rule.
+#[derive(Serialize)]
+struct Sound {
+    objects: usize,
+}
+
+impl Report for Sound {
+    fn text(&self) -> String {
+        format!("{} objects, no problem", self.objects)
+    }
+}
+
+impl Check {
+    pub(super) async fn run(self) -> Result<(), Failure> {
+        let source = Source::read(&self.file)?;
+        let Some(connection) = &self.connection else {
+            let objects = source.check()?.len();
+            output::print(self.format, &Sound { objects });
+            return Ok(());
+        };
+        match connection.client()?.check(&source.file.document).await {
+            Ok(checked) => output::print(self.format, &checked),
+            Err(Error::Refused(fault)) if !fault.problems.is_empty() => {
+                return Err(source.invalid(&fault.problems));
+            }
+            Err(error) => return Err(error.into()),
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/cli/src/command/status.rs
@@ -0,0 +1,23 @@
+//! `acacia status`.
+
+use bpaf::Bpaf;
+
+use crate::Failure;
+use crate::connection::{Connection, connection};
+use crate::output::{self, Format, format};
+
+/// Shows how the daemons do.
+#[derive(Bpaf, Clone, Debug)]
+pub struct Status {
+    #[bpaf(external)]
+    pub(super) format: Format,
+    #[bpaf(external)]
+    connection: Connection,
+}
+
+impl Status {
+    pub(super) async fn run(self) -> Result<(), Failure> {
+        output::print(self.format, &self.connection.client()?.status().await?);
+        Ok(())
+    }
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,4 +1,18 @@
 //! The operators' command.
+//!
+//! [`command::Command`] is what a command line asks for, one module a command. Commands that change
+//! something talk to a daemon's administration API through [`connection`]; what they print goes
+//! through [`output`], as text or JSON; what goes wrong is a [`Failure`] with an [`Exit`] code.
 
+pub mod command;
+pub mod connection;
+pub mod exit;
+pub mod failure;
 pub mod load;
+pub mod output;
+pub mod source;
 pub mod system;
+
+pub use command::Command;
+pub use exit::Exit;
+pub use failure::Failure;
--- /dev/null
+++ b/crates/cli/src/source.rs
@@ -0,0 +1,106 @@
+//! Documents read from files.
+
+use std::ops::Range;
+use std::path::Path;
+use std::sync::Arc;
+
+use acacia_catalog::{File, Problem, Set};
+use miette::NamedSource;
+
+use crate::failure::Note;
+use crate::{Exit, Failure};
+
+/// The field whose value is never shown.
+const SECRET_FIELD: &str = "\"cache_secret\"";
+
+/// A file and its text.
+pub struct Source {
+    /// What the text says.
+    pub file: File,
+    name: String,
+    text: String,
+}
+
+impl Source {
+    /// Reads a file; `-` is standard input.
+    pub fn read(path: &Path) -> Result<Self, Failure> {
+        let name = path.display().to_string();
+        let text = if name == "-" {
+            std::io::read_to_string(std::io::stdin())
+        } else {
+            std::fs::read_to_string(path)
+        };
+        let text = text.map_err(|error| {
+            let message = format!("can't read {name}: {error}");
+            Failure::new(Exit::Refused, "unreadable", message)
+        })?;
+        let mistakes = match File::parse(&text) {
+            Ok(file) => return Ok(Self { file, name, text }),
+            Err(mistakes) => mistakes,
+        };
+        let shown = shown(&name, &text);
+        let note = |m: acacia_catalog::file::Mistake| note(&shown, m.place, m.message, None);
+        let notes = mistakes.into_iter().map(note).collect();
+        let failure = Failure::new(Exit::Refused, "malformed", format!("{name} can't be read"))
+            .hint("`acacia schema` prints what a configuration may hold");
+        Err(Failure { notes, ..failure })
+    }
+
+    /// Checks the whole document.
+    pub fn check(&self) -> Result<Set, Failure> {
+        Set::check(&self.file.document).map_err(|problems| self.invalid(&problems))
+    }
+
+    /// The failure of a document that has these problems.
+    pub fn invalid(&self, problems: &[Problem]) -> Failure {
+        let shown = shown(&self.name, &self.text);
+        let note = |p: &Problem| {
+            let place = self.file.place(&self.text, p).unwrap_or_default();
+            note(&shown, place, p.to_string(), Some(p.hint.clone()))
+        };
+        let message = format!("{} has {} problems", self.name, problems.len());
+        let failure = Failure::new(Exit::Refused, "invalid", message);
+        let notes = problems.iter().map(note).collect();
+        Failure { notes, ..failure.hint("mend every problem; nothing was changed") }
+    }
+}
+
+fn note(
+    text: &Arc<NamedSource<String>>,
+    place: Range<usize>,
+    message: String,
+    hint: Option<String>,
+) -> Note {
+    Note { message, hint, place: place.into(), text: text.clone() }
+}
+
+/// The text as messages show it: of the same length, with secrets starred out.
+fn shown(name: &str, text: &str) -> Arc<NamedSource<String>> {
+    let mut shown = String::with_capacity(text.len());
+    let mut rest = text;
+    while let Some(at) = rest.find(SECRET_FIELD) {
+        let (before, after) = rest.split_at(at + SECRET_FIELD.len());
+        shown.push_str(before);
+        let value = secret(after);
+        shown.push_str(&after[..value.start]);
+        shown.extend(std::iter::repeat_n('*', value.len()));
+        rest = &after[value.end..];
+    }
+    shown.push_str(rest);
+    Arc::new(NamedSource::new(name, shown))
+}
+
+/// Where the string that follows a field's name stands; the rest of the line when there is none.
+fn secret(after: &str) -> Range<usize> {
+    let line = after.find('\n').unwrap_or(after.len());
+    let Some(start) = after[..line].find('"').map(|quote| quote + 1) else { return 0..line };
+    let mut escaped = false;
+    for (at, c) in after[start..].char_indices() {
+        match c {
+            '"' if !escaped => return start..start + at,
+            '\\' => escaped = !escaped,
+            _ => escaped = false,
+        }
+    }
+    start..after.len()
+}
