--- /dev/null
+++ b/crates/platform/tests/kv.rs
@@ -0,0 +1,284 @@
+//! The key-value client against its stand-in, with each fault.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use acacia_platform::count::Kind;
+use acacia_platform::kv::Client;
+use acacia_policy::kv::{Failure, Reply, Request};
+use acacia_standin::{Counter, Fault, kv};
+
+/// Longer than any call takes on a busy machine.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+async fn pair() -> (kv::Handle, Client) {
+    pair_of(kv::Settings::default()).await
+}
+
+async fn pair_of(settings: kv::Settings) -> (kv::Handle, Client) {
+    let standin = kv::start(settings).await.expect("a loopback port");
+    let client = Client::new(vec![standin.address]).with_timeout(PATIENCE);
+    (standin, client)
+}
+
+fn get(key: &str) -> Request {
+    Request::Get { key: key.to_owned() }
+}
+
+fn swap(key: &str, expected: i64, value: &str) -> Request {
+    swap_bytes(key, expected, value.as_bytes().to_vec())
+}
+
+fn swap_bytes(key: &str, expected: i64, value: Vec<u8>) -> Request {
+    Request::Swap { key: key.to_owned(), expected, value: Some(value), lease: None }
+}
+
+async fn swapped(client: &Client, request: Request) -> i64 {
+    match client.call(request).await {
+        Ok(Reply::Swapped(revision)) => revision,
+        other => panic!("not swapped: {other:?}"),
+    }
+}
+
+async fn value(client: &Client, key: &str) -> Option<String> {
+    match client.call(get(key)).await {
+        Ok(Reply::Got(entry)) => entry.map(|e| String::from_utf8(e.value).expect("text")),
+        other => panic!("not got: {other:?}"),
+    }
+}
+
+#[tokio::test]
+async fn swap_creates_changes_deletes() {
+    let (standin, client) = pair().await;
+    assert_eq!(value(&client, "a").await, None);
+    let first = swapped(&client, swap("a", 0, "one")).await;
+    let second = swapped(&client, swap("a", first, "two")).await;
+    assert!(second > first);
+    assert_eq!(value(&client, "a").await.as_deref(), Some("two"));
+    let delete = Request::Swap { key: "a".to_owned(), expected: second, value: None, lease: None };
+    swapped(&client, delete).await;
+    assert_eq!(value(&client, "a").await, None);
+    assert_eq!(client.counts().get(Kind::Swap), 3);
+    assert_eq!(standin.count(Counter::Writes), 3);
+    assert_eq!(standin.count(Counter::Calls), client.counts().calls());
+}
+
+#[tokio::test]
+async fn swap_conflict_shows_present() {
+    let (standin, client) = pair().await;
+    let first = swapped(&client, swap("a", 0, "one")).await;
+    for expected in [0, first + 7] {
+        let Ok(Reply::Conflict(Some(entry))) = client.call(swap("a", expected, "no")).await else {
+            panic!("no conflict");
+        };
+        assert_eq!((entry.value.as_slice(), entry.revision), (b"one".as_slice(), first));
+    }
+    let absent = client.call(swap("b", 5, "no")).await;
+    assert_eq!(absent, Ok(Reply::Conflict(None)));
+    assert_eq!(standin.count(Counter::Writes), 1);
+    assert_eq!(standin.count(Counter::Conflicts), 3);
+}
+
+#[tokio::test]
+async fn list_prefix() {
+    let (_standin, client) = pair().await;
+    for key in ["a", "b/1", "b/2", "b0", "c"] {
+        swapped(&client, swap(key, 0, key)).await;
+    }
+    let listed = client.call(Request::List { prefix: "b/".to_owned() }).await;
+    let Ok(Reply::Listed(entries)) = listed else { panic!("not listed") };
+    let keys: Vec<_> = entries.iter().map(|entry| entry.key.as_str()).collect();
+    assert_eq!(keys, ["b/1", "b/2"]);
+}
+
+#[tokio::test]
+async fn swap_too_large() {
+    let (standin, client) = pair().await;
+    let request = swap_bytes("a", 0, vec![0; (1 << 20) + 1]);
+    assert_eq!(client.call(request).await, Err(Failure::TooLarge));
+    swapped(&client, swap_bytes("a", 0, vec![0; 1 << 20])).await;
+    assert_eq!(standin.count(Counter::Writes), 1);
+}
+
+#[tokio::test]
+async fn lease_lapse_removes_keys() {
+    let (standin, client) = pair().await;
+    let grant = client.call(Request::Grant { ttl: Duration::from_millis(59_500) }).await;
+    let Ok(Reply::Leased { lease, ttl }) = grant else { panic!("no lease") };
+    assert_eq!(ttl, Duration::from_secs(60));
+    let request = Request::Swap {
+        key: "a".to_owned(),
+        expected: 0,
+        value: Some(vec![1]),
+        lease: Some(lease),
+    };
+    swapped(&client, request).await;
+    let renewed = client.call(Request::Renew { lease }).await;
+    assert_eq!(renewed, Ok(Reply::Leased { lease, ttl }));
+    standin.fault(Fault::LeaseLapse).unwrap();
+    assert_eq!(client.call(get("a")).await, Ok(Reply::Got(None)));
+    let gone = client.call(Request::Renew { lease }).await;
+    assert_eq!(gone, Ok(Reply::Leased { lease, ttl: Duration::ZERO }));
+    assert_eq!(standin.count(Counter::Expiries), 1);
+}
+
+#[tokio::test]
+async fn revoke_removes_keys() {
+    let (_standin, client) = pair().await;
+    let grant = client.call(Request::Grant { ttl: PATIENCE }).await;
+    let Ok(Reply::Leased { lease, .. }) = grant else { panic!("no lease") };
+    let request = Request::Swap {
+        key: "a".to_owned(),
+        expected: 0,
+        value: Some(vec![1]),
+        lease: Some(lease),
+    };
+    swapped(&client, request).await;
+    assert_eq!(client.call(Request::Revoke { lease }).await, Ok(Reply::Revoked));
+    assert_eq!(value(&client, "a").await, None);
+}
+
+#[tokio::test]
+async fn watch_sees_change() {
+    let (standin, client) = pair().await;
+    let first = swapped(&client, swap("a", 0, "one")).await;
+    let watch = Request::Watch { key: "a".to_owned(), after: first };
+    let waiting = tokio::spawn({
+        let client = client.clone();
+        async move { client.call(watch).await }
+    });
+    while standin.count(Counter::Watches) == 0 {
+        tokio::task::yield_now().await;
+    }
+    swapped(&client, swap("other", 0, "x")).await;
+    let second = swapped(&client, swap("a", first, "two")).await;
+    let Ok(Reply::Got(Some(entry))) = waiting.await.unwrap() else { panic!("no change seen") };
+    assert_eq!((entry.value.as_slice(), entry.revision), (b"two".as_slice(), second));
+    assert_eq!(standin.count(Counter::Watches), 1);
+}
+
+#[tokio::test]
+async fn watch_missed_change() {
+    let (_standin, client) = pair().await;
+    let first = swapped(&client, swap("a", 0, "one")).await;
+    let second = swapped(&client, swap("a", first, "two")).await;
+    let third = swapped(&client, swap("a", second, "three")).await;
+    let watch = Request::Watch { key: "a".to_owned(), after: first };
+    let Ok(Reply::Got(Some(entry))) = client.call(watch).await else { panic!("no change seen") };
+    assert_eq!((entry.value.as_slice(), entry.revision), (b"three".as_slice(), third));
+    let delete = Request::Swap { key: "a".to_owned(), expected: third, value: None, lease: None };
+    swapped(&client, delete).await;
+    let watch = Request::Watch { key: "a".to_owned(), after: third };
+    assert_eq!(client.call(watch).await, Ok(Reply::Got(None)));
+}
+
+#[tokio::test]
+async fn watch_quiet_reads_once() {
+    let (standin, client) = pair().await;
+    let first = swapped(&client, swap("a", 0, "one")).await;
+    let client = client.with_watch_timeout(Duration::from_millis(20));
+    let watch = Request::Watch { key: "a".to_owned(), after: first };
+    let Ok(Reply::Got(Some(entry))) = client.call(watch).await else { panic!("not read") };
+    assert_eq!(entry.revision, first);
+    assert_eq!(standin.count(Counter::Ranges), 1);
+}
+
+#[tokio::test]
+async fn watch_cut_unavailable() {
+    let (standin, client) = pair().await;
+    let watch = Request::Watch { key: "a".to_owned(), after: 0 };
+    let waiting = tokio::spawn({
+        let client = client.clone();
+        async move { client.call(watch).await }
+    });
+    while standin.count(Counter::Watches) == 0 {
+        tokio::task::yield_now().await;
+    }
+    standin.fault(Fault::Unreachable { on: true }).unwrap();
+    assert_eq!(waiting.await.unwrap(), Err(Failure::Unavailable));
+}
+
+#[tokio::test]
+async fn write_answer_lost() {
+    let (standin, client) = pair().await;
+    standin.fault(Fault::LostAnswer { times: 1 }).unwrap();
+    assert_eq!(client.call(swap("a", 0, "one")).await, Err(Failure::Ambiguous));
+    assert_eq!(standin.value("a").as_deref(), Some(b"one".as_slice()));
+    assert_eq!(client.counts().get(Kind::Ambiguous), 1);
+    assert_eq!(client.counts().get(Kind::Swap), 1);
+    assert_eq!(value(&client, "a").await.as_deref(), Some("one"));
+}
+
+#[tokio::test]
+async fn call_down() {
+    let (standin, client) = pair().await;
+    standin.fault(Fault::Down { on: true }).unwrap();
+    assert_eq!(client.call(swap("a", 0, "one")).await, Err(Failure::Unavailable));
+    assert_eq!(client.call(get("a")).await, Err(Failure::Unavailable));
+    assert_eq!(client.counts().get(Kind::Unavailable), 2);
+    standin.fault(Fault::Down { on: false }).unwrap();
+    assert_eq!(value(&client, "a").await, None);
+}
+
+#[tokio::test]
+async fn call_refused_connection() {
+    let (standin, client) = pair().await;
+    standin.fault(Fault::Unreachable { on: true }).unwrap();
+    while tokio::net::TcpStream::connect(standin.address).await.is_ok() {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(client.call(swap("a", 0, "one")).await, Err(Failure::Unavailable));
+    standin.fault(Fault::Unreachable { on: false }).unwrap();
+    while client.call(get("a")).await == Err(Failure::Unavailable) {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(value(&client, "a").await, None);
+}
+
+#[tokio::test]
+async fn call_frozen() {
+    let (standin, client) = pair().await;
+    let client = client.with_timeout(Duration::from_millis(50));
+    standin.fault(Fault::Frozen { on: true }).unwrap();
+    assert_eq!(client.call(swap("a", 0, "one")).await, Err(Failure::Ambiguous));
+    assert_eq!(client.call(get("a")).await, Err(Failure::Unavailable));
+}
+
+#[tokio::test]
+async fn call_above_rate() {
+    let settings = kv::Settings { writes_per_second: 1, ..kv::Settings::default() };
+    let (standin, client) = pair_of(settings).await;
+    let mut refused = 0;
+    for n in 0..5 {
+        let outcome = client.call(swap(&format!("k{n}"), 0, "x")).await;
+        refused += u64::from(outcome == Err(Failure::Unavailable));
+    }
+    assert!(refused > 0);
+    assert_eq!(standin.count(Counter::Refused), refused);
+    assert_eq!(standin.count(Counter::Writes), 5 - refused);
+}
+
+#[tokio::test]
+async fn endpoints_second_when_not_run() {
+    let (standin, _) = pair().await;
+    let gone: SocketAddr = {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.local_addr().unwrap()
+    };
+    let client = Client::new(vec![gone, standin.address]).with_timeout(PATIENCE);
+    swapped(&client, swap("a", 0, "one")).await;
+    assert_eq!(client.counts().get(Kind::Swap), 2);
+    // The endpoint that answered is asked first from now on.
+    assert_eq!(value(&client, "a").await.as_deref(), Some("one"));
+    assert_eq!(client.counts().get(Kind::Get), 1);
+}
+
+#[tokio::test]
+async fn endpoints_one_when_ambiguous() {
+    let (first, _) = pair().await;
+    let (second, _) = pair().await;
+    first.fault(Fault::LostAnswer { times: 1 }).unwrap();
+    let client = Client::new(vec![first.address, second.address]).with_timeout(PATIENCE);
+    assert_eq!(client.call(swap("a", 0, "one")).await, Err(Failure::Ambiguous));
+    assert_eq!(second.count(Counter::Calls), 0);
+}
--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,402 @@
+//! A model engine: continuous batching, a prefix cache, cold start, orders and KV transfer.
+//!
+//! [`run`] is an attempt's way; [`slots`], [`pace`] and [`loader`] are what it waits for; [`cache`]
+//! what it finds; [`warmth`] whether it comes in at all; [`answer`] what it says.
+
+pub mod answer;
+pub mod cache;
+pub mod loader;
+pub mod pace;
+mod route;
+pub mod run;
+pub mod slots;
+pub mod warmth;
+pub mod wire;
+
+use std::net::SocketAddr;
+use std::ops::Deref;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use acacia_policy::request::PIECE_TOKENS;
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+use crate::counter::{Counter, Tally};
+use crate::exchange::{Answer, Call};
+use crate::fault::Fault;
+use crate::host::{self, Standin, spend};
+
+pub use answer::{answer, weights};
+use cache::Cache;
+use loader::Loader;
+use pace::{Pace, scaled, transfer};
+use route::Orders;
+use run::{ALWAYS, Attempts, Prefill, Trigger};
+use slots::{Priority, Slots};
+use warmth::{Entry, Warmth};
+use wire::Load;
+
+/// A running engine.
+pub type Handle = host::Handle<State>;
+
+/// Prompt tokens computed before another request gets its turn.
+const PREFILL_CHUNK: u32 = 512;
+
+/// How the stand-in is set up; times are model times.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Address of the protocol's port.
+    pub address: SocketAddr,
+    /// Address of the control port.
+    pub control: SocketAddr,
+    /// The model it serves.
+    pub model: String,
+    /// The weight version loaded at start.
+    pub version: String,
+    /// Adapters loaded at start.
+    pub adapters: Vec<String>,
+    /// Number of the first process life.
+    pub incarnation: u64,
+    /// Requests that run at once.
+    pub slots: usize,
+    /// Requests that wait at most; more are refused as overloaded.
+    pub queue: usize,
+    /// Time to compute one prompt token.
+    pub prefill_per_token: Duration,
+    /// Time between two output tokens.
+    pub decode_per_token: Duration,
+    /// What each running request adds to the time between two output tokens.
+    pub decode_per_running: Duration,
+    /// Output tokens in one stream chunk.
+    pub chunk_tokens: u32,
+    /// Tokens that the prefix cache holds.
+    pub cache_tokens: usize,
+    /// KV cache bytes of one token.
+    pub bytes_per_token: u64,
+    /// Bytes a second of KV import and export together; zero is no limit.
+    pub transfer_bytes_per_second: u64,
+    /// Time to load weights when at most two engines load.
+    pub load_time: Duration,
+    /// The weight store; share it among engines.
+    pub loader: Arc<Loader>,
+    /// Whether it loads and is cold at start.
+    pub start_cold: bool,
+    /// How long it stays cold.
+    pub cold_period: Duration,
+    /// Requests that it bears at once while cold.
+    pub cold_limit: usize,
+    /// Age of cache events before they show.
+    pub event_lag: Duration,
+    /// One of this many cache events is lost; zero loses none.
+    pub event_gap_every: u64,
+    /// Time between two samples of the load.
+    pub load_lag: Duration,
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_fence: bool,
+    /// All model times are divided by it.
+    pub scale: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            control: SocketAddr::from(([127, 0, 0, 1], 0)),
+            model: "model".to_owned(),
+            version: "v1".to_owned(),
+            adapters: Vec::new(),
+            incarnation: 1,
+            slots: 32,
+            queue: 1_024,
+            prefill_per_token: Duration::from_micros(100),
+            decode_per_token: Duration::from_millis(15),
+            decode_per_running: Duration::ZERO,
+            chunk_tokens: 1,
+            cache_tokens: 200_000,
+            bytes_per_token: 16_384,
+            transfer_bytes_per_second: 2_000_000_000,
+            load_time: Duration::from_millis(600),
+            loader: Arc::default(),
+            start_cold: false,
+            cold_period: Duration::from_secs(2),
+            cold_limit: 2,
+            event_lag: Duration::from_millis(200),
+            event_gap_every: 0,
+            load_lag: Duration::from_millis(100),
+            checks_fence: true,
+            scale: 1.0,
+        }
+    }
+}
+
+/// Serves an engine; fails when a port can't be bound.
+pub async fn start(settings: Settings) -> std::io::Result<Handle> {
+    let (address, control) = (settings.address, settings.control);
+    let start_cold = settings.start_cold;
+    let state = Arc::new_cyclic(|me| State::new(settings, me.clone()));
+    if start_cold {
+        state.warmth.lock().loading = true;
+        state.load();
+    }
+    Handle::start(state, address, control).await
+}
+
+/// The engine's state.
+pub struct State {
+    me: std::sync::Weak<Self>,
+    settings: Settings,
+    tally: Tally,
+    warmth: Mutex<Warmth>,
+    version: Mutex<String>,
+    adapters: Mutex<Vec<String>>,
+    slots: Arc<Slots>,
+    running: AtomicUsize,
+    prefill_turn: Arc<Slots>,
+    prefill_pace: Pace,
+    link: Pace,
+    cache: Mutex<Cache>,
+    attempts: Mutex<Attempts>,
+    orders: Mutex<Orders>,
+    sample: Mutex<Option<(Instant, Load)>>,
+    broken: Trigger,
+    crossed: Trigger,
+    duplicated: Trigger,
+    truncated: AtomicU32,
+}
+
+impl State {
+    fn new(settings: Settings, me: std::sync::Weak<Self>) -> Self {
+        Self {
+            me,
+            tally: Tally::default(),
+            warmth: Mutex::new(Warmth::new(settings.incarnation)),
+            version: Mutex::new(settings.version.clone()),
+            adapters: Mutex::new(settings.adapters.clone()),
+            slots: Slots::new(settings.slots),
+            running: AtomicUsize::new(0),
+            prefill_turn: Slots::new(1),
+            prefill_pace: Pace::default(),
+            link: Pace::default(),
+            cache: Mutex::new(Cache::new(settings.cache_tokens, settings.event_gap_every)),
+            attempts: Mutex::default(),
+            orders: Mutex::new(Orders::new(settings.checks_fence)),
+            sample: Mutex::default(),
+            broken: Trigger::default(),
+            crossed: Trigger::default(),
+            duplicated: Trigger::default(),
+            truncated: AtomicU32::new(0),
+            settings,
+        }
+    }
+
+    /// Number of the process life.
+    pub fn incarnation(&self) -> u64 {
+        self.warmth.lock().incarnation
+    }
+
+    /// The weight version loaded.
+    pub fn version(&self) -> String {
+        self.version.lock().clone()
+    }
+
+    /// Lets a request in and counts it until its place is dropped.
+    fn enter(self: &Arc<Self>) -> Result<Place, Answer> {
+        let mut warmth = self.warmth.lock();
+        let limit = self.settings.slots + self.settings.queue;
+        let entry = warmth.enter(limit, self.settings.cold_limit);
+        if warmth.is_cold() {
+            self.tally.raise(Counter::ColdPeak, warmth.in_flight as u64);
+        }
+        let life = warmth.incarnation;
+        drop(warmth);
+        match entry {
+            Entry::Admitted => {
+                self.tally.count(Counter::Started);
+                return Ok(Place { engine: self.clone(), life });
+            }
+            Entry::FellOver => {
+                self.tally.count(Counter::ColdExcess);
+                self.tally.count(Counter::FellOver);
+                self.restart();
+                return Err(Answer::cut());
+            }
+            Entry::Loading => Err(route::refused("cold", "weights are being loaded")),
+            Entry::Leaving => Err(route::refused("leaving", "the engine takes no new work")),
+            Entry::Overloaded => Err(route::refused("overloaded", "the queue is full")),
+        }
+        .inspect_err(|_| self.tally.count(Counter::Refused))
+    }
+
+    /// Requests that run.
+    fn running(&self) -> usize {
+        let in_flight = self.warmth.lock().in_flight;
+        in_flight.saturating_sub(self.slots.waiting())
+    }
+
+    fn note_running(&self) {
+        let running = self.running();
+        self.running.store(running, Ordering::Relaxed);
+        self.tally.raise(Counter::RunningPeak, running as u64);
+    }
+
+    /// Dies and comes back with nothing.
+    fn restart(&self) {
+        self.warmth.lock().restart();
+        self.cache.lock().clear();
+        *self.attempts.lock() = Attempts::default();
+        *self.sample.lock() = None;
+        self.tally.count(Counter::Restarts);
+        self.load();
+    }
+
+    /// Loads weights, then is cold for a while.
+    fn load(&self) {
+        let Some(me) = self.me.upgrade() else { return };
+        tokio::spawn(async move {
+            let incarnation = me.incarnation();
+            me.load_weights().await;
+            let mut warmth = me.warmth.lock();
+            if warmth.incarnation == incarnation {
+                warmth.turn_cold(scaled(me.settings.cold_period, me.settings.scale));
+            }
+        });
+    }
+
+    async fn load_weights(&self) {
+        let loader = &self.settings.loader;
+        loader.load(scaled(self.settings.load_time, self.settings.scale)).await;
+        self.tally.raise(Counter::LoadingPeak, loader.peak().into());
+    }
+
+    /// Prompt tokens that the cache spares.
+    fn find(&self, prefill: &Prefill, prompt_tokens: u32) -> u32 {
+        let found = self.cache.lock().find(&prefill.keys, &prefill.fingerprints);
+        self.tally.add(Counter::WrongPrefixRead, found.wrong as u64);
+        // The last token is always computed, since the answer starts from it.
+        let cached = (found.pieces * PIECE_TOKENS) as u32;
+        cached.min(prompt_tokens.saturating_sub(1))
+    }
+
+    fn store(&self, prefill: &Prefill) {
+        self.cache.lock().store(&prefill.keys, &prefill.fingerprints);
+    }
+
+    /// Computes prompt tokens, in turns with other prompts.
+    async fn compute(&self, tokens: u32, priority: Priority) {
+        let mut left = tokens;
+        while left > 0 {
+            let chunk = left.min(PREFILL_CHUNK);
+            let turn = self.prefill_turn.take(priority).await;
+            let cost = self.settings.prefill_per_token * chunk;
+            self.prefill_pace.spend(scaled(cost, self.settings.scale)).await;
+            drop(turn);
+            left -= chunk;
+        }
+    }
+
+    /// Time between two output tokens now.
+    fn token_time(&self) -> Duration {
+        let running = self.running.load(Ordering::Relaxed) as u32;
+        let model = self.settings.decode_per_token + self.settings.decode_per_running * running;
+        scaled(model, self.settings.scale)
+    }
+
+    /// Moves KV cache bytes in or out.
+    async fn transfer(&self, bytes: u64) {
+        let cost = transfer(bytes, self.settings.transfer_bytes_per_second);
+        self.link.spend(scaled(cost, self.settings.scale)).await;
+    }
+
+    fn truncated_stream(&self) -> bool {
+        spend(&self.truncated)
+    }
+
+    /// The load as it was when last sampled.
+    fn load_report(&self) -> Load {
+        let mut sample = self.sample.lock();
+        let now = Instant::now();
+        let lag = scaled(self.settings.load_lag, self.settings.scale);
+        let (at, load) = match sample.take() {
+            Some((at, load)) if now < at + lag => (at, load),
+            _ => (now, self.load_now()),
+        };
+        *sample = Some((at, load.clone()));
+        Load { sampled_ms_ago: now.duration_since(at).as_millis() as u64, ..load }
+    }
+
+    fn load_now(&self) -> Load {
+        let waiting = self.slots.waiting();
+        let warmth = self.warmth.lock();
+        Load {
+            incarnation: warmth.incarnation,
+            version: self.version.lock().clone(),
+            adapters: self.adapters.lock().clone(),
+            running: warmth.in_flight.saturating_sub(waiting),
+            waiting,
+            slots: self.settings.slots,
+            cold: warmth.is_cold(),
+            cached_tokens: self.cache.lock().tokens(),
+            sampled_ms_ago: 0,
+        }
+    }
+}
+
+/// A request's place in the engine, waiting or running.
+pub struct Place {
+    engine: Arc<State>,
+    /// The process life that let it in.
+    pub life: u64,
+}
+
+impl Deref for Place {
+    type Target = State;
+
+    fn deref(&self) -> &State {
+        &self.engine
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut warmth = self.engine.warmth.lock();
+        if warmth.incarnation == self.life {
+            warmth.in_flight = warmth.in_flight.saturating_sub(1);
+        }
+    }
+}
+
+impl Standin for State {
+    const NAME: &'static str = "engine";
+
+    fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
+    async fn respond(self: Arc<Self>, call: Call) -> Answer {
+        let request_id = call.header("x-request-id").to_owned();
+        let answer = self.clone().route(call).await.unwrap_or_else(|refusal| refusal);
+        answer.with("x-incarnation", self.incarnation()).with("x-request-id", request_id)
+    }
+
+    fn fault(&self, fault: &Fault) -> bool {
+        match fault {
+            Fault::Cold => {
+                let period = scaled(self.settings.cold_period, self.settings.scale);
+                self.warmth.lock().turn_cold(period);
+            }
+            Fault::Restart => self.restart(),
+            Fault::Leaving { on } => self.warmth.lock().leaving = *on,
+            Fault::IgnoredFence { on } => self.orders.lock().checks_fence = !on,
+            Fault::BrokenStream { token, times } => {
+                self.broken.set(*token, times.unwrap_or(ALWAYS));
+            }
+            Fault::CrossedChunk { token, times } => self.crossed.set(*token, *times),
+            Fault::DuplicateChunk { token, times } => self.duplicated.set(*token, *times),
+            Fault::TruncatedAnswer { times } => self.truncated.store(*times, Ordering::Relaxed),
+            _ => return false,
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/cache.rs
@@ -0,0 +1,159 @@
+//! The prefix cache: pieces by key, least recently used out first, and the events that tell of it.
+
+use std::collections::VecDeque;
+use std::num::NonZeroUsize;
+use std::time::Duration;
+
+use acacia_policy::request::{BlockKey, PIECE_TOKENS};
+use bytes::Bytes;
+use lru::LruCache;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+/// Events held for readers.
+const HISTORY: usize = 16_384;
+/// Bytes of a piece's body on the wire.
+const BODY_BYTES: usize = 1_024;
+
+/// A cached piece.
+#[derive(Clone, Debug, Default)]
+pub struct Piece {
+    /// Hash of all prompt tokens up to its end; absent until a prompt first uses an import.
+    pub fingerprint: Option<u64>,
+    /// Its bytes when they are not those of its key.
+    pub alien: Option<Bytes>,
+}
+
+/// What happened to a piece.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Happening {
+    /// It is in the cache.
+    Stored,
+    /// It is no longer.
+    Removed,
+}
+
+/// A cache event.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Event {
+    /// Its number.
+    pub seq: u64,
+    /// What happened.
+    pub kind: Happening,
+    /// The piece, in hex.
+    pub key: String,
+}
+
+/// The prefix cache of one engine.
+pub struct Cache {
+    pieces: LruCache<BlockKey, Piece>,
+    log: VecDeque<(Instant, Event)>,
+    next: u64,
+    /// Every event with a number that this divides is lost; zero loses none.
+    gap_every: u64,
+}
+
+/// What a prompt found.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Found {
+    /// Pieces from its start.
+    pub pieces: usize,
+    /// Of these, pieces that were computed from other tokens.
+    pub wrong: usize,
+}
+
+impl Cache {
+    /// An empty cache that holds `tokens` tokens.
+    pub fn new(tokens: usize, gap_every: u64) -> Self {
+        let pieces = NonZeroUsize::new(tokens / PIECE_TOKENS).unwrap_or(NonZeroUsize::MIN);
+        Self { pieces: LruCache::new(pieces), log: VecDeque::new(), next: 1, gap_every }
+    }
+
+    /// Finds the longest cached start of a prompt; `fingerprints` are those of its pieces.
+    pub fn find(&mut self, keys: &[BlockKey], fingerprints: &[u64]) -> Found {
+        let present = keys.iter().zip(fingerprints);
+        let held = present.take_while(|(key, _)| self.pieces.contains(*key)).count();
+        let mut found = Found { pieces: held, wrong: 0 };
+        // The first piece is used last, so that a chain is dropped from its end.
+        for (key, fingerprint) in keys[..held].iter().zip(fingerprints).rev() {
+            if let Some(piece) = self.pieces.get_mut(key) {
+                let known = *piece.fingerprint.get_or_insert(*fingerprint);
+                found.wrong += usize::from(known != *fingerprint);
+            }
+        }
+        found
+    }
+
+    /// Adds the pieces of a prompt that were computed.
+    pub fn store(&mut self, keys: &[BlockKey], fingerprints: &[u64]) {
+        for (key, fingerprint) in keys.iter().zip(fingerprints).rev() {
+            let piece = Piece { fingerprint: Some(*fingerprint), alien: None };
+            self.insert(*key, piece);
+        }
+    }
+
+    /// Adds one piece.
+    pub fn insert(&mut self, key: BlockKey, piece: Piece) {
+        if self.pieces.contains(&key) {
+            self.pieces.promote(&key);
+            return;
+        }
+        if let Some((removed, _)) = self.pieces.push(key, piece) {
+            self.record(Happening::Removed, &removed);
+        }
+        self.record(Happening::Stored, &key);
+    }
+
+    /// A piece, if cached.
+    pub fn get(&mut self, key: &BlockKey) -> Option<&Piece> {
+        self.pieces.get(key)
+    }
+
+    /// Drops everything with the process or with its weights.
+    pub fn clear(&mut self) {
+        while let Some((key, _)) = self.pieces.pop_lru() {
+            self.record(Happening::Removed, &key);
+        }
+    }
+
+    /// Tokens cached.
+    pub fn tokens(&self) -> usize {
+        self.pieces.len() * PIECE_TOKENS
+    }
+
+    /// Events after number `after` that are at least `lag` old, and the number to ask after next.
+    pub fn events(&self, after: u64, lag: Duration) -> (u64, Vec<Event>) {
+        let now = Instant::now();
+        let due = self.log.iter().filter(|(at, event)| event.seq > after && *at + lag <= now);
+        let events: Vec<_> = due.map(|(_, event)| event.clone()).collect();
+        (events.last().map_or(after, |event| event.seq), events)
+    }
+
+    fn record(&mut self, kind: Happening, key: &BlockKey) {
+        let seq = self.next;
+        self.next += 1;
+        if self.gap_every > 0 && seq.is_multiple_of(self.gap_every) {
+            return;
+        }
+        let key = blake3::Hash::from_bytes(*key).to_hex().to_string();
+        self.log.push_back((Instant::now(), Event { seq, kind, key }));
+        if self.log.len() > HISTORY {
+            self.log.pop_front();
+        }
+    }
+}
+
+/// The bytes of a piece, which only its key and version yield.
+pub fn body(key: &BlockKey, version: &str) -> Bytes {
+    let mut bytes = vec![0; BODY_BYTES];
+    let mut hasher = blake3::Hasher::new_keyed(key);
+    hasher.update(version.as_bytes());
+    hasher.finalize_xof().fill(&mut bytes);
+    bytes.into()
+}
+
+/// A key from hex.
+pub fn key(hex: &str) -> Option<BlockKey> {
+    blake3::Hash::from_hex(hex).ok().map(|hash| *hash.as_bytes())
+}
--- /dev/null
+++ b/crates/standin/src/engine/route.rs
@@ -0,0 +1,316 @@
+//! The engine's calls.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+
+use acacia_catalog::tokenizer::Token;
+use acacia_policy::request::{BlockKey, PIECE_TOKENS};
+use bytes::Bytes;
+use futures::stream;
+use http::{Method, StatusCode};
+use serde_json::json;
+
+use super::State;
+use super::answer::{Generator, weights};
+use super::cache::{self, Piece};
+use super::run::{Attempt, Prefill, Run};
+use super::wire::{Completion, Duty, Earlier, Order, Progress};
+use crate::counter::Counter;
+use crate::exchange::{Answer, Body, Call, Cut, Reply};
+
+/// Seconds after which a refused caller may come back.
+const RETRY_AFTER: u32 = 1;
+
+/// Orders seen.
+pub struct Orders {
+    /// Whether old fencing numbers are refused.
+    pub checks_fence: bool,
+    highest: u64,
+    by_id: HashMap<String, Progress>,
+}
+
+impl Orders {
+    /// None so far.
+    pub fn new(checks_fence: bool) -> Self {
+        Self { checks_fence, highest: 0, by_id: HashMap::new() }
+    }
+}
+
+impl State {
+    pub(super) async fn route(self: Arc<Self>, call: Call) -> Reply {
+        match (&call.method, call.path.as_str()) {
+            (&Method::POST, "/v1/completions") => self.complete(&call).await,
+            (&Method::POST, "/v1/resume") => self.resume(&call).await,
+            (&Method::POST, "/v1/cancel") => self.cancel(&call),
+            (&Method::GET, "/v1/load") => Ok(Answer::json(StatusCode::OK, &self.load_report())),
+            (&Method::GET, "/v1/events") => Ok(self.events(&call)),
+            (&Method::POST, "/v1/orders") => self.order(&call),
+            (method, path) => match (method, path.strip_prefix("/v1/kv/").and_then(cache::key)) {
+                (&Method::GET, Some(key)) => self.export(&key).await,
+                (&Method::PUT, Some(key)) => self.import(&key, &call).await,
+                _ => Err(Answer::unknown_path()),
+            },
+        }
+    }
+
+    async fn complete(self: Arc<Self>, call: &Call) -> Reply {
+        let id = request_id(call)?;
+        let completion: Completion = call.json()?;
+        let weights = self.check(&completion)?;
+        let keys: Option<Vec<_>> =
+            completion.block_keys.iter().map(|key| cache::key(key)).collect();
+        let keys = keys.ok_or_else(|| bad("block_keys must be 64 hex digits each"))?;
+        let tokens = completion.prompt.into_tokens();
+        let place = self.enter()?;
+        let (generator, prefill) = read_prompt(&weights, &tokens, keys);
+        let attempt = Arc::new(Attempt {
+            generator,
+            max_tokens: completion.max_tokens,
+            priority: completion.priority,
+            prompt_tokens: tokens.len() as u32,
+            cached_tokens: AtomicU32::new(0),
+            cancelled: AtomicBool::new(false),
+            finished: AtomicBool::new(false),
+        });
+        if self.attempts.lock().insert(&id, attempt.clone()) {
+            self.tally.count(Counter::Duplicates);
+        }
+        let begin = Run::begin(place, id, attempt, prefill, 0);
+        if completion.stream {
+            return Ok(streamed(begin));
+        }
+        self.whole(begin).await
+    }
+
+    async fn whole(&self, begin: impl Future<Output = Result<Run, Cut>>) -> Reply {
+        let whole = async { begin.await?.whole().await };
+        let Ok(chunk) = whole.await else { return Err(Answer::cut()) };
+        let mut answer = Answer::json(StatusCode::OK, &chunk).with_effect();
+        if self.truncated_stream()
+            && let Body::Whole(body) = &mut answer.body
+        {
+            body.truncate(body.len() / 2);
+        }
+        Ok(answer)
+    }
+
+    /// Checks model, version and adapter; the name of the weights.
+    fn check(&self, completion: &Completion) -> Result<String, Answer> {
+        if completion.model != self.settings.model {
+            let message = format!("this engine serves `{}`", self.settings.model);
+            return Err(Answer::error(StatusCode::NOT_FOUND, "unknown_model", &message));
+        }
+        let version = self.version.lock().clone();
+        if completion.version.as_ref().is_some_and(|wanted| *wanted != version) {
+            self.tally.count(Counter::WrongVersion);
+            return Err(wrong_version(&version));
+        }
+        let adapter = completion.adapter.as_deref();
+        let known = |name: &str| self.adapters.lock().iter().any(|adapter| adapter == name);
+        if adapter.is_some_and(|name| !known(name)) {
+            let message = "this engine has not loaded the adapter";
+            return Err(Answer::error(StatusCode::NOT_FOUND, "unknown_adapter", message));
+        }
+        Ok(weights(&version, adapter))
+    }
+
+    async fn resume(self: Arc<Self>, call: &Call) -> Reply {
+        let id = request_id(call)?;
+        let earlier: Earlier = call.json()?;
+        let unknown = || {
+            let message = "no attempt of this process life has the id";
+            Answer::error(StatusCode::NOT_FOUND, "unknown_request", message)
+        };
+        let before = self.attempts.lock().get(&earlier.request_id).ok_or_else(unknown)?;
+        if earlier.offset > before.max_tokens {
+            return Err(bad("offset lies beyond the answer"));
+        }
+        let place = self.enter()?;
+        self.tally.count(Counter::Resumed);
+        let attempt = Arc::new(Attempt {
+            generator: before.generator.clone(),
+            max_tokens: before.max_tokens,
+            priority: before.priority,
+            prompt_tokens: before.prompt_tokens,
+            cached_tokens: AtomicU32::new(before.cached_tokens.load(Ordering::Relaxed)),
+            cancelled: AtomicBool::new(false),
+            finished: AtomicBool::new(false),
+        });
+        self.attempts.lock().insert(&id, attempt.clone());
+        let prefill = Prefill { keys: Vec::new(), fingerprints: Vec::new(), done: true };
+        Ok(streamed(Run::begin(place, id, attempt, prefill, earlier.offset)))
+    }
+
+    fn cancel(&self, call: &Call) -> Reply {
+        let earlier: Earlier = call.json()?;
+        let attempt = self.attempts.lock().get(&earlier.request_id);
+        let running = attempt.filter(|attempt| !attempt.finished.load(Ordering::Relaxed));
+        let cancelled = running.is_some_and(|a| !a.cancelled.swap(true, Ordering::Relaxed));
+        if cancelled {
+            self.tally.count(Counter::Cancelled);
+        }
+        Ok(Answer::json(StatusCode::OK, &json!({"cancelled": cancelled})))
+    }
+
+    fn events(&self, call: &Call) -> Answer {
+        let after = call.parameter("after").and_then(|after| after.parse().ok()).unwrap_or(0);
+        let lag = super::scaled(self.settings.event_lag, self.settings.scale);
+        let (next, events) = self.cache.lock().events(after, lag);
+        let incarnation = self.incarnation();
+        let body = json!({"incarnation": incarnation, "next": next, "events": events});
+        Answer::json(StatusCode::OK, &body)
+    }
+
+    async fn export(&self, key: &BlockKey) -> Reply {
+        let version = self.version();
+        let piece = self.cache.lock().get(key).cloned();
+        let unknown = || Answer::error(StatusCode::NOT_FOUND, "unknown", "not in the cache");
+        let piece = piece.ok_or_else(unknown)?;
+        let logical = self.piece_bytes();
+        self.transfer(logical).await;
+        self.tally.count(Counter::Exports);
+        self.tally.add(Counter::ExportedBytes, logical);
+        let body = piece.alien.unwrap_or_else(|| cache::body(key, &version));
+        let checksum = blake3::hash(&body).to_hex();
+        Ok(Answer::bytes(StatusCode::OK, body)
+            .with("x-version", version)
+            .with("x-checksum", checksum)
+            .with("x-logical-bytes", logical))
+    }
+
+    async fn import(&self, key: &BlockKey, call: &Call) -> Reply {
+        let version = self.version();
+        if call.header("x-version") != version {
+            self.tally.count(Counter::WrongVersion);
+            return Err(wrong_version(&version));
+        }
+        if call.header("x-checksum") != blake3::hash(&call.body).to_hex().as_str() {
+            let message = "x-checksum is not the blake3 hash of the body";
+            return Err(Answer::error(StatusCode::UNPROCESSABLE_ENTITY, "bad_checksum", message));
+        }
+        let incarnation = self.incarnation();
+        let logical = call.header("x-logical-bytes").parse().unwrap_or(call.body.len() as u64);
+        self.transfer(logical).await;
+        if self.incarnation() != incarnation || self.version() != version {
+            return Err(Answer::cut());
+        }
+        self.tally.count(Counter::Imports);
+        self.tally.add(Counter::ImportedBytes, logical);
+        let right = call.body == cache::body(key, &version);
+        if !right {
+            self.tally.count(Counter::WrongBlockRead);
+        }
+        let alien = (!right).then(|| Bytes::copy_from_slice(&call.body));
+        self.cache.lock().insert(*key, Piece { fingerprint: None, alien });
+        Ok(Answer::json(StatusCode::OK, &json!({})).with_effect())
+    }
+
+    /// Bytes that a piece counts for on a link.
+    fn piece_bytes(&self) -> u64 {
+        PIECE_TOKENS as u64 * self.settings.bytes_per_token
+    }
+
+    fn order(self: &Arc<Self>, call: &Call) -> Reply {
+        let order: Order = call.json()?;
+        let mut orders = self.orders.lock();
+        if let Some(progress) = orders.by_id.get(&order.order_id) {
+            return Ok(ordered(*progress));
+        }
+        let stale = order.fence < orders.highest;
+        if stale && orders.checks_fence {
+            self.tally.count(Counter::StaleOrdersRefused);
+            let message = format!("fencing number {} was seen", orders.highest);
+            return Err(Answer::error(StatusCode::CONFLICT, "stale_fence", &message));
+        }
+        if stale {
+            self.tally.count(Counter::StaleOrdersRun);
+        }
+        self.tally.count(Counter::Orders);
+        orders.highest = orders.highest.max(order.fence);
+        orders.by_id.insert(order.order_id.clone(), Progress::Accepted);
+        drop(orders);
+        tokio::spawn(self.clone().carry_out(order));
+        Ok(ordered(Progress::Accepted))
+    }
+
+    async fn carry_out(self: Arc<Self>, order: Order) {
+        match order.order {
+            Duty::LoadVersion => {
+                self.load_weights().await;
+                *self.version.lock() = order.name;
+                self.cache.lock().clear();
+            }
+            Duty::LoadAdapter => {
+                let mut adapters = self.adapters.lock();
+                if !adapters.contains(&order.name) {
+                    adapters.push(order.name);
+                }
+            }
+            Duty::SetRole => {}
+        }
+        self.orders.lock().by_id.insert(order.order_id, Progress::Done);
+    }
+}
+
+/// Refuses a request that did not run.
+pub fn refused(code: &str, message: &str) -> Answer {
+    Answer::error(StatusCode::SERVICE_UNAVAILABLE, code, message).with("retry-after", RETRY_AFTER)
+}
+
+fn ordered(state: Progress) -> Answer {
+    Answer::json(StatusCode::OK, &BTreeMap::from([("state", state)])).with_effect()
+}
+
+fn wrong_version(loaded: &str) -> Answer {
+    let message = format!("version `{loaded}` is loaded");
+    Answer::error(StatusCode::CONFLICT, "wrong_version", &message)
+}
+
+fn bad(message: &str) -> Answer {
+    Answer::error(StatusCode::BAD_REQUEST, "bad_request", message)
+}
+
+fn request_id(call: &Call) -> Result<String, Answer> {
+    match call.header("x-request-id") {
+        "" => Err(bad("the header x-request-id is missing")),
+        id => Ok(id.to_owned()),
+    }
+}
+
+/// Hashes a prompt, with a fingerprint at the end of each of its named pieces.
+fn read_prompt(weights: &str, tokens: &[Token], mut keys: Vec<BlockKey>) -> (Generator, Prefill) {
+    let mut generator = Generator::new(weights);
+    let mut fingerprints = Vec::with_capacity(keys.len());
+    for (i, token) in tokens.iter().enumerate() {
+        generator.feed(*token);
+        if (i + 1).is_multiple_of(PIECE_TOKENS) {
+            fingerprints.push(generator.fingerprint());
+        }
+    }
+    keys.truncate(fingerprints.len());
+    fingerprints.truncate(keys.len());
+    (generator, Prefill { keys, fingerprints, done: false })
+}
+
+/// A stream whose headers leave at once and whose first token comes when the run has begun.
+fn streamed(begin: impl Future<Output = Result<Run, Cut>> + Send + 'static) -> Answer {
+    enum Stage<F> {
+        Waiting(F),
+        Running(Box<Run>),
+        Over,
+    }
+    let chunks = stream::unfold(Stage::Waiting(Box::pin(begin)), |stage| async move {
+        let mut run = match stage {
+            Stage::Waiting(begin) => match begin.await {
+                Ok(run) => Box::new(run),
+                Err(cut) => return Some((Err(cut), Stage::Over)),
+            },
+            Stage::Running(run) => run,
+            Stage::Over => return None,
+        };
+        let next = run.next().await?;
+        Some((next, Stage::Running(run)))
+    });
+    Answer::stream("text/event-stream", chunks)
+}
--- /dev/null
+++ b/crates/standin/src/host.rs
@@ -0,0 +1,320 @@
+//! Serves a stand-in on two loopback ports: its protocol, and control.
+
+use std::io;
+use std::net::SocketAddr;
+use std::ops::Deref;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::http::ResBody;
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, Server, async_trait};
+use tokio::net::TcpSocket;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::counter::{Counter, Counters, Tally};
+use crate::exchange::{Answer, Body, Call};
+use crate::fault::{Fault, Unsupported};
+
+/// Largest request body, in bytes.
+const MAX_BODY: usize = 256 << 20;
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 8_192;
+/// Wait between two tries to bind a port again.
+const REBIND_WAIT: Duration = Duration::from_millis(5);
+
+/// One kind of stand-in.
+pub trait Standin: Send + Sync + 'static {
+    /// Name of the kind.
+    const NAME: &'static str;
+
+    /// Its counters.
+    fn tally(&self) -> &Tally;
+
+    /// Answers a call of its protocol.
+    fn respond(self: Arc<Self>, call: Call) -> impl Future<Output = Answer> + Send;
+
+    /// Begins or ends a fault of its own; false when it knows none of this kind.
+    fn fault(&self, fault: &Fault) -> bool;
+
+    /// Answers a call of its control port beyond counters and faults.
+    fn control(&self, _call: &Call) -> Option<Answer> {
+        None
+    }
+}
+
+/// A running stand-in; dropping it stops it.
+pub struct Handle<S: Standin> {
+    /// Where it serves its protocol.
+    pub address: SocketAddr,
+    /// Where it takes faults and shows counters.
+    pub control: SocketAddr,
+    gate: Arc<Gate<S>>,
+    tasks: [JoinHandle<()>; 2],
+}
+
+impl<S: Standin> Handle<S> {
+    /// Serves `standin` on `address`, control on `control`; port 0 chooses one.
+    pub(crate) async fn start(
+        standin: Arc<S>,
+        address: SocketAddr,
+        control: SocketAddr,
+    ) -> io::Result<Self> {
+        let (reach, _) = watch::channel(Reach::Open);
+        let gate =
+            Arc::new(Gate { standin, slow: AtomicU64::new(0), lost: AtomicU32::new(0), reach });
+        let traffic = bind(address)?;
+        let steering = bind(control)?;
+        let address = traffic.local_addr()?;
+        let control = steering.local_addr()?;
+        let tasks = [
+            tokio::spawn(serve_traffic(traffic, address, gate.clone())),
+            tokio::spawn(serve(steering, Steering(gate.clone()))),
+        ];
+        Ok(Self { address, control, gate, tasks })
+    }
+
+    /// Its counters now.
+    pub fn counters(&self) -> Counters {
+        self.gate.standin.tally().read()
+    }
+
+    /// One counter now.
+    pub fn count(&self, counter: Counter) -> u64 {
+        self.counters().get(counter)
+    }
+
+    /// Begins or ends a fault.
+    pub fn fault(&self, fault: Fault) -> Result<(), Unsupported> {
+        self.gate.fault(&fault)
+    }
+
+    /// Closes both ports once the calls that run have ended or broken off.
+    pub async fn stop(mut self) {
+        self.kill();
+        for task in &mut self.tasks {
+            let _ = task.await;
+        }
+    }
+
+    /// Closes both ports at once and cuts every connection.
+    pub fn kill(&self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl<S: Standin> Drop for Handle<S> {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl<S: Standin> Deref for Handle<S> {
+    type Target = S;
+
+    fn deref(&self) -> &S {
+        &self.gate.standin
+    }
+}
+
+/// Whether callers reach the stand-in.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Reach {
+    Open,
+    Down,
+    Frozen,
+    Unreachable,
+}
+
+/// Faults that every stand-in has, before its own.
+struct Gate<S> {
+    standin: Arc<S>,
+    slow: AtomicU64,
+    lost: AtomicU32,
+    reach: watch::Sender<Reach>,
+}
+
+impl<S: Standin> Gate<S> {
+    fn fault(&self, fault: &Fault) -> Result<(), Unsupported> {
+        match fault {
+            Fault::Slow { millis } => self.slow.store(*millis, Ordering::Relaxed),
+            Fault::LostAnswer { times } => self.lost.store(*times, Ordering::Relaxed),
+            Fault::Down { on } => self.turn(*on, Reach::Down),
+            Fault::Frozen { on } => self.turn(*on, Reach::Frozen),
+            Fault::Unreachable { on } => self.turn(*on, Reach::Unreachable),
+            own => {
+                if !self.standin.fault(own) {
+                    return Err(Unsupported { standin: S::NAME, fault: own.into() });
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn turn(&self, on: bool, reach: Reach) {
+        self.reach.send_modify(|now| {
+            if on {
+                *now = reach;
+            } else if *now == reach {
+                *now = Reach::Open;
+            }
+        });
+    }
+
+    async fn answer(&self, call: Call) -> Answer {
+        let tally = self.standin.tally();
+        tally.count(Counter::Calls);
+        tally.add(Counter::BytesIn, call.body.len() as u64);
+        self.thawed().await;
+        let slow = self.slow.load(Ordering::Relaxed);
+        if slow > 0 {
+            tokio::time::sleep(Duration::from_millis(slow)).await;
+        }
+        if *self.reach.borrow() == Reach::Down {
+            tally.count(Counter::Refused);
+            return Answer::error(StatusCode::SERVICE_UNAVAILABLE, "unavailable", "down");
+        }
+        let answer = self.standin.clone().respond(call).await;
+        if answer.effect && spend(&self.lost) {
+            tally.count(Counter::AnswersLost);
+            return Answer::cut();
+        }
+        answer
+    }
+
+    async fn thawed(&self) {
+        let mut reach = self.reach.subscribe();
+        let _ = reach.wait_for(|reach| *reach != Reach::Frozen).await;
+    }
+}
+
+/// Takes one off a number of times; false when none is left.
+pub(crate) fn spend(times: &AtomicU32) -> bool {
+    let less = |left: u32| left.checked_sub(1);
+    times.fetch_update(Ordering::Relaxed, Ordering::Relaxed, less).is_ok()
+}
+
+fn bind(address: SocketAddr) -> io::Result<TcpAcceptor> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    // Accepted sockets inherit it, so that stream chunks leave at once.
+    socket.set_nodelay(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)?.try_into()
+}
+
+/// Serves the protocol, with the port closed while the stand-in is unreachable.
+async fn serve_traffic<S: Standin>(
+    mut acceptor: TcpAcceptor,
+    address: SocketAddr,
+    gate: Arc<Gate<S>>,
+) {
+    let mut reach = gate.reach.subscribe();
+    loop {
+        tokio::select! {
+            () = serve(acceptor, Traffic(gate.clone())) => return,
+            _ = reach.wait_for(|reach| *reach == Reach::Unreachable) => {}
+        }
+        if reach.wait_for(|reach| *reach != Reach::Unreachable).await.is_err() {
+            return;
+        }
+        acceptor = rebind(address).await;
+    }
+}
+
+async fn rebind(address: SocketAddr) -> TcpAcceptor {
+    loop {
+        match bind(address) {
+            Ok(acceptor) => return acceptor,
+            Err(_) => tokio::time::sleep(REBIND_WAIT).await,
+        }
+    }
+}
+
+async fn serve(acceptor: TcpAcceptor, handler: impl Handler) {
+    let router = Router::with_path("{**rest}").goal(handler);
+    let _ = Server::new(acceptor).disable_fuse().try_serve(router).await;
+}
+
+struct Traffic<S>(Arc<Gate<S>>);
+
+#[async_trait]
+impl<S: Standin> Handler for Traffic<S> {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let answer = match read(req).await {
+            Ok(call) => self.0.answer(call).await,
+            Err(answer) => answer,
+        };
+        if let Body::Whole(body) = &answer.body {
+            self.0.standin.tally().add(Counter::BytesOut, body.len() as u64);
+        }
+        write(answer, res);
+    }
+}
+
+struct Steering<S>(Arc<Gate<S>>);
+
+#[async_trait]
+impl<S: Standin> Handler for Steering<S> {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let answer = match read(req).await {
+            Ok(call) => steer(&self.0, &call),
+            Err(answer) => answer,
+        };
+        write(answer, res);
+    }
+}
+
+fn steer<S: Standin>(gate: &Gate<S>, call: &Call) -> Answer {
+    match (&call.method, call.path.as_str()) {
+        (&Method::GET, "/counters") => Answer::json(StatusCode::OK, &gate.standin.tally().read()),
+        (&Method::POST, "/faults") => match call.json::<Fault>() {
+            Ok(fault) => steer_fault(gate, &fault),
+            Err(answer) => answer,
+        },
+        _ => gate.standin.control(call).unwrap_or_else(Answer::unknown_path),
+    }
+}
+
+fn steer_fault<S: Standin>(gate: &Gate<S>, fault: &Fault) -> Answer {
+    match gate.fault(fault) {
+        Ok(()) => Answer::json(StatusCode::OK, fault),
+        Err(error) => {
+            Answer::error(StatusCode::UNPROCESSABLE_ENTITY, "unsupported_fault", &error.to_string())
+        }
+    }
+}
+
+async fn read(req: &mut Request) -> Result<Call, Answer> {
+    let method = req.method().clone();
+    let body = match req.payload_with_max_size(MAX_BODY).await {
+        Ok(body) => body.clone(),
+        Err(_) if method == Method::GET => Bytes::new(),
+        Err(error) => {
+            let message = error.to_string();
+            return Err(Answer::error(StatusCode::BAD_REQUEST, "bad_body", &message));
+        }
+    };
+    Ok(Call {
+        method,
+        path: req.uri().path().to_owned(),
+        query: req.uri().query().unwrap_or("").to_owned(),
+        headers: req.headers().clone(),
+        body,
+    })
+}
+
+fn write(answer: Answer, res: &mut Response) {
+    res.status_code(answer.status);
+    res.set_headers(*answer.headers);
+    match answer.body {
+        Body::Whole(body) => {
+            res.body(ResBody::Once(body));
+        }
+        Body::Stream(stream) => res.stream(stream),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/kv.rs
@@ -0,0 +1,300 @@
+//! The platform's key-value service: a subset of the etcd v3 JSON gateway.
+//!
+//! [`keyspace`] holds keys, leases and history; [`wire`] the gateway's JSON. This module checks
+//! rates and joins the two.
+
+mod keyspace;
+pub mod wire;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream;
+use http::{Method, StatusCode};
+use parking_lot::Mutex;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::counter::{Counter, Tally};
+use crate::exchange::{Answer, Call, Cut, Reply};
+use crate::fault::Fault;
+use crate::host::{self, Standin};
+use keyspace::{Keyspace, TooLarge};
+use wire::{KeepAlive, Lease, LeaseGrant, Range, Transaction, Watch};
+
+/// A running key-value service.
+pub type Handle = host::Handle<State>;
+
+/// Longest sleep between two looks for leases that ran out.
+const EXPIRY_STEP: Duration = Duration::from_millis(20);
+
+/// How the stand-in is set up.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Address of the protocol's port.
+    pub address: SocketAddr,
+    /// Address of the control port.
+    pub control: SocketAddr,
+    /// Time that each call takes.
+    pub latency: Duration,
+    /// Writes a second, above which calls are refused; zero is no limit.
+    pub writes_per_second: u32,
+    /// Reads and watches a second, above which calls are refused; zero is no limit.
+    pub reads_per_second: u32,
+    /// Leases run this many times faster than they say.
+    pub scale: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            control: SocketAddr::from(([127, 0, 0, 1], 0)),
+            latency: Duration::ZERO,
+            writes_per_second: 0,
+            reads_per_second: 0,
+            scale: 1.0,
+        }
+    }
+}
+
+/// Serves the key-value service; fails when a port can't be bound.
+pub async fn start(settings: Settings) -> std::io::Result<Handle> {
+    let (address, control) = (settings.address, settings.control);
+    let state = Arc::new(State::new(settings));
+    tokio::spawn(expire(Arc::downgrade(&state)));
+    Handle::start(state, address, control).await
+}
+
+/// Ends leases in time, so that watches hear of it, until the service is gone.
+async fn expire(state: std::sync::Weak<State>) {
+    loop {
+        tokio::time::sleep(EXPIRY_STEP).await;
+        let Some(state) = state.upgrade() else { return };
+        state.change(|_| ());
+    }
+}
+
+/// The service's state.
+pub struct State {
+    settings: Settings,
+    tally: Tally,
+    keyspace: Mutex<Keyspace>,
+    revision: watch::Sender<i64>,
+    writes: Mutex<Bucket>,
+    reads: Mutex<Bucket>,
+}
+
+impl State {
+    fn new(settings: Settings) -> Self {
+        Self {
+            tally: Tally::default(),
+            keyspace: Mutex::new(Keyspace::new(settings.scale)),
+            revision: watch::channel(0).0,
+            writes: Mutex::new(Bucket::new(settings.writes_per_second)),
+            reads: Mutex::new(Bucket::new(settings.reads_per_second)),
+            settings,
+        }
+    }
+
+    /// Value of a key now, for tests and oracles.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        self.change(|keyspace| keyspace.get(key.as_bytes()).map(|entry| entry.value.clone()))
+    }
+
+    /// Runs a change with leases up to date, and wakes the watches.
+    fn change<T>(&self, change: impl FnOnce(&mut Keyspace) -> T) -> T {
+        let (value, revision) = {
+            let mut keyspace = self.keyspace.lock();
+            let expired = keyspace.expire(Instant::now());
+            self.tally.add(Counter::Expiries, expired as u64);
+            let value = change(&mut keyspace);
+            (value, keyspace.revision())
+        };
+        self.revision.send_if_modified(|now| std::mem::replace(now, revision) != revision);
+        value
+    }
+
+    async fn route(self: Arc<Self>, call: Call) -> Reply {
+        if call.method != Method::POST {
+            return Err(Answer::unknown_path());
+        }
+        match call.path.as_str() {
+            "/v3/kv/range" => self.range(&call),
+            "/v3/kv/txn" => self.transaction(&call),
+            "/v3/lease/grant" => self.grant(&call),
+            "/v3/lease/keepalive" => self.keep_alive(&call),
+            "/v3/lease/revoke" => self.revoke(&call),
+            "/v3/watch" => self.watch(&call),
+            _ => Err(Answer::unknown_path()),
+        }
+    }
+
+    fn range(&self, call: &Call) -> Reply {
+        let range: Range = parse(call)?;
+        self.admit(&self.reads)?;
+        self.tally.count(Counter::Ranges);
+        Ok(ok(&self.change(|keyspace| keyspace.range(&range))))
+    }
+
+    fn transaction(&self, call: &Call) -> Reply {
+        let transaction: Transaction = parse(call)?;
+        self.admit(if transaction.writes() { &self.writes } else { &self.reads })?;
+        self.tally.count(Counter::Transactions);
+        let done = self.change(|keyspace| keyspace.transact(&transaction));
+        let done = done.map_err(|TooLarge| too_large())?;
+        let wrote = done.succeeded && transaction.writes();
+        self.tally.count(if done.succeeded { Counter::Writes } else { Counter::Conflicts });
+        let answer = ok(&done);
+        Ok(if wrote { answer.with_effect() } else { answer })
+    }
+
+    fn grant(&self, call: &Call) -> Reply {
+        let grant: LeaseGrant = parse(call)?;
+        self.admit(&self.writes)?;
+        self.tally.count(Counter::Grants);
+        Ok(ok(&self.change(|keyspace| keyspace.grant(&grant, Instant::now()))).with_effect())
+    }
+
+    fn keep_alive(&self, call: &Call) -> Reply {
+        let lease: Lease = parse(call)?;
+        self.admit(&self.writes)?;
+        self.tally.count(Counter::Renewals);
+        let result = self.change(|keyspace| keyspace.keep_alive(lease.id, Instant::now()));
+        Ok(ok(&KeepAlive { result }).with_effect())
+    }
+
+    fn revoke(&self, call: &Call) -> Reply {
+        let lease: Lease = parse(call)?;
+        self.admit(&self.writes)?;
+        self.tally.count(Counter::Revocations);
+        self.change(|keyspace| keyspace.revoke(lease.id));
+        Ok(ok(&json!({})).with_effect())
+    }
+
+    fn watch(self: &Arc<Self>, call: &Call) -> Reply {
+        let watch: Watch = parse(call)?;
+        self.admit(&self.reads)?;
+        self.tally.count(Counter::Watches);
+        let revision = self.revision.subscribe();
+        let start = match watch.create_request.start_revision {
+            0 => self.keyspace.lock().revision() + 1,
+            start => start,
+        };
+        let range = watch.create_request;
+        let watcher = Watcher { state: self.clone(), range, start, revision, over: false };
+        let events = stream::unfold(watcher, |mut watcher| async move {
+            let line = watcher.next().await?;
+            Some((Ok::<Bytes, Cut>(line), watcher))
+        });
+        Ok(Answer::stream("application/json", events))
+    }
+
+    fn admit(&self, bucket: &Mutex<Bucket>) -> Result<(), Answer> {
+        if bucket.lock().take(Instant::now()) {
+            return Ok(());
+        }
+        self.tally.count(Counter::Refused);
+        Err(Answer::error(StatusCode::TOO_MANY_REQUESTS, "too_many_requests", "rate limit"))
+    }
+}
+
+impl Standin for State {
+    const NAME: &'static str = "kv";
+
+    fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
+    async fn respond(self: Arc<Self>, call: Call) -> Answer {
+        if !self.settings.latency.is_zero() {
+            tokio::time::sleep(self.settings.latency).await;
+        }
+        self.route(call).await.unwrap_or_else(|refusal| refusal)
+    }
+
+    fn fault(&self, fault: &Fault) -> bool {
+        match fault {
+            Fault::LeaseLapse => {
+                let lapsed = self.change(Keyspace::lapse);
+                self.tally.add(Counter::Expiries, lapsed as u64);
+                true
+            }
+            _ => false,
+        }
+    }
+}
+
+/// A watch that waits for changes.
+struct Watcher {
+    state: Arc<State>,
+    range: wire::WatchCreate,
+    start: i64,
+    revision: watch::Receiver<i64>,
+    over: bool,
+}
+
+impl Watcher {
+    /// The next line; nothing once the service is gone or the start lies before its history.
+    async fn next(&mut self) -> Option<Bytes> {
+        while !self.over {
+            self.revision.borrow_and_update();
+            let range = (self.range.key.as_slice(), self.range.range_end.as_slice());
+            let batch = self.state.keyspace.lock().events(range, self.start);
+            self.start = batch.next;
+            self.over = batch.compacted > 0;
+            if self.over || !batch.events.is_empty() {
+                let mut line = serde_json::to_vec(&batch.into_line()).ok()?;
+                line.push(b'\n');
+                return Some(line.into());
+            }
+            self.revision.changed().await.ok()?;
+        }
+        None
+    }
+}
+
+/// A rate limit with a burst of one second.
+struct Bucket {
+    rate: f64,
+    tokens: f64,
+    filled: Instant,
+}
+
+impl Bucket {
+    fn new(rate: u32) -> Self {
+        Self { rate: rate.into(), tokens: rate.into(), filled: Instant::now() }
+    }
+
+    fn take(&mut self, now: Instant) -> bool {
+        if self.rate == 0.0 {
+            return true;
+        }
+        let new = now.duration_since(self.filled).as_secs_f64() * self.rate;
+        self.tokens = (self.tokens + new).min(self.rate);
+        self.filled = now;
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
+
+fn parse<T: DeserializeOwned>(call: &Call) -> Result<T, Answer> {
+    call.json()
+}
+
+fn ok(value: &impl Serialize) -> Answer {
+    Answer::json(StatusCode::OK, value)
+}
+
+fn too_large() -> Answer {
+    let message = "a value holds at most 1 MiB; split it";
+    Answer::error(StatusCode::PAYLOAD_TOO_LARGE, "too_large", message)
+}
--- /dev/null
+++ b/crates/standin/src/kv/keyspace.rs
@@ -0,0 +1,245 @@
+//! Keys with their revisions, leases, and a history for watches.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::wire::{
+    Delete, EventKind, Header, KeyValue, LeaseGrant, Leased, Operation, Put, Range, Ranged,
+    Response, Transacted, Transaction, WatchEvent, WatchLine, WatchResult,
+};
+
+/// Largest value, in bytes.
+const MAX_VALUE: usize = 1 << 20;
+/// Changes held for watches that start in the past.
+const HISTORY: usize = 16_384;
+
+/// A value is larger than the service holds.
+#[derive(Clone, Copy, Debug)]
+pub struct TooLarge;
+
+/// Keys, leases and history.
+pub struct Keyspace {
+    scale: f64,
+    revision: i64,
+    keys: BTreeMap<Vec<u8>, KeyValue>,
+    leases: HashMap<i64, Term>,
+    next_lease: i64,
+    history: VecDeque<WatchEvent>,
+    compacted: i64,
+}
+
+/// A lease in force.
+struct Term {
+    ttl: i64,
+    end: Instant,
+    keys: BTreeSet<Vec<u8>>,
+}
+
+/// Changes for one watch.
+pub struct Batch {
+    /// The changes.
+    pub events: Vec<WatchEvent>,
+    /// Where the next batch starts.
+    pub next: i64,
+    /// First revision still held, when changes that were asked for are lost; else zero.
+    pub compacted: i64,
+}
+
+impl Batch {
+    /// The line that tells them.
+    pub fn into_line(self) -> WatchLine {
+        let header = Header { revision: self.next - 1 };
+        let result = WatchResult { header, events: self.events, compact_revision: self.compacted };
+        WatchLine { result }
+    }
+}
+
+impl Keyspace {
+    /// An empty keyspace whose leases run `scale` times faster than they say.
+    pub fn new(scale: f64) -> Self {
+        Self {
+            scale,
+            revision: 1,
+            keys: BTreeMap::new(),
+            leases: HashMap::new(),
+            next_lease: 1,
+            history: VecDeque::new(),
+            compacted: 0,
+        }
+    }
+
+    /// Revision of the last change.
+    pub fn revision(&self) -> i64 {
+        self.revision
+    }
+
+    /// One key.
+    pub fn get(&self, key: &[u8]) -> Option<&KeyValue> {
+        self.keys.get(key)
+    }
+
+    /// Keys of a range.
+    pub fn range(&self, range: &Range) -> Ranged {
+        let all = self.keys.range(range.key.clone()..);
+        let within = all.take_while(|(key, _)| covers(&range.key, &range.range_end, key));
+        let mut kvs: Vec<_> = within.map(|(_, value)| value.clone()).collect();
+        let count = kvs.len() as i64;
+        if range.limit > 0 {
+            kvs.truncate(range.limit as usize);
+        }
+        Ranged { header: self.header(), kvs, count }
+    }
+
+    /// Runs a transaction.
+    pub fn transact(&mut self, transaction: &Transaction) -> Result<Transacted, TooLarge> {
+        let succeeded = transaction.compare.iter().all(|compare| {
+            let now = self.keys.get(&compare.key).map_or(0, |value| value.mod_revision);
+            now == compare.mod_revision
+        });
+        let steps = if succeeded { &transaction.success } else { &transaction.failure };
+        if steps.iter().any(too_large) {
+            return Err(TooLarge);
+        }
+        let writes = steps.iter().any(|step| !matches!(step, Operation::RequestRange(_)));
+        if writes {
+            self.revision += 1;
+        }
+        let responses = steps.iter().map(|step| self.run(step)).collect();
+        Ok(Transacted { header: self.header(), succeeded, responses })
+    }
+
+    /// Grants a lease.
+    pub fn grant(&mut self, grant: &LeaseGrant, now: Instant) -> Leased {
+        let id = if grant.id == 0 { self.next_lease } else { grant.id };
+        self.next_lease = self.next_lease.max(id) + 1;
+        let ttl = grant.ttl.max(1);
+        let end = now + self.real(ttl);
+        self.leases.insert(id, Term { ttl, end, keys: BTreeSet::new() });
+        Leased { id, ttl }
+    }
+
+    /// Renews a lease.
+    pub fn keep_alive(&mut self, id: i64, now: Instant) -> Leased {
+        let scale = self.scale;
+        let Some(term) = self.leases.get_mut(&id) else {
+            return Leased { id, ttl: 0 };
+        };
+        term.end = now + Duration::from_secs_f64(term.ttl as f64 / scale);
+        Leased { id, ttl: term.ttl }
+    }
+
+    /// Ends a lease.
+    pub fn revoke(&mut self, id: i64) {
+        let Some(term) = self.leases.remove(&id) else { return };
+        if term.keys.is_empty() {
+            return;
+        }
+        self.revision += 1;
+        for key in term.keys {
+            self.remove(&key);
+        }
+    }
+
+    /// Ends the leases that ran out; how many.
+    pub fn expire(&mut self, now: Instant) -> usize {
+        let over = self.leases.iter().filter(|(_, term)| term.end <= now).map(|(id, _)| *id);
+        let over: Vec<_> = over.collect();
+        over.iter().for_each(|id| self.revoke(*id));
+        over.len()
+    }
+
+    /// Ends every lease; how many.
+    pub fn lapse(&mut self) -> usize {
+        let all: Vec<_> = self.leases.keys().copied().collect();
+        all.iter().for_each(|id| self.revoke(*id));
+        all.len()
+    }
+
+    /// Changes of a range from revision `start` on.
+    pub fn events(&self, (key, range_end): (&[u8], &[u8]), start: i64) -> Batch {
+        let first = self.history.partition_point(|event| event.kv.mod_revision < start);
+        let later = self.history.range(first..);
+        let events = later.filter(|event| covers(key, range_end, &event.kv.key)).cloned();
+        let compacted = if start <= self.compacted { self.compacted + 1 } else { 0 };
+        let events = if compacted == 0 { events.collect() } else { Vec::new() };
+        Batch { events, next: start.max(self.revision + 1), compacted }
+    }
+
+    fn run(&mut self, step: &Operation) -> Response {
+        match step {
+            Operation::RequestPut(put) => self.put(put),
+            Operation::RequestRange(range) => Response::ResponseRange(self.range(range)),
+            Operation::RequestDeleteRange(Delete { key }) => {
+                self.remove(key);
+                Response::ResponseDeleteRange { header: self.header() }
+            }
+        }
+    }
+
+    fn put(&mut self, put: &Put) -> Response {
+        let before = self.keys.get(&put.key);
+        let create_revision = before.map_or(self.revision, |value| value.create_revision);
+        let version = before.map_or(0, |value| value.version) + 1;
+        let held_by = before.map_or(0, |value| value.lease);
+        self.release(held_by, &put.key);
+        let value = KeyValue {
+            key: put.key.clone(),
+            value: put.value.clone(),
+            create_revision,
+            mod_revision: self.revision,
+            version,
+            lease: put.lease,
+        };
+        self.keys.insert(put.key.clone(), value.clone());
+        if let Some(term) = self.leases.get_mut(&put.lease) {
+            term.keys.insert(put.key.clone());
+        }
+        self.record(WatchEvent { kind: EventKind::Put, kv: value });
+        Response::ResponsePut { header: self.header() }
+    }
+
+    fn remove(&mut self, key: &[u8]) {
+        let Some(before) = self.keys.remove(key) else { return };
+        self.release(before.lease, key);
+        let kv = KeyValue { key: key.to_vec(), mod_revision: self.revision, ..KeyValue::default() };
+        self.record(WatchEvent { kind: EventKind::Delete, kv });
+    }
+
+    fn release(&mut self, lease: i64, key: &[u8]) {
+        if let Some(term) = self.leases.get_mut(&lease) {
+            term.keys.remove(key);
+        }
+    }
+
+    fn record(&mut self, event: WatchEvent) {
+        self.history.push_back(event);
+        if self.history.len() > HISTORY
+            && let Some(lost) = self.history.pop_front()
+        {
+            self.compacted = lost.kv.mod_revision;
+        }
+    }
+
+    fn header(&self) -> Header {
+        Header { revision: self.revision }
+    }
+
+    fn real(&self, seconds: i64) -> Duration {
+        Duration::from_secs_f64(seconds as f64 / self.scale)
+    }
+}
+
+/// Whether a range covers a key; an empty end means the one key.
+fn covers(key: &[u8], range_end: &[u8], candidate: &[u8]) -> bool {
+    match range_end {
+        [] => candidate == key,
+        [0] => candidate >= key,
+        end => candidate >= key && candidate < end,
+    }
+}
+
+fn too_large(step: &Operation) -> bool {
+    matches!(step, Operation::RequestPut(put) if put.value.len() > MAX_VALUE)
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,20 @@
-//! Placeholder head.
+//! Small stand-ins for every system outside of ours, with fault switches.
+//!
+//! Each of [`kv`], [`list`], [`engine`], [`store`] and [`service`] has a `start(Settings)` that
+//! serves its protocol (`docs/PROTOCOLS.md`) on loopback and yields a [`Handle`]: addresses,
+//! [`Counters`] for an oracle, and [`Fault`] switches, which the control port offers over HTTP too.
+//! [`host`] is the only module that knows of an HTTP server.
+
+pub mod counter;
+pub mod engine;
+pub mod exchange;
+pub mod fault;
+pub mod host;
+pub mod kv;
+pub mod list;
+pub mod service;
+pub mod store;
+
+pub use counter::{Counter, Counters};
+pub use fault::Fault;
+pub use host::Handle;
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,290 @@
+//! A plain service that counts what it ran, for each idempotency key and body reference.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+
+use crate::counter::{Counter, Tally};
+use crate::engine::pace::scaled;
+use crate::engine::slots::Slots;
+use crate::engine::warmth::{Entry, Warmth};
+use crate::exchange::{Answer, Body, Call, Reply};
+use crate::fault::Fault;
+use crate::host::{self, Standin, spend};
+
+/// A running plain service.
+pub type Handle = host::Handle<State>;
+
+/// Seconds after which a refused caller may come back.
+const RETRY_AFTER: u32 = 1;
+
+/// How the stand-in is set up; times are model times.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Address of the protocol's port.
+    pub address: SocketAddr,
+    /// Address of the control port.
+    pub control: SocketAddr,
+    /// Its name, shown in answers.
+    pub name: String,
+    /// Number of the first process life.
+    pub incarnation: u64,
+    /// Time that a call runs.
+    pub latency: Duration,
+    /// Calls that run at once.
+    pub slots: usize,
+    /// Calls that wait at most; more are refused as overloaded.
+    pub queue: usize,
+    /// Time that a start takes.
+    pub load_time: Duration,
+    /// How long it stays cold.
+    pub cold_period: Duration,
+    /// Calls that it bears at once while cold.
+    pub cold_limit: usize,
+    /// All model times are divided by it.
+    pub scale: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            control: SocketAddr::from(([127, 0, 0, 1], 0)),
+            name: "service".to_owned(),
+            incarnation: 1,
+            latency: Duration::from_millis(5),
+            slots: 64,
+            queue: 1_024,
+            load_time: Duration::from_millis(600),
+            cold_period: Duration::from_secs(2),
+            cold_limit: 2,
+            scale: 1.0,
+        }
+    }
+}
+
+/// Serves a plain service; fails when a port can't be bound.
+pub async fn start(settings: Settings) -> std::io::Result<Handle> {
+    let (address, control) = (settings.address, settings.control);
+    let state = Arc::new_cyclic(|me| State::new(settings, me.clone()));
+    Handle::start(state, address, control).await
+}
+
+/// How often calls ran.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Runs {
+    /// By idempotency key.
+    pub by_key: BTreeMap<String, u64>,
+    /// By the `reference` in the body.
+    pub by_reference: BTreeMap<String, u64>,
+}
+
+/// What the service says of a run.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Receipt {
+    /// The service.
+    pub service: String,
+    /// The attempt.
+    pub request_id: String,
+    /// Method of the call.
+    pub method: String,
+    /// Path of the call.
+    pub path: String,
+    /// The `reference` in the body.
+    pub reference: Option<String>,
+    /// Number of this run of the key, or else of the reference; one at first.
+    pub run: u64,
+}
+
+#[derive(Deserialize)]
+struct Reference {
+    reference: String,
+}
+
+/// The service's state.
+pub struct State {
+    me: std::sync::Weak<Self>,
+    settings: Settings,
+    tally: Tally,
+    warmth: Mutex<Warmth>,
+    slots: Arc<Slots>,
+    runs: Mutex<Runs>,
+    truncated: AtomicU32,
+}
+
+impl State {
+    fn new(settings: Settings, me: std::sync::Weak<Self>) -> Self {
+        Self {
+            me,
+            tally: Tally::default(),
+            warmth: Mutex::new(Warmth::new(settings.incarnation)),
+            slots: Slots::new(settings.slots),
+            runs: Mutex::default(),
+            truncated: AtomicU32::new(0),
+            settings,
+        }
+    }
+
+    /// How often calls ran so far.
+    pub fn runs(&self) -> Runs {
+        self.runs.lock().clone()
+    }
+
+    async fn run(self: Arc<Self>, call: &Call) -> Reply {
+        let place = self.enter()?;
+        let slot = self.slots.take(0).await;
+        place.alive()?;
+        let receipt = self.count(call);
+        tokio::time::sleep(scaled(self.settings.latency, self.settings.scale)).await;
+        place.alive()?;
+        drop(slot);
+        self.tally.count(Counter::Finished);
+        let mut answer = Answer::json(StatusCode::OK, &receipt).with_effect();
+        if spend(&self.truncated)
+            && let Body::Whole(body) = &mut answer.body
+        {
+            body.truncate(body.len() / 2);
+        }
+        Ok(answer)
+    }
+
+    /// Counts a run; its receipt.
+    fn count(&self, call: &Call) -> Receipt {
+        self.tally.count(Counter::Started);
+        let reference = call.json::<Reference>().ok().map(|body| body.reference);
+        let key = call.header("idempotency-key");
+        let mut runs = self.runs.lock();
+        let by_key = (!key.is_empty()).then(|| raise(&mut runs.by_key, key));
+        let by_reference = reference.as_ref().map(|name| raise(&mut runs.by_reference, name));
+        let run = by_key.or(by_reference).unwrap_or(1);
+        if run > 1 && !call.method.is_safe() {
+            self.tally.count(Counter::Duplicates);
+        }
+        Receipt {
+            service: self.settings.name.clone(),
+            request_id: call.header("x-request-id").to_owned(),
+            method: call.method.to_string(),
+            path: call.path.clone(),
+            reference,
+            run,
+        }
+    }
+
+    fn enter(self: &Arc<Self>) -> Result<Place, Answer> {
+        let mut warmth = self.warmth.lock();
+        let limit = self.settings.slots + self.settings.queue;
+        let entry = warmth.enter(limit, self.settings.cold_limit);
+        if warmth.is_cold() {
+            self.tally.raise(Counter::ColdPeak, warmth.in_flight as u64);
+        }
+        let life = warmth.incarnation;
+        let running = warmth.in_flight as u64;
+        drop(warmth);
+        match entry {
+            Entry::Admitted => {
+                self.tally.raise(Counter::RunningPeak, running);
+                return Ok(Place { service: self.clone(), life });
+            }
+            Entry::FellOver => {
+                self.tally.count(Counter::ColdExcess);
+                self.tally.count(Counter::FellOver);
+                self.restart();
+                return Err(Answer::cut());
+            }
+            Entry::Loading => Err(refused("cold")),
+            Entry::Leaving => Err(refused("leaving")),
+            Entry::Overloaded => Err(refused("overloaded")),
+        }
+        .inspect_err(|_| self.tally.count(Counter::Refused))
+    }
+
+    fn restart(&self) {
+        let Some(me) = self.me.upgrade() else { return };
+        self.tally.count(Counter::Restarts);
+        let mut warmth = self.warmth.lock();
+        warmth.restart();
+        let life = warmth.incarnation;
+        tokio::spawn(async move {
+            let settings = &me.settings;
+            tokio::time::sleep(scaled(settings.load_time, settings.scale)).await;
+            let mut warmth = me.warmth.lock();
+            if warmth.incarnation == life {
+                warmth.turn_cold(scaled(settings.cold_period, settings.scale));
+            }
+        });
+    }
+}
+
+/// A call's place in the service, waiting or running.
+struct Place {
+    service: Arc<State>,
+    life: u64,
+}
+
+impl Place {
+    /// Breaks off when the process life has ended.
+    fn alive(&self) -> Result<(), Answer> {
+        let now = self.service.warmth.lock().incarnation;
+        if now == self.life { Ok(()) } else { Err(Answer::cut()) }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut warmth = self.service.warmth.lock();
+        if warmth.incarnation == self.life {
+            warmth.in_flight = warmth.in_flight.saturating_sub(1);
+        }
+    }
+}
+
+impl Standin for State {
+    const NAME: &'static str = "service";
+
+    fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
+    async fn respond(self: Arc<Self>, call: Call) -> Answer {
+        let request_id = call.header("x-request-id").to_owned();
+        let incarnation = self.warmth.lock().incarnation;
+        let answer = self.run(&call).await.unwrap_or_else(|refusal| refusal);
+        answer.with("x-request-id", request_id).with("x-incarnation", incarnation)
+    }
+
+    fn fault(&self, fault: &Fault) -> bool {
+        match fault {
+            Fault::Cold => {
+                let period = scaled(self.settings.cold_period, self.settings.scale);
+                self.warmth.lock().turn_cold(period);
+            }
+            Fault::Restart => self.restart(),
+            Fault::Leaving { on } => self.warmth.lock().leaving = *on,
+            Fault::TruncatedAnswer { times } => self.truncated.store(*times, Ordering::Relaxed),
+            _ => return false,
+        }
+        true
+    }
+
+    fn control(&self, call: &Call) -> Option<Answer> {
+        let asked = (&call.method, call.path.as_str()) == (&Method::GET, "/runs");
+        asked.then(|| Answer::json(StatusCode::OK, &self.runs()))
+    }
+}
+
+fn raise(runs: &mut BTreeMap<String, u64>, name: &str) -> u64 {
+    let run = runs.entry(name.to_owned()).or_default();
+    *run += 1;
+    *run
+}
+
+fn refused(code: &str) -> Answer {
+    let message = "the call was not run";
+    Answer::error(StatusCode::SERVICE_UNAVAILABLE, code, message).with("retry-after", RETRY_AFTER)
+}
--- /dev/null
+++ b/crates/store/tests/client.rs
@@ -0,0 +1,157 @@
+//! The store client against its stand-in, with each fault.
+
+use std::time::Duration;
+
+use acacia_policy::request::BlockKey;
+use acacia_standin::{Counter, Fault, store};
+use acacia_store::{Client, Error, Manifest, Meta};
+use bytes::Bytes;
+
+const KEY: BlockKey = [7; 32];
+const OTHER: BlockKey = [8; 32];
+const BODY: Bytes = Bytes::from_static(b"the bytes of a block");
+
+fn meta() -> Meta {
+    Meta { logical_bytes: 1_000, version: "v1".into() }
+}
+
+async fn pair() -> (store::Handle, Client) {
+    pair_of(store::Settings::default()).await
+}
+
+async fn pair_of(settings: store::Settings) -> (store::Handle, Client) {
+    let standin = store::start(settings).await.expect("a loopback port");
+    let client = Client::new(standin.address);
+    (standin, client)
+}
+
+async fn saved() -> (store::Handle, Client, Manifest) {
+    let (standin, client) = pair().await;
+    let manifest = client.save(&KEY, BODY, meta()).await.expect("a saved block");
+    (standin, client, manifest)
+}
+
+#[tokio::test]
+async fn save_find_fetch() {
+    let (standin, client, manifest) = saved().await;
+    let found = client.find(&[OTHER, KEY]).await.unwrap();
+    assert_eq!(found.incarnation, 1);
+    assert_eq!(found.manifests, [None, Some(manifest.clone())]);
+    assert_eq!(manifest.logical_bytes, 1_000);
+    assert_eq!(client.fetch(&KEY, &manifest).await, Ok(BODY));
+    assert_eq!(standin.count(Counter::BlockBytesRead), 1_000);
+    client.remove(&KEY).await.unwrap();
+    assert_eq!(client.find(&[KEY]).await.unwrap().manifests, [None]);
+    assert_eq!(client.fetch(&KEY, &manifest).await, Err(Error::Missing));
+}
+
+#[tokio::test]
+async fn fetch_torn() {
+    let (standin, client, manifest) = saved().await;
+    standin.fault(Fault::TornBlock { times: 1 }).unwrap();
+    assert_eq!(client.fetch(&KEY, &manifest).await, Err(Error::Torn));
+    assert_eq!(client.fetch(&KEY, &manifest).await, Ok(BODY));
+}
+
+#[tokio::test]
+async fn fetch_overwritten() {
+    let (standin, client, manifest) = saved().await;
+    standin.fault(Fault::OverwrittenBlock { times: 1 }).unwrap();
+    assert_eq!(client.fetch(&KEY, &manifest).await, Err(Error::Torn));
+    // Another writer's bytes under the manifest that was found first.
+    let later = client.save(&KEY, Bytes::from_static(b"other bytes"), meta()).await.unwrap();
+    assert_eq!(client.fetch(&KEY, &manifest).await, Err(Error::Torn));
+    assert!(client.fetch(&KEY, &later).await.is_ok());
+}
+
+#[tokio::test]
+async fn fetch_after_restart() {
+    let (standin, client, manifest) = saved().await;
+    standin.fault(Fault::Restart).unwrap();
+    let found = client.find(&[KEY]).await.unwrap();
+    assert_eq!((found.incarnation, found.manifests), (2, vec![None]));
+    assert_eq!(client.fetch(&KEY, &manifest).await, Err(Error::Missing));
+    client.save(&KEY, BODY, meta()).await.unwrap();
+    assert_eq!(client.fetch(&KEY, &manifest).await, Err(Error::Stale));
+}
+
+#[tokio::test]
+async fn find_stale_manifests() {
+    let (standin, client, manifest) = saved().await;
+    standin.fault(Fault::StaleManifests).unwrap();
+    let found = client.find(&[KEY]).await.unwrap();
+    assert_eq!((found.incarnation, found.manifests), (2, vec![None]));
+    assert_eq!(client.fetch(&KEY, &manifest).await, Err(Error::Missing));
+}
+
+#[tokio::test]
+async fn save_full() {
+    let (standin, client) = pair().await;
+    standin.fault(Fault::Full { on: true }).unwrap();
+    assert_eq!(client.save(&KEY, BODY, meta()).await, Err(Error::Full));
+    assert_eq!(client.find(&[KEY]).await.unwrap().manifests, [None]);
+    assert_eq!(standin.count(Counter::ManifestWrites), 0);
+    standin.fault(Fault::Full { on: false }).unwrap();
+    assert!(client.save(&KEY, BODY, meta()).await.is_ok());
+}
+
+#[tokio::test]
+async fn save_beyond_tiers() {
+    let settings =
+        store::Settings { memory_bytes: 1_000, disk_bytes: 1_000, ..store::Settings::default() };
+    let (standin, client) = pair_of(settings).await;
+    let first = client.save(&KEY, BODY, meta()).await.unwrap();
+    client.save(&OTHER, BODY, meta()).await.unwrap();
+    assert_eq!(client.fetch(&KEY, &first).await, Ok(BODY));
+    assert_eq!(standin.count(Counter::DiskReads), 1);
+    assert_eq!(client.save(&[9; 32], BODY, meta()).await, Err(Error::Full));
+    client.remove(&OTHER).await.unwrap();
+    assert!(client.save(&[9; 32], BODY, meta()).await.is_ok());
+}
+
+#[tokio::test]
+async fn save_evicts_oldest() {
+    let settings = store::Settings {
+        memory_bytes: 1_000,
+        disk_bytes: 0,
+        evicts: true,
+        ..store::Settings::default()
+    };
+    let (_standin, client) = pair_of(settings).await;
+    let first = client.save(&KEY, BODY, meta()).await.unwrap();
+    client.save(&OTHER, BODY, meta()).await.unwrap();
+    assert_eq!(client.find(&[KEY]).await.unwrap().manifests, [None]);
+    assert_eq!(client.fetch(&KEY, &first).await, Err(Error::Missing));
+}
+
+#[tokio::test]
+async fn save_answer_lost() {
+    let (standin, client) = pair().await;
+    standin.fault(Fault::LostAnswer { times: 1 }).unwrap();
+    let lost = client.save(&KEY, BODY, meta()).await;
+    assert!(matches!(lost, Err(Error::Unreachable(_))));
+    // The bytes are there, but nothing makes them readable.
+    assert_eq!(standin.count(Counter::BlockWrites), 1);
+    assert_eq!(client.find(&[KEY]).await.unwrap().manifests, [None]);
+}
+
+#[tokio::test]
+async fn find_unreachable() {
+    let (standin, client, manifest) = saved().await;
+    standin.fault(Fault::Unreachable { on: true }).unwrap();
+    while tokio::net::TcpStream::connect(standin.address).await.is_ok() {
+        tokio::task::yield_now().await;
+    }
+    assert!(matches!(client.find(&[KEY]).await, Err(Error::Unreachable(_))));
+    let fetched = client.fetch(&KEY, &manifest).await;
+    assert!(matches!(fetched, Err(Error::Unreachable(_))));
+}
+
+#[tokio::test]
+async fn fetch_frozen() {
+    let (standin, client, manifest) = saved().await;
+    standin.fault(Fault::Frozen { on: true }).unwrap();
+    let client = client.with_timeout(Duration::from_millis(20));
+    let fetched = client.fetch(&KEY, &manifest).await;
+    assert!(matches!(fetched, Err(Error::Unreachable(_))));
+}
