--- a/crates/policy/tests/dispatch_world/mod.rs
+++ b/crates/policy/tests/dispatch_world/mod.rs
@@ -222,6 +222,7 @@
             stores: BTreeMap::new(),
             daemons,
             ready: true,
+            ..Snapshot::default()
         })
     }
 
