--- /dev/null
+++ b/crates/caller/src/error.rs
@@ -0,0 +1,163 @@
+//! Errors as callers see them.
+
+use std::time::Duration;
+
+use acacia_policy::Verdict;
+use acacia_policy::dispatch::{Reason, Refusal};
+use http::StatusCode;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::trace::Trace;
+
+/// Header that tells whether a request may have run.
+pub const VERDICT: &str = "x-acacia-verdict";
+
+/// A request that was not answered.
+#[derive(Clone, Debug, Error, PartialEq)]
+#[error("{code}: {message}")]
+pub struct Error {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Short name of the error, stable for programs.
+    pub code: &'static str,
+    /// What happened.
+    pub message: String,
+    /// What the caller can do.
+    pub hint: &'static str,
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl Error {
+    /// An error in the request itself.
+    pub fn invalid(message: impl Into<String>, hint: &'static str) -> Self {
+        Self::new(StatusCode::BAD_REQUEST, "invalid_request", message, hint)
+    }
+
+    /// No such thing, or none that this organisation may know of.
+    pub fn not_found(what: &str, name: &str) -> Self {
+        let message = format!("there is no {what} `{name}`");
+        Self::new(StatusCode::NOT_FOUND, "not_found", message, "check the name, or list the models")
+    }
+
+    /// The API key is missing or unknown.
+    pub fn unauthorized() -> Self {
+        let hint = "send `authorization: Bearer KEY` with a key that is in force";
+        Self::new(StatusCode::UNAUTHORIZED, "unauthorized", "the API key is not valid", hint)
+    }
+
+    /// The body is larger than is taken.
+    pub fn too_large(limit: usize) -> Self {
+        let message = format!("the body is larger than {limit} bytes");
+        Self::new(StatusCode::PAYLOAD_TOO_LARGE, "too_large", message, "send a smaller body")
+    }
+
+    /// An upstream found fault with the request.
+    pub fn rejected(status: StatusCode, message: String) -> Self {
+        Self::new(status, "rejected", message, "mend the request as the message says")
+    }
+
+    /// An error of a request that did not run.
+    fn new(
+        status: StatusCode,
+        code: &'static str,
+        message: impl Into<String>,
+        hint: &'static str,
+    ) -> Self {
+        let (message, verdict) = (message.into(), Verdict::NotRun);
+        Self { status, code, message, hint, verdict, retry_after: None }
+    }
+
+    /// The JSON body.
+    pub fn body(&self, trace: &Trace) -> Vec<u8> {
+        let detail = Detail {
+            code: self.code,
+            message: &self.message,
+            hint: self.hint,
+            verdict: self.verdict,
+            trace_id: trace.to_string(),
+        };
+        // A struct of strings always serializes.
+        serde_json::to_vec(&Body { error: detail }).unwrap_or_default()
+    }
+}
+
+impl From<Refusal> for Error {
+    fn from(refusal: Refusal) -> Self {
+        let (status, message, hint) = describe(refusal.reason);
+        Self {
+            verdict: refusal.verdict,
+            retry_after: refusal.retry_after,
+            ..Self::new(status, refusal.reason.into(), message, hint)
+        }
+    }
+}
+
+/// Body of every error.
+#[derive(Serialize)]
+struct Body<'a> {
+    error: Detail<'a>,
+}
+
+/// What went wrong.
+#[derive(Serialize)]
+struct Detail<'a> {
+    code: &'a str,
+    message: &'a str,
+    hint: &'a str,
+    verdict: Verdict,
+    trace_id: String,
+}
+
+/// Status, message and hint of a reason.
+fn describe(reason: Reason) -> (StatusCode, &'static str, &'static str) {
+    const AGAIN: &str = "send it again after the time in `retry-after`";
+    const VERDICT: &str = "read the verdict before you send it again";
+    match reason {
+        Reason::Overloaded => {
+            (StatusCode::SERVICE_UNAVAILABLE, "too much work at the moment", AGAIN)
+        }
+        Reason::Cold => (StatusCode::SERVICE_UNAVAILABLE, "the upstreams are starting", AGAIN),
+        Reason::Leaving => (StatusCode::SERVICE_UNAVAILABLE, "the upstream is leaving", AGAIN),
+        Reason::WrongVersion => {
+            (StatusCode::SERVICE_UNAVAILABLE, "the weight version is being loaded", AGAIN)
+        }
+        Reason::NoUpstream => {
+            (StatusCode::SERVICE_UNAVAILABLE, "no upstream can serve it at the moment", AGAIN)
+        }
+        Reason::QueueFull => {
+            (StatusCode::TOO_MANY_REQUESTS, "the organisation's queue is full", AGAIN)
+        }
+        Reason::Deadline => {
+            (StatusCode::SERVICE_UNAVAILABLE, "it can't be served before its deadline", AGAIN)
+        }
+        Reason::ClaimUnavailable => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the idempotency key can't be recorded at the moment",
+            "send it again with the same key",
+        ),
+        Reason::KeyMismatch => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "the idempotency key was used for another request",
+            "use a new key for a new request",
+        ),
+        Reason::Repeated => (
+            StatusCode::CONFLICT,
+            "a request with this key was sent before and its answer is not held",
+            VERDICT,
+        ),
+        Reason::Stopping => {
+            (StatusCode::SERVICE_UNAVAILABLE, "this instance is stopping", "send it again")
+        }
+        Reason::NotReady => {
+            (StatusCode::SERVICE_UNAVAILABLE, "this instance is starting", "send it again")
+        }
+        Reason::Interrupted => (StatusCode::BAD_GATEWAY, "the upstream broke off", VERDICT),
+        Reason::RetriesSpent => {
+            (StatusCode::BAD_GATEWAY, "the upstreams failed several times", VERDICT)
+        }
+    }
+}
