Answer that tells when its caller left

Cause: a receiver alone doesn't wake the daemon when a queued caller leaves. Change: answers carry a guard that is dropped with them. Conclusion: no watcher task for each request.

--- a/crates/caller/src/answer.rs
+++ b/crates/caller/src/answer.rs
@@ -2,9 +2,18 @@
 
 use acacia_catalog::tokenizer::Token;
 use bytes::Bytes;
+use tokio::sync::mpsc;
 
 use crate::error::Error;
 
+/// A completion's answer as it comes.
+pub struct Answer {
+    /// Its parts. The channel is bounded, so that a slow reader holds the sender back.
+    pub deltas: mpsc::Receiver<Delta>,
+    /// Dropped with the answer, which is how the daemon learns that the caller left.
+    pub guard: Box<dyn Send + Sync>,
+}
+
 /// A part of a completion's answer.
 #[derive(Clone, Debug)]
 pub enum Delta {
--- a/crates/caller/src/backend.rs
+++ b/crates/caller/src/backend.rs
@@ -7,9 +7,8 @@
 use acacia_catalog::tokenizer::Token;
 use bytes::Bytes;
 use http::Method;
-use tokio::sync::mpsc;
 
-use crate::answer::{Delta, Whole};
+use crate::answer::{Answer, Whole};
 use crate::error::Error;
 use crate::trace::Trace;
 
@@ -24,11 +23,11 @@
     /// The models that an organisation may use.
     fn models(&self, organisation: &OrganisationId) -> Vec<ModelId>;
 
-    /// Starts a completion. Dropping the receiver tells that the caller left.
+    /// Starts a completion. Dropping the answer tells that the caller left.
     fn complete(
         &self,
         completion: Completion,
-    ) -> impl Future<Output = Result<mpsc::Receiver<Delta>, Error>> + Send;
+    ) -> impl Future<Output = Result<Answer, Error>> + Send;
 
     /// Calls a plain service. Dropping the future tells that the caller left.
     fn call(&self, call: Call) -> impl Future<Output = Result<Whole, Error>> + Send;
--- a/crates/caller/src/route/completion.rs
+++ b/crates/caller/src/route/completion.rs
@@ -11,11 +11,10 @@
 use salvo::http::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
 use salvo::http::{Request, Response};
 use salvo::{Depot, FlowCtrl, Handler, async_trait};
-use tokio::sync::mpsc;
 
 use super::{fail, json, organisation, payload, trace};
 use crate::Backend;
-use crate::answer::{Delta, Usage};
+use crate::answer::{self, Delta, Usage};
 use crate::backend;
 use crate::body::{Answer, Choice, Completion, Kind, Output, Speech};
 use crate::error::Error;
@@ -64,13 +63,13 @@
         let (model, adapter) = (body.model.clone(), body.adapter.clone());
         let completion =
             backend::Completion { organisation, model, adapter, prompt, max_tokens, trace };
-        let mut deltas = self.backend.complete(completion).await?;
-        let first = first(&mut deltas).await?;
+        let mut answer = self.backend.complete(completion).await?;
+        let first = first(&mut answer).await?;
         let writer = Writer::new(self.kind, trace, body);
         if writer.stream {
-            events(response, writer, first, deltas);
+            events(response, writer, first, answer);
         } else {
-            let whole = collect(&writer, first, deltas).await?;
+            let whole = collect(&writer, first, answer).await?;
             json(response, whole);
         }
         Ok(())
@@ -78,8 +77,8 @@
 }
 
 /// The first part of an answer; until it comes, a refusal is still an error status.
-async fn first(deltas: &mut mpsc::Receiver<Delta>) -> Result<Delta, Error> {
-    match deltas.recv().await {
+async fn first(answer: &mut answer::Answer) -> Result<Delta, Error> {
+    match answer.deltas.recv().await {
         Some(Delta::Failed(error)) => Err(error),
         Some(delta) => Ok(delta),
         None => Err(interrupted()),
@@ -94,17 +93,13 @@
 }
 
 /// Answers with events as they come.
-fn events(
-    response: &mut Response,
-    writer: Writer,
-    first: Delta,
-    deltas: mpsc::Receiver<Delta>,
-) {
+fn events(response: &mut Response, writer: Writer, first: Delta, answer: answer::Answer) {
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
     headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
-    let state = (writer, deltas, Some(first));
-    response.stream(stream::unfold(state, |(writer, mut deltas, first)| async move {
+    let state = (writer, answer, Some(first));
+    response.stream(stream::unfold(state, |(writer, mut answer, first)| async move {
+        let deltas = &mut answer.deltas;
         let delta = match first {
             Some(delta) => Some(delta),
             None if deltas.is_closed() && deltas.is_empty() => None,
@@ -115,7 +110,7 @@
         if last {
             deltas.close();
         }
-        Some((Ok::<_, Infallible>(bytes), (writer, deltas, None)))
+        Some((Ok::<_, Infallible>(bytes), (writer, answer, None)))
     }));
 }
 
@@ -123,7 +118,7 @@
 async fn collect(
     writer: &Writer,
     first: Delta,
-    mut deltas: mpsc::Receiver<Delta>,
+    mut answer: answer::Answer,
 ) -> Result<Vec<u8>, Error> {
     let (mut text, mut all) = (String::new(), Vec::new());
     let mut next = Some(first);
@@ -139,7 +134,7 @@
             Some(Delta::Failed(error)) => return Err(error),
             None => return Err(interrupted()),
         }
-        next = deltas.recv().await;
+        next = answer.deltas.recv().await;
     }
 }
 
@@ -232,4 +227,3 @@
         serde_json::to_vec(&answer).unwrap_or_default()
     }
 }
-
--- a/crates/upstream/src/engine/admin.rs
+++ b/crates/upstream/src/engine/admin.rs
@@ -194,8 +194,9 @@
 
 impl<'a> OrderBody<'a> {
     fn new(order: &'a Order) -> Self {
-        let (OrderDuty::LoadVersion(name) | OrderDuty::LoadAdapter(name) | OrderDuty::SetRole(name)) =
-            &order.duty;
+        let (OrderDuty::LoadVersion(name)
+        | OrderDuty::LoadAdapter(name)
+        | OrderDuty::SetRole(name)) = &order.duty;
         Self { order: (&order.duty).into(), name, fence: order.fence, order_id: &order.id }
     }
 }
--- a/crates/upstream/src/engine/mod.rs
+++ b/crates/upstream/src/engine/mod.rs
@@ -126,10 +126,8 @@
         attempt: AttemptId,
         body: &impl Serialize,
     ) -> Result<reqwest::Response, Failure> {
-        let request = self
-            .request(Method::POST, path)
-            .header(REQUEST_ID, attempt_name(attempt))
-            .json(body);
+        let request =
+            self.request(Method::POST, path).header(REQUEST_ID, attempt_name(attempt)).json(body);
         accept(request).await
     }
 
--- a/crates/upstream/src/service.rs
+++ b/crates/upstream/src/service.rs
@@ -108,4 +108,3 @@
         incarnation: pool::incarnation(headers),
     })
 }
-
