--- a/crates/caller/src/route/completion.rs
+++ b/crates/caller/src/route/completion.rs
@@ -1,6 +1,6 @@
 //! Completions, streamed and whole.
 
-use std::convert::Infallible;
+use std::io;
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -97,20 +97,20 @@
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
     headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
-    let state = (writer, answer, Some(first));
-    response.stream(stream::unfold(state, |(writer, mut answer, first)| async move {
-        let deltas = &mut answer.deltas;
-        let delta = match first {
+    let state = Some((writer, answer, Some(first)));
+    response.stream(stream::unfold(state, |state| async move {
+        let (writer, mut answer, first) = state?;
+        let next = match first {
             Some(delta) => Some(delta),
-            None if deltas.is_closed() && deltas.is_empty() => None,
-            None => deltas.recv().await,
-        }?;
-        let last = !matches!(delta, Delta::Output { .. });
+            None => answer.deltas.recv().await,
+        };
+        // Without its end an answer must not look whole, so the connection is cut.
+        let Some(delta) = next else {
+            return Some((Err(io::Error::other("the answer was cut")), None));
+        };
         let bytes = Bytes::from(writer.event(&delta));
-        if last {
-            deltas.close();
-        }
-        Some((Ok::<_, Infallible>(bytes), (writer, answer, None)))
+        let open = matches!(delta, Delta::Output { .. });
+        Some((Ok(bytes), open.then_some((writer, answer, None))))
     }));
 }
 
--- /dev/null
+++ b/crates/daemon/src/control.rs
@@ -0,0 +1,220 @@
+//! The control thread: owns [`Control`] and does what it asks.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use acacia_platform::kv;
+use acacia_policy::control::{
+    Action, ChangeOutcome, Control, Event, Line, OrderOutcome, TICK, Ticket,
+};
+use acacia_policy::dispatch;
+use acacia_policy::message::Envelope;
+use parking_lot::Mutex;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{MissedTickBehavior, interval};
+use tokio_util::sync::CancellationToken;
+use tracing::Instrument;
+
+use crate::operator::Memory;
+use crate::traffic::Traffic;
+
+/// Events handled before messages to peers are sent off.
+const BATCH: usize = 256;
+
+/// Operators' questions that control has not answered.
+#[derive(Default)]
+pub struct Questions {
+    /// Changes of the configuration.
+    pub changes: Mutex<HashMap<Ticket, oneshot::Sender<ChangeOutcome>>>,
+    /// Orders to upstreams.
+    pub orders: Mutex<HashMap<Ticket, oneshot::Sender<OrderOutcome>>>,
+}
+
+/// What the control thread needs.
+pub struct Thread {
+    /// The machine.
+    pub control: Control,
+    /// Events from traffic, peers and operators.
+    pub inbox: mpsc::Receiver<Event>,
+    /// What traffic shares.
+    pub traffic: Arc<Traffic>,
+    /// The key-value service.
+    pub kv: kv::Client,
+    /// Other daemons.
+    pub peers: acacia_peer::Client,
+    /// Operators' questions.
+    pub questions: Arc<Questions>,
+    /// What operators are told of earlier changes.
+    pub memory: Arc<Memory>,
+    /// Set once everything is handed over.
+    pub stopped: watch::Sender<bool>,
+    /// Ends the thread.
+    pub killed: CancellationToken,
+}
+
+impl Thread {
+    /// Starts the thread.
+    pub fn spawn(self) -> io::Result<JoinHandle<()>> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let killed = self.killed.clone();
+        std::thread::Builder::new().name("control".to_owned()).spawn(move || {
+            runtime.block_on(async {
+                tokio::select! {
+                    () = killed.cancelled() => {}
+                    () = self.run() => {}
+                }
+            });
+        })
+    }
+
+    async fn run(mut self) {
+        let (answers, mut answered) = mpsc::unbounded_channel();
+        let mut ticks = interval(TICK / 2);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut meter = Meter::default();
+        let mut events = Vec::with_capacity(BATCH);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {
+                    events.push(Event::Tick);
+                    meter.count(&self);
+                }
+                Some(answer) = answered.recv() => events.push(answer),
+                count = self.inbox.recv_many(&mut events, BATCH) => {
+                    if count == 0 {
+                        return;
+                    }
+                }
+            }
+            let mut letters: HashMap<SocketAddr, Vec<Envelope>> = HashMap::new();
+            for event in events.drain(..) {
+                for action in self.control.step(self.traffic.clock.now(), event) {
+                    match action {
+                        Action::Send(peer, envelope) => {
+                            letters.entry(peer).or_default().push(envelope);
+                        }
+                        action => self.perform(action, &answers),
+                    }
+                }
+            }
+            self.send(letters);
+        }
+    }
+
+    /// Sends what one round of events gave, a batch for each peer.
+    fn send(&self, letters: HashMap<SocketAddr, Vec<Envelope>>) {
+        for (peer, batch) in letters {
+            let peers = self.peers.clone();
+            let span = tracing::debug_span!("peer", %peer, messages = batch.len());
+            // A lost batch is counted by the client.
+            tokio::spawn(async move { peers.send(peer, &batch).await }.instrument(span));
+        }
+    }
+
+    fn perform(&self, action: Action, answers: &mpsc::UnboundedSender<Event>) {
+        let traffic = &self.traffic;
+        match action {
+            Action::Kv(call, request) => {
+                let (kv, answers) = (self.kv.clone(), answers.clone());
+                tokio::spawn(async move {
+                    // Fails only when the thread ends.
+                    let _ = answers.send(Event::Kv(call, kv.call(request).await));
+                });
+            }
+            Action::Publish(snapshot) => {
+                self.memory.note(&snapshot, &self.control.root().history);
+                traffic.publish(snapshot);
+            }
+            Action::Permit(permit) => traffic.step(dispatch::Event::Permit(permit)),
+            Action::PermitRefused { upstream, retry_after } => {
+                traffic.step(dispatch::Event::PermitRefused(upstream, retry_after));
+            }
+            Action::Claimed(ticket, outcome) => {
+                traffic.step(dispatch::Event::Claimed(ticket, outcome));
+            }
+            Action::Changed(ticket, outcome) => {
+                answer(&self.questions.changes, ticket, outcome);
+            }
+            Action::OrderEnded(ticket, outcome) => {
+                answer(&self.questions.orders, ticket, outcome);
+            }
+            Action::Order(order) => {
+                let (traffic, answers) = (traffic.clone(), answers.clone());
+                tokio::spawn(async move {
+                    let outcome = match traffic.engine(&order.upstream) {
+                        Some(client) => client.order(&order).await,
+                        None => OrderOutcome::Failed,
+                    };
+                    let _ = answers.send(Event::Ordered(order, outcome));
+                });
+            }
+            Action::Log(line) => log(&line),
+            Action::Stopped => {
+                self.stopped.send_replace(true);
+            }
+            Action::Send(..) => {}
+        }
+    }
+}
+
+/// Answers an operator's question, unless the operator left.
+fn answer<T>(questions: &Mutex<HashMap<Ticket, oneshot::Sender<T>>>, ticket: Ticket, outcome: T) {
+    if let Some(sender) = questions.lock().remove(&ticket) {
+        let _ = sender.send(outcome);
+    }
+}
+
+/// One line for each change of state.
+fn log(line: &Line) {
+    let kind: &'static str = line.into();
+    tracing::info!(kind, detail = ?line, "state");
+}
+
+/// What the counters of clients and of the thread last showed.
+#[derive(Default)]
+struct Meter {
+    ticks: u32,
+    nanos: u64,
+    calls: HashMap<&'static str, u64>,
+    bytes: u64,
+    messages: u64,
+}
+
+/// Ticks between two readings of counters.
+const METER_TICKS: u32 = 20;
+
+impl Meter {
+    /// Carries counters over to the metrics, now and then.
+    fn count(&mut self, thread: &Thread) {
+        self.ticks += 1;
+        if self.ticks % METER_TICKS != 0 {
+            return;
+        }
+        let metrics = &thread.traffic.metrics;
+        if let Some(nanos) = thread_nanos() {
+            let seconds = (nanos - self.nanos.min(nanos)) as f64 / 1e9;
+            metrics.control_seconds.add(seconds, &[]);
+            self.nanos = nanos;
+        }
+        for (kind, count) in thread.kv.counts().iter() {
+            let kind: &'static str = kind.into();
+            let before = self.calls.insert(kind, count).unwrap_or_default();
+            let label = opentelemetry::KeyValue::new("kind", kind);
+            metrics.kv_calls.add(count - before, &[label]);
+        }
+        let sent = thread.peers.counters();
+        let (bytes, messages) = (sent.bytes.get(), sent.messages.get());
+        metrics.peer_bytes.add(bytes - self.bytes, &[]);
+        metrics.peer_messages.add(messages - self.messages, &[]);
+        (self.bytes, self.messages) = (bytes, messages);
+    }
+}
+
+/// Processor time of this thread, where the system tells it.
+fn thread_nanos() -> Option<u64> {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").ok()?;
+    text.split_whitespace().next()?.parse().ok()
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,55 @@
-//! The daemon of an entry instance.
+//! `acaciad`, the daemon of an entry instance.
 
-fn main() {}
+use std::path::PathBuf;
+
+use acacia_daemon::{Daemon, Settings, telemetry};
+use bpaf::Bpaf;
+use miette::IntoDiagnostic;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// The daemon of an entry instance of acaciaarch.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, version)]
+struct Arguments {
+    /// The settings, in JSON
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+    /// Check the settings and end
+    check: bool,
+}
+
+fn main() -> miette::Result<()> {
+    let arguments = arguments().run();
+    let settings = Settings::read(&arguments.settings)?;
+    if arguments.check {
+        println!("{}: the settings are good", arguments.settings.display());
+        return Ok(());
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.into_diagnostic()?.block_on(run(settings))
+}
+
+async fn run(settings: Settings) -> miette::Result<()> {
+    let traces = telemetry::start(&settings)?;
+    let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
+    let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
+    let running = Daemon::start(settings)?;
+    tracing::info!(
+        caller = %running.caller_address(),
+        operator = %running.operator_address(),
+        peer = %running.peer_address(),
+        "started"
+    );
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    tracing::info!("stopping");
+    running.stop().await;
+    tracing::info!("stopped");
+    if let Some(traces) = traces {
+        // Traces that don't leave are lost with the process.
+        let _ = tokio::task::spawn_blocking(move || traces.shutdown()).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/operator.rs
@@ -0,0 +1,143 @@
+//! What the administration API needs of the daemon.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use acacia_catalog::Set;
+use acacia_catalog::id::{DaemonId, Revision};
+use acacia_operator::call::{Force, Past};
+use acacia_operator::{Backend, Status};
+use acacia_platform::kv;
+use acacia_policy::Snapshot;
+use acacia_policy::control::{Change, ChangeOutcome, Event, Order, OrderOutcome, Record, Ticket};
+use parking_lot::Mutex;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::control::Questions;
+use crate::traffic::Traffic;
+
+/// Earlier configurations that are remembered for diffs and rollbacks.
+const REMEMBERED: usize = 16;
+
+/// What control last told of accepted changes.
+#[derive(Default)]
+pub struct Memory {
+    /// Accepted changes, oldest first.
+    history: Mutex<Vec<Record>>,
+    /// The latest configurations, oldest first.
+    sets: Mutex<VecDeque<(Revision, Arc<Set>)>>,
+}
+
+impl Memory {
+    /// Takes what control shows with a snapshot.
+    pub fn note(&self, snapshot: &Snapshot, history: &[Record]) {
+        let mut sets = self.sets.lock();
+        if sets.back().is_some_and(|(revision, _)| *revision >= snapshot.revision) {
+            return;
+        }
+        sets.push_back((snapshot.revision, snapshot.set.clone()));
+        if sets.len() > REMEMBERED {
+            sets.pop_front();
+        }
+        *self.history.lock() = history.to_vec();
+    }
+}
+
+/// The daemon as operators' routes see it.
+pub struct Operators {
+    /// This daemon.
+    pub daemon: DaemonId,
+    /// What traffic shares.
+    pub traffic: Arc<Traffic>,
+    /// Events for the control thread.
+    pub control: mpsc::Sender<Event>,
+    /// Questions that control has not answered.
+    pub questions: Arc<Questions>,
+    /// What control last told.
+    pub memory: Arc<Memory>,
+    /// The key-value service, for its counters.
+    pub kv: kv::Client,
+}
+
+impl Operators {
+    /// Asks control and waits for its answer; absent when the daemon ends first.
+    async fn ask<T>(
+        &self,
+        questions: &Mutex<std::collections::HashMap<Ticket, oneshot::Sender<T>>>,
+        event: impl FnOnce(Ticket) -> Event,
+    ) -> Option<T> {
+        let ticket = self.traffic.ticket();
+        let (sender, answer) = oneshot::channel();
+        questions.lock().insert(ticket, sender);
+        if self.control.send(event(ticket)).await.is_err() {
+            questions.lock().remove(&ticket);
+            return None;
+        }
+        answer.await.ok()
+    }
+}
+
+impl Backend for Operators {
+    fn snapshot(&self) -> Arc<Snapshot> {
+        self.traffic.view().snapshot.clone()
+    }
+
+    async fn change(&self, change: Change) -> ChangeOutcome {
+        let asked = self.ask(&self.questions.changes, |t| Event::ChangeWanted(t, change));
+        asked.await.unwrap_or(ChangeOutcome::Unknown)
+    }
+
+    async fn order(&self, order: Order) -> OrderOutcome {
+        let asked = self.ask(&self.questions.orders, |t| Event::OrderWanted(t, order));
+        asked.await.unwrap_or(OrderOutcome::Failed)
+    }
+
+    fn force(&self, revision: Revision) -> Force {
+        let snapshot = self.snapshot();
+        let has =
+            |daemon: &&DaemonId| snapshot.in_force.get(*daemon).is_some_and(|r| *r >= revision);
+        let daemons = snapshot.daemons.keys().filter(has).count();
+        Force { daemons, live: snapshot.daemons.len() }
+    }
+
+    fn status(&self) -> Status {
+        let snapshot = self.snapshot();
+        let counts = self.kv.counts();
+        let calls = counts.iter().map(|(kind, count)| {
+            let kind: &'static str = kind.into();
+            (kind.to_owned(), count)
+        });
+        let mut status = Status {
+            daemon: Some(self.daemon.clone()),
+            epoch: snapshot.epoch,
+            kv_calls: calls.collect::<BTreeMap<_, _>>(),
+            ..Status::of(&snapshot)
+        };
+        for daemon in &mut status.daemons {
+            daemon.revision = snapshot.in_force.get(&daemon.name).copied();
+            if daemon.name == self.daemon {
+                daemon.owned = Some(snapshot.owned.len());
+            }
+        }
+        for upstream in &mut status.upstreams {
+            if snapshot.owned.contains(&upstream.name) {
+                upstream.owner = Some(self.daemon.clone());
+            }
+        }
+        status
+    }
+
+    async fn history(&self) -> Vec<Past> {
+        let past = |r: &Record| Past {
+            revision: r.revision,
+            change: r.change.clone(),
+            author: r.author.clone(),
+        };
+        self.memory.history.lock().iter().rev().map(past).collect()
+    }
+
+    async fn set_at(&self, revision: Revision) -> Option<Arc<Set>> {
+        let sets = self.memory.sets.lock();
+        sets.iter().find(|(r, _)| *r == revision).map(|(_, set)| set.clone())
+    }
+}
