--- a/crates/caller/src/route/mod.rs
+++ b/crates/caller/src/route/mod.rs
@@ -33,9 +33,12 @@
 
 /// Whose request it is.
 fn organisation(request: &Request, backend: &impl Backend) -> Result<OrganisationId, Error> {
-    let header = header(request, AUTHORIZATION.as_str()).ok_or_else(Error::unauthorized)?;
-    let key = header.strip_prefix("Bearer ").ok_or_else(Error::unauthorized)?;
-    backend.organisation(key.trim()).ok_or_else(Error::unauthorized)
+    let mut headers = request.headers().get_all(AUTHORIZATION).iter();
+    let (Some(header), None) = (headers.next(), headers.next()) else {
+        return Err(Error::unauthorized());
+    };
+    let key = header.to_str().ok().and_then(|header| header.strip_prefix("Bearer "));
+    key.and_then(|key| backend.organisation(key.trim())).ok_or_else(Error::unauthorized)
 }
 
 /// A header's text.
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -1,11 +1,12 @@
 //! The control thread: owns [`Control`] and does what it asks.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 
+use acacia_platform::count::Kind;
 use acacia_platform::kv;
 use acacia_policy::control::{
     Action, ChangeOutcome, Control, Event, Line, OrderOutcome, TICK, Ticket,
@@ -19,6 +20,7 @@
 use tracing::Instrument;
 
 use crate::operator::Memory;
+use crate::poll;
 use crate::traffic::Traffic;
 
 /// Events handled before messages to peers are sent off.
@@ -155,6 +157,11 @@
             Action::Stopped => {
                 self.stopped.send_replace(true);
             }
+            Action::Probe(upstream) => {
+                let traffic = traffic.clone();
+                let runtime = traffic.runtime.clone();
+                runtime.spawn(async move { poll::probe(&traffic, &upstream).await });
+            }
             Action::Send(..) => {}
         }
     }
@@ -178,7 +185,7 @@
 struct Meter {
     ticks: u32,
     nanos: u64,
-    calls: HashMap<&'static str, u64>,
+    calls: BTreeMap<Kind, u64>,
     bytes: u64,
     messages: u64,
 }
@@ -190,7 +197,7 @@
     /// Carries counters over to the metrics, now and then.
     fn count(&mut self, thread: &Thread) {
         self.ticks += 1;
-        if self.ticks % METER_TICKS != 0 {
+        if !self.ticks.is_multiple_of(METER_TICKS) {
             return;
         }
         let metrics = &thread.traffic.metrics;
@@ -200,9 +207,8 @@
             self.nanos = nanos;
         }
         for (kind, count) in thread.kv.counts().iter() {
-            let kind: &'static str = kind.into();
             let before = self.calls.insert(kind, count).unwrap_or_default();
-            let label = opentelemetry::KeyValue::new("kind", kind);
+            let label = opentelemetry::KeyValue::new("kind", kind.to_string());
             metrics.kv_calls.add(count - before, &[label]);
         }
         let sent = thread.peers.counters();
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -20,7 +20,8 @@
 
 fn main() -> miette::Result<()> {
     let arguments = arguments().run();
-    let settings = Settings::read(&arguments.settings)?;
+    let settings =
+        Settings::read(&arguments.settings).map_err(|fault| miette::Report::new(*fault))?;
     if arguments.check {
         println!("{}: the settings are good", arguments.settings.display());
         return Ok(());
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -103,10 +103,7 @@
     fn status(&self) -> Status {
         let snapshot = self.snapshot();
         let counts = self.kv.counts();
-        let calls = counts.iter().map(|(kind, count)| {
-            let kind: &'static str = kind.into();
-            (kind.to_owned(), count)
-        });
+        let calls = counts.iter().map(|(kind, count)| (kind.to_string(), count));
         let mut status = Status {
             daemon: Some(self.daemon.clone()),
             epoch: snapshot.epoch,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -145,22 +145,20 @@
     }
 
     /// Reads and checks a file.
-    pub fn read(path: &Path) -> Result<Self, Fault> {
+    pub fn read(path: &Path) -> Result<Self, Box<Fault>> {
         let text = std::fs::read_to_string(path)
             .map_err(|source| Fault::Unreadable { path: path.display().to_string(), source })?;
         Self::parse(&path.display().to_string(), text)
     }
 
     /// Reads and checks a text; `name` is for the error.
-    pub fn parse(name: &str, text: String) -> Result<Self, Fault> {
+    pub fn parse(name: &str, text: String) -> Result<Self, Box<Fault>> {
         let mut reader = serde_json::Deserializer::from_str(&text);
         let parsed: Result<Self, _> = serde_path_to_error::deserialize(&mut reader);
         let end = reader.end();
-        let wrong = |field: String, reason: String, at: usize, text: String| Fault::Wrong {
-            field,
-            reason,
-            source: NamedSource::new(name, text),
-            at: at.into(),
+        let wrong = |field: String, reason: String, at: usize, text: String| {
+            let text = NamedSource::new(name, text);
+            Box::new(Fault::Wrong { field, reason, text, at: at.into() })
         };
         match (parsed, end) {
             (Err(error), _) => {
@@ -247,7 +245,7 @@
         reason: String,
         /// The text.
         #[source_code]
-        source: NamedSource<String>,
+        text: NamedSource<String>,
         /// Where.
         #[label("here")]
         at: SourceSpan,
--- a/crates/daemon/src/transfer.rs
+++ b/crates/daemon/src/transfer.rs
@@ -67,8 +67,8 @@
         return;
     }
     let span = tracing::info_span!(parent: &job.span, "import", blocks = attempt.imports.len());
-    let one = |import| import_one(traffic, prompt, attempt, import);
-    let moved = stream::iter(&attempt.imports).map(one).buffered(IMPORTS_AT_ONCE);
+    let each = (0..attempt.imports.len()).map(|i| import_one(traffic, prompt, attempt, i));
+    let moved = stream::iter(each).buffered(IMPORTS_AT_ONCE);
     let whole = moved.take_while(|ok| future::ready(*ok));
     whole.count().instrument(span).await;
 }
@@ -78,8 +78,9 @@
     traffic: &Arc<Traffic>,
     prompt: &Prompt,
     attempt: &Attempt,
-    import: &Import,
+    index: usize,
 ) -> bool {
+    let import = &attempt.imports[index];
     let started = traffic.clock.now();
     let ok = carry(traffic, prompt, attempt, import).await.is_some();
     if ok {
--- /dev/null
+++ b/crates/daemon/tests/e2e/zone.rs
@@ -0,0 +1,21 @@
+//! Availability zones that operators take out and bring back.
+
+use acacia_catalog::object::Duty;
+use acacia_standin::Counter;
+
+use crate::system::{Plan, System, expected, token_ids};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn zone_out() {
+    let system = System::start(Plan::default()).await;
+    system.zone(0, Duty::Out).await;
+    let before = system.engines[0].count(Counter::Started);
+    for index in 0..12 {
+        let prompt = format!("question {index}");
+        let response = system.completion(index % 3, &prompt, 4, false).send().await.unwrap();
+        assert_eq!(response.status(), 200);
+        assert_eq!(token_ids(&response.json().await.unwrap()), expected(&prompt, 4));
+    }
+    assert_eq!(system.engines[0].count(Counter::Started), before);
+    assert_eq!(system.engines[1].count(Counter::Finished), 12);
+}
