--- a/crates/policy/src/cache/estimate.rs
+++ b/crates/policy/src/cache/estimate.rs
@@ -6,7 +6,7 @@
 
 /// Weight of a new sample.
 const GAIN: f64 = 0.2;
-/// Age at which an estimate counts for half, the rest being the prior.
+/// Age at which an estimate counts for half, the rest being the prior; at twice that for a third.
 const HALF_LIFE: Duration = Duration::from_secs(60);
 
 /// A rate learnt from samples, in units a second.
@@ -35,7 +35,7 @@
     pub fn at(&self, now: Time, prior: f64) -> f64 {
         let Some(value) = self.value else { return prior };
         let age = now.saturating_sub(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        let trust = 0.5_f64.powf(age);
+        let trust = 1.0 / (1.0 + age);
         prior + trust * (value - prior)
     }
 }
--- a/crates/policy/src/cache/hint.rs
+++ b/crates/policy/src/cache/hint.rs
@@ -3,10 +3,11 @@
 //! A hint costs time when it is wrong and nothing else. The table is bounded, oldest out first, and
 //! a hint counts for nothing once it is [`AGE`] old or its engine has another process life.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use acacia_catalog::id::Incarnation;
+use rustc_hash::FxHashMap;
 
 use crate::Time;
 use crate::request::BlockKey;
@@ -20,7 +21,7 @@
 
 /// Bounded table of hints about engines named by `K`.
 pub struct Hints<K> {
-    blocks: HashMap<u64, [Option<Hint<K>>; HOLDERS]>,
+    blocks: FxHashMap<u64, [Option<Hint<K>>; HOLDERS]>,
     order: VecDeque<u64>,
 }
 
@@ -33,7 +34,7 @@
 
 impl<K> Default for Hints<K> {
     fn default() -> Self {
-        Self { blocks: HashMap::new(), order: VecDeque::new() }
+        Self { blocks: FxHashMap::default(), order: VecDeque::new() }
     }
 }
 
--- a/crates/policy/src/cache/link.rs
+++ b/crates/policy/src/cache/link.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 use acacia_catalog::Set;
-use acacia_catalog::id::{OrganisationId, ZoneId};
+use acacia_catalog::id::ZoneId;
+use rustc_hash::FxHashMap;
 
 use super::estimate::Rate;
 use crate::Time;
@@ -27,11 +28,16 @@
 /// Organisations remembered for one link.
 const ORGANISATION_LIMIT: usize = 256;
 
+/// Number of an availability zone.
+pub type Place = u16;
+/// Number of an organisation.
+type Org = u32;
+
 /// The links between availability zones.
 #[derive(Default)]
 pub struct Links {
-    zones: HashMap<ZoneId, u16>,
-    buckets: HashMap<(u16, u16), Bucket>,
+    zones: HashMap<ZoneId, Place>,
+    buckets: Vec<Bucket>,
     daemons: f64,
 }
 
@@ -49,41 +55,40 @@
     level: f64,
     at: Time,
     observed: Rate,
-    organisations: HashMap<OrganisationId, (f64, Time)>,
+    organisations: FxHashMap<Org, (f64, Time)>,
 }
 
 impl Links {
     /// Takes a configuration and the number of daemons that share it in.
-    pub fn configure(&mut self, set: &Set, daemons: u32) {
-        self.daemons = f64::from(daemons.max(1));
+    pub fn configure(&mut self, set: &Set, daemons: usize) {
+        self.daemons = daemons.max(1) as f64;
         for zone in set.zones.keys() {
-            let next = u16::try_from(self.zones.len()).unwrap_or(u16::MAX);
+            let next = Place::try_from(self.zones.len()).unwrap_or(Place::MAX);
             self.zones.entry(zone.clone()).or_insert(next);
         }
+        let count = self.zones.len();
+        self.buckets.resize_with(count * (count + 1) / 2, Bucket::default);
         for link in set.links.values() {
-            if let Some(pair) = self.pair(&link.from, &link.to) {
-                let budget = link.bytes_per_second as f64;
-                self.bucket(pair).budget = budget;
+            if let (Some(from), Some(to)) = (self.place(&link.from), self.place(&link.to)) {
+                self.bucket(from, to).budget = link.bytes_per_second as f64;
             }
         }
     }
 
+    /// The number of a zone.
+    pub fn place(&self, zone: &ZoneId) -> Option<Place> {
+        self.zones.get(zone).copied()
+    }
+
     /// What moving bytes for `organisation` costs now; none when it may not.
-    pub fn quote(
-        &mut self,
-        now: Time,
-        from: &ZoneId,
-        to: &ZoneId,
-        organisation: &OrganisationId,
-    ) -> Option<Quote> {
+    pub fn quote(&mut self, now: Time, from: Place, to: Place, organisation: Org) -> Option<Quote> {
         let daemons = self.daemons;
-        let pair = self.pair(from, to)?;
-        let bucket = self.bucket(pair);
+        let bucket = self.bucket(from, to);
         bucket.fill(now, daemons);
         let depth = bucket.depth();
         let scarce = bucket.level < RESERVE * depth;
-        let indebted = bucket.share(now, organisation, daemons) < 0.0;
-        if bucket.level < -DEBT_LIMIT * depth || (scarce && indebted) {
+        let indebted = || bucket.share(now, organisation, daemons) < 0.0;
+        if bucket.level < -DEBT_LIMIT * depth || (scarce && indebted()) {
             return None;
         }
         let speed = bucket.observed.at(now, bucket.budget);
@@ -92,17 +97,9 @@
     }
 
     /// Charges an import.
-    pub fn import(
-        &mut self,
-        now: Time,
-        from: &ZoneId,
-        to: &ZoneId,
-        organisation: &OrganisationId,
-        bytes: u64,
-    ) {
+    pub fn import(&mut self, now: Time, from: Place, to: Place, organisation: Org, bytes: u64) {
         let daemons = self.daemons;
-        let Some(pair) = self.pair(from, to) else { return };
-        let bucket = self.bucket(pair);
+        let bucket = self.bucket(from, to);
         bucket.fill(now, daemons);
         bucket.level -= bytes as f64;
         let share = bucket.share(now, organisation, daemons) - bytes as f64;
@@ -110,10 +107,9 @@
     }
 
     /// Charges an export if the link has bytes to spare; gives the bytes a second to use.
-    pub fn export(&mut self, now: Time, from: &ZoneId, to: &ZoneId, bytes: u64) -> Option<u64> {
+    pub fn export(&mut self, now: Time, from: Place, to: Place, bytes: u64) -> Option<u64> {
         let daemons = self.daemons;
-        let pair = self.pair(from, to)?;
-        let bucket = self.bucket(pair);
+        let bucket = self.bucket(from, to);
         bucket.fill(now, daemons);
         if bucket.level < RESERVE * bucket.depth() {
             return None;
@@ -123,25 +119,26 @@
     }
 
     /// Takes in how fast bytes went.
-    pub fn moved(&mut self, now: Time, from: &ZoneId, to: &ZoneId, bytes: u64, took: Duration) {
-        if let Some(pair) = self.pair(from, to) {
-            self.bucket(pair).observed.observe(now, bytes as f64, took);
-        }
+    pub fn moved(&mut self, now: Time, from: Place, to: Place, bytes: u64, took: Duration) {
+        self.bucket(from, to).observed.observe(now, bytes as f64, took);
     }
 
-    fn pair(&self, from: &ZoneId, to: &ZoneId) -> Option<(u16, u16)> {
-        let (a, b) = (*self.zones.get(from)?, *self.zones.get(to)?);
-        Some((a.min(b), a.max(b)))
+    /// The bucket of a link, the same both ways.
+    fn bucket(&mut self, from: Place, to: Place) -> &mut Bucket {
+        let (near, far) = (usize::from(from.min(to)), usize::from(from.max(to)));
+        &mut self.buckets[far * (far + 1) / 2 + near]
     }
+}
 
-    fn bucket(&mut self, pair: (u16, u16)) -> &mut Bucket {
-        self.buckets.entry(pair).or_insert_with(|| Bucket {
+impl Default for Bucket {
+    fn default() -> Self {
+        Self {
             budget: DEFAULT_BUDGET,
             level: DEFAULT_BUDGET,
             at: Time::ZERO,
             observed: Rate::default(),
-            organisations: HashMap::new(),
-        })
+            organisations: FxHashMap::default(),
+        }
     }
 }
 
@@ -157,17 +154,17 @@
     }
 
     /// Bytes that an organisation has left of its share.
-    fn share(&self, now: Time, organisation: &OrganisationId, daemons: f64) -> f64 {
+    fn share(&self, now: Time, organisation: Org, daemons: f64) -> f64 {
         let depth = self.depth() * ORGANISATION_SHARE;
-        let Some((left, at)) = self.organisations.get(organisation) else { return depth };
+        let Some((left, at)) = self.organisations.get(&organisation) else { return depth };
         let passed = now.saturating_sub(*at).as_secs_f64();
         (left + passed * self.budget * ORGANISATION_SHARE / daemons).min(depth)
     }
 
-    fn keep(&mut self, now: Time, organisation: &OrganisationId, left: f64) {
+    fn keep(&mut self, now: Time, organisation: Org, left: f64) {
         if self.organisations.len() >= ORGANISATION_LIMIT {
             self.organisations.retain(|_, (left, _)| *left < 0.0);
         }
-        self.organisations.insert(organisation.clone(), (left, now));
+        self.organisations.insert(organisation, (left, now));
     }
 }
--- a/crates/policy/src/cache/mod.rs
+++ b/crates/policy/src/cache/mod.rs
@@ -13,7 +13,7 @@
 
 pub use estimate::Rate;
 pub use hint::Hints;
-pub use link::{Links, Quote};
+pub use link::{Links, Place, Quote};
 pub use name::chain;
 pub use placement::{Stores, anchor, rank, seed};
 pub use plan::{Candidate, Estimate, Prompt, Sources, Weights, estimate};
--- a/crates/policy/src/cache/placement.rs
+++ b/crates/policy/src/cache/placement.rs
@@ -4,9 +4,12 @@
 //! a long history is found by asking few stores while histories that share a beginning part ways.
 //! The second copy goes to another availability zone where there is one.
 
+use std::collections::HashMap;
+
 use acacia_catalog::id::{StoreId, ZoneId};
 use acacia_catalog::object::Duty;
 
+use super::link::{Links, Place as Zone};
 use crate::request::BlockKey;
 use crate::snapshot::{Snapshot, Warmth};
 
@@ -17,6 +20,7 @@
 #[derive(Default)]
 pub struct Stores {
     places: Vec<Place>,
+    names: HashMap<StoreId, Zone>,
 }
 
 /// One store.
@@ -31,8 +35,8 @@
 }
 
 impl Stores {
-    /// Takes a snapshot in.
-    pub fn refresh(&mut self, snapshot: &Snapshot) {
+    /// Takes a snapshot in, whose zones `links` has numbered.
+    pub fn refresh(&mut self, snapshot: &Snapshot, links: &Links) {
         let set = &snapshot.set;
         self.places = set
             .stores
@@ -50,6 +54,8 @@
                 }
             })
             .collect();
+        let zone = |p: &Place| Some((p.name.clone(), links.place(&p.zone)?));
+        self.names = self.places.iter().filter_map(zone).collect();
     }
 
     /// Whether no store can be read.
@@ -57,9 +63,9 @@
         !self.places.iter().any(|p| p.readable)
     }
 
-    /// The zone of a store.
-    pub fn zone(&self, store: &StoreId) -> Option<&ZoneId> {
-        self.places.iter().find(|p| p.name == *store).map(|p| &p.zone)
+    /// The number of a store's zone.
+    pub fn zone(&self, store: &StoreId) -> Option<Zone> {
+        self.names.get(store).copied()
     }
 
     /// Stores that may hold blocks of a prompt, each once.
@@ -84,29 +90,35 @@
 
     /// The best `copies` places, each further one in a zone not yet used where there is one.
     fn ranked(&self, anchor: u64, copies: u32, may: impl Fn(&Place) -> bool) -> Vec<&Place> {
+        let equal = self.places.windows(2).all(|pair| pair[0].bytes == pair[1].bytes);
+        let may_hold = self.places.iter().filter(|p| may(p));
+        let mut scored: Vec<(f64, &Place)> =
+            may_hold.map(|p| (p.score(anchor, equal), p)).collect();
         let mut chosen: Vec<&Place> = Vec::new();
         for _ in 0..copies {
-            let is_free = |p: &&Place| may(p) && chosen.iter().all(|c| c.name != p.name);
-            let is_elsewhere = |p: &&Place| chosen.iter().all(|c| c.zone != p.zone);
-            let free = || self.places.iter().filter(is_free);
-            let found = best(free().filter(is_elsewhere), anchor).or_else(|| best(free(), anchor));
-            match found {
-                Some(place) => chosen.push(place),
-                None => break,
-            }
+            let is_elsewhere = |p: &Place| chosen.iter().all(|c| c.zone != p.zone);
+            let next = best(&scored, is_elsewhere).or_else(|| best(&scored, |_| true));
+            let Some(index) = next else { break };
+            chosen.push(scored.swap_remove(index).1);
         }
         chosen
     }
 }
 
-fn best<'a>(places: impl Iterator<Item = &'a Place>, anchor: u64) -> Option<&'a Place> {
-    places.max_by(|a, b| a.score(anchor).total_cmp(&b.score(anchor)))
+/// Index of the highest score among places that `may` be taken.
+fn best(scored: &[(f64, &Place)], may: impl Fn(&Place) -> bool) -> Option<usize> {
+    let allowed = scored.iter().enumerate().filter(|(_, (_, place))| may(place));
+    allowed.max_by(|(_, a), (_, b)| a.0.total_cmp(&b.0)).map(|(index, _)| index)
 }
 
 impl Place {
     /// Weighted rendezvous score: each store wins in proportion to its bytes.
-    fn score(&self, anchor: u64) -> f64 {
-        let unit = (rank(self.seed, anchor) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    fn score(&self, anchor: u64, equal: bool) -> f64 {
+        let rank = rank(self.seed, anchor) as f64;
+        if equal {
+            return rank;
+        }
+        let unit = (rank + 1.0) / (u64::MAX as f64 + 2.0);
         -self.bytes / unit.ln()
     }
 }
--- a/crates/policy/src/cache/plan.rs
+++ b/crates/policy/src/cache/plan.rs
@@ -4,14 +4,12 @@
 //! rest; the profile's weights then add what recompute and link time are worth to the operators.
 //! Sources are prepared once for a request, after which a candidate costs a few additions.
 
-use std::collections::HashMap;
 use std::ops::Range;
 use std::sync::Arc;
 
-use acacia_catalog::id::ZoneId;
 use acacia_catalog::object::Profile;
 
-use super::link::Quote;
+use super::link::{Place, Quote};
 use crate::dispatch::{Holding, Import};
 use crate::request::{BlockKey, PIECE_TOKENS};
 
@@ -73,83 +71,160 @@
 #[derive(Default)]
 pub struct Sources {
     holdings: Option<Arc<[Holding]>>,
+    zones: Vec<Option<Place>>,
+    pieces: Pieces,
+    runs: Vec<Run>,
     ends: Vec<usize>,
-    routes: HashMap<ZoneId, Route>,
+    any: bool,
+    routes: Vec<Option<Route>>,
 }
 
-/// The cheapest store of each piece as seen from one zone.
+/// The stores that hold each piece, with its bytes, one piece after the other.
+#[derive(Default)]
+struct Pieces {
+    starts: Vec<usize>,
+    entries: Vec<(usize, u64)>,
+}
+
+impl Pieces {
+    fn new(count: usize, list: &[Holding]) -> Self {
+        let mut counts = vec![0; count + 1];
+        for holding in list {
+            for (counted, bytes) in counts[1..].iter_mut().zip(&holding.blocks) {
+                *counted += usize::from(bytes.is_some());
+            }
+        }
+        for index in 0..count {
+            counts[index + 1] += counts[index];
+        }
+        let mut free = counts.clone();
+        let mut entries = vec![(0, 0); counts[count]];
+        for (at, holding) in list.iter().enumerate() {
+            for (free, bytes) in free[..count].iter_mut().zip(&holding.blocks) {
+                if let Some(bytes) = *bytes {
+                    entries[*free] = (at, bytes);
+                    *free += 1;
+                }
+            }
+        }
+        Self { starts: counts, entries }
+    }
+
+    /// Groups pieces in a row that are held alike.
+    fn runs(&self) -> Vec<Run> {
+        let mut runs: Vec<Run> = Vec::new();
+        for index in 0..self.starts.len() - 1 {
+            let stores = self.starts[index]..self.starts[index + 1];
+            match runs.last_mut() {
+                Some(run) if self.entries[run.stores.clone()] == self.entries[stores.clone()] => {
+                    run.pieces.end = index + 1;
+                }
+                _ => runs.push(Run { pieces: index..index + 1, stores }),
+            }
+        }
+        runs
+    }
+
+    fn of(&self, index: usize) -> &[(usize, u64)] {
+        &self.entries[self.starts[index]..self.starts[index + 1]]
+    }
+}
+
+/// Pieces in a row that the same stores hold at the same size.
+struct Run {
+    pieces: Range<usize>,
+    stores: Range<usize>,
+}
+
+/// The cheapest store of each run as seen from one zone.
 struct Route {
     chosen: Vec<usize>,
-    seconds: Vec<f64>,
+    piece_seconds: Vec<f64>,
     wait: f64,
 }
 
 impl Sources {
-    /// Prepares the stores' answers about `pieces` pieces.
-    pub fn new(pieces: usize, holdings: Option<Arc<[Holding]>>) -> Self {
-        let mut ends = vec![0; pieces + 1];
+    /// Prepares the stores' answers about `count` pieces; `zone` tells where a store stands.
+    pub fn new(
+        count: usize,
+        holdings: Option<Arc<[Holding]>>,
+        zone: impl Fn(&Holding) -> Option<Place>,
+    ) -> Self {
         let list = holdings.as_deref().unwrap_or_default();
-        ends[pieces] = pieces;
-        for index in (0..pieces).rev() {
-            let held = list.iter().any(|h| bytes(h, index).is_some());
-            ends[index] = if held { ends[index + 1] } else { index };
+        let zones = list.iter().map(zone).collect();
+        let pieces = Pieces::new(count, list);
+        let runs = pieces.runs();
+        let mut ends = vec![count; count + 1];
+        for index in (0..count).rev() {
+            ends[index] = if pieces.of(index).is_empty() { index } else { ends[index + 1] };
         }
-        Self { holdings, ends, routes: HashMap::new() }
+        let any = !pieces.entries.is_empty();
+        Self { holdings, zones, pieces, runs, ends, any, routes: Vec::new() }
     }
 
-    /// Whether any piece is held at all.
+    /// Whether no piece is held.
     pub fn is_empty(&self) -> bool {
-        self.ends.iter().enumerate().all(|(index, end)| *end == index)
+        !self.any
     }
 
-    /// Works out the cheapest sources for a zone, where `quote` prices each holding's link.
-    pub fn price(&mut self, zone: &ZoneId, mut quote: impl FnMut(&Holding) -> Option<Quote>) {
-        if self.routes.contains_key(zone) || self.is_empty() {
+    /// Works out the cheapest sources for a zone; `quote` prices the link from another.
+    pub fn price(&mut self, to: Place, mut quote: impl FnMut(Place) -> Option<Quote>) {
+        let slot = usize::from(to);
+        if !self.any || self.routes.get(slot).is_some_and(Option::is_some) {
             return;
         }
-        let list = self.holdings.as_deref().unwrap_or_default();
-        let quotes: Vec<Option<Quote>> = list.iter().map(&mut quote).collect();
-        let pieces = self.ends.len() - 1;
-        let mut route = Route {
-            chosen: Vec::with_capacity(pieces),
-            seconds: Vec::with_capacity(pieces + 1),
-            wait: 0.0,
-        };
-        let mut total = 0.0;
-        route.seconds.push(total);
-        for index in 0..pieces {
-            let (store, seconds) = cheapest(list, &quotes, index).unwrap_or((0, f64::INFINITY));
-            total += seconds;
-            route.chosen.push(store);
-            route.seconds.push(total);
+        let mut quotes: Vec<Option<Quote>> = Vec::new();
+        for zone in self.zones.iter().flatten().map(|zone| usize::from(*zone)) {
+            if quotes.len() <= zone {
+                quotes.resize(zone + 1, None);
+            }
+            if quotes[zone].is_none() {
+                quotes[zone] = Place::try_from(zone).ok().and_then(&mut quote);
+            }
+        }
+        let route = Route::new(&self.pieces, &self.runs, &self.zones, &quotes);
+        if self.routes.len() <= slot {
+            self.routes.resize_with(slot + 1, || None);
         }
-        route.wait = quotes.iter().flatten().map(|q| q.wait).fold(f64::INFINITY, f64::min);
-        self.routes.insert(zone.clone(), route);
+        self.routes[slot] = Some(route);
     }
 
     /// The imports of a range of pieces into a zone.
-    pub fn imports(&self, zone: &ZoneId, pieces: Range<usize>, blocks: &[BlockKey]) -> Vec<Import> {
-        let Some(route) = self.routes.get(zone) else { return Vec::new() };
+    pub fn imports(&self, to: Place, pieces: Range<usize>, blocks: &[BlockKey]) -> Vec<Import> {
+        let Some(route) = self.route(to) else { return Vec::new() };
         let list = self.holdings.as_deref().unwrap_or_default();
-        pieces
-            .filter_map(|index| {
-                let holding = list.get(route.chosen[index])?;
+        let mut imports = Vec::with_capacity(pieces.len());
+        for (run, chosen) in self.runs.iter().zip(&route.chosen) {
+            let Some(holding) = list.get(*chosen) else { continue };
+            let bytes = |index: usize| holding.blocks.get(index).copied().flatten();
+            imports.extend(overlap(&run.pieces, &pieces).filter_map(|index| {
                 Some(Import {
                     block: blocks[index],
                     store: holding.store.clone(),
                     incarnation: holding.incarnation,
-                    logical_bytes: bytes(holding, index)?,
+                    logical_bytes: bytes(index)?,
                 })
-            })
-            .collect()
+            }));
+        }
+        imports
+    }
+
+    fn route(&self, to: Place) -> Option<&Route> {
+        self.routes.get(usize::from(to))?.as_ref()
     }
 
     /// Pieces that the stores can supply from `held` on, and the seconds that it takes.
-    fn offer(&self, zone: &ZoneId, held: usize) -> (Range<usize>, f64) {
+    fn offer(&self, to: Option<Place>, held: usize) -> (Range<usize>, f64) {
         let none = (held..held, 0.0);
-        let Some(route) = self.routes.get(zone) else { return none };
+        let Some(route) = to.and_then(|to| self.route(to)) else { return none };
         let end = self.ends.get(held).copied().unwrap_or(held);
-        let seconds = route.seconds[end] - route.seconds[held];
+        let seconds: f64 = self
+            .runs
+            .iter()
+            .zip(&route.piece_seconds)
+            .map(|(run, seconds)| overlap(&run.pieces, &(held..end)).len() as f64 * seconds)
+            .filter(|seconds| !seconds.is_nan())
+            .sum();
         if end <= held || !seconds.is_finite() {
             return none;
         }
@@ -157,11 +232,32 @@
     }
 }
 
-/// What `candidate` in `zone` would cost.
+impl Route {
+    fn new(
+        pieces: &Pieces,
+        runs: &[Run],
+        zones: &[Option<Place>],
+        quotes: &[Option<Quote>],
+    ) -> Self {
+        let held = |run: &Run| &pieces.entries[run.stores.clone()];
+        let choose = |run| cheapest(held(run), zones, quotes).unwrap_or((0, f64::INFINITY));
+        let (chosen, piece_seconds) = runs.iter().map(choose).unzip();
+        let wait = quotes.iter().flatten().map(|q| q.wait).fold(f64::INFINITY, f64::min);
+        Self { chosen, piece_seconds, wait }
+    }
+}
+
+/// What two ranges have in common.
+fn overlap(a: &Range<usize>, b: &Range<usize>) -> Range<usize> {
+    let start = a.start.max(b.start);
+    start..a.end.min(b.end).max(start)
+}
+
+/// What `candidate` in `zone` would cost; without a zone nothing is imported.
 pub fn estimate(
     prompt: Prompt,
     candidate: Candidate,
-    zone: &ZoneId,
+    zone: Option<Place>,
     sources: &Sources,
     weights: Weights,
 ) -> Estimate {
@@ -189,17 +285,15 @@
     Estimate { first_token_ms, score, imports, computed }
 }
 
-fn bytes(holding: &Holding, index: usize) -> Option<u64> {
-    holding.blocks.get(index).copied().flatten()
-}
-
-fn cheapest(list: &[Holding], quotes: &[Option<Quote>], index: usize) -> Option<(usize, f64)> {
-    list.iter()
-        .zip(quotes)
-        .enumerate()
-        .filter_map(|(at, (holding, quote))| {
-            let seconds = bytes(holding, index)? as f64 * quote.as_ref()?.seconds_per_byte;
-            Some((at, seconds))
+fn cheapest(
+    held: &[(usize, u64)],
+    zones: &[Option<Place>],
+    quotes: &[Option<Quote>],
+) -> Option<(usize, f64)> {
+    held.iter()
+        .filter_map(|(at, bytes)| {
+            let quote = quotes[usize::from(zones[*at]?)]?;
+            Some((*at, *bytes as f64 * quote.seconds_per_byte))
         })
         .min_by(|a, b| a.1.total_cmp(&b.1))
 }
--- a/crates/policy/src/cache/saving.rs
+++ b/crates/policy/src/cache/saving.rs
@@ -3,9 +3,10 @@
 //! A block is saved if the time that a return would save, times the learnt chance of one, is worth
 //! more than the link time that the save takes. Blocks known to be stored aren't saved again.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
 
 use acacia_catalog::id::OrganisationId;
+use rustc_hash::FxHashSet;
 
 use super::plan::Weights;
 use crate::request::{BlockKey, PIECE_TOKENS};
@@ -24,7 +25,7 @@
 /// Bounded memory of blocks that were stored lately; not knowing costs a second save.
 #[derive(Default)]
 pub struct Saved {
-    blocks: HashSet<u64>,
+    blocks: FxHashSet<u64>,
     order: VecDeque<u64>,
 }
 
--- a/crates/policy/src/dispatch/fleet.rs
+++ b/crates/policy/src/dispatch/fleet.rs
@@ -3,7 +3,7 @@
 //! Members are grouped in pools by what they serve. The index is built once for each configuration;
 //! a snapshot that keeps the configuration only refreshes standings.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,11 +12,12 @@
     AdapterId, Incarnation, ModelId, ServiceId, UpstreamId, VersionId, ZoneId,
 };
 use acacia_catalog::object::{Duty, Role, Upstream};
+use rustc_hash::FxHashMap;
 use slotmap::{SlotMap, new_key_type};
 
 use super::queue::Queue;
 use crate::Time;
-use crate::cache::Rate;
+use crate::cache::{Links, Place, Rate};
 use crate::control::Permit;
 use crate::request::{Request, Work};
 use crate::snapshot::{Load, Snapshot, Standing, Warmth};
@@ -70,16 +71,19 @@
     pub pools: SlotMap<PoolKey, Pool>,
     /// Live daemons that share the upstreams, at least one.
     pub daemons: u32,
-    names: HashMap<UpstreamId, MemberKey>,
-    targets: HashMap<Target, PoolKey>,
+    names: FxHashMap<UpstreamId, MemberKey>,
+    targets: FxHashMap<Target, PoolKey>,
     set: Arc<Set>,
 }
 
 impl Fleet {
-    /// Takes a snapshot in; gives the permits that it made useless.
-    pub fn refresh(&mut self, snapshot: &Snapshot) -> Vec<Permit> {
+    /// Takes a snapshot in, whose zones `links` has numbered; gives the permits that it made useless.
+    pub fn refresh(&mut self, snapshot: &Snapshot, links: &Links) -> Vec<Permit> {
         if !Arc::ptr_eq(&self.set, &snapshot.set) {
             self.rebuild(&snapshot.set);
+            for member in self.members.values_mut() {
+                member.place = links.place(&member.zone);
+            }
         }
         self.daemons = u32::try_from(snapshot.daemons.len()).unwrap_or(u32::MAX).max(1);
         let unseen = Standing::default();
@@ -234,6 +238,8 @@
     pub name: UpstreamId,
     /// Where it stands.
     pub zone: ZoneId,
+    /// The number of its zone.
+    pub place: Option<Place>,
     /// The pool it serves.
     pub pool: PoolKey,
     /// Requests it runs at once.
@@ -272,6 +278,7 @@
         Self {
             name: upstream.name.clone(),
             zone: upstream.zone.clone(),
+            place: None,
             pool,
             slots: upstream.slots,
             incarnation: 0,
--- a/crates/policy/src/dispatch/machine.rs
+++ b/crates/policy/src/dispatch/machine.rs
@@ -1,6 +1,6 @@
 //! The dispatcher: its state, and how a request gets from arrival to the queue.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +8,7 @@
 use acacia_catalog::object::Profile;
 use rand::SeedableRng;
 use rand_chacha::ChaCha12Rng;
+use rustc_hash::FxHashMap;
 
 use super::event::{Action, AttemptId, Event, Holding, Reason, Refusal, Strategy};
 use super::fleet::{Fleet, MemberKey, PoolKey, Target};
@@ -52,15 +53,15 @@
     pub(super) returns: Returns,
     pub(super) prefill: Rate,
     pub(super) exports: VecDeque<Pending>,
-    pub(super) jobs: HashMap<Ticket, Stage>,
-    pub(super) attempts: HashMap<AttemptId, Ticket>,
-    pub(super) drains: HashMap<AttemptId, Drain>,
+    pub(super) jobs: FxHashMap<Ticket, Stage>,
+    pub(super) attempts: FxHashMap<AttemptId, Ticket>,
+    pub(super) drains: FxHashMap<AttemptId, Drain>,
     pub(super) budget: Budget,
     pub(super) broken: Option<Rule>,
     pub(super) damped: bool,
     timers: BTreeSet<(Time, Ticket)>,
-    orphans: HashMap<Ticket, Claim>,
-    orgs: HashMap<OrganisationId, Org>,
+    orphans: FxHashMap<Ticket, Claim>,
+    orgs: FxHashMap<OrganisationId, Org>,
     stopping: bool,
 }
 
@@ -89,15 +90,15 @@
             returns: Returns::default(),
             prefill: Rate::default(),
             exports: VecDeque::new(),
-            jobs: HashMap::new(),
-            attempts: HashMap::new(),
-            drains: HashMap::new(),
+            jobs: FxHashMap::default(),
+            attempts: FxHashMap::default(),
+            drains: FxHashMap::default(),
             budget: Budget::default(),
             broken: None,
             damped: true,
             timers: BTreeSet::new(),
-            orphans: HashMap::new(),
-            orgs: HashMap::new(),
+            orphans: FxHashMap::default(),
+            orgs: FxHashMap::default(),
             stopping: false,
         }
     }
@@ -171,11 +172,11 @@
     }
 
     fn refresh(&mut self, now: Time, snapshot: Arc<Snapshot>, out: &mut Vec<Action>) {
-        for permit in self.fleet.refresh(&snapshot) {
+        self.links.configure(&snapshot.set, snapshot.daemons.len());
+        for permit in self.fleet.refresh(&snapshot, &self.links) {
             out.push(Action::ReturnPermit(permit, Usage::Unused));
         }
-        self.stores.refresh(&snapshot);
-        self.links.configure(&snapshot.set, self.fleet.daemons);
+        self.stores.refresh(&snapshot, &self.links);
         self.snapshot = snapshot;
         self.pump_all(now, out);
     }
--- a/crates/policy/src/dispatch/queue.rs
+++ b/crates/policy/src/dispatch/queue.rs
@@ -5,9 +5,11 @@
 //! come before long ones; a long one that has waited [`AGE`] is served at every
 //! [`AGED_TURN`]th turn at the latest, so that it never starves.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
+
 use crate::Time;
 use crate::control::Ticket;
 use crate::request::Class;
@@ -29,7 +31,7 @@
 /// What waits for one pool.
 #[derive(Default)]
 pub struct Queue {
-    lanes: HashMap<Org, Lane>,
+    lanes: FxHashMap<Org, Lane>,
     ready: [BTreeSet<(Tag, Org)>; 2],
     virtual_time: Tag,
     turn: u64,
--- a/crates/policy/src/dispatch/route.rs
+++ b/crates/policy/src/dispatch/route.rs
@@ -16,7 +16,7 @@
 /// Pools up to this size are looked at whole.
 const WHOLE: usize = 64;
 /// Members of a larger pool that are drawn at random.
-const DRAWN: usize = 16;
+const DRAWN: usize = 8;
 /// Members that a history prefers.
 const PREFERRED: usize = 3;
 /// Versions tried for a request that has streamed nothing.
@@ -291,7 +291,8 @@
         let shape = Prompt { tokens: prompt.tokens.len(), pieces: core.blocks.len() };
         let weights = self.weights(&core.request.organisation);
         let holdings = core.holdings.clone().filter(|_| same);
-        let mut sources = Sources::new(shape.pieces, holdings);
+        let stores = &self.stores;
+        let mut sources = Sources::new(shape.pieces, holdings, |h| stores.zone(&h.store));
         let prior = self.prefill.at(now, PREFILL);
         let mut best: Option<(f64, Seat, Estimate)> = None;
         for option in options {
@@ -300,27 +301,25 @@
             let prefill = member.prefill.at(now, prior);
             let wait = wait(member, prefill, self.fleet.daemons, self.damped);
             let candidate = Candidate { held: option.held, wait, prefill };
-            let found = estimate(shape, candidate, &member.zone, &sources, weights);
+            let found = estimate(shape, candidate, member.place, &sources, weights);
             let score = self.adjust(&option, found.score);
             if best.as_ref().is_none_or(|(least, _, _)| score < *least) {
                 best = Some((score, option, found));
             }
         }
         let (_, option, found) = best?;
-        let zone = &self.fleet.members[option.member].zone;
-        let imports = sources.imports(zone, found.imports.clone(), &core.blocks);
+        let place = self.fleet.members[option.member].place;
+        let import = |to| sources.imports(to, found.imports.clone(), &core.blocks);
+        let imports = place.map(import).unwrap_or_default();
         Some((option.member, option.cold, found, imports))
     }
 
     /// Prices the stores' links to a member's zone, once for each zone.
     fn price(&mut self, now: Time, core: &Core, key: MemberKey, sources: &mut Sources) {
-        let zone = &self.fleet.members[key].zone;
-        let (links, stores) = (&mut self.links, &self.stores);
-        let organisation = &core.request.organisation;
-        sources.price(zone, |holding| {
-            let from = stores.zone(&holding.store)?;
-            links.quote(now, from, zone, organisation)
-        });
+        let links = &mut self.links;
+        if let Some(to) = self.fleet.members[key].place {
+            sources.price(to, |from| links.quote(now, from, to, core.org));
+        }
     }
 
     /// Adds preference for warming and for a history's place, and the jitter against herds.
--- a/crates/policy/src/dispatch/save.rs
+++ b/crates/policy/src/dispatch/save.rs
@@ -64,17 +64,15 @@
 
     /// Learns from the stores' answers what is stored and whether prompts return.
     pub(super) fn learn_stored(&mut self, core: &Core, holdings: &[Holding]) {
-        let holds =
-            |i: usize| holdings.iter().any(|h| h.blocks.get(i).copied().flatten().is_some());
-        let mut any = false;
-        for (index, block) in core.blocks.iter().enumerate() {
-            if holds(index) {
-                any = true;
-                self.saved.insert(block);
-            } else {
-                self.saved.remove(block);
+        let mut held = vec![false; core.blocks.len()];
+        for holding in holdings {
+            for (held, bytes) in held.iter_mut().zip(&holding.blocks) {
+                *held |= bytes.is_some();
             }
         }
+        let lost = core.blocks.iter().zip(&held).filter(|(_, held)| !**held);
+        lost.for_each(|(block, _)| self.saved.remove(block));
+        let any = held.contains(&true);
         self.returns.count(&core.request.organisation, any);
     }
 
@@ -119,8 +117,8 @@
         took: Duration,
     ) {
         let Some(key) = self.fleet.member(upstream) else { return };
-        if let Some(from) = self.stores.zone(store) {
-            self.links.moved(now, from, &self.fleet.members[key].zone, bytes, took);
+        if let (Some(from), Some(to)) = (self.stores.zone(store), self.fleet.members[key].place) {
+            self.links.moved(now, from, to, bytes, took);
         }
     }
 
@@ -196,8 +194,13 @@
         if self.strategy == Strategy::ExportAll {
             return true;
         }
-        let likely = core.holdings.is_none() && index < covered;
-        !likely && !self.saved.contains(&core.blocks[index])
+        let stored = match &core.holdings {
+            Some(holdings) => {
+                holdings.iter().any(|h| h.blocks.get(index).is_some_and(Option::is_some))
+            }
+            None => index < covered,
+        };
+        !stored && !self.saved.contains(&core.blocks[index])
     }
 
     fn is_worth_saving(
@@ -215,8 +218,8 @@
         let weights = self.weights(organisation);
         let member = &self.fleet.members[key];
         let prefill = member.prefill.at(now, self.prefill.at(now, PREFILL));
-        let Some(to) = self.stores.zone(store) else { return false };
-        let Some(quote) = self.links.quote(now, &member.zone, to, organisation) else {
+        let (Some(from), Some(to)) = (member.place, self.stores.zone(store)) else { return false };
+        let Some(quote) = self.links.quote(now, from, to, core.org) else {
             return false;
         };
         let link = bytes as f64 * quote.seconds_per_byte;
@@ -233,11 +236,13 @@
         for pending in std::mem::take(&mut self.exports) {
             let Some(member) = self.fleet.members.get(pending.member) else { continue };
             let lives = member.incarnation == pending.incarnation;
-            let Some(to) = self.stores.zone(&pending.store) else { continue };
+            let (Some(from), Some(to)) = (member.place, self.stores.zone(&pending.store)) else {
+                continue;
+            };
             if !lives || pending.since + PENDING_AGE <= now {
                 continue;
             }
-            match self.links.export(now, &member.zone, to, pending.bytes) {
+            match self.links.export(now, from, to, pending.bytes) {
                 Some(bytes_per_second) => out.push(Action::Export {
                     upstream: pending.upstream,
                     version: pending.version,
--- a/crates/policy/src/dispatch/start.rs
+++ b/crates/policy/src/dispatch/start.rs
@@ -174,11 +174,11 @@
 
     /// Charges the links for a route's imports.
     fn charge(&mut self, now: Time, core: &Core, route: &Route) {
-        let zone = &self.fleet.members[route.member].zone;
-        for import in &route.imports {
-            if let Some(from) = self.stores.zone(&import.store) {
-                let organisation = &core.request.organisation;
-                self.links.import(now, from, zone, organisation, import.logical_bytes);
+        let Some(to) = self.fleet.members[route.member].place else { return };
+        for stretch in route.imports.chunk_by(|a, b| a.store == b.store) {
+            let bytes = stretch.iter().map(|import| import.logical_bytes).sum();
+            if let Some(from) = self.stores.zone(&stretch[0].store) {
+                self.links.import(now, from, to, core.org, bytes);
             }
         }
     }
