--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -245,7 +245,10 @@
     fn restart(&self) {
         self.warmth.lock().restart();
         self.cache.lock().clear();
-        *self.attempts.lock() = Attempts::default();
+        let attempts = std::mem::take(&mut *self.attempts.lock());
+        for attempt in attempts.iter() {
+            attempt.stop.tell();
+        }
         *self.sample.lock() = None;
         self.tally.count(Counter::Restarts);
         self.load();
--- a/crates/standin/src/engine/route.rs
+++ b/crates/standin/src/engine/route.rs
@@ -14,7 +14,7 @@
 use super::State;
 use super::answer::{Generator, weights};
 use super::cache::{self, Piece};
-use super::run::{Attempt, Prefill, Run};
+use super::run::{Attempt, Prefill, Run, Stop};
 use super::wire::{Completion, Duty, Earlier, Order, Progress};
 use crate::counter::Counter;
 use crate::exchange::{Answer, Body, Call, Cut, Reply};
@@ -70,7 +70,7 @@
             priority: completion.priority,
             prompt_tokens: tokens.len() as u32,
             cached_tokens: AtomicU32::new(0),
-            cancelled: AtomicBool::new(false),
+            stop: Stop::default(),
             finished: AtomicBool::new(false),
         });
         if self.attempts.lock().insert(&id, attempt.clone()) {
@@ -134,7 +134,7 @@
             priority: before.priority,
             prompt_tokens: before.prompt_tokens,
             cached_tokens: AtomicU32::new(before.cached_tokens.load(Ordering::Relaxed)),
-            cancelled: AtomicBool::new(false),
+            stop: Stop::default(),
             finished: AtomicBool::new(false),
         });
         self.attempts.lock().insert(&id, attempt.clone());
@@ -146,7 +146,7 @@
         let earlier: Earlier = call.json()?;
         let attempt = self.attempts.lock().get(&earlier.request_id);
         let running = attempt.filter(|attempt| !attempt.finished.load(Ordering::Relaxed));
-        let cancelled = running.is_some_and(|a| !a.cancelled.swap(true, Ordering::Relaxed));
+        let cancelled = running.is_some_and(|attempt| attempt.stop.tell());
         if cancelled {
             self.tally.count(Counter::Cancelled);
         }
--- a/crates/standin/src/engine/run.rs
+++ b/crates/standin/src/engine/run.rs
@@ -8,6 +8,7 @@
 use acacia_policy::request::BlockKey;
 use bytes::Bytes;
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use super::Place;
@@ -33,12 +34,44 @@
     pub prompt_tokens: u32,
     /// Of these, found in the cache.
     pub cached_tokens: AtomicU32,
-    /// Whether it was told to stop.
-    pub cancelled: AtomicBool,
+    /// Ends it before its end.
+    pub stop: Stop,
     /// Whether it ran to the end.
     pub finished: AtomicBool,
 }
 
+/// Tells a run to end before its end.
+#[derive(Debug, Default)]
+pub struct Stop {
+    told: AtomicBool,
+    wake: Notify,
+}
+
+impl Stop {
+    /// Tells it; false when it was told before.
+    pub fn tell(&self) -> bool {
+        let first = !self.told.swap(true, Ordering::Relaxed);
+        self.wake.notify_one();
+        first
+    }
+
+    fn told(&self) -> bool {
+        self.told.load(Ordering::Relaxed)
+    }
+
+    /// Goes on with `work` unless told to stop.
+    async fn or<T>(&self, work: impl Future<Output = T>) -> Result<T, Cut> {
+        if self.told() {
+            return Err(Cut);
+        }
+        tokio::select! {
+            biased;
+            () = self.wake.notified() => Err(Cut),
+            done = work => Ok(done),
+        }
+    }
+}
+
 /// The attempts of one process life, oldest out first.
 #[derive(Default)]
 pub struct Attempts {
@@ -59,6 +92,11 @@
         repeated
     }
 
+    /// Every one.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Attempt>> {
+        self.by_id.values()
+    }
+
     /// One by its id.
     pub fn get(&self, id: &str) -> Option<Arc<Attempt>> {
         self.by_id.get(id).cloned()
@@ -140,7 +178,8 @@
             slot: None,
             phase: Phase::Tokens,
         };
-        run.slot = Some(run.engine.slots.take(run.attempt.priority).await);
+        let slot = run.engine.slots.take(run.attempt.priority);
+        run.slot = Some(run.attempt.stop.or(slot).await?);
         run.alive()?;
         run.engine.note_running();
         if !prefill.done {
@@ -158,7 +197,7 @@
         let prompt = self.attempt.prompt_tokens;
         let cached = engine.find(prefill, prompt);
         self.attempt.cached_tokens.store(cached, Ordering::Relaxed);
-        engine.compute(prompt - cached, self.attempt.priority).await;
+        self.attempt.stop.or(engine.compute(prompt - cached, self.attempt.priority)).await?;
         self.alive()?;
         engine.store(prefill);
         engine.tally.add(Counter::PromptTokensCached, cached.into());
@@ -170,10 +209,9 @@
     pub async fn whole(mut self) -> Result<Chunk, Cut> {
         let left = self.attempt.max_tokens.saturating_sub(self.offset);
         let end = self.next_at + self.engine.token_time() * left;
-        tokio::time::sleep_until(end).await;
+        self.attempt.stop.or(tokio::time::sleep_until(end)).await?;
         self.alive()?;
-        let mut chunk = self.chunk(left);
-        chunk.offset = self.offset - left;
+        let chunk = self.chunk(left);
         self.finish();
         Ok(chunk)
     }
@@ -194,14 +232,13 @@
         let left = self.attempt.max_tokens.saturating_sub(self.offset);
         let number = left.min(self.engine.settings.chunk_tokens);
         self.next_at += self.engine.token_time() * number;
-        if self.next_at > Instant::now() {
-            tokio::time::sleep_until(self.next_at).await;
-        }
         let range = self.offset..self.offset + number.max(1);
-        self.alive().inspect_err(|_| self.phase = Phase::End)?;
+        self.wait().await.inspect_err(|_| self.phase = Phase::End)?;
         if self.engine.broken.fire(range.clone()) {
             self.engine.tally.count(Counter::Broken);
             self.phase = Phase::End;
+            // The server flushes what came before the break only when it is given a turn.
+            tokio::task::yield_now().await;
             return Err(Cut);
         }
         if self.engine.truncated_stream() {
@@ -225,6 +262,14 @@
         Ok(bytes.into())
     }
 
+    /// Waits until the next chunk is due.
+    async fn wait(&self) -> Result<(), Cut> {
+        if self.next_at > Instant::now() {
+            self.attempt.stop.or(tokio::time::sleep_until(self.next_at)).await?;
+        }
+        self.alive()
+    }
+
     /// Generates the next `number` tokens.
     fn chunk(&mut self, number: u32) -> Chunk {
         let token_ids: Vec<_> = (0..number).map(|_| self.generator.next_token()).collect();
@@ -250,8 +295,7 @@
     /// Whether the process life goes on and nobody cancelled.
     fn alive(&self) -> Result<(), Cut> {
         let lives = self.engine.incarnation() == self.engine.life;
-        let wanted = !self.attempt.cancelled.load(Ordering::Relaxed);
-        if lives && wanted { Ok(()) } else { Err(Cut) }
+        if lives && !self.attempt.stop.told() { Ok(()) } else { Err(Cut) }
     }
 
     fn finish(&mut self) {
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::ops::Deref;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
@@ -24,6 +25,8 @@
 const MAX_BODY: usize = 256 << 20;
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 8_192;
+/// Longest wait for the calls that run when stopping.
+const GRACE: Duration = Duration::from_secs(30);
 /// Wait between two tries to bind a port again.
 const REBIND_WAIT: Duration = Duration::from_millis(5);
 
@@ -41,6 +44,9 @@
     /// Begins or ends a fault of its own; false when it knows none of this kind.
     fn fault(&self, fault: &Fault) -> bool;
 
+    /// Ends what would otherwise wait for ever, so that the process can stop.
+    fn close(&self) {}
+
     /// Answers a call of its control port beyond counters and faults.
     fn control(&self, _call: &Call) -> Option<Answer> {
         None
@@ -93,12 +99,13 @@
         self.gate.fault(&fault)
     }
 
-    /// Closes both ports once the calls that run have ended or broken off.
+    /// Takes no new connection, lets the calls that run end, and closes both ports.
     pub async fn stop(mut self) {
+        self.gate.standin.close();
+        self.gate.reach.send_replace(Reach::Stopping);
+        let [traffic, _] = &mut self.tasks;
+        let _ = traffic.await;
         self.kill();
-        for task in &mut self.tasks {
-            let _ = task.await;
-        }
     }
 
     /// Closes both ports at once and cuts every connection.
@@ -128,6 +135,7 @@
     Down,
     Frozen,
     Unreachable,
+    Stopping,
 }
 
 /// Faults that every stand-in has, before its own.
@@ -216,7 +224,7 @@
     let mut reach = gate.reach.subscribe();
     loop {
         tokio::select! {
-            () = serve(acceptor, Traffic(gate.clone())) => return,
+            () = serve_until_stop(acceptor, &gate) => return,
             _ = reach.wait_for(|reach| *reach == Reach::Unreachable) => {}
         }
         if reach.wait_for(|reach| *reach != Reach::Unreachable).await.is_err() {
@@ -226,6 +234,19 @@
     }
 }
 
+/// Serves the protocol until told to stop, and then until the calls that run have ended.
+async fn serve_until_stop<S: Standin>(acceptor: TcpAcceptor, gate: &Arc<Gate<S>>) {
+    let mut reach = gate.reach.subscribe();
+    let server = Server::new(acceptor).disable_fuse();
+    let stop = server.handle();
+    let mut serving = pin!(server.try_serve(router(Traffic(gate.clone()))));
+    tokio::select! {
+        _ = &mut serving => return,
+        _ = reach.wait_for(|reach| *reach == Reach::Stopping) => stop.stop_graceful(GRACE),
+    }
+    let _ = serving.await;
+}
+
 async fn rebind(address: SocketAddr) -> TcpAcceptor {
     loop {
         match bind(address) {
@@ -236,8 +257,11 @@
 }
 
 async fn serve(acceptor: TcpAcceptor, handler: impl Handler) {
-    let router = Router::with_path("{**rest}").goal(handler);
-    let _ = Server::new(acceptor).disable_fuse().try_serve(router).await;
+    let _ = Server::new(acceptor).disable_fuse().try_serve(router(handler)).await;
+}
+
+fn router(handler: impl Handler) -> Router {
+    Router::with_path("{**rest}").goal(handler)
 }
 
 struct Traffic<S>(Arc<Gate<S>>);
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -8,6 +8,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -86,6 +87,7 @@
     tally: Tally,
     keyspace: Mutex<Keyspace>,
     revision: watch::Sender<i64>,
+    closed: AtomicBool,
     writes: Mutex<Bucket>,
     reads: Mutex<Bucket>,
 }
@@ -96,6 +98,7 @@
             tally: Tally::default(),
             keyspace: Mutex::new(Keyspace::new(settings.scale)),
             revision: watch::channel(0).0,
+            closed: AtomicBool::new(false),
             writes: Mutex::new(Bucket::new(settings.writes_per_second)),
             reads: Mutex::new(Bucket::new(settings.reads_per_second)),
             settings,
@@ -218,6 +221,12 @@
         self.route(call).await.unwrap_or_else(|refusal| refusal)
     }
 
+    fn close(&self) {
+        self.closed.store(true, Ordering::Relaxed);
+        // Wakes the watches.
+        self.revision.send_modify(|_| ());
+    }
+
     fn fault(&self, fault: &Fault) -> bool {
         match fault {
             Fault::LeaseLapse => {
@@ -242,7 +251,7 @@
 impl Watcher {
     /// The next line; nothing once the service is gone or the start lies before its history.
     async fn next(&mut self) -> Option<Bytes> {
-        while !self.over {
+        while !self.over && !self.state.closed.load(Ordering::Relaxed) {
             self.revision.borrow_and_update();
             let range = (self.range.key.as_slice(), self.range.range_end.as_slice());
             let batch = self.state.keyspace.lock().events(range, self.start);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Counters`] for an oracle, and [`Fault`] switches, which the control port offers over HTTP too.
 //! [`host`] is the only module that knows of an HTTP server.
 
+pub mod command;
 pub mod counter;
 pub mod engine;
 pub mod exchange;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,3 +1,11 @@
-//! Stand-ins for the outside systems.
+//! Stand-ins for the outside systems, one for each subcommand.
 
-fn main() {}
+use acacia_standin::command;
+use miette::IntoDiagnostic;
+
+#[tokio::main]
+async fn main() -> miette::Result<()> {
+    let command = command::options().run();
+    tracing_subscriber::fmt().with_writer(std::io::stderr).with_env_filter("warn").init();
+    command::run(command).await.into_diagnostic()
+}
