Administration API tested; secrets of the base only; moves always published

Conclusion: the promises hold against a backend in memory; the daemon's own backend is not run here.

--- a/crates/catalog/src/secret.rs
+++ b/crates/catalog/src/secret.rs
@@ -18,6 +18,15 @@
         self
     }
 
+    /// Whether any secret is redacted.
+    pub fn is_redacted(&self) -> bool {
+        let redacted = |object: &Object| match object {
+            Object::Organisation(organisation) => organisation.cache_secret == REDACTED,
+            _ => false,
+        };
+        self.objects.iter().any(redacted)
+    }
+
     /// Puts the secrets of `known` back where this document has [`REDACTED`].
     ///
     /// An organisation that `known` lacks stays redacted, which [`Set::check`] refuses.
--- a/crates/operator/src/change.rs
+++ b/crates/operator/src/change.rs
@@ -47,11 +47,10 @@
     apply: Apply,
 ) -> Result<Accepted, Fault> {
     let Apply { id, base, document, wait_ms } = apply;
-    let known = match backend.set_at(base).await {
-        Some(set) => set,
-        None => backend.snapshot().set.clone(),
-    };
-    let document = document.restore(&known);
+    if let Some(revision) = repeated(backend, &id, &document).await? {
+        return Ok(accepted(backend, author, id, revision, wait_ms).await);
+    }
+    let document = restore(backend, base, document).await?;
     Set::check(&document).map_err(Fault::invalid)?;
     let change = Change { id: id.clone(), base, author: author.to_owned(), document };
     match backend.change(change).await {
@@ -63,6 +62,39 @@
     }
 }
 
+/// The revision that the same change made before, when its answer was lost.
+async fn repeated(
+    backend: &impl Backend,
+    id: &ChangeId,
+    document: &Document,
+) -> Result<Option<Revision>, Fault> {
+    let history = backend.history().await;
+    let Some(past) = history.iter().find(|past| past.change == *id) else { return Ok(None) };
+    let Some(made) = backend.set_at(past.revision).await else { return Ok(Some(past.revision)) };
+    let asked = Set::check(&document.clone().restore(&made));
+    if asked.is_ok_and(|asked| asked == *made) {
+        return Ok(Some(past.revision));
+    }
+    let message = format!("change id `{id}` made revision {} of other content", past.revision);
+    Err(Fault::new(Code::Conflict, message, "give each change an id of its own"))
+}
+
+/// The document with the secrets of its base, never those of another revision.
+async fn restore(
+    backend: &impl Backend,
+    base: Revision,
+    document: Document,
+) -> Result<Document, Fault> {
+    if !document.is_redacted() {
+        return Ok(document);
+    }
+    catch_up(backend, base).await;
+    match backend.set_at(base).await {
+        Some(known) => Ok(document.restore(&known)),
+        None => Err(conflict(backend, base, backend.snapshot().revision).await),
+    }
+}
+
 /// Puts an earlier configuration in force.
 pub(crate) async fn rollback(
     backend: &impl Backend,
@@ -90,16 +122,15 @@
     for _ in 0..MOVE_ATTEMPTS {
         let snapshot = backend.snapshot();
         let mut document = snapshot.set.document();
-        if !set_duty(&mut document, target, state)? {
-            let force = wait(backend, snapshot.revision, wait_ms).await;
-            return Ok(Accepted { id, revision: snapshot.revision, changed: false, force });
-        }
+        // Published even when nothing changes: only that shows that the snapshot is the newest.
+        let changed = set_duty(&mut document, target, state)?;
         let (base, author) = (snapshot.revision, author.to_owned());
         let change = Change { id: id.clone(), base, author, document };
         let author = change.author.clone();
         match backend.change(change).await {
             ChangeOutcome::Accepted(revision) => {
-                return Ok(accepted(backend, &author, id, revision, wait_ms).await);
+                let accepted = accepted(backend, &author, id, revision, wait_ms).await;
+                return Ok(Accepted { changed, ..accepted });
             }
             ChangeOutcome::Conflict(revision) => catch_up(backend, revision).await,
             other => return Err(refused(other)),
--- /dev/null
+++ b/crates/operator/tests/api.rs
@@ -0,0 +1,381 @@
+//! The calls, over a real socket, against a backend in memory.
+
+mod common;
+
+use acacia_catalog::Document;
+use acacia_catalog::diff::Change;
+use acacia_catalog::object::{Duty, Object};
+use acacia_catalog::secret::REDACTED;
+use acacia_operator::call::{Apply, Move, Order, Rollback};
+use acacia_operator::client::{Error, Outcome};
+use acacia_operator::fault::Code;
+use acacia_operator::server::BODY_LIMIT;
+use acacia_operator::{Backend, Fault, Key, Role};
+use acacia_policy::control::{OrderDuty, OrderOutcome};
+use common::{LIVE, Served, Twist, example};
+
+fn apply(id: &str, base: u64, document: Document) -> Apply {
+    Apply { id: id.into(), base, document, wait_ms: 0 }
+}
+
+fn shift(id: &str, state: Duty) -> Move {
+    Move { id: id.into(), state, wait_ms: 0 }
+}
+
+fn fault<T: std::fmt::Debug>(outcome: Outcome<T>) -> Fault {
+    match outcome {
+        Err(Error::Refused(fault)) => fault,
+        other => panic!("expected a refusal, got {other:?}"),
+    }
+}
+
+/// The example with a weight that no other has.
+fn weighted(weight: u32) -> Document {
+    let mut document = example();
+    for object in &mut document.objects {
+        if let Object::Organisation(o) = object {
+            o.weight = weight;
+        }
+    }
+    document
+}
+
+#[tokio::test]
+async fn authenticate_roles() {
+    let served = Served::with_example().await;
+    let nobody = served.client("nobody");
+    assert_eq!(fault(nobody.status().await).code, Code::Unauthenticated);
+    let reader = served.client("rui");
+    assert!(reader.status().await.is_ok());
+    assert_eq!(fault(reader.apply(&apply("x", 1, example())).await).code, Code::Forbidden);
+    let out = shift("y", Duty::Out);
+    assert_eq!(fault(reader.zone("zone-1", &out).await).code, Code::Forbidden);
+    let mover = served.client("ivo");
+    assert!(mover.history().await.is_ok());
+    assert!(mover.zone("zone-1", &out).await.is_ok());
+    assert_eq!(fault(mover.apply(&apply("x", 2, example())).await).code, Code::Forbidden);
+    let order = Order { id: "o".to_owned(), duty: OrderDuty::SetRole("prefill".into()) };
+    assert_eq!(fault(mover.order("engine-1", &order).await).code, Code::Forbidden);
+    assert_eq!(served.fake.state().accepted.len(), 2);
+}
+
+#[tokio::test]
+async fn authenticate_replaced_keys() {
+    let served = Served::with_example().await;
+    let client = served.client("ana");
+    assert!(client.status().await.is_ok());
+    served.keys.replace(vec![Key::of("eva", "key-of-eva", [Role::Read])]);
+    assert_eq!(fault(client.status().await).code, Code::Unauthenticated);
+    assert!(served.client("eva").status().await.is_ok());
+}
+
+#[tokio::test]
+async fn check_differences() {
+    let served = Served::with_example().await;
+    let client = served.client("rui");
+    let checked = client.check(&weighted(9)).await.unwrap();
+    assert_eq!((checked.revision, checked.differences.len()), (1, 10));
+    let checked = client.check(&example().redact()).await.unwrap();
+    assert_eq!(checked.differences, []);
+    let refused = fault(client.check(&weighted(0)).await);
+    assert_eq!((refused.code, refused.problems.len()), (Code::Invalid, 10));
+    assert_eq!(served.fake.state().accepted.len(), 1);
+}
+
+#[tokio::test]
+async fn apply_accepted() {
+    let served = Served::start().await;
+    let client = served.client("ana");
+    let accepted = client.apply(&apply("a", 0, example())).await.unwrap();
+    assert_eq!((accepted.revision, accepted.changed), (1, true));
+    let again = client.apply(&apply("a", 0, example())).await.unwrap();
+    assert_eq!(again.revision, 1);
+    assert_eq!(served.fake.state().accepted.len(), 1);
+    let past = client.history().await.unwrap();
+    assert_eq!((past[0].author.as_str(), &*past[0].change), ("ana", "a"));
+}
+
+#[tokio::test]
+async fn apply_wait() {
+    let served = Served::start().await;
+    let wait_ms = 60_000;
+    let request = Apply { wait_ms, ..apply("a", 0, example()) };
+    let accepted = served.client("ana").apply(&request).await.unwrap();
+    assert_eq!((accepted.force.daemons, accepted.force.live), (LIVE, LIVE));
+}
+
+#[tokio::test]
+async fn apply_conflict() {
+    let served = Served::with_example().await;
+    let client = served.client("ana");
+    client.apply(&apply("a", 1, weighted(9))).await.unwrap();
+    let refused = fault(client.apply(&apply("b", 1, weighted(7))).await);
+    assert_eq!((refused.code, refused.revision), (Code::Conflict, Some(2)));
+    let differences = refused.differences.unwrap();
+    assert_eq!(differences.len(), 10);
+    assert!(differences.iter().all(|d| matches!(&d.change, Change::Altered(f) if f[0].after == 9)));
+}
+
+#[tokio::test]
+async fn apply_conflict_base_forgotten() {
+    let served = Served::with_example().await;
+    served.fake.state().forgets = true;
+    let client = served.client("ana");
+    client.apply(&apply("a", 1, weighted(9))).await.unwrap();
+    let refused = fault(client.apply(&apply("b", 1, weighted(7))).await);
+    assert_eq!((refused.code, refused.differences), (Code::Conflict, None));
+}
+
+#[tokio::test]
+async fn apply_answer_lost() {
+    let served = Served::with_example().await;
+    let client = served.client("ana");
+    served.fake.twist(Twist::AnswerLost);
+    let request = apply("a", 1, weighted(9));
+    assert_eq!(fault(client.apply(&request).await).code, Code::Unknown);
+    assert_eq!(client.apply(&request).await.unwrap().revision, 2);
+    assert_eq!(served.fake.state().accepted.len(), 2);
+}
+
+#[tokio::test]
+async fn apply_answer_lost_then_others() {
+    let served = Served::with_example().await;
+    let client = served.client("ana");
+    served.fake.twist(Twist::AnswerLost);
+    let request = apply("a", 1, weighted(9).redact());
+    assert_eq!(fault(client.apply(&request).await).code, Code::Unknown);
+    client.apply(&apply("b", 2, weighted(7))).await.unwrap();
+    assert_eq!(client.apply(&request).await.unwrap().revision, 2);
+    assert_eq!(served.fake.state().accepted.len(), 3);
+}
+
+#[tokio::test]
+async fn apply_request_lost() {
+    let served = Served::with_example().await;
+    let client = served.client("ana");
+    served.fake.twist(Twist::RequestLost);
+    let request = apply("a", 1, weighted(9));
+    assert_eq!(fault(client.apply(&request).await).code, Code::Unknown);
+    assert_eq!(served.fake.state().accepted.len(), 1);
+    assert_eq!(client.apply(&request).await.unwrap().revision, 2);
+}
+
+#[tokio::test]
+async fn apply_unavailable() {
+    let served = Served::with_example().await;
+    served.fake.twist(Twist::Unavailable);
+    let refused = fault(served.client("ana").apply(&apply("a", 1, weighted(9))).await);
+    assert_eq!(refused.code, Code::Unavailable);
+    assert_eq!(served.fake.state().accepted.len(), 1);
+}
+
+#[tokio::test]
+async fn apply_id_reused() {
+    let served = Served::with_example().await;
+    let client = served.client("ana");
+    client.apply(&apply("a", 1, weighted(9))).await.unwrap();
+    let refused = fault(client.apply(&apply("a", 2, weighted(7))).await);
+    assert_eq!(refused.code, Code::Conflict);
+    assert!(refused.message.contains("change id"));
+}
+
+#[tokio::test]
+async fn apply_redacted() {
+    let served = Served::with_example().await;
+    let client = served.client("ana");
+    let before = served.fake.set();
+    client.apply(&apply("a", 1, weighted(9).redact())).await.unwrap();
+    for (name, organisation) in served.fake.set().organisations {
+        assert_eq!(organisation.cache_secret, before.organisations[&name].cache_secret);
+        assert_eq!(organisation.weight, 9);
+    }
+}
+
+#[tokio::test]
+async fn apply_redacted_while_lagging() {
+    let served = Served::with_example().await;
+    let client = served.client("ana");
+    let mut rotated = example();
+    for object in &mut rotated.objects {
+        if let Object::Organisation(o) = object {
+            o.cache_secret = "a rotated secret of this organisation".to_owned();
+        }
+    }
+    client.apply(&apply("a", 1, rotated)).await.unwrap();
+    served.fake.state().lag = 3;
+    client.apply(&apply("b", 2, weighted(9).redact())).await.unwrap();
+    let mut organisations = served.fake.set().organisations.into_values();
+    assert!(organisations.all(|o| o.cache_secret.starts_with("a rotated")));
+}
+
+#[tokio::test]
+async fn apply_racing_operators() {
+    let served = Served::with_example().await;
+    let calls = (2..12).map(|weight| {
+        let client = served.client("ana");
+        async move { client.apply(&apply(&format!("w{weight}"), 1, weighted(weight))).await }
+    });
+    let outcomes = futures::future::join_all(calls).await;
+    let accepted = outcomes.iter().filter(|o| o.is_ok()).count();
+    assert_eq!((accepted, served.fake.state().accepted.len()), (1, 2));
+    for refused in outcomes.into_iter().filter(Result::is_err) {
+        assert_eq!(fault(refused).code, Code::Conflict);
+    }
+}
+
+#[tokio::test]
+async fn configuration_redacted() {
+    let served = Served::with_example().await;
+    let client = served.client("rui");
+    served.client("ana").apply(&apply("a", 1, weighted(9))).await.unwrap();
+    for revision in [None, Some(1), Some(2)] {
+        let found = client.configuration(revision).await.unwrap();
+        assert_eq!(found.revision, revision.unwrap_or(2));
+        let text = serde_json::to_string(&found).unwrap();
+        assert!(text.contains(REDACTED));
+        let secrets = served.fake.set().organisations.into_values().map(|o| o.cache_secret);
+        assert!(secrets.into_iter().all(|secret| !text.contains(&secret)));
+    }
+    assert_eq!(fault(client.configuration(Some(9)).await).code, Code::NotFound);
+}
+
+#[tokio::test]
+async fn zone_out_and_back() {
+    let served = Served::with_example().await;
+    let client = served.client("ivo");
+    let accepted = client.zone("zone-2", &shift("a", Duty::Out)).await.unwrap();
+    assert_eq!((accepted.revision, accepted.changed), (2, true));
+    assert_eq!(served.fake.set().zones["zone-2"].state, Duty::Out);
+    assert_eq!(client.status().await.unwrap().zones_out, ["zone-2".into()]);
+    let again = client.zone("zone-2", &shift("b", Duty::Out)).await.unwrap();
+    assert!(!again.changed);
+    client.zone("zone-2", &shift("c", Duty::In)).await.unwrap();
+    assert_eq!(served.fake.set().zones["zone-2"].state, Duty::In);
+    assert_eq!(fault(client.zone("zone-9", &shift("d", Duty::In)).await).code, Code::NotFound);
+}
+
+#[tokio::test]
+async fn zone_out_raced() {
+    let served = Served::with_example().await;
+    served.fake.twist(Twist::Raced);
+    served.fake.twist(Twist::Raced);
+    let accepted = served.client("ivo").zone("zone-2", &shift("a", Duty::Out)).await.unwrap();
+    assert_eq!(accepted.revision, 4);
+    let set = served.fake.set();
+    assert_eq!(set.zones["zone-2"].state, Duty::Out);
+    let first = set.organisations.values().next().unwrap();
+    assert_eq!(first.weight, 10, "the other operator's two changes stand");
+}
+
+#[tokio::test]
+async fn zone_out_while_lagging() {
+    let served = Served::with_example().await;
+    let client = served.client("ivo");
+    client.zone("zone-2", &shift("a", Duty::Out)).await.unwrap();
+    client.zone("zone-2", &shift("b", Duty::In)).await.unwrap();
+    // This daemon still sees the zone as out.
+    served.fake.state().lag = 2;
+    client.zone("zone-2", &shift("c", Duty::Out)).await.unwrap();
+    assert_eq!(served.fake.set().zones["zone-2"].state, Duty::Out);
+}
+
+#[tokio::test]
+async fn zone_moves_at_once() {
+    let served = Served::with_example().await;
+    let moves = ["zone-1", "zone-2", "zone-3", "zone-4"].map(|zone| {
+        let client = served.client("ivo");
+        async move { client.zone(zone, &shift(zone, Duty::Out)).await }
+    });
+    for outcome in futures::future::join_all(moves).await {
+        assert!(outcome.is_ok());
+    }
+    assert!(served.fake.set().zones.values().all(|zone| zone.state == Duty::Out));
+}
+
+#[tokio::test]
+async fn upstream_drain() {
+    let served = Served::with_example().await;
+    let client = served.client("ivo");
+    client.upstream("engine-3", &shift("a", Duty::Out)).await.unwrap();
+    assert_eq!(served.fake.set().upstreams["engine-3"].state, Duty::Out);
+    client.upstream("engine-3", &shift("b", Duty::In)).await.unwrap();
+    assert_eq!(served.fake.set().upstreams["engine-3"].state, Duty::In);
+    assert_eq!(fault(client.upstream("x", &shift("c", Duty::In)).await).code, Code::NotFound);
+}
+
+#[tokio::test]
+async fn rollback_keeps_duty() {
+    let served = Served::with_example().await;
+    let client = served.client("ana");
+    client.apply(&apply("a", 1, weighted(9))).await.unwrap();
+    client.zone("zone-1", &shift("b", Duty::Out)).await.unwrap();
+    client.upstream("engine-3", &shift("c", Duty::Out)).await.unwrap();
+    let rollback = Rollback { id: "d".into(), base: 4, revision: 1, wait_ms: 0 };
+    assert_eq!(client.rollback(&rollback).await.unwrap().revision, 5);
+    let set = served.fake.set();
+    assert_eq!(set.organisations["organisation-2"].weight, 1);
+    assert_eq!(set.zones["zone-1"].state, Duty::Out);
+    assert_eq!(set.upstreams["engine-3"].state, Duty::Out);
+    assert_eq!(client.rollback(&rollback).await.unwrap().revision, 5);
+    let unknown = Rollback { id: "e".into(), base: 5, revision: 77, wait_ms: 0 };
+    assert_eq!(fault(client.rollback(&unknown).await).code, Code::NotFound);
+}
+
+#[tokio::test]
+async fn order_sent() {
+    let served = Served::with_example().await;
+    let client = served.client("ana");
+    let order = Order { id: "o1".to_owned(), duty: OrderDuty::LoadVersion("query-v1".into()) };
+    assert_eq!(client.order("engine-1", &order).await.unwrap().outcome, OrderOutcome::Done);
+    assert_eq!(fault(client.order("engine-99", &order).await).code, Code::NotFound);
+    served.fake.state().order_fails = true;
+    assert_eq!(fault(client.order("engine-1", &order).await).code, Code::OrderFailed);
+    assert_eq!(served.fake.state().orders.len(), 2);
+}
+
+#[tokio::test]
+async fn status_and_trace() {
+    let served = Served::with_example().await;
+    let client = served.client("rui");
+    let status = client.status().await.unwrap();
+    assert_eq!((status.revision, status.epoch, status.ready), (1, 4, true));
+    assert_eq!((status.upstreams.len(), status.stores.len()), (13, 2));
+    assert_eq!(fault(client.trace("abc").await).code, Code::NotFound);
+}
+
+#[tokio::test]
+async fn body_refused() {
+    let served = Served::with_example().await;
+    let http = reqwest::Client::builder().no_proxy().build().unwrap();
+    let post = |body: Vec<u8>| {
+        let url = format!("http://{}/v1/admin/apply", served.address);
+        http.post(url).bearer_auth("key-of-ana").body(body).send()
+    };
+    for body in [&b""[..], b"{", b"null", b"{} {}", b"{\"id\":1}", &[0xff; 100], &[b'['; 100_000]] {
+        let answer = post(body.to_vec()).await.unwrap();
+        assert_eq!(answer.status().as_u16(), 400);
+        let text = answer.text().await.unwrap();
+        assert!(text.contains("\"malformed\"") && text.contains("\"hint\""), "{text}");
+    }
+    assert_eq!(post(vec![b' '; BODY_LIMIT + 1]).await.unwrap().status().as_u16(), 413);
+    assert_eq!(served.fake.snapshot().revision, 1);
+}
+
+#[tokio::test]
+async fn body_place() {
+    let served = Served::with_example().await;
+    let http = reqwest::Client::builder().no_proxy().build().unwrap();
+    let url = format!("http://{}/v1/admin/check", served.address);
+    let body =
+        r#"{"objects":[{"kind":"zone","name":"a","region":"r"},{"kind":"zone","nome":"b"}]}"#;
+    let answer = http.post(url).bearer_auth("key-of-rui").body(body).send().await.unwrap();
+    let text = answer.text().await.unwrap();
+    assert!(text.contains("objects[1]") && text.contains("nome"), "{text}");
+}
+
+#[tokio::test]
+async fn client_unreachable() {
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let client = acacia_operator::Client::new(closed.to_string(), "key").unwrap();
+    assert!(matches!(client.status().await, Err(Error::Unreachable(_))));
+}
