--- a/crates/cli/src/command/apply.rs
+++ b/crates/cli/src/command/apply.rs
@@ -5,7 +5,6 @@
 
 use acacia_catalog::id::Revision;
 use acacia_operator::call::Accepted;
-use acacia_operator::fault::Code;
 use acacia_operator::{call, client};
 use bpaf::Bpaf;
 use tokio::time::sleep;
@@ -15,8 +14,10 @@
 use crate::source::Source;
 use crate::{Exit, Failure};
 
-/// Times that a change with an unknown outcome is asked again.
-const ATTEMPTS: u32 = 10;
+/// Times that a change is asked for while its outcome is unknown.
+const UNKNOWN_ATTEMPTS: u32 = 10;
+/// Times that a change is asked for while the key-value service or the daemon does not answer.
+const UNREACHABLE_ATTEMPTS: u32 = 3;
 /// Time between two of them.
 const PAUSE: Duration = Duration::from_millis(500);
 
@@ -94,25 +95,35 @@
     format!("{:032x}", rand::random::<u128>())
 }
 
-/// Makes a call, and again while its outcome is unknown; the change id makes that harmless.
+/// Makes a call, and again while its outcome is unknown or the key-value service does not answer;
+/// the change id makes that harmless.
 pub(super) async fn persist<F>(id: &str, call: impl Fn() -> F) -> Result<Accepted, Failure>
 where
     F: Future<Output = client::Outcome<Accepted>>,
 {
-    for _ in 1..ATTEMPTS {
-        match call().await {
+    let mut unknown = false;
+    for attempt in 1.. {
+        let failure = match call().await {
             Ok(accepted) => return Ok(accepted),
-            Err(client::Error::Lost(_)) => {}
-            Err(client::Error::Refused(fault)) if fault.code == Code::Unknown => {}
-            Err(error) => return Err(error.into()),
+            Err(error) => Failure::from(error),
+        };
+        let limit = match failure.exit {
+            Exit::Unknown => UNKNOWN_ATTEMPTS,
+            Exit::Unreachable if unknown => UNKNOWN_ATTEMPTS,
+            Exit::Unreachable => UNREACHABLE_ATTEMPTS,
+            _ => return Err(failure),
+        };
+        unknown |= failure.exit == Exit::Unknown;
+        if attempt >= limit {
+            return Err(if unknown { undecided(id, failure) } else { failure });
         }
         sleep(PAUSE).await;
     }
-    call().await.map_err(|error| {
-        let failure = Failure::from(error);
-        match failure.exit {
-            Exit::Unknown => failure.hint(format!("ask again with `--id {id}`")),
-            _ => failure,
-        }
-    })
+    unreachable!("the attempts are limited")
+}
+
+/// One attempt may have been accepted, whatever became of the last.
+fn undecided(id: &str, last: Failure) -> Failure {
+    let message = format!("not known whether the change is accepted; at last: {}", last.message);
+    Failure::new(Exit::Unknown, "unknown", message).hint(format!("ask again with `--id {id}`"))
 }
--- a/crates/operator/src/change.rs
+++ b/crates/operator/src/change.rs
@@ -85,7 +85,8 @@
     base: Revision,
     document: Document,
 ) -> Result<Document, Fault> {
-    if !document.is_redacted() {
+    // Before the first revision there is nothing to restore from, which the check will tell.
+    if base == 0 || !document.is_redacted() {
         return Ok(document);
     }
     catch_up(backend, base).await;
--- a/crates/operator/tests/api.rs
+++ b/crates/operator/tests/api.rs
@@ -191,6 +191,13 @@
     }
 }
 
+#[tokio::test]
+async fn apply_redacted_first() {
+    let served = Served::start().await;
+    let refused = fault(served.client("ana").apply(&apply("a", 0, example().redact())).await);
+    assert_eq!((refused.code, refused.problems.len()), (Code::Invalid, 10));
+}
+
 #[tokio::test]
 async fn apply_redacted_while_lagging() {
     let served = Served::with_example().await;
