--- /dev/null
+++ b/crates/cli/src/compare.rs
@@ -0,0 +1,103 @@
+//! `acacia load`: the same workload under one or several strategies, side by side.
+
+use std::fs;
+use std::io;
+use std::path::PathBuf;
+
+use acacia_policy::dispatch::Strategy;
+use miette::Diagnostic;
+use thiserror::Error;
+
+use crate::demo::{self, Judgement};
+use crate::load::page;
+use crate::load::report::Report;
+use crate::load::run::{self, Plan};
+use crate::load::workload::{Shape, User};
+use crate::system;
+use crate::system::layout::Layout;
+
+/// What a comparison is asked.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Whose workload is played.
+    pub user: User,
+    /// The strategies.
+    pub strategies: Vec<Strategy>,
+    /// Factor by which the model's time is sped up.
+    pub scale: f64,
+    /// Seed of the workload.
+    pub seed: u64,
+    /// Whether a zone leaves and returns.
+    pub zone_move: bool,
+    /// Where the report goes as JSON; a page of plots goes beside it.
+    pub report: Option<PathBuf>,
+    /// Whether the report is printed as JSON.
+    pub json: bool,
+}
+
+/// Why a comparison failed.
+#[derive(Debug, Diagnostic, Error)]
+pub enum Error {
+    /// A system can't run.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    System(#[from] system::Error),
+    /// A report can't be written.
+    #[error("the report can't be written to {path}")]
+    #[diagnostic(help("name a file in a directory that exists and may be written"))]
+    Write {
+        /// The file.
+        path: String,
+        /// Why.
+        source: io::Error,
+    },
+}
+
+/// Runs the strategies one after another and reports them side by side.
+pub async fn compare(options: &Options) -> Result<Judgement, Error> {
+    let mut reports = Vec::with_capacity(options.strategies.len());
+    for strategy in &options.strategies {
+        reports.push(one(options, *strategy).await?);
+    }
+    if let Some(path) = &options.report {
+        write(path, &json(&reports))?;
+        write(&path.with_extension("html"), &page::render(&reports))?;
+    }
+    if options.json {
+        println!("{}", json(&reports));
+    } else {
+        println!("{}", demo::table(&reports));
+    }
+    let broken: Vec<_> = reports.iter().flat_map(demo::broken).collect();
+    for promise in &broken {
+        eprintln!("broken promise: {promise}");
+    }
+    Ok(if broken.is_empty() { Judgement::Kept } else { Judgement::Broken })
+}
+
+async fn one(options: &Options, strategy: Strategy) -> Result<Report, system::Error> {
+    let plan = Plan {
+        user: options.user,
+        shape: Shape::of(options.user),
+        layout: Layout::of(options.user),
+        strategy,
+        seed: options.seed,
+        scale: options.scale,
+        zone_move: options.zone_move,
+    };
+    let bar = demo::progress(&strategy.to_string());
+    let ran = run::run(&plan, &bar).await;
+    bar.finish_and_clear();
+    let (system, report) = ran?;
+    system.stop().await;
+    Ok(report)
+}
+
+fn json(reports: &[Report]) -> String {
+    serde_json::to_string_pretty(reports).expect("a report is plain data")
+}
+
+fn write(path: &PathBuf, text: &str) -> Result<(), Error> {
+    fs::write(path, text)
+        .map_err(|source| Error::Write { path: path.display().to_string(), source })
+}
--- /dev/null
+++ b/crates/cli/src/load/run.rs
@@ -0,0 +1,117 @@
+//! One run: a system, a workload, faults on a schedule, and the report.
+
+use std::time::Duration;
+
+use acacia_catalog::object::Duty;
+use acacia_policy::dispatch::Strategy;
+use acacia_standin::counter::Counter;
+use indicatif::ProgressBar;
+
+use super::client::{Balancer, Client};
+use super::play::{self, Target};
+use super::record::Record;
+use super::report::{self, Link, Phase, Report, Tokens};
+use super::workload::{ORGANISATIONS, Shape, User, Workload};
+use crate::system::layout::{self, Layout};
+use crate::system::{Error, System};
+
+/// The zone that leaves and returns.
+const MOVED_ZONE: usize = 1;
+/// When it leaves, as a share of the workload.
+const OUT_AT: f64 = 0.45;
+/// When it returns, as a share of the workload.
+const BACK_AT: f64 = 0.7;
+
+/// What is run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Whose workload it is.
+    pub user: User,
+    /// Its shape.
+    pub shape: Shape,
+    /// The system's size.
+    pub layout: Layout,
+    /// How requests are routed.
+    pub strategy: Strategy,
+    /// Seed of the workload.
+    pub seed: u64,
+    /// Factor by which the model's time is sped up.
+    pub scale: f64,
+    /// Whether a zone leaves and returns.
+    pub zone_move: bool,
+}
+
+/// Runs a plan; yields the system too, still running.
+pub async fn run(plan: &Plan, bar: &ProgressBar) -> Result<(System, Report), Error> {
+    let system = System::start(plan.layout.clone(), plan.strategy, plan.scale).await?;
+    let workload = Workload::draw(&plan.shape, plan.seed);
+    let phases = phases(workload.length);
+    bar.set_length(workload.items.len() as u64);
+    let moves = async {
+        if plan.zone_move { move_zone(&system, &phases, plan.scale).await } else { Ok(()) }
+    };
+    let played = play::play(workload, target(&system, plan), bar);
+    let (records, moved) = tokio::join!(played, moves);
+    moved?;
+    let report = summarise(plan, &system, &records, &phases);
+    Ok((system, report))
+}
+
+fn target(system: &System, plan: &Plan) -> Target {
+    Target {
+        client: Client::new(Balancer::new(system.entries())),
+        keys: (0..ORGANISATIONS).map(layout::key).collect(),
+        model: layout::MODEL.to_owned(),
+        versions: vec![layout::VERSION.to_owned()],
+        service: layout::SERVICE.to_owned(),
+        scale: plan.scale,
+    }
+}
+
+fn phases(length: Duration) -> [Phase; 3] {
+    let phase = |name: &str, from: f64, to: f64| Phase {
+        name: name.to_owned(),
+        from: length.mul_f64(from),
+        to: length.mul_f64(to),
+    };
+    [
+        phase("steady", 0.0, OUT_AT),
+        phase("zone out", OUT_AT, BACK_AT),
+        phase("zone back", BACK_AT, 1.0),
+    ]
+}
+
+async fn move_zone(system: &System, phases: &[Phase; 3], scale: f64) -> Result<(), Error> {
+    let [_, out, back] = phases;
+    tokio::time::sleep(out.from.div_f64(scale)).await;
+    system.move_zone(MOVED_ZONE, Duty::Out).await?;
+    tokio::time::sleep((back.from - out.from).div_f64(scale)).await;
+    system.move_zone(MOVED_ZONE, Duty::In).await?;
+    Ok(())
+}
+
+fn summarise(plan: &Plan, system: &System, records: &[Record], phases: &[Phase]) -> Report {
+    let outside = &system.outside;
+    let prompt = records.iter().map(|r| r.prompt_tokens).sum();
+    let floor = records.iter().map(|r| r.floor_tokens).sum();
+    Report {
+        user: plan.user,
+        strategy: plan.strategy.to_string(),
+        seed: plan.seed,
+        scale: plan.scale,
+        counts: report::counts(records),
+        first_token: report::first_token(records, plan.scale),
+        phases: report::phases(records, phases, plan.scale),
+        tokens: Tokens { prompt, computed: outside.engines(Counter::PromptTokensComputed), floor },
+        link: Link {
+            imported: outside.engines(Counter::ImportedBytes),
+            exported: outside.engines(Counter::ExportedBytes),
+        },
+        duplicates: outside.services(Counter::Duplicates),
+        cold_excess: outside.engines(Counter::ColdExcess) + outside.services(Counter::ColdExcess),
+        wrong_blocks: outside.engines(Counter::WrongBlockRead)
+            + outside.engines(Counter::WrongPrefixRead),
+        errors: report::errors(records),
+        points: report::points(records, plan.scale),
+    }
+}
--- a/crates/cli/src/system.rs
+++ b/crates/cli/src/system.rs
@@ -1,3 +1,147 @@
 //! A whole system in one process: stand-ins, daemons and a published configuration.
 
 pub mod layout;
+pub mod outside;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_catalog::object::Duty;
+use acacia_daemon::{Daemon, Running, Settings, StartError};
+use acacia_operator::key::{Key, Role};
+use acacia_operator::{Client, call};
+use acacia_policy::dispatch::Strategy;
+use miette::Diagnostic;
+use thiserror::Error;
+
+use layout::Layout;
+use outside::Outside;
+
+/// The operators' token of an emulated system.
+pub const OPERATOR_TOKEN: &str = "emulated-operator-token";
+/// Longest wait for a change to be in force everywhere, in milliseconds.
+const FORCE_MS: u64 = 10_000;
+/// Times that a system is asked whether it is ready.
+const READY_TRIES: u32 = 400;
+/// Time between two of them.
+const READY_PERIOD: Duration = Duration::from_millis(50);
+/// Traffic threads of each daemon.
+const THREADS: usize = 1;
+
+/// A running system.
+pub struct System {
+    /// Its size.
+    pub layout: Layout,
+    /// The outside systems.
+    pub outside: Outside,
+    /// The daemons.
+    pub daemons: Vec<Running>,
+}
+
+/// Why a system can't be started or changed.
+#[derive(Debug, Diagnostic, Error)]
+pub enum Error {
+    /// A stand-in can't listen.
+    #[error("a stand-in can't listen on loopback")]
+    #[diagnostic(help("close programs that hold many ports, or raise the limit of open files"))]
+    Standin(#[from] io::Error),
+    /// A daemon can't start.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Daemon(#[from] StartError),
+    /// The administration API refused.
+    #[error("the administration API refused: {0}")]
+    Operator(#[from] acacia_operator::client::Error),
+    /// A client can't be set up.
+    #[error("a client can't be set up: {0}")]
+    Client(#[from] reqwest::Error),
+    /// A daemon takes no requests.
+    #[error("{ready} of {all} daemons took requests in time")]
+    #[diagnostic(help("look at the daemons' logs with RUST_LOG=info"))]
+    NotReady {
+        /// Daemons that do.
+        ready: usize,
+        /// All daemons.
+        all: usize,
+    },
+}
+
+impl System {
+    /// Starts stand-ins and daemons, publishes the configuration and waits until all are ready.
+    pub async fn start(layout: Layout, strategy: Strategy, scale: f64) -> Result<Self, Error> {
+        let outside = Outside::start(&layout, scale).await?;
+        let mut daemons = Vec::with_capacity(layout.daemons);
+        for index in 0..layout.daemons {
+            daemons.push(Daemon::start(settings(&layout, &outside, strategy, index))?);
+        }
+        let system = Self { layout, outside, daemons };
+        system.publish(scale).await?;
+        system.wait_ready().await?;
+        Ok(system)
+    }
+
+    /// Where callers reach the daemons.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(Running::caller_address).collect()
+    }
+
+    /// A client of the administration API of one daemon.
+    pub fn operator(&self, index: usize) -> Result<Client, Error> {
+        let address = self.daemons[index].operator_address().to_string();
+        Ok(Client::new(address, OPERATOR_TOKEN)?)
+    }
+
+    /// Takes a zone out or back and waits until that is in force everywhere.
+    pub async fn move_zone(&self, index: usize, state: Duty) -> Result<call::Accepted, Error> {
+        let id = Arc::from(format!("zone-{index}-{state}-{:x}", rand::random::<u64>()));
+        let shift = call::Move { id, state, wait_ms: FORCE_MS };
+        Ok(self.operator(0)?.zone(&self.layout.zone(index), &shift).await?)
+    }
+
+    /// Stops every daemon gracefully.
+    pub async fn stop(self) {
+        for daemon in self.daemons {
+            daemon.stop().await;
+        }
+    }
+
+    async fn publish(&self, scale: f64) -> Result<(), Error> {
+        let mut layout = self.layout.clone();
+        // Links are budgeted in the daemons' time, which runs slower than the model's.
+        layout.link_bytes = (layout.link_bytes as f64 * scale) as u64;
+        let apply = call::Apply {
+            id: Arc::from("emulated-system"),
+            base: 0,
+            document: layout.document(&self.outside.addresses()),
+            wait_ms: FORCE_MS,
+        };
+        self.operator(0)?.apply(&apply).await?;
+        Ok(())
+    }
+
+    async fn wait_ready(&self) -> Result<(), Error> {
+        for _ in 0..READY_TRIES {
+            if self.daemons.iter().all(Running::is_ready) {
+                return Ok(());
+            }
+            tokio::time::sleep(READY_PERIOD).await;
+        }
+        let ready = self.daemons.iter().filter(|d| d.is_ready()).count();
+        Err(Error::NotReady { ready, all: self.daemons.len() })
+    }
+}
+
+fn settings(layout: &Layout, outside: &Outside, strategy: Strategy, index: usize) -> Settings {
+    let roles = vec![Role::Read, Role::Apply, Role::Move];
+    let mut settings =
+        Settings::new(layout.zone(index), vec![outside.kv.address], outside.list.address);
+    settings.name = Arc::from(format!("daemon-{index}"));
+    settings.seed = Some(index as u64);
+    settings.strategy = strategy;
+    settings.threads = THREADS;
+    settings.operators = vec![Key::of("demo", OPERATOR_TOKEN, roles)];
+    settings.times.stop_notice = Duration::ZERO;
+    settings
+}
