acacia demo and acacia load over a whole system on loopback

Change: stand-ins, three daemons and a published configuration in one process; a workload of returning prompts, short queries and keyed bookings; every answer compared with the only right one; a zone taken out and back; a table beside the least-loaded baseline; acacia load for the users' sizes.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -2,10 +2,12 @@
 
 mod apply;
 mod check;
+mod demo;
 mod diff;
 mod generate;
 mod get;
 mod history;
+mod load;
 mod order;
 mod rollback;
 mod schema;
@@ -65,6 +67,12 @@
     /// Print a configuration of a stated size
     #[bpaf(command)]
     Generate(#[bpaf(external(generate::generate))] generate::Generate),
+    /// Play a small workload against a whole system on loopback
+    #[bpaf(command)]
+    Demo(#[bpaf(external(demo::demo))] demo::Demo),
+    /// Play a user's workload under strategies side by side
+    #[bpaf(command)]
+    Load(#[bpaf(external(load::load))] load::Load),
 }
 
 impl Command {
@@ -84,6 +92,8 @@
             Self::Trace(c) => c.format,
             Self::Schema(c) => c.format,
             Self::Generate(c) => c.format,
+            Self::Demo(c) => c.format,
+            Self::Load(c) => c.format,
         }
     }
 
@@ -103,6 +113,8 @@
             Self::Trace(c) => c.run().await,
             Self::Schema(c) => c.run(),
             Self::Generate(c) => c.run(),
+            Self::Demo(c) => c.run().await,
+            Self::Load(c) => c.run().await,
         }
     }
 }
--- /dev/null
+++ b/crates/cli/src/command/load.rs
@@ -0,0 +1,81 @@
+//! `acacia load`.
+
+use std::path::PathBuf;
+
+use acacia_policy::dispatch::Strategy;
+use bpaf::Bpaf;
+
+use crate::compare::{self, Error, Options};
+use crate::demo::Judgement;
+use crate::load::workload::User;
+use crate::output::{Format, format};
+use crate::{Exit, Failure, system};
+
+/// Plays a user's workload under one or several strategies, side by side.
+#[derive(Bpaf, Clone, Debug)]
+pub struct Load {
+    /// Whose workload: actas or ferreira
+    #[bpaf(argument("USER"), fallback(User::Actas), display_fallback)]
+    pub(super) profile: User,
+    /// A strategy: ours, least-loaded, affinity, no-import or export-all; may be repeated
+    #[bpaf(argument("STRATEGY"), many)]
+    pub(super) strategy: Vec<Strategy>,
+    /// Factor by which the stand-ins' time is sped up
+    #[bpaf(argument("FACTOR"), fallback(10.0), display_fallback)]
+    pub(super) scale: f64,
+    /// Seed of the workload
+    #[bpaf(argument("NUMBER"), fallback(1), display_fallback)]
+    pub(super) seed: u64,
+    /// Take an availability zone out and back during the run
+    pub(super) zone_move: bool,
+    /// Write the report here as JSON, and a page of plots beside it
+    #[bpaf(argument("FILE"), optional)]
+    pub(super) report: Option<PathBuf>,
+    #[bpaf(external)]
+    pub(super) format: Format,
+}
+
+impl Load {
+    pub(super) async fn run(self) -> Result<(), Failure> {
+        let mut strategies = self.strategy;
+        if strategies.is_empty() {
+            strategies.push(Strategy::Ours);
+        }
+        let options = Options {
+            user: self.profile,
+            strategies,
+            scale: self.scale,
+            seed: self.seed,
+            zone_move: self.zone_move,
+            report: self.report,
+            json: self.format == Format::Json,
+        };
+        judged(compare::compare(&options).await.map_err(failure)?)
+    }
+}
+
+/// A broken promise is a failure of the command.
+pub(super) fn judged(judgement: Judgement) -> Result<(), Failure> {
+    match judgement {
+        Judgement::Kept => Ok(()),
+        Judgement::Broken => Err(Failure::new(
+            Exit::Refused,
+            "promise_broken",
+            "the run broke a promise, named above",
+        )),
+    }
+}
+
+/// A system that can't run, as a failure of the command.
+pub(super) fn system_failure(error: system::Error) -> Failure {
+    Failure::new(Exit::Refused, "system", error.to_string())
+        .hint("close what else uses many ports, or look at the daemons' logs")
+}
+
+fn failure(error: Error) -> Failure {
+    match error {
+        Error::System(error) => system_failure(error),
+        Error::Write { .. } => Failure::new(Exit::Refused, "unwritable", error.to_string())
+            .hint("name a file in a directory that exists and may be written"),
+    }
+}
--- a/crates/cli/src/load/workload.rs
+++ b/crates/cli/src/load/workload.rs
@@ -3,7 +3,6 @@
 //! Sessions return after gaps longer than the engines' memory, short queries come between them, and
 //! keyed calls of a plain service are now and then repeated, as a caller or balancer would.
 
-use std::str::FromStr;
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
@@ -229,8 +228,3 @@
 fn text(tokens: usize, rng: &mut ChaCha8Rng) -> String {
     (0..tokens * TOKEN_BYTES).map(|_| char::from(rng.random_range(b'a'..=b'z'))).collect()
 }
-
-/// Reads a user from the command line.
-pub fn user(name: String) -> Result<User, String> {
-    User::from_str(&name).map_err(|_| format!("no profile `{name}`; try `actas` or `ferreira`"))
-}
