--- a/crates/policy/src/control.rs
+++ b/crates/policy/src/control.rs
@@ -36,7 +36,7 @@
 pub use sabotage::Sabotage;
 pub use shard::Ending;
 
-use crate::message::{Digest, Envelope, Grant, Message, Rumour, Sender};
+use crate::message::{Digest, Envelope, Grant, Message, PermitState, Rumour, Sender};
 use crate::snapshot::{Snapshot, Warmth};
 use crate::{Time, kv};
 use claim::Claims;
@@ -98,7 +98,7 @@
             Event::Message(envelope) => self.receive(now, envelope),
             Event::Listed(instances) => self.listed(now, &instances),
             Event::Observed(upstream, observation) => self.observe(now, &upstream, &observation),
-            Event::PermitWanted { upstream, waiting } => self.wishes.want(now, upstream, waiting),
+            Event::PermitWanted { upstream, waiting } => self.want_permits(now, upstream, waiting),
             Event::PermitReturned { permit, usage } => self.wishes.give_back(&permit, usage),
             Event::ClaimWanted(ticket, claim) => self.want_claim(now, ticket, claim),
             Event::ClaimEnded { claim, verdict, answer } => {
@@ -258,6 +258,12 @@
         if self.config.is_behind(digest.revision) {
             self.out.send(from.address, Message::RootPull);
         }
+        let behind = digest.epoch < self.membership.epoch().number
+            || digest.revision < self.config.revision();
+        if behind {
+            let newer = self.digest_with(Vec::new());
+            self.out.send(from.address, Message::Digest(newer));
+        }
         for rumour in &digest.rumours {
             if self.standings.hear(now, rumour) {
                 self.owner.reset(now, &rumour.upstream, rumour.incarnation);
@@ -290,7 +296,15 @@
         self.claims.tick(now, &mut self.out);
     }
 
-    fn permit_state(&mut self, now: Time, from: &Sender, state: &crate::message::PermitState) {
+    fn want_permits(&mut self, now: Time, upstream: UpstreamId, waiting: u32) {
+        if self.standings.warmth(&upstream) == Warmth::Closed {
+            self.out.push(Action::PermitRefused { upstream, retry_after: permit::RETRY_AFTER });
+            return;
+        }
+        self.wishes.want(now, upstream, waiting);
+    }
+
+    fn permit_state(&mut self, now: Time, from: &Sender, state: &PermitState) {
         let number = self.membership.epoch().number;
         if state.epoch > number {
             self.out.send(from.address, Message::EpochPull);
@@ -303,8 +317,10 @@
             return;
         }
         let set = Arc::clone(self.config.set());
+        let closed = self.standings.warmth(&state.upstream) == Warmth::Closed;
+        let open = PermitState { waiting: if closed { 0 } else { state.waiting }, ..state.clone() };
         let (membership, out) = (&mut self.membership, &mut self.out);
-        let grants = self.owner.state(now, from, state, &set, membership, out);
+        let grants = self.owner.state(now, from, &open, &set, membership, out);
         if let Some(incarnation) = self.owner.warm(&state.upstream) {
             let new = self.standings.warmth(&state.upstream) == Warmth::Cold;
             self.standings.warm(now, &state.upstream, incarnation, new);
@@ -326,8 +342,14 @@
 
     fn granted(&mut self, now: Time, from: &DaemonId, grant: &Grant) {
         let Some(actions) = self.wishes.granted(now, from, grant) else { return };
+        let closed = self.standings.warmth(&grant.upstream) == Warmth::Closed;
         for action in actions {
-            self.out.push(action);
+            match action {
+                Action::Permit(permit) if closed => {
+                    self.wishes.give_back(&permit, Usage::Unused);
+                }
+                action => self.out.push(action),
+            }
         }
         if grant.warm && !self.standings.warm(now, &grant.upstream, grant.incarnation, false) {
             let upstream = grant.upstream.clone();
--- a/crates/policy/src/control/membership.rs
+++ b/crates/policy/src/control/membership.rs
@@ -401,7 +401,8 @@
 
     /// Proposes an epoch with this daemon, without the dead, or without this one when it leaves.
     fn propose(&mut self, now: Time, out: &mut Outbox) {
-        let known = self.entry_revision != 0 && self.epoch.number != 0;
+        // Without the entry's revision the swap meets a conflict, which tells it.
+        let known = self.epoch.number != 0;
         let full = self.epoch.earlier.len() >= EARLIER && self.settled_at.is_none();
         if self.swapping || now < self.swap_at || !known || full {
             return;
--- a/crates/policy/src/control/outbox.rs
+++ b/crates/policy/src/control/outbox.rs
@@ -70,7 +70,14 @@
     /// Takes the purpose of a call that ended; none for an answer that came twice.
     pub fn ended(&mut self, call: CallId, outcome: &kv::Outcome) -> Option<Purpose> {
         let purpose = self.calls.remove(&call)?;
-        self.note(outcome);
+        // A watch that ends without an answer says nothing of the service.
+        let waits = matches!(
+            purpose,
+            Purpose::Epoch(epoch::Call::Watch) | Purpose::Config(config::Call::Watch)
+        );
+        if !waits || *outcome != Err(kv::Failure::Ambiguous) {
+            self.note(outcome);
+        }
         Some(purpose)
     }
 
--- a/crates/policy/src/control/owner.rs
+++ b/crates/policy/src/control/owner.rs
@@ -133,7 +133,8 @@
     ) -> Vec<(Sender, Grant)> {
         let number = membership.epoch().number;
         let Some(ownership) = self.owned.get_mut(upstream) else { return Vec::new() };
-        if ownership.epoch != number || !membership.may_act(now, out) {
+        let wanted = ownership.epoch == number && ownership.is_wanted(now);
+        if !wanted || !membership.may_act(now, out) {
             return Vec::new();
         }
         if ownership.take_read(now) {
--- a/crates/policy/src/control/ownership.rs
+++ b/crates/policy/src/control/ownership.rs
@@ -64,6 +64,8 @@
     incarnation: Incarnation,
     holders: BTreeMap<DaemonId, Holder>,
     ghosts: Ghosts,
+    /// When what earlier holders left running has surely ended, on an instance without reports.
+    ghosts_by: Time,
     limit: u32,
     answered: u32,
     says_warm: bool,
@@ -90,6 +92,7 @@
             incarnation: 0,
             holders: BTreeMap::new(),
             ghosts,
+            ghosts_by: now + VALID_OUT + RUN,
             limit: capacity.cold,
             answered: 0,
             says_warm: false,
@@ -205,6 +208,11 @@
         }
     }
 
+    /// Whether a daemon waits for a permit.
+    pub fn is_wanted(&self, now: Time) -> bool {
+        !self.warm && self.neediest(now).is_some()
+    }
+
     /// Grants what is free; the owner must be allowed to act at this moment.
     ///
     /// `next` numbers permits.
@@ -276,10 +284,11 @@
     }
 
     fn expire(&mut self, now: Time) {
-        if let Ghosts::Unknown(at) = self.ghosts
-            && now >= at + RUN
-            && !self.capacity.reports
-        {
+        let by = match self.ghosts {
+            Ghosts::Unknown(at) => at + RUN,
+            Ghosts::Known(_) => self.ghosts_by,
+        };
+        if now >= by && !self.capacity.reports {
             self.ghosts = Ghosts::Known(0);
         }
     }
--- /dev/null
+++ b/crates/policy/tests/fleet/engine.rs
@@ -0,0 +1,85 @@
+//! An upstream in memory.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use acacia_catalog::id::{Incarnation, VersionId};
+use acacia_policy::control::Fence;
+
+/// Number of one run.
+pub type RunId = u64;
+
+/// Answers after which an upstream that reports its load is warm.
+const COLD_ANSWERS: u32 = 16;
+/// Answers after which another is warm, for each request that it bears in cold start.
+const COLD_ROUNDS: u32 = 2;
+
+/// One request that an upstream runs.
+#[derive(Clone, Copy, Debug)]
+pub struct Run {
+    /// Whether it was sent under a permit for this process life.
+    pub permitted: bool,
+}
+
+/// An upstream.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    pub incarnation: Incarnation,
+    pub cold: bool,
+    pub reports: bool,
+    pub cold_limit: u32,
+    pub checks_fence: bool,
+    pub runs: BTreeMap<RunId, Run>,
+    pub answered: u32,
+    pub fence: Fence,
+    pub version: Option<VersionId>,
+    pub loading: u32,
+    pub restarted_at: Duration,
+}
+
+impl Engine {
+    pub fn new(reports: bool, cold_limit: u32, checks_fence: bool) -> Self {
+        Self {
+            incarnation: 1,
+            cold: true,
+            reports,
+            cold_limit,
+            checks_fence,
+            runs: BTreeMap::new(),
+            answered: 0,
+            fence: 0,
+            version: None,
+            loading: 0,
+            restarted_at: Duration::ZERO,
+        }
+    }
+
+    /// Starts a run; how many permitted ones there are then.
+    pub fn start(&mut self, id: RunId, permitted: bool) -> u32 {
+        self.runs.insert(id, Run { permitted });
+        self.runs.values().filter(|r| r.permitted).count() as u32
+    }
+
+    /// Ends a run well; false when it ran in an earlier process life.
+    pub fn finish(&mut self, id: RunId) -> bool {
+        if self.runs.remove(&id).is_none() {
+            return false;
+        }
+        self.answered += 1;
+        let enough = if self.reports { COLD_ANSWERS } else { COLD_ROUNDS * self.cold_limit };
+        if self.answered >= enough {
+            self.cold = false;
+        }
+        true
+    }
+
+    /// Begins another process life, cold.
+    pub fn restart(&mut self, now: Duration) {
+        self.incarnation += 1;
+        self.cold = true;
+        self.answered = 0;
+        self.runs.clear();
+        self.loading = 0;
+        self.restarted_at = now;
+    }
+}
