--- /dev/null
+++ b/crates/standin/tests/document.rs
@@ -0,0 +1,28 @@
+//! The operators' page names every fault as the control port reads it.
+
+use std::collections::BTreeSet;
+
+use acacia_standin::fault::FaultKind;
+use acacia_standin::{Fault, list};
+use strum::IntoEnumIterator;
+
+const PAGE: &str = include_str!("../../../docs/STANDINS.md");
+
+#[test]
+fn faults_documented() {
+    let lines = PAGE.lines().filter(|line| line.contains("/faults -d"));
+    let documented: BTreeSet<String> = lines
+        .map(|line| line.split('\'').nth(1).expect("a quoted body"))
+        .map(|body| serde_json::from_str::<Fault>(body).expect("a fault").to_string())
+        .collect();
+    let known: BTreeSet<String> = FaultKind::iter().map(|kind| kind.to_string()).collect();
+    assert_eq!(documented, known);
+}
+
+#[test]
+fn instance_documented() {
+    let line = PAGE.lines().find(|line| line.contains("PUT")).expect("a line that adds");
+    let body = line.split('\'').nth(1).expect("a quoted body");
+    let instance: list::Instance = serde_json::from_str(body).expect("an instance");
+    assert_eq!(&*instance.name, "engine-1");
+}
