Control: what a leaving owner hands over is carried through several epochs

Change: counts handed over are kept until asked for or ended, and passed on; a daemon that wants less says so; holders repeat what they hold and silent ones count as left running; a new configuration is published before permits; the engine fake takes an order's id once, as docs/PROTOCOLS.md has it; a failed load counts until it must have ended.

--- a/crates/policy/src/control.rs
+++ b/crates/policy/src/control.rs
@@ -413,12 +413,15 @@
     /// What follows from any event: a new epoch, a new configuration, news, statements, a snapshot.
     fn follow_up(&mut self, now: Time) {
         self.enter_epoch(now);
-        self.state_wishes(now);
         let configured = self.config.take_changed();
         if configured {
             self.standings.configure(now, &Arc::clone(self.config.set()));
             self.changed = true;
+            // Traffic must know what is open before it gets a permit for it.
+            self.published_at = None;
+            self.publish(now);
         }
+        self.state_wishes(now);
         let rumours = self.standings.take_rumours();
         if configured || !rumours.is_empty() {
             for peer in self.membership.fanout(&mut self.out) {
--- a/crates/policy/src/control/order.rs
+++ b/crates/policy/src/control/order.rs
@@ -90,9 +90,9 @@
 
     /// Takes an upstream's answer to an order given here.
     pub fn ordered(&mut self, order: &Order, outcome: OrderOutcome, out: &mut Outbox) {
-        let loads = is_load(order);
-        if outcome == OrderOutcome::Accepted && loads {
-            // It goes on loading; its load report tells when it is done.
+        let open = matches!(outcome, OrderOutcome::Accepted | OrderOutcome::Failed);
+        if open && is_load(order) {
+            // It loads, or may; its load report tells when it is done.
             return;
         }
         self.end(&order.id, outcome, out);
--- a/crates/policy/src/control/owner.rs
+++ b/crates/policy/src/control/owner.rs
@@ -26,16 +26,32 @@
 pub(super) struct Owner {
     owned: BTreeMap<UpstreamId, Ownership>,
     handed: BTreeMap<DaemonId, HandOver>,
+    /// What predecessors said of upstreams that nobody has asked about since.
+    inherited: BTreeMap<UpstreamId, Inherited>,
     /// From when an upstream that was never asked about surely runs nothing of an earlier holder.
     clean_at: Option<Time>,
     next: PermitId,
     sabotage: Option<Sabotage>,
 }
 
+/// What a predecessor left running.
+#[derive(Clone, Copy)]
+struct Inherited {
+    running: u32,
+    /// When it has surely ended, on an instance without reports.
+    by: Time,
+}
+
 impl Owner {
     pub fn new(sabotage: Option<Sabotage>) -> Self {
-        let (owned, handed) = (BTreeMap::new(), BTreeMap::new());
-        Self { owned, handed, clean_at: None, next: 1, sabotage }
+        Self {
+            owned: BTreeMap::new(),
+            handed: BTreeMap::new(),
+            inherited: BTreeMap::new(),
+            clean_at: None,
+            next: 1,
+            sabotage,
+        }
     }
 
     /// Cold upstreams whose permits this daemon grants.
@@ -73,12 +89,19 @@
         if !alone && !first {
             self.clean_at = None;
         }
+        self.inherited.retain(|u, _| continuous && mine(u) && before(u));
+        let told: Vec<HandOver> =
+            self.handed.values().filter(|h| h.epoch == number).cloned().collect();
+        told.iter().for_each(|h| self.inherit(now, h));
     }
 
     /// Takes what a predecessor tells.
     pub fn handed(&mut self, now: Time, from: &Sender, told: HandOver, membership: &Membership) {
-        self.handed.insert(from.daemon.clone(), told);
         let epoch = membership.epoch();
+        if told.epoch == epoch.number {
+            self.inherit(now, &told);
+        }
+        self.handed.insert(from.daemon.clone(), told);
         let all_clean = epoch.members.iter().all(|m| {
             let told = self.handed.get(&m.daemon);
             epoch.joined.contains(&m.daemon)
@@ -89,6 +112,13 @@
         }
     }
 
+    fn inherit(&mut self, now: Time, told: &HandOver) {
+        for (upstream, running) in &told.running {
+            let by = now + VALID_OUT + RUN;
+            self.inherited.insert(upstream.clone(), Inherited { running: *running, by });
+        }
+    }
+
     /// Takes a daemon's statement; grants what is free.
     pub fn state(
         &mut self,
@@ -152,6 +182,8 @@
         out: &mut Outbox,
     ) -> Vec<(Sender, Grant)> {
         self.owned.retain(|_, o| now < o.used_at() + FORGET || o.running() != Some(0));
+        self.owned.values_mut().for_each(|o| o.sweep(now));
+        self.inherited.retain(|_, i| now < i.by);
         let names = self.names();
         names.iter().flat_map(|u| self.grant(now, u, membership, out)).collect()
     }
@@ -206,14 +238,12 @@
     ) -> Option<Ghosts> {
         let epoch = membership.epoch();
         let before = epoch.owner_before(upstream);
+        if let Some(inherited) = self.inherited.remove(upstream) {
+            return Some(Ghosts::Known(inherited.running));
+        }
         let told = before.and_then(|b| self.handed.get(&b.daemon));
-        if let Some(hand_over) = told.filter(|h| h.epoch == epoch.number) {
-            let listed = hand_over.running.iter().find(|(u, _)| u == upstream);
-            match listed {
-                Some((_, running)) => return Some(Ghosts::Known(*running)),
-                None if hand_over.clean => return Some(capacity.unseen(now)),
-                None => {}
-            }
+        if told.is_some_and(|h| h.clean && h.epoch == epoch.number) {
+            return Some(capacity.unseen(now));
         }
         let mine =
             before.is_some_and(|b| b.daemon == out.me().daemon) && membership.is_continuous();
@@ -240,10 +270,13 @@
             let gains = leaves || epoch.joined.contains(&member.daemon);
             let owns = |u: &UpstreamId| epoch.owner(u).is_some_and(|o| o.daemon == member.daemon);
             let known = self.owned.iter().filter(|(u, _)| owns(u));
+            let known = known.filter_map(|(u, o)| Some((u.clone(), o.running()?)));
+            let told = self.inherited.iter().filter(|(u, _)| owns(u));
             let running: Vec<(UpstreamId, u32)> =
-                known.filter_map(|(u, o)| Some((u.clone(), o.running()?))).collect();
+                told.map(|(u, i)| (u.clone(), i.running)).chain(known).collect();
             if gains && (epoch.members.len() <= SMALL || !running.is_empty()) {
-                let all = self.owned.iter().filter(|(u, _)| owns(u)).count() == running.len();
+                let unknown = |(u, o): (&UpstreamId, &Ownership)| owns(u) && o.running().is_none();
+                let all = !self.owned.iter().any(unknown);
                 let hand_over = HandOver { epoch: epoch.number, running, clean: clean && all };
                 out.send(member.address, Message::HandOver(hand_over));
             }
--- a/crates/policy/src/control/ownership.rs
+++ b/crates/policy/src/control/ownership.rs
@@ -24,6 +24,8 @@
 const SPREAD: Duration = Duration::from_millis(1_000);
 /// Longest that a request of an earlier holder runs on an instance that reports no load.
 const RUN: Duration = Duration::from_secs(10);
+/// Silence after which a holder's permits count as left running.
+const SILENT: Duration = Duration::from_secs(5);
 /// Time between two readings of a load.
 const READ: Duration = Duration::from_millis(150);
 /// Age after which a load report says nothing of the cold start.
@@ -197,14 +199,28 @@
     pub fn keep(&mut self, now: Time, lives: impl Fn(&DaemonId) -> bool) {
         let gone: Vec<_> = self.holders.keys().filter(|d| !lives(d)).cloned().collect();
         for daemon in gone {
-            let held = self.holders.remove(&daemon).map_or(0, |h| h.granted.len());
-            if held > 0 {
-                let from = now + VALID_OUT;
-                self.ghosts = match self.ghosts {
-                    Ghosts::Unknown(at) => Ghosts::Unknown(at.max(from)),
-                    Ghosts::Known(_) => Ghosts::Unknown(from),
-                };
-            }
+            self.lose(now, &daemon);
+        }
+    }
+
+    /// Counts what daemons hold that were not heard for long as left running.
+    pub fn sweep(&mut self, now: Time) {
+        let silent = |h: &Holder| now >= h.heard_at + SILENT;
+        let gone: Vec<_> =
+            self.holders.iter().filter(|(_, h)| silent(h)).map(|(d, _)| d.clone()).collect();
+        for daemon in gone {
+            self.lose(now, &daemon);
+        }
+    }
+
+    fn lose(&mut self, now: Time, daemon: &DaemonId) {
+        let held = self.holders.remove(daemon).map_or(0, |h| h.granted.len());
+        if held > 0 {
+            let from = now + VALID_OUT;
+            self.ghosts = match self.ghosts {
+                Ghosts::Unknown(at) => Ghosts::Unknown(at.max(from)),
+                Ghosts::Known(_) => Ghosts::Unknown(from),
+            };
         }
     }
 
--- a/crates/policy/src/control/permit.rs
+++ b/crates/policy/src/control/permit.rs
@@ -17,6 +17,8 @@
 
 /// Time between two statements while something is wanted.
 const AGAIN: Duration = Duration::from_millis(150);
+/// Time between two statements while something is held.
+const ALIVE: Duration = Duration::from_secs(1);
 /// Statements after which a request that nobody answers is told to come back later.
 const PATIENCE: u32 = 20;
 /// What a request that finds no permit is told.
@@ -53,6 +55,8 @@
         if waiting > wish.waiting {
             wish.next_at = wish.next_at.min(now);
         }
+        // The owner must not grant for requests that no longer wait.
+        wish.dirty |= waiting < wish.waiting;
         wish.waiting = waiting;
     }
 
@@ -111,6 +115,7 @@
         for (upstream, wish) in &mut self.wishes {
             if wish.waiting > 0 && wish.unanswered >= PATIENCE {
                 wish.waiting = 0;
+                wish.dirty = true;
                 wish.unanswered = 0;
                 refused.push(Action::PermitRefused {
                     upstream: upstream.clone(),
@@ -130,7 +135,8 @@
 
     fn is_due(&self, now: Time, epoch: EpochNumber) -> bool {
         let open = self.waiting > 0 || !self.acknowledged || self.epoch != epoch;
-        self.dirty || (open && now >= self.next_at)
+        let stale = !self.held.is_empty() && now >= self.sent + ALIVE;
+        self.dirty || stale || (open && now >= self.next_at)
     }
 
     fn prepare(&mut self, now: Time, epoch: EpochNumber, owner: &DaemonId, number: u64) {
@@ -177,6 +183,7 @@
             }
         }
         if grant.warm {
+            self.dirty |= self.waiting > 0;
             self.waiting = 0;
         }
         actions
--- /dev/null
+++ b/crates/policy/tests/control_regression.rs
@@ -0,0 +1,143 @@
+//! Stories that once broke a promise, shrunk.
+
+mod fleet;
+
+use fleet::op::Op::{
+    Ask, Change, Claim, Delay, Down, Drop, Heal, Kill, Lose, Order, Part, Pause, Run, Start, Stop,
+};
+use fleet::op::{Op, Story};
+
+fn holds(seed: u64, ops: Vec<Op>) {
+    assert_eq!(Story { seed, ops }.play(None).oracle.broken, None);
+}
+
+/// A daemon that heard the epoch only from peers never joined.
+#[test]
+fn join_after_outage() {
+    holds(1_664_559_489_843_312_834, vec![Down(1323), Kill(228), Run(55)]);
+}
+
+/// What a leaving owner handed over for an instance without load reports never ended.
+#[test]
+fn hand_over_without_reports() {
+    holds(9_977_266_877_159_940_994, vec![Ask(159, 131, 4), Stop(236), Kill(117)]);
+}
+
+/// A daemon behind a healed partition waited for others to tell it.
+#[test]
+fn heal_behind() {
+    let ops = vec![
+        Run(543),
+        Ask(67, 19, 1),
+        Part(59, true),
+        Run(1249),
+        Kill(250),
+        Part(113, false),
+        Run(2389),
+        Change(0, 246),
+    ];
+    holds(6_116_800_499_968_950_234, ops);
+}
+
+/// A daemon that gave up was granted permits that it never gave back.
+#[test]
+fn grant_after_refusal() {
+    let ops = vec![
+        Lose(40),
+        Claim(127, 5),
+        Drop(54),
+        Ask(255, 105, 3),
+        Stop(136),
+        Ask(188, 242, 1),
+        Pause(127, 539),
+        Start,
+        Pause(148, 808),
+        Run(216),
+        Run(487),
+        Run(44),
+        Run(70),
+        Start,
+        Part(245, true),
+        Run(402),
+        Run(1785),
+        Heal,
+        Run(923),
+        Ask(145, 213, 1),
+    ];
+    holds(994_788_853_719_635_598, ops);
+}
+
+/// A permit came before the snapshot that opened its upstream again.
+#[test]
+fn permit_before_snapshot() {
+    let ops = vec![Change(90, 105), Stop(71), Ask(72, 58, 2), Run(902), Run(1258), Change(33, 225)];
+    holds(10_489_597_778_257_177_911, ops);
+}
+
+/// A plain service got more than it bears after a pause, a partition and an outage.
+#[test]
+fn service_after_outage() {
+    let ops = vec![
+        Run(2856),
+        Start,
+        Run(3087),
+        Run(1665),
+        Pause(57, 3019),
+        Run(1535),
+        Lose(63),
+        Part(90, false),
+        Run(1665),
+        Down(2692),
+        Ask(11, 116, 1),
+        Ask(5, 149, 4),
+        Heal,
+        Down(1260),
+        Run(3737),
+        Run(2738),
+        Run(422),
+        Run(1225),
+        Run(1535),
+    ];
+    holds(14_667_982_480_296_233_849, ops);
+}
+
+/// A successor gave an order again that its predecessor's engine had done.
+#[test]
+fn order_given_again() {
+    let ops = vec![
+        Part(234, true),
+        Run(614),
+        Run(2471),
+        Order(171, 23),
+        Heal,
+        Change(109, 66),
+        Run(1535),
+        Order(46, 121),
+        Run(1928),
+        Down(0),
+        Run(1068),
+        Run(2318),
+        Order(26, 0),
+        Start,
+        Run(1132),
+        Part(251, false),
+        Run(2681),
+    ];
+    holds(4_446_924_861_648_017_913, ops);
+}
+
+/// Messages lost and late while a daemon leaves and a change is published.
+#[test]
+fn change_in_bad_weather() {
+    let ops = vec![
+        Stop(66),
+        Ask(198, 42, 2),
+        Drop(18),
+        Run(770),
+        Delay(546),
+        Run(1535),
+        Change(58, 78),
+        Run(2152),
+    ];
+    holds(3_525_405_582_272_282_923, ops);
+}
--- a/crates/policy/tests/fleet/engine.rs
+++ b/crates/policy/tests/fleet/engine.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use acacia_catalog::id::{Incarnation, VersionId};
+use acacia_catalog::id::{Incarnation, Name, VersionId};
 use acacia_policy::control::Fence;
 
 /// Number of one run.
@@ -34,6 +34,8 @@
     pub fence: Fence,
     pub version: Option<VersionId>,
     pub loading: u32,
+    /// Orders taken in this process life, and whether they are done; a repeat starts nothing.
+    pub orders: BTreeMap<Name, bool>,
     pub restarted_at: Duration,
 }
 
@@ -50,6 +52,7 @@
             fence: 0,
             version: None,
             loading: 0,
+            orders: BTreeMap::new(),
             restarted_at: Duration::ZERO,
         }
     }
@@ -80,6 +83,7 @@
         self.answered = 0;
         self.runs.clear();
         self.loading = 0;
+        self.orders.clear();
         self.restarted_at = now;
     }
 }
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -623,10 +623,16 @@
     fn ordered(&mut self, id: NodeId, order: Order) {
         let Some(engine) = self.engines.get_mut(&order.upstream) else { return };
         let stale = engine.checks_fence && order.fence < engine.fence;
-        let outcome = if stale { OrderOutcome::Stale } else { OrderOutcome::Accepted };
-        if !stale {
+        let taken = engine.orders.get(&order.id).copied();
+        let outcome = match taken {
+            _ if stale => OrderOutcome::Stale,
+            Some(true) => OrderOutcome::Done,
+            _ => OrderOutcome::Accepted,
+        };
+        if !stale && taken.is_none() {
             engine.fence = engine.fence.max(order.fence);
             engine.loading += 1;
+            engine.orders.insert(order.id.clone(), false);
             let (name, incarnation) = (order.upstream.clone(), engine.incarnation);
             let end = self.now + LOAD;
             self.at(end, Item::Loaded(name, incarnation, order.clone()));
@@ -641,6 +647,7 @@
             return;
         };
         engine.loading = engine.loading.saturating_sub(1);
+        engine.orders.insert(order.id.clone(), true);
         if let OrderDuty::LoadVersion(version) = &order.duty {
             engine.version = Some(version.clone());
         }
