--- a/crates/policy/src/control/ownership.rs
+++ b/crates/policy/src/control/ownership.rs
@@ -24,6 +24,8 @@
 const SPREAD: Duration = Duration::from_millis(1_000);
 /// Longest that a request of an earlier holder runs on an instance that reports no load.
 const RUN: Duration = Duration::from_secs(10);
+/// Silence after which a holder's permits count as left running.
+const SILENT: Duration = Duration::from_secs(5);
 /// Time between two readings of a load.
 const READ: Duration = Duration::from_millis(150);
 /// Age after which a load report says nothing of the cold start.
@@ -64,6 +66,8 @@
     incarnation: Incarnation,
     holders: BTreeMap<DaemonId, Holder>,
     ghosts: Ghosts,
+    /// When what earlier holders left running has surely ended, on an instance without reports.
+    ghosts_by: Time,
     limit: u32,
     answered: u32,
     says_warm: bool,
@@ -90,6 +94,7 @@
             incarnation: 0,
             holders: BTreeMap::new(),
             ghosts,
+            ghosts_by: now + VALID_OUT + RUN,
             limit: capacity.cold,
             answered: 0,
             says_warm: false,
@@ -194,17 +199,36 @@
     pub fn keep(&mut self, now: Time, lives: impl Fn(&DaemonId) -> bool) {
         let gone: Vec<_> = self.holders.keys().filter(|d| !lives(d)).cloned().collect();
         for daemon in gone {
-            let held = self.holders.remove(&daemon).map_or(0, |h| h.granted.len());
-            if held > 0 {
-                let from = now + VALID_OUT;
-                self.ghosts = match self.ghosts {
-                    Ghosts::Unknown(at) => Ghosts::Unknown(at.max(from)),
-                    Ghosts::Known(_) => Ghosts::Unknown(from),
-                };
-            }
+            self.lose(now, &daemon);
+        }
+    }
+
+    /// Counts what daemons hold that were not heard for long as left running.
+    pub fn sweep(&mut self, now: Time) {
+        let silent = |h: &Holder| now >= h.heard_at + SILENT;
+        let gone: Vec<_> =
+            self.holders.iter().filter(|(_, h)| silent(h)).map(|(d, _)| d.clone()).collect();
+        for daemon in gone {
+            self.lose(now, &daemon);
         }
     }
 
+    fn lose(&mut self, now: Time, daemon: &DaemonId) {
+        let held = self.holders.remove(daemon).map_or(0, |h| h.granted.len());
+        if held > 0 {
+            let from = now + VALID_OUT;
+            self.ghosts = match self.ghosts {
+                Ghosts::Unknown(at) => Ghosts::Unknown(at.max(from)),
+                Ghosts::Known(_) => Ghosts::Unknown(from),
+            };
+        }
+    }
+
+    /// Whether a daemon waits for a permit.
+    pub fn is_wanted(&self, now: Time) -> bool {
+        !self.warm && self.neediest(now).is_some()
+    }
+
     /// Grants what is free; the owner must be allowed to act at this moment.
     ///
     /// `next` numbers permits.
@@ -276,10 +300,11 @@
     }
 
     fn expire(&mut self, now: Time) {
-        if let Ghosts::Unknown(at) = self.ghosts
-            && now >= at + RUN
-            && !self.capacity.reports
-        {
+        let by = match self.ghosts {
+            Ghosts::Unknown(at) => at + RUN,
+            Ghosts::Known(_) => self.ghosts_by,
+        };
+        if now >= by && !self.capacity.reports {
             self.ghosts = Ghosts::Known(0);
         }
     }
