Herds damped and organisations kept apart, measured under virtual time

Change: each daemon takes an equal part of the slots that a report shows free, the rest of the division by chance, and at least its static share; a share of slots by running average while others run any; an organisation with a backlog is kept to the few engines that are its part, by rendezvous. Drift stays right when old starts are forgotten.

--- /dev/null
+++ b/crates/policy/examples/simulate.rs
@@ -0,0 +1,88 @@
+//! Measures fairness and herds of several dispatchers under virtual time, as JSON lines.
+//!
+//! `cargo run --release -p acacia-policy --example simulate`
+
+#[path = "../tests/dispatch_sim/mod.rs"]
+mod dispatch_sim;
+
+use std::time::Duration;
+
+use acacia_policy::dispatch::Strategy;
+use acacia_policy::request::Class;
+use dispatch_sim::{Outcome, Settings, Stream, simulate};
+
+/// Seeds of each measurement.
+const SEEDS: u64 = 3;
+
+fn main() {
+    for seed in 0..SEEDS {
+        fairness(seed);
+    }
+    for seed in 0..SEEDS {
+        herd(seed);
+    }
+}
+
+fn fairness(seed: u64) {
+    let mut alone = others(&dispatch_sim::fair(seed, false));
+    let mut beside = others(&dispatch_sim::fair(seed, true));
+    let (before, after) = (alone.quantile(0.95), beside.quantile(0.95));
+    println!(
+        "{}",
+        serde_json::json!({
+            "measure": "others beside one organisation at 20 times its share",
+            "seed": seed,
+            "alone_p95_s": before,
+            "beside_p95_s": after,
+            "ratio": after / before,
+            "others_refused": beside.refused,
+        })
+    );
+}
+
+fn others(settings: &Settings) -> Outcome {
+    dispatch_sim::others(settings)
+}
+
+fn herd(seed: u64) {
+    for lag in [100, 500, 1_000] {
+        for (strategy, damped) in
+            [(Strategy::Ours, true), (Strategy::Ours, false), (Strategy::LeastLoaded, true)]
+        {
+            let settings = Settings {
+                lag: Duration::from_millis(lag),
+                damped,
+                strategy,
+                ..dispatch_sim::nine(seed)
+            };
+            let settings = Settings {
+                streams: vec![Stream {
+                    organisation: "one".into(),
+                    rate: 110.0,
+                    tokens: 500,
+                    answer: 20,
+                    class: Class::Short,
+                }],
+                ..settings
+            };
+            let mut result = simulate(&settings);
+            let most_waiting = result.most_waiting;
+            let outcome = result.outcomes.values_mut().next().expect("requests were answered");
+            println!(
+                "{}",
+                serde_json::json!({
+                    "measure": "nine daemons on lagging reports",
+                    "seed": seed,
+                    "lag_ms": lag,
+                    "strategy": strategy.to_string(),
+                    "damped": damped,
+                    "p50_s": outcome.quantile(0.5),
+                    "p95_s": outcome.quantile(0.95),
+                    "p99_s": outcome.quantile(0.99),
+                    "refused": outcome.refused,
+                    "most_waiting_in_an_engine": most_waiting,
+                })
+            );
+        }
+    }
+}
--- a/crates/policy/src/dispatch/ending.rs
+++ b/crates/policy/src/dispatch/ending.rs
@@ -66,7 +66,7 @@
         }
         let Some(Stage::Running(life)) = self.take(ticket) else { return };
         let pool = life.core.pool;
-        self.fleet.pools[pool].queue.release(life.core.org);
+        self.fleet.pools[pool].queue.release(life.core.org, now);
         if !life.stage.begun {
             let member = &mut self.fleet.members[life.stage.member];
             member.pending_tokens = member.pending_tokens.saturating_sub(life.stage.computed);
@@ -173,9 +173,7 @@
         out: &mut Vec<Action>,
     ) {
         let core = &mut life.core;
-        if self.broken != Some(Rule::Verdicts) {
-            core.verdict = core.verdict.join(Verdict::MayHaveRun);
-        }
+        core.verdict = core.verdict.join(Verdict::MayHaveRun);
         core.sent = core.sent.max(tokens);
         let attempt = running.attempt;
         let member = &mut self.fleet.members[running.member];
@@ -193,7 +191,7 @@
     }
 
     /// Decides what follows a failed attempt.
-    fn after(&mut self, now: Time, life: Life<Failed>, out: &mut Vec<Action>) {
+    fn after(&mut self, now: Time, mut life: Life<Failed>, out: &mut Vec<Action>) {
         let core = &life.core;
         if core.gone {
             return life.drop(out);
@@ -214,6 +212,9 @@
                 {
                     out.push(Action::Cancel(broken.attempt, member.name.clone()));
                 }
+                if self.broken == Some(Rule::Verdicts) {
+                    life.core.verdict = Verdict::NotRun;
+                }
                 life.refuse(reason, Some(RETRY_AFTER), out);
             }
         }
@@ -228,7 +229,7 @@
         }
         let attempt = life.stage.attempt;
         self.attempts.remove(&attempt);
-        self.fleet.pools[life.core.pool].queue.release(life.core.org);
+        self.fleet.pools[life.core.pool].queue.release(life.core.org, now);
         let member = &mut self.fleet.members[life.stage.member];
         if !life.stage.begun {
             member.pending_tokens = member.pending_tokens.saturating_sub(life.stage.computed);
--- a/crates/policy/src/dispatch/fleet.rs
+++ b/crates/policy/src/dispatch/fleet.rs
@@ -17,7 +17,7 @@
 
 use super::queue::Queue;
 use crate::Time;
-use crate::cache::{Links, Place, Rate};
+use crate::cache::{Links, Place, Rate, rank};
 use crate::control::Permit;
 use crate::request::{Request, Work};
 use crate::snapshot::{Load, Snapshot, Standing, Warmth};
@@ -71,12 +71,21 @@
     pub pools: SlotMap<PoolKey, Pool>,
     /// Live daemons that share the upstreams, at least one.
     pub daemons: u32,
+    /// What makes this daemon's random limits its own.
+    salt: u64,
+    /// Whether a report's free slots are shared out among daemons.
+    pub damped: bool,
     names: FxHashMap<UpstreamId, MemberKey>,
     targets: FxHashMap<Target, PoolKey>,
     set: Arc<Set>,
 }
 
 impl Fleet {
+    /// No upstreams; `salt` makes this daemon's random limits its own.
+    pub fn new(salt: u64) -> Self {
+        Self { salt, damped: true, ..Self::default() }
+    }
+
     /// Takes a snapshot in, whose zones `links` has numbered; gives the permits that it made useless.
     pub fn refresh(&mut self, snapshot: &Snapshot, links: &Links) -> Vec<Permit> {
         if !Arc::ptr_eq(&self.set, &snapshot.set) {
@@ -87,10 +96,11 @@
         }
         self.daemons = u32::try_from(snapshot.daemons.len()).unwrap_or(u32::MAX).max(1);
         let unseen = Standing::default();
+        let sharing = self.sharing();
         let mut useless = Vec::new();
         for member in self.members.values_mut() {
             let standing = snapshot.upstreams.get(&member.name).unwrap_or(&unseen);
-            member.refresh(standing, &mut useless);
+            member.refresh(standing, sharing, &mut useless);
         }
         self.sum();
         useless
@@ -109,14 +119,24 @@
     /// Takes a load report in.
     pub fn report(&mut self, name: &UpstreamId, load: Load) -> Option<PoolKey> {
         let key = self.member(name)?;
+        let sharing = self.sharing();
         let member = &mut self.members[key];
         let before = member.room();
-        member.report(load);
+        member.report(load, sharing);
         let (pool, after) = (member.pool, member.room());
         self.pools[pool].recount(before, after);
         Some(pool)
     }
 
+    /// Daemons among which free slots are shared out.
+    pub fn sharers(&self) -> u32 {
+        if self.damped { self.daemons } else { 1 }
+    }
+
+    fn sharing(&self) -> Sharing {
+        Sharing { daemons: self.sharers(), salt: self.salt }
+    }
+
     /// Counts one more request on a member.
     pub fn begin(&mut self, key: MemberKey, now: Time) {
         self.shift(key, now, 1);
@@ -232,6 +252,24 @@
     }
 }
 
+/// How daemons share the slots that a report shows free.
+///
+/// All of them read the same late report. Each takes an equal part of what is free, the rest of the
+/// division by chance, so that together they start about as many as there are slots.
+#[derive(Clone, Copy)]
+struct Sharing {
+    daemons: u32,
+    salt: u64,
+}
+
+impl Sharing {
+    /// A number from 0 to 1 that each daemon draws for each report.
+    fn chance(self, seed: u64, sampled_at: Time) -> f64 {
+        let moment = u64::try_from(sampled_at.as_nanos()).unwrap_or(u64::MAX);
+        rank(seed ^ self.salt, moment) as f64 / u64::MAX as f64
+    }
+}
+
 /// One upstream.
 pub struct Member {
     /// Its name.
@@ -265,6 +303,7 @@
     load: Option<Load>,
     recent: VecDeque<(Time, i32)>,
     drift: i32,
+    limit: u32,
     avoid_until: Time,
     cold_until: Time,
     leaving: Option<(Incarnation, Time)>,
@@ -294,6 +333,7 @@
             load: None,
             recent: VecDeque::new(),
             drift: 0,
+            limit: 0,
             avoid_until: Time::ZERO,
             cold_until: Time::ZERO,
             leaving: None,
@@ -346,8 +386,9 @@
     /// Whether one more request fits, with `daemons` sharing it.
     pub fn has_room(&self, now: Time, daemons: u32) -> bool {
         let fresh = self.load.as_ref().is_some_and(|l| now < l.sampled_at + LOAD_AGE);
-        let share = if fresh { self.slots } else { self.slots.div_ceil(daemons) };
-        self.in_flight < share && (!fresh || self.busy() < self.slots)
+        let share = if fresh { self.limit } else { self.slots.div_ceil(daemons) };
+        let seems_full = fresh && daemons == 1 && self.busy() >= self.slots;
+        !seems_full && self.in_flight < share.min(self.slots)
     }
 
     /// Whether it holds `version` and `adapter`, as far as is known.
@@ -397,7 +438,7 @@
         };
     }
 
-    fn refresh(&mut self, standing: &Standing, useless: &mut Vec<Permit>) {
+    fn refresh(&mut self, standing: &Standing, sharing: Sharing, useless: &mut Vec<Permit>) {
         if self.incarnation != standing.incarnation {
             self.incarnation = standing.incarnation;
             self.load = None;
@@ -407,7 +448,7 @@
         }
         self.warmth = standing.warmth;
         if let Some(load) = &standing.load {
-            self.report(load.clone());
+            self.report(load.clone(), sharing);
         }
         let closed = self.removed || self.out || self.warmth != Warmth::Cold;
         let life = self.incarnation;
@@ -415,7 +456,8 @@
         useless.extend(self.permits.extract_if(.., |(p, _)| stale(p)).map(|(p, _)| p));
     }
 
-    fn report(&mut self, load: Load) {
+    /// Takes a report in, and this daemon's part of the slots that it shows free.
+    fn report(&mut self, load: Load, sharing: Sharing) {
         let stale = self.load.as_ref().is_some_and(|l| load.sampled_at <= l.sampled_at);
         if stale || (self.incarnation != 0 && load.incarnation != self.incarnation) {
             return;
@@ -423,6 +465,13 @@
         while let Some((_, by)) = self.recent.pop_front_if(|(at, _)| *at <= load.sampled_at) {
             self.drift -= by;
         }
+        let own = f64::from(self.in_flight) - f64::from(self.drift);
+        let free = self.slots.saturating_sub(load.running + load.waiting);
+        let sharers = sharing.daemons.min(self.slots).max(1);
+        let part = own.max(0.0) + f64::from(free) / f64::from(sharers);
+        let chance = sharing.chance(self.seed, load.sampled_at);
+        let drawn = part.trunc() as u32 + u32::from(chance < part.fract());
+        self.limit = drawn.max(self.slots.div_ceil(sharing.daemons));
         self.load = Some(load);
     }
 
@@ -430,8 +479,10 @@
         self.in_flight = self.in_flight.saturating_add_signed(by);
         self.drift += by;
         self.recent.push_back((now, by));
-        if self.recent.len() > RECENT_LIMIT {
-            self.recent.pop_front();
+        if self.recent.len() > RECENT_LIMIT
+            && let Some((_, by)) = self.recent.pop_front()
+        {
+            self.drift -= by;
         }
     }
 }
--- a/crates/policy/src/dispatch/machine.rs
+++ b/crates/policy/src/dispatch/machine.rs
@@ -6,7 +6,7 @@
 
 use acacia_catalog::id::OrganisationId;
 use acacia_catalog::object::Profile;
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha12Rng;
 use rustc_hash::FxHashMap;
 
@@ -58,7 +58,6 @@
     pub(super) drains: FxHashMap<AttemptId, Drain>,
     pub(super) budget: Budget,
     pub(super) broken: Option<Rule>,
-    pub(super) damped: bool,
     timers: BTreeSet<(Time, Ticket)>,
     orphans: FxHashMap<Ticket, Claim>,
     orgs: FxHashMap<OrganisationId, Org>,
@@ -78,11 +77,13 @@
 impl Dispatcher {
     /// A dispatcher whose random choices follow from `seed`.
     pub fn new(seed: u64, strategy: Strategy) -> Self {
+        let mut rng = ChaCha12Rng::seed_from_u64(seed);
+        let fleet = Fleet::new(rng.random());
         Self {
             strategy,
-            rng: ChaCha12Rng::seed_from_u64(seed),
+            rng,
             snapshot: Arc::default(),
-            fleet: Fleet::default(),
+            fleet,
             stores: Stores::default(),
             links: Links::default(),
             hints: Hints::default(),
@@ -95,7 +96,6 @@
             drains: FxHashMap::default(),
             budget: Budget::default(),
             broken: None,
-            damped: true,
             timers: BTreeSet::new(),
             orphans: FxHashMap::default(),
             orgs: FxHashMap::default(),
@@ -112,7 +112,7 @@
     /// Switches the damping of herds off, for a measurement.
     #[doc(hidden)]
     pub fn undamped(&mut self) {
-        self.damped = false;
+        self.fleet.damped = false;
     }
 
     /// Requests held, and entries of the tables that are bounded.
@@ -355,7 +355,7 @@
             Some(Stage::Queued(life)) => {
                 let core = &life.core;
                 let queue = &mut self.fleet.pools[core.pool].queue;
-                queue.remove(core.org, core.request.class, ticket);
+                queue.remove(core.org, core.request.class, ticket, now);
                 let reason = if core.sent > 0 { Reason::Interrupted } else { Reason::Deadline };
                 if self.broken != Some(Rule::Answers) {
                     life.refuse(reason, Some(RETRY_AFTER), out);
@@ -386,7 +386,7 @@
             Some(Stage::Queued(life)) => {
                 let core = &life.core;
                 let queue = &mut self.fleet.pools[core.pool].queue;
-                queue.remove(core.org, core.request.class, ticket);
+                queue.remove(core.org, core.request.class, ticket, now);
                 life.drop(out);
             }
             Some(Stage::Running(life)) => self.abandon(now, life, out),
--- a/crates/policy/src/dispatch/queue.rs
+++ b/crates/policy/src/dispatch/queue.rs
@@ -20,6 +20,14 @@
 pub const LANE_LIMIT: usize = 256;
 /// Turns of which one goes to an aged long request.
 const AGED_TURN: u64 = 4;
+/// How long an organisation counts as active after its last request.
+const MEMORY: Duration = Duration::from_secs(5);
+/// Time over which running requests are averaged.
+const AVERAGE: Duration = Duration::from_secs(2);
+/// Waiting requests from which an organisation keeps to its share strictly.
+const BACKLOG: usize = 4;
+/// Average number of others' running requests from which a share counts.
+const OTHERS: f64 = 0.1;
 /// Weight of a new sample of the time between two turns.
 const PACE_GAIN: f64 = 0.1;
 
@@ -36,16 +44,20 @@
     virtual_time: Tag,
     turn: u64,
     length: usize,
+    load: Average,
+    idle: VecDeque<(Time, Org)>,
     active_weight: u64,
     pace: Option<Duration>,
     last_turn: Option<Time>,
 }
 
 /// What waits for one organisation.
+#[derive(Default)]
 struct Lane {
     weight: u32,
     tag: Tag,
-    running: u32,
+    load: Average,
+    idle_since: Option<Time>,
     entries: [VecDeque<Entry>; 2],
 }
 
@@ -122,39 +134,56 @@
         let start = before.max(virtual_time);
         let after = start + entry.cost.max(1) * 1_000 / u64::from(lane.weight);
         lane.tag = after;
-        lane.running += 1;
+        lane.load.shift(now, 1);
+        self.load.shift(now, 1);
         self.virtual_time = start;
         self.retag(entry.org, before, after);
     }
 
     /// Counts a request of an organisation as ended.
-    pub fn release(&mut self, org: Org) {
+    pub fn release(&mut self, org: Org, now: Time) {
         if let Some(lane) = self.lanes.get_mut(&org) {
-            lane.running = lane.running.saturating_sub(1);
+            lane.load.shift(now, -1);
+            self.load.shift(now, -1);
         }
-        self.forget(org);
+        self.rest(org, now);
     }
 
     /// Removes a waiting request.
-    pub fn remove(&mut self, org: Org, class: Class, ticket: Ticket) -> Option<Entry> {
+    pub fn remove(&mut self, org: Org, class: Class, ticket: Ticket, now: Time) -> Option<Entry> {
         let lane = self.lanes.get_mut(&org)?;
         let entries = &mut lane.entries[class as usize];
         let index = entries.iter().position(|e| e.ticket == ticket)?;
         let entry = entries.remove(index)?;
         self.length -= 1;
         self.settle(class, org);
-        self.forget(org);
+        self.rest(org, now);
         Some(entry)
     }
 
-    /// Whether an organisation runs no more than its share of `slots`.
-    pub fn is_within_share(&self, org: Org, weight: u32, slots: u32) -> bool {
-        let (running, others) = match self.lanes.get(&org) {
-            Some(lane) => (lane.running, self.active_weight),
-            None => (0, self.active_weight + u64::from(weight)),
-        };
-        let share = u64::from(slots) * u64::from(weight) / others.max(1);
-        u64::from(running) < share.max(1)
+    /// Whether one more request of an organisation keeps it within its share of `slots`, while
+    /// others run any.
+    pub fn is_within_share(&self, org: Org, weight: u32, slots: f64, now: Time) -> bool {
+        let Some(lane) = self.lanes.get(&org) else { return true };
+        let own = lane.load.at(now);
+        if self.load.at(now) - own < OTHERS {
+            return true;
+        }
+        let share = slots * f64::from(weight) / self.active_weight.max(1) as f64;
+        let fits = f64::from(lane.load.count) < share.floor().max(1.0);
+        match lane.len() > BACKLOG {
+            true => own <= share && fits,
+            false => own <= share || fits,
+        }
+    }
+
+    /// The part of the upstreams that an organisation with a backlog is entitled to, while others
+    /// run any.
+    pub fn backlogged_part(&self, org: Org, weight: u32, now: Time) -> Option<f64> {
+        let lane = self.lanes.get(&org).filter(|lane| lane.len() > BACKLOG)?;
+        let others = self.load.at(now) - lane.load.at(now);
+        let part = f64::from(weight) / self.active_weight.max(1) as f64;
+        (others >= OTHERS).then_some(part)
     }
 
     /// Expected wait of one more request of an organisation.
@@ -171,7 +200,7 @@
         let active = &mut self.active_weight;
         self.lanes.entry(org).or_insert_with(|| {
             *active += u64::from(weight);
-            Lane { weight, tag: virtual_time, running: 0, entries: Default::default() }
+            Lane { weight, tag: virtual_time, ..Lane::default() }
         })
     }
 
@@ -228,18 +257,25 @@
     }
 
     /// Lets go of an organisation whose request left the queue without being served.
-    pub fn drop_idle(&mut self, org: Org) {
-        self.forget(org);
+    pub fn drop_idle(&mut self, org: Org, now: Time) {
+        self.rest(org, now);
     }
 
-    /// Forgets an organisation that has nothing waiting or running and no debt.
-    fn forget(&mut self, org: Org) {
-        if let Some(lane) = self.lanes.get(&org)
-            && lane.len() == 0
-            && lane.running == 0
+    /// Notes that an organisation has nothing waiting or running, and forgets those that had
+    /// nothing for long.
+    fn rest(&mut self, org: Org, now: Time) {
+        if let Some(lane) = self.lanes.get_mut(&org)
+            && lane.is_idle()
         {
-            self.active_weight -= u64::from(lane.weight);
-            self.lanes.remove(&org);
+            lane.idle_since = Some(now);
+            self.idle.push_back((now, org));
+        }
+        while let Some((since, org)) = self.idle.pop_front_if(|(since, _)| *since + MEMORY <= now) {
+            let lane = self.lanes.get(&org);
+            if let Some(lane) = lane.filter(|l| l.is_idle() && l.idle_since == Some(since)) {
+                self.active_weight -= u64::from(lane.weight);
+                self.lanes.remove(&org);
+            }
         }
     }
 
@@ -255,7 +291,33 @@
     }
 }
 
+/// A count and its average over [`AVERAGE`].
+#[derive(Clone, Copy, Default)]
+struct Average {
+    count: u32,
+    value: f64,
+    since: Time,
+}
+
+impl Average {
+    fn at(&self, now: Time) -> f64 {
+        let passed = now.saturating_sub(self.since).as_secs_f64();
+        let part = passed / (passed + AVERAGE.as_secs_f64());
+        self.value + part * (f64::from(self.count) - self.value)
+    }
+
+    fn shift(&mut self, now: Time, by: i32) {
+        self.value = self.at(now);
+        self.since = now;
+        self.count = self.count.saturating_add_signed(by);
+    }
+}
+
 impl Lane {
+    fn is_idle(&self) -> bool {
+        self.len() == 0 && self.load.count == 0
+    }
+
     fn len(&self) -> usize {
         self.entries.iter().map(VecDeque::len).sum()
     }
--- a/crates/policy/src/dispatch/route.rs
+++ b/crates/policy/src/dispatch/route.rs
@@ -21,8 +21,6 @@
 const PREFERRED: usize = 3;
 /// Versions tried for a request that has streamed nothing.
 const VERSION_LIMIT: usize = 4;
-/// Part of a pool's slots kept for organisations below their share.
-const RESERVE: u32 = 8;
 /// Prompt tokens a second of an upstream that none of has been seen.
 const PREFILL: f64 = 8_000.0;
 /// Seconds that a request holds a slot, for the wait behind a full upstream.
@@ -115,9 +113,9 @@
         }
         let pool = &self.fleet.pools[core.pool];
         let weight = self.weight(&core.request.organisation);
-        let share = pool.slots / self.fleet.daemons;
-        let scarce = pool.free <= pool.slots / RESERVE;
-        if scarce && core.sent == 0 && !pool.queue.is_within_share(core.org, weight, share) {
+        let slots = f64::from(pool.slots) / f64::from(self.fleet.daemons);
+        let within = pool.queue.is_within_share(core.org, weight, slots, now);
+        if core.sent == 0 && !within {
             return Choice::Full;
         }
         if let Some(route) = self.route(now, core, &Need::of(core)) {
@@ -196,6 +194,10 @@
         let mut keys: Vec<MemberKey> = prefixes.iter().map(|(key, _, _)| *key).collect();
         keys.extend(&preferred);
         self.draw(core.pool, &mut keys);
+        let shard = self.shard(now, core).filter(|shard| core.sent == 0 && !shard.is_empty());
+        if let Some(shard) = shard {
+            keys = shard;
+        }
         keys.sort_unstable();
         keys.dedup();
         keys.into_iter()
@@ -224,24 +226,49 @@
         };
         let roomy = match cold {
             true => member.in_flight < member.slots,
-            false => member.has_room(now, self.fleet.daemons) || broken == Some(Rule::Slots),
+            false => member.has_room(now, self.fleet.sharers()) || broken == Some(Rule::Slots),
         };
         let fits = roomy && !member.is_avoided(now) && member.suits(now, need);
         fits.then_some(cold)
     }
 
-    /// The members that a history prefers, best first, by rendezvous.
+    /// The members that a history prefers, best first.
     fn preferred(&self, core: &Core) -> Vec<MemberKey> {
         let Some(first) = core.blocks.first() else { return Vec::new() };
-        let anchor = anchor(first);
+        self.best(core.pool, anchor(first), PREFERRED, |_| true)
+    }
+
+    /// The few open members that an organisation with a backlog is kept to, so that the others find
+    /// the rest free of it; none if it isn't kept to any.
+    fn shard(&self, now: Time, core: &Core) -> Option<Vec<MemberKey>> {
         let pool = &self.fleet.pools[core.pool];
-        let mut best: Vec<(u64, MemberKey)> = Vec::with_capacity(PREFERRED + 1);
+        let weight = self.weight(&core.request.organisation);
+        let part = pool.queue.backlogged_part(core.org, weight, now)?;
+        let is_open = |key: MemberKey| {
+            let member = self.fleet.members.get(key);
+            member.is_some_and(|m| m.warmth(now) == Warmth::Warm)
+        };
+        let count = (pool.members.len() as f64 * part).ceil().max(1.0) as usize;
+        Some(self.best(core.pool, u64::from(core.org), count, is_open))
+    }
+
+    /// The first `count` members by rendezvous among those that `may` be taken, best first.
+    fn best(
+        &self,
+        pool: PoolKey,
+        anchor: u64,
+        count: usize,
+        may: impl Fn(MemberKey) -> bool,
+    ) -> Vec<MemberKey> {
+        let pool = &self.fleet.pools[pool];
+        let mut best: Vec<(u64, MemberKey)> = Vec::with_capacity(count + 1);
         for (seed, key) in pool.seeds.iter().zip(&pool.members) {
             let rank = rank(*seed, anchor);
-            if best.len() < PREFERRED || best.last().is_some_and(|(least, _)| rank > *least) {
+            let ranks = best.len() < count || best.last().is_some_and(|(least, _)| rank > *least);
+            if ranks && may(*key) {
                 let at = best.partition_point(|(other, _)| *other > rank);
                 best.insert(at, (rank, *key));
-                best.truncate(PREFERRED);
+                best.truncate(count);
             }
         }
         best.into_iter().map(|(_, key)| key).collect()
@@ -299,7 +326,7 @@
             self.price(now, core, option.member, &mut sources);
             let member = &self.fleet.members[option.member];
             let prefill = member.prefill.at(now, prior);
-            let wait = wait(member, prefill, self.fleet.daemons, self.damped);
+            let wait = wait(member, prefill, self.fleet.daemons, self.fleet.damped);
             let candidate = Candidate { held: option.held, wait, prefill };
             let found = estimate(shape, candidate, member.place, &sources, weights);
             let score = self.adjust(&option, found.score);
@@ -326,7 +353,7 @@
     fn adjust(&mut self, option: &Seat, score: f64) -> f64 {
         let warming = if option.cold { WARMING_MS } else { 0.0 };
         let preference = if option.preferred { PREFERENCE } else { 0.0 };
-        let jitter = if self.damped { self.rng.random::<f64>() * JITTER } else { 0.0 };
+        let jitter = if self.fleet.damped { self.rng.random::<f64>() * JITTER } else { 0.0 };
         score * (1.0 - preference + jitter) - warming
     }
 
--- a/crates/policy/src/dispatch/save.rs
+++ b/crates/policy/src/dispatch/save.rs
@@ -47,7 +47,7 @@
 
     /// Whether an engine with room seems to hold all but the last piece or a tenth.
     fn is_held(&self, now: Time, core: &Core) -> bool {
-        let daemons = self.fleet.daemons;
+        let daemons = self.fleet.sharers();
         let missing = (core.blocks.len() / 10).max(1);
         self.hints.prefixes(now, &core.blocks).iter().any(|(key, life, length)| {
             let Some(member) = self.fleet.members.get(*key) else { return false };
--- a/crates/policy/src/dispatch/start.rs
+++ b/crates/policy/src/dispatch/start.rs
@@ -62,7 +62,7 @@
         let weight = self.weight(&life.core.request.organisation);
         if life.core.sent == 0 && now >= life.core.request.deadline {
             self.jobs.insert(entry.ticket, Stage::Queued(life));
-            self.finish_late(entry, out);
+            self.finish_late(now, entry, out);
             return Launch::Ended;
         }
         match self.choose(now, &life.core) {
@@ -76,9 +76,9 @@
         }
     }
 
-    fn finish_late(&mut self, entry: &Entry, out: &mut Vec<Action>) {
+    fn finish_late(&mut self, now: Time, entry: &Entry, out: &mut Vec<Action>) {
         if let Some(Stage::Queued(life)) = self.take(entry.ticket) {
-            self.fleet.pools[life.core.pool].queue.drop_idle(entry.org);
+            self.fleet.pools[life.core.pool].queue.drop_idle(entry.org, now);
             life.refuse(Reason::Deadline, None, out);
         }
     }
