Control publishes the catalogue's chunks and tells peers only what is new

Cause: the set was cut by length, so that one changed object moved every later chunk, and every pull of the root carried all of it. Change: chunks and root of the catalogue; only chunks that the base lacks are written; a peer is told the altered slots since its own revision; a lost answer whose change is no longer remembered is Unknown. The daemon reads the history by Control::history.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -127,7 +127,7 @@
                 });
             }
             Action::Publish(snapshot) => {
-                self.memory.note(&snapshot, &self.control.root().history);
+                self.memory.note(&snapshot, &self.control.history());
                 traffic.publish(snapshot);
             }
             Action::Permit(permit) => traffic.step(dispatch::Event::Permit(permit)),
--- a/crates/policy/src/control.rs
+++ b/crates/policy/src/control.rs
@@ -28,7 +28,7 @@
 use acacia_catalog::id::{DaemonId, Revision, UpstreamId};
 use rand::seq::IndexedRandom;
 
-pub use config::{ROOT_KEY, Record, Root};
+pub use config::{ROOT_KEY, Record};
 pub use epoch::{EPOCH_KEY, Epoch, EpochNumber};
 pub use event::*;
 pub use membership::{BEAT, HOLD, WAIT_OUT};
@@ -130,9 +130,9 @@
         self.config.revision()
     }
 
-    /// Root of the configuration in force here, with its history.
-    pub fn root(&self) -> &Root {
-        self.config.root()
+    /// The changes that led to the configuration in force here, oldest first.
+    pub fn history(&self) -> Vec<Record> {
+        self.config.history()
     }
 
     /// Whether an upstream takes requests, as known here.
@@ -224,11 +224,11 @@
 
     fn receive_work(&mut self, now: Time, from: &Sender, message: Message) {
         match message {
-            Message::RootPull if self.config.revision() > 0 => {
-                let root = self.config.root().clone();
-                self.out.send(from.address, Message::Root(root));
+            Message::RootPull(since) if self.config.revision() > since => {
+                let news = self.config.news(since);
+                self.out.send(from.address, Message::Root(news));
             }
-            Message::Root(root) => self.config.learn(now, root, &mut self.out),
+            Message::Root(news) => self.config.learn_news(now, news, &mut self.out),
             Message::ChunkPull(hashes) => {
                 for chunk in hashes.iter().filter_map(|h| self.config.chunk(h)) {
                     self.out.send(from.address, Message::Chunk(chunk));
@@ -256,7 +256,8 @@
             self.out.send(from.address, Message::EpochPull);
         }
         if self.config.is_behind(digest.revision) {
-            self.out.send(from.address, Message::RootPull);
+            let known = self.config.revision();
+            self.out.send(from.address, Message::RootPull(known));
         }
         let behind = digest.epoch < self.membership.epoch().number
             || digest.revision < self.config.revision();
@@ -382,7 +383,7 @@
         if self.config.revision() == 0
             && let Some(peer) = peers.choose(&mut self.out.rng)
         {
-            self.out.send(*peer, Message::RootPull);
+            self.out.send(*peer, Message::RootPull(0));
         }
         if self.membership.epoch().number == 0
             && let Some(peer) = peers.choose(&mut self.out.rng)
--- a/crates/policy/src/control/config.rs
+++ b/crates/policy/src/control/config.rs
@@ -9,15 +9,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_catalog::Set;
+use acacia_catalog::chunk::{self, Chunks, Index};
 use acacia_catalog::id::Revision;
+use acacia_catalog::root::HISTORY_LIMIT;
+use acacia_catalog::{Root, Set};
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 
 use super::outbox::{Outbox, Purpose};
 use super::publication::{Publication, Stage, Verdict};
 use super::{Action, Change, ChangeId, ChangeOutcome, Line, Sabotage, Ticket};
-use crate::message::{Chunk, ChunkHash, Message};
+use crate::message::{Chunk, ChunkHash, Message, RootNews};
 use crate::{Time, kv};
 
 /// Key of the root.
@@ -28,40 +30,6 @@
 const RETRY: Duration = Duration::from_millis(300);
 /// Wait before a chunk is asked for again.
 const CHUNK_RETRY: Duration = Duration::from_millis(400);
-/// Changes that the root remembers, so that a lost answer can be resolved.
-const HISTORY: usize = 64;
-
-/// What is published by one compare-and-swap.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub struct Root {
-    /// Number of the configuration.
-    pub revision: Revision,
-    /// Its chunks in order.
-    pub chunks: Vec<ChunkHash>,
-    /// The latest changes, oldest first.
-    pub history: Vec<Record>,
-}
-
-impl Root {
-    /// The revision that a change led to, when it is remembered.
-    pub fn find(&self, change: &ChangeId) -> Option<Revision> {
-        self.history.iter().find(|r| r.change == *change).map(|r| r.revision)
-    }
-
-    /// The root that follows.
-    #[must_use]
-    pub fn next(&self, change: &Change, chunks: Vec<ChunkHash>) -> Self {
-        let revision = self.revision + 1;
-        let record = Record { revision, change: change.id.clone(), author: change.author.clone() };
-        let skip = (self.history.len() + 1).saturating_sub(HISTORY);
-        let kept = self.history.iter().skip(skip).cloned();
-        Self { revision, chunks, history: kept.chain([record]).collect() }
-    }
-
-    fn decode(entry: Option<&kv::Entry>) -> Option<Self> {
-        rmp_serde::from_slice(&entry?.value).ok()
-    }
-}
 
 /// An accepted change.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -93,7 +61,7 @@
     sabotage: Option<Sabotage>,
     root: Root,
     set: Arc<Set>,
-    chunks: BTreeMap<ChunkHash, Arc<[u8]>>,
+    chunks: Chunks,
     entry_revision: kv::ModRevision,
     pending: Option<Pending>,
     calling: bool,
@@ -125,14 +93,29 @@
         self.root.revision
     }
 
-    /// Its root.
-    pub fn root(&self) -> &Root {
-        &self.root
+    /// The changes that led to it, oldest first.
+    pub fn history(&self) -> Vec<Record> {
+        let root = &self.root;
+        let past = root.history.iter().rev();
+        let earlier = past.map(|p| (p.revision, &p.change, &p.author));
+        let all = earlier.chain([(root.revision, &root.change, &root.author)]);
+        let accepted = all.filter(|(revision, ..)| *revision > 0);
+        let record = |(revision, change, author): (Revision, &ChangeId, &String)| Record {
+            revision,
+            change: change.clone(),
+            author: author.clone(),
+        };
+        accepted.map(record).collect()
+    }
+
+    /// What is new for one who has a revision.
+    pub fn news(&self, since: Revision) -> RootNews {
+        news(&self.root, since)
     }
 
     /// A chunk of the configuration in force, or of the next.
     pub fn chunk(&self, hash: &ChunkHash) -> Option<Chunk> {
-        let bytes = self.chunks.get(hash)?.to_vec();
+        let bytes = self.chunks.get(hash)?.clone();
         Some(Chunk { hash: *hash, bytes })
     }
 
@@ -169,8 +152,16 @@
         }
     }
 
-    /// Takes a root that a peer or the service told.
-    pub fn learn(&mut self, now: Time, root: Root, out: &mut Outbox) {
+    /// Takes what a peer tells of a root.
+    pub fn learn_news(&mut self, now: Time, told: RootNews, out: &mut Outbox) {
+        if told.since == 0 || told.since == self.root.revision {
+            let base = if told.since == 0 { Root::default() } else { self.root.clone() };
+            self.learn(now, apply(base, told), out);
+        }
+    }
+
+    /// Takes a root.
+    fn learn(&mut self, now: Time, root: Root, out: &mut Outbox) {
         let known = self.pending.as_ref().map_or(self.root.revision, |p| p.root.revision);
         let older = root.revision <= known.max(self.root.revision);
         if older && self.sabotage != Some(Sabotage::Revert) {
@@ -183,9 +174,9 @@
     /// Takes a chunk; ignored when its bytes don't have its name.
     pub fn learn_chunk(&mut self, chunk: &Chunk, out: &mut Outbox) {
         let Some(pending) = &self.pending else { return };
-        let wanted = pending.root.chunks.contains(&chunk.hash);
-        if wanted && blake3::hash(&chunk.bytes) == chunk.hash {
-            self.chunks.insert(chunk.hash, chunk.bytes.as_slice().into());
+        let wanted = pending.root.index.values().any(|hash| *hash == chunk.hash);
+        if wanted && chunk::verify(chunk.hash, &chunk.bytes) {
+            self.chunks.insert(chunk.hash, chunk.bytes.clone());
             self.assemble(out);
         }
     }
@@ -229,7 +220,7 @@
     fn take_entry(&mut self, now: Time, entry: Option<&kv::Entry>) {
         let Some(found) = entry else { return };
         self.entry_revision = self.entry_revision.max(found.revision);
-        let newer = Root::decode(entry).filter(|root| self.is_behind(root.revision));
+        let newer = Root::decode(&found.value).ok().filter(|root| self.is_behind(root.revision));
         if let Some(root) = newer {
             self.pending = Some(Pending { root, ask_at: now, tries: 0 });
         }
@@ -254,7 +245,7 @@
     }
 
     fn missing(&self) -> Vec<ChunkHash> {
-        let pending = self.pending.iter().flat_map(|p| &p.root.chunks);
+        let pending = self.pending.iter().flat_map(|p| p.root.index.values());
         pending.filter(|hash| !self.chunks.contains_key(*hash)).copied().collect()
     }
 
@@ -266,20 +257,15 @@
 
     /// Brings the pending configuration into force once every chunk is there.
     fn assemble(&mut self, out: &mut Outbox) {
-        let Some(pending) = self
-            .pending
-            .take_if(|p| p.root.chunks.iter().all(|hash| self.chunks.contains_key(hash)))
-        else {
-            return;
-        };
-        let bytes: Vec<u8> =
-            pending.root.chunks.iter().flat_map(|hash| self.chunks[hash].iter().copied()).collect();
-        let Ok(set) = rmp_serde::from_slice::<Set>(&bytes) else { return };
+        let complete =
+            |p: &mut Pending| p.root.index.values().all(|hash| self.chunks.contains_key(hash));
+        let Some(pending) = self.pending.take_if(complete) else { return };
+        let Ok(set) = chunk::join(&pending.root.index, &self.chunks) else { return };
         self.enter(pending.root, Arc::new(set), out);
     }
 
     fn enter(&mut self, root: Root, set: Arc<Set>, out: &mut Outbox) {
-        let kept: BTreeSet<_> = root.chunks.iter().copied().collect();
+        let kept: BTreeSet<_> = root.index.values().copied().collect();
         self.chunks.retain(|hash, _| kept.contains(hash));
         out.push(Action::Log(Line::InForce(root.revision)));
         (self.root, self.set, self.changed) = (root, set, true);
@@ -318,19 +304,52 @@
             return;
         }
         let Some(root) = publication.root().filter(|r| self.is_behind(r.revision)) else { return };
-        for chunk in publication.chunks() {
-            self.chunks.insert(chunk.hash, chunk.bytes.as_slice().into());
-        }
+        self.chunks.extend(publication.chunks().iter().map(|(h, b)| (*h, b.clone())));
         self.learn(now, root.clone(), out);
     }
 }
 
 /// Key of a chunk.
 pub(super) fn chunk_key(hash: &ChunkHash) -> kv::Key {
-    format!("{CHUNK_PREFIX}{}", blake3::Hash::from_bytes(*hash).to_hex())
+    format!("{CHUNK_PREFIX}{hash}")
 }
 
 /// Decodes the root that an entry holds; the first root when the key is absent.
 pub(super) fn decode(entry: Option<&kv::Entry>) -> Option<Root> {
-    if entry.is_none() { Some(Root::default()) } else { Root::decode(entry) }
+    match entry {
+        None => Some(Root::default()),
+        Some(entry) => Root::decode(&entry.value).ok(),
+    }
+}
+
+/// What is new in a root since a revision; the whole root when that is no longer remembered.
+fn news(root: &Root, since: Revision) -> RootNews {
+    let known = root.index_at(since).filter(|_| since > 0 && since < root.revision);
+    let (since, before) = known.map_or((0, Index::new()), |index| (since, index));
+    let gone = before.keys().filter(|slot| !root.index.contains_key(*slot));
+    let new = root.index.iter().filter(|(slot, hash)| before.get(slot) != Some(hash));
+    let altered = new.map(|(s, h)| (*s, Some(*h))).chain(gone.map(|s| (*s, None))).collect();
+    RootNews {
+        since,
+        revision: root.revision,
+        change: root.change.clone(),
+        author: root.author.clone(),
+        altered,
+        history: root.history.iter().filter(|p| p.revision >= since).cloned().collect(),
+    }
+}
+
+/// The root that news makes of an earlier one.
+fn apply(base: Root, told: RootNews) -> Root {
+    let mut index = base.index;
+    for (slot, hash) in told.altered {
+        match hash {
+            Some(hash) => index.insert(slot, hash),
+            None => index.remove(&slot),
+        };
+    }
+    let mut history = told.history;
+    history.extend(base.history);
+    history.truncate(HISTORY_LIMIT);
+    Root { revision: told.revision, change: told.change, author: told.author, index, history }
 }
--- a/crates/policy/src/control/publication.rs
+++ b/crates/policy/src/control/publication.rs
@@ -4,15 +4,16 @@
 //! the root is read again and the change's own id looked for. A swap that may still be on its way
 //! can only succeed on the root that was read, so a root that moved on settles the matter.
 
-use acacia_catalog::{Problem, Set};
+use std::collections::BTreeSet;
 
-use super::config::{self, ROOT_KEY, Root};
+use acacia_catalog::chunk::{self, Chunks, Index};
+use acacia_catalog::{Problem, Root, Set};
+
+use super::config::{self, ROOT_KEY};
 use super::{Change, ChangeOutcome};
 use crate::kv;
-use crate::message::{Chunk, ChunkHash};
+use crate::message::ChunkHash;
 
-/// Bytes of a chunk; the service holds values up to a megabyte.
-const CHUNK_BYTES: usize = 256 * 1024;
 /// Swaps that are tried when no answer comes.
 const TRIES: u32 = 4;
 
@@ -42,7 +43,10 @@
 /// One change on its way.
 pub struct Publication {
     change: Change,
-    chunks: Vec<Chunk>,
+    index: Index,
+    chunks: Chunks,
+    /// Chunks that the base doesn't have.
+    unwritten: Vec<ChunkHash>,
     base: Root,
     entry_revision: kv::ModRevision,
     next: Option<Root>,
@@ -56,11 +60,12 @@
     /// Checks a change and cuts it into chunks.
     pub fn new(change: Change) -> Result<Self, Vec<Problem>> {
         let set = Set::check(&change.document)?;
-        let bytes = rmp_serde::to_vec(&set).unwrap_or_default();
-        let chunks = bytes.chunks(CHUNK_BYTES).map(chunk).collect();
+        let (index, chunks) = chunk::split(&set).map_err(|e| vec![too_large(&e)])?;
         Ok(Self {
             change,
+            index,
             chunks,
+            unwritten: Vec::new(),
             base: Root::default(),
             entry_revision: 0,
             next: None,
@@ -77,7 +82,7 @@
     }
 
     /// The chunks of the set.
-    pub fn chunks(&self) -> &[Chunk] {
+    pub fn chunks(&self) -> &Chunks {
         &self.chunks
     }
 
@@ -86,9 +91,9 @@
         let key = ROOT_KEY.to_owned();
         match stage {
             Stage::Read | Stage::Resolve => vec![(stage, kv::Request::Get { key })],
-            Stage::Write => self.chunks.iter().map(|c| (stage, write(c))).collect(),
+            Stage::Write => self.unwritten.iter().map(|h| (stage, self.write(h))).collect(),
             Stage::Swap => {
-                let value = self.next.as_ref().and_then(|root| rmp_serde::to_vec(root).ok());
+                let value = self.next.as_ref().and_then(|root| root.encode().ok());
                 let expected = self.entry_revision;
                 vec![(stage, kv::Request::Swap { key, expected, value, lease: None })]
             }
@@ -118,11 +123,14 @@
         if root.revision != self.change.base {
             return Verdict::End(ChangeOutcome::Conflict(root.revision));
         }
-        let hashes: Vec<ChunkHash> = self.chunks.iter().map(|c| c.hash).collect();
-        self.next = Some(root.next(&self.change, hashes));
+        let (id, author) = (self.change.id.clone(), self.change.author.clone());
+        self.next = Some(root.next(id, author, self.index.clone()));
+        let held: BTreeSet<&ChunkHash> = root.index.values().collect();
+        self.unwritten = self.chunks.keys().filter(|h| !held.contains(h)).copied().collect();
+        self.unwritten.sort();
         self.base = root;
         self.entry_revision = entry.as_ref().map_or(0, |e| e.revision);
-        Verdict::Next(Stage::Write)
+        Verdict::Next(if self.unwritten.is_empty() { Stage::Swap } else { Stage::Write })
     }
 
     fn wrote(&mut self, outcome: &kv::Outcome) -> Verdict {
@@ -130,7 +138,7 @@
         // A conflict means that the chunk is there already: its name is its content.
         let held = matches!(outcome, Ok(kv::Reply::Swapped(_) | kv::Reply::Conflict(Some(_))));
         self.failed |= !held;
-        match (self.written == self.chunks.len(), self.failed) {
+        match (self.written == self.unwritten.len(), self.failed) {
             (false, _) => Verdict::Wait,
             (true, true) => Verdict::End(ChangeOutcome::Unavailable),
             (true, false) => Verdict::Next(Stage::Swap),
@@ -168,7 +176,7 @@
             return Verdict::End(ChangeOutcome::Accepted(revision));
         }
         if root.revision != self.base.revision {
-            return Verdict::End(ChangeOutcome::Conflict(root.revision));
+            return Verdict::End(self.overtaken(&root));
         }
         if self.tries < TRIES {
             Verdict::Next(Stage::Swap)
@@ -177,16 +185,34 @@
         }
     }
 
+    /// What to say when other changes stand where this one might.
+    fn overtaken(&self, root: &Root) -> ChangeOutcome {
+        let ours = self.base.revision + 1;
+        let remembers = root.revision == ours || root.history.iter().any(|p| p.revision <= ours);
+        if self.lost && !remembers {
+            return ChangeOutcome::Unknown;
+        }
+        ChangeOutcome::Conflict(root.revision)
+    }
+
+    fn write(&self, hash: &ChunkHash) -> kv::Request {
+        let key = config::chunk_key(hash);
+        let value = self.chunks.get(hash).cloned();
+        kv::Request::Swap { key, expected: 0, value, lease: None }
+    }
+
     fn accepted(&self) -> ChangeOutcome {
         ChangeOutcome::Accepted(self.base.revision + 1)
     }
 }
 
-fn chunk(bytes: &[u8]) -> Chunk {
-    Chunk { hash: *blake3::hash(bytes).as_bytes(), bytes: bytes.to_vec() }
-}
-
-fn write(chunk: &Chunk) -> kv::Request {
-    let key = config::chunk_key(&chunk.hash);
-    kv::Request::Swap { key, expected: 0, value: Some(chunk.bytes.clone()), lease: None }
+/// The problem of a set that has no encoding.
+fn too_large(error: &chunk::Error) -> Problem {
+    Problem {
+        kind: "document".to_owned(),
+        object: "".into(),
+        field: "objects".to_owned(),
+        reason: error.to_string(),
+        hint: "split large objects".to_owned(),
+    }
 }
--- a/crates/policy/src/message.rs
+++ b/crates/policy/src/message.rs
@@ -3,16 +3,18 @@
 //! Messages go one way; they may be lost, doubled, late or out of order. Each is therefore either a
 //! statement that stays true, or carries the number of the question that it answers.
 
-use acacia_catalog::id::{DaemonId, Incarnation, Revision, UpstreamId, ZoneId};
+use acacia_catalog::chunk::Slot;
+use acacia_catalog::id::{DaemonId, Incarnation, Name, Revision, UpstreamId, ZoneId};
+use acacia_catalog::root::Past;
 use serde::{Deserialize, Serialize};
 
 use crate::Time;
 use crate::control::{
-    Claim, ClaimOutcome, Ending, Epoch, EpochNumber, Order, OrderOutcome, PermitId, Root, Ticket,
+    Claim, ClaimOutcome, Ending, Epoch, EpochNumber, Order, OrderOutcome, PermitId, Ticket,
 };
 
-/// Name of a chunk: the blake3 hash of its bytes.
-pub type ChunkHash = [u8; 32];
+/// Name of a chunk.
+pub type ChunkHash = acacia_catalog::chunk::Hash;
 
 /// A message and its sender.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -49,10 +51,10 @@
     Probe(Probe),
     /// Answers a probe.
     Confirm(Confirm),
-    /// Asks for the root of the configuration in force.
-    RootPull,
-    /// The root of a configuration.
-    Root(Root),
+    /// Asks for the root of the configuration in force, by one who has this revision.
+    RootPull(Revision),
+    /// What is new in a root.
+    Root(RootNews),
     /// Asks for chunks.
     ChunkPull(Vec<ChunkHash>),
     /// A chunk.
@@ -128,6 +130,23 @@
     pub revision: Revision,
 }
 
+/// What is new in a root since an earlier revision; whole when that is zero.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RootNews {
+    /// The earlier revision.
+    pub since: Revision,
+    /// The root's revision.
+    pub revision: Revision,
+    /// Name of the change that made it.
+    pub change: Name,
+    /// Who made the change.
+    pub author: String,
+    /// Slots of the index that differ.
+    pub altered: Vec<(Slot, Option<ChunkHash>)>,
+    /// Revisions in between, and the earlier one itself, latest first.
+    pub history: Vec<Past>,
+}
+
 /// A piece of the configuration.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Chunk {
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -13,10 +13,11 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::time::Duration;
 
+use acacia_catalog::Root;
 use acacia_catalog::id::Name;
 use acacia_policy::control::{
     Action, CallId, Change, Control, Event, Observation, Order, OrderDuty, OrderOutcome, Permit,
-    Root, Sabotage, Usage,
+    Sabotage, Usage,
 };
 use acacia_policy::kv::{Failure, Outcome, Request};
 use acacia_policy::message::{Envelope, Message};
@@ -197,7 +198,7 @@
             node.paused_until = until;
         }
         self.disturb();
-        self.calm_since = until;
+        self.calm_since = self.calm_since.max(until);
     }
 
     /// Notes that the weather isn't calm now.
@@ -308,7 +309,7 @@
 
     /// The root that the service holds.
     pub fn root(&self) -> Option<Root> {
-        rmp_serde::from_slice(self.kv.value(acacia_policy::control::ROOT_KEY)?).ok()
+        Root::decode(self.kv.value(acacia_policy::control::ROOT_KEY)?).ok()
     }
 
     /// Whether something of a certain chance happens.
--- a/crates/policy/tests/fleet/op.rs
+++ b/crates/policy/tests/fleet/op.rs
@@ -183,7 +183,8 @@
         self.heal();
         self.run(RECOVERY);
         if let Some(root) = self.root() {
-            self.oracle.history(root.history.iter().map(|r| r.change.clone()));
+            let past = root.history.iter().map(|r| r.change.clone());
+            self.oracle.history(past.chain([root.change.clone()]));
         }
         let live: Vec<Name> = self.nodes.keys().map(|n| format!("d{n}").into()).collect();
         for (id, node) in &self.nodes {
