One door for engine and service; no piece of old weights after a swap

Cause: engine and service each had their own admission; and a prompt whose prefill ended after its engine had loaded other weights left its pieces in the new version's cache. Change: warmth::Door lets requests in for both; pace and slots stand beside it; a prefill keeps its pieces only if its version is still loaded. Conclusion: a stand-in that never shows another version's block by its own fault.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -1,20 +1,16 @@
 //! A model engine: continuous batching, a prefix cache, cold start, orders and KV transfer.
 //!
-//! [`run`] is an attempt's way; [`slots`], [`pace`] and [`loader`] are what it waits for; [`cache`]
-//! what it finds; [`warmth`] whether it comes in at all; [`answer`] what it says.
+//! [`run`] is an attempt's way; [`loader`] loads its weights; [`cache`] is what it finds; [`answer`]
+//! what it says.
 
 pub mod answer;
 pub mod cache;
 pub mod loader;
-pub mod pace;
 mod route;
 pub mod run;
-pub mod slots;
-pub mod warmth;
 pub mod wire;
 
 use std::net::SocketAddr;
-use std::ops::Deref;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -27,15 +23,15 @@
 use crate::exchange::{Answer, Call};
 use crate::fault::Fault;
 use crate::host::{self, Standin, spend};
+use crate::pace::{Pace, scaled, transfer};
+use crate::slots::{Priority, Slots};
+use crate::warmth::{Door, Place, Refusal};
 
 pub use answer::{answer, weights};
 use cache::Cache;
 use loader::Loader;
-use pace::{Pace, scaled, transfer};
 use route::Orders;
 use run::{ALWAYS, Attempts, Prefill, Trigger};
-use slots::{Priority, Slots};
-use warmth::{Entry, Warmth};
 use wire::Load;
 
 /// A running engine.
@@ -137,7 +133,7 @@
     let start_cold = settings.start_cold;
     let state = Arc::new_cyclic(|me| State::new(settings, me.clone()));
     if start_cold {
-        state.warmth.lock().loading = true;
+        state.door.warmth().loading = true;
         state.load();
     }
     Handle::start(state, address, control).await
@@ -148,7 +144,7 @@
     me: std::sync::Weak<Self>,
     settings: Settings,
     tally: Tally,
-    warmth: Mutex<Warmth>,
+    door: Arc<Door>,
     version: Mutex<String>,
     adapters: Mutex<Vec<String>>,
     slots: Arc<Slots>,
@@ -171,7 +167,11 @@
         Self {
             me,
             tally: Tally::default(),
-            warmth: Mutex::new(Warmth::new(settings.incarnation)),
+            door: Door::new(
+                settings.incarnation,
+                settings.slots + settings.queue,
+                settings.cold_limit,
+            ),
             version: Mutex::new(settings.version.clone()),
             adapters: Mutex::new(settings.adapters.clone()),
             slots: Slots::new(settings.slots),
@@ -193,7 +193,7 @@
 
     /// Number of the process life.
     pub fn incarnation(&self) -> u64 {
-        self.warmth.lock().incarnation
+        self.door.incarnation()
     }
 
     /// The weight version loaded.
@@ -201,37 +201,20 @@
         self.version.lock().clone()
     }
 
-    /// Lets a request in and counts it until its place is dropped.
-    fn enter(self: &Arc<Self>) -> Result<Place, Answer> {
-        let mut warmth = self.warmth.lock();
-        let limit = self.settings.slots + self.settings.queue;
-        let entry = warmth.enter(limit, self.settings.cold_limit);
-        if warmth.is_cold() {
-            self.tally.raise(Counter::ColdPeak, warmth.in_flight as u64);
+    /// Lets a request in until its place is dropped.
+    fn enter(&self) -> Result<Place, Answer> {
+        let entered = self.door.enter(&self.tally);
+        match entered {
+            Ok(_) => self.tally.count(Counter::Started),
+            Err(Refusal::FellOver) => self.restart(),
+            Err(_) => {}
         }
-        let life = warmth.incarnation;
-        drop(warmth);
-        match entry {
-            Entry::Admitted => {
-                self.tally.count(Counter::Started);
-                return Ok(Place { engine: self.clone(), life });
-            }
-            Entry::FellOver => {
-                self.tally.count(Counter::ColdExcess);
-                self.tally.count(Counter::FellOver);
-                self.restart();
-                return Err(Answer::cut());
-            }
-            Entry::Loading => Err(route::refused("cold", "weights are being loaded")),
-            Entry::Leaving => Err(route::refused("leaving", "the engine takes no new work")),
-            Entry::Overloaded => Err(route::refused("overloaded", "the queue is full")),
-        }
-        .inspect_err(|_| self.tally.count(Counter::Refused))
+        entered.map_err(Refusal::answer)
     }
 
     /// Requests that run.
     fn running(&self) -> usize {
-        let in_flight = self.warmth.lock().in_flight;
+        let in_flight = self.door.warmth().in_flight;
         in_flight.saturating_sub(self.slots.waiting())
     }
 
@@ -243,7 +226,7 @@
 
     /// Dies and comes back with nothing.
     fn restart(&self) {
-        self.warmth.lock().restart();
+        self.door.warmth().restart();
         self.cache.lock().clear();
         let attempts = std::mem::take(&mut *self.attempts.lock());
         for attempt in attempts.iter() {
@@ -260,7 +243,7 @@
         tokio::spawn(async move {
             let incarnation = me.incarnation();
             me.load_weights().await;
-            let mut warmth = me.warmth.lock();
+            let mut warmth = me.door.warmth();
             if warmth.incarnation == incarnation {
                 warmth.turn_cold(scaled(me.settings.cold_period, me.settings.scale));
             }
@@ -282,8 +265,12 @@
         cached.min(prompt_tokens.saturating_sub(1))
     }
 
+    /// Keeps what was computed, unless other weights were loaded meanwhile.
     fn store(&self, prefill: &Prefill) {
-        self.cache.lock().store(&prefill.keys, &prefill.fingerprints);
+        let version = self.version.lock();
+        if *version == prefill.version {
+            self.cache.lock().store(&prefill.keys, &prefill.fingerprints);
+        }
     }
 
     /// Computes prompt tokens, in turns with other prompts.
@@ -331,7 +318,7 @@
 
     fn load_now(&self) -> Load {
         let waiting = self.slots.waiting();
-        let warmth = self.warmth.lock();
+        let warmth = self.door.warmth();
         Load {
             incarnation: warmth.incarnation,
             version: self.version.lock().clone(),
@@ -346,30 +333,6 @@
     }
 }
 
-/// A request's place in the engine, waiting or running.
-pub struct Place {
-    engine: Arc<State>,
-    /// The process life that let it in.
-    pub life: u64,
-}
-
-impl Deref for Place {
-    type Target = State;
-
-    fn deref(&self) -> &State {
-        &self.engine
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        let mut warmth = self.engine.warmth.lock();
-        if warmth.incarnation == self.life {
-            warmth.in_flight = warmth.in_flight.saturating_sub(1);
-        }
-    }
-}
-
 impl Standin for State {
     const NAME: &'static str = "engine";
 
@@ -387,10 +350,10 @@
         match fault {
             Fault::Cold => {
                 let period = scaled(self.settings.cold_period, self.settings.scale);
-                self.warmth.lock().turn_cold(period);
+                self.door.warmth().turn_cold(period);
             }
             Fault::Restart => self.restart(),
-            Fault::Leaving { on } => self.warmth.lock().leaving = *on,
+            Fault::Leaving { on } => self.door.warmth().leaving = *on,
             Fault::IgnoredFence { on } => self.orders.lock().checks_fence = !on,
             Fault::BrokenStream { token, times } => {
                 self.broken.set(*token, times.unwrap_or(ALWAYS));
--- a/crates/standin/src/engine/route.rs
+++ b/crates/standin/src/engine/route.rs
@@ -18,9 +18,7 @@
 use super::wire::{Completion, Duty, Earlier, Order, Progress};
 use crate::counter::Counter;
 use crate::exchange::{Answer, Body, Call, Cut, Reply};
-
-/// Seconds after which a refused caller may come back.
-const RETRY_AFTER: u32 = 1;
+use crate::pace::scaled;
 
 /// Orders seen.
 pub struct Orders {
@@ -57,13 +55,15 @@
     async fn complete(self: Arc<Self>, call: &Call) -> Reply {
         let id = request_id(call)?;
         let completion: Completion = call.json()?;
-        let weights = self.check(&completion)?;
+        let version = self.check(&completion)?;
         let keys: Option<Vec<_>> =
             completion.block_keys.iter().map(|key| cache::key(key)).collect();
         let keys = keys.ok_or_else(|| bad("block_keys must be 64 hex digits each"))?;
         let tokens = completion.prompt.into_tokens();
         let place = self.enter()?;
-        let (generator, prefill) = read_prompt(&weights, &tokens, keys);
+        let weights = weights(&version, completion.adapter.as_deref());
+        let (generator, fingerprints) = read_prompt(&weights, &tokens);
+        let prefill = Prefill::new(version, keys, fingerprints);
         let attempt = Arc::new(Attempt {
             generator,
             max_tokens: completion.max_tokens,
@@ -76,7 +76,7 @@
         if self.attempts.lock().insert(&id, attempt.clone()) {
             self.tally.count(Counter::Duplicates);
         }
-        let begin = Run::begin(place, id, attempt, prefill, 0);
+        let begin = Run::begin(self.clone(), place, id, attempt, prefill, 0);
         if completion.stream {
             return Ok(streamed(begin));
         }
@@ -95,7 +95,7 @@
         Ok(answer)
     }
 
-    /// Checks model, version and adapter; the name of the weights.
+    /// Checks model, version and adapter; the version loaded.
     fn check(&self, completion: &Completion) -> Result<String, Answer> {
         if completion.model != self.settings.model {
             let message = format!("this engine serves `{}`", self.settings.model);
@@ -112,7 +112,7 @@
             let message = "this engine has not loaded the adapter";
             return Err(Answer::error(StatusCode::NOT_FOUND, "unknown_adapter", message));
         }
-        Ok(weights(&version, adapter))
+        Ok(version)
     }
 
     async fn resume(self: Arc<Self>, call: &Call) -> Reply {
@@ -138,8 +138,8 @@
             finished: AtomicBool::new(false),
         });
         self.attempts.lock().insert(&id, attempt.clone());
-        let prefill = Prefill { keys: Vec::new(), fingerprints: Vec::new(), done: true };
-        Ok(streamed(Run::begin(place, id, attempt, prefill, earlier.offset)))
+        let prefill = Prefill::done();
+        Ok(streamed(Run::begin(self, place, id, attempt, prefill, earlier.offset)))
     }
 
     fn cancel(&self, call: &Call) -> Reply {
@@ -155,7 +155,7 @@
 
     fn events(&self, call: &Call) -> Answer {
         let after = call.parameter("after").and_then(|after| after.parse().ok()).unwrap_or(0);
-        let lag = super::scaled(self.settings.event_lag, self.settings.scale);
+        let lag = scaled(self.settings.event_lag, self.settings.scale);
         let (next, events) = self.cache.lock().events(after, lag);
         let incarnation = self.incarnation();
         let body = json!({"incarnation": incarnation, "next": next, "events": events});
@@ -253,11 +253,6 @@
     }
 }
 
-/// Refuses a request that did not run.
-pub fn refused(code: &str, message: &str) -> Answer {
-    Answer::error(StatusCode::SERVICE_UNAVAILABLE, code, message).with("retry-after", RETRY_AFTER)
-}
-
 fn ordered(state: Progress) -> Answer {
     Answer::json(StatusCode::OK, &BTreeMap::from([("state", state)])).with_effect()
 }
@@ -278,19 +273,17 @@
     }
 }
 
-/// Hashes a prompt, with a fingerprint at the end of each of its named pieces.
-fn read_prompt(weights: &str, tokens: &[Token], mut keys: Vec<BlockKey>) -> (Generator, Prefill) {
+/// Hashes a prompt, with a fingerprint at the end of each of its full pieces.
+fn read_prompt(weights: &str, tokens: &[Token]) -> (Generator, Vec<u64>) {
     let mut generator = Generator::new(weights);
-    let mut fingerprints = Vec::with_capacity(keys.len());
+    let mut fingerprints = Vec::with_capacity(tokens.len() / PIECE_TOKENS);
     for (i, token) in tokens.iter().enumerate() {
         generator.feed(*token);
         if (i + 1).is_multiple_of(PIECE_TOKENS) {
             fingerprints.push(generator.fingerprint());
         }
     }
-    keys.truncate(fingerprints.len());
-    fingerprints.truncate(keys.len());
-    (generator, Prefill { keys, fingerprints, done: false })
+    (generator, fingerprints)
 }
 
 /// A stream whose headers leave at once and whose first token comes when the run has begun.
--- a/crates/standin/src/engine/run.rs
+++ b/crates/standin/src/engine/run.rs
@@ -11,12 +11,13 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use super::Place;
+use super::State;
 use super::answer::Generator;
-use super::slots::{Priority, Slot};
 use super::wire::{Choice, Chunk, Finish, PromptDetails, Usage};
 use crate::counter::Counter;
 use crate::exchange::Cut;
+use crate::slots::{Priority, Slot};
+use crate::warmth::Place;
 
 /// Attempts that can still be resumed or cancelled.
 const ATTEMPTS: usize = 16_384;
@@ -131,7 +132,8 @@
 
 /// An attempt that runs.
 pub struct Run {
-    engine: Place,
+    engine: Arc<State>,
+    place: Place,
     attempt: Arc<Attempt>,
     id: String,
     generator: Generator,
@@ -151,6 +153,8 @@
 
 /// What a prompt brings to the cache.
 pub struct Prefill {
+    /// The weight version that it is computed with.
+    pub version: String,
     /// Names of its pieces.
     pub keys: Vec<BlockKey>,
     /// Fingerprints of its pieces.
@@ -159,10 +163,25 @@
     pub done: bool,
 }
 
+impl Prefill {
+    /// Of a prompt with as many named pieces as it has both keys and fingerprints for.
+    pub fn new(version: String, mut keys: Vec<BlockKey>, mut fingerprints: Vec<u64>) -> Self {
+        keys.truncate(fingerprints.len());
+        fingerprints.truncate(keys.len());
+        Self { version, keys, fingerprints, done: false }
+    }
+
+    /// Of a run that goes on with what it computed before.
+    pub fn done() -> Self {
+        Self { version: String::new(), keys: Vec::new(), fingerprints: Vec::new(), done: true }
+    }
+}
+
 impl Run {
     /// Waits for a slot and computes the prompt, then stands before token `offset`.
     pub async fn begin(
-        engine: Place,
+        engine: Arc<State>,
+        place: Place,
         id: String,
         attempt: Arc<Attempt>,
         prefill: Prefill,
@@ -171,6 +190,7 @@
         let mut run = Self {
             generator: attempt.generator.clone(),
             engine,
+            place,
             attempt,
             id,
             offset,
@@ -294,8 +314,7 @@
 
     /// Whether the process life goes on and nobody cancelled.
     fn alive(&self) -> Result<(), Cut> {
-        let lives = self.engine.incarnation() == self.engine.life;
-        if lives && !self.attempt.stop.told() { Ok(()) } else { Err(Cut) }
+        if self.place.lives() && !self.attempt.stop.told() { Ok(()) } else { Err(Cut) }
     }
 
     fn finish(&mut self) {
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -11,19 +11,16 @@
 use serde::{Deserialize, Serialize};
 
 use crate::counter::{Counter, Tally};
-use crate::engine::pace::scaled;
-use crate::engine::slots::Slots;
-use crate::engine::warmth::{Entry, Warmth};
 use crate::exchange::{Answer, Body, Call, Reply};
 use crate::fault::Fault;
 use crate::host::{self, Standin, spend};
+use crate::pace::scaled;
+use crate::slots::Slots;
+use crate::warmth::{Door, Place, Refusal};
 
 /// A running plain service.
 pub type Handle = host::Handle<State>;
 
-/// Seconds after which a refused caller may come back.
-const RETRY_AFTER: u32 = 1;
-
 /// How the stand-in is set up; times are model times.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -112,7 +109,7 @@
     me: std::sync::Weak<Self>,
     settings: Settings,
     tally: Tally,
-    warmth: Mutex<Warmth>,
+    door: Arc<Door>,
     slots: Arc<Slots>,
     runs: Mutex<Runs>,
     truncated: AtomicU32,
@@ -123,7 +120,11 @@
         Self {
             me,
             tally: Tally::default(),
-            warmth: Mutex::new(Warmth::new(settings.incarnation)),
+            door: Door::new(
+                settings.incarnation,
+                settings.slots + settings.queue,
+                settings.cold_limit,
+            ),
             slots: Slots::new(settings.slots),
             runs: Mutex::default(),
             truncated: AtomicU32::new(0),
@@ -139,10 +140,10 @@
     async fn run(self: Arc<Self>, call: &Call) -> Reply {
         let place = self.enter()?;
         let slot = self.slots.take(0).await;
-        place.alive()?;
+        alive(&place)?;
         let receipt = self.count(call);
         tokio::time::sleep(scaled(self.settings.latency, self.settings.scale)).await;
-        place.alive()?;
+        alive(&place)?;
         drop(slot);
         self.tally.count(Counter::Finished);
         let mut answer = Answer::json(StatusCode::OK, &receipt).with_effect();
@@ -157,6 +158,7 @@
     /// Counts a run; its receipt.
     fn count(&self, call: &Call) -> Receipt {
         self.tally.count(Counter::Started);
+        self.tally.raise(Counter::RunningPeak, self.door.warmth().in_flight as u64);
         let reference = call.json::<Reference>().ok().map(|body| body.reference);
         let key = call.header("idempotency-key");
         let mut runs = self.runs.lock();
@@ -176,44 +178,25 @@
         }
     }
 
-    fn enter(self: &Arc<Self>) -> Result<Place, Answer> {
-        let mut warmth = self.warmth.lock();
-        let limit = self.settings.slots + self.settings.queue;
-        let entry = warmth.enter(limit, self.settings.cold_limit);
-        if warmth.is_cold() {
-            self.tally.raise(Counter::ColdPeak, warmth.in_flight as u64);
+    /// Lets a call in until its place is dropped.
+    fn enter(&self) -> Result<Place, Answer> {
+        let entered = self.door.enter(&self.tally);
+        if entered.as_ref().is_err_and(|refusal| *refusal == Refusal::FellOver) {
+            self.restart();
         }
-        let life = warmth.incarnation;
-        let running = warmth.in_flight as u64;
-        drop(warmth);
-        match entry {
-            Entry::Admitted => {
-                self.tally.raise(Counter::RunningPeak, running);
-                return Ok(Place { service: self.clone(), life });
-            }
-            Entry::FellOver => {
-                self.tally.count(Counter::ColdExcess);
-                self.tally.count(Counter::FellOver);
-                self.restart();
-                return Err(Answer::cut());
-            }
-            Entry::Loading => Err(refused("cold")),
-            Entry::Leaving => Err(refused("leaving")),
-            Entry::Overloaded => Err(refused("overloaded")),
-        }
-        .inspect_err(|_| self.tally.count(Counter::Refused))
+        entered.map_err(Refusal::answer)
     }
 
     fn restart(&self) {
         let Some(me) = self.me.upgrade() else { return };
         self.tally.count(Counter::Restarts);
-        let mut warmth = self.warmth.lock();
+        let mut warmth = self.door.warmth();
         warmth.restart();
         let life = warmth.incarnation;
         tokio::spawn(async move {
             let settings = &me.settings;
             tokio::time::sleep(scaled(settings.load_time, settings.scale)).await;
-            let mut warmth = me.warmth.lock();
+            let mut warmth = me.door.warmth();
             if warmth.incarnation == life {
                 warmth.turn_cold(scaled(settings.cold_period, settings.scale));
             }
@@ -221,29 +204,6 @@
     }
 }
 
-/// A call's place in the service, waiting or running.
-struct Place {
-    service: Arc<State>,
-    life: u64,
-}
-
-impl Place {
-    /// Breaks off when the process life has ended.
-    fn alive(&self) -> Result<(), Answer> {
-        let now = self.service.warmth.lock().incarnation;
-        if now == self.life { Ok(()) } else { Err(Answer::cut()) }
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        let mut warmth = self.service.warmth.lock();
-        if warmth.incarnation == self.life {
-            warmth.in_flight = warmth.in_flight.saturating_sub(1);
-        }
-    }
-}
-
 impl Standin for State {
     const NAME: &'static str = "service";
 
@@ -253,7 +213,7 @@
 
     async fn respond(self: Arc<Self>, call: Call) -> Answer {
         let request_id = call.header("x-request-id").to_owned();
-        let incarnation = self.warmth.lock().incarnation;
+        let incarnation = self.door.incarnation();
         let answer = self.run(&call).await.unwrap_or_else(|refusal| refusal);
         answer.with("x-request-id", request_id).with("x-incarnation", incarnation)
     }
@@ -262,10 +222,10 @@
         match fault {
             Fault::Cold => {
                 let period = scaled(self.settings.cold_period, self.settings.scale);
-                self.warmth.lock().turn_cold(period);
+                self.door.warmth().turn_cold(period);
             }
             Fault::Restart => self.restart(),
-            Fault::Leaving { on } => self.warmth.lock().leaving = *on,
+            Fault::Leaving { on } => self.door.warmth().leaving = *on,
             Fault::TruncatedAnswer { times } => self.truncated.store(*times, Ordering::Relaxed),
             _ => return false,
         }
@@ -284,7 +244,7 @@
     *run
 }
 
-fn refused(code: &str) -> Answer {
-    let message = "the call was not run";
-    Answer::error(StatusCode::SERVICE_UNAVAILABLE, code, message).with("retry-after", RETRY_AFTER)
+/// Breaks off when the process life that let a call in has ended.
+fn alive(place: &Place) -> Result<(), Answer> {
+    if place.lives() { Ok(()) } else { Err(Answer::cut()) }
 }
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -15,10 +15,10 @@
 use serde_json::json;
 
 use crate::counter::{Counter, Tally};
-use crate::engine::pace::{Pace, scaled, transfer};
 use crate::exchange::{Answer, Call, Reply};
 use crate::fault::Fault;
 use crate::host::{self, Standin, spend};
+use crate::pace::{Pace, scaled, transfer};
 use tier::{Block, Place, Tiers};
 
 /// A running store.
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -385,7 +385,7 @@
 
 #[tokio::test]
 async fn slots_priority_first() {
-    let slots = acacia_standin::engine::slots::Slots::new(1);
+    let slots = acacia_standin::slots::Slots::new(1);
     let held = slots.take(0).await;
     let order = std::sync::Arc::new(parking_lot::Mutex::new(Vec::new()));
     let mut waiting = Vec::new();
@@ -428,7 +428,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn pace_exact_on_average() {
-    use acacia_standin::engine::pace::Pace;
+    use acacia_standin::pace::Pace;
     let pace = Pace::default();
     let begin = tokio::time::Instant::now();
     for _ in 0..10_000 {
@@ -525,3 +525,26 @@
     let fresh = ids.iter().collect::<BTreeSet<_>>().len();
     assert_eq!(engine.count(Counter::Duplicates) as usize, ids.len() - fresh);
 }
+
+#[tokio::test]
+async fn order_during_prefill_keeps_no_old_piece() {
+    let slow = Settings {
+        prefill_per_token: Duration::from_micros(50),
+        load_time: Duration::ZERO,
+        scale: 1.0,
+        ..settings()
+    };
+    let engine = start(slow).await.unwrap();
+    let (address, body) = (engine.address, ask(&prompt(PIECE), 1, false));
+    let running = tokio::spawn(async move { post(address, "/v1/completions", "one", &body).await });
+    until(&engine, Counter::Started, 1).await;
+    while order(&engine, "a", "v2", 5).await.json::<Value>()["state"] != json!("done") {
+        tokio::task::yield_now().await;
+    }
+    let chunk: Chunk = running.await.unwrap().json();
+    assert_eq!(chunk.choices[0].token_ids, answer("v1", &prompt(PIECE), 1));
+    let mut body = ask(&prompt(PIECE), 1, false);
+    body["version"] = json!("v2");
+    let chunk: Chunk = complete(&engine, "two", &body).await.json();
+    assert_eq!(chunk.usage.unwrap().prompt_tokens_details.cached_tokens, 0);
+}
