--- a/crates/cli/src/load/client.rs
+++ b/crates/cli/src/load/client.rs
@@ -64,6 +64,17 @@
     pub sends: u32,
 }
 
+/// What a caller sends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Kind {
+    /// A prompt, answered by a stream.
+    Prompt,
+    /// A call that its key keeps from running twice.
+    Keyed,
+    /// A call that may be repeated.
+    Lookup,
+}
+
 /// What one sending came to.
 enum Sent {
     /// It ended.
@@ -94,7 +105,7 @@
                 .header("content-type", "application/json")
                 .body(body.clone())
         };
-        self.persist(build, true).await
+        self.persist(build, Kind::Prompt).await
     }
 
     /// Calls a plain service; `idempotency` names a call that must run at most once.
@@ -117,14 +128,15 @@
                 None => self.http.get(url).bearer_auth(key),
             }
         };
-        self.persist(build, false).await
+        let kind = if idempotency.is_some() { Kind::Keyed } else { Kind::Lookup };
+        self.persist(build, kind).await
     }
 
     /// Sends until the request ended or was refused too often.
     async fn persist(
         &self,
         build: impl Fn(SocketAddr) -> reqwest::RequestBuilder,
-        stream: bool,
+        kind: Kind,
     ) -> Answer {
         let started = Instant::now();
         let mut answer = Answer {
@@ -136,7 +148,7 @@
         while answer.sends < SENDS {
             let Some(entry) = self.balancer.pick() else { break };
             answer.sends += 1;
-            match send(build(entry), stream, started, &mut answer).await {
+            match send(build(entry), kind, started, &mut answer).await {
                 Sent::Ended(end) => {
                     answer.end = end;
                     return answer;
@@ -153,7 +165,7 @@
 
 async fn send(
     request: reqwest::RequestBuilder,
-    stream: bool,
+    kind: Kind,
     started: Instant,
     answer: &mut Answer,
 ) -> Sent {
@@ -165,16 +177,16 @@
         Err(_) => return Sent::Ended(End::Broken("no answer".to_owned())),
     };
     if !response.status().is_success() {
-        return refused(response).await;
+        return refused(response, kind).await;
     }
-    if stream {
+    if kind == Kind::Prompt {
         Sent::Ended(read_stream(response, started, answer).await)
     } else {
         Sent::Ended(read_body(response, started, answer).await)
     }
 }
 
-async fn refused(response: reqwest::Response) -> Sent {
+async fn refused(response: reqwest::Response, kind: Kind) -> Sent {
     let status = response.status();
     let wait = response
         .headers()
@@ -184,8 +196,10 @@
     let body: Value = response.json().await.unwrap_or_default();
     let field = |name: &str| body["error"][name].as_str().unwrap_or(status.as_str()).to_owned();
     let end = End::Refused { code: field("code"), verdict: field("verdict") };
+    // A keyed call may be sent again whatever the verdict, since its key keeps it from running twice.
+    let safe = field("verdict") == "not_run" || kind == Kind::Keyed;
     match wait {
-        Some(wait) if field("verdict") == "not_run" => Sent::Again(end, wait),
+        Some(wait) if safe => Sent::Again(end, wait),
         _ => Sent::Ended(end),
     }
 }
