Permits of plain services are good for any process life

Cause: found by acacia demo, where bookings waited until their deadline while the service idled. Ruled out: claims (lookups hung too), queue order, key-value calls. The limit holds regardless, since the owner counts permits over lives. A test covers unknown, same and other life.

--- a/crates/policy/src/dispatch/permit.rs
+++ b/crates/policy/src/dispatch/permit.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use acacia_catalog::id::UpstreamId;
+use acacia_catalog::id::{Incarnation, UpstreamId};
 
 use super::event::Action;
 use super::fleet::{MemberKey, PoolKey};
@@ -35,7 +35,7 @@
             return;
         }
         member.seen.push(permit.clone());
-        let good = permit.incarnation == member.incarnation
+        let good = permit.covers(member.incarnation)
             && now < permit.until
             && member.warmth(now) == Warmth::Cold;
         if !good {
@@ -73,7 +73,7 @@
     ) -> Option<Permit> {
         let member = &mut self.fleet.members[key];
         while let Some((permit, _)) = member.permits.pop() {
-            if permit.incarnation == member.incarnation && now < permit.until {
+            if permit.covers(member.incarnation) && now < permit.until {
                 return Some(permit);
             }
             out.push(Action::ReturnPermit(permit, Usage::Unused));
@@ -123,6 +123,12 @@
 }
 
 impl Permit {
+    /// Whether it is good for a process life; zero is one that its owner can't tell, as of a plain
+    /// service, which reports no load.
+    fn covers(&self, incarnation: Incarnation) -> bool {
+        self.incarnation == 0 || self.incarnation == incarnation
+    }
+
     /// Whether two messages are about one permit.
     fn is_same(&self, other: &Self) -> bool {
         self.id == other.id && self.owner == other.owner
--- /dev/null
+++ b/crates/policy/tests/dispatch_permit.rs
@@ -0,0 +1,88 @@
+//! Permits of instances whose process life their owner can't tell.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_catalog::Set;
+use acacia_catalog::id::Incarnation;
+use acacia_catalog::object::{Document, Duty, Object, Role, Service, Upstream, Zone};
+use acacia_policy::control::Permit;
+use acacia_policy::dispatch::{Action, Dispatcher, Event, Strategy};
+use acacia_policy::request::{Call, Class, Request, Work};
+use acacia_policy::snapshot::{Snapshot, Standing, Warmth};
+
+const NOW: Duration = Duration::from_secs(1);
+
+fn set() -> Set {
+    let zone = Zone { name: "z".into(), region: "r".into(), state: Duty::In };
+    let service = Service { name: "desk".into(), idempotent: Vec::new() };
+    let upstream = Upstream {
+        name: "desk-0".into(),
+        zone: "z".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        role: Role::Service { service: "desk".into() },
+        slots: 8,
+        cold_limit: 2,
+        checks_fence: false,
+        state: Duty::In,
+    };
+    let objects = vec![Object::Zone(zone), Object::Service(service), Object::Upstream(upstream)];
+    Set::check(&Document { objects }).expect("the document is right")
+}
+
+fn snapshot() -> Snapshot {
+    let standing = Standing { warmth: Warmth::Cold, incarnation: 1, load: None };
+    Snapshot {
+        revision: 1,
+        set: Arc::new(set()),
+        upstreams: BTreeMap::from([("desk-0".into(), standing)]),
+        ready: true,
+        ..Snapshot::default()
+    }
+}
+
+/// What follows when a call waits and a permit for `incarnation` comes.
+fn permitted(incarnation: Incarnation) -> Vec<Action> {
+    let mut dispatcher = Dispatcher::new(1, Strategy::Ours);
+    dispatcher.step(NOW, Event::Snapshot(Arc::new(snapshot())));
+    let call = Call {
+        service: "desk".into(),
+        idempotent: true,
+        key: None,
+        fingerprint: Default::default(),
+    };
+    let request = Request {
+        organisation: "o".into(),
+        work: Work::Call(call),
+        class: Class::Short,
+        deadline: NOW * 30,
+    };
+    let asked = dispatcher.step(NOW, Event::Arrived(1, request));
+    assert!(matches!(asked.as_slice(), [Action::AskPermit { .. }]), "{asked:?}");
+    let permit = Permit {
+        id: 1,
+        owner: "d".into(),
+        upstream: "desk-0".into(),
+        incarnation,
+        until: NOW + Duration::from_millis(400),
+    };
+    dispatcher.step(NOW, Event::Permit(permit))
+}
+
+#[test]
+fn permit_unknown_life() {
+    assert!(matches!(permitted(0).as_slice(), [Action::Start(1, _)]));
+}
+
+#[test]
+fn permit_same_life() {
+    assert!(matches!(permitted(1).as_slice(), [Action::Start(1, _)]));
+}
+
+#[test]
+fn permit_other_life() {
+    let actions = permitted(2);
+    assert!(actions.iter().any(|a| matches!(a, Action::ReturnPermit(..))), "{actions:?}");
+    assert!(!actions.iter().any(|a| matches!(a, Action::Start(..))), "{actions:?}");
+}
