--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -147,7 +147,8 @@
         let upstreams = instances("upstream", &self.upstreams);
         let stores = instances("store", &self.stores);
         text += &format!("{daemons}\n{upstreams}\n{stores}\n");
-        text + &format!("key-value service calls: {}\n", calls.join(", "))
+        text += &format!("key-value service calls: {}\n", calls.join(", "));
+        text + &format!("operators' calls refused: {}\n", self.refused)
     }
 }
 
--- a/crates/operator/src/key.rs
+++ b/crates/operator/src/key.rs
@@ -1,5 +1,7 @@
 //! Operators' keys and what each may do.
 
+use std::sync::atomic::{AtomicU64, Ordering};
+
 use arc_swap::ArcSwap;
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
@@ -45,23 +47,36 @@
 
 /// The keys in force; replaced without a restart.
 #[derive(Debug, Default)]
-pub struct Keys(ArcSwap<Vec<Key>>);
+pub struct Keys {
+    keys: ArcSwap<Vec<Key>>,
+    refused: AtomicU64,
+}
 
 impl Keys {
     /// These keys.
     pub fn new(keys: Vec<Key>) -> Self {
-        Self(ArcSwap::from_pointee(keys))
+        Self { keys: ArcSwap::from_pointee(keys), refused: AtomicU64::new(0) }
     }
 
     /// Puts other keys in force.
     pub fn replace(&self, keys: Vec<Key>) {
-        self.0.store(keys.into());
+        self.keys.store(keys.into());
     }
 
     /// The key of a token, in time that does not depend on the token's likeness to another.
     pub fn find(&self, token: &str) -> Option<Key> {
         let hash = blake3::hash(token.as_bytes());
         let same = |key: &&Key| blake3::Hash::from_hex(&key.hash).is_ok_and(|h| h == hash);
-        self.0.load().iter().find(same).cloned()
+        self.keys.load().iter().find(same).cloned()
+    }
+
+    /// Calls refused so far for want of a key or a role.
+    pub fn refused(&self) -> u64 {
+        self.refused.load(Ordering::Relaxed)
+    }
+
+    /// Counts a refused call.
+    pub(crate) fn refuse(&self) {
+        self.refused.fetch_add(1, Ordering::Relaxed);
     }
 }
--- a/crates/operator/src/server.rs
+++ b/crates/operator/src/server.rs
@@ -14,7 +14,7 @@
 use crate::call::{Configuration, Order, Ordered, PREFIX};
 use crate::change::{self, Target};
 use crate::fault::{Body, Code};
-use crate::{Backend, Fault, Key, Keys, Role};
+use crate::{Backend, Fault, Key, Keys, Role, Status};
 
 /// Largest body of a call, in bytes; a configuration of the two-year size is a sixth of it.
 pub const BODY_LIMIT: usize = 32 << 20;
@@ -37,8 +37,7 @@
 }
 
 /// The calls.
-#[derive(Clone, Copy, Debug, strum::IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
+#[derive(Clone, Copy, Debug)]
 enum Call {
     Check,
     Apply,
@@ -114,7 +113,7 @@
             Call::Order => encode(&self.order(author, request).await?),
             Call::Configuration => encode(&self.configuration(request).await?),
             Call::History => encode(&backend.history().await),
-            Call::Status => encode(&backend.status()),
+            Call::Status => encode(&Status { refused: self.keys.refused(), ..backend.status() }),
             Call::Trace => encode(&self.trace(&name(request))?),
         }
     }
@@ -124,8 +123,7 @@
         let header = request.headers().get(AUTHORIZATION).and_then(|h| h.to_str().ok());
         let token = header.and_then(|h| h.strip_prefix("Bearer "));
         let Some(key) = token.and_then(|token| self.keys.find(token)) else {
-            let call: &str = self.call.into();
-            tracing::warn!(target: "acacia::audit", call, from = %request.remote_addr(), "no operator");
+            self.keys.refuse();
             let hint =
                 "send `authorization: Bearer KEY` with a key that the daemon's settings list";
             return Err(Fault::new(Code::Unauthenticated, "not an operator's key", hint));
@@ -134,6 +132,7 @@
         if key.allows(role) {
             return Ok(key);
         }
+        self.keys.refuse();
         let message = format!("the key of `{}` lacks the role `{role}`", key.operator);
         Err(Fault::new(Code::Forbidden, message, "use a key that has it"))
     }
--- a/crates/operator/src/status.rs
+++ b/crates/operator/src/status.rs
@@ -28,6 +28,9 @@
     pub stores: Vec<Instance>,
     /// Calls of this daemon to the key-value service, by kind.
     pub kv_calls: BTreeMap<String, u64>,
+    /// Operators' calls that this daemon refused for want of a key or a role.
+    #[serde(default)]
+    pub refused: u64,
 }
 
 /// A live daemon.
--- a/crates/operator/tests/api.rs
+++ b/crates/operator/tests/api.rs
@@ -56,6 +56,7 @@
     assert_eq!(fault(mover.apply(&apply("x", 2, example())).await).code, Code::Forbidden);
     let order = Order { id: "o".to_owned(), duty: OrderDuty::SetRole("prefill".into()) };
     assert_eq!(fault(mover.order("engine-1", &order).await).code, Code::Forbidden);
+    assert_eq!(reader.status().await.unwrap().refused, 5);
     assert_eq!(served.fake.state().accepted.len(), 2);
 }
 
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -6,6 +6,7 @@
 
 use acacia_policy::message::Envelope;
 
+use crate::codec::Error;
 use crate::{Counters, PATH, codec};
 
 /// Longest time that one batch is tried for.
@@ -46,27 +47,29 @@
         Ok(Self { http, counters: Arc::default() })
     }
 
-    /// Sends a batch once.
+    /// Sends a batch once, in as many bodies as its size takes.
     pub async fn send(&self, peer: SocketAddr, batch: &[Envelope]) -> Sending {
-        let sent = match codec::encode(batch) {
-            Ok(body) => self.post(peer, body).await,
-            Err(error) => {
-                tracing::warn!(%error, "batch dropped");
-                None
-            }
-        };
-        match sent {
-            Some(bytes) => {
-                self.counters.batches.add(1);
-                self.counters.messages.add(batch.len());
-                self.counters.bytes.add(bytes);
-                Sending::Sent
-            }
-            None => {
-                self.counters.dropped.add(batch.len());
-                Sending::Dropped
+        let mut sending = Sending::Sent;
+        let mut parts = vec![batch];
+        while let Some(part) = parts.pop() {
+            match codec::encode(part) {
+                Ok(body) => {
+                    if self.post(peer, body, part.len()).await == Sending::Dropped {
+                        sending = Sending::Dropped;
+                    }
+                }
+                Err(Error::TooLarge(_) | Error::TooMany(_)) if part.len() > 1 => {
+                    let (first, second) = part.split_at(part.len() / 2);
+                    parts.extend([second, first]);
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "message dropped");
+                    self.counters.dropped.add(part.len());
+                    sending = Sending::Dropped;
+                }
             }
         }
+        sending
     }
 
     /// What was sent so far.
@@ -74,11 +77,17 @@
         &self.counters
     }
 
-    /// Bytes that the peer took.
-    async fn post(&self, peer: SocketAddr, body: Vec<u8>) -> Option<usize> {
+    async fn post(&self, peer: SocketAddr, body: Vec<u8>, messages: usize) -> Sending {
         let bytes = body.len();
         let url = format!("http://{peer}{PATH}");
-        let response = self.http.post(url).body(body).send().await.ok()?;
-        response.status().is_success().then_some(bytes)
+        let answer = self.http.post(url).body(body).send().await;
+        if answer.is_ok_and(|answer| answer.status().is_success()) {
+            self.counters.batches.add(1);
+            self.counters.messages.add(messages);
+            self.counters.bytes.add(bytes);
+            return Sending::Sent;
+        }
+        self.counters.dropped.add(messages);
+        Sending::Dropped
     }
 }
--- a/crates/peer/tests/exchange.rs
+++ b/crates/peer/tests/exchange.rs
@@ -6,7 +6,7 @@
 use acacia_peer::client::Sending;
 use acacia_peer::server::{self, Delivery};
 use acacia_peer::{BODY_LIMIT, Client, Counters, PATH};
-use acacia_policy::message::{Envelope, Message, Sender};
+use acacia_policy::message::{Chunk, Envelope, Message, Sender};
 use salvo::conn::Acceptor;
 use salvo::prelude::*;
 
@@ -55,6 +55,28 @@
     assert_eq!(received.bytes.get(), client.counters().bytes.get());
 }
 
+#[tokio::test]
+async fn send_large() {
+    let (address, inbox, received) = serve(Delivery::Taken).await;
+    let client = Client::new().unwrap();
+    let chunk = Chunk { hash: [7; 32], bytes: vec![7; BODY_LIMIT / 2] };
+    let batch = vec![Envelope { message: Message::Chunk(chunk), ..envelope("x") }; 5];
+    assert_eq!(client.send(address, &batch).await, Sending::Sent);
+    assert_eq!(*inbox.lock().unwrap(), batch);
+    assert_eq!((received.messages.get(), received.refused.get()), (5, 0));
+}
+
+#[tokio::test]
+async fn send_too_large() {
+    let (address, inbox, _) = serve(Delivery::Taken).await;
+    let client = Client::new().unwrap();
+    let chunk = Chunk { hash: [7; 32], bytes: vec![7; BODY_LIMIT] };
+    let large = Envelope { message: Message::Chunk(chunk), ..envelope("x") };
+    assert_eq!(client.send(address, &[large, envelope("y")]).await, Sending::Dropped);
+    assert_eq!(*inbox.lock().unwrap(), [envelope("y")]);
+    assert_eq!(client.counters().dropped.get(), 1);
+}
+
 #[tokio::test]
 async fn send_full() {
     let (address, _, received) = serve(Delivery::Full).await;
