--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use acacia_catalog::chunk::Hash;
 use acacia_peer::BODY_LIMIT;
 use acacia_peer::codec::{BATCH_LIMIT, Error, decode, encode};
 use acacia_policy::Verdict;
@@ -34,7 +35,7 @@
     match u8::arbitrary(g) % 12 {
         0 => Message::Hello,
         1 => Message::EpochPull,
-        2 => Message::RootPull,
+        2 => Message::RootPull(u64::arbitrary(g)),
         3 => Message::Digest(digest(g)),
         4 => Message::Probe(Probe { epoch: u64::arbitrary(g), sent: time(g) }),
         5 => Message::Confirm(Confirm {
@@ -42,8 +43,8 @@
             echo: time(g),
             revision: u64::arbitrary(g),
         }),
-        6 => Message::Chunk(Chunk { hash: hash(g), bytes: Vec::arbitrary(g) }),
-        7 => Message::ChunkPull((0..u8::arbitrary(g)).map(|_| hash(g)).collect()),
+        6 => Message::Chunk(Chunk { hash: chunk_hash(g), bytes: Vec::arbitrary(g) }),
+        7 => Message::ChunkPull((0..u8::arbitrary(g)).map(|_| chunk_hash(g)).collect()),
         8 => Message::Permits(permits(g)),
         9 => Message::Grant(grant(g)),
         10 => Message::HandOver(HandOver {
@@ -108,6 +109,10 @@
     std::array::from_fn(|_| u8::arbitrary(g))
 }
 
+fn chunk_hash(g: &mut Gen) -> Hash {
+    Hash::of(&hash(g))
+}
+
 fn time(g: &mut Gen) -> Duration {
     Duration::from_nanos(u64::arbitrary(g))
 }
@@ -180,7 +185,7 @@
 
 #[test]
 fn encode_too_large() {
-    let chunk = Chunk { hash: [0; 32], bytes: vec![0; BODY_LIMIT] };
+    let chunk = Chunk { hash: Hash::of(b"x"), bytes: vec![0; BODY_LIMIT] };
     let batch = [envelope("x", Message::Chunk(chunk))];
     assert!(matches!(encode(&batch), Err(Error::TooLarge(n)) if n > BODY_LIMIT));
     let bytes = rmp_serde::to_vec(&batch).unwrap();
--- a/crates/peer/tests/exchange.rs
+++ b/crates/peer/tests/exchange.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
+use acacia_catalog::chunk::Hash;
 use acacia_peer::client::Sending;
 use acacia_peer::server::{self, Delivery};
 use acacia_peer::{BODY_LIMIT, Client, Counters, PATH};
@@ -59,7 +60,7 @@
 async fn send_large() {
     let (address, inbox, received) = serve(Delivery::Taken).await;
     let client = Client::new().unwrap();
-    let chunk = Chunk { hash: [7; 32], bytes: vec![7; BODY_LIMIT / 2] };
+    let chunk = Chunk { hash: Hash::of(b"x"), bytes: vec![7; BODY_LIMIT / 2] };
     let batch = vec![Envelope { message: Message::Chunk(chunk), ..envelope("x") }; 5];
     assert_eq!(client.send(address, &batch).await, Sending::Sent);
     assert_eq!(*inbox.lock().unwrap(), batch);
@@ -70,7 +71,7 @@
 async fn send_too_large() {
     let (address, inbox, _) = serve(Delivery::Taken).await;
     let client = Client::new().unwrap();
-    let chunk = Chunk { hash: [7; 32], bytes: vec![7; BODY_LIMIT] };
+    let chunk = Chunk { hash: Hash::of(b"x"), bytes: vec![7; BODY_LIMIT] };
     let large = Envelope { message: Message::Chunk(chunk), ..envelope("x") };
     assert_eq!(client.send(address, &[large, envelope("y")]).await, Sending::Dropped);
     assert_eq!(*inbox.lock().unwrap(), [envelope("y")]);
