--- a/crates/cli/tests/operate.rs
+++ b/crates/cli/tests/operate.rs
@@ -212,7 +212,6 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "KNOWN-RED.txt: in force is told before traffic has it"]
 async fn operate_wait_true() {
     let system = System::start("wait").await;
     for revision in 2..22 {
