--- a/crates/platform/tests/kv.rs
+++ b/crates/platform/tests/kv.rs
@@ -209,6 +209,17 @@
     assert_eq!(value(&client, "a").await.as_deref(), Some("one"));
 }
 
+#[tokio::test]
+async fn write_answer_lost_in_middle() {
+    let (standin, client) = pair().await;
+    standin.fault(Fault::LostAnswer { times: 2 }).unwrap();
+    for key in ["a", "b"] {
+        assert_eq!(client.call(swap(key, 0, "one")).await, Err(Failure::Ambiguous));
+        assert_eq!(standin.value(key).as_deref(), Some(b"one".as_slice()));
+    }
+    assert_eq!(standin.count(Counter::AnswersLost), 2);
+}
+
 #[tokio::test]
 async fn call_down() {
     let (standin, client) = pair().await;
--- a/crates/standin/src/exchange.rs
+++ b/crates/standin/src/exchange.rs
@@ -103,6 +103,20 @@
         Self::stream("application/json", futures::stream::iter([Err(Cut)]))
     }
 
+    /// This answer with the connection breaking in the middle of its body.
+    #[must_use]
+    pub fn cut_in_middle(self) -> Self {
+        let Body::Whole(body) = &self.body else { return Self::cut() };
+        let half = body.slice(..body.len() / 2);
+        let cut = async {
+            // The server flushes what came before the break only when it is given a turn.
+            tokio::task::yield_now().await;
+            Err(Cut)
+        };
+        let broken = futures::stream::iter([Ok(half)]).chain(futures::stream::once(cut));
+        Self { body: Body::Stream(broken.boxed()), ..self }
+    }
+
     /// No such path.
     pub fn unknown_path() -> Self {
         Self::error(StatusCode::NOT_FOUND, "unknown_path", "see docs/PROTOCOLS.md for the paths")
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -5,7 +5,7 @@
 use std::ops::Deref;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -71,8 +71,13 @@
         control: SocketAddr,
     ) -> io::Result<Self> {
         let (reach, _) = watch::channel(Reach::Open);
-        let gate =
-            Arc::new(Gate { standin, slow: AtomicU64::new(0), lost: AtomicU32::new(0), reach });
+        let gate = Arc::new(Gate {
+            standin,
+            slow: AtomicU64::new(0),
+            lost: AtomicU32::new(0),
+            half: AtomicBool::new(false),
+            reach,
+        });
         let traffic = bind(address)?;
         let steering = bind(control)?;
         let address = traffic.local_addr()?;
@@ -143,6 +148,8 @@
     standin: Arc<S>,
     slow: AtomicU64,
     lost: AtomicU32,
+    /// Whether the next lost answer breaks in its middle.
+    half: AtomicBool,
     reach: watch::Sender<Reach>,
 }
 
@@ -187,11 +194,14 @@
             return Answer::error(StatusCode::SERVICE_UNAVAILABLE, "unavailable", "down");
         }
         let answer = self.standin.clone().respond(call).await;
-        if answer.effect && spend(&self.lost) {
-            tally.count(Counter::AnswersLost);
-            return Answer::cut();
-        }
-        answer
+        if answer.effect && spend(&self.lost) { self.lose(answer) } else { answer }
+    }
+
+    /// Breaks off before the first byte of an answer and in its middle by turns.
+    fn lose(&self, answer: Answer) -> Answer {
+        self.standin.tally().count(Counter::AnswersLost);
+        let half = self.half.fetch_xor(true, Ordering::Relaxed);
+        if half { answer.cut_in_middle() } else { Answer::cut() }
     }
 
     async fn thawed(&self) {
