--- /dev/null
+++ b/crates/policy/examples/slopes.rs
@@ -0,0 +1,230 @@
+//! What control costs at a size: calls to the key-value service, messages, processor time, memory.
+//!
+//! `slopes DAEMONS UPSTREAMS ORGANISATIONS CHANGES_PER_MINUTE CLAIMS_PER_SECOND SECONDS` runs that
+//! many daemons in one process under virtual time and prints two lines of JSON: idle and at work.
+//! Processor time is that of `step` on the machine that runs this; memory is the growth of the
+//! process for each daemon, whose share of the configuration is counted in full.
+
+#[path = "../tests/fleet/mod.rs"]
+mod fleet;
+
+use std::time::Duration;
+
+use acacia_catalog::generate::Size;
+use acacia_catalog::id::Name;
+use acacia_catalog::object::Object;
+use acacia_policy::control::{EPOCH_KEY, Epoch};
+use acacia_policy::message::Sender;
+use fleet::World;
+use fleet::engine::Engine;
+use fleet::kv::Counts;
+use serde_json::json;
+
+/// Upstreams that turn cold while the fleet is at work, one after another.
+const COLD: usize = 4;
+/// Time between two of them.
+const COLD_EVERY: Duration = Duration::from_secs(5);
+/// Time of one turn of the loop at work.
+const TURN: Duration = Duration::from_millis(50);
+
+/// The sizes asked for.
+#[derive(Clone, Copy)]
+struct Shape {
+    daemons: usize,
+    upstreams: usize,
+    organisations: usize,
+    changes_per_minute: f64,
+    claims_per_second: f64,
+    seconds: u64,
+}
+
+fn main() {
+    let shape = Shape {
+        daemons: argument(1, 9.0) as usize,
+        upstreams: argument(2, 20.0) as usize,
+        organisations: argument(3, 10.0) as usize,
+        changes_per_minute: argument(4, 1.0),
+        claims_per_second: argument(5, 0.0),
+        seconds: argument(6, 60.0) as u64,
+    };
+    let empty = resident();
+    let mut world = boot(shape);
+    let spread = spread(&mut world);
+    world.run(Duration::from_secs(15));
+    let memory = resident().saturating_sub(empty) / shape.daemons as u64;
+    let idle = measure(&mut world, shape, |world| world.run(TURN));
+    print(shape, "idle", &idle, spread, memory);
+    let mut work = Work::new(&world, shape);
+    let busy = measure(&mut world, shape, |world| work.turn(world));
+    print(shape, "work", &busy, spread, memory);
+    if let Some(broken) = world.oracle.broken {
+        eprintln!("a promise was broken: {broken}");
+        std::process::exit(1);
+    }
+}
+
+/// The argument at a place.
+fn argument(at: usize, default: f64) -> f64 {
+    std::env::args().nth(at).and_then(|a| a.parse().ok()).unwrap_or(default)
+}
+
+/// A fleet with its membership in place.
+fn boot(shape: Shape) -> World {
+    let mut world = World::new(1, None);
+    let size = if shape.upstreams > 1_000 { Size::TwoYears } else { Size::Actas };
+    let mut plan = size.plan();
+    plan.organisations = shape.organisations;
+    plan.instances = (shape.upstreams / 10).max(1);
+    plan.engines = shape.upstreams - plan.instances;
+    let document = plan.document(1);
+    world.engines.clear();
+    world.zones.clear();
+    for object in &document.objects {
+        match object {
+            Object::Upstream(u) => {
+                let engine = Engine::new(true, u.cold_limit, u.checks_fence);
+                world.engines.insert(u.name.clone(), engine);
+            }
+            Object::Zone(z) => world.zones.push(z.name.clone()),
+            _ => {}
+        }
+    }
+    world.base = Some(document);
+    let mut epoch = Epoch::default();
+    for id in 1..=shape.daemons as u64 {
+        let zone = world.zones[id as usize % world.zones.len()].clone();
+        let member = fleet::node::identity(id, zone, 0);
+        let sender = Sender { daemon: member.daemon, zone: member.zone, address: member.address };
+        epoch = epoch.next(&[], Some(&sender), true);
+    }
+    epoch.earlier.clear();
+    world.kv.put(EPOCH_KEY, rmp_serde::to_vec(&epoch).unwrap_or_default());
+    for _ in 0..shape.daemons {
+        world.start();
+    }
+    world.run(Duration::from_secs(5));
+    world
+}
+
+/// How long the first configuration, and then a small change, took to be in force everywhere.
+fn spread(world: &mut World) -> (Duration, Duration) {
+    let mut took = [Duration::ZERO; 2];
+    for (at, took) in took.iter_mut().enumerate() {
+        let since = world.now;
+        world.change(1);
+        let revision = at as u64 + 1;
+        while world.now < since + Duration::from_secs(60) {
+            world.run(Duration::from_millis(10));
+            if world.nodes.values().all(|n| n.snapshot.revision >= revision) {
+                break;
+            }
+        }
+        *took = world.now - since;
+        world.run(Duration::from_secs(2));
+    }
+    (took[0], took[1])
+}
+
+/// What was counted.
+struct Measured {
+    kv: Counts,
+    watching: usize,
+    messages: u64,
+    bytes: u64,
+    steps: u64,
+    step_time: Duration,
+}
+
+fn measure(world: &mut World, shape: Shape, mut turn: impl FnMut(&mut World)) -> Measured {
+    world.kv.counts = Counts::default();
+    world.traffic = fleet::Traffic::default();
+    world.measured = true;
+    let end = world.now + Duration::from_secs(shape.seconds);
+    while world.now < end {
+        turn(world);
+    }
+    world.measured = false;
+    Measured {
+        kv: world.kv.counts,
+        watching: world.kv.waiting(),
+        messages: world.traffic.messages,
+        bytes: world.traffic.bytes,
+        steps: world.traffic.steps,
+        step_time: world.traffic.step_time,
+    }
+}
+
+/// The fleet's work.
+struct Work {
+    cold: Vec<Name>,
+    changes: f64,
+    claims: f64,
+    key: u32,
+    turn: u64,
+    shape: Shape,
+}
+
+impl Work {
+    fn new(world: &World, shape: Shape) -> Self {
+        let cold = world.engines.keys().take(COLD).cloned().collect();
+        Self { cold, changes: 0.0, claims: 0.0, key: 0, turn: 0, shape }
+    }
+
+    fn turn(&mut self, world: &mut World) {
+        self.turn += 1;
+        self.changes += self.shape.changes_per_minute / 60.0 * TURN.as_secs_f64();
+        self.claims += self.shape.claims_per_second * TURN.as_secs_f64();
+        let daemons = self.shape.daemons as u64;
+        if self.changes >= 1.0 {
+            self.changes -= 1.0;
+            world.change(1 + self.turn % daemons);
+        }
+        while self.claims >= 1.0 {
+            self.claims -= 1.0;
+            self.key += 1;
+            world.claim(1 + u64::from(self.key) % daemons, self.key);
+        }
+        let turns = (COLD_EVERY.as_millis() / TURN.as_millis()) as u64;
+        let cold = self.cold[(self.turn / turns) as usize % self.cold.len()].clone();
+        if self.turn.is_multiple_of(turns) {
+            world.restart(&cold);
+        }
+        // Nine daemons at most use one upstream.
+        world.ask(1 + self.turn % daemons.min(9), &cold, 1);
+        world.run(TURN);
+    }
+}
+
+fn print(shape: Shape, phase: &str, m: &Measured, spread: (Duration, Duration), memory: u64) {
+    let seconds = shape.seconds as f64;
+    let each = |total: f64| total / seconds / shape.daemons as f64;
+    let line = json!({
+        "phase": phase,
+        "daemons": shape.daemons,
+        "upstreams": shape.upstreams,
+        "organisations": shape.organisations,
+        "changes_per_minute": shape.changes_per_minute,
+        "claims_per_second": shape.claims_per_second,
+        "kv_reads_per_second": m.kv.reads as f64 / seconds,
+        "kv_writes_per_second": m.kv.writes as f64 / seconds,
+        "kv_claim_writes_per_second": m.kv.claim_writes as f64 / seconds,
+        "kv_watch_calls_per_second": m.kv.watches as f64 / seconds,
+        "kv_watches_waiting": m.watching,
+        "messages_per_second_per_daemon": each(m.messages as f64),
+        "bytes_per_second_per_daemon": each(m.bytes as f64),
+        "steps_per_second_per_daemon": each(m.steps as f64),
+        "cpu_share_per_daemon": each(m.step_time.as_secs_f64()),
+        "memory_bytes_per_daemon": memory,
+        "first_configuration_spread_ms": spread.0.as_millis() as u64,
+        "change_spread_ms": spread.1.as_millis() as u64,
+    });
+    println!("{line}");
+}
+
+/// Bytes of this process in memory.
+fn resident() -> u64 {
+    const PAGE: u64 = 4_096;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    text.split_whitespace().nth(1).and_then(|pages| pages.parse::<u64>().ok()).unwrap_or_default()
+        * PAGE
+}
--- a/crates/policy/src/control.rs
+++ b/crates/policy/src/control.rs
@@ -228,7 +228,9 @@
                 let news = self.config.news(since);
                 self.out.send(from.address, Message::Root(news));
             }
-            Message::Root(news) => self.config.learn_news(now, news, &mut self.out),
+            Message::Root(news) => {
+                self.config.learn_news(now, news, from.address, &mut self.out);
+            }
             Message::ChunkPull(hashes) => {
                 for chunk in hashes.iter().filter_map(|h| self.config.chunk(h)) {
                     self.out.send(from.address, Message::Chunk(chunk));
@@ -391,7 +393,8 @@
             self.out.send(*peer, Message::EpochPull);
         }
         if now < self.ask_until {
-            self.membership.ask_all(now, &mut self.out);
+            let revision = self.config.revision();
+            self.membership.ask_all(now, revision, &mut self.out);
         }
     }
 
--- a/crates/policy/src/control/config.rs
+++ b/crates/policy/src/control/config.rs
@@ -153,10 +153,12 @@
     }
 
     /// Takes what a peer tells of a root.
-    pub fn learn_news(&mut self, now: Time, told: RootNews, out: &mut Outbox) {
+    pub fn learn_news(&mut self, now: Time, told: RootNews, from: SocketAddr, out: &mut Outbox) {
         if told.since == 0 || told.since == self.root.revision {
             let base = if told.since == 0 { Root::default() } else { self.root.clone() };
             self.learn(now, apply(base, told), out);
+            // Whoever told has the chunks.
+            self.ask(now, &[from], out);
         }
     }
 
--- a/crates/policy/src/control/epoch.rs
+++ b/crates/policy/src/control/epoch.rs
@@ -72,6 +72,24 @@
         rank(self.members.iter().filter(|m| &*m.zone == zone), key, count)
     }
 
+    /// Whether a member is among the first `count` of a key, another left out.
+    pub fn is_ranked(
+        &self,
+        daemon: &DaemonId,
+        key: &str,
+        without: &DaemonId,
+        count: usize,
+    ) -> bool {
+        if daemon == without || self.member(daemon).is_none() {
+            return false;
+        }
+        let key = hash(key);
+        let score = |d: &DaemonId| mix(hash(d) ^ key);
+        let own = (score(daemon), daemon);
+        let others = self.members.iter().map(|m| &m.daemon).filter(|d| *d != without);
+        others.filter(|d| (score(d), *d) > own).take(count).count() < count
+    }
+
     /// The epoch after this one, without `leaving` and with `joining`.
     ///
     /// `settled` tells that most witnesses of every earlier epoch have taken up this one.
--- a/crates/policy/src/control/membership.rs
+++ b/crates/policy/src/control/membership.rs
@@ -56,6 +56,8 @@
     entry_revision: kv::ModRevision,
     adopted_at: Time,
     continuous: bool,
+    /// Whether every holder before the last epoch had stopped when this one came.
+    secure: bool,
     heard: BTreeMap<DaemonId, Time>,
     monitored: Vec<DaemonId>,
     monitors: Vec<SocketAddr>,
@@ -83,6 +85,7 @@
             entry_revision: 0,
             adopted_at: Time::ZERO,
             continuous: false,
+            secure: false,
             heard: BTreeMap::new(),
             monitored: Vec::new(),
             monitors: Vec::new(),
@@ -113,6 +116,11 @@
         self.continuous
     }
 
+    /// Whether what this daemon owned in the epoch before was its own to act on.
+    pub fn is_secure(&self) -> bool {
+        self.continuous && self.secure
+    }
+
     /// Revision in force at each daemon that told it.
     pub fn in_force(&self) -> &BTreeMap<DaemonId, Revision> {
         &self.in_force
@@ -142,6 +150,10 @@
         if self.sabotage == Some(Sabotage::SkipWaitOut) {
             return Some(self.adopted_at);
         }
+        if self.epoch.number == 1 {
+            // Nobody came before.
+            return Some(Time::ZERO);
+        }
         self.settled_at.map(|at| at + WAIT_OUT)
     }
 
@@ -206,10 +218,14 @@
         }
     }
 
-    /// Asks every member for the revision in force at it.
-    pub fn ask_all(&self, now: Time, out: &mut Outbox) {
+    /// Asks every member that isn't known to have a revision in force.
+    pub fn ask_all(&self, now: Time, revision: Revision, out: &mut Outbox) {
         let me = out.me().daemon.clone();
-        for member in self.epoch.members.iter().filter(|m| m.daemon != me) {
+        let lacks = |m: &&Sender| {
+            let known = self.in_force.get(&m.daemon).copied().unwrap_or_default();
+            m.daemon != me && known < revision
+        };
+        for member in self.epoch.members.iter().filter(lacks) {
             let probe = Probe { epoch: self.epoch.number, sent: now };
             out.send(member.address, Message::Probe(probe));
         }
@@ -451,6 +467,7 @@
     fn adopt(&mut self, now: Time, epoch: Epoch, out: &mut Outbox) {
         let me = out.me().clone();
         self.continuous = epoch.number == self.epoch.number + 1;
+        self.secure = self.waited_out().is_some_and(|at| now >= at);
         out.push(Action::Log(Line::Epoch(epoch.number, epoch.members.len())));
         self.epoch = epoch;
         self.adopted_at = now;
@@ -468,14 +485,13 @@
     /// Works out who monitors whom.
     fn appoint(&mut self, now: Time, me: &Sender) {
         let epoch = &self.epoch;
-        let of = |daemon: &DaemonId| -> Vec<&Sender> {
-            let ranked = epoch.rank(&monitor_key(daemon), MONITORS + 1);
-            ranked.into_iter().filter(|m| m.daemon != *daemon).take(MONITORS).collect()
-        };
-        let watches = |m: &&Sender| of(&m.daemon).iter().any(|w| w.daemon == me.daemon);
+        let watches =
+            |m: &&Sender| epoch.is_ranked(&me.daemon, &monitor_key(&m.daemon), &m.daemon, MONITORS);
         let monitored: Vec<DaemonId> =
             epoch.members.iter().filter(watches).map(|m| m.daemon.clone()).collect();
-        self.monitors = of(&me.daemon).iter().map(|m| m.address).collect();
+        let ranked = epoch.rank(&monitor_key(&me.daemon), MONITORS + 1);
+        let others = ranked.into_iter().filter(|m| m.daemon != me.daemon);
+        self.monitors = others.take(MONITORS).map(|m| m.address).collect();
         // One that is monitored from now on gets its full time to be heard.
         for daemon in &monitored {
             if !self.monitored.contains(daemon) {
--- a/crates/policy/src/control/owner.rs
+++ b/crates/policy/src/control/owner.rs
@@ -182,6 +182,9 @@
         out: &mut Outbox,
     ) -> Vec<(Sender, Grant)> {
         self.owned.retain(|_, o| now < o.used_at() + FORGET || o.running() != Some(0));
+        if let (None, Some(at)) = (self.clean_at, membership.waited_out()) {
+            self.clean_at = Some(at + VALID_OUT + RUN);
+        }
         self.owned.values_mut().for_each(|o| o.sweep(now));
         self.inherited.retain(|_, i| now < i.by);
         let names = self.names();
@@ -245,26 +248,32 @@
         if told.is_some_and(|h| h.clean && h.epoch == epoch.number) {
             return Some(capacity.unseen(now));
         }
-        let mine =
-            before.is_some_and(|b| b.daemon == out.me().daemon) && membership.is_continuous();
+        let mine = before.is_some_and(|b| b.daemon == out.me().daemon);
+        if mine && membership.is_continuous() && self.is_clean(now) {
+            return Some(capacity.unseen(now));
+        }
         let from = match membership.waited_out() {
-            _ if mine || epoch.number == 1 => now,
+            _ if mine && membership.is_secure() => now,
             Some(at) if now >= at => at,
             _ => return None,
         };
-        let clean_at = *self.clean_at.get_or_insert(from + VALID_OUT + RUN);
         if self.sabotage == Some(Sabotage::ForgetRunning) {
             return Some(Ghosts::Known(0));
         }
-        let clean = now >= clean_at;
+        let clean = self.is_clean(now);
         Some(if clean { capacity.unseen(now) } else { Ghosts::Unknown(from + VALID_OUT) })
     }
 
+    /// Whether an upstream that was never asked about surely runs nothing of an earlier holder.
+    fn is_clean(&self, now: Time) -> bool {
+        self.clean_at.is_some_and(|at| now >= at)
+    }
+
     /// Tells the successors what may be running.
     fn hand_over(&self, now: Time, membership: &Membership, out: &mut Outbox) {
         let epoch = membership.epoch();
         let me = out.me().daemon.clone();
-        let clean = self.clean_at.is_some_and(|at| now >= at);
+        let clean = self.is_clean(now);
         let leaves = epoch.member(&me).is_none();
         for member in epoch.members.iter().filter(|m| m.daemon != me) {
             let gains = leaves || epoch.joined.contains(&member.daemon);
--- a/crates/policy/tests/control_scenario.rs
+++ b/crates/policy/tests/control_scenario.rs
@@ -87,6 +87,24 @@
     world.oracle.broken
 }
 
+/// An owner that dies while requests run under its permits.
+fn killed_owner(seed: u64, sabotage: Option<Sabotage>) -> Option<String> {
+    let mut world = fleet(seed, 5, sabotage);
+    let upstream: Name = "e0".into();
+    let old = owner(&world, 1, &upstream);
+    let others: Vec<NodeId> = world.nodes.keys().copied().filter(|n| *n != old).collect();
+    for round in 0..200 {
+        if round == 60 {
+            world.kill(old);
+        }
+        for id in &others {
+            world.ask(*id, &upstream, 1);
+        }
+        world.run(ms(50));
+    }
+    world.oracle.broken
+}
+
 /// An engine that the next daemon to start will own.
 fn next_gain(world: &World) -> Name {
     let epoch = world.nodes[&1].control.epoch();
@@ -133,6 +151,18 @@
     assert!(is_noticed(unheard_successor, Sabotage::SkipWaitOut));
 }
 
+#[test]
+fn killed_owner_healthy() {
+    for seed in 0..SEEDS {
+        assert_eq!(killed_owner(seed, None), None, "seed {seed}");
+    }
+}
+
+#[test]
+fn killed_owner_forget_running() {
+    assert!(is_noticed(killed_owner, Sabotage::ForgetRunning));
+}
+
 #[test]
 fn first_permit_owner_killed() {
     let mut slowest = Duration::ZERO;
--- a/crates/policy/tests/fleet/document.rs
+++ b/crates/policy/tests/fleet/document.rs
@@ -84,6 +84,18 @@
     closed.map(|(_, name)| Name::from(name)).collect()
 }
 
+/// Alters the weight of one organisation, each time of the next.
+pub fn alter(document: &mut Document) -> Document {
+    if let Some(at) = document.objects.iter().position(|o| matches!(o, Object::Organisation(_))) {
+        if let Object::Organisation(organisation) = &mut document.objects[at] {
+            organisation.weight += 1;
+        }
+        let altered = document.objects.remove(at);
+        document.objects.push(altered);
+    }
+    document.clone()
+}
+
 /// The claim of a key.
 pub fn claim(key: u32) -> Claim {
     Claim {
--- a/crates/policy/tests/fleet/kv.rs
+++ b/crates/policy/tests/fleet/kv.rs
@@ -82,6 +82,12 @@
             .collect()
     }
 
+    /// Writes a key.
+    pub fn put(&mut self, key: &str, value: Vec<u8>) {
+        self.revision += 1;
+        self.entries.insert(key.to_owned(), (value, self.revision));
+    }
+
     /// A key's value.
     pub fn value(&self, key: &str) -> Option<&[u8]> {
         self.entries.get(key).map(|(value, _)| value.as_slice())
