--- a/crates/policy/src/control.rs
+++ b/crates/policy/src/control.rs
@@ -68,12 +68,12 @@
     claims: Claims,
     orders: Orders,
     entered: EpochNumber,
+    order_holder: Option<Sender>,
     beat_at: Time,
     ask_at: Time,
     ask_until: Time,
     published_at: Option<Time>,
     changed: bool,
-    in_force_seen: usize,
     stop_by: Option<Time>,
     stopped: bool,
 }
@@ -151,12 +151,12 @@
             claims: Claims::new(sabotage),
             orders: Orders::new(sabotage),
             entered: 0,
+            order_holder: None,
             beat_at: Time::ZERO,
             ask_at: Time::ZERO,
             ask_until: Time::ZERO,
             published_at: None,
             changed: true,
-            in_force_seen: 0,
             stop_by: None,
             stopped: false,
         }
@@ -164,10 +164,9 @@
 
     fn tick(&mut self, now: Time) {
         self.membership.tick(now, &mut self.out);
-        let watcher = self.membership.is_watcher(self.out.me());
-        let peers = self.membership.peers(self.out.me().address);
-        self.config.tick(now, watcher, &peers, &mut self.out);
-        self.ask(now, &peers);
+        let watcher = self.membership.is_watcher();
+        self.config.tick(now, watcher, self.membership.peers(), &mut self.out);
+        self.ask(now);
         self.beat(now);
         self.standings.tick(now);
         let grants = self.owner.tick(now, &mut self.membership, &mut self.out);
@@ -276,7 +275,8 @@
 
     fn listed(&mut self, now: Time, instances: &[Instance]) {
         let daemons = instances.iter().filter(|i| i.kind == InstanceKind::Daemon);
-        self.membership.add_seeds(daemons.map(|i| i.address));
+        let me = self.out.me().address;
+        self.membership.add_seeds(me, daemons.map(|i| i.address));
         self.standings.list(now, instances);
     }
 
@@ -377,11 +377,12 @@
     }
 
     /// Asks for a first configuration, and where a published one is in force.
-    fn ask(&mut self, now: Time, peers: &[SocketAddr]) {
+    fn ask(&mut self, now: Time) {
         if now < self.ask_at {
             return;
         }
         self.ask_at = now + ASK;
+        let peers = self.membership.peers();
         if self.config.revision() == 0
             && let Some(peer) = peers.choose(&mut self.out.rng)
         {
@@ -451,7 +452,8 @@
         self.owner.enter(now, &self.membership, &mut self.out);
         let epoch = self.membership.epoch();
         let me = &self.out.me().daemon;
-        let holds = epoch.owner(ORDERS_KEY).is_some_and(|o| o.daemon == *me);
+        self.order_holder = epoch.owner(ORDERS_KEY).cloned();
+        let holds = self.order_holder.as_ref().is_some_and(|o| o.daemon == *me);
         let held = epoch.owner_before(ORDERS_KEY).is_some_and(|o| o.daemon == *me);
         if !(holds && held && self.membership.is_continuous()) {
             self.orders.step_down();
@@ -459,9 +461,9 @@
     }
 
     fn give_orders(&mut self, now: Time) {
-        let holder = self.membership.epoch().owner(ORDERS_KEY).cloned();
-        self.orders.tick(now, holder.as_ref(), &mut self.out);
-        let mine = holder.is_some_and(|h| h.daemon == self.out.me().daemon);
+        self.orders.tick(now, self.order_holder.as_ref(), &mut self.out);
+        let me = &self.out.me().daemon;
+        let mine = self.order_holder.as_ref().is_some_and(|h| h.daemon == *me);
         if !mine || !self.orders.is_wanted() || !self.membership.may_act(now, &mut self.out) {
             return;
         }
@@ -486,15 +488,14 @@
     }
 
     fn publish(&mut self, now: Time) {
-        let seen = self.membership.in_force().values().filter(|r| **r == self.config.revision());
-        let seen = seen.count();
-        self.changed |= seen != self.in_force_seen;
         let due = self.published_at.is_none_or(|at| now >= at + PUBLISH);
+        // Only where an operator may wait for it is it worth a snapshot.
+        self.changed |= now < self.ask_until && self.membership.has_told();
         if !self.changed || !due {
             return;
         }
         self.changed = false;
-        self.in_force_seen = seen;
+        self.membership.take_told();
         self.published_at = Some(now);
         let snapshot = self.snapshot();
         self.out.push(Action::Publish(Arc::new(snapshot)));
--- a/crates/policy/src/control/membership.rs
+++ b/crates/policy/src/control/membership.rs
@@ -61,10 +61,13 @@
     heard: BTreeMap<DaemonId, Time>,
     monitored: Vec<DaemonId>,
     monitors: Vec<SocketAddr>,
+    peers: Vec<SocketAddr>,
+    watcher: bool,
     confirmed: BTreeMap<DaemonId, Time>,
     taken_up: BTreeMap<DaemonId, EpochNumber>,
     settled_at: Option<Time>,
     in_force: BTreeMap<DaemonId, Revision>,
+    told: bool,
     service_at: Option<Time>,
     swapping: bool,
     calling: bool,
@@ -89,10 +92,13 @@
             heard: BTreeMap::new(),
             monitored: Vec::new(),
             monitors: Vec::new(),
+            peers: Vec::new(),
+            watcher: false,
             confirmed: BTreeMap::new(),
             taken_up: BTreeMap::new(),
             settled_at: None,
             in_force: BTreeMap::new(),
+            told: false,
             service_at: None,
             swapping: false,
             calling: false,
@@ -127,9 +133,9 @@
     }
 
     /// Adds addresses at which peers may be reached before an epoch is known.
-    pub fn add_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
+    pub fn add_seeds(&mut self, me: SocketAddr, seeds: impl IntoIterator<Item = SocketAddr>) {
         for seed in seeds {
-            if !self.seeds.contains(&seed) {
+            if seed != me && !self.seeds.contains(&seed) {
                 self.seeds.push(seed);
             }
         }
@@ -158,9 +164,8 @@
     }
 
     /// Whether this daemon watches the service for its zone.
-    pub fn is_watcher(&self, me: &Sender) -> bool {
-        let first = self.epoch.rank_in_zone(&me.zone, "watch", 1);
-        first.first().is_some_and(|m| m.daemon == me.daemon)
+    pub fn is_watcher(&self) -> bool {
+        self.watcher
     }
 
     /// Peers that news goes to, this daemon's zone first.
@@ -194,13 +199,8 @@
     }
 
     /// Peers that may have what this daemon misses.
-    pub fn peers(&self, me: SocketAddr) -> Vec<SocketAddr> {
-        let members = self.epoch.members.iter().map(|m| m.address);
-        let mut peers: Vec<_> = members.filter(|a| *a != me).collect();
-        if peers.is_empty() {
-            peers.extend(self.seeds.iter().copied().filter(|a| *a != me));
-        }
-        peers
+    pub fn peers(&self) -> &[SocketAddr] {
+        if self.peers.is_empty() { &self.seeds } else { &self.peers }
     }
 
     /// Notes that a peer lives.
@@ -214,10 +214,21 @@
     pub fn note_revision(&mut self, from: &DaemonId, revision: Revision) {
         if self.epoch.member(from).is_some() {
             let known = self.in_force.entry(from.clone()).or_default();
+            self.told |= revision > *known;
             *known = revision.max(*known);
         }
     }
 
+    /// Whether a peer told a newer revision since the last [`Self::take_told`].
+    pub fn has_told(&self) -> bool {
+        self.told
+    }
+
+    /// Forgets that a peer told one.
+    pub fn take_told(&mut self) {
+        self.told = false;
+    }
+
     /// Asks every member that isn't known to have a revision in force.
     pub fn ask_all(&self, now: Time, revision: Revision, out: &mut Outbox) {
         let me = out.me().daemon.clone();
@@ -380,7 +391,7 @@
     fn read(&mut self, now: Time, out: &mut Outbox) {
         let waiting =
             self.settled_at.is_none() && self.service_at.is_none_or(|at| now > at + GONE / 4);
-        let wanted = self.epoch.number == 0 || waiting || self.is_watcher(out.me());
+        let wanted = self.epoch.number == 0 || waiting || self.watcher;
         if self.calling || now < self.call_at || !wanted {
             return;
         }
@@ -485,6 +496,10 @@
     /// Works out who monitors whom.
     fn appoint(&mut self, now: Time, me: &Sender) {
         let epoch = &self.epoch;
+        let first = epoch.rank_in_zone(&me.zone, "watch", 1);
+        self.watcher = first.first().is_some_and(|m| m.daemon == me.daemon);
+        let others = epoch.members.iter().filter(|m| m.daemon != me.daemon);
+        self.peers = others.map(|m| m.address).collect();
         let watches =
             |m: &&Sender| epoch.is_ranked(&me.daemon, &monitor_key(&m.daemon), &m.daemon, MONITORS);
         let monitored: Vec<DaemonId> =
