--- a/crates/policy/src/control/membership.rs
+++ b/crates/policy/src/control/membership.rs
@@ -56,13 +56,18 @@
     entry_revision: kv::ModRevision,
     adopted_at: Time,
     continuous: bool,
+    /// Whether every holder before the last epoch had stopped when this one came.
+    secure: bool,
     heard: BTreeMap<DaemonId, Time>,
     monitored: Vec<DaemonId>,
     monitors: Vec<SocketAddr>,
+    peers: Vec<SocketAddr>,
+    watcher: bool,
     confirmed: BTreeMap<DaemonId, Time>,
     taken_up: BTreeMap<DaemonId, EpochNumber>,
     settled_at: Option<Time>,
     in_force: BTreeMap<DaemonId, Revision>,
+    told: bool,
     service_at: Option<Time>,
     swapping: bool,
     calling: bool,
@@ -83,13 +88,17 @@
             entry_revision: 0,
             adopted_at: Time::ZERO,
             continuous: false,
+            secure: false,
             heard: BTreeMap::new(),
             monitored: Vec::new(),
             monitors: Vec::new(),
+            peers: Vec::new(),
+            watcher: false,
             confirmed: BTreeMap::new(),
             taken_up: BTreeMap::new(),
             settled_at: None,
             in_force: BTreeMap::new(),
+            told: false,
             service_at: None,
             swapping: false,
             calling: false,
@@ -113,15 +122,20 @@
         self.continuous
     }
 
+    /// Whether what this daemon owned in the epoch before was its own to act on.
+    pub fn is_secure(&self) -> bool {
+        self.continuous && self.secure
+    }
+
     /// Revision in force at each daemon that told it.
     pub fn in_force(&self) -> &BTreeMap<DaemonId, Revision> {
         &self.in_force
     }
 
     /// Adds addresses at which peers may be reached before an epoch is known.
-    pub fn add_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
+    pub fn add_seeds(&mut self, me: SocketAddr, seeds: impl IntoIterator<Item = SocketAddr>) {
         for seed in seeds {
-            if !self.seeds.contains(&seed) {
+            if seed != me && !self.seeds.contains(&seed) {
                 self.seeds.push(seed);
             }
         }
@@ -142,13 +156,16 @@
         if self.sabotage == Some(Sabotage::SkipWaitOut) {
             return Some(self.adopted_at);
         }
+        if self.epoch.number == 1 {
+            // Nobody came before.
+            return Some(Time::ZERO);
+        }
         self.settled_at.map(|at| at + WAIT_OUT)
     }
 
     /// Whether this daemon watches the service for its zone.
-    pub fn is_watcher(&self, me: &Sender) -> bool {
-        let first = self.epoch.rank_in_zone(&me.zone, "watch", 1);
-        first.first().is_some_and(|m| m.daemon == me.daemon)
+    pub fn is_watcher(&self) -> bool {
+        self.watcher
     }
 
     /// Peers that news goes to, this daemon's zone first.
@@ -182,13 +199,8 @@
     }
 
     /// Peers that may have what this daemon misses.
-    pub fn peers(&self, me: SocketAddr) -> Vec<SocketAddr> {
-        let members = self.epoch.members.iter().map(|m| m.address);
-        let mut peers: Vec<_> = members.filter(|a| *a != me).collect();
-        if peers.is_empty() {
-            peers.extend(self.seeds.iter().copied().filter(|a| *a != me));
-        }
-        peers
+    pub fn peers(&self) -> &[SocketAddr] {
+        if self.peers.is_empty() { &self.seeds } else { &self.peers }
     }
 
     /// Notes that a peer lives.
@@ -202,14 +214,29 @@
     pub fn note_revision(&mut self, from: &DaemonId, revision: Revision) {
         if self.epoch.member(from).is_some() {
             let known = self.in_force.entry(from.clone()).or_default();
+            self.told |= revision > *known;
             *known = revision.max(*known);
         }
     }
 
-    /// Asks every member for the revision in force at it.
-    pub fn ask_all(&self, now: Time, out: &mut Outbox) {
+    /// Whether a peer told a newer revision since the last [`Self::take_told`].
+    pub fn has_told(&self) -> bool {
+        self.told
+    }
+
+    /// Forgets that a peer told one.
+    pub fn take_told(&mut self) {
+        self.told = false;
+    }
+
+    /// Asks every member that isn't known to have a revision in force.
+    pub fn ask_all(&self, now: Time, revision: Revision, out: &mut Outbox) {
         let me = out.me().daemon.clone();
-        for member in self.epoch.members.iter().filter(|m| m.daemon != me) {
+        let lacks = |m: &&Sender| {
+            let known = self.in_force.get(&m.daemon).copied().unwrap_or_default();
+            m.daemon != me && known < revision
+        };
+        for member in self.epoch.members.iter().filter(lacks) {
             let probe = Probe { epoch: self.epoch.number, sent: now };
             out.send(member.address, Message::Probe(probe));
         }
@@ -364,7 +391,7 @@
     fn read(&mut self, now: Time, out: &mut Outbox) {
         let waiting =
             self.settled_at.is_none() && self.service_at.is_none_or(|at| now > at + GONE / 4);
-        let wanted = self.epoch.number == 0 || waiting || self.is_watcher(out.me());
+        let wanted = self.epoch.number == 0 || waiting || self.watcher;
         if self.calling || now < self.call_at || !wanted {
             return;
         }
@@ -451,6 +478,7 @@
     fn adopt(&mut self, now: Time, epoch: Epoch, out: &mut Outbox) {
         let me = out.me().clone();
         self.continuous = epoch.number == self.epoch.number + 1;
+        self.secure = self.waited_out().is_some_and(|at| now >= at);
         out.push(Action::Log(Line::Epoch(epoch.number, epoch.members.len())));
         self.epoch = epoch;
         self.adopted_at = now;
@@ -468,14 +496,17 @@
     /// Works out who monitors whom.
     fn appoint(&mut self, now: Time, me: &Sender) {
         let epoch = &self.epoch;
-        let of = |daemon: &DaemonId| -> Vec<&Sender> {
-            let ranked = epoch.rank(&monitor_key(daemon), MONITORS + 1);
-            ranked.into_iter().filter(|m| m.daemon != *daemon).take(MONITORS).collect()
-        };
-        let watches = |m: &&Sender| of(&m.daemon).iter().any(|w| w.daemon == me.daemon);
+        let first = epoch.rank_in_zone(&me.zone, "watch", 1);
+        self.watcher = first.first().is_some_and(|m| m.daemon == me.daemon);
+        let others = epoch.members.iter().filter(|m| m.daemon != me.daemon);
+        self.peers = others.map(|m| m.address).collect();
+        let watches =
+            |m: &&Sender| epoch.is_ranked(&me.daemon, &monitor_key(&m.daemon), &m.daemon, MONITORS);
         let monitored: Vec<DaemonId> =
             epoch.members.iter().filter(watches).map(|m| m.daemon.clone()).collect();
-        self.monitors = of(&me.daemon).iter().map(|m| m.address).collect();
+        let ranked = epoch.rank(&monitor_key(&me.daemon), MONITORS + 1);
+        let others = ranked.into_iter().filter(|m| m.daemon != me.daemon);
+        self.monitors = others.take(MONITORS).map(|m| m.address).collect();
         // One that is monitored from now on gets its full time to be heard.
         for daemon in &monitored {
             if !self.monitored.contains(daemon) {
