Permits hold when a process life is not seen yet; the demo keeps its promises

Cause: acacia demo hung at start when many requests met cold engines at once. Repeats of a running booking were refused without a time to come back. The demo measured the cold ramp of every upstream, not steady service.

--- a/crates/cli/src/load/run.rs
+++ b/crates/cli/src/load/run.rs
@@ -44,6 +44,7 @@
 /// Runs a plan; yields the system too, still running.
 pub async fn run(plan: &Plan, bar: &ProgressBar) -> Result<(System, Report), Error> {
     let system = System::start(plan.layout.clone(), plan.strategy, plan.scale).await?;
+    let before = Meter::read(&system);
     let workload = Workload::draw(&plan.shape, plan.seed);
     let phases = phases(workload.length);
     bar.set_length(workload.items.len() as u64);
@@ -53,7 +54,7 @@
     let played = play::play(workload, target(&system, plan), bar);
     let (records, moved) = tokio::join!(played, moves);
     moved?;
-    let report = summarise(plan, &system, &records, &phases);
+    let report = summarise(plan, &Meter::read(&system).since(&before), &records, &phases);
     Ok((system, report))
 }
 
@@ -90,10 +91,44 @@
     Ok(())
 }
 
-fn summarise(plan: &Plan, system: &System, records: &[Record], phases: &[Phase]) -> Report {
-    let outside = &system.outside;
-    let prompt = records.iter().map(|r| r.prompt_tokens).sum();
-    let floor = records.iter().map(|r| r.floor_tokens).sum();
+/// The stand-ins' own counters.
+#[derive(Clone, Copy, Debug)]
+struct Meter {
+    computed: u64,
+    imported: u64,
+    exported: u64,
+    duplicates: u64,
+    cold_excess: u64,
+    wrong_blocks: u64,
+}
+
+impl Meter {
+    fn read(system: &System) -> Self {
+        let outside = &system.outside;
+        Self {
+            computed: outside.engines(Counter::PromptTokensComputed),
+            imported: outside.engines(Counter::ImportedBytes),
+            exported: outside.engines(Counter::ExportedBytes),
+            duplicates: outside.services(Counter::Duplicates),
+            cold_excess: outside.engines(Counter::ColdExcess)
+                + outside.services(Counter::ColdExcess),
+            wrong_blocks: outside.engines(Counter::WrongBlockRead)
+                + outside.engines(Counter::WrongPrefixRead),
+        }
+    }
+
+    /// What was counted since; broken promises count from the start.
+    fn since(self, before: &Self) -> Self {
+        Self {
+            computed: self.computed - before.computed,
+            imported: self.imported - before.imported,
+            exported: self.exported - before.exported,
+            ..self
+        }
+    }
+}
+
+fn summarise(plan: &Plan, meter: &Meter, records: &[Record], phases: &[Phase]) -> Report {
     Report {
         user: plan.user,
         strategy: plan.strategy.to_string(),
@@ -102,15 +137,15 @@
         counts: report::counts(records),
         first_token: report::first_token(records, plan.scale),
         phases: report::phases(records, phases, plan.scale),
-        tokens: Tokens { prompt, computed: outside.engines(Counter::PromptTokensComputed), floor },
-        link: Link {
-            imported: outside.engines(Counter::ImportedBytes),
-            exported: outside.engines(Counter::ExportedBytes),
+        tokens: Tokens {
+            prompt: records.iter().map(|r| r.prompt_tokens).sum(),
+            computed: meter.computed,
+            floor: records.iter().map(|r| r.floor_tokens).sum(),
         },
-        duplicates: outside.services(Counter::Duplicates),
-        cold_excess: outside.engines(Counter::ColdExcess) + outside.services(Counter::ColdExcess),
-        wrong_blocks: outside.engines(Counter::WrongBlockRead)
-            + outside.engines(Counter::WrongPrefixRead),
+        link: Link { imported: meter.imported, exported: meter.exported },
+        duplicates: meter.duplicates,
+        cold_excess: meter.cold_excess,
+        wrong_blocks: meter.wrong_blocks,
         errors: report::errors(records),
         points: report::points(records, plan.scale),
     }
--- a/crates/cli/src/system.rs
+++ b/crates/cli/src/system.rs
@@ -10,15 +10,19 @@
 
 use acacia_catalog::object::Duty;
 use acacia_daemon::{Daemon, Running, Settings, StartError};
+use acacia_operator::call;
 use acacia_operator::key::{Key, Role};
-use acacia_operator::{Client, call};
 use acacia_policy::dispatch::Strategy;
+use acacia_policy::snapshot::Warmth;
+use futures::future::join_all;
 use miette::Diagnostic;
 use thiserror::Error;
 
 use layout::Layout;
 use outside::Outside;
 
+use crate::load::client::{Balancer, Client};
+
 /// The operators' token of an emulated system.
 pub const OPERATOR_TOKEN: &str = "emulated-operator-token";
 /// Longest wait for a change to be in force everywhere, in milliseconds.
@@ -27,6 +31,8 @@
 const READY_TRIES: u32 = 400;
 /// Time between two of them.
 const READY_PERIOD: Duration = Duration::from_millis(50);
+/// Rounds of warm-up at most.
+const WARM_UP_ROUNDS: usize = 40;
 /// Traffic threads of each daemon.
 const THREADS: usize = 1;
 
@@ -79,6 +85,7 @@
         let system = Self { layout, outside, daemons };
         system.publish(scale).await?;
         system.wait_ready().await?;
+        system.warm_up().await?;
         Ok(system)
     }
 
@@ -88,9 +95,9 @@
     }
 
     /// A client of the administration API of one daemon.
-    pub fn operator(&self, index: usize) -> Result<Client, Error> {
+    pub fn operator(&self, index: usize) -> Result<acacia_operator::Client, Error> {
         let address = self.daemons[index].operator_address().to_string();
-        Ok(Client::new(address, OPERATOR_TOKEN)?)
+        Ok(acacia_operator::Client::new(address, OPERATOR_TOKEN)?)
     }
 
     /// Takes a zone out or back and waits until that is in force everywhere.
@@ -121,6 +128,38 @@
         Ok(())
     }
 
+    /// Sends short queries and lookups until every daemon takes every upstream for warm.
+    async fn warm_up(&self) -> Result<(), Error> {
+        let client = Client::new(Balancer::new(self.entries()));
+        for round in 0..WARM_UP_ROUNDS {
+            if self.is_warm().await? {
+                break;
+            }
+            let queries = (0..self.layout.engines * 4).map(|i| {
+                let prompt = format!("warm-up {round} {i}");
+                let client = client.clone();
+                async move { client.complete(&layout::key(0), layout::MODEL, &prompt, 4).await }
+            });
+            let lookups = (0..self.layout.services * 16).map(|i| {
+                let client = client.clone();
+                let path = format!("/status/warm-up-{i}");
+                async move { client.call(&layout::key(0), layout::SERVICE, &path, None).await }
+            });
+            tokio::join!(join_all(queries), join_all(lookups));
+        }
+        Ok(())
+    }
+
+    async fn is_warm(&self) -> Result<bool, Error> {
+        for index in 0..self.daemons.len() {
+            let status = self.operator(index)?.status().await?;
+            if status.upstreams.iter().any(|u| u.warmth != Warmth::Warm) {
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+
     async fn wait_ready(&self) -> Result<(), Error> {
         for _ in 0..READY_TRIES {
             if self.daemons.iter().all(Running::is_ready) {
--- a/crates/policy/src/dispatch/fleet.rs
+++ b/crates/policy/src/dispatch/fleet.rs
@@ -452,7 +452,7 @@
         }
         let closed = self.removed || self.out || self.warmth != Warmth::Cold;
         let life = self.incarnation;
-        let stale = |p: &Permit| closed || p.incarnation != life;
+        let stale = |p: &Permit| closed || !p.covers(life);
         useless.extend(self.permits.extract_if(.., |(p, _)| stale(p)).map(|(p, _)| p));
     }
 
--- a/crates/policy/src/dispatch/machine.rs
+++ b/crates/policy/src/dispatch/machine.rs
@@ -283,7 +283,7 @@
         let last = match outcome {
             ClaimOutcome::Granted => return self.admit(now, life.grant(), out),
             ClaimOutcome::Taken { answer: Some(answer), .. } => Action::Replay(ticket, answer),
-            ClaimOutcome::Taken { verdict, .. } => denial(ticket, Reason::Repeated, verdict),
+            ClaimOutcome::Taken { verdict, .. } => repeated(ticket, verdict),
             ClaimOutcome::Mismatch => denial(ticket, Reason::KeyMismatch, Verdict::NotRun),
             ClaimOutcome::Unavailable => denial(ticket, Reason::ClaimUnavailable, Verdict::NotRun),
         };
@@ -453,6 +453,12 @@
     Some(Claim { organisation, key, fingerprint: call.fingerprint })
 }
 
+/// Refuses the repeat of a call whose answer isn't held; it may be there soon if the call still runs.
+fn repeated(ticket: Ticket, verdict: Verdict) -> Action {
+    let retry_after = (verdict == Verdict::MayHaveRun).then_some(RETRY_AFTER);
+    Action::Refuse(ticket, Refusal { reason: Reason::Repeated, verdict, retry_after })
+}
+
 fn denial(ticket: Ticket, reason: Reason, verdict: Verdict) -> Action {
     Action::Refuse(ticket, Refusal { reason, verdict, retry_after: None })
 }
--- a/crates/policy/src/dispatch/permit.rs
+++ b/crates/policy/src/dispatch/permit.rs
@@ -123,10 +123,10 @@
 }
 
 impl Permit {
-    /// Whether it is good for a process life; zero is one that its owner can't tell, as of a plain
-    /// service, which reports no load.
-    fn covers(&self, incarnation: Incarnation) -> bool {
-        self.incarnation == 0 || self.incarnation == incarnation
+    /// Whether it is good for a process life, where zero on either side is one that can't be told:
+    /// a plain service reports no load to the owner, and a new daemon has not seen the upstream yet.
+    pub(super) fn covers(&self, incarnation: Incarnation) -> bool {
+        self.incarnation == 0 || incarnation == 0 || self.incarnation == incarnation
     }
 
     /// Whether two messages are about one permit.
