--- a/crates/cli/tests/operate.rs
+++ b/crates/cli/tests/operate.rs
@@ -224,6 +224,37 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn operate_racing() {
+    let system = System::start("racing").await;
+    for weight in 0..6 {
+        let text = example().replacen("\"weight\": 8", &format!("\"weight\": {}", weight + 20), 1);
+        system.write(&format!("{weight}.json"), &text);
+    }
+    let applies = (0..6).map(|weight| {
+        let (system, file) = (&system, format!("{weight}.json"));
+        async move { system.run(weight % DAEMONS, &["apply", "--base", "1", &file]).await }
+    });
+    let runs = futures::future::join_all(applies).await;
+    assert_eq!(runs.iter().filter(|run| run.code == 0).count(), 1);
+    runs.iter().filter(|run| run.code != 0).for_each(|run| {
+        run.refused(3);
+    });
+    let moves = ["zone-1", "zone-2", "zone-3"].into_iter().enumerate().map(|(daemon, zone)| {
+        let system = &system;
+        async move { system.run(daemon, &["zone", "out", zone, "--id", zone]).await.done() }
+    });
+    futures::future::join_all(moves).await;
+    for daemon in 0..DAEMONS {
+        system.seen(daemon, 5).await;
+        let status = system.run(daemon, &["status"]).await.done().json();
+        assert_eq!(status["zones_out"], serde_json::json!(["zone-1", "zone-2", "zone-3"]));
+        let history = system.history(daemon).await;
+        assert_eq!(history.len(), 5);
+        assert!(["zone-1", "zone-2", "zone-3"].iter().all(|z| history.contains(&(*z).to_owned())));
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn operate_answer_lost() {
     let system = System::start("lost").await;
