Orders that can't be meant are refused before they are sent

Cause: an order for a version of another model, or one that doesn't exist, went to the upstream. Change: the API checks version, adapter and model against the configuration; orders have a module.

--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod status;
 
 mod change;
+mod order;
 
 pub use backend::Backend;
 pub use client::Client;
--- a/crates/operator/src/server.rs
+++ b/crates/operator/src/server.rs
@@ -4,17 +4,16 @@
 
 use acacia_catalog::Document;
 use acacia_catalog::id::Revision;
-use acacia_policy::control::{self, OrderOutcome};
 use salvo::http::header::AUTHORIZATION;
 use salvo::http::{ParseError, StatusCode};
 use salvo::prelude::*;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::call::{Configuration, Order, Ordered, PREFIX};
+use crate::call::{Configuration, Ordered, PREFIX};
 use crate::change::{self, Target};
 use crate::fault::{Body, Code};
-use crate::{Backend, Fault, Key, Keys, Role, Status};
+use crate::{Backend, Fault, Key, Keys, Role, Status, order};
 
 /// Largest body of a call, in bytes; a configuration of the two-year size is a sixth of it.
 pub const BODY_LIMIT: usize = 32 << 20;
@@ -139,26 +138,7 @@
 
     async fn order(&self, author: &str, request: &mut Request) -> Result<Ordered, Fault> {
         let upstream = name(request);
-        let Order { id, duty } = body(request).await?;
-        if !self.backend.snapshot().set.upstreams.contains_key(upstream.as_str()) {
-            return Err(Fault::not_found("upstream", &upstream));
-        }
-        let sent: &str = (&duty).into();
-        tracing::info!(target: "acacia::audit", author, order = %id, upstream, duty = sent, "order");
-        let order = control::Order {
-            upstream: upstream.as_str().into(),
-            duty,
-            fence: 0,
-            id: id.as_str().into(),
-        };
-        match self.backend.order(order).await {
-            outcome @ (OrderOutcome::Accepted | OrderOutcome::Done) => Ok(Ordered { id, outcome }),
-            outcome => {
-                let message = format!("upstream `{upstream}` did not take the order: {outcome}");
-                let hint = "see `acacia status`; the same order id may be sent again";
-                Err(Fault::new(Code::OrderFailed, message, hint))
-            }
-        }
+        order::send(&*self.backend, author, &upstream, body(request).await?).await
     }
 
     async fn configuration(&self, request: &Request) -> Result<Configuration, Fault> {
--- a/crates/operator/tests/api.rs
+++ b/crates/operator/tests/api.rs
@@ -341,6 +341,26 @@
     assert_eq!(served.fake.state().orders.len(), 2);
 }
 
+#[tokio::test]
+async fn order_not_meant() {
+    let served = Served::with_example().await;
+    let client = served.client("ana");
+    let cases = [
+        ("engine-1", OrderDuty::LoadVersion("query-v9".into()), Code::NotFound),
+        ("engine-1", OrderDuty::LoadVersion("summary-v1".into()), Code::Invalid),
+        ("engine-1", OrderDuty::LoadAdapter("x".into()), Code::NotFound),
+        ("engine-1", OrderDuty::LoadAdapter("summary-v1-adapter".into()), Code::Invalid),
+        ("instance-1", OrderDuty::LoadVersion("query-v1".into()), Code::Invalid),
+    ];
+    for (upstream, duty, code) in cases {
+        let order = Order { id: "o".to_owned(), duty };
+        assert_eq!(fault(client.order(upstream, &order).await).code, code, "{order:?}");
+    }
+    assert_eq!(served.fake.state().orders.len(), 0);
+    let order = Order { id: "o".to_owned(), duty: OrderDuty::LoadVersion("summary-v1".into()) };
+    assert!(client.order("engine-2", &order).await.is_ok());
+}
+
 #[tokio::test]
 async fn status_and_trace() {
     let served = Served::with_example().await;
