--- a/crates/policy/examples/simulate.rs
+++ b/crates/policy/examples/simulate.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use acacia_policy::dispatch::Strategy;
+use acacia_policy::dispatch::{Rule, Strategy};
 use acacia_policy::request::Class;
 use dispatch_sim::{Outcome, Settings, Stream, simulate};
 
@@ -21,6 +21,9 @@
     for seed in 0..SEEDS {
         herd(seed);
     }
+    for seed in 0..SEEDS {
+        retries(seed);
+    }
 }
 
 fn fairness(seed: u64) {
@@ -86,3 +89,40 @@
         }
     }
 }
+
+/// Engines break most runs for ten seconds; with and without the cap on retries.
+fn retries(seed: u64) {
+    for broken in [None, Some(Rule::Retries)] {
+        let stream = Stream {
+            organisation: "one".into(),
+            rate: 100.0,
+            tokens: 500,
+            answer: 20,
+            class: Class::Short,
+        };
+        let window = (Duration::from_secs(20), Duration::from_secs(30), 0.7);
+        let settings = Settings {
+            breaks: Some(window),
+            broken,
+            streams: vec![stream],
+            ..dispatch_sim::nine(seed)
+        };
+        let mut result = simulate(&settings);
+        let attempts = result.attempts;
+        let outcome = result.outcomes.values_mut().next().expect("requests were answered");
+        println!(
+            "{}",
+            serde_json::json!({
+                "measure": "engines break 70% of runs for 10 of 60 s",
+                "seed": seed,
+                "capped": broken.is_none(),
+                "answered": outcome.first_tokens.len(),
+                "refused": outcome.refused,
+                "attempts": attempts,
+                "p50_s": outcome.quantile(0.5),
+                "p95_s": outcome.quantile(0.95),
+                "p99_s": outcome.quantile(0.99),
+            })
+        );
+    }
+}
--- a/crates/policy/src/dispatch/ending.rs
+++ b/crates/policy/src/dispatch/ending.rs
@@ -5,7 +5,7 @@
 use super::event::{Action, AttemptId, Ending, Reason};
 use super::life::{Broken, Failed, Life, Running, Stage};
 use super::machine::{CANCEL_GRACE, Dispatcher, Drain};
-use super::retry::{self, Case, Next};
+use super::retry::{self, Budget, Case, Next};
 use super::rule::Rule;
 use crate::control::{Answer, Usage};
 use crate::request::Work;
@@ -204,6 +204,9 @@
             sent: core.sent,
             late: now >= core.request.deadline,
         };
+        if self.broken == Some(Rule::Retries) {
+            self.budget = Budget::unlimited();
+        }
         match retry::next(case, &mut self.budget) {
             Next::Again | Next::Continue => self.enqueue(now, life.again(), out),
             Next::GiveUp(reason) => {
--- a/crates/policy/src/dispatch/retry.rs
+++ b/crates/policy/src/dispatch/retry.rs
@@ -78,6 +78,11 @@
         self.saved = (self.saved + SHARE).min(BURST);
     }
 
+    /// No cap, for a measurement.
+    pub fn unlimited() -> Self {
+        Self { saved: f64::INFINITY }
+    }
+
     fn spend(&mut self) -> bool {
         let may = self.saved >= 1.0;
         if may {
--- a/crates/policy/src/dispatch/rule.rs
+++ b/crates/policy/src/dispatch/rule.rs
@@ -30,4 +30,6 @@
     Ages,
     /// What the dispatcher gives up on is answered.
     Answers,
+    /// Retries are a share of first attempts.
+    Retries,
 }
--- a/crates/policy/tests/dispatch_sim/mod.rs
+++ b/crates/policy/tests/dispatch_sim/mod.rs
@@ -6,7 +6,7 @@
 #![allow(dead_code, reason = "each user takes a part")]
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -49,6 +49,8 @@
     pub strategy: Strategy,
     /// Whether herds are damped.
     pub damped: bool,
+    /// When engines break runs before the first token, and the chance that they do.
+    pub breaks: Option<(Time, Time, f64)>,
     /// A rule switched off.
     pub broken: Option<Rule>,
     /// Requests, by organisation.
@@ -98,6 +100,8 @@
     pub outcomes: BTreeMap<(OrganisationId, Class), Outcome>,
     /// Most requests waiting inside one engine.
     pub most_waiting: usize,
+    /// Attempts.
+    pub attempts: usize,
 }
 
 struct Engine {
@@ -116,7 +120,7 @@
 
 enum Happening {
     Arrive(usize),
-    First(Job),
+    First(usize, Job),
     Done(usize, Job),
     Report(usize, Load),
     Sample,
@@ -135,6 +139,7 @@
     sequence: u64,
     asked: HashMap<Ticket, (Time, usize)>,
     started: HashMap<AttemptId, Ticket>,
+    broken: HashSet<AttemptId>,
     result: Result,
 }
 
@@ -174,6 +179,7 @@
             sequence: 0,
             asked: HashMap::new(),
             started: HashMap::new(),
+            broken: HashSet::new(),
             result: Result::default(),
             settings,
         };
@@ -193,7 +199,7 @@
             }
             match self.happenings.remove(&id) {
                 Some(Happening::Arrive(stream)) => self.arrive(stream),
-                Some(Happening::First(job)) => self.first(&job),
+                Some(Happening::First(engine, job)) => self.first(engine, &job),
                 Some(Happening::Done(engine, job)) => self.done(engine, &job),
                 Some(Happening::Report(engine, load)) => {
                     for d in 0..self.dispatchers.len() {
@@ -267,6 +273,7 @@
         let stream = &self.settings.streams[self.asked[&ticket].1];
         let job = Job { daemon, attempt: attempt.id, tokens: stream.tokens, answer: stream.answer };
         self.started.insert(attempt.id, ticket);
+        self.result.attempts += 1;
         self.sequence += 1;
         let entry = (attempt.priority, self.sequence, job);
         self.engines[engine].waiting.push(entry);
@@ -287,12 +294,25 @@
         engine.computing_until = engine.computing_until.max(self.now) + compute;
         let first = engine.computing_until - self.now;
         let done = first + self.settings.decode * job.answer;
-        self.later(first, Happening::First(job.clone()));
+        self.later(first, Happening::First(at, job.clone()));
         self.later(done, Happening::Done(at, job));
         self.fill(at);
     }
 
-    fn first(&mut self, job: &Job) {
+    /// Whether an engine breaks a run now.
+    fn breaks(&mut self) -> bool {
+        let Some((from, to, chance)) = self.settings.breaks else { return false };
+        (from..to).contains(&self.now) && self.rng.random_bool(chance)
+    }
+
+    fn first(&mut self, engine: usize, job: &Job) {
+        if self.breaks() {
+            self.broken.insert(job.attempt);
+            self.engines[engine].running -= 1;
+            self.fill(engine);
+            let ending = Ending::Broken { tokens: 0 };
+            return self.step(job.daemon, Event::Ended { attempt: job.attempt, ending });
+        }
         let ticket = self.started[&job.attempt];
         if let Some((asked, stream)) = self.asked.remove(&ticket) {
             let waited = (self.now - asked).as_secs_f64();
@@ -302,6 +322,9 @@
     }
 
     fn done(&mut self, engine: usize, job: &Job) {
+        if self.broken.remove(&job.attempt) {
+            return;
+        }
         self.engines[engine].running -= 1;
         self.fill(engine);
         let first_byte = Duration::from_millis(1);
@@ -420,6 +443,7 @@
         length: Duration::from_secs(60),
         strategy: Strategy::Ours,
         damped: true,
+        breaks: None,
         broken: None,
         streams: Vec::new(),
     }
