Key-value stand-in: a put under a lease that is gone is refused

Cause: a put under a lapsed lease was taken and its key never went, so that a member whose lease had lapsed between two calls would have stood for ever; the service's protocol refuses it. Change: 404 lease_not_found with no effect, which the client tells as unavailable; the history's size is a setting, so that a watch from before it can be tested. Conclusion: leases end as the protocol says.

--- a/crates/platform/tests/kv.rs
+++ b/crates/platform/tests/kv.rs
@@ -293,3 +293,75 @@
     assert_eq!(client.call(swap("a", 0, "one")).await, Err(Failure::Ambiguous));
     assert_eq!(second.count(Counter::Calls), 0);
 }
+
+#[tokio::test]
+async fn lease_runs_out_and_watch_hears() {
+    // A lease of an hour runs out in a third of a second.
+    let settings = kv::Settings { scale: 10_000.0, ..kv::Settings::default() };
+    let (standin, client) = pair_of(settings).await;
+    let ttl = Duration::from_secs(3_600);
+    let mut granted = 0;
+    let revision = loop {
+        let Ok(Reply::Leased { lease, .. }) = client.call(Request::Grant { ttl }).await else {
+            panic!("no lease")
+        };
+        granted += 1;
+        // On a slow machine the lease may be gone already.
+        if let Ok(Reply::Swapped(revision)) = client.call(leased("a", lease)).await {
+            break revision;
+        }
+    };
+    let watch = Request::Watch { key: "a".to_owned(), after: revision };
+    assert_eq!(client.call(watch).await, Ok(Reply::Got(None)));
+    assert_eq!(standin.count(Counter::Expiries), granted);
+}
+
+fn leased(key: &str, lease: i64) -> Request {
+    let (key, value) = (key.to_owned(), Some(vec![1]));
+    Request::Swap { key, expected: 0, value, lease: Some(lease) }
+}
+
+#[tokio::test]
+async fn swap_under_lapsed_lease() {
+    let (standin, client) = pair().await;
+    let Ok(Reply::Leased { lease, .. }) = client.call(Request::Grant { ttl: PATIENCE }).await
+    else {
+        panic!("no lease")
+    };
+    standin.fault(Fault::LeaseLapse).unwrap();
+    assert_eq!(client.call(leased("a", lease)).await, Err(Failure::Unavailable));
+    assert_eq!((value(&client, "a").await, standin.count(Counter::Writes)), (None, 0));
+}
+
+#[tokio::test]
+async fn watch_history_lost_reads_once() {
+    let settings = kv::Settings { history: 2, ..kv::Settings::default() };
+    let (standin, client) = pair_of(settings).await;
+    let first = swapped(&client, swap("a", 0, "one")).await;
+    for key in ["b", "c", "d"] {
+        swapped(&client, swap(key, 0, "x")).await;
+    }
+    let watch = Request::Watch { key: "a".to_owned(), after: first };
+    let Ok(Reply::Got(Some(entry))) = client.call(watch).await else { panic!("not read") };
+    assert_eq!(entry.revision, first);
+    assert_eq!((standin.count(Counter::Watches), standin.count(Counter::Ranges)), (1, 1));
+}
+
+#[tokio::test]
+async fn watch_absent_key_waits_for_creation() {
+    let (standin, client) = pair().await;
+    let first = swapped(&client, swap("a", 0, "old")).await;
+    let delete = Request::Swap { key: "a".to_owned(), expected: first, value: None, lease: None };
+    swapped(&client, delete).await;
+    let watch = Request::Watch { key: "a".to_owned(), after: 0 };
+    let waiting = tokio::spawn({
+        let client = client.clone();
+        async move { client.call(watch).await }
+    });
+    while standin.count(Counter::Watches) == 0 {
+        tokio::task::yield_now().await;
+    }
+    let second = swapped(&client, swap("a", 0, "new")).await;
+    let Ok(Reply::Got(Some(entry))) = waiting.await.unwrap() else { panic!("no change seen") };
+    assert_eq!((entry.value.as_slice(), entry.revision), (b"new".as_slice(), second));
+}
--- a/crates/standin/src/command.rs
+++ b/crates/standin/src/command.rs
@@ -160,6 +160,7 @@
             writes_per_second: self.writes_per_second,
             reads_per_second: self.reads_per_second,
             scale: self.ports.scale,
+            ..kv::Settings::default()
         }
     }
 }
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -25,7 +25,7 @@
 use crate::exchange::{Answer, Call, Cut, Reply};
 use crate::fault::Fault;
 use crate::host::{self, Standin};
-use keyspace::{Keyspace, TooLarge};
+use keyspace::{Keyspace, Refusal};
 use wire::{KeepAlive, Lease, LeaseGrant, Range, Transaction, Watch};
 
 /// A running key-value service.
@@ -47,6 +47,8 @@
     pub writes_per_second: u32,
     /// Reads and watches a second, above which calls are refused; zero is no limit.
     pub reads_per_second: u32,
+    /// Changes held for watches that start in the past.
+    pub history: usize,
     /// Leases run this many times faster than they say.
     pub scale: f64,
 }
@@ -59,6 +61,7 @@
             latency: Duration::ZERO,
             writes_per_second: 0,
             reads_per_second: 0,
+            history: 16_384,
             scale: 1.0,
         }
     }
@@ -96,7 +99,7 @@
     fn new(settings: Settings) -> Self {
         Self {
             tally: Tally::default(),
-            keyspace: Mutex::new(Keyspace::new(settings.scale)),
+            keyspace: Mutex::new(Keyspace::new(settings.scale, settings.history)),
             revision: watch::channel(0).0,
             closed: AtomicBool::new(false),
             writes: Mutex::new(Bucket::new(settings.writes_per_second)),
@@ -150,7 +153,7 @@
         self.admit(if transaction.writes() { &self.writes } else { &self.reads })?;
         self.tally.count(Counter::Transactions);
         let done = self.change(|keyspace| keyspace.transact(&transaction));
-        let done = done.map_err(|TooLarge| too_large())?;
+        let done = done.map_err(refused)?;
         let wrote = done.succeeded && transaction.writes();
         self.tally.count(if done.succeeded { Counter::Writes } else { Counter::Conflicts });
         let answer = ok(&done);
@@ -303,7 +306,17 @@
     Answer::json(StatusCode::OK, value)
 }
 
-fn too_large() -> Answer {
-    let message = "a value holds at most 1 MiB; split it";
-    Answer::error(StatusCode::PAYLOAD_TOO_LARGE, "too_large", message)
+fn refused(refusal: Refusal) -> Answer {
+    match refusal {
+        Refusal::TooLarge => Answer::error(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "too_large",
+            "a value holds at most 1 MiB; split it",
+        ),
+        Refusal::NoLease => Answer::error(
+            StatusCode::NOT_FOUND,
+            "lease_not_found",
+            "the lease is gone; ask for another",
+        ),
+    }
 }
--- a/crates/standin/src/kv/keyspace.rs
+++ b/crates/standin/src/kv/keyspace.rs
@@ -12,12 +12,15 @@
 
 /// Largest value, in bytes.
 const MAX_VALUE: usize = 1 << 20;
-/// Changes held for watches that start in the past.
-const HISTORY: usize = 16_384;
 
-/// A value is larger than the service holds.
-#[derive(Clone, Copy, Debug)]
-pub struct TooLarge;
+/// Why a transaction was refused with no effect.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Refusal {
+    /// A value is larger than the service holds.
+    TooLarge,
+    /// A key was to live under a lease that is gone.
+    NoLease,
+}
 
 /// Keys, leases and history.
 pub struct Keyspace {
@@ -27,6 +30,8 @@
     leases: HashMap<i64, Term>,
     next_lease: i64,
     history: VecDeque<WatchEvent>,
+    /// Changes that the history holds.
+    capacity: usize,
     compacted: i64,
 }
 
@@ -57,8 +62,9 @@
 }
 
 impl Keyspace {
-    /// An empty keyspace whose leases run `scale` times faster than they say.
-    pub fn new(scale: f64) -> Self {
+    /// An empty keyspace whose leases run `scale` times faster than they say, with a history of
+    /// `capacity` changes.
+    pub fn new(scale: f64, capacity: usize) -> Self {
         Self {
             scale,
             revision: 1,
@@ -66,6 +72,7 @@
             leases: HashMap::new(),
             next_lease: 1,
             history: VecDeque::new(),
+            capacity,
             compacted: 0,
         }
     }
@@ -93,14 +100,17 @@
     }
 
     /// Runs a transaction.
-    pub fn transact(&mut self, transaction: &Transaction) -> Result<Transacted, TooLarge> {
+    pub fn transact(&mut self, transaction: &Transaction) -> Result<Transacted, Refusal> {
         let succeeded = transaction.compare.iter().all(|compare| {
             let now = self.keys.get(&compare.key).map_or(0, |value| value.mod_revision);
             now == compare.mod_revision
         });
         let steps = if succeeded { &transaction.success } else { &transaction.failure };
         if steps.iter().any(too_large) {
-            return Err(TooLarge);
+            return Err(Refusal::TooLarge);
+        }
+        if steps.iter().any(|step| self.lacks_lease(step)) {
+            return Err(Refusal::NoLease);
         }
         let writes = steps.iter().any(|step| !matches!(step, Operation::RequestRange(_)));
         if writes {
@@ -178,6 +188,11 @@
         }
     }
 
+    fn lacks_lease(&self, step: &Operation) -> bool {
+        let Operation::RequestPut(put) = step else { return false };
+        put.lease != 0 && !self.leases.contains_key(&put.lease)
+    }
+
     fn put(&mut self, put: &Put) -> Response {
         let before = self.keys.get(&put.key);
         let create_revision = before.map_or(self.revision, |value| value.create_revision);
@@ -215,7 +230,7 @@
 
     fn record(&mut self, event: WatchEvent) {
         self.history.push_back(event);
-        if self.history.len() > HISTORY
+        if self.history.len() > self.capacity
             && let Some(lost) = self.history.pop_front()
         {
             self.compacted = lost.kv.mod_revision;
