--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -140,6 +140,7 @@
 ) -> Result<(), StartError> {
     let peers = acacia_peer::Client::new().map_err(|e| StartError::Client(e.to_string()))?;
     let thread = Thread {
+        daemon: common.daemon.clone(),
         control,
         inbox,
         traffic: common.traffic.clone(),
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -78,9 +78,11 @@
         prompt: &'a Prompt,
         attempt: &'a Attempt,
     ) -> Self {
-        let base = match attempt.start {
-            Start::Fresh | Start::Resume { .. } => 0,
-            Start::Continue { offset } => offset,
+        let base = {
+            let mut output = prompt.output.lock();
+            let base = output.base(attempt.start);
+            output.bases.insert(attempt.id, base);
+            base
         };
         let started = traffic.clock.now();
         Self { traffic, job, prompt, attempt, started, base, first_byte: None }
@@ -125,6 +127,7 @@
             return Err(Failure::Unsent);
         };
         if let Start::Resume { earlier, offset } = self.attempt.start {
+            let offset = offset.saturating_sub(self.base);
             return client.resume(self.attempt.id, earlier, offset).await;
         }
         let Some(version) = self.attempt.version.clone() else { return Err(Failure::Unsent) };
--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -48,7 +48,7 @@
         let (sender, deltas) = mpsc::channel(traffic.settings.limits.held_parts);
         let set = &view.snapshot.set;
         let tokenizer = set.models.get(&prompt.model).map(|m| m.tokenizer).unwrap_or_default();
-        let output = Output { current: None, tokens: Vec::new(), decoder: Decoder::new(tokenizer) };
+        let output = Output::new(Decoder::new(tokenizer));
         let work = job::Work::Prompt(job::Prompt {
             model: prompt.model.clone(),
             adapter: prompt.adapter.clone(),
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::thread::JoinHandle;
 
+use acacia_catalog::id::DaemonId;
 use acacia_platform::count::Kind;
 use acacia_platform::kv;
 use acacia_policy::control::{
@@ -37,6 +38,8 @@
 
 /// What the control thread needs.
 pub struct Thread {
+    /// This daemon.
+    pub daemon: DaemonId,
     /// The machine.
     pub control: Control,
     /// Events from traffic, peers and operators.
@@ -72,6 +75,7 @@
         })
     }
 
+    #[tracing::instrument(level = "debug", name = "control", skip_all, fields(daemon = %self.daemon))]
     async fn run(mut self) {
         let (answers, mut answered) = mpsc::unbounded_channel();
         let mut ticks = interval(TICK / 2);
@@ -93,7 +97,9 @@
             }
             let mut letters: HashMap<SocketAddr, Vec<Envelope>> = HashMap::new();
             for event in events.drain(..) {
+                tracing::trace!(?event, "control");
                 for action in self.control.step(self.traffic.clock.now(), event) {
+                    tracing::trace!(?action, "control");
                     match action {
                         Action::Send(peer, envelope) => {
                             letters.entry(peer).or_default().push(envelope);
--- a/crates/daemon/src/job.rs
+++ b/crates/daemon/src/job.rs
@@ -10,7 +10,7 @@
 use acacia_catalog::id::{AdapterId, ModelId, StoreId};
 use acacia_catalog::tokenizer::Token;
 use acacia_policy::control::Ticket;
-use acacia_policy::dispatch::AttemptId;
+use acacia_policy::dispatch::{AttemptId, Start};
 use acacia_policy::request::BlockKey;
 use acacia_store::Manifest;
 use acacia_upstream::service;
@@ -71,12 +71,31 @@
 pub struct Output {
     /// The only attempt that may add to it.
     pub current: Option<AttemptId>,
+    /// For each attempt, the tokens before those that its engine counts.
+    pub bases: HashMap<AttemptId, u32>,
     /// Tokens sent to the caller.
     pub tokens: Vec<Token>,
     /// Makes text of them.
     pub decoder: Decoder,
 }
 
+impl Output {
+    /// Nothing yet.
+    pub fn new(decoder: Decoder) -> Self {
+        Self { current: None, bases: HashMap::new(), tokens: Vec::new(), decoder }
+    }
+
+    /// Tokens before those that an attempt's engine counts. A resumed run counts on as the attempt
+    /// did that began it.
+    pub fn base(&self, start: Start) -> u32 {
+        match start {
+            Start::Fresh => 0,
+            Start::Continue { offset } => offset,
+            Start::Resume { earlier, .. } => self.bases.get(&earlier).copied().unwrap_or(0),
+        }
+    }
+}
+
 /// A call of a plain service.
 pub struct Call {
     /// The call.
--- /dev/null
+++ b/crates/daemon/tests/e2e/life.rs
@@ -0,0 +1,114 @@
+//! Daemons that stop and that die.
+
+use acacia_standin::Counter;
+use futures::future::join_all;
+
+use crate::system::{Plan, System, expected, read_stream};
+
+/// Streams that run when a daemon ends.
+const STREAMS: usize = 30;
+/// Tokens of each answer.
+const TOKENS: u32 = 150;
+
+/// Starts streams at a daemon and waits until all have sent something.
+async fn streams(
+    system: &System,
+    daemon: usize,
+    number: usize,
+) -> Vec<(String, reqwest::Response)> {
+    let sends = (0..number).map(|index| async move {
+        let prompt = format!("question {index} at {daemon}");
+        let request = system.completion(daemon, &prompt, TOKENS, true);
+        let response = system.served(daemon, request).await;
+        (prompt, response)
+    });
+    join_all(sends).await
+}
+
+/// Streams that came whole, as they must.
+async fn whole(streams: Vec<(String, reqwest::Response)>) -> usize {
+    let reads = streams.into_iter().map(|(prompt, response)| async move {
+        read_stream(response).await == (expected(&prompt, TOKENS), true)
+    });
+    join_all(reads).await.into_iter().filter(|whole| *whole).count()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stop_cuts_nothing() {
+    let mut system = System::start(Plan { slots: 64, ..Plan::default() }).await;
+    let running = streams(&system, 0, STREAMS).await;
+    let others = streams(&system, 1, STREAMS).await;
+    let address = system.daemons[0].caller_address();
+    let stopping = system.daemons.remove(0);
+    let stop = tokio::spawn(stopping.stop());
+    let mut refused = 0;
+    while !stop.is_finished() {
+        let body = serde_json::json!({ "model": "model", "prompt": "late", "max_tokens": 2 });
+        let request = system.http.post(format!("http://{address}/v1/completions"));
+        let request = request.bearer_auth(crate::system::KEY).json(&body);
+        // After the end no connection can be made, so that the balancer knows too.
+        let Ok(response) = request.send().await else { break };
+        match response.status().as_u16() {
+            200 => assert!(response.text().await.is_ok()),
+            503 => {
+                assert_eq!(response.headers()["x-acacia-verdict"], "not_run");
+                refused += 1;
+            }
+            status => panic!("status {status}"),
+        }
+    }
+    assert_eq!(whole(running).await, STREAMS);
+    assert_eq!(whole(others).await, STREAMS);
+    assert!(refused > 0, "nothing came while the daemon drained");
+    stop.await.unwrap();
+    assert_eq!(system.at_engines(Counter::Cancelled), 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stop_each_in_turn() {
+    let mut system = System::start(Plan { slots: 64, ..Plan::default() }).await;
+    for round in 0..3 {
+        let running = streams(&system, 0, 8).await;
+        let stopping = system.daemons.remove(0);
+        let stop = tokio::spawn(stopping.stop());
+        assert_eq!(whole(running).await, 8);
+        stop.await.unwrap();
+        system.add_daemon(round, |_| {});
+        system.until("the new daemon is ready", |s| s.daemons.iter().all(|d| d.is_ready())).await;
+    }
+    // None of the first daemons is left, and the configuration is still in force.
+    assert_eq!(whole(streams(&system, 2, 8).await).await, 8);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn kill_breaks_only_its_own() {
+    let mut system = System::start(Plan { slots: 64, ..Plan::default() }).await;
+    let own = streams(&system, 0, 10).await;
+    let others = streams(&system, 1, 10).await;
+    system.daemons[0].kill();
+    assert_eq!(whole(others).await, 10);
+    let cut = join_all(own.into_iter().map(|(_, response)| read_stream(response))).await;
+    // A stream that is not whole must not look whole.
+    for (tokens, ended) in cut {
+        assert_eq!(ended, tokens.len() == TOKENS as usize);
+    }
+    assert_eq!(whole(streams(&system, 2, 10).await).await, 10);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn kill_runs_nothing_twice() {
+    let mut plan = Plan::default();
+    plan.service.latency = std::time::Duration::from_millis(200);
+    let mut system = System::start(plan).await;
+    let request = system.charge(0, Some("key"), "one blade");
+    let first = tokio::spawn(request.send());
+    system.until("the charge runs", |s| s.at_services(Counter::Started) == 1).await;
+    system.daemons[0].kill();
+    assert!(first.await.unwrap().is_err());
+    for daemon in [1, 2] {
+        let again = system.charge(daemon, Some("key"), "one blade").send().await.unwrap();
+        assert_eq!(again.status(), 409);
+        assert_ne!(again.headers()["x-acacia-verdict"], "not_run");
+    }
+    assert_eq!(system.at_services(Counter::Started), 1);
+}
--- a/crates/daemon/tests/e2e/main.rs
+++ b/crates/daemon/tests/e2e/main.rs
@@ -1,5 +1,9 @@
 //! Daemons end to end, over real sockets, judged by the stand-ins' own counters.
 
+mod caller;
+mod claim;
+mod life;
 mod path;
+mod stream;
 mod system;
 mod zone;
--- a/crates/daemon/tests/e2e/path.rs
+++ b/crates/daemon/tests/e2e/path.rs
@@ -7,9 +7,8 @@
 async fn complete_whole() {
     let system = System::start(Plan::default()).await;
     for daemon in 0..3 {
-        let response = system.completion(daemon, "a short question", 8, false).send().await;
-        let response = response.unwrap();
-        assert_eq!(response.status(), 200);
+        let request = system.completion(daemon, "a short question", 8, false);
+        let response = system.served(daemon, request).await;
         let body: serde_json::Value = response.json().await.unwrap();
         assert_eq!(token_ids(&body), expected("a short question", 8));
         assert_eq!(body["usage"]["completion_tokens"], 8);
@@ -21,8 +20,9 @@
 async fn complete_streamed() {
     let system = System::start(Plan::default()).await;
     for daemon in 0..3 {
-        let response = system.completion(daemon, "a streamed question", 12, true).send().await;
-        let read = read_stream(response.unwrap()).await;
+        let request = system.completion(daemon, "a streamed question", 12, true);
+        let response = system.served(daemon, request).await;
+        let read = read_stream(response).await;
         assert_eq!(read, (expected("a streamed question", 12), true));
     }
     assert_eq!(system.at_engines(Counter::Finished), 3);
--- a/crates/daemon/tests/e2e/system.rs
+++ b/crates/daemon/tests/e2e/system.rs
@@ -46,6 +46,8 @@
     pub engine: engine::Settings,
     pub service: service::Settings,
     pub slots: u32,
+    /// Longest wait of a short request, in milliseconds.
+    pub patience_ms: u64,
     pub tune: fn(&mut Settings),
 }
 
@@ -59,13 +61,23 @@
             ..engine::Settings::default()
         };
         let service = service::Settings { latency: Duration::from_millis(2), ..Default::default() };
-        Self { daemons: 3, engines: 2, engine, service, slots: 32, tune: |_| {} }
+        Self {
+            daemons: 3,
+            engines: 2,
+            engine,
+            service,
+            slots: 32,
+            patience_ms: 30_000,
+            tune: |_| {},
+        }
     }
 }
 
 impl System {
     /// Starts everything and waits until each daemon is ready.
     pub async fn start(plan: Plan) -> Self {
+        let filter = tracing_subscriber::EnvFilter::from_default_env();
+        let _ = tracing_subscriber::fmt().with_env_filter(filter).with_test_writer().try_init();
         let _ = rustls::crypto::ring::default_provider().install_default();
         let kv = kv::start(kv::Settings::default()).await.expect(WORKS);
         let list = list::start(list::Settings::default()).await.expect(WORKS);
@@ -81,7 +93,7 @@
         for index in 0..plan.daemons {
             system.add_daemon(index, plan.tune);
         }
-        system.apply(system.document(plan.slots)).await;
+        system.apply(system.document(&plan)).await;
         system.until("every daemon is ready", |s| s.daemons.iter().all(Running::is_ready)).await;
         system
     }
@@ -126,9 +138,9 @@
     }
 
     /// The configuration of the system.
-    pub fn document(&self, slots: u32) -> Document {
+    pub fn document(&self, plan: &Plan) -> Document {
         let mut objects = vec![
-            Object::Profile(profile()),
+            Object::Profile(profile(plan.patience_ms)),
             Object::Model(model()),
             Object::Version(version()),
             Object::Service(desk()),
@@ -144,11 +156,11 @@
         }
         for (index, engine) in self.engines.iter().enumerate() {
             let role = Role::Engine { model: "model".into(), adapters: Vec::new() };
-            objects.push(upstream("engine", index, engine.address, role, slots));
+            objects.push(upstream("engine", index, engine.address, role, plan.slots));
         }
         for (index, service) in self.services.iter().enumerate() {
             let role = Role::Service { service: "desk".into() };
-            objects.push(upstream("desk", index, service.address, role, slots));
+            objects.push(upstream("desk", index, service.address, role, plan.slots));
         }
         for (index, store) in self.stores.iter().enumerate() {
             objects.push(Object::Store(Store {
@@ -173,6 +185,21 @@
         panic!("never: {what}");
     }
 
+    /// A response that must be 200; says how the daemon does when it isn't.
+    pub async fn served(
+        &self,
+        daemon: usize,
+        request: reqwest::RequestBuilder,
+    ) -> reqwest::Response {
+        let response = request.send().await.expect("an answer");
+        if response.status() == 200 {
+            return response;
+        }
+        let (status, body) = (response.status(), response.text().await);
+        let state = self.operator(daemon).status().await;
+        panic!("{status}: {body:?}\n{state:#?}");
+    }
+
     /// A completion's request; the answer comes with token ids.
     pub fn completion(
         &self,
@@ -200,6 +227,12 @@
         }
     }
 
+    /// A status lookup at the plain service, which may be repeated.
+    pub fn status_lookup(&self, daemon: usize) -> reqwest::RequestBuilder {
+        let address = self.daemons[daemon].caller_address();
+        self.http.get(format!("http://{address}/v1/services/desk/status/1")).bearer_auth(KEY)
+    }
+
     /// The sum of a counter over all engines.
     pub fn at_engines(&self, counter: Counter) -> u64 {
         self.engines.iter().map(|engine| engine.count(counter)).sum()
@@ -261,11 +294,11 @@
     })
 }
 
-fn profile() -> Profile {
+fn profile(patience_ms: u64) -> Profile {
     Profile {
         name: "profile".into(),
         short_tokens: 500,
-        short_deadline_ms: 30_000,
+        short_deadline_ms: patience_ms,
         long_deadline_ms: 60_000,
         recompute_weight_ms: 1_000,
         link_weight_ms: 100,
@@ -278,7 +311,7 @@
         name: "model".into(),
         serving: "v1".into(),
         tokenizer: Tokenizer::QuadByte,
-        context_tokens: 100_000,
+        context_tokens: 4_000_000,
     }
 }
 
--- a/crates/daemon/tests/e2e/zone.rs
+++ b/crates/daemon/tests/e2e/zone.rs
@@ -12,8 +12,8 @@
     let before = system.engines[0].count(Counter::Started);
     for index in 0..12 {
         let prompt = format!("question {index}");
-        let response = system.completion(index % 3, &prompt, 4, false).send().await.unwrap();
-        assert_eq!(response.status(), 200);
+        let request = system.completion(index % 3, &prompt, 4, false);
+        let response = system.served(index % 3, request).await;
         assert_eq!(token_ids(&response.json().await.unwrap()), expected(&prompt, 4));
     }
     assert_eq!(system.engines[0].count(Counter::Started), before);
