--- a/crates/policy/src/control/standing.rs
+++ b/crates/policy/src/control/standing.rs
@@ -39,6 +39,7 @@
     load: Option<Load>,
     closed: bool,
     shown: Warmth,
+    shown_life: Incarnation,
 }
 
 /// What is known of all of them.
@@ -196,11 +197,12 @@
 }
 
 impl Record {
-    /// Updates the warmth shown; true when it changed.
+    /// Updates the warmth and the process life shown; true when either changed.
     fn show(&mut self, now: Time) -> bool {
         let warmth = self.warmth(now);
-        let changed = warmth != self.shown;
+        let changed = warmth != self.shown || self.incarnation != self.shown_life;
         self.shown = warmth;
+        self.shown_life = self.incarnation;
         changed
     }
 
