--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -13,10 +13,11 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::time::Duration;
 
+use acacia_catalog::Root;
 use acacia_catalog::id::Name;
 use acacia_policy::control::{
     Action, CallId, Change, Control, Event, Observation, Order, OrderDuty, OrderOutcome, Permit,
-    Root, Sabotage, Usage,
+    Sabotage, Usage,
 };
 use acacia_policy::kv::{Failure, Outcome, Request};
 use acacia_policy::message::{Envelope, Message};
@@ -197,7 +198,7 @@
             node.paused_until = until;
         }
         self.disturb();
-        self.calm_since = until;
+        self.calm_since = self.calm_since.max(until);
     }
 
     /// Notes that the weather isn't calm now.
@@ -308,7 +309,7 @@
 
     /// The root that the service holds.
     pub fn root(&self) -> Option<Root> {
-        rmp_serde::from_slice(self.kv.value(acacia_policy::control::ROOT_KEY)?).ok()
+        Root::decode(self.kv.value(acacia_policy::control::ROOT_KEY)?).ok()
     }
 
     /// Whether something of a certain chance happens.
@@ -623,10 +624,16 @@
     fn ordered(&mut self, id: NodeId, order: Order) {
         let Some(engine) = self.engines.get_mut(&order.upstream) else { return };
         let stale = engine.checks_fence && order.fence < engine.fence;
-        let outcome = if stale { OrderOutcome::Stale } else { OrderOutcome::Accepted };
-        if !stale {
+        let taken = engine.orders.get(&order.id).copied();
+        let outcome = match taken {
+            _ if stale => OrderOutcome::Stale,
+            Some(true) => OrderOutcome::Done,
+            _ => OrderOutcome::Accepted,
+        };
+        if !stale && taken.is_none() {
             engine.fence = engine.fence.max(order.fence);
             engine.loading += 1;
+            engine.orders.insert(order.id.clone(), false);
             let (name, incarnation) = (order.upstream.clone(), engine.incarnation);
             let end = self.now + LOAD;
             self.at(end, Item::Loaded(name, incarnation, order.clone()));
@@ -641,6 +648,7 @@
             return;
         };
         engine.loading = engine.loading.saturating_sub(1);
+        engine.orders.insert(order.id.clone(), true);
         if let OrderDuty::LoadVersion(version) = &order.duty {
             engine.version = Some(version.clone());
         }
