--- a/crates/policy/src/control.rs
+++ b/crates/policy/src/control.rs
@@ -363,7 +363,9 @@
         let epoch = self.membership.epoch();
         let number = epoch.number;
         let owner = |u: &UpstreamId| epoch.owner(u).map(|o| o.daemon.clone());
-        let due = self.wishes.due(now, number, owner, |u| self.standings.cold_at(u));
+        let due = self.wishes.due(now, number, owner, |u| {
+            (self.standings.incarnation(u), self.standings.cold_at(u))
+        });
         let me = self.out.me().clone();
         for (to, state) in due {
             if to == me.daemon {
--- a/crates/policy/src/control/ownership.rs
+++ b/crates/policy/src/control/ownership.rs
@@ -179,6 +179,10 @@
         if state.number < holder.state.number {
             return false;
         }
+        if self.incarnation == 0 {
+            // A plain service reports no load, so whoever it answered knows its life first.
+            self.incarnation = state.incarnation;
+        }
         let news = state.cold_at > holder.state.cold_at || holder.state.number == state.number;
         let cold = state.cold_at.filter(|_| news).map(|at| state.sent.saturating_sub(at));
         holder.heard_at = now;
--- a/crates/policy/src/control/permit.rs
+++ b/crates/policy/src/control/permit.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use acacia_catalog::id::{DaemonId, UpstreamId};
+use acacia_catalog::id::{DaemonId, Incarnation, UpstreamId};
 
 use super::epoch::EpochNumber;
 use super::ownership::VALID;
@@ -76,7 +76,7 @@
         now: Time,
         epoch: EpochNumber,
         owner: impl Fn(&UpstreamId) -> Option<DaemonId>,
-        cold_at: impl Fn(&UpstreamId) -> Option<Time>,
+        seen: impl Fn(&UpstreamId) -> (Incarnation, Option<Time>),
     ) -> Vec<(DaemonId, PermitState)> {
         let mut due = Vec::new();
         self.wishes.retain(|_, w| !w.is_over());
@@ -89,7 +89,7 @@
             self.number += 1;
             let number = self.number;
             wish.prepare(now, epoch, &to, number);
-            due.push((to, wish.state(upstream, cold_at(upstream))));
+            due.push((to, wish.state(upstream, seen(upstream))));
         }
         due
     }
@@ -155,7 +155,11 @@
         self.unanswered += 1;
     }
 
-    fn state(&self, upstream: &UpstreamId, cold_at: Option<Time>) -> PermitState {
+    fn state(
+        &self,
+        upstream: &UpstreamId,
+        (incarnation, cold_at): (Incarnation, Option<Time>),
+    ) -> PermitState {
         PermitState {
             upstream: upstream.clone(),
             epoch: self.epoch,
@@ -165,6 +169,7 @@
             held: self.held.iter().copied().collect(),
             answered: self.answered,
             cold_at,
+            incarnation,
         }
     }
 
--- a/crates/policy/src/message.rs
+++ b/crates/policy/src/message.rs
@@ -176,6 +176,8 @@
     pub answered: u32,
     /// When the sender last saw for itself that the upstream is cold, by its clock.
     pub cold_at: Option<Time>,
+    /// The upstream's process life as the sender knows it; zero when never seen.
+    pub incarnation: Incarnation,
 }
 
 /// An owner's answer to a [`PermitState`].
