--- a/crates/policy/src/dispatch/fleet.rs
+++ b/crates/policy/src/dispatch/fleet.rs
@@ -398,7 +398,8 @@
     }
 
     fn refresh(&mut self, standing: &Standing, useless: &mut Vec<Permit>) {
-        if self.incarnation != standing.incarnation {
+        // A life that control hasn't seen says nothing against one that a permit has named.
+        if standing.incarnation != 0 && self.incarnation != standing.incarnation {
             self.incarnation = standing.incarnation;
             self.load = None;
             self.drift = 0;
--- a/crates/policy/src/dispatch/permit.rs
+++ b/crates/policy/src/dispatch/permit.rs
@@ -35,6 +35,10 @@
             return;
         }
         member.seen.push(permit.clone());
+        if member.incarnation == 0 {
+            // A plain service reports no load: its owner hears of its life before this daemon does.
+            member.incarnation = permit.incarnation;
+        }
         let good = permit.incarnation == member.incarnation
             && now < permit.until
             && member.warmth(now) == Warmth::Cold;
