--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -45,6 +45,7 @@
 
 async fn drive(traffic: &Arc<Traffic>, job: &Job, attempt: &Attempt) -> Ending {
     traffic.metrics.attempts.add(1, &[]);
+    tracing::debug!(id = %format_args!("{:032x}", attempt.id), start = ?attempt.start, "attempt");
     match &job.work {
         Work::Prompt(prompt) => Run::new(traffic, job, prompt, attempt).prompt().await,
         Work::Call(call) => run_call(traffic, job, call, attempt).await,
--- a/crates/daemon/src/traffic.rs
+++ b/crates/daemon/src/traffic.rs
@@ -7,6 +7,7 @@
 
 use acacia_caller::answer::{Delta, Whole};
 use acacia_catalog::id::{StoreId, UpstreamId};
+use acacia_catalog::object::Role;
 use acacia_policy::control::{self, Claim, ClaimOutcome, Observation, Ticket};
 use acacia_policy::dispatch::{Action, Attempt, AttemptId, Dispatcher, Ending, Event, Refusal};
 use acacia_policy::snapshot::Warmth;
@@ -278,16 +279,20 @@
         }
     }
 
-    /// A client of an engine in the configuration.
+    /// A client of an engine in the configuration; none of a plain service.
     pub fn engine(&self, upstream: &UpstreamId) -> Option<engine::Client> {
-        let address = self.view.load().snapshot.set.upstreams.get(upstream)?.address;
-        Some(engine::Client::new(self.pool.clone(), address))
+        let view = self.view.load();
+        let upstream = view.snapshot.set.upstreams.get(upstream)?;
+        let Role::Engine { .. } = upstream.role else { return None };
+        Some(engine::Client::new(self.pool.clone(), upstream.address))
     }
 
-    /// A client of a plain service's instance in the configuration.
+    /// A client of a plain service's instance in the configuration; none of an engine.
     pub fn service(&self, upstream: &UpstreamId) -> Option<service::Client> {
-        let address = self.view.load().snapshot.set.upstreams.get(upstream)?.address;
-        Some(service::Client::new(self.pool.clone(), address))
+        let view = self.view.load();
+        let upstream = view.snapshot.set.upstreams.get(upstream)?;
+        let Role::Service { .. } = upstream.role else { return None };
+        Some(service::Client::new(self.pool.clone(), upstream.address))
     }
 
     /// A client of a store in the configuration.
