--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -76,6 +76,7 @@
         held: Vec::arbitrary(g),
         answered: u32::arbitrary(g),
         cold_at: bool::arbitrary(g).then(|| time(g)),
+        incarnation: u64::arbitrary(g),
     }
 }
 
