--- a/crates/platform/tests/kv.rs
+++ b/crates/platform/tests/kv.rs
@@ -365,3 +365,31 @@
     let Ok(Reply::Got(Some(entry))) = waiting.await.unwrap() else { panic!("no change seen") };
     assert_eq!((entry.value.as_slice(), entry.revision), (b"new".as_slice(), second));
 }
+
+#[tokio::test]
+async fn call_slow() {
+    let (standin, client) = pair().await;
+    standin.fault(Fault::Slow { millis: 3_600_000 }).unwrap();
+    let hasty = client.clone().with_timeout(Duration::from_millis(20));
+    assert_eq!(hasty.call(swap("a", 0, "one")).await, Err(Failure::Ambiguous));
+    assert_eq!(hasty.call(get("a")).await, Err(Failure::Unavailable));
+    standin.fault(Fault::Slow { millis: 1 }).unwrap();
+    swapped(&client, swap("b", 0, "one")).await;
+    assert_eq!(standin.count(Counter::Writes), 1);
+}
+
+#[tokio::test]
+async fn call_thawed() {
+    let (standin, client) = pair().await;
+    standin.fault(Fault::Frozen { on: true }).unwrap();
+    let waiting = tokio::spawn({
+        let client = client.clone();
+        async move { client.call(swap("a", 0, "one")).await }
+    });
+    while standin.count(Counter::Calls) == 0 {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(standin.value("a"), None);
+    standin.fault(Fault::Frozen { on: false }).unwrap();
+    assert!(matches!(waiting.await.unwrap(), Ok(Reply::Swapped(_))));
+}
--- a/crates/store/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -155,3 +155,16 @@
     let fetched = client.fetch(&KEY, &manifest).await;
     assert!(matches!(fetched, Err(Error::Unreachable(_))));
 }
+
+#[tokio::test]
+async fn fetch_slow_and_down() {
+    let (standin, client, manifest) = saved().await;
+    standin.fault(Fault::Slow { millis: 3_600_000 }).unwrap();
+    let hasty = client.clone().with_timeout(Duration::from_millis(20));
+    assert!(matches!(hasty.fetch(&KEY, &manifest).await, Err(Error::Unreachable(_))));
+    standin.fault(Fault::Slow { millis: 0 }).unwrap();
+    standin.fault(Fault::Down { on: true }).unwrap();
+    assert!(matches!(client.fetch(&KEY, &manifest).await, Err(Error::Unreachable(_))));
+    standin.fault(Fault::Down { on: false }).unwrap();
+    assert_eq!(client.fetch(&KEY, &manifest).await, Ok(BODY));
+}
