--- a/crates/policy/src/control/config.rs
+++ b/crates/policy/src/control/config.rs
@@ -234,7 +234,8 @@
         let Some(pending) = self.pending.as_mut().filter(|p| now >= p.ask_at) else { return };
         pending.ask_at = now + CHUNK_RETRY;
         pending.tries += 1;
-        let by_peer = pending.tries % 2 == 1 || !out.service_up();
+        // The service is asked even when it was last seen down: nothing else may call it here.
+        let by_peer = pending.tries % 2 == 1;
         match peers.choose(&mut out.rng).filter(|_| by_peer) {
             Some(peer) => out.send(*peer, Message::ChunkPull(missing)),
             None => {
--- a/crates/policy/src/control/membership.rs
+++ b/crates/policy/src/control/membership.rs
@@ -70,7 +70,8 @@
     told: bool,
     service_at: Option<Time>,
     swapping: bool,
-    calling: bool,
+    watching: bool,
+    reading: bool,
     call_at: Time,
     swap_at: Time,
     probe_at: Time,
@@ -101,7 +102,8 @@
             told: false,
             service_at: None,
             swapping: false,
-            calling: false,
+            watching: false,
+            reading: false,
             call_at: Time::ZERO,
             swap_at: Time::ZERO,
             probe_at: Time::ZERO,
@@ -293,7 +295,9 @@
         }
         match call {
             Call::Watch | Call::Read => {
-                self.calling = false;
+                let flag =
+                    if matches!(call, Call::Read) { &mut self.reading } else { &mut self.watching };
+                *flag = false;
                 self.call_at = if outcome.is_ok() { now } else { now + RETRY };
             }
             Call::Swap(_) => {
@@ -391,18 +395,21 @@
     fn read(&mut self, now: Time, out: &mut Outbox) {
         let waiting =
             self.settled_at.is_none() && self.service_at.is_none_or(|at| now > at + GONE / 4);
+        let reads = waiting || self.entry_revision == 0 || !out.service_up();
         let wanted = self.epoch.number == 0 || waiting || self.watcher;
-        if self.calling || now < self.call_at || !wanted {
+        let busy = if reads { self.reading } else { self.watching };
+        if busy || now < self.call_at || !wanted {
             return;
         }
-        self.calling = true;
         let key = EPOCH_KEY.to_owned();
-        let (call, request) = if self.entry_revision == 0 || waiting || !out.service_up() {
-            (Call::Read, kv::Request::Get { key })
+        if reads {
+            self.reading = true;
+            out.call(Purpose::Epoch(Call::Read), kv::Request::Get { key });
         } else {
-            (Call::Watch, kv::Request::Watch { key, after: self.entry_revision })
-        };
-        out.call(Purpose::Epoch(call), request);
+            self.watching = true;
+            let request = kv::Request::Watch { key, after: self.entry_revision };
+            out.call(Purpose::Epoch(Call::Watch), request);
+        }
     }
 
     fn take_entry(&mut self, now: Time, entry: Option<&kv::Entry>, out: &mut Outbox) -> bool {
--- a/crates/policy/tests/control_regression.rs
+++ b/crates/policy/tests/control_regression.rs
@@ -3,8 +3,8 @@
 mod fleet;
 
 use fleet::op::Op::{
-    Ask, Change, Claim, Delay, Double, Down, Drop, Heal, Kill, Lose, Order, Part, Pause, Run,
-    Start, Stop,
+    Ask, Change, Claim, Delay, Double, Down, Drop, Heal, Kill, Lose, Order, Part, Pause, Restart,
+    Run, Slow, Start, Stop,
 };
 use fleet::op::{Op, Story};
 
@@ -176,3 +176,44 @@
     ];
     holds(9_569_381_361_881_462_986, ops);
 }
+
+/// A daemon without other calls took the service for down long after it was back.
+#[test]
+fn chunk_after_outage() {
+    let ops = vec![
+        Kill(29),
+        Run(1468),
+        Ask(105, 187, 1),
+        Ask(92, 11, 3),
+        Run(3181),
+        Run(1535),
+        Ask(195, 72, 5),
+        Run(1931),
+        Run(3024),
+        Ask(94, 212, 3),
+        Run(3349),
+        Order(1, 51),
+        Delay(634),
+        Ask(0, 42, 1),
+        Part(130, false),
+        Run(3805),
+        Ask(93, 230, 1),
+        Run(3473),
+        Slow(2827),
+        Ask(18, 40, 1),
+        Change(57, 39),
+        Run(968),
+        Claim(97, 8),
+        Ask(185, 0, 1),
+        Restart(181),
+        Run(1757),
+        Run(2547),
+        Down(3656),
+        Ask(229, 125, 1),
+        Ask(7, 237, 1),
+        Ask(65, 85, 1),
+        Run(832),
+        Run(1213),
+    ];
+    holds(1_559_177_964_474_910_299, ops);
+}
--- a/crates/policy/tests/fleet/op.rs
+++ b/crates/policy/tests/fleet/op.rs
@@ -5,6 +5,7 @@
 use acacia_catalog::id::Name;
 use acacia_policy::control::{Event, Sabotage};
 use quickcheck::{Arbitrary, Gen};
+use serde::{Deserialize, Serialize};
 
 use super::{NodeId, World};
 
@@ -14,7 +15,8 @@
 const RECOVERY: Duration = Duration::from_secs(40);
 
 /// One thing that happens.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Op {
     Run(u16),
     Ask(u8, u8, u8),
