--- /dev/null
+++ b/crates/policy/benches/control.rs
@@ -0,0 +1,76 @@
+//! Steps of control with the configuration of the two-year size.
+
+#[path = "../tests/fleet/mod.rs"]
+mod fleet;
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use acacia_catalog::generate::Size;
+use acacia_catalog::id::{Name, UpstreamId};
+use acacia_catalog::object::Object;
+use acacia_policy::control::{Event, Observation};
+use acacia_policy::message::{Digest, Envelope, Message, Sender};
+use criterion::{Criterion, criterion_group, criterion_main};
+use fleet::World;
+use fleet::engine::Engine;
+
+/// Daemons of the fleet.
+const DAEMONS: u64 = 9;
+
+/// A fleet with the two-year configuration in force.
+fn two_years() -> World {
+    let mut world = World::new(1, None);
+    let document = Size::TwoYears.plan().document(1);
+    for object in &document.objects {
+        if let Object::Upstream(u) = object {
+            world.engines.insert(u.name.clone(), Engine::new(true, u.cold_limit, false));
+        }
+    }
+    world.base = Some(document);
+    for _ in 0..DAEMONS {
+        world.start();
+    }
+    world.run(Duration::from_secs(3));
+    world.change(1);
+    world.run(Duration::from_secs(3));
+    world
+}
+
+fn steps(criterion: &mut Criterion) {
+    let mut world = two_years();
+    let peer = &world.nodes[&2];
+    let digest = Digest {
+        epoch: peer.control.epoch().number,
+        revision: peer.control.revision(),
+        rumours: Vec::new(),
+    };
+    let upstream: UpstreamId =
+        world.engines.keys().next().cloned().unwrap_or_else(|| Name::from(""));
+    let identity = fleet::node::identity(2, world.zones[0].clone(), 0);
+    let from = Sender { daemon: identity.daemon, zone: identity.zone, address: identity.address };
+    let control = &mut world.nodes.get_mut(&1).expect("a daemon").control;
+    let mut now = Duration::from_secs(6);
+    criterion.bench_function("control_tick", |b| {
+        b.iter(|| {
+            now += Duration::from_millis(100);
+            black_box(control.step(now, Event::Tick))
+        });
+    });
+    criterion.bench_function("control_digest", |b| {
+        b.iter(|| {
+            let message = Message::Digest(digest.clone());
+            let envelope = Envelope { from: from.clone(), message };
+            black_box(control.step(now, Event::Message(envelope)))
+        });
+    });
+    criterion.bench_function("control_answered", |b| {
+        b.iter(|| {
+            let observation = Observation::Answered(1);
+            black_box(control.step(now, Event::Observed(upstream.clone(), observation)))
+        });
+    });
+}
+
+criterion_group!(benches, steps);
+criterion_main!(benches);
--- a/crates/policy/src/control/membership.rs
+++ b/crates/policy/src/control/membership.rs
@@ -472,12 +472,14 @@
 
     /// Members that this daemon monitors and that are silent for too long.
     fn dead(&self, now: Time, me: &DaemonId) -> Vec<DaemonId> {
+        let turn = |daemon: &DaemonId| {
+            let ranked = self.epoch.rank(&monitor_key(daemon), MONITORS + 1);
+            let mut others = ranked.into_iter().filter(|m| m.daemon != *daemon);
+            others.position(|m| m.daemon == *me).unwrap_or(0) as u32
+        };
         let silent = |daemon: &&DaemonId| {
             let heard = self.heard.get(*daemon).copied().unwrap_or(self.adopted_at);
-            let ranked = self.epoch.rank(&monitor_key(daemon), MONITORS + 1);
-            let mut others = ranked.into_iter().filter(|m| m.daemon != **daemon);
-            let turn = others.position(|m| m.daemon == *me).unwrap_or(0) as u32;
-            now >= heard + SUSPECT + TURN * turn
+            now >= heard + SUSPECT && now >= heard + SUSPECT + TURN * turn(daemon)
         };
         self.monitored.iter().filter(silent).cloned().collect()
     }
--- a/crates/policy/tests/control_regression.rs
+++ b/crates/policy/tests/control_regression.rs
@@ -217,3 +217,22 @@
     ];
     holds(1_559_177_964_474_910_299, ops);
 }
+
+/// A successor repeats an order to an engine that restarted since.
+#[test]
+fn order_after_restart() {
+    let ops = vec![
+        Run(667),
+        Down(1999),
+        Stop(67),
+        Slow(3181),
+        Run(2885),
+        Heal,
+        Order(60, 255),
+        Run(2145),
+        Order(187, 144),
+        Restart(191),
+        Order(144, 35),
+    ];
+    holds(1, ops);
+}
--- a/crates/policy/tests/fleet/engine.rs
+++ b/crates/policy/tests/fleet/engine.rs
@@ -84,6 +84,7 @@
         self.runs.clear();
         self.loading = 0;
         self.orders.clear();
+        self.version = None;
         self.restarted_at = now;
     }
 }
