--- a/crates/policy/tests/dispatch_sim/mod.rs
+++ b/crates/policy/tests/dispatch_sim/mod.rs
@@ -6,7 +6,7 @@
 #![allow(dead_code, reason = "each user takes a part")]
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,7 +16,9 @@
 use acacia_catalog::tokenizer::Tokenizer;
 use acacia_policy::Time;
 use acacia_policy::control::{TICK, Ticket};
-use acacia_policy::dispatch::{Action, Attempt, AttemptId, Dispatcher, Ending, Event, Strategy};
+use acacia_policy::dispatch::{
+    Action, Attempt, AttemptId, Dispatcher, Ending, Event, Rule, Strategy,
+};
 use acacia_policy::request::{BlockKey, Class, Prompt, Request, Work};
 use acacia_policy::snapshot::{Load, Snapshot, Standing, Warmth};
 use rand::{RngExt, SeedableRng};
@@ -47,6 +49,10 @@
     pub strategy: Strategy,
     /// Whether herds are damped.
     pub damped: bool,
+    /// When engines break runs before the first token, and the chance that they do.
+    pub breaks: Option<(Time, Time, f64)>,
+    /// A rule switched off.
+    pub broken: Option<Rule>,
     /// Requests, by organisation.
     pub streams: Vec<Stream>,
 }
@@ -90,10 +96,12 @@
 /// Requests on engines at once, over the run.
 #[derive(Clone, Debug, Default)]
 pub struct Result {
-    /// By organisation.
-    pub outcomes: BTreeMap<OrganisationId, Outcome>,
+    /// By organisation and class.
+    pub outcomes: BTreeMap<(OrganisationId, Class), Outcome>,
     /// Most requests waiting inside one engine.
     pub most_waiting: usize,
+    /// Attempts.
+    pub attempts: usize,
 }
 
 struct Engine {
@@ -112,7 +120,7 @@
 
 enum Happening {
     Arrive(usize),
-    First(Job),
+    First(usize, Job),
     Done(usize, Job),
     Report(usize, Load),
     Sample,
@@ -131,6 +139,7 @@
     sequence: u64,
     asked: HashMap<Ticket, (Time, usize)>,
     started: HashMap<AttemptId, Ticket>,
+    broken: HashSet<AttemptId>,
     result: Result,
 }
 
@@ -147,6 +156,9 @@
         let dispatchers = (0..settings.daemons)
             .map(|d| {
                 let mut dispatcher = Dispatcher::new(settings.seed + d as u64, settings.strategy);
+                if let Some(rule) = settings.broken {
+                    dispatcher.break_rule(rule);
+                }
                 if !settings.damped {
                     dispatcher.undamped();
                 }
@@ -167,6 +179,7 @@
             sequence: 0,
             asked: HashMap::new(),
             started: HashMap::new(),
+            broken: HashSet::new(),
             result: Result::default(),
             settings,
         };
@@ -186,7 +199,7 @@
             }
             match self.happenings.remove(&id) {
                 Some(Happening::Arrive(stream)) => self.arrive(stream),
-                Some(Happening::First(job)) => self.first(&job),
+                Some(Happening::First(engine, job)) => self.first(engine, &job),
                 Some(Happening::Done(engine, job)) => self.done(engine, &job),
                 Some(Happening::Report(engine, load)) => {
                     for d in 0..self.dispatchers.len() {
@@ -250,8 +263,9 @@
     }
 
     fn outcome(&mut self, stream: usize) -> &mut Outcome {
-        let organisation = self.settings.streams[stream].organisation.as_str().into();
-        self.result.outcomes.entry(organisation).or_default()
+        let stream = &self.settings.streams[stream];
+        let key = (stream.organisation.as_str().into(), stream.class);
+        self.result.outcomes.entry(key).or_default()
     }
 
     fn start(&mut self, daemon: usize, ticket: Ticket, attempt: &Attempt) {
@@ -259,6 +273,7 @@
         let stream = &self.settings.streams[self.asked[&ticket].1];
         let job = Job { daemon, attempt: attempt.id, tokens: stream.tokens, answer: stream.answer };
         self.started.insert(attempt.id, ticket);
+        self.result.attempts += 1;
         self.sequence += 1;
         let entry = (attempt.priority, self.sequence, job);
         self.engines[engine].waiting.push(entry);
@@ -279,12 +294,25 @@
         engine.computing_until = engine.computing_until.max(self.now) + compute;
         let first = engine.computing_until - self.now;
         let done = first + self.settings.decode * job.answer;
-        self.later(first, Happening::First(job.clone()));
+        self.later(first, Happening::First(at, job.clone()));
         self.later(done, Happening::Done(at, job));
         self.fill(at);
     }
 
-    fn first(&mut self, job: &Job) {
+    /// Whether an engine breaks a run now.
+    fn breaks(&mut self) -> bool {
+        let Some((from, to, chance)) = self.settings.breaks else { return false };
+        (from..to).contains(&self.now) && self.rng.random_bool(chance)
+    }
+
+    fn first(&mut self, engine: usize, job: &Job) {
+        if self.breaks() {
+            self.broken.insert(job.attempt);
+            self.engines[engine].running -= 1;
+            self.fill(engine);
+            let ending = Ending::Broken { tokens: 0 };
+            return self.step(job.daemon, Event::Ended { attempt: job.attempt, ending });
+        }
         let ticket = self.started[&job.attempt];
         if let Some((asked, stream)) = self.asked.remove(&ticket) {
             let waited = (self.now - asked).as_secs_f64();
@@ -294,6 +322,9 @@
     }
 
     fn done(&mut self, engine: usize, job: &Job) {
+        if self.broken.remove(&job.attempt) {
+            return;
+        }
         self.engines[engine].running -= 1;
         self.fill(engine);
         let first_byte = Duration::from_millis(1);
@@ -412,6 +443,8 @@
         length: Duration::from_secs(60),
         strategy: Strategy::Ours,
         damped: true,
+        breaks: None,
+        broken: None,
         streams: Vec::new(),
     }
 }
@@ -436,7 +469,7 @@
 /// What came of all organisations but the one that floods.
 pub fn others(settings: &Settings) -> Outcome {
     let mut all = Outcome::default();
-    for (organisation, outcome) in simulate(settings).outcomes {
+    for ((organisation, _), outcome) in simulate(settings).outcomes {
         if &*organisation != "flood" {
             all.first_tokens.extend(outcome.first_tokens);
             all.refused += outcome.refused;
@@ -444,3 +477,16 @@
     }
     all
 }
+
+/// One engine, with many more short requests than it bears and a few long ones.
+pub fn overloaded(broken: Option<Rule>) -> Settings {
+    let stream = |rate: f64, tokens: usize, class: Class| Stream {
+        organisation: "one".to_owned(),
+        rate,
+        tokens,
+        answer: 5,
+        class,
+    };
+    let streams = vec![stream(100.0, 500, Class::Short), stream(0.5, 2_000, Class::Long)];
+    Settings { daemons: 1, engines: 1, slots: 4, broken, streams, ..nine(1) }
+}
