--- a/crates/policy/src/control/standing.rs
+++ b/crates/policy/src/control/standing.rs
@@ -203,7 +203,7 @@
 }
 
 impl Record {
-    /// Updates the warmth and process life shown; true when either changed.
+    /// Updates the warmth and the process life shown; true when either changed.
     fn show(&mut self, now: Time) -> bool {
         let warmth = self.warmth(now);
         let changed = warmth != self.shown || self.incarnation != self.shown_life;
