acacia capacity: slopes measured, and what they say of the two-year size

Change: capacity measure prints samples of the configuration, of idle fleets over sockets and of traffic threads; capacity table turns them and the slopes example's lines into the page's tables.

--- /dev/null
+++ b/crates/cli/src/capacity/measure.rs
@@ -0,0 +1,145 @@
+//! Measuring the slopes that need no virtual time: configuration, daemons, requests.
+
+use std::time::{Duration, Instant};
+
+use acacia_catalog::generate::Size;
+use acacia_catalog::id::UpstreamId;
+use acacia_catalog::object::Duty;
+use acacia_catalog::{Document, Set, chunk};
+use acacia_daemon::Running;
+use acacia_policy::dispatch::Strategy;
+use acacia_standin::counter::Counter;
+use futures::StreamExt;
+
+use super::sample::{Catalogue, Fleet, Sample, Traffic};
+use super::thread;
+use crate::load::client::{Balancer, Client};
+use crate::system::layout::{self, Layout};
+use crate::system::{Error, System};
+
+/// Organisations and upstreams of each configuration measured.
+const SIZES: [(usize, usize); 4] = [(10, 10), (10, 100), (100, 1_000), (1_000, 10_000)];
+/// Times that a set is checked; the median counts.
+const CHECKS: usize = 5;
+/// Daemons of each fleet measured.
+const FLEETS: [usize; 4] = [3, 9, 18, 36];
+/// How long a fleet settles.
+const SETTLE: Duration = Duration::from_secs(3);
+/// How long a fleet is measured.
+const WATCH: Duration = Duration::from_secs(10);
+/// Requests and output tokens of each measurement of traffic.
+const TRAFFIC: [(usize, usize); 3] = [(2_000, 1), (1_000, 20), (500, 100)];
+/// Requests at once in a measurement of traffic.
+const AT_ONCE: usize = 16;
+/// Factor by which the stand-ins' time is sped up.
+const SCALE: f64 = 20.0;
+
+/// Measures everything; `seen` gets each sample as it comes.
+pub async fn measure(mut seen: impl FnMut(&Sample)) -> Result<(), Error> {
+    for (organisations, upstreams) in SIZES {
+        seen(&Sample::Catalogue(catalogue(organisations, upstreams)));
+    }
+    for daemons in FLEETS {
+        seen(&Sample::Fleet(fleet(daemons).await?));
+    }
+    for (requests, tokens) in TRAFFIC {
+        seen(&Sample::Traffic(traffic(requests, tokens).await?));
+    }
+    Ok(())
+}
+
+fn catalogue(organisations: usize, upstreams: usize) -> Catalogue {
+    let plan = Size::TwoYears.plan();
+    let document =
+        acacia_catalog::generate::Plan { organisations, engines: upstreams, ..plan }.document(1);
+    let mut times: Vec<f64> = (0..CHECKS).map(|_| check_ms(&document)).collect();
+    times.sort_by(f64::total_cmp);
+    let set = Set::check(&document).expect("a generated document is right");
+    let before = chunks(&set);
+    let after = chunks(&drained(set));
+    let bytes = |chunks: &chunk::Chunks| chunks.values().map(|c| c.len()).sum::<usize>();
+    let altered = after.iter().filter(|(hash, _)| !before.contains_key(*hash));
+    Catalogue {
+        catalogue_organisations: organisations as f64,
+        catalogue_upstreams: upstreams as f64,
+        check_ms: times[CHECKS / 2],
+        chunks: before.len() as f64,
+        set_bytes: bytes(&before) as f64,
+        change_bytes: altered.map(|(_, c)| c.len()).sum::<usize>() as f64,
+    }
+}
+
+fn check_ms(document: &Document) -> f64 {
+    let started = Instant::now();
+    let set = Set::check(document);
+    let took = started.elapsed().as_secs_f64() * 1_000.0;
+    assert!(set.is_ok(), "a generated document is right");
+    took
+}
+
+fn chunks(set: &Set) -> chunk::Chunks {
+    chunk::split(set).expect("a checked set can be split").1
+}
+
+/// The set with its first upstream out.
+fn drained(mut set: Set) -> Set {
+    let first: Option<UpstreamId> = set.upstreams.keys().next().cloned();
+    if let Some(upstream) = first.and_then(|name| set.upstreams.get_mut(&name)) {
+        upstream.state = Duty::Out;
+    }
+    set
+}
+
+async fn fleet(daemons: usize) -> Result<Fleet, Error> {
+    let layout = Layout { daemons, ..Layout::small() };
+    let system = System::start(layout, Strategy::Ours, SCALE).await?;
+    tokio::time::sleep(SETTLE).await;
+    let before = totals(&system);
+    tokio::time::sleep(WATCH).await;
+    let after = totals(&system);
+    system.stop().await;
+    let rate = |index: usize| (after[index] - before[index]) / WATCH.as_secs_f64();
+    Ok(Fleet {
+        fleet_daemons: daemons as f64,
+        kv_calls_per_second: rate(0),
+        peer_bytes_per_second: rate(1) / daemons as f64,
+        control_cpu_share: rate(2) / daemons as f64,
+    })
+}
+
+/// Key-value calls, peer bytes and control time of a whole system so far.
+fn totals(system: &System) -> [f64; 3] {
+    let sum = |name: &str| system.daemons.iter().map(|d| metric(d, name)).sum();
+    [
+        system.outside.kv.count(Counter::Calls) as f64,
+        sum("acacia_peer_bytes_total"),
+        sum("acacia_control_cpu_seconds_total"),
+    ]
+}
+
+/// A counter of a daemon, summed over its labels.
+fn metric(daemon: &Running, name: &str) -> f64 {
+    let text = daemon.metrics();
+    let lines = text.lines().filter(|line| line.starts_with(name));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+}
+
+async fn traffic(requests: usize, tokens: usize) -> Result<Traffic, Error> {
+    let layout = Layout { daemons: 1, slots: 64, ..Layout::small() };
+    let system = System::start(layout, Strategy::Ours, SCALE).await?;
+    let client = Client::new(Balancer::new(system.entries()));
+    let key = layout::key(0);
+    let before = thread::time("traffic");
+    let answers = futures::stream::iter(0..requests).map(|i| {
+        let (client, key) = (client.clone(), key.clone());
+        async move { client.complete(&key, layout::MODEL, &format!("query {i}"), tokens).await }
+    });
+    answers.buffer_unordered(AT_ONCE).for_each(|_| async {}).await;
+    let spent = thread::time("traffic").saturating_sub(before);
+    system.stop().await;
+    Ok(Traffic {
+        traffic_requests: requests as f64,
+        traffic_tokens: tokens as f64,
+        cpu_us_per_request: spent.as_secs_f64() * 1e6 / requests as f64,
+    })
+}
--- /dev/null
+++ b/crates/cli/src/capacity/table.rs
@@ -0,0 +1,282 @@
+//! The tables of `docs/CAPACITY.md`, from samples.
+
+use std::fmt::Write;
+
+use super::fit::{Estimate, TWO_YEARS, estimate, least_squares};
+use super::sample::{Catalogue, Control, Fleet, Sample, Traffic};
+
+/// Share of a core that control may take of a daemon.
+const CPU_BUDGET: f64 = 0.022;
+/// Bytes of memory that control may take of a daemon.
+const MEMORY_BUDGET: f64 = 256.0 * 1024.0 * 1024.0;
+/// Bytes a second that control may send of a daemon.
+const BYTES_BUDGET: f64 = 3_000.0;
+/// Writes a second that the key-value service takes.
+const WRITES_BUDGET: f64 = 300.0;
+/// Reads a second that the key-value service takes.
+const READS_BUDGET: f64 = 2_000.0;
+/// Longest time for a change to be in force everywhere, in milliseconds.
+const SPREAD_BUDGET_MS: f64 = 6_000.0;
+/// Time to check the two-year configuration, in milliseconds.
+const CHECK_BUDGET_MS: f64 = 100.0;
+/// Requests a second at the peak.
+const REQUESTS: f64 = 14_000.0;
+/// Tokens generated a second at the peak.
+const TOKENS: f64 = 6_700_000.0;
+
+/// One cost with its budget.
+struct Cost {
+    name: &'static str,
+    unit: &'static str,
+    of: fn(&Control) -> f64,
+    budget: f64,
+    mechanism: &'static str,
+}
+
+const COSTS: [Cost; 7] = [
+    Cost {
+        name: "control processor time of a daemon",
+        unit: "share of a core",
+        of: |c| c.cpu_share_per_daemon,
+        budget: CPU_BUDGET,
+        mechanism: "digests that carry only news; indexes by name",
+    },
+    Cost {
+        name: "control memory of a daemon",
+        unit: "bytes",
+        of: |c| c.memory_bytes_per_daemon,
+        budget: MEMORY_BUDGET,
+        mechanism: "one shared set; records of a few words for each upstream",
+    },
+    Cost {
+        name: "control messages of a daemon",
+        unit: "bytes a second",
+        of: |c| c.bytes_per_second_per_daemon,
+        budget: BYTES_BUDGET,
+        mechanism: "a bounded number of peers for each daemon; changed chunks only",
+    },
+    Cost {
+        name: "writes to the key-value service, claims left out",
+        unit: "a second, all daemons",
+        of: |c| c.kv_writes_per_second - c.kv_claim_writes_per_second,
+        budget: WRITES_BUDGET,
+        mechanism: "one swap a change; no renewal for each daemon",
+    },
+    Cost {
+        name: "reads of the key-value service",
+        unit: "a second, all daemons",
+        of: |c| c.kv_reads_per_second + c.kv_watch_calls_per_second,
+        budget: READS_BUDGET,
+        mechanism: "chunks from peers",
+    },
+    Cost {
+        name: "watches waiting at the key-value service",
+        unit: "calls",
+        of: |c| c.kv_watches_waiting,
+        budget: READS_BUDGET,
+        mechanism: "a few watchers for each zone, by hash",
+    },
+    Cost {
+        name: "change in force everywhere",
+        unit: "ms",
+        of: |c| c.change_spread_ms,
+        budget: SPREAD_BUDGET_MS,
+        mechanism: "watch, then digests, then chunks from peers",
+    },
+];
+
+/// All tables, in Markdown.
+pub fn render(samples: &[Sample]) -> String {
+    let mut page = String::new();
+    // Writing to a string does not fail.
+    let _ = two_years(&mut page, &control(samples));
+    let _ = traffic(&mut page, samples);
+    let _ = catalogue(&mut page, samples);
+    let _ = fleet(&mut page, samples);
+    let _ = points(&mut page, &control(samples));
+    page
+}
+
+fn control<'a>(samples: &'a [Sample]) -> Vec<&'a Control> {
+    let only = |s: &'a Sample| match s {
+        Sample::Control(c) if c.phase == "work" => Some(c),
+        _ => None,
+    };
+    samples.iter().filter_map(only).collect()
+}
+
+fn two_years(page: &mut String, samples: &[&Control]) -> std::fmt::Result {
+    writeln!(page, "### Control at the two-year size\n")?;
+    writeln!(
+        page,
+        "{} daemons, {} upstreams, {} organisations, {:.1} changes a minute.\n",
+        TWO_YEARS.daemons,
+        TWO_YEARS.upstreams,
+        TWO_YEARS.organisations,
+        TWO_YEARS.changes_per_minute
+    )?;
+    writeln!(page, "| cost | estimate | unit | budget | holds | from | mechanism |")?;
+    writeln!(page, "|---|---|---|---|---|---|---|")?;
+    for cost in &COSTS {
+        let Some(estimate) = estimate(samples, cost.of) else { continue };
+        writeln!(
+            page,
+            "| {} | {} | {} | {} | {} | {} | {} |",
+            cost.name,
+            number(estimate.value),
+            cost.unit,
+            number(cost.budget),
+            verdict(estimate.value, cost.budget),
+            derivation(&estimate),
+            cost.mechanism
+        )?;
+    }
+    writeln!(page)
+}
+
+fn derivation(estimate: &Estimate) -> String {
+    let (daemons, value) = estimate.from;
+    let mut text = format!("{} at {daemons} daemons", number(value));
+    for (name, slope) in estimate.slopes.iter().filter(|(_, slope)| *slope != 0.0) {
+        let _ = write!(text, ", + {} for each {name}", number(*slope));
+    }
+    text
+}
+
+fn verdict(value: f64, budget: f64) -> &'static str {
+    if value <= budget { "yes" } else { "**no**" }
+}
+
+fn traffic<'a>(page: &mut String, samples: &'a [Sample]) -> std::fmt::Result {
+    let only = |s: &'a Sample| match s {
+        Sample::Traffic(t) => Some(t),
+        _ => None,
+    };
+    let all: Vec<&Traffic> = samples.iter().filter_map(only).collect();
+    if all.is_empty() {
+        return Ok(());
+    }
+    writeln!(page, "### Traffic threads of a daemon\n")?;
+    writeln!(page, "| requests | output tokens of each | µs of processor time a request |")?;
+    writeln!(page, "|---|---|---|")?;
+    for t in &all {
+        let cost = number(t.cpu_us_per_request);
+        writeln!(page, "| {} | {} | {cost} |", t.traffic_requests, t.traffic_tokens)?;
+    }
+    let points: Vec<_> = all.iter().map(|t| (t.traffic_tokens, t.cpu_us_per_request)).collect();
+    let token = least_squares(&points).max(0.0);
+    let count = points.len() as f64;
+    let request = points.iter().map(|(tokens, cost)| cost - token * tokens).sum::<f64>() / count;
+    let cores = (request * REQUESTS + token * TOKENS) / 1e6;
+    writeln!(
+        page,
+        "\nA request costs {} µs and a token {} µs; {REQUESTS} requests and {TOKENS} tokens a second \
+         take {} cores, {} of a core on each of {} daemons.\n",
+        number(request),
+        number(token),
+        number(cores),
+        number(cores / TWO_YEARS.daemons),
+        TWO_YEARS.daemons
+    )
+}
+
+fn catalogue<'a>(page: &mut String, samples: &'a [Sample]) -> std::fmt::Result {
+    let only = |s: &'a Sample| match s {
+        Sample::Catalogue(c) => Some(c),
+        _ => None,
+    };
+    let all: Vec<&Catalogue> = samples.iter().filter_map(only).collect();
+    if all.is_empty() {
+        return Ok(());
+    }
+    writeln!(page, "### Configuration\n")?;
+    writeln!(page, "A change takes one upstream out. Budget of a check: {CHECK_BUDGET_MS} ms.\n")?;
+    writeln!(
+        page,
+        "| organisations | upstreams | check, ms | chunks | bytes | bytes of a change |"
+    )?;
+    writeln!(page, "|---|---|---|---|---|---|")?;
+    for c in all {
+        writeln!(
+            page,
+            "| {} | {} | {} | {} | {} | {} |",
+            c.catalogue_organisations,
+            c.catalogue_upstreams,
+            number(c.check_ms),
+            c.chunks,
+            number(c.set_bytes),
+            number(c.change_bytes)
+        )?;
+    }
+    writeln!(page)
+}
+
+fn fleet<'a>(page: &mut String, samples: &'a [Sample]) -> std::fmt::Result {
+    let only = |s: &'a Sample| match s {
+        Sample::Fleet(f) => Some(f),
+        _ => None,
+    };
+    let all: Vec<&Fleet> = samples.iter().filter_map(only).collect();
+    if all.is_empty() {
+        return Ok(());
+    }
+    writeln!(page, "### Daemons over real sockets, idle\n")?;
+    writeln!(
+        page,
+        "| daemons | key-value calls/s, all | bytes/s to peers, each | control, core |"
+    )?;
+    writeln!(page, "|---|---|---|---|")?;
+    for f in all {
+        writeln!(
+            page,
+            "| {} | {} | {} | {} |",
+            f.fleet_daemons,
+            number(f.kv_calls_per_second),
+            number(f.peer_bytes_per_second),
+            number(f.control_cpu_share)
+        )?;
+    }
+    writeln!(page)
+}
+
+fn points(page: &mut String, samples: &[&Control]) -> std::fmt::Result {
+    writeln!(page, "### Measured points of control\n")?;
+    writeln!(
+        page,
+        "| daemons | upstreams | organisations | changes/min | claims/s | writes/s | claim writes/s \
+         | reads/s | watches | messages/s | bytes/s | core | memory | spread, ms |"
+    )?;
+    writeln!(page, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")?;
+    for c in samples {
+        let cells = [
+            c.daemons,
+            c.upstreams,
+            c.organisations,
+            c.changes_per_minute,
+            c.claims_per_second,
+            c.kv_writes_per_second,
+            c.kv_claim_writes_per_second,
+            c.kv_reads_per_second,
+            c.kv_watches_waiting,
+            c.messages_per_second_per_daemon,
+            c.bytes_per_second_per_daemon,
+            c.cpu_share_per_daemon,
+            c.memory_bytes_per_daemon,
+            c.change_spread_ms,
+        ];
+        let cells: Vec<String> = cells.into_iter().map(number).collect();
+        writeln!(page, "| {} |", cells.join(" | "))?;
+    }
+    writeln!(page)
+}
+
+/// A number with three digits that count.
+fn number(value: f64) -> String {
+    match value.abs() {
+        0.0 => "0".to_owned(),
+        size if size >= 1e6 => format!("{:.2}M", value / 1e6),
+        size if size >= 100.0 || value.fract() == 0.0 => format!("{value:.0}"),
+        size if size >= 1.0 => format!("{value:.1}"),
+        _ => format!("{value:.2e}"),
+    }
+}
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -1,6 +1,7 @@
 //! The commands.
 
 mod apply;
+mod capacity;
 mod check;
 mod demo;
 mod diff;
@@ -73,6 +74,9 @@
     /// Play a user's workload under strategies side by side
     #[bpaf(command)]
     Load(#[bpaf(external(load::load))] load::Load),
+    /// Measure costs and work out the two-year size
+    #[bpaf(command)]
+    Capacity(#[bpaf(external(capacity::capacity))] capacity::Capacity),
 }
 
 impl Command {
@@ -94,6 +98,7 @@
             Self::Generate(c) => c.format,
             Self::Demo(c) => c.format,
             Self::Load(c) => c.format,
+            Self::Capacity(c) => c.format(),
         }
     }
 
@@ -115,6 +120,7 @@
             Self::Generate(c) => c.run(),
             Self::Demo(c) => c.run().await,
             Self::Load(c) => c.run().await,
+            Self::Capacity(c) => c.run().await,
         }
     }
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -4,8 +4,9 @@
 //! something talk to a daemon's administration API through [`connection`]; what they print goes
 //! through [`output`], as text or JSON; what goes wrong is a [`Failure`] with an [`Exit`] code.
 //! [`demo`] and [`compare`] start a whole [`system`] of stand-ins and daemons in this process and
-//! play a [`load`] against it.
+//! play a [`load`] against it; [`capacity`] measures what it costs.
 
+pub mod capacity;
 pub mod command;
 pub mod compare;
 pub mod connection;
