Control: a witness that the live list shows is not taken for gone

Change: silence alone counts only for a witness that the live list doesn't show. Named regression, a scenario and its broken rule; the fuzz reads a live list that lags by up to 4 s.

--- a/crates/policy/src/control.rs
+++ b/crates/policy/src/control.rs
@@ -276,7 +276,7 @@
     fn listed(&mut self, now: Time, instances: &[Instance]) {
         let daemons = instances.iter().filter(|i| i.kind == InstanceKind::Daemon);
         let me = self.out.me().address;
-        self.membership.add_seeds(me, daemons.map(|i| i.address));
+        self.membership.list(me, daemons.map(|i| i.address));
         self.standings.list(now, instances);
     }
 
--- a/crates/policy/src/control/membership.rs
+++ b/crates/policy/src/control/membership.rs
@@ -7,7 +7,7 @@
 //! of most witnesses share one, which answers to one epoch only; neither clocks nor the service
 //! need to agree. While the service is down the epoch stands still and holders go on.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -35,8 +35,8 @@
 const TURN: Duration = Duration::from_millis(150);
 /// Silence after which a witness of an earlier epoch counts as gone.
 ///
-/// A holder would have to be in touch with most of its witnesses, and all of them out of touch with
-/// the service and the new epoch, for that long.
+/// Only one that the live list doesn't show. Without the list, a holder that keeps in touch with most
+/// of its witnesses while all of them are out of touch with the service for that long isn't waited for.
 const GONE: Duration = Duration::from_secs(10);
 /// Wait before a failed call is made again.
 const RETRY: Duration = Duration::from_millis(250);
@@ -63,6 +63,10 @@
     monitors: Vec<SocketAddr>,
     peers: Vec<SocketAddr>,
     watcher: bool,
+    /// Addresses of members and of witnesses of earlier epochs.
+    known: BTreeMap<DaemonId, SocketAddr>,
+    /// Addresses of daemons on the live list.
+    listed: BTreeSet<SocketAddr>,
     confirmed: BTreeMap<DaemonId, Time>,
     taken_up: BTreeMap<DaemonId, EpochNumber>,
     settled_at: Option<Time>,
@@ -95,6 +99,8 @@
             monitors: Vec::new(),
             peers: Vec::new(),
             watcher: false,
+            known: BTreeMap::new(),
+            listed: BTreeSet::new(),
             confirmed: BTreeMap::new(),
             taken_up: BTreeMap::new(),
             settled_at: None,
@@ -134,8 +140,10 @@
         &self.in_force
     }
 
-    /// Adds addresses at which peers may be reached before an epoch is known.
-    pub fn add_seeds(&mut self, me: SocketAddr, seeds: impl IntoIterator<Item = SocketAddr>) {
+    /// Takes the daemons on the live list, which may be reached before an epoch is known.
+    pub fn list(&mut self, me: SocketAddr, seeds: impl IntoIterator<Item = SocketAddr>) {
+        let seeds: Vec<SocketAddr> = seeds.into_iter().collect();
+        self.listed = seeds.iter().copied().collect();
         for seed in seeds {
             if seed != me && !self.seeds.contains(&seed) {
                 self.seeds.push(seed);
@@ -360,8 +368,7 @@
         self.probe_at = now + PROBE;
         let earlier = self.epoch.earlier.iter().flatten();
         let earlier = earlier.filter(|_| self.settled_at.is_none());
-        let names: std::collections::BTreeSet<_> =
-            self.epoch.witnesses.iter().chain(earlier).collect();
+        let names: BTreeSet<_> = self.epoch.witnesses.iter().chain(earlier).collect();
         let members = self.epoch.members.iter().chain(&self.epoch.left);
         for member in members.filter(|m| names.contains(&m.daemon)) {
             if member.daemon != out.me().daemon {
@@ -389,7 +396,17 @@
     fn is_gone(&self, now: Time, witness: &DaemonId) -> bool {
         let silent = self.heard.get(witness).copied().unwrap_or(self.adopted_at);
         let since = silent.max(self.adopted_at);
-        now >= since + GONE && self.service_at.is_some_and(|at| now < at + GONE)
+        let answers = self.service_at.is_some_and(|at| now < at + GONE);
+        let listed = self.is_listed(witness) && self.sabotage != Some(Sabotage::IgnoreList);
+        now >= since + GONE && answers && !listed
+    }
+
+    /// Whether the live list shows a daemon that no other process has replaced.
+    fn is_listed(&self, daemon: &DaemonId) -> bool {
+        let Some(address) = self.known.get(daemon) else { return false };
+        let replaced =
+            self.epoch.members.iter().any(|m| m.address == *address && m.daemon != *daemon);
+        self.listed.contains(address) && !replaced
     }
 
     fn read(&mut self, now: Time, out: &mut Outbox) {
@@ -523,8 +540,13 @@
             }
         }
         self.monitored = monitored;
+        let addresses = epoch.members.iter().chain(&epoch.left);
+        self.known.extend(addresses.map(|m| (m.daemon.clone(), m.address)));
+        let witnesses: BTreeSet<&DaemonId> = epoch.earlier.iter().flatten().collect();
+        let member = |d: &DaemonId| epoch.member(d).is_some();
+        self.known.retain(|daemon, _| member(daemon) || witnesses.contains(daemon));
         let known = epoch.members.iter().chain(&epoch.left);
-        let names: std::collections::BTreeSet<_> = known.map(|m| m.daemon.clone()).collect();
+        let names: BTreeSet<_> = known.map(|m| m.daemon.clone()).collect();
         self.heard.retain(|daemon, _| names.contains(daemon));
         for name in names {
             self.heard.entry(name).or_insert(now);
--- a/crates/policy/src/control/sabotage.rs
+++ b/crates/policy/src/control/sabotage.rs
@@ -11,6 +11,8 @@
     SkipWaitOut,
     /// A witness confirms whatever epoch it is asked about.
     ConfirmAnything,
+    /// A silent witness counts as gone although the live list shows it.
+    IgnoreList,
     /// A successor takes nothing of its predecessors to be running.
     ForgetRunning,
     /// An owner grants more than a cold upstream bears.
--- a/crates/policy/tests/control_regression.rs
+++ b/crates/policy/tests/control_regression.rs
@@ -236,3 +236,21 @@
     ];
     holds(1, ops);
 }
+
+/// A daemon alone with the service took the others, who held on to one another, for gone.
+#[test]
+fn parted_alone_with_service() {
+    let ops = vec![
+        Part(150, true),
+        Run(2191),
+        Run(3979),
+        Down(3218),
+        Run(657),
+        Run(430),
+        Ask(197, 206, 2),
+        Run(567),
+        Ask(114, 218, 1),
+        Run(1000),
+    ];
+    holds(11_674_237_205_868_410_337, ops);
+}
--- a/crates/policy/tests/control_scenario.rs
+++ b/crates/policy/tests/control_scenario.rs
@@ -151,6 +151,33 @@
     assert!(is_noticed(unheard_successor, Sabotage::SkipWaitOut));
 }
 
+/// One daemon alone with the service; the others go on together without either.
+fn parted_alone(seed: u64, sabotage: Option<Sabotage>) -> Option<String> {
+    let mut world = fleet(seed, 4, sabotage);
+    world.weather.sides = [(1, 1), (2, 1), (3, 0), (4, 1)].into();
+    world.weather.parted = true;
+    for round in 0..300 {
+        let upstream: Name = if round % 2 == 0 { "e0".into() } else { "e2".into() };
+        for id in 1..=4 {
+            world.ask(id, &upstream, 1);
+        }
+        world.run(ms(100));
+    }
+    world.oracle.broken
+}
+
+#[test]
+fn parted_alone_healthy() {
+    for seed in 0..SEEDS {
+        assert_eq!(parted_alone(seed, None), None, "seed {seed}");
+    }
+}
+
+#[test]
+fn parted_alone_ignore_list() {
+    assert!(is_noticed(parted_alone, Sabotage::IgnoreList));
+}
+
 #[test]
 fn killed_owner_healthy() {
     for seed in 0..SEEDS {
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -16,8 +16,8 @@
 use acacia_catalog::id::Name;
 use acacia_catalog::{Document, Root};
 use acacia_policy::control::{
-    Action, CallId, Change, Control, Event, Observation, Order, OrderDuty, OrderOutcome, Permit,
-    Sabotage, Usage,
+    Action, CallId, Change, Control, Event, Instance, InstanceKind, Observation, Order, OrderDuty,
+    OrderOutcome, Permit, Sabotage, Usage,
 };
 use acacia_policy::kv::{Failure, Outcome, Request};
 use acacia_policy::message::{Envelope, Message};
@@ -37,6 +37,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Time after which a call to the service is given up.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long the live list shows a daemon that died.
+const LIST_LAG: Duration = Duration::from_secs(4);
 /// Time that a weight load takes when it is the only one.
 const LOAD: Duration = Duration::from_millis(600);
 
@@ -121,6 +123,8 @@
 pub struct World {
     pub now: Duration,
     pub nodes: BTreeMap<NodeId, Node>,
+    /// When daemons died.
+    dead: BTreeMap<NodeId, Duration>,
     pub kv: Kv,
     pub engines: BTreeMap<Name, Engine>,
     pub weather: Weather,
@@ -149,6 +153,7 @@
         Self {
             now: Duration::ZERO,
             nodes: BTreeMap::new(),
+            dead: BTreeMap::new(),
             kv: Kv::default(),
             engines: document::engines(),
             weather: Weather::default(),
@@ -191,6 +196,7 @@
     /// Kills a daemon.
     pub fn kill(&mut self, id: NodeId) {
         self.nodes.remove(&id);
+        self.dead.insert(id, self.now);
         self.disturb();
     }
 
@@ -402,6 +408,9 @@
         let revision = node.snapshot.revision;
         let since = self.calm_since.max(node.started_at);
         self.oracle.in_force(self.now, since, revision, id);
+        if self.rng.random_ratio(1, 20) {
+            self.list(id);
+        }
         if self.rng.random_ratio(1, 10) {
             let names: Vec<Name> = self.engines.keys().cloned().collect();
             let name = names[self.rng.random_range(0..names.len())].clone();
@@ -410,6 +419,23 @@
         self.at(self.now + TICK, Item::Tick(id));
     }
 
+    /// Reads the live list, which goes on showing the dead for a while.
+    fn list(&mut self, id: NodeId) {
+        let now = self.now;
+        self.dead.retain(|_, died| now < *died + LIST_LAG);
+        let ids: Vec<NodeId> = self.nodes.keys().chain(self.dead.keys()).copied().collect();
+        let instances = ids.into_iter().map(|n| Instance {
+            name: format!("d{n}").into(),
+            kind: InstanceKind::Daemon,
+            address: node::address(n),
+            zone: self.zones[0].clone(),
+            leaving: false,
+            incarnation: 1,
+        });
+        let instances = instances.collect();
+        self.step(id, Event::Listed(instances));
+    }
+
     fn act(&mut self, id: NodeId, action: Action) {
         match action {
             Action::Kv(call, request) => self.send_call(id, call, request),
