--- /dev/null
+++ b/crates/daemon/examples/overhead.rs
@@ -0,0 +1,163 @@
+//! Time to first token through one daemon against calling its engine direct, in one run.
+//!
+//! `cargo run --release -p acacia-daemon --example overhead [REQUESTS A SECOND] [SECONDS]
+//! [THREADS]`. Requests
+//! start on a fixed beat, in turn direct and through the daemon, so that both meet the same machine.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use acacia_catalog::Document;
+use acacia_daemon::{Daemon, Running, Settings};
+use acacia_operator::call::Apply;
+use acacia_operator::{Client, Key, Role};
+use acacia_standin::{engine, kv, list};
+use hdrhistogram::Histogram;
+use tokio::sync::mpsc;
+
+/// API key of the only organisation.
+const KEY: &str = "key";
+/// Token of the operator.
+const TOKEN: &str = "token";
+/// Requests before the measured ones, to open connections and warm the engine.
+const WARM_UP: u32 = 500;
+
+type Failure = Box<dyn std::error::Error + Send + Sync>;
+
+/// Which way a request goes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Way {
+    Direct,
+    Daemon,
+}
+
+#[tokio::main]
+async fn main() -> Result<(), Failure> {
+    let mut arguments = std::env::args().skip(1);
+    let rate: u32 = arguments.next().map_or(Ok(1_000), |a| a.parse())?;
+    let seconds: u32 = arguments.next().map_or(Ok(10), |a| a.parse())?;
+    let threads: Option<usize> = arguments.next().map(|a| a.parse()).transpose()?;
+    let kv = kv::start(kv::Settings::default()).await?;
+    let list = list::start(list::Settings::default()).await?;
+    let engine = engine::start(engine::Settings {
+        slots: 8_192,
+        prefill_per_token: Duration::ZERO,
+        decode_per_token: Duration::from_millis(2),
+        ..engine::Settings::default()
+    });
+    let engine = engine.await?;
+    let mut settings = Settings::new("zone", vec![kv.address], list.address);
+    settings.operators = vec![Key::of("tester", TOKEN, [Role::Apply])];
+    settings.threads = threads.unwrap_or(settings.threads);
+    let daemon = Daemon::start(settings)?;
+    configure(&daemon, engine.address).await?;
+    let http = reqwest::Client::builder().no_proxy().tcp_nodelay(true).build()?;
+    let addresses = [engine.address, daemon.caller_address()];
+    play(&http, addresses, rate, WARM_UP).await?;
+    let histograms = play(&http, addresses, rate * 2, rate * 2 * seconds).await?;
+    for (way, histogram) in [Way::Direct, Way::Daemon].iter().zip(&histograms) {
+        let at = |quantile| histogram.value_at_quantile(quantile);
+        println!(
+            "{way:?}: {} requests, time to first token p50 {} us, p95 {} us, p99 {} us",
+            histogram.len(),
+            at(0.5),
+            at(0.95),
+            at(0.99)
+        );
+    }
+    let added =
+        |q| histograms[1].value_at_quantile(q) as i64 - histograms[0].value_at_quantile(q) as i64;
+    println!("added: p50 {} us, p99 {} us", added(0.5), added(0.99));
+    Ok(())
+}
+
+/// Starts `number` requests at `rate` a second, in turn each way; times in microseconds.
+async fn play(
+    http: &reqwest::Client,
+    [engine, daemon]: [SocketAddr; 2],
+    rate: u32,
+    number: u32,
+) -> Result<[Histogram<u64>; 2], Failure> {
+    let (sender, mut times) = mpsc::unbounded_channel();
+    let mut beat = tokio::time::interval(Duration::from_secs(1) / rate);
+    for index in 0..number {
+        beat.tick().await;
+        let (http, sender) = (http.clone(), sender.clone());
+        let way = if index % 2 == 0 { Way::Direct } else { Way::Daemon };
+        tokio::spawn(async move {
+            let time = match way {
+                Way::Direct => first_token(direct(&http, engine, index)).await,
+                Way::Daemon => first_token(through(&http, daemon, index)).await,
+            };
+            // The receiver lives as long as the run.
+            let _ = sender.send((way, time));
+        });
+    }
+    drop(sender);
+    let mut histograms = [Histogram::new(3)?, Histogram::new(3)?];
+    while let Some((way, time)) = times.recv().await {
+        let micros = u64::try_from(time?.as_micros())?;
+        histograms[usize::from(way == Way::Daemon)].record(micros)?;
+    }
+    Ok(histograms)
+}
+
+fn direct(http: &reqwest::Client, engine: SocketAddr, index: u32) -> reqwest::RequestBuilder {
+    let body = serde_json::json!({
+        "model": "model", "version": "v1", "prompt": format!("question {index}"),
+        "max_tokens": 4, "stream": true, "priority": 0, "block_keys": [],
+    });
+    let request = http.post(format!("http://{engine}/v1/completions"));
+    request.header("x-request-id", format!("direct-{index}")).json(&body)
+}
+
+fn through(http: &reqwest::Client, daemon: SocketAddr, index: u32) -> reqwest::RequestBuilder {
+    let body = serde_json::json!({
+        "model": "model", "prompt": format!("question {index}"), "max_tokens": 4, "stream": true,
+    });
+    http.post(format!("http://{daemon}/v1/completions")).bearer_auth(KEY).json(&body)
+}
+
+/// Time until the first part of the body came.
+async fn first_token(request: reqwest::RequestBuilder) -> Result<Duration, Failure> {
+    let started = Instant::now();
+    let mut response = request.send().await?.error_for_status()?;
+    response.chunk().await?.ok_or("no token came")?;
+    let time = started.elapsed();
+    while response.chunk().await?.is_some() {}
+    Ok(time)
+}
+
+/// Puts a configuration with one engine in force.
+async fn configure(daemon: &Running, engine: SocketAddr) -> Result<(), Failure> {
+    let document: Document = serde_json::from_value(serde_json::json!({ "objects": [
+        { "kind": "zone", "name": "zone", "region": "west" },
+        { "kind": "profile", "name": "profile", "short_tokens": 500, "short_deadline_ms": 30_000,
+          "long_deadline_ms": 60_000, "recompute_weight_ms": 1_000, "link_weight_ms": 100 },
+        { "kind": "model", "name": "model", "serving": "v1", "context_tokens": 100_000 },
+        { "kind": "version", "name": "v1", "model": "model", "bytes_per_token": 16_384 },
+        { "kind": "link", "name": "link", "from": "zone", "to": "zone",
+          "bytes_per_second": 1_000_000_000 },
+        { "kind": "organisation", "name": "organisation", "models": ["model"],
+          "key_hashes": [blake3::hash(KEY.as_bytes()).to_hex().to_string()],
+          "cache_secret": "a long secret that only this run knows", "profile": "profile" },
+        { "kind": "upstream", "name": "engine", "zone": "zone", "address": engine,
+          "role": { "engine": { "model": "model" } }, "slots": 8_192, "cold_limit": 64 },
+    ]}))?;
+    let operator = Client::new(format!("http://{}", daemon.operator_address()), TOKEN)?;
+    let mut tries = 0;
+    loop {
+        let id = format!("change-{tries}").into();
+        let apply = Apply { id, base: 0, document: document.clone(), wait_ms: 5_000 };
+        match operator.apply(&apply).await {
+            Ok(_) => break,
+            Err(error) if tries == 50 => return Err(error.into()),
+            Err(_) => tokio::time::sleep(Duration::from_millis(100)).await,
+        }
+        tries += 1;
+    }
+    while !daemon.is_ready() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/tests/settings.rs
@@ -0,0 +1,53 @@
+//! Settings and their errors.
+
+use acacia_daemon::Settings;
+use acacia_daemon::settings::Fault;
+
+const LEAST: &str = r#"{ "zone": "a", "kv": ["127.0.0.1:1"], "list": "127.0.0.1:2" }"#;
+
+/// The setting at fault and where it stands in the text.
+fn fault(text: &str) -> (String, usize) {
+    match Settings::parse("test", text.to_owned()).map_err(|fault| *fault) {
+        Err(Fault::Wrong { field, at, .. }) => (field, at.offset()),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn parse_least() {
+    assert!(Settings::parse("test", LEAST.to_owned()).is_ok());
+}
+
+#[test]
+fn parse_unknown_key() {
+    let text = LEAST.replace("\"list\"", "\"lists\": 1, \"list\"");
+    let (field, at) = fault(&text);
+    assert_eq!(field, "lists");
+    let key = text.find("\"lists\"").expect("the key is in the text");
+    assert!((key..key + "\"lists\"".len()).contains(&at), "{at}");
+}
+
+#[test]
+fn parse_wrong_type() {
+    let text = LEAST.replace("\"zone\"", "\"threads\": \"two\", \"zone\"");
+    assert_eq!(fault(&text).0, "threads");
+}
+
+#[test]
+fn parse_unusable_value() {
+    let text = LEAST.replace("\"zone\"", "\"threads\": 0, \"zone\"");
+    let (field, at) = fault(&text);
+    assert_eq!(field, "threads");
+    assert!(text[at..].starts_with("\"threads\""));
+}
+
+#[test]
+fn parse_nested_unknown_key() {
+    let text = LEAST.replace("\"zone\"", "\"times\": { \"poll\": 1 }, \"zone\"");
+    assert_eq!(fault(&text).0, "times.poll");
+}
+
+#[test]
+fn parse_trailing_text() {
+    fault(&format!("{LEAST} x"));
+}
