--- a/crates/policy/src/control/ownership.rs
+++ b/crates/policy/src/control/ownership.rs
@@ -68,6 +68,8 @@
     ghosts: Ghosts,
     /// When what earlier holders left running has surely ended, on an instance without reports.
     ghosts_by: Time,
+    /// From when a report shows everything that earlier holders could start.
+    ghosts_from: Time,
     limit: u32,
     answered: u32,
     says_warm: bool,
@@ -95,6 +97,7 @@
             holders: BTreeMap::new(),
             ghosts,
             ghosts_by: now + VALID_OUT + RUN,
+            ghosts_from: now + VALID_OUT,
             limit: capacity.cold,
             answered: 0,
             says_warm: false,
@@ -161,6 +164,7 @@
         self.ghosts = match self.ghosts {
             Ghosts::Unknown(at) if load.sampled_at < at => Ghosts::Unknown(at),
             Ghosts::Unknown(_) => Ghosts::Known(running),
+            Ghosts::Known(ghosts) if load.sampled_at < self.ghosts_from => Ghosts::Known(ghosts),
             Ghosts::Known(ghosts) => Ghosts::Known(ghosts.min(running)),
         };
         self.says_warm = !load.cold && now.saturating_sub(load.sampled_at) < FRESH;
--- a/crates/policy/tests/control_regression.rs
+++ b/crates/policy/tests/control_regression.rs
@@ -254,3 +254,10 @@
     ];
     holds(11_674_237_205_868_410_337, ops);
 }
+
+/// A report from before the permits of a leaving owner were used hid what it handed over.
+#[test]
+fn report_before_start() {
+    let ops = vec![Ask(1, 87, 4), Pause(17, 148), Ask(119, 220, 1), Ask(66, 211, 1), Stop(86)];
+    holds(18_035_854_056_635_632_094, ops);
+}
