--- a/crates/policy/tests/dispatch_fuzz.rs
+++ b/crates/policy/tests/dispatch_fuzz.rs
@@ -21,6 +21,8 @@
 const STEPS: u64 = 100_000;
 /// Cases in which a switched-off rule must be caught.
 const BROKEN_CASES: u64 = 40;
+/// Cases of each strategy that is compared against.
+const STRATEGY_CASES: u64 = 5;
 
 thread_local! {
     static TAKEN: Cell<u64> = const { Cell::new(0) };
@@ -60,6 +62,20 @@
     World::new(1, Strategy::Ours, None).play(&ops).expect("promises hold");
 }
 
+#[test]
+fn promises_strategies() {
+    let others =
+        [Strategy::LeastLoaded, Strategy::Affinity, Strategy::NoImport, Strategy::ExportAll];
+    for strategy in others {
+        for seed in 0..STRATEGY_CASES {
+            let mut random = Gen::from_size_and_seed(OPS, seed);
+            let ops: Vec<Op> = (0..OPS).map(|_| Op::arbitrary(&mut random)).collect();
+            let outcome = World::new(seed, strategy, None).play(&ops);
+            assert_eq!(outcome, Ok(()), "{strategy}, seed {seed}");
+        }
+    }
+}
+
 fn is_caught(rule: Rule) -> Option<String> {
     (0..BROKEN_CASES).find_map(|seed| {
         let mut random = Gen::from_size_and_seed(OPS, seed);
