Control: witnesses of every earlier epoch are asked

Change: probes go to every witness whose address is known. Figures: earlier_witnesses_asked broke the recovery before (daemon 1 knows d3 of d1, d2, d3, d5, d6), passes after.

--- a/crates/policy/src/control/membership.rs
+++ b/crates/policy/src/control/membership.rs
@@ -369,11 +369,11 @@
         let earlier = self.epoch.earlier.iter().flatten();
         let earlier = earlier.filter(|_| self.settled_at.is_none());
         let names: BTreeSet<_> = self.epoch.witnesses.iter().chain(earlier).collect();
-        let members = self.epoch.members.iter().chain(&self.epoch.left);
-        for member in members.filter(|m| names.contains(&m.daemon)) {
-            if member.daemon != out.me().daemon {
+        let me = out.me().daemon.clone();
+        for name in names.into_iter().filter(|n| **n != me) {
+            if let Some(address) = self.known.get(name) {
                 let probe = Probe { epoch: self.epoch.number, sent: now };
-                out.send(member.address, Message::Probe(probe));
+                out.send(*address, Message::Probe(probe));
             }
         }
     }
--- a/crates/policy/tests/control_regression.rs
+++ b/crates/policy/tests/control_regression.rs
@@ -261,3 +261,20 @@
     let ops = vec![Ask(1, 87, 4), Pause(17, 148), Ask(119, 220, 1), Ask(66, 211, 1), Stop(86)];
     holds(18_035_854_056_635_632_094, ops);
 }
+
+/// A daemon left alone in the epoch no longer asked witnesses of epochs further back.
+#[test]
+fn earlier_witnesses_asked() {
+    let ops = vec![
+        Stop(11),
+        Run(362),
+        Start,
+        Run(441),
+        Part(56, false),
+        Run(1549),
+        Part(231, true),
+        Run(1139),
+        Run(863),
+    ];
+    holds(13_106_783_087_983_372_518, ops);
+}
