A graceful stop no longer waits for peers' silent connections; capacity's tables say more

Cause: acacia capacity measure hung with 18 daemons. One daemon's stop took 29 s and another's 30 s: the peer server waited for connections that a peer had opened and never used, and servers were stopped one after another. Ruled out: open requests (none), hand-over (bounded at 5 s). Change: all servers begin to stop at once; peers' connections get 1 s, operators' 12 s, callers' as long as they take. The tables print decimals and the bytes of membership changes; fleets are measured without warm-up. Left: a caller's connection that says nothing still delays a stop, up to the stall time.

--- a/crates/cli/src/capacity/measure.rs
+++ b/crates/cli/src/capacity/measure.rs
@@ -127,6 +127,7 @@
 async fn traffic(requests: usize, tokens: usize) -> Result<Traffic, Error> {
     let layout = Layout { daemons: 1, slots: 64, ..Layout::small() };
     let system = System::start(layout, Strategy::Ours, SCALE).await?;
+    system.warm_up().await?;
     let client = Client::new(Balancer::new(system.entries()));
     let key = layout::key(0);
     let before = thread::time("traffic");
--- a/crates/cli/src/capacity/sample.rs
+++ b/crates/cli/src/capacity/sample.rs
@@ -57,6 +57,9 @@
     pub memory_bytes_per_daemon: f64,
     /// Time until a change is in force everywhere, in milliseconds.
     pub change_spread_ms: f64,
+    /// Bytes of the membership.
+    #[serde(default)]
+    pub epoch_bytes: Option<f64>,
 }
 
 /// What the configuration costs at one size.
--- a/crates/cli/src/capacity/table.rs
+++ b/crates/cli/src/capacity/table.rs
@@ -24,6 +24,15 @@
 /// Tokens generated a second at the peak.
 const TOKENS: f64 = 6_700_000.0;
 
+/// Digits that count in a printed number.
+const DIGITS: i32 = 3;
+/// Instances that fail, restart or are replaced in a day.
+const REPLACED: f64 = 89.0 + 760.0;
+/// Changes of the membership for each of them: it leaves, another joins.
+const EPOCHS_EACH: f64 = 2.0;
+/// Seconds in a day.
+const DAY: f64 = 86_400.0;
+
 /// One cost with its budget.
 struct Cost {
     name: &'static str,
@@ -131,7 +140,18 @@
             cost.mechanism
         )?;
     }
-    writeln!(page)
+    writeln!(page)?;
+    let largest = samples.iter().max_by(|a, b| a.daemons.total_cmp(&b.daemons));
+    let Some(epoch) = largest.and_then(|c| c.epoch_bytes) else { return Ok(()) };
+    writeln!(
+        page,
+        "No daemon joined or left in these runs. A membership of {} daemons is {} bytes; {REPLACED} \
+         instances a day that leave and join again make {} bytes a second of it to each daemon, each \
+         told once.\n",
+        TWO_YEARS.daemons,
+        number(epoch),
+        number(REPLACED * EPOCHS_EACH / DAY * epoch)
+    )
 }
 
 fn derivation(estimate: &Estimate) -> String {
@@ -272,11 +292,13 @@
 
 /// A number with three digits that count.
 fn number(value: f64) -> String {
-    match value.abs() {
-        0.0 => "0".to_owned(),
-        size if size >= 1e6 => format!("{:.2}M", value / 1e6),
-        size if size >= 100.0 || value.fract() == 0.0 => format!("{value:.0}"),
-        size if size >= 1.0 => format!("{value:.1}"),
-        _ => format!("{value:.2e}"),
+    let size = value.abs();
+    if size >= 1e6 {
+        return format!("{:.2}M", value / 1e6);
+    }
+    if size == 0.0 || value.fract() == 0.0 {
+        return format!("{value:.0}");
     }
+    let decimals = (DIGITS - 1 - size.log10().floor() as i32).max(0);
+    format!("{value:.*}", usize::try_from(decimals).unwrap_or(0))
 }
--- a/crates/cli/src/load/run.rs
+++ b/crates/cli/src/load/run.rs
@@ -44,6 +44,7 @@
 /// Runs a plan; yields the system too, still running.
 pub async fn run(plan: &Plan, bar: &ProgressBar) -> Result<(System, Report), Error> {
     let system = System::start(plan.layout.clone(), plan.strategy, plan.scale).await?;
+    system.warm_up().await?;
     let before = Meter::read(&system);
     let workload = Workload::draw(&plan.shape, plan.seed);
     let phases = phases(workload.length);
--- a/crates/cli/src/system.rs
+++ b/crates/cli/src/system.rs
@@ -85,7 +85,6 @@
         let system = Self { layout, outside, daemons };
         system.publish(scale).await?;
         system.wait_ready().await?;
-        system.warm_up().await?;
         Ok(system)
     }
 
@@ -129,7 +128,7 @@
     }
 
     /// Sends short queries and lookups until every daemon takes every upstream for warm.
-    async fn warm_up(&self) -> Result<(), Error> {
+    pub async fn warm_up(&self) -> Result<(), Error> {
         let client = Client::new(Balancer::new(self.entries()));
         for round in 0..WARM_UP_ROUNDS {
             if self.is_warm().await? {
--- a/crates/daemon/src/assembly.rs
+++ b/crates/daemon/src/assembly.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use acacia_caller::{Limits, Server};
 use acacia_catalog::id::DaemonId;
@@ -31,6 +32,10 @@
 use crate::traffic::Traffic;
 use crate::{poll, transfer};
 
+/// Longest that a stop waits for peers' connections: a peer may hold one open and say nothing.
+const PEER_PATIENCE: Duration = Duration::from_secs(1);
+/// Longest that a stop waits for operators; whoever waits longer asks again with the change id.
+const OPERATOR_PATIENCE: Duration = Duration::from_secs(12);
 /// Events that wait for the control thread.
 const CONTROL_QUEUE: usize = 16_384;
 /// Exports that wait.
@@ -38,7 +43,7 @@
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 /// Time between two ticks of the dispatcher.
-const DISPATCH_TICK: std::time::Duration = std::time::Duration::from_millis(10);
+const DISPATCH_TICK: Duration = Duration::from_millis(10);
 
 /// What several parts need.
 struct Common {
@@ -101,7 +106,7 @@
             tracing::error!(%error, "the server for callers ended");
         }
     });
-    Ok((address, Serving { handle, task }))
+    Ok((address, Serving { handle, task, patience: None }))
 }
 
 fn serve_operators(common: &Common, listener: TcpListener) -> io::Result<Serving> {
@@ -115,7 +120,8 @@
         kv: common.kv.clone(),
     };
     let routes = acacia_operator::server::router(Arc::new(operators), Arc::new(keys));
-    serve(listener, Router::new().push(routes).push(observe::router(&common.traffic)))
+    let routes = Router::new().push(routes).push(observe::router(&common.traffic));
+    serve(listener, routes, OPERATOR_PATIENCE)
 }
 
 fn serve_peers(common: &Common, listener: TcpListener) -> io::Result<Serving> {
@@ -128,7 +134,7 @@
         }
         Delivery::Taken
     };
-    serve(listener, acacia_peer::server::router(sink, Arc::default()))
+    serve(listener, acacia_peer::server::router(sink, Arc::default()), PEER_PATIENCE)
 }
 
 fn start_control(
@@ -156,7 +162,7 @@
 }
 
 /// Serves routes on a listener.
-fn serve(listener: TcpListener, routes: Router) -> io::Result<Serving> {
+fn serve(listener: TcpListener, routes: Router, patience: Duration) -> io::Result<Serving> {
     let server = salvo::Server::new(TcpAcceptor::try_from(listener)?);
     let handle = server.handle();
     let task = tokio::spawn(async move {
@@ -164,7 +170,7 @@
             tracing::error!(%error, "a server ended");
         }
     });
-    Ok(Serving { handle, task })
+    Ok(Serving { handle, task, patience: Some(patience) })
 }
 
 fn listen(
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -49,6 +49,8 @@
 pub(crate) struct Serving {
     pub(crate) handle: ServerHandle,
     pub(crate) task: JoinHandle<()>,
+    /// How long a stop waits for its open connections; for as long as they take when absent.
+    pub(crate) patience: Option<Duration>,
 }
 
 /// Why a daemon can't start.
@@ -132,8 +134,11 @@
         while self.traffic.open() > 0 {
             tokio::time::sleep(DRAIN_PERIOD).await;
         }
-        for server in std::mem::take(&mut self.servers) {
-            server.handle.stop_graceful(None);
+        let servers = std::mem::take(&mut self.servers);
+        for server in &servers {
+            server.handle.stop_graceful(server.patience);
+        }
+        for server in servers {
             // Ends once each connection has been written out and closed.
             let _ = server.task.await;
         }
