Capacity's tables sort their samples once

Cause: a read of the whole change found four copies of one filter in table.rs, and control's samples picked twice. Change: samples are sorted by kind once; each table takes its own.

--- a/crates/cli/src/capacity/table.rs
+++ b/crates/cli/src/capacity/table.rs
@@ -97,21 +97,40 @@
 /// All tables, in Markdown.
 pub fn render(samples: &[Sample]) -> String {
     let mut page = String::new();
+    let sorted = Sorted::new(samples);
     // Writing to a string does not fail.
-    let _ = two_years(&mut page, &control(samples));
-    let _ = traffic(&mut page, samples);
-    let _ = catalogue(&mut page, samples);
-    let _ = fleet(&mut page, samples);
-    let _ = points(&mut page, &control(samples));
+    let _ = two_years(&mut page, &sorted.control);
+    let _ = traffic(&mut page, &sorted.traffic);
+    let _ = catalogue(&mut page, &sorted.catalogue);
+    let _ = fleet(&mut page, &sorted.fleet);
+    let _ = points(&mut page, &sorted.control);
     page
 }
 
-fn control<'a>(samples: &'a [Sample]) -> Vec<&'a Control> {
-    let only = |s: &'a Sample| match s {
-        Sample::Control(c) if c.phase == "work" => Some(c),
-        _ => None,
-    };
-    samples.iter().filter_map(only).collect()
+/// Samples by kind.
+#[derive(Default)]
+struct Sorted<'a> {
+    control: Vec<&'a Control>,
+    catalogue: Vec<&'a Catalogue>,
+    fleet: Vec<&'a Fleet>,
+    traffic: Vec<&'a Traffic>,
+}
+
+impl<'a> Sorted<'a> {
+    /// Sorts samples; control's only while it was at work.
+    fn new(samples: &'a [Sample]) -> Self {
+        let mut sorted = Self::default();
+        for sample in samples {
+            match sample {
+                Sample::Control(control) if control.phase == "work" => sorted.control.push(control),
+                Sample::Control(_) => {}
+                Sample::Catalogue(catalogue) => sorted.catalogue.push(catalogue),
+                Sample::Fleet(fleet) => sorted.fleet.push(fleet),
+                Sample::Traffic(traffic) => sorted.traffic.push(traffic),
+            }
+        }
+        sorted
+    }
 }
 
 fn two_years(page: &mut String, samples: &[&Control]) -> std::fmt::Result {
@@ -167,19 +186,14 @@
     if value <= budget { "yes" } else { "**no**" }
 }
 
-fn traffic<'a>(page: &mut String, samples: &'a [Sample]) -> std::fmt::Result {
-    let only = |s: &'a Sample| match s {
-        Sample::Traffic(t) => Some(t),
-        _ => None,
-    };
-    let all: Vec<&Traffic> = samples.iter().filter_map(only).collect();
+fn traffic(page: &mut String, all: &[&Traffic]) -> std::fmt::Result {
     if all.is_empty() {
         return Ok(());
     }
     writeln!(page, "### Traffic threads of a daemon\n")?;
     writeln!(page, "| requests | output tokens of each | µs of processor time a request |")?;
     writeln!(page, "|---|---|---|")?;
-    for t in &all {
+    for t in all {
         let cost = number(t.cpu_us_per_request);
         writeln!(page, "| {} | {} | {cost} |", t.traffic_requests, t.traffic_tokens)?;
     }
@@ -200,12 +214,7 @@
     )
 }
 
-fn catalogue<'a>(page: &mut String, samples: &'a [Sample]) -> std::fmt::Result {
-    let only = |s: &'a Sample| match s {
-        Sample::Catalogue(c) => Some(c),
-        _ => None,
-    };
-    let all: Vec<&Catalogue> = samples.iter().filter_map(only).collect();
+fn catalogue(page: &mut String, all: &[&Catalogue]) -> std::fmt::Result {
     if all.is_empty() {
         return Ok(());
     }
@@ -231,12 +240,7 @@
     writeln!(page)
 }
 
-fn fleet<'a>(page: &mut String, samples: &'a [Sample]) -> std::fmt::Result {
-    let only = |s: &'a Sample| match s {
-        Sample::Fleet(f) => Some(f),
-        _ => None,
-    };
-    let all: Vec<&Fleet> = samples.iter().filter_map(only).collect();
+fn fleet(page: &mut String, all: &[&Fleet]) -> std::fmt::Result {
     if all.is_empty() {
         return Ok(());
     }
