--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -7,8 +7,8 @@
 use std::thread::JoinHandle;
 
 use acacia_catalog::id::DaemonId;
-use acacia_platform::count::Kind;
-use acacia_platform::kv;
+use acacia_etcd::count::Kind;
+use acacia_etcd::kv;
 use acacia_policy::control::{
     Action, ChangeOutcome, Control, Event, Line, OrderOutcome, TICK, Ticket,
 };
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -11,19 +11,38 @@
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version)]
 struct Arguments {
-    /// The settings, in JSON
-    #[bpaf(argument("FILE"))]
-    settings: PathBuf,
+    #[bpaf(external)]
+    source: Source,
     /// Check the settings and end
     check: bool,
 }
 
+/// Where the settings come from.
+#[derive(Bpaf, Clone, Debug)]
+enum Source {
+    File {
+        /// The settings, in JSON
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
+    /// Run on the users' platform, by the settings that it names in the environment
+    Platform,
+}
+
 fn main() -> miette::Result<()> {
     let arguments = arguments().run();
-    let settings =
-        Settings::read(&arguments.settings).map_err(|fault| miette::Report::new(*fault))?;
+    let file = match &arguments.source {
+        Source::File { settings } => settings,
+        Source::Platform if arguments.check => {
+            let path = acacia_gateway::check()?;
+            println!("{}: the settings are good", path.display());
+            return Ok(());
+        }
+        Source::Platform => return acacia_gateway::run(),
+    };
+    let settings = Settings::read(file).map_err(|fault| miette::Report::new(*fault))?;
     if arguments.check {
-        println!("{}: the settings are good", arguments.settings.display());
+        println!("{}: the settings are good", file.display());
         return Ok(());
     }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
--- a/crates/daemon/src/poll.rs
+++ b/crates/daemon/src/poll.rs
@@ -6,7 +6,7 @@
 
 use acacia_catalog::id::{DaemonId, Incarnation, UpstreamId};
 use acacia_catalog::object::Role;
-use acacia_platform::list;
+use acacia_etcd::list;
 use acacia_policy::control::{self, Observation};
 use acacia_policy::dispatch::Event;
 use futures::{StreamExt, stream};
--- a/crates/platform/tests/fuzz.rs
+++ b/crates/etcd/tests/fuzz.rs
@@ -1,6 +1,6 @@
 //! Random calls under random faults against what the service really holds.
 
-use acacia_platform::kv::Client;
+use acacia_etcd::kv::Client;
 use acacia_policy::kv::{Entry, Failure, LeaseId, Outcome, Reply, Request};
 use acacia_standin::{Fault, kv};
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
--- a/crates/platform/tests/kv.rs
+++ b/crates/etcd/tests/kv.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use acacia_platform::count::Kind;
-use acacia_platform::kv::Client;
+use acacia_etcd::count::Kind;
+use acacia_etcd::kv::Client;
 use acacia_policy::kv::{Failure, Reply, Request};
 use acacia_standin::{Counter, Fault, kv};
 
--- a/crates/platform/tests/list.rs
+++ b/crates/etcd/tests/list.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use acacia_platform::list::{Client, Error};
+use acacia_etcd::list::{Client, Error};
 use acacia_policy::control::InstanceKind;
 use acacia_standin::Fault;
 use acacia_standin::list::{Instance, Kind, Presence, Settings, start};
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,259 @@
+//! One send of a request to one upstream.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use acacia_connection::{Connection, Fault, Head, KeepAlive, request};
+use acacia_platform::upstream::{self, Meaning, Reply};
+use acacia_policy::gateway::{Attempt, Ending, Plan};
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+
+use crate::event::Splitter;
+use crate::traffic::Traffic;
+
+/// Longest wait for a connection: servers answer within a few milliseconds, or not at all.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// How a silent upstream is noticed: soon enough that few requests wait for it.
+const KEEP_ALIVE: KeepAlive = KeepAlive {
+    idle: Duration::from_secs(1),
+    interval: Duration::from_secs(1),
+    probes: 2,
+    unacknowledged: Duration::from_millis(1_200),
+};
+/// Largest answer that is held back until it is whole.
+const ANSWER_LIMIT: usize = 16 << 20;
+/// Answers to other requests that are passed over on one connection.
+const STRAY_LIMIT: usize = 2;
+
+/// A caller's request, whole.
+#[derive(Debug)]
+pub struct Message {
+    /// Its method.
+    pub method: Method,
+    /// Its target, with the query.
+    pub target: String,
+    /// The fields that go on to upstreams.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// What came of an attempt.
+pub enum Outcome {
+    /// The upstream's whole answer; a success or a failure of its own.
+    Whole(Head, Bytes),
+    /// The upstream's stream, with its first whole events.
+    Stream(Box<Stream>),
+    /// No answer that can be used. What the attempt said of itself is in the plan.
+    None,
+}
+
+/// A stream that has begun.
+pub struct Stream {
+    /// The head of the answer.
+    pub head: Head,
+    /// Its first whole events.
+    pub first: Bytes,
+    /// What follows.
+    pub flight: Flight,
+    /// Splits it into events.
+    pub splitter: Splitter,
+}
+
+/// An attempt on its way. If it is dropped, the caller left: the connection closes and the upstream
+/// stops.
+pub struct Flight {
+    traffic: Rc<Traffic>,
+    /// The request.
+    pub plan: Option<Plan>,
+    attempt: Attempt,
+    connection: Option<Connection>,
+}
+
+impl Flight {
+    /// Begins an attempt.
+    pub fn new(traffic: Rc<Traffic>, plan: Plan, attempt: Attempt) -> Self {
+        Self { traffic, plan: Some(plan), attempt, connection: None }
+    }
+
+    /// The attempt.
+    pub fn attempt(&self) -> &Attempt {
+        &self.attempt
+    }
+
+    /// Ends the attempt and gives the request back.
+    pub fn end(&mut self, ending: Ending, instance: Option<&str>) -> Option<Plan> {
+        let mut plan = self.plan.take()?;
+        self.traffic.ended(&mut plan, &self.attempt, ending, instance);
+        Some(plan)
+    }
+
+    /// Reads the next bytes of a stream's body.
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, Fault> {
+        match &mut self.connection {
+            Some(connection) => connection.chunk().await,
+            None => Err(Fault::Closed),
+        }
+    }
+
+    /// Keeps the connection for another request, after a whole answer.
+    pub fn release(&mut self, head: &Head) {
+        let Some(connection) = self.connection.take().filter(Connection::is_reusable) else {
+            return;
+        };
+        let granted = upstream::idle_time(&head.headers);
+        let now = self.traffic.now();
+        self.traffic.pool.borrow_mut().put(now, &self.attempt.server.id, connection, granted);
+    }
+
+    /// Takes in that the first event, or a whole plain answer, came.
+    fn began(&mut self) {
+        let now = self.traffic.now();
+        if let Some(plan) = &self.plan {
+            self.traffic.gateway.borrow_mut().began(now, plan, &mut self.attempt);
+            let took = now.saturating_sub(plan.arrived);
+            self.traffic.metrics.first_byte(&plan.route.name, took);
+        }
+    }
+
+    /// A connection to the upstream.
+    async fn connect(&mut self, is_careful: bool) -> io::Result<&mut Connection> {
+        let server = &self.attempt.server;
+        let now = self.traffic.now();
+        let kept = self.traffic.pool.borrow_mut().take(now, &server.id, is_careful);
+        let connection = match kept {
+            Some(connection) => connection,
+            None => {
+                self.traffic.metrics.connected();
+                Connection::open(server.address, CONNECT_TIMEOUT, KEEP_ALIVE).await?
+            }
+        };
+        Ok(self.connection.insert(connection))
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        if let Some(mut plan) = self.plan.take() {
+            self.traffic.ended(&mut plan, &self.attempt, Ending::Cancelled, None);
+        }
+    }
+}
+
+/// Sends a request and waits for a whole plain answer, or for a stream's first event.
+pub async fn send(
+    mut flight: Flight,
+    message: &Message,
+    last_event: Option<Bytes>,
+) -> (Option<Plan>, Outcome) {
+    let Some(plan) = &flight.plan else { return (None, Outcome::None) };
+    let left = plan.left(flight.traffic.now());
+    let patience = flight.attempt.patience.filter(|patience| *patience < left);
+    let exchange = exchange(&mut flight, message, last_event, left);
+    match tokio::time::timeout(patience.unwrap_or(left), exchange).await {
+        Ok(Ok(Received::Whole(head, body))) => whole(flight, head, body),
+        Ok(Ok(Received::Stream(head, first, splitter))) => {
+            let stream = Stream { head, first, flight, splitter };
+            (None, Outcome::Stream(Box::new(stream)))
+        }
+        Ok(Err((ending, instance))) => (flight.end(ending, instance.as_deref()), Outcome::None),
+        Err(_) if patience.is_some() => (flight.end(Ending::Silent, None), Outcome::None),
+        Err(_) => (flight.end(Ending::Expired, None), Outcome::None),
+    }
+}
+
+/// Ends an attempt with the upstream's own answer.
+fn whole(mut flight: Flight, head: Head, body: Bytes) -> (Option<Plan>, Outcome) {
+    flight.began();
+    flight.release(&head);
+    let reply = Reply::read(head.status, &head.headers);
+    let ending = if reply.meaning == Meaning::Failure { Ending::Failed } else { Ending::Answered };
+    let plan = flight.end(ending, reply.instance);
+    (plan, Outcome::Whole(head, body))
+}
+
+/// What an exchange brought.
+enum Received {
+    Whole(Head, Bytes),
+    Stream(Head, Bytes, Splitter),
+}
+
+/// How an exchange failed, with the upstream that answered.
+type Failed = (Ending, Option<String>);
+
+async fn exchange(
+    flight: &mut Flight,
+    message: &Message,
+    last_event: Option<Bytes>,
+    left: Duration,
+) -> Result<Received, Failed> {
+    let Some(plan) = flight.plan.clone() else { return Err((Ending::Cancelled, None)) };
+    let is_careful = !plan.route.repeat.is_repeatable();
+    let mut headers = message.headers.clone();
+    let last = last_event.as_ref().and_then(|id| std::str::from_utf8(id).ok());
+    upstream::set_attempt(&mut headers, &plan, &flight.attempt, left, last);
+    let bytes = request(&message.method, &message.target, &headers, message.body.len());
+    let connection =
+        flight.connect(is_careful).await.map_err(|_| (Ending::Unreachable, None))?;
+    let broken = |_: Fault| (Ending::Broken, None);
+    connection.send(&message.method, &bytes, &message.body).await.map_err(broken)?;
+    let head = own_head(connection, &plan.id).await?;
+    let reply = Reply::read(head.status, &head.headers);
+    let instance = reply.instance.map(str::to_owned);
+    match reply.meaning {
+        Meaning::NotRun | Meaning::Misdirected => {
+            let ending = match reply.meaning {
+                Meaning::NotRun => Ending::Refused,
+                _ => Ending::Misdirected,
+            };
+            if connection.body(ANSWER_LIMIT).await.is_ok() {
+                flight.release(&head);
+            }
+            Err((ending, instance))
+        }
+        Meaning::Unproven => Err((Ending::Broken, instance)),
+        Meaning::Success if plan.route.repeat.is_stream() && head.status.is_success() => {
+            first_event(flight, head, last_event).await
+        }
+        Meaning::Success | Meaning::Failure => {
+            let body = connection.body(ANSWER_LIMIT).await.map_err(broken)?;
+            Ok(Received::Whole(head, body))
+        }
+    }
+}
+
+/// The head of the answer to this request. An answer to an earlier one may come before it.
+async fn own_head(connection: &mut Connection, id: &str) -> Result<Head, Failed> {
+    for _ in 0..=STRAY_LIMIT {
+        let head = connection.head().await.map_err(|_| (Ending::Broken, None))?;
+        if Reply::read(head.status, &head.headers).id == Some(id) {
+            return Ok(head);
+        }
+        connection.body(ANSWER_LIMIT).await.map_err(|_| (Ending::Broken, None))?;
+    }
+    Err((Ending::Broken, None))
+}
+
+/// Waits for the first whole event of a stream.
+async fn first_event(
+    flight: &mut Flight,
+    head: Head,
+    last_event: Option<Bytes>,
+) -> Result<Received, Failed> {
+    let mut splitter = Splitter::after(last_event);
+    loop {
+        match flight.chunk().await {
+            Ok(Some(bytes)) => {
+                let first = splitter.push(&bytes);
+                if !first.is_empty() {
+                    flight.began();
+                    return Ok(Received::Stream(head, first, splitter));
+                }
+            }
+            Ok(None) => return Ok(Received::Whole(head, splitter.rest())),
+            Err(_) => return Err((Ending::Broken, None)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control.rs
@@ -0,0 +1,243 @@
+//! The control thread: follows the metadata store and hands traffic a view of it.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_platform::Settings;
+use acacia_platform::document::instance_key;
+use acacia_platform::store::{Client, WatchFailure, Written};
+use acacia_policy::gateway::View;
+use acacia_policy::kv::{Failure, LeaseId, ModRevision};
+use rand::RngExt;
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+use crate::holder::Orderer;
+use crate::metric::Metrics;
+use crate::picture::{Belief, Picture};
+use crate::traffic::millis;
+
+/// Longest wait of a watch, as long as the platform allows.
+const WATCH_WAIT: Duration = Duration::from_secs(30);
+/// Pause between two watches, in which changes gather: a quarter of the shortest time within which
+/// a change must be in force.
+const WATCH_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after a failed call, doubled with each further one.
+const FAILURE_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause after failed calls: a store that is back must be heard within a second.
+const FAILURE_PAUSE_LIMIT: Duration = Duration::from_millis(400);
+/// How long this instance stays listed after its last sign of life.
+const LISTED: Duration = Duration::from_secs(10);
+/// Time between its signs of life: three fit into the lease.
+const SIGN_OF_LIFE: Duration = Duration::from_secs(3);
+
+/// State of the control thread.
+pub struct Control {
+    /// The clock.
+    pub clock: Clock,
+    /// Settings of the process.
+    pub settings: Settings,
+    /// What the store says.
+    pub picture: RefCell<Picture>,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Random id of this process's life.
+    pub life: u64,
+    views: watch::Sender<Option<Arc<View>>>,
+}
+
+impl Control {
+    /// A control thread's state before it has heard anything.
+    pub fn new(
+        clock: Clock,
+        settings: Settings,
+        metrics: Metrics,
+        views: watch::Sender<Option<Arc<View>>>,
+    ) -> Self {
+        // Keys and messages hold numbers that every JSON reader takes whole.
+        let life = rand::rng().random::<u64>() >> 12;
+        Self { clock, settings, picture: RefCell::default(), metrics, life, views }
+    }
+
+    /// Runs until `stop` tells to stop.
+    pub async fn run(self: Rc<Self>, mut stop: watch::Receiver<bool>) {
+        let follow = tokio::task::spawn_local(self.clone().follow());
+        let lease = Rc::new(RefCell::new(None));
+        let list = tokio::task::spawn_local(self.clone().stay_listed(lease.clone()));
+        let orderer = Orderer::new(self.clone());
+        let order = tokio::task::spawn_local(orderer.clone().run());
+        let _ = stop.wait_for(|stop| *stop).await;
+        order.abort();
+        list.abort();
+        orderer.stop().await;
+        let lease = *lease.borrow();
+        if let Some(lease) = lease {
+            self.end_lease(lease).await;
+        }
+        follow.abort();
+    }
+
+    /// Hands traffic the present view.
+    pub fn publish(&self) {
+        if let Some(view) = self.picture.borrow().view() {
+            self.views.send_replace(Some(Arc::new(view)));
+        }
+    }
+
+    /// Gives a lease back; if that fails it ends by itself.
+    pub async fn end_lease(&self, lease: LeaseId) {
+        self.metrics.store_call("revoke");
+        if let Err(failure) = Client::new(self.settings.store_address).revoke(lease).await {
+            tracing::info!(%failure, lease, "a lease could not be given back and will lapse");
+        }
+    }
+
+    /// Reads everything, then follows the changes.
+    async fn follow(self: Rc<Self>) {
+        let mut client = Client::new(self.settings.store_address);
+        let mut failures = 0;
+        let mut after: Option<ModRevision> = None;
+        loop {
+            let heard = match after {
+                None => self.read_all(&mut client).await,
+                Some(revision) => self.watch(&mut client, revision).await,
+            };
+            match heard {
+                Ok(revision) => {
+                    failures = 0;
+                    after = Some(revision);
+                }
+                Err(WatchFailure::HistoryLost) => {
+                    tracing::warn!(after, "the store's history is gone; everything is read anew");
+                    after = None;
+                }
+                Err(WatchFailure::Call(failure)) => {
+                    self.lose(failure);
+                    let pause = FAILURE_PAUSE * 2_u32.pow(failures);
+                    failures = (failures + 1).min(4);
+                    let spread = rand::rng().random_range(0.5..1.0);
+                    tokio::time::sleep(pause.min(FAILURE_PAUSE_LIMIT).mul_f64(spread)).await;
+                }
+            }
+        }
+    }
+
+    async fn read_all(&self, client: &mut Client) -> Result<ModRevision, WatchFailure> {
+        let mut entries = Vec::new();
+        let mut after = String::new();
+        let mut first = None;
+        loop {
+            self.metrics.store_call("list");
+            let page = client.list("", &after).await?;
+            // Pages are read one after the other: what changed since the first one is watched for.
+            let revision = *first.get_or_insert(page.revision);
+            after = page.entries.last().map(|entry| entry.key.clone()).unwrap_or_default();
+            let is_last = !page.has_more || page.entries.is_empty();
+            entries.extend(page.entries);
+            if is_last {
+                self.regain();
+                let beliefs = self.picture.borrow_mut().replace(self.clock.now(), entries);
+                self.tell(beliefs, revision);
+                self.publish();
+                return Ok(revision);
+            }
+        }
+    }
+
+    async fn watch(
+        &self,
+        client: &mut Client,
+        after: ModRevision,
+    ) -> Result<ModRevision, WatchFailure> {
+        self.metrics.store_call("watch");
+        let changes = client.watch("", after, WATCH_WAIT).await?;
+        self.regain();
+        let now = self.clock.now();
+        let mut beliefs = Vec::new();
+        for change in &changes.changes {
+            beliefs.extend(self.picture.borrow_mut().apply(now, change));
+        }
+        if !beliefs.is_empty() {
+            self.tell(beliefs, changes.revision);
+            self.publish();
+        }
+        if !changes.changes.is_empty() {
+            tokio::time::sleep(WATCH_PAUSE).await;
+        }
+        Ok(changes.revision)
+    }
+
+    /// Logs what is believed now.
+    fn tell(&self, beliefs: Vec<Belief>, revision: ModRevision) {
+        for belief in beliefs {
+            match belief {
+                Belief::Malformed { key, problem } => {
+                    tracing::warn!(revision, key, problem, "a value in the store is passed over");
+                }
+                Belief::Holder => tracing::debug!(revision, "the holder told something"),
+                belief => tracing::info!(revision, belief = ?belief, "belief changed"),
+            }
+        }
+    }
+
+    /// The store failed.
+    fn lose(&self, failure: Failure) {
+        if self.picture.borrow_mut().fail(self.clock.now()) {
+            tracing::warn!(dependency = "store", %failure, "dependency lost");
+            self.publish();
+        }
+    }
+
+    /// The store answered.
+    fn regain(&self) {
+        let now = self.clock.now();
+        let lost = self.picture.borrow_mut().recover(now);
+        if let Some(since) = lost {
+            let after_ms = millis(now.saturating_sub(since));
+            tracing::info!(dependency = "store", after_ms, "dependency regained");
+            self.publish();
+        }
+    }
+
+    /// Keeps this instance on the list that limits are shared by.
+    async fn stay_listed(self: Rc<Self>, lease: Rc<RefCell<Option<LeaseId>>>) {
+        let mut client = Client::new(self.settings.store_address);
+        loop {
+            let kept = *lease.borrow();
+            let listed = match kept {
+                Some(kept) => {
+                    self.metrics.store_call("renew");
+                    client.renew(kept).await.map(|is_alive| is_alive.then_some(kept))
+                }
+                None => self.list(&mut client).await,
+            };
+            match listed {
+                Ok(Some(kept)) => {
+                    lease.replace(Some(kept));
+                    tokio::time::sleep(SIGN_OF_LIFE).await;
+                }
+                Ok(None) => {
+                    lease.replace(None);
+                    tokio::time::sleep(FAILURE_PAUSE).await;
+                }
+                Err(failure) => {
+                    tracing::debug!(%failure, "the sign of life failed");
+                    tokio::time::sleep(FAILURE_PAUSE_LIMIT).await;
+                }
+            }
+        }
+    }
+
+    async fn list(&self, client: &mut Client) -> Result<Option<LeaseId>, Failure> {
+        self.metrics.store_call("grant");
+        let (lease, _) = client.grant(LISTED.max(self.settings.least_lease)).await?;
+        self.metrics.store_call("write");
+        let key = instance_key(&self.settings.instance);
+        match client.write(&key, b"{}", None, lease).await? {
+            Written::Done(_) => Ok(Some(lease)),
+            Written::Conflict | Written::LeaseEnded => Ok(None),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/event.rs
@@ -0,0 +1,106 @@
+//! Streams of events, split where one ends.
+
+use bytes::{Bytes, BytesMut};
+
+/// Holds the bytes of an event back until it is whole, so that a caller never gets a part of one
+/// that its upstream broke off.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    buffer: BytesMut,
+    last: Option<Bytes>,
+}
+
+impl Splitter {
+    /// A splitter after the event with the id `last`.
+    pub fn after(last: Option<Bytes>) -> Self {
+        Self { buffer: BytesMut::new(), last }
+    }
+
+    /// Takes bytes in and gives the events that they complete, without those that were given
+    /// before.
+    pub fn push(&mut self, bytes: &Bytes) -> Bytes {
+        if self.buffer.is_empty() {
+            let end = last_end(bytes);
+            self.buffer.extend_from_slice(&bytes[end..]);
+            return self.take(bytes.slice(..end));
+        }
+        self.buffer.extend_from_slice(bytes);
+        let end = last_end(&self.buffer);
+        let events = self.buffer.split_to(end).freeze();
+        self.take(events)
+    }
+
+    /// Bytes after the last whole event, at the end of the stream.
+    pub fn rest(&mut self) -> Bytes {
+        self.buffer.split().freeze()
+    }
+
+    /// The id of the last event that was given.
+    pub fn last_id(&self) -> Option<&Bytes> {
+        self.last.as_ref()
+    }
+
+    /// Notes the last id, and leaves out events up to the one that a resumed stream went on from.
+    fn take(&mut self, events: Bytes) -> Bytes {
+        let mut kept = BytesMut::new();
+        let mut start = 0;
+        let mut dropped = false;
+        while start < events.len() {
+            let end = start + first_end(&events[start..]).unwrap_or(events.len() - start);
+            let event = events.slice(start..end);
+            start = end;
+            let id = id(&event);
+            if let (Some(id), Some(last)) = (&id, &self.last)
+                && !is_after(id, last)
+            {
+                dropped = true;
+                continue;
+            }
+            if let Some(id) = id {
+                self.last = Some(id);
+            }
+            kept.extend_from_slice(&event);
+        }
+        if dropped { kept.freeze() } else { events }
+    }
+}
+
+/// Whether an id follows another. Ids that aren't numbers are taken as they come.
+fn is_after(id: &[u8], last: &[u8]) -> bool {
+    let number = |bytes| std::str::from_utf8(bytes).ok()?.parse::<u64>().ok();
+    match (number(id), number(last)) {
+        (Some(id), Some(last)) => id > last,
+        _ => true,
+    }
+}
+
+/// Where the last whole event of `bytes` ends.
+fn last_end(bytes: &[u8]) -> usize {
+    let mut end = 0;
+    while let Some(next) = first_end(&bytes[end..]) {
+        end += next;
+    }
+    end
+}
+
+/// Where the first event ends: behind its empty line.
+fn first_end(bytes: &[u8]) -> Option<usize> {
+    let mut line = 0;
+    for (at, byte) in bytes.iter().enumerate() {
+        if *byte != b'\n' {
+            continue;
+        }
+        let content = bytes[line..at].strip_suffix(b"\r").unwrap_or(&bytes[line..at]);
+        if content.is_empty() && line > 0 {
+            return Some(at + 1);
+        }
+        line = at + 1;
+    }
+    None
+}
+
+/// The event's id.
+fn id(event: &Bytes) -> Option<Bytes> {
+    let line = event.split(|byte| *byte == b'\n').find_map(|line| line.strip_prefix(b"id:"))?;
+    Some(Bytes::copy_from_slice(line.trim_ascii()))
+}
--- /dev/null
+++ b/crates/gateway/src/holder.rs
@@ -0,0 +1,287 @@
+//! The right to order weights, and the orders of its holder.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_connection::{Connection, Fault, KeepAlive, request};
+use acacia_platform::document::{Holding, holder_key};
+use acacia_platform::store::{Client, Written};
+use acacia_platform::upstream::{self, Errand};
+use acacia_policy::Time;
+use acacia_policy::gateway::Server;
+use acacia_policy::gateway::rollout::{Act, Receipt, Rollout, Tenure};
+use acacia_policy::kv::{Failure, LeaseId};
+use bytes::Bytes;
+use http::StatusCode;
+
+use crate::control::Control;
+use crate::traffic::millis;
+
+/// Time that the right outlives its holder's last sign of life. Short, as wanted weights wait for
+/// it, yet several renewals long.
+const HOLD: Duration = Duration::from_millis(1_500);
+/// Time between renewals.
+const RENEWAL: Duration = Duration::from_millis(350);
+/// Time between two rounds of the rollout.
+const ROUND: Duration = Duration::from_millis(60);
+/// Pause of an instance for each other that may take the right before it.
+const TURN: Duration = Duration::from_millis(40);
+/// Longest wait for a connection to an engine.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest wait for an engine's answer to a call of ours; it needs no slot.
+const ERRAND_TIMEOUT: Duration = Duration::from_millis(800);
+/// How a silent engine is noticed; calls are short.
+const KEEP_ALIVE: KeepAlive = KeepAlive {
+    idle: Duration::from_secs(1),
+    interval: Duration::from_secs(1),
+    probes: 2,
+    unacknowledged: Duration::from_millis(800),
+};
+/// Largest answer of an engine to a call of ours.
+const ANSWER_LIMIT: usize = 1 << 20;
+
+/// Takes the right to order when nobody has it, and orders while it has.
+pub struct Orderer {
+    control: Rc<Control>,
+    lease: Cell<Option<Lease>>,
+    rollout: RefCell<Rollout>,
+    told: RefCell<Holding>,
+    fenced: Cell<bool>,
+}
+
+/// A lease of the store.
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    id: LeaseId,
+    taken: Time,
+    ends: Time,
+}
+
+impl Orderer {
+    /// An orderer without the right.
+    pub fn new(control: Rc<Control>) -> Rc<Self> {
+        Rc::new(Self {
+            control,
+            lease: Cell::default(),
+            rollout: RefCell::default(),
+            told: RefCell::default(),
+            fenced: Cell::default(),
+        })
+    }
+
+    /// Runs until it is dropped.
+    pub async fn run(self: Rc<Self>) {
+        let mut client = Client::new(self.control.settings.store_address);
+        let mut renewed = self.control.clock.now();
+        loop {
+            let now = self.control.clock.now();
+            match self.lease.get() {
+                Some(lease) if now >= lease.ends => self.lose("the lease ended"),
+                Some(lease) if now >= renewed + RENEWAL => {
+                    renewed = now;
+                    self.renew(&mut client, lease).await;
+                }
+                Some(_) => self.order(&mut client).await,
+                None if self.is_vacant() => {
+                    tokio::time::sleep(self.turn()).await;
+                    if self.is_vacant() {
+                        renewed = self.control.clock.now();
+                        self.take(&mut client).await;
+                    }
+                }
+                None => {}
+            }
+            tokio::time::sleep(ROUND).await;
+        }
+    }
+
+    /// Gives the right back.
+    pub async fn stop(&self) {
+        if let Some(lease) = self.lease.take() {
+            self.control.end_lease(lease.id).await;
+        }
+    }
+
+    /// Whether nobody has the right.
+    fn is_vacant(&self) -> bool {
+        let picture = self.control.picture.borrow();
+        picture.is_current() && picture.holder().is_none()
+    }
+
+    /// Pause before this instance takes the right, so that few try at once.
+    fn turn(&self) -> Duration {
+        let picture = self.control.picture.borrow();
+        let own = &self.control.settings.instance;
+        let before = picture.instances().iter().take_while(|name| *name < own).count();
+        TURN * u32::try_from(before).unwrap_or(0).min(MOST_TURNS)
+    }
+
+    async fn take(&self, client: &mut Client) {
+        let now = self.control.clock.now();
+        let taken = async {
+            self.control.metrics.store_call("grant");
+            let (id, ttl) = client.grant(HOLD.max(self.control.settings.least_lease)).await?;
+            self.lease.set(Some(Lease { id, taken: now, ends: now + ttl }));
+            let holding = self.holding();
+            self.control.metrics.store_call("write");
+            let written = client.write(&holder_key(), &holding.encode(), Some(0), id).await?;
+            self.told.replace(holding);
+            Ok::<_, Failure>(written)
+        };
+        match taken.await {
+            Ok(Written::Done(revision)) => {
+                self.fenced.set(false);
+                self.rollout.borrow_mut().reset();
+                tracing::info!(fence = revision, "took the right to order weights");
+            }
+            // The watch shows whether the right is ours after all.
+            Err(Failure::Ambiguous) => tracing::info!("no answer on who has the right to order"),
+            Ok(Written::Conflict | Written::LeaseEnded) | Err(_) => {
+                if let Some(lease) = self.lease.take() {
+                    self.control.end_lease(lease.id).await;
+                }
+            }
+        }
+    }
+
+    async fn renew(&self, client: &mut Client, lease: Lease) {
+        let sent = self.control.clock.now();
+        self.control.metrics.store_call("renew");
+        match client.renew(lease.id).await {
+            Ok(true) => {
+                let ttl = HOLD.max(self.control.settings.least_lease);
+                self.lease.set(Some(Lease { ends: sent + ttl, ..lease }));
+            }
+            Ok(false) => self.lose("the store ended the lease"),
+            Err(failure) => tracing::debug!(%failure, "the right could not be renewed"),
+        }
+    }
+
+    fn lose(&self, reason: &str) {
+        tracing::warn!(reason, "lost the right to order weights");
+        self.lease.set(None);
+        self.rollout.borrow_mut().reset();
+    }
+
+    /// The right, if the store shows that it is ours.
+    fn tenure(&self) -> Option<Tenure> {
+        let lease = self.lease.get()?;
+        let picture = self.control.picture.borrow();
+        let holder = picture.holder().filter(|h| h.holding.life == self.control.life)?;
+        // A holder before this one may have ordered until its lease ended.
+        let begins = lease.taken + self.control.settings.bounds.lease;
+        let fence = u64::try_from(holder.created).ok()?;
+        (!self.fenced.get()).then_some(Tenure { fence, begins, ends: lease.ends })
+    }
+
+    /// Does what the rollout asks for.
+    async fn order(self: &Rc<Self>, client: &mut Client) {
+        let now = self.control.clock.now();
+        let Some(tenure) = self.tenure().filter(|tenure| tenure.is_open(now)) else { return };
+        let acts = {
+            let picture = self.control.picture.borrow();
+            self.rollout.borrow_mut().step(now, picture.servers(), picture.weights())
+        };
+        let is_ordering = acts.iter().any(|act| matches!(act, Act::Order { .. }));
+        for act in acts {
+            tokio::task::spawn_local(self.clone().act(act, tenure));
+        }
+        if is_ordering || self.holding() != *self.told.borrow() {
+            self.tell(client).await;
+        }
+    }
+
+    async fn act(self: Rc<Self>, act: Act, tenure: Tenure) {
+        match act {
+            Act::Look(server) => {
+                let answer = errand(&server, &upstream::report_errand(&server)).await;
+                let report = answer.ok().and_then(|(status, body)| upstream::report(status, &body));
+                tracing::info!(server = &*server.id, report = ?report, "looked at an engine");
+                self.rollout.borrow_mut().looked(self.control.clock.now(), &server.id, report);
+            }
+            Act::Order { server, model, version, expected } => {
+                // The lease may have ended while the report was read.
+                if !tenure.is_open(self.control.clock.now()) {
+                    let now = self.control.clock.now();
+                    self.rollout.borrow_mut().received(now, &server.id, Receipt::Conflict);
+                    return;
+                }
+                let holder = &self.control.settings.instance;
+                let fence = tenure.fence;
+                let order =
+                    upstream::order_errand(&server, &model, version, expected, holder, fence);
+                let sent = self.control.clock.now();
+                let receipt = match errand(&server, &order).await {
+                    Ok((status, _)) => upstream::receipt(status),
+                    Err(_) => Receipt::Unknown,
+                };
+                let now = self.control.clock.now();
+                tracing::info!(
+                    server = &*server.id,
+                    model = &*model,
+                    version,
+                    expected,
+                    fence,
+                    receipt = %receipt,
+                    took_ms = millis(now.saturating_sub(sent)),
+                    "ordered weights"
+                );
+                if receipt == Receipt::Fenced {
+                    self.fenced.set(true);
+                }
+                self.rollout.borrow_mut().received(now, &server.id, receipt);
+            }
+        }
+    }
+
+    /// What the other instances should know.
+    fn holding(&self) -> Holding {
+        let rollout = self.rollout.borrow();
+        let mut loaded: BTreeMap<_, BTreeMap<_, _>> = BTreeMap::new();
+        for (id, model, version) in rollout.loaded() {
+            loaded.entry(id).or_default().insert(model, version);
+        }
+        Holding {
+            instance: self.control.settings.instance.clone(),
+            life: self.control.life,
+            loading: rollout.loading().into_iter().collect(),
+            loaded,
+        }
+    }
+
+    /// Tells the other instances which engines reload.
+    async fn tell(&self, client: &mut Client) {
+        let revision = self.control.picture.borrow().holder().map(|holder| holder.revision);
+        let (Some(lease), Some(revision)) = (self.lease.get(), revision) else { return };
+        let holding = self.holding();
+        self.control.metrics.store_call("write");
+        let written = client.write(&holder_key(), &holding.encode(), Some(revision), lease.id).await;
+        match written {
+            Ok(Written::Done(_)) => {
+                self.told.replace(holding);
+            }
+            Ok(Written::Conflict) => tracing::debug!("an own word to the store is still on its way"),
+            Ok(Written::LeaseEnded) => self.lose("the store ended the lease"),
+            Err(failure) => tracing::debug!(%failure, "the others could not be told"),
+        }
+    }
+}
+
+/// Most turns that an instance waits for others.
+const MOST_TURNS: u32 = 16;
+
+/// Makes one call to an upstream over a connection of its own.
+async fn errand(server: &Arc<Server>, errand: &Errand) -> Result<(StatusCode, Bytes), Fault> {
+    let exchange = async {
+        let mut connection = Connection::open(server.address, CONNECT_TIMEOUT, KEEP_ALIVE).await?;
+        let head = request(&errand.method, errand.path, &errand.headers, errand.body.len());
+        connection.send(&errand.method, &head, &errand.body).await?;
+        let head = connection.head().await?;
+        let body = connection.body(ANSWER_LIMIT).await?;
+        Ok((head.status, body))
+    };
+    tokio::time::timeout(ERRAND_TIMEOUT, exchange).await.unwrap_or(Err(Fault::Closed))
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,26 @@
+//! An entry instance on the users' platform.
+//!
+//! One thread, [`control`], follows the metadata store: it keeps a [`picture`] of configuration,
+//! upstreams and wanted weights, hands traffic a new view of it for each change, and, while this
+//! instance is the [`holder`] of the right, orders weights. The other thread serves callers:
+//! [`listener`] takes connections, [`request`] takes one request through the decisions of
+//! [`acacia_policy::gateway`], [`attempt`] sends it to one upstream, and [`relay`] passes a stream
+//! of events on. Both write what they decide to the [`log`] and count it in [`metric`].
+
+mod attempt;
+mod clock;
+mod control;
+mod event;
+mod holder;
+mod listener;
+mod log;
+mod metric;
+pub mod picture;
+mod pool;
+mod process;
+mod relay;
+mod request;
+mod traffic;
+
+pub use event::Splitter;
+pub use process::{check, run};
--- /dev/null
+++ b/crates/gateway/src/listener.rs
@@ -0,0 +1,137 @@
+//! Connections of callers, and of the platform that asks for readiness.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use acacia_platform::ingress::READY_PATH;
+use http::{HeaderMap, StatusCode};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::request::{handle, plain};
+use crate::traffic::{Phase, Traffic};
+
+/// Pause after a connection could not be taken, so that a lack of descriptors is no busy loop.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Connections that wait to be taken; bursts of callers come within a few milliseconds.
+const BACKLOG: u32 = 1_024;
+
+/// Listens at an address.
+///
+/// # Errors
+/// If the address is taken.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Takes callers' connections until the process closes.
+pub async fn serve(traffic: Rc<Traffic>, listener: TcpListener, mut phase: watch::Receiver<Phase>) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = phase.wait_for(|phase| *phase == Phase::Closing) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                traffic.open.set(traffic.open.get() + 1);
+                let (traffic, phase) = (traffic.clone(), phase.clone());
+                tokio::task::spawn_local(async move {
+                    connection(&traffic, stream, phase).await;
+                    traffic.open.set(traffic.open.get() - 1);
+                });
+            }
+            Err(error) => {
+                tracing::warn!(%error, "a connection could not be taken");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection to its end.
+async fn connection(traffic: &Rc<Traffic>, stream: TcpStream, mut phase: watch::Receiver<Phase>) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(%error, "a caller's connection delays small writes");
+    }
+    let view = traffic.gateway.borrow().view().cloned();
+    let limits = view.map(|view| view.configuration.limits.clone()).unwrap_or_default();
+    let service = service_fn(|request| handle(traffic.clone(), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The library counts the time between requests into the time for a head.
+        .header_read_timeout(limits.idle_time.max(limits.head_time))
+        .max_buf_size(limits.head_bytes.max(MIN_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let closing = phase.wait_for(|phase| *phase == Phase::Closing);
+    tokio::select! {
+        ended = connection.as_mut() => return log_end(ended),
+        _ = closing => connection.as_mut().graceful_shutdown(),
+    }
+    log_end(connection.await);
+}
+
+/// Smallest buffer that the library takes.
+const MIN_BUFFER: usize = 8 << 10;
+
+fn log_end(ended: Result<(), hyper::Error>) {
+    if let Err(error) = ended {
+        tracing::debug!(%error, "a caller's connection ended");
+    }
+}
+
+/// Tells the platform whether callers should be sent here.
+pub async fn serve_ready(traffic: Rc<Traffic>, listener: TcpListener) {
+    serve_page(listener, move |path| match path {
+        READY_PATH if traffic.is_ready() => (StatusCode::OK, "ready\n".to_owned()),
+        READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
+        _ => (StatusCode::NOT_FOUND, "there is no such page\n".to_owned()),
+    })
+    .await;
+}
+
+/// Serves metrics.
+pub async fn serve_metrics(traffic: Rc<Traffic>, listener: TcpListener) {
+    serve_page(listener, move |path| match path {
+        "/metrics" => (StatusCode::OK, traffic.metrics.text()),
+        _ => (StatusCode::NOT_FOUND, "there is no such page; hint: /metrics\n".to_owned()),
+    })
+    .await;
+}
+
+/// Serves short pages.
+async fn serve_page(listener: TcpListener, page: impl Fn(&str) -> (StatusCode, String) + 'static) {
+    let page = Rc::new(page);
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(%error, "a connection could not be taken");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let page = page.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request: http::Request<hyper::body::Incoming>| {
+                let (status, text) = page(request.uri().path());
+                std::future::ready(Ok::<_, std::convert::Infallible>(plain(
+                    status,
+                    HeaderMap::new(),
+                    &text,
+                )))
+            });
+            let ended =
+                http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            log_end(ended);
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metric.rs
@@ -0,0 +1,95 @@
+//! Counters and latency histograms, served as text.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider as _};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+/// Bounds of the latency histograms, in seconds: around the aims of the users' requests.
+const LATENCY_BOUNDS: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.4, 0.8, 1.5, 3.0, 10.0];
+
+/// An instance's metrics.
+#[derive(Clone)]
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    attempts: Counter<u64>,
+    connections: Counter<u64>,
+    store_calls: Counter<u64>,
+    lines_dropped: Counter<u64>,
+    first: Histogram<f64>,
+    whole: Histogram<f64>,
+}
+
+impl Metrics {
+    /// Metrics at zero.
+    ///
+    /// # Errors
+    /// If the exporter can't be made.
+    pub fn new() -> Result<Self, opentelemetry_sdk::error::OTelSdkError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone());
+        let provider = SdkMeterProvider::builder().with_reader(exporter.build()?).build();
+        let meter = provider.meter("acaciad");
+        let counter = |name: &'static str| meter.u64_counter(name).build();
+        let histogram = |name: &'static str| {
+            let builder = meter.f64_histogram(name).with_unit("s");
+            builder.with_boundaries(LATENCY_BOUNDS.to_vec()).build()
+        };
+        Ok(Self {
+            requests: counter("acacia_gateway_requests"),
+            attempts: counter("acacia_gateway_attempts"),
+            connections: counter("acacia_gateway_connections"),
+            store_calls: counter("acacia_gateway_store_calls"),
+            lines_dropped: counter("acacia_gateway_log_lines_dropped"),
+            first: histogram("acacia_gateway_first_byte"),
+            whole: histogram("acacia_gateway_answer"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request's end.
+    pub fn request(&self, route: &str, outcome: &'static str, took: Duration) {
+        let labels =
+            [KeyValue::new("route", route.to_owned()), KeyValue::new("outcome", outcome)];
+        self.requests.add(1, &labels);
+        self.whole.record(took.as_secs_f64(), &labels[..1]);
+    }
+
+    /// Counts an attempt's end.
+    pub fn attempt(&self, ending: &'static str) {
+        self.attempts.add(1, &[KeyValue::new("ending", ending)]);
+    }
+
+    /// Counts the time to the first event or to a whole plain answer.
+    pub fn first_byte(&self, route: &str, took: Duration) {
+        self.first.record(took.as_secs_f64(), &[KeyValue::new("route", route.to_owned())]);
+    }
+
+    /// Counts a new connection to an upstream.
+    pub fn connected(&self) {
+        self.connections.add(1, &[]);
+    }
+
+    /// Counts a call of the metadata store.
+    pub fn store_call(&self, kind: &'static str) {
+        self.store_calls.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Counts log lines that were left out.
+    pub fn lines_dropped(&self, lines: u64) {
+        self.lines_dropped.add(lines, &[]);
+    }
+
+    /// All metrics in Prometheus' text format.
+    pub fn text(&self) -> String {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_else(|error| format!("# the metrics can't be encoded: {error}\n"))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/picture.rs
@@ -0,0 +1,294 @@
+//! What the metadata store says, kept up by its changes.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_platform::document::{self, Holding, Subject, WeightOrder};
+use acacia_platform::{Document, store};
+use acacia_policy::Time;
+use acacia_policy::gateway::configuration::{ModelName, ZoneName};
+use acacia_policy::gateway::{Configuration, Server, ServerId, View, WeightVersion, Weights};
+use acacia_policy::kv::{Entry, ModRevision};
+
+/// Time after trouble with the store in which a missing entry may only have lapsed: the time within
+/// which a connection that fell silent is noticed, and the entry is back.
+const LAPSE_WINDOW: Duration = Duration::from_millis(5_500);
+/// Time that a lapsed entry is remembered for.
+const LAPSE_MEMORY: Duration = Duration::from_secs(4);
+/// Instances that a limit is shared with at least: a fleet that starts at one moment is not yet
+/// listed when the first of it looks.
+const LEAST_INSTANCES: u32 = 8;
+/// Instances that may have come since the list was read.
+const UNSEEN_INSTANCES: u32 = 1;
+
+/// The picture.
+#[derive(Debug, Default)]
+pub struct Picture {
+    configuration: Option<Arc<Configuration>>,
+    servers: BTreeMap<ServerId, Arc<Server>>,
+    lapsed: BTreeMap<ServerId, (Arc<Server>, Time)>,
+    evacuated: BTreeSet<ZoneName>,
+    weights: BTreeMap<ModelName, Weights>,
+    instances: BTreeSet<String>,
+    holder: Option<Holder>,
+    trouble: Option<Time>,
+    detached: Option<Time>,
+    is_current: bool,
+}
+
+/// Who holds the right to order.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Holder {
+    /// What it tells.
+    pub holding: Holding,
+    /// Revision of its last word.
+    pub revision: ModRevision,
+    /// Revision at which it took the right; the fencing token.
+    pub created: ModRevision,
+}
+
+/// A change in what is believed, for the log.
+#[derive(Debug, PartialEq)]
+pub enum Belief {
+    /// A newer configuration.
+    Configuration(u64),
+    /// An upstream came or changed.
+    Server(ServerId),
+    /// An upstream left the list.
+    ServerGone(ServerId),
+    /// An upstream's entry lapsed while the store was in trouble.
+    ServerLapsed(ServerId),
+    /// A zone gets no new work.
+    Evacuated(ZoneName),
+    /// A zone is back.
+    Restored(ZoneName),
+    /// Newer weights are wanted.
+    Weights(ModelName, WeightVersion),
+    /// The holder of the right to order changed, or told something.
+    Holder,
+    /// The instances changed.
+    Instances(usize),
+    /// A value can't be used and changes nothing.
+    Malformed {
+        /// Its key.
+        key: String,
+        /// Why.
+        problem: String,
+    },
+}
+
+impl Picture {
+    /// The present view; none before a configuration is known.
+    pub fn view(&self) -> Option<View> {
+        let holding = self.holder.as_ref().map(|holder| &holder.holding);
+        let loaded = holding.into_iter().flat_map(|holding| {
+            holding.loaded.iter().flat_map(|(id, models)| {
+                models.iter().map(|(model, version)| (id.clone(), model.clone(), *version))
+            })
+        });
+        Some(View {
+            configuration: self.configuration.clone()?,
+            servers: self.servers.clone(),
+            lapsed: self.lapsed.clone(),
+            evacuated: self.evacuated.clone(),
+            weights: self.weights.clone(),
+            loading: holding.map(|h| h.loading.iter().cloned().collect()).unwrap_or_default(),
+            loaded: loaded.collect(),
+            instances: self.instance_count(),
+            detached: self.detached,
+        })
+    }
+
+    /// Every listed upstream.
+    pub fn servers(&self) -> &BTreeMap<ServerId, Arc<Server>> {
+        &self.servers
+    }
+
+    /// The wanted weights by model.
+    pub fn weights(&self) -> &BTreeMap<ModelName, Weights> {
+        &self.weights
+    }
+
+    /// Who holds the right to order.
+    pub fn holder(&self) -> Option<&Holder> {
+        self.holder.as_ref()
+    }
+
+    /// Listed instances.
+    pub fn instances(&self) -> &BTreeSet<String> {
+        &self.instances
+    }
+
+    /// Whether the store was read to the end at least once and answers.
+    pub fn is_current(&self) -> bool {
+        self.is_current && self.detached.is_none()
+    }
+
+    /// The store failed; true if it answered until now.
+    pub fn fail(&mut self, now: Time) -> bool {
+        self.trouble = Some(now);
+        let was_attached = self.detached.is_none();
+        self.detached.get_or_insert(now);
+        was_attached
+    }
+
+    /// The store answered; gives since when it had not.
+    pub fn recover(&mut self, now: Time) -> Option<Time> {
+        if self.detached.is_some() {
+            self.trouble = Some(now);
+        }
+        self.detached.take()
+    }
+
+    /// Takes in all that the store holds.
+    pub fn replace(&mut self, now: Time, entries: Vec<Entry>) -> Vec<Belief> {
+        let mut beliefs = Vec::new();
+        let listed: BTreeSet<&str> = entries.iter().map(|entry| &*entry.key).collect();
+        for key in self.keys().into_iter().filter(|key| !listed.contains(&**key)) {
+            beliefs.extend(self.remove(now, &key));
+        }
+        for entry in entries {
+            let created = entry.revision;
+            beliefs.extend(self.set(now, &entry.key, &entry.value, entry.revision, created));
+        }
+        self.is_current = true;
+        beliefs
+    }
+
+    /// Takes in one change.
+    pub fn apply(&mut self, now: Time, change: &store::Change) -> Option<Belief> {
+        match &change.value {
+            Some(value) => self.set(now, &change.key, value, change.revision, change.created),
+            None => self.remove(now, &change.key),
+        }
+    }
+
+    fn set(
+        &mut self,
+        now: Time,
+        key: &str,
+        value: &[u8],
+        revision: ModRevision,
+        created: ModRevision,
+    ) -> Option<Belief> {
+        match Subject::of(key) {
+            Subject::Configuration => self.set_configuration(key, value),
+            Subject::Evacuation(zone) => {
+                let zone: ZoneName = zone.into();
+                self.evacuated.insert(zone.clone()).then_some(Belief::Evacuated(zone))
+            }
+            Subject::Weights(model) => self.set_weights(now, key, model, value),
+            Subject::Server(id) => self.set_server(now, key, id, value),
+            Subject::Instance(name) => self
+                .instances
+                .insert(name.to_owned())
+                .then(|| Belief::Instances(self.instances.len())),
+            Subject::Holder => match Holding::decode("", value) {
+                Ok(holding) => {
+                    let created = match &self.holder {
+                        Some(old) if old.holding.life == holding.life => old.created,
+                        _ => created,
+                    };
+                    self.holder = Some(Holder { holding, revision, created });
+                    Some(Belief::Holder)
+                }
+                Err(problem) => Some(malformed(key, value, &problem)),
+            },
+            Subject::Other => None,
+        }
+    }
+
+    /// Versions only grow, whatever order answers come in.
+    fn set_configuration(&mut self, key: &str, value: &[u8]) -> Option<Belief> {
+        match Configuration::decode("", value) {
+            Ok(configuration) => {
+                let known = self.configuration.as_ref().map(|known| known.version);
+                if known.is_some_and(|known| known >= configuration.version) {
+                    return None;
+                }
+                let version = configuration.version;
+                self.configuration = Some(Arc::new(configuration));
+                Some(Belief::Configuration(version))
+            }
+            Err(problem) => Some(malformed(key, value, &problem)),
+        }
+    }
+
+    fn set_weights(&mut self, now: Time, key: &str, model: &str, value: &[u8]) -> Option<Belief> {
+        let order = match WeightOrder::decode(model, value) {
+            Ok(order) => order,
+            Err(problem) => return Some(malformed(key, value, &problem)),
+        };
+        let model: ModelName = model.into();
+        let known = self.weights.get(&model);
+        if known.is_some_and(|known| known.version >= order.version) {
+            return None;
+        }
+        let weights = Weights { version: order.version, named: now };
+        self.weights.insert(model.clone(), weights);
+        Some(Belief::Weights(model, order.version))
+    }
+
+    fn set_server(&mut self, now: Time, key: &str, id: &str, value: &[u8]) -> Option<Belief> {
+        match Server::decode(id, value) {
+            Ok(server) => {
+                let id = server.id.clone();
+                let was_lapsed = self.lapsed.remove(&id).is_some();
+                let server = Arc::new(server);
+                let old = self.servers.insert(id.clone(), server.clone());
+                (was_lapsed || old != Some(server)).then_some(Belief::Server(id))
+            }
+            Err(problem) => {
+                // An entry that no longer says where its upstream is names none to use.
+                let _ = self.remove(now, key);
+                Some(malformed(key, value, &problem))
+            }
+        }
+    }
+
+    fn remove(&mut self, now: Time, key: &str) -> Option<Belief> {
+        match Subject::of(key) {
+            Subject::Evacuation(zone) => {
+                self.evacuated.remove(zone).then(|| Belief::Restored(zone.into()))
+            }
+            Subject::Server(id) => self.remove_server(now, id),
+            Subject::Instance(name) => {
+                self.instances.remove(name).then(|| Belief::Instances(self.instances.len()))
+            }
+            Subject::Holder => self.holder.take().map(|_| Belief::Holder),
+            Subject::Configuration | Subject::Weights(_) | Subject::Other => None,
+        }
+    }
+
+    fn remove_server(&mut self, now: Time, id: &str) -> Option<Belief> {
+        let server = self.servers.remove(id)?;
+        self.lapsed.retain(|_, (_, since)| now < *since + LAPSE_MEMORY);
+        let in_trouble = self.trouble.is_some_and(|at| now < at + LAPSE_WINDOW);
+        let id = server.id.clone();
+        if in_trouble && !server.leaving {
+            self.lapsed.insert(id.clone(), (server, now));
+            return Some(Belief::ServerLapsed(id));
+        }
+        Some(Belief::ServerGone(id))
+    }
+
+    /// Keys of all that is known.
+    fn keys(&self) -> Vec<String> {
+        let servers = self.servers.keys().map(|id| document::server_key(id));
+        let zones = self.evacuated.iter().map(|zone| document::evacuation_key(zone));
+        let instances = self.instances.iter().map(|name| document::instance_key(name));
+        let holder = self.holder.iter().map(|_| document::holder_key());
+        servers.chain(zones).chain(instances).chain(holder).collect()
+    }
+
+    fn instance_count(&self) -> u32 {
+        let listed = u32::try_from(self.instances.len()).unwrap_or(u32::MAX - UNSEEN_INSTANCES);
+        listed.max(LEAST_INSTANCES) + UNSEEN_INSTANCES
+    }
+}
+
+fn malformed(key: &str, value: &[u8], problem: &document::Problem) -> Belief {
+    let problem = format!("{problem}; the value is {}", document::shape(value));
+    Belief::Malformed { key: key.to_owned(), problem }
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,165 @@
+//! A stream of events on its way from an upstream to a caller.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use acacia_connection::{Fault, Head};
+use acacia_policy::gateway::configuration::Repeat;
+use acacia_policy::gateway::{Ending, Plan, Step};
+use bytes::Bytes;
+use futures::Stream as FutureStream;
+use futures::stream::unfold;
+
+use crate::attempt::{Flight, Message, Outcome, Stream, send};
+use crate::event::Splitter;
+use crate::request::{End, log_sent};
+use crate::traffic::Traffic;
+
+/// The stream broke off: the caller's connection is closed before the end, so that the answer does
+/// not look whole.
+#[derive(Debug, thiserror::Error)]
+#[error("the upstream broke the stream off")]
+pub struct BrokenOff;
+
+/// A stream that is passed on.
+pub struct Relay {
+    traffic: Rc<Traffic>,
+    message: Message,
+    head: Head,
+    first: Option<Bytes>,
+    flight: Flight,
+    splitter: Splitter,
+    end: End,
+}
+
+/// What reading brought.
+enum Next {
+    Bytes(Bytes),
+    Whole(Bytes),
+    Broken(Ending),
+}
+
+impl Relay {
+    /// Passes a stream on, to its end or to what is told of it by `end`.
+    pub fn new(traffic: Rc<Traffic>, message: Message, stream: Stream, end: End) -> Self {
+        let Stream { head, first, flight, splitter } = stream;
+        Self { traffic, message, head, first: Some(first), flight, splitter, end }
+    }
+
+    /// The chunks of the caller's answer.
+    pub fn into_chunks(self) -> impl FutureStream<Item = Result<Bytes, BrokenOff>> {
+        unfold(Some(self), |relay| async move {
+            let mut relay = relay?;
+            match relay.next().await {
+                Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
+                Ok(None) => None,
+                Err(broken) => Some((Err(broken), None)),
+            }
+        })
+    }
+
+    async fn next(&mut self) -> Result<Option<Bytes>, BrokenOff> {
+        if let Some(first) = self.first.take() {
+            return Ok(Some(first));
+        }
+        if self.flight.plan.is_none() {
+            return Ok(None);
+        }
+        loop {
+            match self.read().await {
+                Next::Bytes(events) => return Ok(Some(events)),
+                Next::Whole(rest) => {
+                    self.flight.release(&self.head);
+                    let plan = self.flight.end(Ending::Answered, None);
+                    self.end.tell(&self.traffic, plan.as_ref(), "answered");
+                    return Ok(Some(rest).filter(|rest| !rest.is_empty()));
+                }
+                Next::Broken(ending) => {
+                    let plan = self.flight.end(ending, None);
+                    let Some(plan) = plan else { return Err(BrokenOff) };
+                    if let Some(events) = self.resume(plan).await? {
+                        return Ok(Some(events));
+                    }
+                    return Ok(None);
+                }
+            }
+        }
+    }
+
+    /// Reads until an event is whole.
+    async fn read(&mut self) -> Next {
+        let Some(plan) = &self.flight.plan else { return Next::Broken(Ending::Broken) };
+        let left = plan.left(self.traffic.now());
+        let pause = self.flight.attempt().pause.filter(|pause| *pause < left);
+        let limit = tokio::time::sleep(pause.unwrap_or(left));
+        tokio::pin!(limit);
+        loop {
+            let chunk = tokio::select! {
+                chunk = self.flight.chunk() => chunk,
+                () = &mut limit => {
+                    let ending = pause.map_or(Ending::Expired, |_| Ending::Silent);
+                    return Next::Broken(ending);
+                }
+            };
+            match chunk {
+                Ok(Some(bytes)) => {
+                    let events = self.splitter.push(&bytes);
+                    if !events.is_empty() {
+                        return Next::Bytes(events);
+                    }
+                }
+                Ok(None) => return Next::Whole(self.splitter.rest()),
+                Err(Fault::Malformed | Fault::Closed | Fault::Reset) => {
+                    return Next::Broken(Ending::Broken);
+                }
+            }
+        }
+    }
+
+    /// Goes on at another upstream after the last event that the caller got.
+    async fn resume(&mut self, mut plan: Plan) -> Result<Option<Bytes>, BrokenOff> {
+        let last = self.splitter.last_id().cloned();
+        let may_resume = plan.route.repeat == Repeat::ResumableStream && last.is_some();
+        while may_resume {
+            let now = self.traffic.now();
+            let step = self.traffic.gateway.borrow_mut().next(now, &mut plan);
+            let attempt = match step {
+                Step::Send(attempt) => *attempt,
+                Step::Wait(at) => {
+                    wait_until(&self.traffic, at).await;
+                    continue;
+                }
+                Step::Refuse(_) => break,
+            };
+            log_sent(&self.traffic, &plan, &attempt);
+            let flight = Flight::new(self.traffic.clone(), plan, attempt);
+            match send(flight, &self.message, last.clone()).await {
+                (_, Outcome::Stream(stream)) => {
+                    let Stream { head, first, flight, splitter } = *stream;
+                    (self.head, self.flight, self.splitter) = (head, flight, splitter);
+                    return Ok(Some(first));
+                }
+                (Some(given_back), Outcome::None) => plan = given_back,
+                (given_back, Outcome::Whole(head, body)) => {
+                    // A stream whose last event the caller has already ends without another one.
+                    if head.status.is_success() && body.is_empty() {
+                        self.end.tell(&self.traffic, given_back.as_ref(), "answered");
+                        return Ok(None);
+                    }
+                    match given_back {
+                        Some(given_back) => plan = given_back,
+                        None => return Err(BrokenOff),
+                    }
+                }
+                (None, Outcome::None) => return Err(BrokenOff),
+            }
+        }
+        self.end.tell(&self.traffic, Some(&plan), "broken_off");
+        Err(BrokenOff)
+    }
+}
+
+/// Waits until a time of the decisions' clock.
+pub async fn wait_until(traffic: &Traffic, at: Duration) {
+    tokio::time::sleep(at.saturating_sub(traffic.now())).await;
+}
--- /dev/null
+++ b/crates/gateway/src/request.rs
@@ -0,0 +1,283 @@
+//! One caller's request, from its head to its answer.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::rc::Rc;
+
+use acacia_connection::Head;
+use acacia_platform::{ingress, upstream};
+use acacia_policy::gateway::{Attempt, Call, Plan, Reason, Refusal, Step};
+use acacia_policy::{Time, Verdict};
+use bytes::Bytes;
+use futures::StreamExt;
+use http::header::{CONNECTION, CONTENT_TYPE};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody};
+use hyper::body::{Body as _, Frame, Incoming};
+
+use crate::attempt::{Flight, Message, Outcome, send};
+use crate::log::Weight;
+use crate::relay::{BrokenOff, Relay, wait_until};
+use crate::traffic::{Phase, Traffic, millis};
+
+/// The body of an answer.
+pub type Body = Pin<Box<dyn hyper::body::Body<Data = Bytes, Error = BrokenOff>>>;
+
+/// Longest wait for a request's body where the caller names no deadline.
+const BODY_TIMEOUT: Time = Time::from_secs(10);
+
+/// Answers a request. If it is dropped, the caller left.
+pub async fn handle(
+    traffic: Rc<Traffic>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let arrived = traffic.now();
+    let (head, incoming) = request.into_parts();
+    let call = match ingress::call(&head) {
+        Ok(call) => call,
+        Err(problem) => return Ok(malformed(&traffic, &problem.to_string())),
+    };
+    let id = call.id.clone();
+    let mut end = End { arrived, id: id.clone() };
+    let mut response = match read_body(&traffic, &call, incoming).await {
+        Ok(body) => {
+            let message = Message {
+                target: head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned(),
+                headers: upstream::forwarded(&head.headers),
+                method: head.method,
+                body,
+            };
+            let admitted = traffic.gateway.borrow_mut().admit(arrived, call);
+            match admitted {
+                Ok(plan) => serve(&traffic, plan, message, end).await,
+                Err(refusal) => {
+                    end.refuse(&traffic, None, &refusal);
+                    answer_refusal(&id, &refusal)
+                }
+            }
+        }
+        Err(refusal) => {
+            end.refuse(&traffic, None, &refusal);
+            answer_refusal(&id, &refusal)
+        }
+    };
+    if traffic.phase.get() != Phase::Serving {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
+
+/// Reads a request's whole body, so that it can be sent again.
+async fn read_body(traffic: &Traffic, call: &Call, body: Incoming) -> Result<Bytes, Refusal> {
+    let refusal = |reason| Refusal { reason, verdict: Verdict::NotRun, retry_after: None };
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let view = traffic.gateway.borrow().view().cloned();
+    let limits = view.map(|view| view.configuration.limits.clone()).unwrap_or_default();
+    if body.size_hint().lower() > limits.body_bytes as u64 {
+        return Err(refusal(Reason::TooLarge));
+    }
+    let whole = Limited::new(body, limits.body_bytes).collect();
+    let timeout = call.patience.unwrap_or(BODY_TIMEOUT);
+    match tokio::time::timeout(timeout, whole).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(refusal(Reason::TooLarge)),
+        Ok(Err(_)) => Err(refusal(Reason::Malformed)),
+        Err(_) => Err(refusal(Reason::Expired)),
+    }
+}
+
+/// Sends a request where the decisions say, until it is answered or given up.
+async fn serve(
+    traffic: &Rc<Traffic>,
+    mut plan: Plan,
+    message: Message,
+    mut end: End,
+) -> Response<Body> {
+    let mut failure: Option<(Head, Bytes)> = None;
+    loop {
+        let now = traffic.now();
+        let step = traffic.gateway.borrow_mut().next(now, &mut plan);
+        let attempt = match step {
+            Step::Send(attempt) => *attempt,
+            Step::Wait(at) => {
+                wait_until(traffic, at).await;
+                continue;
+            }
+            Step::Refuse(refusal) => {
+                // The upstream's own answer says more than one of ours.
+                if let Some((head, body)) = failure {
+                    end.tell(traffic, Some(&plan), "failed");
+                    return answer_whole(&head, body);
+                }
+                end.refuse(traffic, Some(&plan), &refusal);
+                return answer_refusal(&plan.id, &refusal);
+            }
+        };
+        log_sent(traffic, &plan, &attempt);
+        let flight = Flight::new(traffic.clone(), plan, attempt);
+        match send(flight, &message, None).await {
+            (_, Outcome::Stream(stream)) => {
+                let headers = upstream::returned(&stream.head.headers);
+                let status = stream.head.status;
+                let relay = Relay::new(traffic.clone(), message, *stream, end);
+                let chunks = relay.into_chunks().map(|chunk| chunk.map(Frame::data));
+                return answer(status, headers, Box::pin(StreamBody::new(chunks)));
+            }
+            (Some(given_back), Outcome::Whole(head, body)) => {
+                plan = given_back;
+                if !head.status.is_server_error() || !plan.may_run_again() {
+                    let outcome =
+                        if head.status.is_server_error() { "failed" } else { "answered" };
+                    end.tell(traffic, Some(&plan), outcome);
+                    return answer_whole(&head, body);
+                }
+                failure = Some((head, body));
+            }
+            (Some(given_back), Outcome::None) => plan = given_back,
+            (None, Outcome::None | Outcome::Whole(..)) => {
+                let refusal = Refusal {
+                    reason: Reason::Broken,
+                    verdict: Verdict::MayHaveRun,
+                    retry_after: None,
+                };
+                end.refuse(traffic, None, &refusal);
+                return answer_refusal(&end.id, &refusal);
+            }
+        }
+    }
+}
+
+/// The end of a request, told once in the log and the metrics.
+pub struct End {
+    arrived: Time,
+    id: String,
+}
+
+impl End {
+    /// The request was answered by its upstream, in full or broken off.
+    pub fn tell(&mut self, traffic: &Traffic, plan: Option<&Plan>, outcome: &'static str) {
+        let now = traffic.now();
+        let took = now.saturating_sub(self.arrived);
+        let route = plan.map_or("", |plan| &*plan.route.name);
+        traffic.metrics.request(route, outcome, took);
+        let weight = if outcome == "answered" { Weight::Usual } else { Weight::Failure };
+        if traffic.volume.admits(now, weight) {
+            tracing::info!(
+                id = self.id,
+                route,
+                outcome,
+                sends = plan.map_or(0, |plan| plan.sends),
+                took_ms = millis(took),
+                "request ended"
+            );
+        }
+    }
+
+    /// The request was answered by the gateway itself.
+    fn refuse(&mut self, traffic: &Traffic, plan: Option<&Plan>, refusal: &Refusal) {
+        let now = traffic.now();
+        let took = now.saturating_sub(self.arrived);
+        let reason: &'static str = refusal.reason.into();
+        let route = plan.map_or("", |plan| &*plan.route.name);
+        traffic.metrics.request(route, reason, took);
+        if traffic.volume.admits(now, Weight::Failure) {
+            let gateway = traffic.gateway.borrow();
+            let view = gateway.view();
+            tracing::warn!(
+                id = self.id,
+                route,
+                outcome = "refused",
+                reason,
+                verdict = %refusal.verdict,
+                retry_after_ms = refusal.retry_after.map(millis),
+                sends = plan.map_or(0, |plan| plan.sends),
+                configuration = view.map(|view| view.configuration.version),
+                detached_ms = view.and_then(|v| v.detached).map(|at| millis(now.saturating_sub(at))),
+                took_ms = millis(took),
+                "request ended"
+            );
+        }
+    }
+}
+
+/// Logs where a request is sent, and by what.
+pub fn log_sent(traffic: &Traffic, plan: &Plan, attempt: &Attempt) {
+    let now = traffic.now();
+    let weight = if plan.sends > 1 { Weight::Failure } else { Weight::Usual };
+    if !traffic.volume.admits(now, weight) {
+        return;
+    }
+    let run = attempt.engine.as_ref();
+    tracing::info!(
+        id = plan.id,
+        route = plan.route.name,
+        configuration = plan.version,
+        server = &*attempt.server.id,
+        service = &*plan.service,
+        zone = &*attempt.server.zone,
+        send = plan.sends,
+        cold = attempt.cold,
+        weights = run.map(|run| run.weights),
+        unread_tokens = attempt.unread_tokens,
+        fetch = run.and_then(|run| run.fetch).map(tracing::field::display),
+        expected_ms = millis(attempt.expected),
+        left_ms = millis(plan.left(now)),
+        "sent"
+    );
+}
+
+/// The answer to a request that can't be understood.
+fn malformed(traffic: &Traffic, problem: &str) -> Response<Body> {
+    let now = traffic.now();
+    traffic.metrics.request("", "malformed", Time::ZERO);
+    if traffic.volume.admits(now, Weight::Failure) {
+        tracing::warn!(outcome = "refused", reason = "malformed", problem, "request ended");
+    }
+    plain(StatusCode::BAD_REQUEST, HeaderMap::new(), problem)
+}
+
+/// The gateway's own answer.
+fn answer_refusal(id: &str, refusal: &Refusal) -> Response<Body> {
+    let status = match (refusal.reason, refusal.verdict) {
+        (Reason::Malformed, _) => StatusCode::BAD_REQUEST,
+        (Reason::TooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
+        (Reason::UnknownRoute, _) => StatusCode::NOT_FOUND,
+        (Reason::UnknownKey, _) => StatusCode::UNAUTHORIZED,
+        (_, Verdict::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
+        (Reason::Expired, _) => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    };
+    let mut headers = HeaderMap::new();
+    if let Ok(id) = HeaderValue::from_str(id) {
+        headers.insert(ingress::REQUEST_ID, id);
+    }
+    if let (StatusCode::SERVICE_UNAVAILABLE, Some(after)) = (status, refusal.retry_after) {
+        ingress::set_retry_after(&mut headers, after);
+    }
+    plain(status, headers, &format!("{}; {}\n", refusal.reason, refusal.verdict))
+}
+
+fn answer_whole(head: &Head, body: Bytes) -> Response<Body> {
+    let headers = upstream::returned(&head.headers);
+    answer(head.status, headers, Box::pin(Full::new(body).map_err(never)))
+}
+
+/// A short answer in plain text.
+pub fn plain(status: StatusCode, mut headers: HeaderMap, text: &str) -> Response<Body> {
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; charset=utf-8"));
+    let body = Box::pin(Full::new(Bytes::copy_from_slice(text.as_bytes())).map_err(never));
+    answer(status, headers, body)
+}
+
+fn answer(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+fn never(never: Infallible) -> BrokenOff {
+    match never {}
+}
--- /dev/null
+++ b/crates/policy/src/gateway/choice.rs
@@ -0,0 +1,340 @@
+//! Which upstream a request goes to.
+//!
+//! Every upstream that may take the request gets a cost: the time until its first event, in
+//! seconds, as far as this instance can tell. The cheapest one wins. Where a long shared part of a
+//! prompt lies is not remembered but computed: each instance ranks the engines by the same hash, so
+//! that all of them send the part's prompts to the same engine. Short prompts go where the queues
+//! are short.
+
+use std::hash::{Hash, Hasher};
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_chacha::ChaCha12Rng;
+use rustc_hash::{FxHashMap, FxHasher};
+
+use super::call::{Part, Prompt};
+use super::configuration::{EngineTerms, Role, Service};
+use super::machine::{Terms, weights_end};
+use super::member::Member;
+use super::plan::{Attempt, EngineRun, Plan};
+use super::view::{Server, ServerId, View, WeightVersion};
+use super::window::cold_share;
+use crate::Time;
+
+/// Tokens that an engine reads in a second: the slowest of the engines that the users' sheets name.
+const READ_RATE: f64 = 51_000.0;
+/// Time to the first token besides reading and waiting, in seconds, by the same sheets.
+const FIRST_TOKEN: f64 = 0.050;
+/// Time for one more request in an engine's batch, in seconds: what each adds to a step, over the
+/// steps of a short answer.
+const BATCH_STEP: f64 = 0.001;
+/// Time for one request that a plain upstream has before, in seconds, divided by its slots.
+const PLAIN_WORK: f64 = 0.050;
+/// Way to another availability zone and back, in seconds.
+const ZONE_WAY: f64 = 0.002;
+/// Cost of an upstream all of whose requests fail, in aims: above any queue worth waiting in.
+const FAILURE_COST: f64 = 3.0;
+/// Cost of an upstream that may be gone, in aims.
+const LAPSED_COST: f64 = 2.0;
+/// Cost of older weights, in aims, once answers on them are worth less.
+const OLD_WEIGHTS_COST: f64 = 0.5;
+/// Time from which answers on older weights are worth less to the users.
+const OLD_WEIGHTS_AGE: Duration = Duration::from_millis(1_200);
+/// Cost of an engine whose memory own requests have already filled, in aims.
+const FULL_MEMORY_COST: f64 = 0.5;
+/// Part of an engine's memory that own requests may fill.
+const MEMORY_PART: f64 = 0.8;
+/// Random part of a cost, in seconds, so that instances with equal beliefs spread.
+const JITTER: f64 = 0.004;
+/// Smallest shared part that decides where a prompt goes, in tokens: reading it costs more than
+/// what engines' queues commonly differ by.
+const LONG_PART: u32 = 1_500;
+/// Time to fetch a token from another engine, in seconds: half of what reading it takes, as links
+/// are shared with others.
+const FETCH_RATE: f64 = 2.0 * READ_RATE;
+/// Cost of a fetch whose source may not have the part, in seconds.
+const FETCH_RISK: f64 = 0.030;
+/// Silence, in aims, from which another upstream is tried.
+const PATIENCE: f64 = 0.6;
+/// Silence, in expected times, from which another upstream is tried.
+const PATIENCE_EXPECTED: f64 = 3.0;
+/// Pause between events from which a stream goes on elsewhere, in the pauses that callers accept.
+const PAUSE_PART: f64 = 1.7;
+
+/// What the choice came to.
+pub enum Candidate {
+    /// The best upstream.
+    Best(Box<Attempt>),
+    /// None now; one may take it then.
+    Later(Time),
+    /// None.
+    None,
+}
+
+/// One choice.
+pub struct Chooser<'a> {
+    /// The time.
+    pub now: Time,
+    /// What the deployment allows.
+    pub terms: &'a Terms,
+    /// What the store says.
+    pub view: &'a View,
+    /// The request.
+    pub plan: &'a Plan,
+    /// Beliefs by upstream.
+    pub members: &'a mut FxHashMap<ServerId, Member>,
+    /// For jitter.
+    pub rng: &'a mut ChaCha12Rng,
+}
+
+/// An upstream that may take the request.
+struct Offer {
+    id: ServerId,
+    cost: f64,
+    expected: f64,
+    run: Option<EngineRun>,
+    unread_tokens: u64,
+}
+
+/// Whether an upstream may take the request.
+enum Fitness {
+    Now { lapsed: bool },
+    At(Time),
+    Never,
+}
+
+impl Chooser<'_> {
+    /// Picks the cheapest upstream.
+    pub fn choose(mut self) -> Candidate {
+        let Some(service) = self.view.configuration.services.get(&self.plan.service).cloned()
+        else {
+            return Candidate::None;
+        };
+        let primary = self.primary();
+        let ids: Vec<ServerId> = self.members.keys().cloned().collect();
+        let mut best: Option<Offer> = None;
+        let mut later: Option<Time> = None;
+        for id in ids {
+            match self.fitness(&service, &id) {
+                Fitness::Never => {}
+                Fitness::At(at) => later = Some(later.map_or(at, |other| other.min(at))),
+                Fitness::Now { lapsed } => {
+                    let Some(option) = self.cost(&service, &id, lapsed, primary.as_ref()) else {
+                        continue;
+                    };
+                    if best.as_ref().is_none_or(|best| option.cost < best.cost) {
+                        best = Some(option);
+                    }
+                }
+            }
+        }
+        match (best, later) {
+            (Some(option), _) => self.attempt(&service, option),
+            (None, Some(at)) => Candidate::Later(at),
+            (None, None) => Candidate::None,
+        }
+    }
+
+    /// Whether an upstream may take the request at all.
+    fn fitness(&mut self, service: &Service, id: &ServerId) -> Fitness {
+        let (now, plan, view) = (self.now, self.plan, self.view);
+        let Some(member) = self.members.get_mut(id) else { return Fitness::Never };
+        let server = &member.server;
+        let is_other = server.service != plan.service || plan.tried.contains(id);
+        if is_other || server.leaving || view.evacuated.contains(&server.zone) {
+            return Fitness::Never;
+        }
+        if view.loading.contains(id) || now < member.paused_until {
+            return Fitness::At(member.paused_until.max(now + PAUSED_LOOK));
+        }
+        if member.running >= connection_share(service, view.instances) {
+            return Fitness::At(now + PAUSED_LOOK);
+        }
+        if let (Some(rate), true) = (service.cold_rate, member.is_cold(now)) {
+            let share = cold_share(rate, self.terms.cold, view.instances);
+            match member.cold_slot(now, share) {
+                Some(at) if at <= now => {}
+                Some(at) => return Fitness::At(at),
+                None => return Fitness::Never,
+            }
+        }
+        match view.lapsed.get(id) {
+            Some((_, since)) if now >= *since + LAPSE_LIMIT => Fitness::Never,
+            lapsed => Fitness::Now { lapsed: lapsed.is_some() },
+        }
+    }
+
+    /// The cost of an upstream, if it has the right weights.
+    fn cost(
+        &mut self,
+        service: &Service,
+        id: &ServerId,
+        lapsed: bool,
+        primary: Option<&ServerId>,
+    ) -> Option<Offer> {
+        let aim = self.plan.route.aim.as_secs_f64();
+        let member = &self.members[id];
+        let mut cost = member.delay(self.now) + self.rng.random::<f64>() * JITTER;
+        cost += member.failure_share(self.now) * FAILURE_COST * aim;
+        cost += if lapsed { LAPSED_COST * aim } else { 0.0 };
+        cost += if member.server.zone == self.terms.zone { 0.0 } else { ZONE_WAY };
+        let (Role::Engine(terms), Some(prompt)) = (&service.role, &self.plan.prompt) else {
+            let slots = f64::from(member.server.slots.max(1));
+            cost += PLAIN_WORK * f64::from(member.running) / slots;
+            let expected = aim / 2.0 + member.delay(self.now);
+            return Some(Offer { id: id.clone(), cost, expected, run: None, unread_tokens: 0 });
+        };
+        let (weights, stale) = self.weights(member, prompt)?;
+        cost += if stale { OLD_WEIGHTS_COST * aim } else { 0.0 };
+        cost += BATCH_STEP * f64::from(member.running);
+        cost += member.unread_tokens as f64 / READ_RATE;
+        cost += if is_full(member, prompt, terms) { FULL_MEMORY_COST * aim } else { 0.0 };
+        let salt = self.salt(weights);
+        let reading = self.reading(member, prompt, &salt, primary);
+        cost += reading.time;
+        let run = EngineRun {
+            model: prompt.model.clone(),
+            weights,
+            salt,
+            fetch: reading.fetch,
+            rank: self.plan.rank(),
+        };
+        let expected = FIRST_TOKEN + reading.time;
+        Some(Offer {
+            id: id.clone(),
+            cost,
+            expected,
+            run: Some(run),
+            unread_tokens: reading.unread_tokens,
+        })
+    }
+
+    /// The weights that an engine is believed to have, and whether answers on them are worth less;
+    /// nothing if it may start nothing on them.
+    fn weights(&self, member: &Member, prompt: &Prompt) -> Option<(WeightVersion, bool)> {
+        let known = member.weights(&prompt.model)?;
+        let Some(newest) = self.view.weights.get(&prompt.model) else { return Some((known, false)) };
+        if known >= newest.version {
+            return Some((known, false));
+        }
+        if self.now >= weights_end(newest.named, self.terms) {
+            return None;
+        }
+        Some((known, self.now >= newest.named + OLD_WEIGHTS_AGE))
+    }
+
+    /// What has to be read at an engine, and from where the rest may come.
+    fn reading(
+        &self,
+        member: &Member,
+        prompt: &Prompt,
+        salt: &str,
+        primary: Option<&ServerId>,
+    ) -> Reading {
+        let mut held = member.cache.held_tokens(prompt, salt);
+        let shared: u32 = prompt.shared().iter().map(|part| part.tokens).sum();
+        let is_primary = primary == Some(&member.server.id);
+        if is_primary {
+            held = held.max(shared);
+        }
+        let unread = prompt.input_tokens.saturating_sub(held);
+        let time = f64::from(unread) / READ_RATE;
+        let source = primary.filter(|_| !is_primary && shared > held).and_then(|id| {
+            let source = self.members.get(id)?;
+            let usable = self.now >= source.paused_until && !self.view.loading.contains(id);
+            let same = source.weights(&prompt.model) == member.weights(&prompt.model);
+            (usable && same && !self.view.evacuated.contains(&source.server.zone)).then_some(source)
+        });
+        let Some(source) = source else {
+            return Reading { time, fetch: None, unread_tokens: unread.into() };
+        };
+        let rest = f64::from(prompt.input_tokens.saturating_sub(shared)) / READ_RATE;
+        let across = if source.server.zone == member.server.zone { 1.0 } else { 2.0 };
+        let fetching = f64::from(shared - held) / FETCH_RATE * across + FETCH_RISK;
+        if rest + fetching >= time {
+            return Reading { time, fetch: None, unread_tokens: unread.into() };
+        }
+        let unread_tokens = prompt.input_tokens.saturating_sub(shared).into();
+        Reading { time: rest + fetching, fetch: Some(source.server.address), unread_tokens }
+    }
+
+    /// The engine where a long shared part is kept.
+    fn primary(&self) -> Option<ServerId> {
+        let part = self.plan.prompt.as_ref()?.shared().iter().find(|p| p.tokens >= LONG_PART)?;
+        let view = self.view;
+        let usable = self.members.values().map(|member| &member.server).filter(|server| {
+            server.service == self.plan.service
+                && !server.leaving
+                && !view.evacuated.contains(&server.zone)
+        });
+        usable.max_by_key(|server| affinity(part, server)).map(|server| server.id.clone())
+    }
+
+    /// Name space of cached parts: another organisation's parts are never found where one of the
+    /// two is isolated, nor parts made on other weights.
+    fn salt(&self, weights: WeightVersion) -> String {
+        match &self.plan.organisation {
+            Some(organisation) if organisation.isolated => {
+                format!("{weights}/{}", organisation.name)
+            }
+            _ => weights.to_string(),
+        }
+    }
+
+    /// The attempt at the chosen upstream.
+    fn attempt(self, service: &Service, option: Offer) -> Candidate {
+        let member = &self.members[&option.id];
+        let route = &self.plan.route;
+        let runs_left = route.attempts.saturating_sub(self.plan.runs + 1);
+        let is_last = !route.repeat.is_repeatable() || runs_left == 0;
+        let seconds = (route.aim.as_secs_f64() * PATIENCE)
+            .max((option.expected + member.delay(self.now)) * PATIENCE_EXPECTED);
+        let patience = (!is_last).then(|| Duration::from_secs_f64(seconds));
+        let pause = route.pause.filter(|_| !is_last).map(|pause| pause.mul_f64(PAUSE_PART));
+        Candidate::Best(Box::new(Attempt {
+            server: member.server.clone(),
+            engine: option.run,
+            patience,
+            pause,
+            connections: connection_share(service, self.view.instances),
+            expected: Duration::from_secs_f64(option.expected),
+            unread_tokens: option.unread_tokens,
+            sent: self.now,
+            cold: member.is_cold(self.now),
+        }))
+    }
+}
+
+/// Time after which an upstream that is out for an unknown time is looked at again.
+const PAUSED_LOOK: Duration = Duration::from_millis(25);
+
+/// Time within which an entry that lapsed while the store was away is back, if its upstream lives.
+const LAPSE_LIMIT: Duration = Duration::from_millis(1_900);
+
+/// What an engine has to read.
+struct Reading {
+    time: f64,
+    fetch: Option<std::net::SocketAddr>,
+    unread_tokens: u64,
+}
+
+/// Connections that this instance may open to one upstream.
+fn connection_share(service: &Service, instances: u32) -> u32 {
+    service.connections.map_or(u32::MAX, |all| (all / instances.max(1)).max(1))
+}
+
+/// Whether own requests fill an engine's memory.
+fn is_full(member: &Member, prompt: &Prompt, terms: &EngineTerms) -> bool {
+    let needed = member.memory_tokens + prompt.memory_tokens();
+    member.running > 0 && needed as f64 > terms.memory_tokens as f64 * MEMORY_PART
+}
+
+/// Rank of an upstream for a part; the same on all instances.
+fn affinity(part: &Part, server: &Server) -> u64 {
+    let mut hasher = FxHasher::default();
+    part.id.hash(&mut hasher);
+    server.id.hash(&mut hasher);
+    // The last steps of the hash alone leave similar ids close together.
+    hasher.finish().wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(31)
+}
--- /dev/null
+++ b/crates/policy/src/gateway/machine.rs
@@ -0,0 +1,284 @@
+//! The machine that takes a request from admission to its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha12Rng;
+use rustc_hash::FxHashMap;
+
+use super::call::Call;
+use super::choice::{Candidate, Chooser};
+use super::configuration::{Role, Route, ServiceName, ZoneName};
+use super::member::Member;
+use super::plan::{Attempt, Ending, Plan, Reason, Refusal, Step};
+use super::view::{ServerId, View};
+use super::window::{ColdTerms, RetryBudget, RetryTerms};
+use crate::{Time, Verdict};
+
+/// Shortest time after which a refused caller is told to come back: most pauses of upstreams end
+/// within it.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Largest part of the time left that callers are told to wait; the platform's callers honour a
+/// third.
+const RETRY_AFTER_PART: u32 = 4;
+/// Part of its aim that a request may wait for an upstream to come free. A refusal up to an eighth
+/// of the aim costs a caller nothing that it would not have spent on a retry.
+const WAIT_PART: u32 = 4;
+/// Time before the end of an upstream's old weights when it gets no more requests: a request
+/// arrives up to that much later than it was sent.
+const WEIGHTS_MARGIN: Duration = Duration::from_millis(700);
+/// Delay counted as an answer's, for a plain request within this part of its aim.
+const PLAIN_EXPECTED_PART: u32 = 2;
+
+/// What the deployment allows.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Terms {
+    /// The availability zone of this instance.
+    pub zone: ZoneName,
+    /// Repeats.
+    pub retries: RetryTerms,
+    /// Requests to cold upstreams.
+    pub cold: ColdTerms,
+    /// How long an engine may start requests on older weights.
+    pub weights_limit: Duration,
+    /// Age of a configuration from which nothing is denied by it.
+    pub stale_after: Duration,
+}
+
+/// Decides each request of one instance.
+pub struct Gateway {
+    terms: Terms,
+    view: Option<Arc<View>>,
+    members: FxHashMap<ServerId, Member>,
+    budgets: FxHashMap<ServiceName, RetryBudget>,
+    rng: ChaCha12Rng,
+}
+
+impl Gateway {
+    /// A gateway that knows nothing yet; its random choices follow from `seed`.
+    pub fn new(terms: Terms, seed: u64) -> Self {
+        Self {
+            terms,
+            view: None,
+            members: FxHashMap::default(),
+            budgets: FxHashMap::default(),
+            rng: ChaCha12Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes other terms.
+    pub fn set_terms(&mut self, terms: Terms) {
+        self.terms = terms;
+    }
+
+    /// Takes a newer view.
+    pub fn observe(&mut self, now: Time, view: Arc<View>) {
+        self.members
+            .retain(|id, _| view.servers.contains_key(id) || view.lapsed.contains_key(id));
+        for (id, server) in &view.servers {
+            let member = self.members.entry(id.clone());
+            member.or_insert_with(|| Member::new(now, server.clone())).update(now, server.clone());
+        }
+        for (id, model, version) in &view.loaded {
+            if let Some(member) = self.members.get_mut(id) {
+                member.learn_weights(model, *version);
+            }
+        }
+        self.view = Some(view);
+    }
+
+    /// The newest view.
+    pub fn view(&self) -> Option<&Arc<View>> {
+        self.view.as_ref()
+    }
+
+    /// What is believed of an upstream.
+    pub fn member(&self, id: &str) -> Option<&Member> {
+        self.members.get(id)
+    }
+
+    /// Finds the request's route, service and organisation.
+    pub fn admit(&mut self, now: Time, call: Call) -> Result<Plan, Refusal> {
+        let Some(view) = self.view.clone() else { return Err(not_run(Reason::NotReady)) };
+        let configuration = &view.configuration;
+        let detached = view.detached.map_or(Duration::ZERO, |since| now.saturating_sub(since));
+        let fresh = detached < self.terms.stale_after;
+        let deny = |reason| not_run(if fresh { reason } else { Reason::StaleConfiguration });
+        let route = configuration
+            .route(&call.host, &call.path)
+            .ok_or_else(|| deny(Reason::UnknownRoute))?
+            .clone();
+        let organisation =
+            call.key.as_deref().and_then(|key| configuration.organisation(key)).cloned();
+        if organisation.is_none() && configuration.has_organisations() && !route.public {
+            return Err(deny(Reason::UnknownKey));
+        }
+        let point = self.rng.random::<f64>();
+        let service = route.service(point).ok_or(not_run(Reason::NoUpstream))?.clone();
+        let limit = call.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
+        let terms = self.terms.retries;
+        let budget = self.budgets.entry(service.clone());
+        budget.or_insert_with(|| RetryBudget::new(terms)).first(now);
+        Ok(Plan {
+            id: call.id,
+            service,
+            organisation,
+            prompt: call.prompt,
+            version: configuration.version,
+            arrived: now,
+            deadline: now + limit,
+            tried: Vec::new(),
+            runs: 0,
+            sends: 0,
+            verdict: Verdict::NotRun,
+            route,
+        })
+    }
+
+    /// Decides where a request goes next.
+    pub fn next(&mut self, now: Time, plan: &mut Plan) -> Step {
+        let Some(view) = self.view.clone() else { return Step::Refuse(not_run(Reason::NotReady)) };
+        if now >= plan.deadline {
+            return self.refuse(now, plan, Reason::Expired, None);
+        }
+        if !plan.may_run_again() {
+            return self.refuse(now, plan, Reason::Broken, None);
+        }
+        let choice = Chooser {
+            now,
+            terms: &self.terms,
+            view: &view,
+            plan,
+            members: &mut self.members,
+            rng: &mut self.rng,
+        }
+        .choose();
+        match choice {
+            Candidate::Best(attempt) => self.send(now, plan, *attempt),
+            Candidate::Later(at) if at < plan.arrived + wait_limit(&plan.route) => Step::Wait(at),
+            Candidate::Later(at) => self.refuse(now, plan, Reason::Overloaded, Some(at)),
+            Candidate::None => self.refuse(now, plan, Reason::NoUpstream, None),
+        }
+    }
+
+    /// Counts an attempt that goes out, or refuses it where it would be a repeat too many.
+    fn send(&mut self, now: Time, plan: &mut Plan, attempt: Attempt) -> Step {
+        if plan.sends > 0 {
+            let terms = self.terms.retries;
+            let instances = self.view.as_ref().map_or(1, |view| view.instances);
+            let budget = self.budgets.entry(plan.service.clone());
+            let budget = budget.or_insert_with(|| RetryBudget::new(terms));
+            if !budget.take(now, terms, instances) {
+                return self.refuse(now, plan, Reason::RetryBudget, None);
+            }
+        }
+        plan.sends += 1;
+        if let Some(member) = self.members.get_mut(&attempt.server.id) {
+            member.sent(now);
+            member.running += 1;
+            member.unread_tokens += attempt.unread_tokens;
+            if let (Some(prompt), Some(run)) = (&plan.prompt, &attempt.engine) {
+                member.memory_tokens += prompt.memory_tokens();
+                let memory = engine_memory(self.view.as_deref(), &plan.service);
+                member.cache.read(prompt, &run.salt, memory);
+            }
+        }
+        Step::Send(Box::new(attempt))
+    }
+
+    /// Takes in that an attempt's first event, or whole plain answer, came.
+    pub fn began(&mut self, now: Time, plan: &Plan, attempt: &mut Attempt) {
+        let Some(member) = self.members.get_mut(&attempt.server.id) else { return };
+        let took = now.saturating_sub(attempt.sent);
+        let expected = match attempt.engine {
+            Some(_) => attempt.expected,
+            None => plan.route.aim / PLAIN_EXPECTED_PART,
+        };
+        member.observe_delay(now, took.saturating_sub(expected));
+        member.unread_tokens = member.unread_tokens.saturating_sub(attempt.unread_tokens);
+        attempt.unread_tokens = 0;
+    }
+
+    /// Takes in how an attempt ended. `instance` is the upstream that answered, if it said so.
+    pub fn ended(
+        &mut self,
+        now: Time,
+        plan: &mut Plan,
+        attempt: &Attempt,
+        ending: Ending,
+        instance: Option<&str>,
+    ) {
+        plan.verdict = plan.verdict.join(ending.verdict());
+        plan.runs += u32::from(ending.verdict() != Verdict::NotRun);
+        let is_same = instance == Some(&*attempt.server.id);
+        if !(ending == Ending::Misdirected && is_same) {
+            plan.tried.push(attempt.server.id.clone());
+        }
+        let view = self.view.clone();
+        let Some(member) = self.members.get_mut(&attempt.server.id) else { return };
+        member.running = member.running.saturating_sub(1);
+        member.unread_tokens = member.unread_tokens.saturating_sub(attempt.unread_tokens);
+        if let (Some(prompt), Some(_)) = (&plan.prompt, &attempt.engine) {
+            member.memory_tokens = member.memory_tokens.saturating_sub(prompt.memory_tokens());
+        }
+        let service = view.as_ref().and_then(|view| view.configuration.services.get(&plan.service));
+        match ending {
+            Ending::Answered => member.responded(now, false),
+            Ending::Failed => member.responded(now, true),
+            Ending::Refused => member.refused(now),
+            Ending::Misdirected if is_same => {
+                if let (Some(run), Some(view)) = (&attempt.engine, &view) {
+                    let newest = view.weights.get(&run.model).map_or(run.weights, |w| w.version);
+                    member.doubt_weights(&run.model, run.weights, newest);
+                }
+            }
+            Ending::Misdirected | Ending::Unreachable => {
+                member.unreachable(now);
+                if let Some(service) = service {
+                    member.suspect_restart(now, service);
+                }
+            }
+            Ending::Broken | Ending::Silent => {
+                member.broke(now);
+                if let (Some(service), Ending::Broken) = (service, ending) {
+                    member.suspect_restart(now, service);
+                }
+            }
+            Ending::Cancelled | Ending::Expired => {}
+        }
+    }
+
+    /// Gives a request up.
+    fn refuse(&mut self, now: Time, plan: &Plan, reason: Reason, free: Option<Time>) -> Step {
+        let retry_after = (plan.verdict == Verdict::NotRun).then(|| {
+            let least = free.map_or(RETRY_AFTER, |at| at.saturating_sub(now)).max(RETRY_AFTER);
+            let spread = least.mul_f64(1.0 + self.rng.random::<f64>());
+            spread.min(plan.left(now) / RETRY_AFTER_PART)
+        });
+        Step::Refuse(Refusal { reason, verdict: plan.verdict, retry_after })
+    }
+}
+
+/// Memory of a service's engines, in tokens.
+fn engine_memory(view: Option<&View>, service: &ServiceName) -> u64 {
+    match view.and_then(|view| view.configuration.services.get(service)).map(|s| &s.role) {
+        Some(Role::Engine(terms)) => terms.memory_tokens,
+        _ => 0,
+    }
+}
+
+/// Longest wait for an upstream to come free.
+fn wait_limit(route: &Route) -> Duration {
+    route.aim / WAIT_PART
+}
+
+/// A refusal before anything was sent.
+fn not_run(reason: Reason) -> Refusal {
+    Refusal { reason, verdict: Verdict::NotRun, retry_after: Some(RETRY_AFTER) }
+}
+
+/// When an engine with older weights gets no more requests.
+pub fn weights_end(named: Time, terms: &Terms) -> Time {
+    named + terms.weights_limit.saturating_sub(WEIGHTS_MARGIN)
+}
--- /dev/null
+++ b/crates/policy/src/gateway/rollout.rs
@@ -0,0 +1,313 @@
+//! Brings named weights to the engines.
+//!
+//! One instance at a time holds the right to order; [`Tenure`] says when it may act on it. The
+//! [`Rollout`] of that instance looks at an engine, orders the weights under the sequence number
+//! that it saw, so that an order which is carried out late changes nothing, and looks again until
+//! the weights are there. A few engines reload at a time, spread over the zones, so that the others
+//! go on serving.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use strum::{Display, IntoStaticStr};
+
+use super::configuration::ModelName;
+use super::view::{Server, ServerId, WeightVersion, Weights};
+use crate::Time;
+
+/// Engines that reload at once. The weight store serves two at full speed; a third one waits for
+/// its runs to end meanwhile.
+const AT_ONCE: usize = 3;
+/// Part of a model's engines that may reload at once.
+const AT_ONCE_PART: usize = 3;
+/// First look after an order: a little less than a load takes.
+const FIRST_LOOK: Duration = Duration::from_millis(500);
+/// Time between looks at an engine that reloads. Reports lag by about as much.
+const LOOK_AGAIN: Duration = Duration::from_millis(250);
+/// Time until an order is tried again after it failed or was not answered.
+const ORDER_AGAIN: Duration = Duration::from_millis(500);
+/// Longest time that an engine counts as reloading without showing it.
+const RELOAD_LIMIT: Duration = Duration::from_secs(4);
+
+/// What an engine reports of itself.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Its weights.
+    pub models: Vec<(ModelName, WeightVersion)>,
+    /// An order is being carried out.
+    pub busy: bool,
+    /// Orders that it took since its start.
+    pub orders: u64,
+    /// Start of its life.
+    pub born: Option<u64>,
+}
+
+/// How an engine took an order.
+#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Receipt {
+    /// It is carried out.
+    Accepted,
+    /// It holds already.
+    Holds,
+    /// Another order is in progress, or the number of orders differs.
+    Conflict,
+    /// A holder with a higher fencing token has ordered.
+    Fenced,
+    /// Another engine has the address.
+    Misdirected,
+    /// The order is wrong.
+    Invalid,
+    /// No answer; it may be carried out now or later.
+    Unknown,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    /// Reads an engine's report.
+    Look(Arc<Server>),
+    /// Orders weights.
+    Order {
+        /// The engine.
+        server: Arc<Server>,
+        /// The model.
+        model: ModelName,
+        /// The weights.
+        version: WeightVersion,
+        /// Orders that the engine has taken so far.
+        expected: u64,
+    },
+}
+
+/// Progress over all engines.
+#[derive(Debug, Default)]
+pub struct Rollout {
+    engines: BTreeMap<ServerId, Engine>,
+}
+
+/// Progress at one engine.
+#[derive(Debug)]
+struct Engine {
+    server: Arc<Server>,
+    report: Option<Report>,
+    stage: Stage,
+    next: Time,
+    waiting: bool,
+}
+
+/// Where an engine stands.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    /// Nothing ordered.
+    Idle,
+    /// Its report was read; the order comes next.
+    Looked,
+    /// Weights were ordered then.
+    Ordered(Time),
+}
+
+impl Rollout {
+    /// What to do now for the named weights.
+    pub fn step(
+        &mut self,
+        now: Time,
+        servers: &BTreeMap<ServerId, Arc<Server>>,
+        weights: &BTreeMap<ModelName, Weights>,
+    ) -> Vec<Act> {
+        self.update(servers);
+        let mut acts = self.look_at_ordered(now, weights);
+        for (model, newest) in weights {
+            acts.extend(self.advance(now, model, newest.version));
+        }
+        acts
+    }
+
+    /// Takes in how an order was received.
+    pub fn received(&mut self, now: Time, id: &str, receipt: Receipt) {
+        let Some(engine) = self.engines.get_mut(id) else { return };
+        engine.waiting = false;
+        match receipt {
+            Receipt::Accepted => {
+                engine.stage = Stage::Ordered(now);
+                engine.next = now + FIRST_LOOK;
+            }
+            Receipt::Holds => {
+                engine.stage = Stage::Ordered(now);
+                engine.next = now;
+            }
+            Receipt::Unknown => {
+                engine.stage = Stage::Ordered(now);
+                engine.next = now + LOOK_AGAIN;
+            }
+            Receipt::Conflict | Receipt::Fenced | Receipt::Misdirected | Receipt::Invalid => {
+                engine.stage = Stage::Idle;
+                engine.report = None;
+                engine.next = now + ORDER_AGAIN;
+            }
+        }
+    }
+
+    /// Takes in an engine's report; nothing if it could not be read.
+    pub fn looked(&mut self, now: Time, id: &str, report: Option<Report>) {
+        let Some(engine) = self.engines.get_mut(id) else { return };
+        engine.waiting = false;
+        let Some(report) = report else {
+            engine.next = now + ORDER_AGAIN;
+            return;
+        };
+        engine.next = now;
+        match engine.stage {
+            Stage::Idle | Stage::Looked => engine.stage = Stage::Looked,
+            Stage::Ordered(since) => {
+                engine.next = now + LOOK_AGAIN;
+                let taken = engine.report.as_ref().is_none_or(|old| report.orders > old.orders);
+                if now >= since + RELOAD_LIMIT || (!report.busy && !taken && now > since + FIRST_LOOK)
+                {
+                    engine.stage = Stage::Looked;
+                    engine.next = now;
+                }
+            }
+        }
+        if report.busy && engine.stage == Stage::Looked {
+            engine.stage = Stage::Ordered(now);
+            engine.next = now + LOOK_AGAIN;
+        }
+        if !matches!(engine.stage, Stage::Ordered(_)) || !report.busy {
+            engine.report = Some(report);
+        }
+    }
+
+    /// Forgets what was begun; another instance may have gone on since.
+    pub fn reset(&mut self) {
+        self.engines.clear();
+    }
+
+    /// Engines that reload now.
+    pub fn loading(&self) -> BTreeSet<ServerId> {
+        let ordered = self.engines.iter().filter(|(_, e)| matches!(e.stage, Stage::Ordered(_)));
+        ordered.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Weights that engines were seen to have.
+    pub fn loaded(&self) -> Vec<(ServerId, ModelName, WeightVersion)> {
+        let seen = self.engines.iter().filter_map(|(id, engine)| {
+            let report = engine.report.as_ref().filter(|report| !report.busy)?;
+            Some(report.models.iter().map(|(m, version)| (id.clone(), m.clone(), *version)))
+        });
+        seen.flatten().collect()
+    }
+
+    /// Keeps one entry for each engine's life.
+    fn update(&mut self, servers: &BTreeMap<ServerId, Arc<Server>>) {
+        self.engines.retain(|id, engine| {
+            servers.get(id).is_some_and(|server| server.is_same_life(&engine.server))
+        });
+        for (id, server) in servers.iter().filter(|(_, server)| !server.models.is_empty()) {
+            let engine = self.engines.entry(id.clone()).or_insert_with(|| Engine {
+                server: server.clone(),
+                report: None,
+                stage: Stage::Idle,
+                next: Time::ZERO,
+                waiting: false,
+            });
+            engine.server = server.clone();
+        }
+    }
+
+    /// Looks at engines that reload, and ends the reloads that are done.
+    fn look_at_ordered(&mut self, now: Time, weights: &BTreeMap<ModelName, Weights>) -> Vec<Act> {
+        let mut acts = Vec::new();
+        for engine in self.engines.values_mut().filter(|engine| !engine.waiting) {
+            let Stage::Ordered(_) = engine.stage else { continue };
+            if weights.iter().all(|(model, newest)| engine.has(model, newest.version)) {
+                engine.stage = Stage::Idle;
+            } else if now >= engine.next {
+                engine.waiting = true;
+                acts.push(Act::Look(engine.server.clone()));
+            }
+        }
+        acts
+    }
+
+    /// Begins or goes on with engines that have older weights of a model.
+    fn advance(&mut self, now: Time, model: &ModelName, version: WeightVersion) -> Vec<Act> {
+        let all = self.engines.values().filter(|e| e.server.weights(model).is_some()).count();
+        let limit = AT_ONCE.min(all / AT_ONCE_PART).max(1);
+        let mut acts = Vec::new();
+        while let Some(id) = self.next_engine(now, model, version, limit) {
+            let Some(engine) = self.engines.get_mut(&id) else { break };
+            engine.waiting = true;
+            let expected = engine.report.as_ref().map(|report| report.orders);
+            acts.push(match (engine.stage, expected) {
+                (Stage::Looked, Some(expected)) => Act::Order {
+                    server: engine.server.clone(),
+                    model: model.clone(),
+                    version,
+                    expected,
+                },
+                _ => Act::Look(engine.server.clone()),
+            });
+        }
+        acts
+    }
+
+    /// The engine to go on with, from the zone where the fewest reload.
+    fn next_engine(
+        &self,
+        now: Time,
+        model: &ModelName,
+        version: WeightVersion,
+        limit: usize,
+    ) -> Option<ServerId> {
+        let active = |engine: &&Engine| engine.stage != Stage::Idle || engine.waiting;
+        let begun = self.engines.values().filter(active).count();
+        let open = self.engines.iter().filter(|(_, engine)| {
+            let is_next = engine.stage == Stage::Looked || begun < limit;
+            let is_old = engine.server.weights(model).is_some() && !engine.has(model, version);
+            let is_ordered = matches!(engine.stage, Stage::Ordered(_));
+            is_next && is_old && !is_ordered && !engine.waiting && now >= engine.next
+        });
+        let by_zone = |zone| {
+            self.engines.values().filter(active).filter(|e| e.server.zone == zone).count()
+        };
+        open.min_by_key(|(_, engine)| {
+            let order = u8::from(engine.stage != Stage::Looked);
+            (order, engine.server.leaving, by_zone(engine.server.zone.clone()))
+        })
+        .map(|(id, _)| id.clone())
+    }
+}
+
+impl Engine {
+    /// Whether it has weights of a model at least as new, by its entry or its report.
+    fn has(&self, model: &ModelName, version: WeightVersion) -> bool {
+        let reported = self.report.as_ref().filter(|report| !report.busy).and_then(|report| {
+            report.models.iter().find(|(name, _)| name == model).map(|(_, version)| *version)
+        });
+        self.server.weights(model).max(reported).is_none_or(|known| known >= version)
+    }
+}
+
+/// The right to order, held by lease.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tenure {
+    /// Fencing token; grows from holder to holder.
+    pub fence: u64,
+    /// When orders may begin: the holder before may have sent some until its lease ended.
+    pub begins: Time,
+    /// When the lease may have ended.
+    pub ends: Time,
+}
+
+/// Time before a lease's end when its holder stops: an order is on its way for that long at most,
+/// and clocks drift by much less.
+const TENURE_MARGIN: Duration = Duration::from_millis(300);
+
+impl Tenure {
+    /// Whether orders may be sent now.
+    pub fn is_open(&self, now: Time) -> bool {
+        now >= self.begins && now + TENURE_MARGIN < self.ends
+    }
+}
--- /dev/null
+++ b/crates/policy/src/gateway/view.rs
@@ -0,0 +1,84 @@
+//! What the platform's store says, as one immutable picture.
+//!
+//! The control thread makes a new [`View`] for each change that it hears of; traffic reads the
+//! newest.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::configuration::{Configuration, ModelName, ServiceName, ZoneName};
+use crate::Time;
+
+/// Id of an upstream, drawn anew at most of its starts.
+pub type ServerId = Arc<str>;
+/// Version of a model's weights.
+pub type WeightVersion = u64;
+
+/// What is known at one moment.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// The configuration in force.
+    pub configuration: Arc<Configuration>,
+    /// Every listed upstream.
+    pub servers: BTreeMap<ServerId, Arc<Server>>,
+    /// Upstreams that left the list while the store was in trouble, and when that was heard.
+    pub lapsed: BTreeMap<ServerId, (Arc<Server>, Time)>,
+    /// Availability zones that get no new work.
+    pub evacuated: BTreeSet<ZoneName>,
+    /// The newest weights of each model, and when they were heard of.
+    pub weights: BTreeMap<ModelName, Weights>,
+    /// Upstreams that load weights now.
+    pub loading: BTreeSet<ServerId>,
+    /// Weights that upstreams were seen to have loaded.
+    pub loaded: Vec<(ServerId, ModelName, WeightVersion)>,
+    /// Entry instances that may share a limit with this one.
+    pub instances: u32,
+    /// Since when the store gives no answers; none while it does.
+    pub detached: Option<Time>,
+}
+
+/// The weights that operators want of a model.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Weights {
+    /// The newest version.
+    pub version: WeightVersion,
+    /// When this instance heard of it; zero when it was there at the start.
+    pub named: Time,
+}
+
+/// An upstream's own entry.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Server {
+    /// Its id.
+    pub id: ServerId,
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// It takes no new work.
+    pub leaving: bool,
+    /// How long it stays cold, when the entry was read.
+    pub cold_left: Duration,
+    /// Weights that it has.
+    pub models: Vec<(ModelName, WeightVersion)>,
+    /// Start of this life, in milliseconds of Unix time.
+    pub born: Option<u64>,
+}
+
+impl Server {
+    /// Its weights of a model.
+    pub fn weights(&self, model: &str) -> Option<WeightVersion> {
+        self.models.iter().find(|(name, _)| &**name == model).map(|(_, version)| *version)
+    }
+
+    /// The same life at the same place.
+    pub fn is_same_life(&self, other: &Self) -> bool {
+        self.born == other.born && self.address == other.address && self.service == other.service
+    }
+}
--- /dev/null
+++ b/crates/policy/src/gateway/window.rs
@@ -0,0 +1,112 @@
+//! Counts over a sliding span of time, and the limits that instances share.
+//!
+//! No instance asks another before it sends, so each keeps to a share of a common limit that holds
+//! in sum even if all of them use theirs up at the same moment.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::Time;
+
+/// Events of the last span.
+#[derive(Clone, Debug)]
+pub struct Window {
+    span: Duration,
+    events: VecDeque<Time>,
+}
+
+impl Window {
+    /// An empty window.
+    pub fn new(span: Duration) -> Self {
+        Self { span, events: VecDeque::new() }
+    }
+
+    /// Counts an event.
+    pub fn add(&mut self, now: Time) {
+        self.expire(now);
+        self.events.push_back(now);
+    }
+
+    /// Events within the span.
+    pub fn count(&mut self, now: Time) -> usize {
+        self.expire(now);
+        self.events.len()
+    }
+
+    /// When fewer than `limit` events remain within the span.
+    pub fn free_at(&mut self, now: Time, limit: usize) -> Option<Time> {
+        self.expire(now);
+        if self.events.len() < limit {
+            return Some(now);
+        }
+        let at = self.events.len().checked_sub(limit)?;
+        self.events.get(at).map(|event| *event + self.span)
+    }
+
+    fn expire(&mut self, now: Time) {
+        while self.events.front().is_some_and(|event| *event + self.span <= now) {
+            self.events.pop_front();
+        }
+    }
+}
+
+/// Repeats that one service may get from this instance.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    firsts: Window,
+    repeats: Window,
+}
+
+/// What the deployment allows in repeats.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryTerms {
+    /// Repeats for each request of the window.
+    pub ratio: f64,
+    /// Repeats that are allowed besides, over all instances.
+    pub slack: f64,
+    /// Length of the window.
+    pub window: Duration,
+}
+
+/// Part of the allowance that is used, so that windows which other instances count a moment earlier
+/// or later never sum up to more.
+const RETRY_MARGIN: f64 = 0.8;
+
+impl RetryBudget {
+    /// An unused budget.
+    pub fn new(terms: RetryTerms) -> Self {
+        Self { firsts: Window::new(terms.window), repeats: Window::new(terms.window) }
+    }
+
+    /// Counts a request's first send.
+    pub fn first(&mut self, now: Time) {
+        self.firsts.add(now);
+    }
+
+    /// Takes one repeat, if there is one left among `instances`.
+    pub fn take(&mut self, now: Time, terms: RetryTerms, instances: u32) -> bool {
+        let own = terms.ratio * self.firsts.count(now) as f64;
+        let shared = terms.slack / f64::from(instances.max(1));
+        let allowed = ((own + shared) * RETRY_MARGIN) as usize;
+        if self.repeats.count(now) >= allowed {
+            return false;
+        }
+        self.repeats.add(now);
+        true
+    }
+}
+
+/// What a cold upstream bears.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdTerms {
+    /// Factor on the rate that a service states.
+    pub factor: f64,
+    /// Requests besides, in any second.
+    pub slack: f64,
+}
+
+/// Requests that this instance may send a cold upstream in one second; zero when the limit is
+/// smaller than the fleet.
+pub fn cold_share(rate: f64, terms: ColdTerms, instances: u32) -> usize {
+    ((rate * terms.factor + terms.slack) / f64::from(instances.max(1))) as usize
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod cache;
 pub mod control;
 pub mod dispatch;
+pub mod gateway;
 pub mod kv;
 pub mod message;
 pub mod request;
