--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -148,19 +148,50 @@
     message: &Message,
     last_event: Option<Bytes>,
 ) -> (Option<Plan>, Outcome) {
-    let Some(plan) = &flight.plan else { return (None, Outcome::None) };
-    let left = plan.left(flight.traffic.now());
-    let patience = flight.attempt.patience.filter(|patience| *patience < left);
-    let exchange = exchange(&mut flight, message, last_event, left);
-    match tokio::time::timeout(patience.unwrap_or(left), exchange).await {
+    let Some(plan) = flight.plan.clone() else { return (None, Outcome::None) };
+    let (traffic, attempt) = (flight.traffic.clone(), flight.attempt.clone());
+    let received = {
+        let left = plan.left(traffic.now());
+        let exchange = exchange(&mut flight, message, last_event, left);
+        patiently(&traffic, &plan, &attempt, attempt.patience, exchange).await
+    };
+    match received {
         Ok(Ok(Received::Whole(head, body))) => whole(flight, head, body),
         Ok(Ok(Received::Stream(head, first, splitter))) => {
             let stream = Stream { head, first, flight, splitter };
             (None, Outcome::Stream(Box::new(stream)))
         }
         Ok(Err((ending, instance))) => (flight.end(ending, instance.as_deref()), Outcome::None),
-        Err(_) if patience.is_some() => (flight.end(Ending::Silent, None), Outcome::None),
-        Err(_) => (flight.end(Ending::Expired, None), Outcome::None),
+        Err(ending) => (flight.end(ending, None), Outcome::None),
+    }
+}
+
+/// Waits for something from an upstream until the deadline, or until its patience is over and
+/// another upstream could take the request.
+///
+/// # Errors
+/// With how the attempt ended if nothing came.
+pub async fn patiently<T>(
+    traffic: &Traffic,
+    plan: &Plan,
+    attempt: &Attempt,
+    patience: Option<Duration>,
+    awaited: impl Future<Output = T>,
+) -> Result<T, Ending> {
+    tokio::pin!(awaited);
+    loop {
+        let left = plan.left(traffic.now());
+        let wait = patience.map_or(left, |patience| patience.min(left));
+        if let Ok(output) = tokio::time::timeout(wait, &mut awaited).await {
+            return Ok(output);
+        }
+        let now = traffic.now();
+        if now >= plan.deadline {
+            return Err(Ending::Expired);
+        }
+        if patience.is_some() && traffic.gateway.borrow_mut().has_alternative(now, plan, attempt) {
+            return Err(Ending::Silent);
+        }
     }
 }
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use acacia_platform::Settings;
-use acacia_platform::document::instance_key;
+use acacia_platform::document::{Presence, instance_key};
 use acacia_platform::store::{Client, WatchFailure, Written};
 use acacia_policy::gateway::View;
 use acacia_policy::kv::{Failure, LeaseId, ModRevision};
@@ -81,7 +81,7 @@
 
     /// Hands traffic the present view.
     pub fn publish(&self) {
-        if let Some(view) = self.picture.borrow().view() {
+        if let Some(view) = self.picture.borrow().view(&self.settings.instance) {
             self.views.send_replace(Some(Arc::new(view)));
         }
     }
@@ -235,7 +235,8 @@
         let (lease, _) = client.grant(LISTED.max(self.settings.least_lease)).await?;
         self.metrics.store_call("write");
         let key = instance_key(&self.settings.instance);
-        match client.write(&key, b"{}", None, lease).await? {
+        let presence = Presence { peer: self.settings.peer_address };
+        match client.write(&key, &presence.encode(), None, lease).await? {
             Written::Done(_) => Ok(Some(lease)),
             Written::Conflict | Written::LeaseEnded => Ok(None),
         }
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -115,7 +115,7 @@
     fn turn(&self) -> Duration {
         let picture = self.control.picture.borrow();
         let own = &self.control.settings.instance;
-        let before = picture.instances().iter().take_while(|name| *name < own).count();
+        let before = picture.instances().keys().take_while(|name| *name < own).count();
         TURN * u32::try_from(before).unwrap_or(0).min(MOST_TURNS)
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,12 +5,13 @@
 //! instance is the [`holder`] of the right, orders weights. The other thread serves callers:
 //! [`listener`] takes connections, [`request`] takes one request through the decisions of
 //! [`acacia_policy::gateway`], [`attempt`] sends it to one upstream, and [`relay`] passes a stream
-//! of events on. Both write what they decide to the [`log`] and count it in [`metric`].
+//! of events on; [`gossip`] carries the instances' word to each other. All write what they decide to the [`log`] and count it in [`metric`].
 
 mod attempt;
 mod clock;
 mod control;
 mod event;
+mod gossip;
 mod holder;
 mod listener;
 mod log;
--- a/crates/gateway/src/picture.rs
+++ b/crates/gateway/src/picture.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_platform::document::{self, Holding, Subject, WeightOrder};
+use acacia_platform::document::{self, Holding, Presence, Subject, WeightOrder};
 use acacia_platform::{Document, store};
 use acacia_policy::Time;
 use acacia_policy::gateway::configuration::{ModelName, ZoneName};
@@ -30,7 +30,7 @@
     lapsed: BTreeMap<ServerId, (Arc<Server>, Time)>,
     evacuated: BTreeSet<ZoneName>,
     weights: BTreeMap<ModelName, Weights>,
-    instances: BTreeSet<String>,
+    instances: BTreeMap<String, Presence>,
     holder: Option<Holder>,
     trouble: Option<Time>,
     detached: Option<Time>,
@@ -79,14 +79,15 @@
 }
 
 impl Picture {
-    /// The present view; none before a configuration is known.
-    pub fn view(&self) -> Option<View> {
+    /// The present view for the instance `own`; none before a configuration is known.
+    pub fn view(&self, own: &str) -> Option<View> {
         let holding = self.holder.as_ref().map(|holder| &holder.holding);
         let loaded = holding.into_iter().flat_map(|holding| {
             holding.loaded.iter().flat_map(|(id, models)| {
                 models.iter().map(|(model, version)| (id.clone(), model.clone(), *version))
             })
         });
+        let others = self.instances.iter().filter(|(name, _)| *name != own);
         Some(View {
             configuration: self.configuration.clone()?,
             servers: self.servers.clone(),
@@ -96,6 +97,7 @@
             loading: holding.map(|h| h.loading.iter().cloned().collect()).unwrap_or_default(),
             loaded: loaded.collect(),
             instances: self.instance_count(),
+            peers: others.filter_map(|(_, presence)| presence.peer).collect(),
             detached: self.detached,
         })
     }
@@ -116,7 +118,7 @@
     }
 
     /// Listed instances.
-    pub fn instances(&self) -> &BTreeSet<String> {
+    pub fn instances(&self) -> &BTreeMap<String, Presence> {
         &self.instances
     }
 
@@ -180,10 +182,13 @@
             }
             Subject::Weights(model) => self.set_weights(now, key, model, value),
             Subject::Server(id) => self.set_server(now, key, id, value),
-            Subject::Instance(name) => self
-                .instances
-                .insert(name.to_owned())
-                .then(|| Belief::Instances(self.instances.len())),
+            Subject::Instance(name) => match Presence::decode(name, value) {
+                Ok(presence) => {
+                    let old = self.instances.insert(name.to_owned(), presence.clone());
+                    (old != Some(presence)).then(|| Belief::Instances(self.instances.len()))
+                }
+                Err(problem) => Some(malformed(key, value, &problem)),
+            },
             Subject::Holder => match Holding::decode("", value) {
                 Ok(holding) => {
                     let created = match &self.holder {
@@ -254,7 +259,7 @@
             }
             Subject::Server(id) => self.remove_server(now, id),
             Subject::Instance(name) => {
-                self.instances.remove(name).then(|| Belief::Instances(self.instances.len()))
+                self.instances.remove(name).map(|_| Belief::Instances(self.instances.len()))
             }
             Subject::Holder => self.holder.take().map(|_| Belief::Holder),
             Subject::Configuration | Subject::Weights(_) | Subject::Other => None,
@@ -277,7 +282,7 @@
     fn keys(&self) -> Vec<String> {
         let servers = self.servers.keys().map(|id| document::server_key(id));
         let zones = self.evacuated.iter().map(|zone| document::evacuation_key(zone));
-        let instances = self.instances.iter().map(|name| document::instance_key(name));
+        let instances = self.instances.keys().map(|name| document::instance_key(name));
         let holder = self.holder.iter().map(|_| document::holder_key());
         servers.chain(zones).chain(instances).chain(holder).collect()
     }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -17,6 +17,7 @@
 
 use crate::clock::Clock;
 use crate::control::Control;
+use crate::gossip;
 use crate::listener::{listen, serve, serve_metrics, serve_ready};
 use crate::log::{self, Volume};
 use crate::metric::Metrics;
@@ -118,6 +119,9 @@
         let metrics = listen(address).into_diagnostic()?;
         tokio::task::spawn_local(serve_metrics(traffic.clone(), metrics));
     }
+    if let Some(address) = settings.peer_address {
+        tokio::task::spawn_local(gossip::run(traffic.clone(), address));
+    }
     tokio::task::spawn_local(observe(traffic.clone(), viewed));
     tokio::task::spawn_local(count_lines(traffic.clone(), dropped));
     tracing::info!(
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,7 +10,7 @@
 use futures::Stream as FutureStream;
 use futures::stream::unfold;
 
-use crate::attempt::{Flight, Message, Outcome, Stream, send};
+use crate::attempt::{Flight, Message, Outcome, Stream, patiently, send};
 use crate::event::Splitter;
 use crate::request::{End, log_sent};
 use crate::traffic::Traffic;
@@ -88,32 +88,27 @@
 
     /// Reads until an event is whole.
     async fn read(&mut self) -> Next {
-        let Some(plan) = &self.flight.plan else { return Next::Broken(Ending::Broken) };
-        let left = plan.left(self.traffic.now());
-        let pause = self.flight.attempt().pause.filter(|pause| *pause < left);
-        let limit = tokio::time::sleep(pause.unwrap_or(left));
-        tokio::pin!(limit);
-        loop {
-            let chunk = tokio::select! {
-                chunk = self.flight.chunk() => chunk,
-                () = &mut limit => {
-                    let ending = pause.map_or(Ending::Expired, |_| Ending::Silent);
-                    return Next::Broken(ending);
-                }
-            };
-            match chunk {
-                Ok(Some(bytes)) => {
-                    let events = self.splitter.push(&bytes);
-                    if !events.is_empty() {
-                        return Next::Bytes(events);
+        let Some(plan) = self.flight.plan.clone() else { return Next::Broken(Ending::Broken) };
+        let attempt = self.flight.attempt().clone();
+        let (flight, splitter) = (&mut self.flight, &mut self.splitter);
+        let events = async {
+            loop {
+                match flight.chunk().await {
+                    Ok(Some(bytes)) => {
+                        let events = splitter.push(&bytes);
+                        if !events.is_empty() {
+                            return Next::Bytes(events);
+                        }
+                    }
+                    Ok(None) => return Next::Whole(splitter.rest()),
+                    Err(Fault::Malformed | Fault::Closed | Fault::Reset) => {
+                        return Next::Broken(Ending::Broken);
                     }
-                }
-                Ok(None) => return Next::Whole(self.splitter.rest()),
-                Err(Fault::Malformed | Fault::Closed | Fault::Reset) => {
-                    return Next::Broken(Ending::Broken);
                 }
             }
-        }
+        };
+        let read = patiently(&self.traffic, &plan, &attempt, attempt.pause, events).await;
+        read.unwrap_or_else(Next::Broken)
     }
 
     /// Goes on at another upstream after the last event that the caller got.
--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -1,10 +1,9 @@
 //! Which upstream a request goes to.
 //!
 //! Every upstream that may take the request gets a cost: the time until its first event, in
-//! seconds, as far as this instance can tell. The cheapest one wins. Where a long shared part of a
-//! prompt lies is not remembered but computed: each instance ranks the engines by the same hash, so
-//! that all of them send the part's prompts to the same engine. Short prompts go where the queues
-//! are short.
+//! seconds, as far as this instance can tell from its own work and from what the others tell. The
+//! cheapest one wins. Parts that nobody holds yet go to the engine that all instances rank first by
+//! the same hash, so that two instances read a new part at one place.
 
 use std::hash::{Hash, Hasher};
 use std::time::Duration;
@@ -15,6 +14,7 @@
 
 use super::call::{Part, Prompt};
 use super::configuration::{EngineTerms, Role, Service};
+use super::gossip::{Load, PartKey, Tallies, part_keys};
 use super::machine::{Terms, weights_end};
 use super::member::Member;
 use super::plan::{Attempt, EngineRun, Plan};
@@ -41,22 +41,26 @@
 const OLD_WEIGHTS_COST: f64 = 0.5;
 /// Time from which answers on older weights are worth less to the users.
 const OLD_WEIGHTS_AGE: Duration = Duration::from_millis(1_200);
-/// Cost of an engine whose memory own requests have already filled, in aims.
+/// Cost of an engine whose memory running requests have filled, in aims.
 const FULL_MEMORY_COST: f64 = 0.5;
-/// Part of an engine's memory that own requests may fill.
+/// Part of an engine's memory that running requests may fill.
 const MEMORY_PART: f64 = 0.8;
 /// Random part of a cost, in seconds, so that instances with equal beliefs spread.
 const JITTER: f64 = 0.004;
-/// Smallest shared part that decides where a prompt goes, in tokens: reading it costs more than
-/// what engines' queues commonly differ by.
-const LONG_PART: u32 = 1_500;
+/// What the engine that all instances rank first for a part is preferred by, in seconds, where
+/// nobody holds it: two instances that read the part at one moment read it at one place.
+const PRIMARY_GAIN: f64 = 0.010;
 /// Time to fetch a token from another engine, in seconds: half of what reading it takes, as links
 /// are shared with others.
 const FETCH_RATE: f64 = 2.0 * READ_RATE;
 /// Cost of a fetch whose source may not have the part, in seconds.
 const FETCH_RISK: f64 = 0.030;
-/// Silence, in aims, from which another upstream is tried.
-const PATIENCE: f64 = 0.6;
+/// Silence, in aims, from which another plain upstream is tried: late enough for the slowest
+/// hundredth of the answers, and early enough for a second one in time.
+const PLAIN_PATIENCE: f64 = 0.6;
+/// Silence, in aims, from which another engine is tried: a second reading of the prompt is only
+/// worth its cost once the first is late.
+const STREAM_PATIENCE: f64 = 1.0;
 /// Silence, in expected times, from which another upstream is tried.
 const PATIENCE_EXPECTED: f64 = 3.0;
 /// Pause between events from which a stream goes on elsewhere, in the pauses that callers accept.
@@ -84,6 +88,8 @@
     pub plan: &'a Plan,
     /// Beliefs by upstream.
     pub members: &'a mut FxHashMap<ServerId, Member>,
+    /// The others' work.
+    pub tallies: &'a Tallies,
     /// For jitter.
     pub rng: &'a mut ChaCha12Rng,
 }
@@ -148,7 +154,7 @@
         if view.loading.contains(id) || now < member.paused_until {
             return Fitness::At(member.paused_until.max(now + PAUSED_LOOK));
         }
-        if member.running >= connection_share(service, view.instances) {
+        if member.own.running >= connection_share(service, view.instances) {
             return Fitness::At(now + PAUSED_LOOK);
         }
         if let (Some(rate), true) = (service.cold_rate, member.is_cold(now)) {
@@ -175,23 +181,26 @@
     ) -> Option<Offer> {
         let aim = self.plan.route.aim.as_secs_f64();
         let member = &self.members[id];
-        let mut cost = member.delay(self.now) + self.rng.random::<f64>() * JITTER;
+        let load = member.own.plus(self.tallies.load(self.now, member.key));
+        let delay = member.delay(self.now);
+        let mut cost = self.rng.random::<f64>() * JITTER;
         cost += member.failure_share(self.now) * FAILURE_COST * aim;
         cost += if lapsed { LAPSED_COST * aim } else { 0.0 };
         cost += if member.server.zone == self.terms.zone { 0.0 } else { ZONE_WAY };
         let (Role::Engine(terms), Some(prompt)) = (&service.role, &self.plan.prompt) else {
             let slots = f64::from(member.server.slots.max(1));
-            cost += PLAIN_WORK * f64::from(member.running) / slots;
-            let expected = aim / 2.0 + member.delay(self.now);
+            cost += delay + PLAIN_WORK * f64::from(load.running) / slots;
+            let expected = aim / 2.0 + delay;
             return Some(Offer { id: id.clone(), cost, expected, run: None, unread_tokens: 0 });
         };
         let (weights, stale) = self.weights(member, prompt)?;
         cost += if stale { OLD_WEIGHTS_COST * aim } else { 0.0 };
-        cost += BATCH_STEP * f64::from(member.running);
-        cost += member.unread_tokens as f64 / READ_RATE;
-        cost += if is_full(member, prompt, terms) { FULL_MEMORY_COST * aim } else { 0.0 };
+        cost += BATCH_STEP * f64::from(load.running);
+        cost += delay.max(load.unread_tokens as f64 / READ_RATE);
+        cost += if is_full(load, prompt, terms) { FULL_MEMORY_COST * aim } else { 0.0 };
         let salt = self.salt(weights);
-        let reading = self.reading(member, prompt, &salt, primary);
+        let parts = part_keys(prompt, &salt);
+        let reading = self.reading(member, prompt, &parts, primary);
         cost += reading.time;
         let run = EngineRun {
             model: prompt.model.clone(),
@@ -229,39 +238,53 @@
         &self,
         member: &Member,
         prompt: &Prompt,
-        salt: &str,
+        parts: &[(PartKey, u32)],
         primary: Option<&ServerId>,
     ) -> Reading {
-        let mut held = member.cache.held_tokens(prompt, salt);
-        let shared: u32 = prompt.shared().iter().map(|part| part.tokens).sum();
+        let held = member.cache.held_tokens(parts);
+        let unread = prompt.input_tokens.saturating_sub(held);
         let is_primary = primary == Some(&member.server.id);
-        if is_primary {
-            held = held.max(shared);
+        let time = f64::from(unread) / READ_RATE - if is_primary { PRIMARY_GAIN } else { 0.0 };
+        let reading = Reading { time, fetch: None, unread_tokens: unread.into() };
+        let Some((source, found)) = self.source(member, prompt, parts) else { return reading };
+        if found <= held {
+            return reading;
         }
-        let unread = prompt.input_tokens.saturating_sub(held);
-        let time = f64::from(unread) / READ_RATE;
-        let source = primary.filter(|_| !is_primary && shared > held).and_then(|id| {
-            let source = self.members.get(id)?;
-            let usable = self.now >= source.paused_until && !self.view.loading.contains(id);
-            let same = source.weights(&prompt.model) == member.weights(&prompt.model);
-            (usable && same && !self.view.evacuated.contains(&source.server.zone)).then_some(source)
-        });
-        let Some(source) = source else {
-            return Reading { time, fetch: None, unread_tokens: unread.into() };
-        };
-        let rest = f64::from(prompt.input_tokens.saturating_sub(shared)) / READ_RATE;
+        let rest = f64::from(prompt.input_tokens.saturating_sub(found)) / READ_RATE;
         let across = if source.server.zone == member.server.zone { 1.0 } else { 2.0 };
-        let fetching = f64::from(shared - held) / FETCH_RATE * across + FETCH_RISK;
+        let fetching = f64::from(found - held) / FETCH_RATE * across + FETCH_RISK;
         if rest + fetching >= time {
-            return Reading { time, fetch: None, unread_tokens: unread.into() };
+            return reading;
         }
-        let unread_tokens = prompt.input_tokens.saturating_sub(shared).into();
+        let unread_tokens = prompt.input_tokens.saturating_sub(found).into();
         Reading { time: rest + fetching, fetch: Some(source.server.address), unread_tokens }
     }
 
-    /// The engine where a long shared part is kept.
+    /// The engine that holds the most of a prompt, beside the one that would read it.
+    fn source(
+        &self,
+        reader: &Member,
+        prompt: &Prompt,
+        parts: &[(PartKey, u32)],
+    ) -> Option<(&Member, u32)> {
+        let usable = self.members.values().filter(|member| {
+            let server = &member.server;
+            server.service == reader.server.service
+                && server.id != reader.server.id
+                && self.now >= member.paused_until
+                && !self.view.loading.contains(&server.id)
+                && !self.view.lapsed.contains_key(&server.id)
+                && !self.view.evacuated.contains(&server.zone)
+                && member.weights(&prompt.model) == reader.weights(&prompt.model)
+        });
+        let held = usable.map(|member| (member, member.cache.held_tokens(parts)));
+        held.filter(|(_, tokens)| *tokens > 0)
+            .max_by_key(|(member, tokens)| (*tokens, member.server.zone == reader.server.zone))
+    }
+
+    /// The engine that all instances rank first for the longest shared part.
     fn primary(&self) -> Option<ServerId> {
-        let part = self.plan.prompt.as_ref()?.shared().iter().find(|p| p.tokens >= LONG_PART)?;
+        let part = self.plan.prompt.as_ref()?.shared().iter().max_by_key(|part| part.tokens)?;
         let view = self.view;
         let usable = self.members.values().map(|member| &member.server).filter(|server| {
             server.service == self.plan.service
@@ -288,7 +311,8 @@
         let route = &self.plan.route;
         let runs_left = route.attempts.saturating_sub(self.plan.runs + 1);
         let is_last = !route.repeat.is_repeatable() || runs_left == 0;
-        let seconds = (route.aim.as_secs_f64() * PATIENCE)
+        let aims = if route.repeat.is_stream() { STREAM_PATIENCE } else { PLAIN_PATIENCE };
+        let seconds = (route.aim.as_secs_f64() * aims)
             .max((option.expected + member.delay(self.now)) * PATIENCE_EXPECTED);
         let patience = (!is_last).then(|| Duration::from_secs_f64(seconds));
         let pause = route.pause.filter(|_| !is_last).map(|pause| pause.mul_f64(PAUSE_PART));
@@ -324,10 +348,10 @@
     service.connections.map_or(u32::MAX, |all| (all / instances.max(1)).max(1))
 }
 
-/// Whether own requests fill an engine's memory.
-fn is_full(member: &Member, prompt: &Prompt, terms: &EngineTerms) -> bool {
-    let needed = member.memory_tokens + prompt.memory_tokens();
-    member.running > 0 && needed as f64 > terms.memory_tokens as f64 * MEMORY_PART
+/// Whether requests fill an engine's memory.
+fn is_full(load: Load, prompt: &Prompt, terms: &EngineTerms) -> bool {
+    let needed = load.memory_tokens + prompt.memory_tokens();
+    load.running > 0 && needed as f64 > terms.memory_tokens as f64 * MEMORY_PART
 }
 
 /// Rank of an upstream for a part; the same on all instances.
--- /dev/null
+++ b/crates/policy/src/gateway/gossip.rs
@@ -0,0 +1,122 @@
+//! What instances tell each other of the work that they gave to engines.
+//!
+//! Each instance sees a part of the callers only, and engines report late. So instances tell each
+//! other, within tens of milliseconds, what they have running where and which parts of prompts they
+//! sent there. A [`Tally`] that is lost or late costs a worse choice and nothing else: no promise
+//! rests on it.
+
+use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
+use std::time::Duration;
+
+use rustc_hash::{FxHashMap, FxHasher};
+use serde::{Deserialize, Serialize};
+
+use super::call::Prompt;
+use crate::Time;
+
+/// Age from which another instance's tally no longer counts: it is told again several times within.
+const TALLY_LIFE: Duration = Duration::from_millis(1_500);
+
+/// Random id of a process's life.
+pub type LifeId = u64;
+/// Short name of an upstream, the same on all instances.
+pub type ServerKey = u64;
+/// Short name of a part under its salt, the same on all instances.
+pub type PartKey = u64;
+
+/// One instance's word to the others.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Tally {
+    /// The sender.
+    pub life: LifeId,
+    /// Grows with each tally of a life.
+    pub sequence: u64,
+    /// All work that the sender has running, by engine; absent engines have none.
+    pub loads: BTreeMap<ServerKey, Load>,
+    /// Prompts that it sent since its last tally.
+    pub reads: Vec<Read>,
+}
+
+/// Work at one engine.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Load {
+    /// Requests that run or wait.
+    pub running: u32,
+    /// Tokens that they still have to read.
+    pub unread_tokens: u64,
+    /// Tokens that they hold in memory when they end.
+    pub memory_tokens: u64,
+}
+
+impl Load {
+    /// The work of two instances.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            running: self.running + other.running,
+            unread_tokens: self.unread_tokens + other.unread_tokens,
+            memory_tokens: self.memory_tokens + other.memory_tokens,
+        }
+    }
+}
+
+/// A prompt that an engine reads.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Read {
+    /// The engine.
+    pub server: ServerKey,
+    /// Its parts in order.
+    pub parts: Vec<(PartKey, u32)>,
+}
+
+/// What the other instances told last.
+#[derive(Debug, Default)]
+pub struct Tallies {
+    heard: FxHashMap<LifeId, Heard>,
+}
+
+#[derive(Debug)]
+struct Heard {
+    at: Time,
+    sequence: u64,
+    loads: BTreeMap<ServerKey, Load>,
+}
+
+impl Tallies {
+    /// Takes a tally in, unless a later one of its sender came before; gives its reads.
+    pub fn hear(&mut self, now: Time, tally: Tally) -> Vec<Read> {
+        self.heard.retain(|_, heard| now < heard.at + TALLY_LIFE);
+        let known = self.heard.get(&tally.life).map_or(0, |heard| heard.sequence);
+        if tally.sequence > known {
+            let heard = Heard { at: now, sequence: tally.sequence, loads: tally.loads };
+            self.heard.insert(tally.life, heard);
+        }
+        tally.reads
+    }
+
+    /// The others' work at one engine.
+    pub fn load(&self, now: Time, server: ServerKey) -> Load {
+        let fresh = self.heard.values().filter(|heard| now < heard.at + TALLY_LIFE);
+        fresh.filter_map(|heard| heard.loads.get(&server)).fold(Load::default(), |a, b| a.plus(*b))
+    }
+}
+
+/// The short name of an upstream.
+pub fn server_key(id: &str) -> ServerKey {
+    let mut hasher = FxHasher::default();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// The short names of a prompt's parts under a salt.
+pub fn part_keys(prompt: &Prompt, salt: &str) -> Vec<(PartKey, u32)> {
+    let mut base = FxHasher::default();
+    salt.hash(&mut base);
+    let key = |id: &str| {
+        let mut hasher = base.clone();
+        id.hash(&mut hasher);
+        hasher.finish()
+    };
+    prompt.parts.iter().map(|part| (key(&part.id), part.tokens)).collect()
+}
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -1,5 +1,6 @@
 //! The machine that takes a request from admission to its answer.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,9 +8,10 @@
 use rand_chacha::ChaCha12Rng;
 use rustc_hash::FxHashMap;
 
-use super::call::Call;
+use super::call::{Call, Prompt};
 use super::choice::{Candidate, Chooser};
 use super::configuration::{Role, Route, ServiceName, ZoneName};
+use super::gossip::{LifeId, Load, Read, ServerKey, Tallies, Tally, part_keys};
 use super::member::Member;
 use super::plan::{Attempt, Ending, Plan, Reason, Refusal, Step};
 use super::view::{ServerId, View};
@@ -53,17 +55,30 @@
     members: FxHashMap<ServerId, Member>,
     budgets: FxHashMap<ServiceName, RetryBudget>,
     rng: ChaCha12Rng,
+    keys: FxHashMap<ServerKey, ServerId>,
+    tallies: Tallies,
+    life: LifeId,
+    sequence: u64,
+    told: BTreeMap<ServerKey, Load>,
+    reads: Vec<Read>,
 }
 
 impl Gateway {
     /// A gateway that knows nothing yet; its random choices follow from `seed`.
     pub fn new(terms: Terms, seed: u64) -> Self {
+        let mut rng = ChaCha12Rng::seed_from_u64(seed);
         Self {
             terms,
             view: None,
             members: FxHashMap::default(),
             budgets: FxHashMap::default(),
-            rng: ChaCha12Rng::seed_from_u64(seed),
+            keys: FxHashMap::default(),
+            tallies: Tallies::default(),
+            life: rng.random(),
+            sequence: 0,
+            told: BTreeMap::new(),
+            reads: Vec::new(),
+            rng,
         }
     }
 
@@ -80,6 +95,7 @@
             let member = self.members.entry(id.clone());
             member.or_insert_with(|| Member::new(now, server.clone())).update(now, server.clone());
         }
+        self.keys = self.members.iter().map(|(id, member)| (member.key, id.clone())).collect();
         for (id, model, version) in &view.loaded {
             if let Some(member) = self.members.get_mut(id) {
                 member.learn_weights(model, *version);
@@ -145,21 +161,24 @@
         if !plan.may_run_again() {
             return self.refuse(now, plan, Reason::Broken, None);
         }
-        let choice = Chooser {
+        match self.chooser(now, &view, plan).choose() {
+            Candidate::Best(attempt) => self.send(now, plan, *attempt),
+            Candidate::Later(at) if at < plan.arrived + wait_limit(&plan.route) => Step::Wait(at),
+            Candidate::Later(at) => self.refuse(now, plan, Reason::Overloaded, Some(at)),
+            Candidate::None => self.refuse(now, plan, Reason::NoUpstream, None),
+        }
+    }
+
+    fn chooser<'a>(&'a mut self, now: Time, view: &'a View, plan: &'a Plan) -> Chooser<'a> {
+        Chooser {
             now,
             terms: &self.terms,
-            view: &view,
+            view,
             plan,
             members: &mut self.members,
+            tallies: &self.tallies,
             rng: &mut self.rng,
         }
-        .choose();
-        match choice {
-            Candidate::Best(attempt) => self.send(now, plan, *attempt),
-            Candidate::Later(at) if at < plan.arrived + wait_limit(&plan.route) => Step::Wait(at),
-            Candidate::Later(at) => self.refuse(now, plan, Reason::Overloaded, Some(at)),
-            Candidate::None => self.refuse(now, plan, Reason::NoUpstream, None),
-        }
     }
 
     /// Counts an attempt that goes out, or refuses it where it would be a repeat too many.
@@ -176,17 +195,78 @@
         plan.sends += 1;
         if let Some(member) = self.members.get_mut(&attempt.server.id) {
             member.sent(now);
-            member.running += 1;
-            member.unread_tokens += attempt.unread_tokens;
+            let memory_tokens = plan.prompt.as_ref().map_or(0, Prompt::memory_tokens);
+            let unread_tokens = attempt.unread_tokens;
+            member.own = member.own.plus(Load { running: 1, unread_tokens, memory_tokens });
             if let (Some(prompt), Some(run)) = (&plan.prompt, &attempt.engine) {
-                member.memory_tokens += prompt.memory_tokens();
-                let memory = engine_memory(self.view.as_deref(), &plan.service);
-                member.cache.read(prompt, &run.salt, memory);
+                let read = Read { server: member.key, parts: part_keys(prompt, &run.salt) };
+                self.take_read(now, &read);
+                self.reads.push(read);
             }
         }
         Step::Send(Box::new(attempt))
     }
 
+    /// An engine reads a prompt that this instance or another one sent.
+    fn take_read(&mut self, now: Time, read: &Read) {
+        let Some(id) = self.keys.get(&read.server) else { return };
+        let Some(member) = self.members.get_mut(id) else { return };
+        let memory = engine_memory(self.view.as_deref(), &member.server.service);
+        let running = member.own.plus(self.tallies.load(now, read.server)).memory_tokens;
+        member.cache.read(&read.parts, memory.saturating_sub(running));
+    }
+
+    /// Takes in what another instance tells.
+    pub fn hear(&mut self, now: Time, tally: Tally) {
+        for read in self.tallies.hear(now, tally) {
+            self.take_read(now, &read);
+        }
+    }
+
+    /// What this instance tells the others now; nothing if there is nothing new.
+    pub fn tally(&mut self) -> Option<Tally> {
+        let is_new = !self.reads.is_empty() || self.loads() != self.told;
+        is_new.then(|| self.next_tally())
+    }
+
+    /// What this instance tells the others though nothing is new; nothing if it has no work.
+    pub fn tally_again(&mut self) -> Option<Tally> {
+        let is_idle = self.reads.is_empty() && self.loads().is_empty() && self.told.is_empty();
+        (!is_idle).then(|| self.next_tally())
+    }
+
+    fn next_tally(&mut self) -> Tally {
+        self.sequence += 1;
+        self.told = self.loads();
+        let reads = std::mem::take(&mut self.reads);
+        Tally { life: self.life, sequence: self.sequence, loads: self.told.clone(), reads }
+    }
+
+    /// Own work by upstream.
+    fn loads(&self) -> BTreeMap<ServerKey, Load> {
+        let busy = self.members.values().filter(|member| member.own != Load::default());
+        busy.map(|member| (member.key, member.own)).collect()
+    }
+
+    /// Whether a request whose upstream is silent could go on at another one. If not, it is better
+    /// left where it is: silence is no failure.
+    pub fn has_alternative(&mut self, now: Time, plan: &Plan, attempt: &Attempt) -> bool {
+        let Some(view) = self.view.clone() else { return false };
+        let mut plan = plan.clone();
+        plan.runs += 1;
+        plan.tried.push(attempt.server.id.clone());
+        let terms = self.terms.retries;
+        let budget = self.budgets.get_mut(&plan.service);
+        let may_repeat = budget.is_some_and(|budget| budget.has_room(now, terms, view.instances));
+        if now >= plan.deadline || !plan.may_run_again() || !may_repeat {
+            return false;
+        }
+        let choice = self.chooser(now, &view, &plan).choose();
+        let Candidate::Best(other) = choice else { return false };
+        let delay = self.members.get(&other.server.id).map_or(0.0, |member| member.delay(now));
+        other.expected + Duration::from_secs_f64(delay) < plan.route.aim
+    }
+
     /// Takes in that an attempt's first event, or whole plain answer, came.
     pub fn began(&mut self, now: Time, plan: &Plan, attempt: &mut Attempt) {
         let Some(member) = self.members.get_mut(&attempt.server.id) else { return };
@@ -196,7 +276,8 @@
             None => plan.route.aim / PLAIN_EXPECTED_PART,
         };
         member.observe_delay(now, took.saturating_sub(expected));
-        member.unread_tokens = member.unread_tokens.saturating_sub(attempt.unread_tokens);
+        let own = &mut member.own;
+        own.unread_tokens = own.unread_tokens.saturating_sub(attempt.unread_tokens);
         attempt.unread_tokens = 0;
     }
 
@@ -217,11 +298,11 @@
         }
         let view = self.view.clone();
         let Some(member) = self.members.get_mut(&attempt.server.id) else { return };
-        member.running = member.running.saturating_sub(1);
-        member.unread_tokens = member.unread_tokens.saturating_sub(attempt.unread_tokens);
-        if let (Some(prompt), Some(_)) = (&plan.prompt, &attempt.engine) {
-            member.memory_tokens = member.memory_tokens.saturating_sub(prompt.memory_tokens());
-        }
+        let own = &mut member.own;
+        let memory_tokens = plan.prompt.as_ref().map_or(0, Prompt::memory_tokens);
+        own.running = own.running.saturating_sub(1);
+        own.unread_tokens = own.unread_tokens.saturating_sub(attempt.unread_tokens);
+        own.memory_tokens = own.memory_tokens.saturating_sub(memory_tokens);
         let service = view.as_ref().and_then(|view| view.configuration.services.get(&plan.service));
         match ending {
             Ending::Answered => member.responded(now, false),
--- a/crates/policy/src/gateway/member.rs
+++ b/crates/policy/src/gateway/member.rs
@@ -6,8 +6,8 @@
 
 use rustc_hash::FxHashMap;
 
-use super::call::Prompt;
 use super::configuration::{ModelName, Service};
+use super::gossip::{Load, PartKey, ServerKey, server_key};
 use super::view::{Server, WeightVersion};
 use super::window::Window;
 use crate::Time;
@@ -33,20 +33,16 @@
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause after connections that could not be made.
 const UNREACHABLE_PAUSE_LIMIT: Duration = Duration::from_secs(2);
-/// Share of an engine's memory that its cached parts are believed to have; the rest runs.
-const CACHE_SHARE: f64 = 0.6;
 
 /// One upstream.
 #[derive(Debug)]
 pub struct Member {
     /// Its entry.
     pub server: Arc<Server>,
+    /// Its short name.
+    pub key: ServerKey,
     /// Own requests there.
-    pub running: u32,
-    /// Tokens that own requests there still have to read.
-    pub unread_tokens: u64,
-    /// Tokens in memory for own requests there.
-    pub memory_tokens: u64,
+    pub own: Load,
     /// It counts as cold until then.
     pub cold_until: Time,
     /// It gets nothing until then.
@@ -69,10 +65,9 @@
         let cold_until = now + server.cold_left;
         let weights = server.models.iter().cloned().collect();
         Self {
+            key: server_key(&server.id),
+            own: Load::default(),
             server,
-            running: 0,
-            unread_tokens: 0,
-            memory_tokens: 0,
             cold_until,
             paused_until: Time::ZERO,
             cache: Cache::default(),
@@ -93,8 +88,8 @@
             return;
         }
         if !self.server.is_same_life(&server) {
-            let (running, sends) = (self.running, self.sends.clone());
-            *self = Self { running, sends, ..Self::new(now, server) };
+            let (own, sends) = (self.own, self.sends.clone());
+            *self = Self { own, sends, ..Self::new(now, server) };
             return;
         }
         for (model, version) in &server.models {
@@ -210,25 +205,24 @@
 /// Parts that an engine probably holds, least recently used last.
 #[derive(Debug, Default)]
 pub struct Cache {
-    parts: FxHashMap<u64, (u32, u64)>,
+    parts: FxHashMap<PartKey, (u32, u64)>,
     tokens: u64,
     clock: u64,
 }
 
 impl Cache {
     /// Tokens at the prompt's start that need no reading.
-    pub fn held_tokens(&self, prompt: &Prompt, salt: &str) -> u32 {
-        let held = prompt.parts.iter().take_while(|p| self.parts.contains_key(&key(salt, &p.id)));
-        held.map(|part| part.tokens).sum()
+    pub fn held_tokens(&self, parts: &[(PartKey, u32)]) -> u32 {
+        let held = parts.iter().take_while(|(key, _)| self.parts.contains_key(key));
+        held.map(|(_, tokens)| tokens).sum()
     }
 
-    /// The engine reads a prompt, and keeps its parts for a while.
-    pub fn read(&mut self, prompt: &Prompt, salt: &str, memory_tokens: u64) {
-        let capacity = (memory_tokens as f64 * CACHE_SHARE) as u64;
-        for part in &prompt.parts {
+    /// The engine reads a prompt, and keeps its parts while they fit into `capacity` tokens.
+    pub fn read(&mut self, parts: &[(PartKey, u32)], capacity: u64) {
+        for (key, tokens) in parts {
             self.clock += 1;
-            let old = self.parts.insert(key(salt, &part.id), (part.tokens, self.clock));
-            self.tokens += u64::from(part.tokens) - old.map_or(0, |(tokens, _)| u64::from(tokens));
+            let old = self.parts.insert(*key, (*tokens, self.clock));
+            self.tokens += u64::from(*tokens) - old.map_or(0, |(tokens, _)| u64::from(tokens));
         }
         while self.tokens > capacity {
             let oldest = self.parts.iter().min_by_key(|(_, (_, used))| *used);
@@ -238,12 +232,3 @@
         }
     }
 }
-
-/// Name of a part under a salt.
-fn key(salt: &str, part: &str) -> u64 {
-    use std::hash::{Hash, Hasher};
-    let mut hasher = rustc_hash::FxHasher::default();
-    salt.hash(&mut hasher);
-    part.hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -3,12 +3,13 @@
 //! [`Gateway::admit`] finds a [`Call`]'s route, service and organisation in the newest [`View`] and
 //! makes a [`Plan`]; [`Gateway::next`] decides each [`Step`] of it, [`choice`] says where it goes;
 //! [`Gateway::ended`] takes in how an [`Attempt`] ended. [`rollout`] brings named weights to the
-//! engines. Limits that hold for all instances together are kept by shares, in [`window`], so that
+//! engines. Instances tell each other by [`gossip`] what they sent where. Limits that hold for all instances together are kept by shares, in [`window`], so that
 //! no request waits for another instance.
 
 pub mod call;
 mod choice;
 pub mod configuration;
+pub mod gossip;
 mod machine;
 mod member;
 mod plan;
--- a/crates/policy/src/gateway/view.rs
+++ b/crates/policy/src/gateway/view.rs
@@ -35,6 +35,8 @@
     pub loaded: Vec<(ServerId, ModelName, WeightVersion)>,
     /// Entry instances that may share a limit with this one.
     pub instances: u32,
+    /// Where the other instances listen for this one's word.
+    pub peers: Vec<SocketAddr>,
     /// Since when the store gives no answers; none while it does.
     pub detached: Option<Time>,
 }
--- a/crates/policy/src/gateway/window.rs
+++ b/crates/policy/src/gateway/window.rs
@@ -83,16 +83,21 @@
         self.firsts.add(now);
     }
 
-    /// Takes one repeat, if there is one left among `instances`.
-    pub fn take(&mut self, now: Time, terms: RetryTerms, instances: u32) -> bool {
+    /// Whether a repeat is left among `instances`.
+    pub fn has_room(&mut self, now: Time, terms: RetryTerms, instances: u32) -> bool {
         let own = terms.ratio * self.firsts.count(now) as f64;
         let shared = terms.slack / f64::from(instances.max(1));
         let allowed = ((own + shared) * RETRY_MARGIN) as usize;
-        if self.repeats.count(now) >= allowed {
-            return false;
+        self.repeats.count(now) < allowed
+    }
+
+    /// Takes one repeat, if there is one left among `instances`.
+    pub fn take(&mut self, now: Time, terms: RetryTerms, instances: u32) -> bool {
+        let has_room = self.has_room(now, terms, instances);
+        if has_room {
+            self.repeats.add(now);
         }
-        self.repeats.add(now);
-        true
+        has_room
     }
 }
 
