--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -50,11 +50,15 @@
 /// What the engine that all instances rank first for a part is preferred by, in seconds, where
 /// nobody holds it: two instances that read the part at one moment read it at one place.
 const PRIMARY_GAIN: f64 = 0.010;
-/// Time to fetch a token from another engine, in seconds: half of what reading it takes, as links
-/// are shared with others.
-const FETCH_RATE: f64 = 2.0 * READ_RATE;
-/// Cost of a fetch whose source may not have the part, in seconds.
-const FETCH_RISK: f64 = 0.030;
+/// Part of a link that one fetch gets: others use it too.
+const LINK_PART: f64 = 0.7;
+/// How much longer a fetch from another zone takes.
+const ACROSS: f64 = 2.0;
+/// Cost of a fetch whose source may no longer have the part, in seconds.
+const FETCH_RISK: f64 = 0.015;
+/// What the reading of parts that another engine holds costs besides its time, as a part of that
+/// time: it keeps the engine from other prompts.
+const READ_AGAIN_COST: f64 = 1.0;
 /// Silence, in aims, from which another plain upstream is tried: late enough for the slowest
 /// hundredth of the answers, and early enough for a second one in time.
 const PLAIN_PATIENCE: f64 = 0.6;
@@ -200,8 +204,8 @@
         cost += if is_full(load, prompt, terms) { FULL_MEMORY_COST * aim } else { 0.0 };
         let salt = self.salt(weights);
         let parts = part_keys(prompt, &salt);
-        let reading = self.reading(member, prompt, &parts, primary);
-        cost += reading.time;
+        let reading = self.reading(member, prompt, &parts, terms, primary);
+        cost += reading.cost;
         let run = EngineRun {
             model: prompt.model.clone(),
             weights,
@@ -239,25 +243,30 @@
         member: &Member,
         prompt: &Prompt,
         parts: &[(PartKey, u32)],
+        terms: &EngineTerms,
         primary: Option<&ServerId>,
     ) -> Reading {
         let held = member.cache.held_tokens(parts);
         let unread = prompt.input_tokens.saturating_sub(held);
         let is_primary = primary == Some(&member.server.id);
-        let time = f64::from(unread) / READ_RATE - if is_primary { PRIMARY_GAIN } else { 0.0 };
-        let reading = Reading { time, fetch: None, unread_tokens: unread.into() };
+        let time = f64::from(unread) / READ_RATE;
+        let cost = time - if is_primary { PRIMARY_GAIN } else { 0.0 };
+        let reading = Reading { time, cost, fetch: None, unread_tokens: unread.into() };
         let Some((source, found)) = self.source(member, prompt, parts) else { return reading };
         if found <= held {
             return reading;
         }
         let rest = f64::from(prompt.input_tokens.saturating_sub(found)) / READ_RATE;
-        let across = if source.server.zone == member.server.zone { 1.0 } else { 2.0 };
-        let fetching = f64::from(found - held) / FETCH_RATE * across + FETCH_RISK;
-        if rest + fetching >= time {
-            return reading;
+        let across = if source.server.zone == member.server.zone { 1.0 } else { ACROSS };
+        let bytes = f64::from(found - held) * terms.token_bytes as f64;
+        let fetching = bytes / (terms.link_bytes.max(1.0) * LINK_PART) * across + FETCH_RISK;
+        let again = f64::from(found - held) / READ_RATE * READ_AGAIN_COST;
+        if rest + fetching >= cost + again {
+            return Reading { cost: cost + again, ..reading };
         }
         let unread_tokens = prompt.input_tokens.saturating_sub(found).into();
-        Reading { time: rest + fetching, fetch: Some(source.server.address), unread_tokens }
+        let time = rest + fetching;
+        Reading { time, cost: time, fetch: Some(source.server.address), unread_tokens }
     }
 
     /// The engine that holds the most of a prompt, beside the one that would read it.
@@ -339,6 +348,7 @@
 /// What an engine has to read.
 struct Reading {
     time: f64,
+    cost: f64,
     fetch: Option<std::net::SocketAddr>,
     unread_tokens: u64,
 }
--- a/crates/policy/src/gateway/configuration.rs
+++ b/crates/policy/src/gateway/configuration.rs
@@ -181,6 +181,8 @@
     pub memory_tokens: u64,
     /// Bytes of KV cache for one token.
     pub token_bytes: u64,
+    /// Bytes a second that its link carries to and from stores and other engines.
+    pub link_bytes: f64,
     /// Models that it serves.
     pub models: Vec<ModelName>,
 }
@@ -196,6 +198,10 @@
     pub capacity_tokens: u64,
     /// Never drops a part by itself.
     pub managed: bool,
+    /// Bytes a second that its link carries.
+    pub link_bytes: f64,
+    /// Time before a transfer begins.
+    pub first_byte: Duration,
 }
 
 /// A customer of the deployment.
