Gateway: managed stores keep shared parts; their accounts are kept by the holder

Change: shared parts are saved once, to a store that all instances choose alike, listed once whole, and fetched for each part. Freed only after no instance can still read them.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,26 +1,33 @@
 //! The control thread: follows the metadata store and hands traffic a view of it.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_platform::Settings;
+use acacia_platform::{Settings, cache};
 use acacia_platform::document::{Presence, instance_key};
 use acacia_platform::store::{Client, WatchFailure, Written};
+use acacia_policy::Time;
 use acacia_policy::gateway::View;
+use acacia_policy::gateway::configuration::Role;
 use acacia_policy::kv::{Failure, LeaseId, ModRevision};
 use rand::RngExt;
 use tokio::sync::watch;
 
 use crate::clock::Clock;
+use crate::errand::Caller;
 use crate::holder::Orderer;
 use crate::metric::Metrics;
 use crate::picture::{Belief, Picture};
 use crate::traffic::millis;
 
-/// Longest wait of a watch, as long as the platform allows.
-const WATCH_WAIT: Duration = Duration::from_secs(30);
+/// Longest wait of a watch. Its answer shows that nothing was missed, and reads from managed stores
+/// rest on that: two waits fit into the time for which a stock may be read by.
+const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+/// Time between looks at the servers' clock; clocks drift by far less than a millisecond in it.
+const CLOCK_LOOK: Duration = Duration::from_secs(15);
 /// Pause between two watches, in which changes gather: a quarter of the shortest time within which
 /// a change must be in force.
 const WATCH_PAUSE: Duration = Duration::from_millis(200);
@@ -66,11 +73,13 @@
         let follow = tokio::task::spawn_local(self.clone().follow());
         let lease = Rc::new(RefCell::new(None));
         let list = tokio::task::spawn_local(self.clone().stay_listed(lease.clone()));
+        let tell_time = tokio::task::spawn_local(self.clone().follow_clock());
         let orderer = Orderer::new(self.clone());
         let order = tokio::task::spawn_local(orderer.clone().run());
         let _ = stop.wait_for(|stop| *stop).await;
         order.abort();
         list.abort();
+        tell_time.abort();
         orderer.stop().await;
         let lease = *lease.borrow();
         if let Some(lease) = lease {
@@ -130,14 +139,15 @@
         let mut first = None;
         loop {
             self.metrics.store_call("list");
+            let sent = self.clock.now();
             let page = client.list("", &after).await?;
             // Pages are read one after the other: what changed since the first one is watched for.
-            let revision = *first.get_or_insert(page.revision);
+            let (revision, first_sent) = *first.get_or_insert((page.revision, sent));
             after = page.entries.last().map(|entry| entry.key.clone()).unwrap_or_default();
             let is_last = !page.has_more || page.entries.is_empty();
             entries.extend(page.entries);
             if is_last {
-                self.regain();
+                self.regain(first_sent);
                 let beliefs = self.picture.borrow_mut().replace(self.clock.now(), entries);
                 self.tell(beliefs, revision);
                 self.publish();
@@ -152,8 +162,9 @@
         after: ModRevision,
     ) -> Result<ModRevision, WatchFailure> {
         self.metrics.store_call("watch");
+        let sent = self.clock.now();
         let changes = client.watch("", after, WATCH_WAIT).await?;
-        self.regain();
+        self.regain(sent);
         let now = self.clock.now();
         let mut beliefs = Vec::new();
         for change in &changes.changes {
@@ -161,8 +172,8 @@
         }
         if !beliefs.is_empty() {
             self.tell(beliefs, changes.revision);
-            self.publish();
         }
+        self.publish();
         if !changes.changes.is_empty() {
             tokio::time::sleep(WATCH_PAUSE).await;
         }
@@ -176,7 +187,9 @@
                 Belief::Malformed { key, problem } => {
                     tracing::warn!(revision, key, problem, "a value in the store is passed over");
                 }
-                Belief::Holder => tracing::debug!(revision, "the holder told something"),
+                Belief::Holder | Belief::Stock(_) => {
+                    tracing::debug!(revision, ?belief, "the holder told something");
+                }
                 belief => tracing::info!(revision, belief = ?belief, "belief changed"),
             }
         }
@@ -190,9 +203,10 @@
         }
     }
 
-    /// The store answered.
-    fn regain(&self) {
+    /// The store answered a call that was sent at `sent`.
+    fn regain(&self, sent: Time) {
         let now = self.clock.now();
+        self.picture.borrow_mut().hear(sent);
         let lost = self.picture.borrow_mut().recover(now);
         if let Some(since) = lost {
             let after_ms = millis(now.saturating_sub(since));
@@ -201,6 +215,44 @@
         }
     }
 
+    /// Learns the servers' clock, by which reads from stores are limited.
+    async fn follow_clock(self: Rc<Self>) {
+        let caller = Caller::default();
+        loop {
+            let stores: Vec<SocketAddr> = self.store_addresses();
+            let mut is_known = false;
+            for address in stores {
+                let errand = cache::clock_errand(address);
+                // The clock runs on while the answer is on its way; the earlier time is the safe one.
+                let Ok((status, body)) = caller.call(address, &errand, Duration::ZERO).await else {
+                    continue;
+                };
+                if let Some(millis) = cache::clock(status, &body) {
+                    self.picture.borrow_mut().set_server_clock(self.clock.now(), millis);
+                    is_known = true;
+                    break;
+                }
+            }
+            tokio::time::sleep(if is_known { CLOCK_LOOK } else { LISTED / 10 }).await;
+        }
+    }
+
+    /// Stores of KV cache, those of this zone first.
+    fn store_addresses(&self) -> Vec<SocketAddr> {
+        let picture = self.picture.borrow();
+        let services = picture.configuration().into_iter().flat_map(|c| c.services.values());
+        let mut stores: Vec<_> = services
+            .filter_map(|service| match &service.role {
+                Role::Store(store) if store.managed => {
+                    Some((*store.zone != *self.settings.zone, store.address))
+                }
+                _ => None,
+            })
+            .collect();
+        stores.sort_unstable();
+        stores.into_iter().map(|(_, address)| address).collect()
+    }
+
     /// Keeps this instance on the list that limits are shared by.
     async fn stay_listed(self: Rc<Self>, lease: Rc<RefCell<Option<LeaseId>>>) {
         let mut client = Client::new(self.settings.store_address);
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -3,10 +3,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_connection::{Connection, Fault, KeepAlive, request};
+use acacia_connection::Fault;
 use acacia_platform::document::{Holding, holder_key};
 use acacia_platform::store::{Client, Written};
 use acacia_platform::upstream::{self, Errand};
@@ -18,6 +17,8 @@
 use http::StatusCode;
 
 use crate::control::Control;
+use crate::errand::Caller;
+use crate::librarian::Librarian;
 use crate::traffic::millis;
 
 /// Time that the right outlives its holder's last sign of life. Short, as wanted weights wait for
@@ -29,20 +30,6 @@
 const ROUND: Duration = Duration::from_millis(60);
 /// Pause of an instance for each other that may take the right before it.
 const TURN: Duration = Duration::from_millis(40);
-/// Longest wait for a connection to an engine.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Longest wait for an engine's answer to a call of ours; it needs no slot.
-const ERRAND_TIMEOUT: Duration = Duration::from_millis(800);
-/// How a silent engine is noticed; calls are short.
-const KEEP_ALIVE: KeepAlive = KeepAlive {
-    idle: Duration::from_secs(1),
-    interval: Duration::from_secs(1),
-    probes: 2,
-    unacknowledged: Duration::from_millis(800),
-};
-/// Largest answer of an engine to a call of ours.
-const ANSWER_LIMIT: usize = 1 << 20;
-
 /// Takes the right to order when nobody has it, and orders while it has.
 pub struct Orderer {
     control: Rc<Control>,
@@ -50,6 +37,8 @@
     rollout: RefCell<Rollout>,
     told: RefCell<Holding>,
     fenced: Cell<bool>,
+    caller: Rc<Caller>,
+    librarian: Rc<Librarian>,
 }
 
 /// A lease of the store.
@@ -63,8 +52,12 @@
 impl Orderer {
     /// An orderer without the right.
     pub fn new(control: Rc<Control>) -> Rc<Self> {
+        let caller = Rc::new(Caller::default());
+        let librarian = Librarian::new(control.clone(), caller.clone());
         Rc::new(Self {
             control,
+            caller,
+            librarian,
             lease: Cell::default(),
             rollout: RefCell::default(),
             told: RefCell::default(),
@@ -100,6 +93,7 @@
 
     /// Gives the right back.
     pub async fn stop(&self) {
+        self.librarian.rest();
         if let Some(lease) = self.lease.take() {
             self.control.end_lease(lease.id).await;
         }
@@ -163,6 +157,7 @@
     fn lose(&self, reason: &str) {
         tracing::warn!(reason, "lost the right to order weights");
         self.lease.set(None);
+        self.librarian.rest();
         self.rollout.borrow_mut().reset();
     }
 
@@ -181,6 +176,7 @@
     async fn order(self: &Rc<Self>, client: &mut Client) {
         let now = self.control.clock.now();
         let Some(tenure) = self.tenure().filter(|tenure| tenure.is_open(now)) else { return };
+        self.librarian.work();
         let acts = {
             let picture = self.control.picture.borrow();
             self.rollout.borrow_mut().step(now, picture.servers(), picture.weights())
@@ -197,7 +193,7 @@
     async fn act(self: Rc<Self>, act: Act, tenure: Tenure) {
         match act {
             Act::Look(server) => {
-                let answer = errand(&server, &upstream::report_errand(&server)).await;
+                let answer = self.call(&server, &upstream::report_errand(&server)).await;
                 let report = answer.ok().and_then(|(status, body)| upstream::report(status, &body));
                 tracing::info!(server = &*server.id, report = ?report, "looked at an engine");
                 self.rollout.borrow_mut().looked(self.control.clock.now(), &server.id, report);
@@ -214,7 +210,7 @@
                 let order =
                     upstream::order_errand(&server, &model, version, expected, holder, fence);
                 let sent = self.control.clock.now();
-                let receipt = match errand(&server, &order).await {
+                let receipt = match self.call(&server, &order).await {
                     Ok((status, _)) => upstream::receipt(status),
                     Err(_) => Receipt::Unknown,
                 };
@@ -237,6 +233,10 @@
         }
     }
 
+    async fn call(&self, server: &Server, errand: &Errand) -> Result<(StatusCode, Bytes), Fault> {
+        self.caller.call(server.address, errand, Duration::ZERO).await
+    }
+
     /// What the other instances should know.
     fn holding(&self) -> Holding {
         let rollout = self.rollout.borrow();
@@ -272,16 +272,3 @@
 
 /// Most turns that an instance waits for others.
 const MOST_TURNS: u32 = 16;
-
-/// Makes one call to an upstream over a connection of its own.
-async fn errand(server: &Arc<Server>, errand: &Errand) -> Result<(StatusCode, Bytes), Fault> {
-    let exchange = async {
-        let mut connection = Connection::open(server.address, CONNECT_TIMEOUT, KEEP_ALIVE).await?;
-        let head = request(&errand.method, errand.path, &errand.headers, errand.body.len());
-        connection.send(&errand.method, &head, &errand.body).await?;
-        let head = connection.head().await?;
-        let body = connection.body(ANSWER_LIMIT).await?;
-        Ok((head.status, body))
-    };
-    tokio::time::timeout(ERRAND_TIMEOUT, exchange).await.unwrap_or(Err(Fault::Closed))
-}
--- a/crates/gateway/src/picture.rs
+++ b/crates/gateway/src/picture.rs
@@ -7,7 +7,8 @@
 use acacia_platform::document::{self, Holding, Presence, Subject, WeightOrder};
 use acacia_platform::{Document, store};
 use acacia_policy::Time;
-use acacia_policy::gateway::configuration::{ModelName, ZoneName};
+use acacia_policy::gateway::configuration::{ModelName, Role, ZoneName};
+use acacia_policy::gateway::stock::{Shelf, Stock};
 use acacia_policy::gateway::{Configuration, Server, ServerId, View, WeightVersion, Weights};
 use acacia_policy::kv::{Entry, ModRevision};
 
@@ -32,6 +33,9 @@
     weights: BTreeMap<ModelName, Weights>,
     instances: BTreeMap<String, Presence>,
     holder: Option<Holder>,
+    stocks: BTreeMap<String, (Arc<Stock>, ModRevision)>,
+    heard: Time,
+    server_clock: Option<(Time, u64)>,
     trouble: Option<Time>,
     detached: Option<Time>,
     is_current: bool,
@@ -69,6 +73,8 @@
     Holder,
     /// The instances changed.
     Instances(usize),
+    /// A store of KV cache holds other parts.
+    Stock(String),
     /// A value can't be used and changes nothing.
     Malformed {
         /// Its key.
@@ -98,10 +104,51 @@
             loaded: loaded.collect(),
             instances: self.instance_count(),
             peers: others.filter_map(|(_, presence)| presence.peer).collect(),
+            shelves: self.shelves(),
+            heard: self.heard,
+            server_clock: self.server_clock,
             detached: self.detached,
         })
     }
 
+    /// Stores of KV cache whose stock is known.
+    fn shelves(&self) -> Vec<Shelf> {
+        let services = self.configuration.iter().flat_map(|c| c.services.values());
+        let shelves = services.filter_map(|service| {
+            let Role::Store(terms) = &service.role else { return None };
+            let (stock, _) = self.stocks.get(&*service.name)?;
+            Some(Shelf {
+                address: terms.address,
+                zone: terms.zone.clone(),
+                capacity_tokens: terms.capacity_tokens,
+                link_bytes: terms.link_bytes,
+                first_byte: terms.first_byte,
+                stock: stock.clone(),
+            })
+        });
+        shelves.collect()
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<&Arc<Configuration>> {
+        self.configuration.as_ref()
+    }
+
+    /// What was written last of a store's stock, and at which revision.
+    pub fn stock(&self, service: &str) -> Option<(&Arc<Stock>, ModRevision)> {
+        self.stocks.get(service).map(|(stock, revision)| (stock, *revision))
+    }
+
+    /// A call that was sent at `sent` was answered: the picture is at least as new.
+    pub fn hear(&mut self, sent: Time) {
+        self.heard = self.heard.max(sent);
+    }
+
+    /// The servers' clock showed `millis` at `now`.
+    pub fn set_server_clock(&mut self, now: Time, millis: u64) {
+        self.server_clock = Some((now, millis));
+    }
+
     /// Every listed upstream.
     pub fn servers(&self) -> &BTreeMap<ServerId, Arc<Server>> {
         &self.servers
@@ -189,6 +236,13 @@
                 }
                 Err(problem) => Some(malformed(key, value, &problem)),
             },
+            Subject::Stock(service) => match Stock::decode(service, value) {
+                Ok(stock) => {
+                    self.stocks.insert(service.to_owned(), (Arc::new(stock), revision));
+                    Some(Belief::Stock(service.to_owned()))
+                }
+                Err(problem) => Some(malformed(key, value, &problem)),
+            },
             Subject::Holder => match Holding::decode("", value) {
                 Ok(holding) => {
                     let created = match &self.holder {
@@ -262,6 +316,9 @@
                 self.instances.remove(name).map(|_| Belief::Instances(self.instances.len()))
             }
             Subject::Holder => self.holder.take().map(|_| Belief::Holder),
+            Subject::Stock(service) => {
+                self.stocks.remove(service).map(|_| Belief::Stock(service.to_owned()))
+            }
             Subject::Configuration | Subject::Weights(_) | Subject::Other => None,
         }
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -221,7 +221,8 @@
         cold = attempt.cold,
         weights = run.map(|run| run.weights),
         unread_tokens = attempt.unread_tokens,
-        fetch = run.and_then(|run| run.fetch).map(tracing::field::display),
+        fetch = run.map(|run| tracing::field::debug(&run.fetch)),
+        save = run.map(|run| tracing::field::debug(&run.save)),
         expected_ms = millis(attempt.expected),
         left_ms = millis(plan.left(now)),
         "sent"
--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -6,6 +6,7 @@
 //! the same hash, so that two instances read a new part at one place.
 
 use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -17,7 +18,9 @@
 use super::gossip::{Load, PartKey, Tallies, part_keys};
 use super::machine::{Terms, weights_end};
 use super::member::Member;
-use super::plan::{Attempt, EngineRun, Plan};
+use super::plan::{Attempt, EngineRun, Fetch, Plan};
+use super::save::Saves;
+use super::stock::{READ_LIMIT, salt};
 use super::view::{Server, ServerId, View, WeightVersion};
 use super::window::cold_share;
 use crate::Time;
@@ -56,6 +59,10 @@
 const ACROSS: f64 = 2.0;
 /// Cost of a fetch whose source may no longer have the part, in seconds.
 const FETCH_RISK: f64 = 0.015;
+/// Shortest time that is left to a fetch from a store; with less it would be given up half-way.
+const LEAST_FETCH: Duration = Duration::from_millis(600);
+/// Age of a view up to which parts are saved by it: an older one may not know of a store's loss.
+const SAVE_LIMIT: Duration = Duration::from_millis(2_500);
 /// What the reading of parts that another engine holds costs besides its time, as a part of that
 /// time: it keeps the engine from other prompts.
 const READ_AGAIN_COST: f64 = 1.0;
@@ -94,6 +101,8 @@
     pub members: &'a mut FxHashMap<ServerId, Member>,
     /// The others' work.
     pub tallies: &'a Tallies,
+    /// Parts that are on their way to stores.
+    pub saves: &'a Saves,
     /// For jitter.
     pub rng: &'a mut ChaCha12Rng,
 }
@@ -211,6 +220,7 @@
             weights,
             salt,
             fetch: reading.fetch,
+            save: self.saves(prompt, &parts),
             rank: self.plan.rank(),
         };
         let expected = FIRST_TOKEN + reading.time;
@@ -251,22 +261,90 @@
         let is_primary = primary == Some(&member.server.id);
         let time = f64::from(unread) / READ_RATE;
         let cost = time - if is_primary { PRIMARY_GAIN } else { 0.0 };
-        let reading = Reading { time, cost, fetch: None, unread_tokens: unread.into() };
-        let Some((source, found)) = self.source(member, prompt, parts) else { return reading };
-        if found <= held {
-            return reading;
+        let plain = Reading { time, cost, fetch: Fetch::None, unread_tokens: unread.into() };
+        let from_stores = self.from_stores(member, prompt, parts, terms);
+        let from_engine = self.from_engine(member, prompt, parts, terms, held);
+        let fetched = [from_stores, from_engine].into_iter().flatten();
+        let Some(best) = fetched.min_by(|a, b| a.cost.total_cmp(&b.cost)) else { return plain };
+        let again = unread.saturating_sub(u32::try_from(best.unread_tokens).unwrap_or(u32::MAX));
+        let again = f64::from(again) / READ_RATE * READ_AGAIN_COST;
+        if best.cost >= cost + again {
+            return Reading { cost: cost + again, ..plain };
         }
-        let rest = f64::from(prompt.input_tokens.saturating_sub(found)) / READ_RATE;
-        let across = if source.server.zone == member.server.zone { 1.0 } else { ACROSS };
-        let bytes = f64::from(found - held) * terms.token_bytes as f64;
-        let fetching = bytes / (terms.link_bytes.max(1.0) * LINK_PART) * across + FETCH_RISK;
-        let again = f64::from(found - held) / READ_RATE * READ_AGAIN_COST;
-        if rest + fetching >= cost + again {
-            return Reading { cost: cost + again, ..reading };
+        best
+    }
+
+    /// A fetch of whatever another engine holds beyond this one.
+    fn from_engine(
+        &self,
+        member: &Member,
+        prompt: &Prompt,
+        parts: &[(PartKey, u32)],
+        terms: &EngineTerms,
+        held: u32,
+    ) -> Option<Reading> {
+        let (source, found) = self.source(member, prompt, parts)?;
+        let fetched = found.checked_sub(held).filter(|tokens| *tokens > 0)?;
+        let rest = prompt.input_tokens.saturating_sub(found);
+        let link = terms.link_bytes.max(1.0);
+        let way = transfer(fetched, terms, link, source.server.zone == member.server.zone);
+        let time = f64::from(rest) / READ_RATE + way + FETCH_RISK;
+        let fetch = Fetch::Engine(source.server.address);
+        Some(Reading { time, cost: time, fetch, unread_tokens: rest.into() })
+    }
+
+    /// A fetch of the parts that stores hold beyond this engine, as far as they follow each other.
+    fn from_stores(
+        &self,
+        member: &Member,
+        prompt: &Prompt,
+        parts: &[(PartKey, u32)],
+        terms: &EngineTerms,
+    ) -> Option<Reading> {
+        let view = self.view;
+        let until = view.heard + READ_LIMIT;
+        if until < self.now + LEAST_FETCH {
+            return None;
+        }
+        let until = view.server_time(until)?;
+        let mut sources = vec![None; parts.len()];
+        let (mut known, mut way) = (0, 0.0);
+        for ((key, tokens), source) in parts.iter().zip(&mut sources) {
+            if !member.cache.holds(*key) {
+                let shelves = view.shelves.iter().filter(|shelf| {
+                    shelf.stock.parts.get(key).is_some_and(|held| held >= tokens)
+                        && !view.evacuated.contains(&shelf.zone)
+                });
+                let zone = &member.server.zone;
+                let Some(shelf) = shelves.max_by_key(|shelf| shelf.zone == *zone) else { break };
+                let link = terms.link_bytes.min(shelf.link_bytes).max(1.0);
+                way += transfer(*tokens, terms, link, shelf.zone == *zone);
+                way += shelf.first_byte.as_secs_f64();
+                *source = Some(shelf.address);
+            }
+            known += tokens;
         }
-        let unread_tokens = prompt.input_tokens.saturating_sub(found).into();
-        let time = rest + fetching;
-        Reading { time, cost: time, fetch: Some(source.server.address), unread_tokens }
+        if sources.iter().all(Option::is_none) {
+            return None;
+        }
+        let rest = prompt.input_tokens.saturating_sub(known);
+        let time = f64::from(rest) / READ_RATE + way;
+        let fetch = Fetch::Stores { sources, until };
+        Some(Reading { time, cost: time, fetch, unread_tokens: rest.into() })
+    }
+
+    /// The stores that the engine is to save the prompt's shared parts to.
+    fn saves(&self, prompt: &Prompt, parts: &[(PartKey, u32)]) -> Vec<Option<SocketAddr>> {
+        let is_fresh = self.now < self.view.heard + SAVE_LIMIT;
+        let shared = if is_fresh { prompt.shared().len() } else { 0 };
+        let shelves = &self.view.shelves;
+        let store = |part: &(PartKey, u32)| self.saves.store(self.now, *part, shelves);
+        let mut stores: Vec<_> = parts[..shared.min(parts.len())].iter().map(store).collect();
+        if stores.iter().all(Option::is_none) {
+            return Vec::new();
+        }
+        stores.resize(parts.len(), None);
+        stores
     }
 
     /// The engine that holds the most of a prompt, beside the one that would read it.
@@ -306,12 +384,8 @@
     /// Name space of cached parts: another organisation's parts are never found where one of the
     /// two is isolated, nor parts made on other weights.
     fn salt(&self, weights: WeightVersion) -> String {
-        match &self.plan.organisation {
-            Some(organisation) if organisation.isolated => {
-                format!("{weights}/{}", organisation.name)
-            }
-            _ => weights.to_string(),
-        }
+        let organisation = self.plan.organisation.as_ref().filter(|o| o.isolated);
+        salt(weights, organisation.map(|organisation| &*organisation.name))
     }
 
     /// The attempt at the chosen upstream.
@@ -349,7 +423,7 @@
 struct Reading {
     time: f64,
     cost: f64,
-    fetch: Option<std::net::SocketAddr>,
+    fetch: Fetch,
     unread_tokens: u64,
 }
 
@@ -358,6 +432,12 @@
     service.connections.map_or(u32::MAX, |all| (all / instances.max(1)).max(1))
 }
 
+/// Time for a transfer of KV cache, in seconds.
+fn transfer(tokens: u32, terms: &EngineTerms, link_bytes: f64, is_near: bool) -> f64 {
+    let bytes = f64::from(tokens) * terms.token_bytes as f64;
+    bytes / (link_bytes * LINK_PART) * if is_near { 1.0 } else { ACROSS }
+}
+
 /// Whether requests fill an engine's memory.
 fn is_full(load: Load, prompt: &Prompt, terms: &EngineTerms) -> bool {
     let needed = load.memory_tokens + prompt.memory_tokens();
--- a/crates/policy/src/gateway/gossip.rs
+++ b/crates/policy/src/gateway/gossip.rs
@@ -109,14 +109,15 @@
     hasher.finish()
 }
 
+/// The short name of a part under its salt.
+pub fn part_key(salt: &str, id: &str) -> PartKey {
+    let mut hasher = FxHasher::default();
+    salt.hash(&mut hasher);
+    id.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// The short names of a prompt's parts under a salt.
 pub fn part_keys(prompt: &Prompt, salt: &str) -> Vec<(PartKey, u32)> {
-    let mut base = FxHasher::default();
-    salt.hash(&mut base);
-    let key = |id: &str| {
-        let mut hasher = base.clone();
-        id.hash(&mut hasher);
-        hasher.finish()
-    };
-    prompt.parts.iter().map(|part| (key(&part.id), part.tokens)).collect()
+    prompt.parts.iter().map(|part| (part_key(salt, &part.id), part.tokens)).collect()
 }
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -13,6 +13,7 @@
 use super::configuration::{Role, Route, ServiceName, ZoneName};
 use super::gossip::{LifeId, Load, Read, ServerKey, Tallies, Tally, part_keys};
 use super::member::Member;
+use super::save::Saves;
 use super::plan::{Attempt, Ending, Plan, Reason, Refusal, Step};
 use super::view::{ServerId, View};
 use super::window::{ColdTerms, RetryBudget, RetryTerms};
@@ -61,6 +62,7 @@
     sequence: u64,
     told: BTreeMap<ServerKey, Load>,
     reads: Vec<Read>,
+    saves: Saves,
 }
 
 impl Gateway {
@@ -78,6 +80,7 @@
             sequence: 0,
             told: BTreeMap::new(),
             reads: Vec::new(),
+            saves: Saves::default(),
             rng,
         }
     }
@@ -177,6 +180,7 @@
             plan,
             members: &mut self.members,
             tallies: &self.tallies,
+            saves: &self.saves,
             rng: &mut self.rng,
         }
     }
@@ -200,6 +204,7 @@
             member.own = member.own.plus(Load { running: 1, unread_tokens, memory_tokens });
             if let (Some(prompt), Some(run)) = (&plan.prompt, &attempt.engine) {
                 let read = Read { server: member.key, parts: part_keys(prompt, &run.salt) };
+                self.saves.begin(now, &read.parts, &run.save);
                 self.take_read(now, &read);
                 self.reads.push(read);
             }
--- a/crates/policy/src/gateway/member.rs
+++ b/crates/policy/src/gateway/member.rs
@@ -217,6 +217,11 @@
         held.map(|(_, tokens)| tokens).sum()
     }
 
+    /// Whether a part needs no reading.
+    pub fn holds(&self, part: PartKey) -> bool {
+        self.parts.contains_key(&part)
+    }
+
     /// The engine reads a prompt, and keeps its parts while they fit into `capacity` tokens.
     pub fn read(&mut self, parts: &[(PartKey, u32)], capacity: u64) {
         for (key, tokens) in parts {
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -3,7 +3,7 @@
 //! [`Gateway::admit`] finds a [`Call`]'s route, service and organisation in the newest [`View`] and
 //! makes a [`Plan`]; [`Gateway::next`] decides each [`Step`] of it, [`choice`] says where it goes;
 //! [`Gateway::ended`] takes in how an [`Attempt`] ended. [`rollout`] brings named weights to the
-//! engines. Instances tell each other by [`gossip`] what they sent where. Limits that hold for all instances together are kept by shares, in [`window`], so that
+//! engines, and [`stock`] accounts for stores of KV cache. Instances tell each other by [`gossip`] what they sent where. Limits that hold for all instances together are kept by shares, in [`window`], so that
 //! no request waits for another instance.
 
 pub mod call;
@@ -14,6 +14,8 @@
 mod member;
 mod plan;
 pub mod rollout;
+mod save;
+pub mod stock;
 mod view;
 pub mod window;
 
@@ -21,5 +23,5 @@
 pub use configuration::Configuration;
 pub use machine::{Gateway, Terms};
 pub use member::Member;
-pub use plan::{Attempt, Ending, EngineRun, Plan, Reason, Refusal, Step};
+pub use plan::{Attempt, Ending, EngineRun, Fetch, Plan, Reason, Refusal, Step};
 pub use view::{Server, ServerId, View, WeightVersion, Weights};
--- a/crates/policy/src/gateway/plan.rs
+++ b/crates/policy/src/gateway/plan.rs
@@ -1,5 +1,6 @@
 //! One request on its way, from admission to its answer.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -91,11 +92,30 @@
     /// Name space of the cached parts that it may use.
     pub salt: String,
     /// Where it may fetch parts from.
-    pub fetch: Option<std::net::SocketAddr>,
+    pub fetch: Fetch,
+    /// The store that it is to save each part to, once it is read; empty if none.
+    pub save: Vec<Option<SocketAddr>>,
     /// Urgency.
     pub rank: u32,
 }
 
+/// Where an engine fetches parts that it does not hold.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub enum Fetch {
+    /// Nowhere.
+    #[default]
+    None,
+    /// Whatever another engine holds.
+    Engine(SocketAddr),
+    /// Each part from a store.
+    Stores {
+        /// The store of each part; none where it is not fetched.
+        sources: Vec<Option<SocketAddr>>,
+        /// When a fetch that is not finished is given up, by the servers' clock in milliseconds.
+        until: u64,
+    },
+}
+
 /// What comes next for a request.
 #[derive(Clone, Debug)]
 pub enum Step {
--- a/crates/policy/src/gateway/view.rs
+++ b/crates/policy/src/gateway/view.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use super::configuration::{Configuration, ModelName, ServiceName, ZoneName};
+use super::stock::Shelf;
 use crate::Time;
 
 /// Id of an upstream, drawn anew at most of its starts.
@@ -37,10 +38,26 @@
     pub instances: u32,
     /// Where the other instances listen for this one's word.
     pub peers: Vec<SocketAddr>,
+    /// Stores of KV cache.
+    pub shelves: Vec<Shelf>,
+    /// When a call of the metadata store was sent that this view is as new as.
+    pub heard: Time,
+    /// The servers' clock, in milliseconds, at a time of ours.
+    pub server_clock: Option<(Time, u64)>,
     /// Since when the store gives no answers; none while it does.
     pub detached: Option<Time>,
 }
 
+impl View {
+    /// The servers' clock at a time of ours, in milliseconds.
+    pub fn server_time(&self, at: Time) -> Option<u64> {
+        let (known, clock) = self.server_clock?;
+        let passed = u64::try_from(at.saturating_sub(known).as_millis()).ok()?;
+        let before = u64::try_from(known.saturating_sub(at).as_millis()).ok()?;
+        (clock + passed).checked_sub(before)
+    }
+}
+
 /// The weights that operators want of a model.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Weights {
