Gateway: stores' space is used again sooner after new weights; engines with the oldest weights reload first

Change: reads from stores are limited to 2.4 s of knowledge; a stock tells what its retired parts take; orders follow a word to the store within 0.4 s, so the wait of a successor counts from the last word that it saw. Not measured apart: oldest weights first.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -25,12 +25,12 @@
 
 /// Longest wait of a watch. Its answer shows that nothing was missed, and reads from managed stores
 /// rest on that: two waits fit into the time for which a stock may be read by.
-const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+const WATCH_WAIT: Duration = Duration::from_millis(700);
 /// Time between looks at the servers' clock; clocks drift by far less than a millisecond in it.
 const CLOCK_LOOK: Duration = Duration::from_secs(15);
-/// Pause between two watches, in which changes gather: a quarter of the shortest time within which
-/// a change must be in force.
-const WATCH_PAUSE: Duration = Duration::from_millis(200);
+/// Pause between two watches, in which changes gather: a sixth of the shortest time within which a
+/// change must be in force.
+const WATCH_PAUSE: Duration = Duration::from_millis(300);
 /// Pause after a failed call, doubled with each further one.
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls: a store that is back must be heard within a second.
@@ -65,7 +65,8 @@
     ) -> Self {
         // Keys and messages hold numbers that every JSON reader takes whole.
         let life = rand::rng().random::<u64>() >> 12;
-        Self { clock, settings, picture: RefCell::default(), metrics, life, views }
+        let picture = RefCell::new(Picture::new(life));
+        Self { clock, settings, picture, metrics, life, views }
     }
 
     /// Runs until `stop` tells to stop.
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -11,7 +11,7 @@
 use acacia_platform::upstream::{self, Errand};
 use acacia_policy::Time;
 use acacia_policy::gateway::Server;
-use acacia_policy::gateway::rollout::{Act, Receipt, Rollout, Tenure};
+use acacia_policy::gateway::rollout::{Act, Receipt, Rollout, TENURE_MARGIN, Tenure};
 use acacia_policy::kv::{Failure, LeaseId};
 use bytes::Bytes;
 use http::StatusCode;
@@ -45,7 +45,6 @@
 #[derive(Clone, Copy, Debug)]
 struct Lease {
     id: LeaseId,
-    taken: Time,
     ends: Time,
 }
 
@@ -118,7 +117,7 @@
         let taken = async {
             self.control.metrics.store_call("grant");
             let (id, ttl) = client.grant(HOLD.max(self.control.settings.least_lease)).await?;
-            self.lease.set(Some(Lease { id, taken: now, ends: now + ttl }));
+            self.lease.set(Some(Lease { id, ends: now + ttl }));
             let holding = self.holding();
             self.control.metrics.store_call("write");
             let written = client.write(&holder_key(), &holding.encode(), Some(0), id).await?;
@@ -166,27 +165,42 @@
         let lease = self.lease.get()?;
         let picture = self.control.picture.borrow();
         let holder = picture.holder().filter(|h| h.holding.life == self.control.life)?;
-        // A holder before this one may have ordered until its lease ended.
-        let begins = lease.taken + self.control.settings.bounds.lease;
+        let begins = picture.last_word() + ORDER_WINDOW + self.control.settings.bounds.lease;
         let fence = u64::try_from(holder.created).ok()?;
         (!self.fenced.get()).then_some(Tenure { fence, begins, ends: lease.ends })
     }
 
-    /// Does what the rollout asks for.
+    /// Does what the rollout asks for. An order follows a word to the store within a short time, so
+    /// that the next holder, who has seen every word, knows when the last order may have been sent.
     async fn order(self: &Rc<Self>, client: &mut Client) {
-        let now = self.control.clock.now();
-        let Some(tenure) = self.tenure().filter(|tenure| tenure.is_open(now)) else { return };
+        let Some(tenure) = self.tenure() else { return };
         self.librarian.work();
+        let now = self.control.clock.now();
+        if !tenure.is_open(now) {
+            return;
+        }
         let acts = {
             let picture = self.control.picture.borrow();
             self.rollout.borrow_mut().step(now, picture.servers(), picture.weights())
         };
-        let is_ordering = acts.iter().any(|act| matches!(act, Act::Order { .. }));
-        for act in acts {
-            tokio::task::spawn_local(self.clone().act(act, tenure));
+        let (orders, looks): (Vec<_>, Vec<_>) =
+            acts.into_iter().partition(|act| matches!(act, Act::Order { .. }));
+        for look in looks {
+            tokio::task::spawn_local(self.clone().act(look, tenure));
         }
-        if is_ordering || self.holding() != *self.told.borrow() {
-            self.tell(client).await;
+        let is_told = if orders.is_empty() && !self.has_news() {
+            return;
+        } else {
+            self.tell(client, &orders).await
+        };
+        let limit = Tenure { ends: tenure.ends.min(now + ORDER_WINDOW + TENURE_MARGIN), ..tenure };
+        for order in orders {
+            if let (Act::Order { server, .. }, false) = (&order, is_told) {
+                let mut rollout = self.rollout.borrow_mut();
+                rollout.received(self.control.clock.now(), &server.id, Receipt::Conflict);
+                continue;
+            }
+            tokio::task::spawn_local(self.clone().act(order, limit));
         }
     }
 
@@ -237,6 +251,12 @@
         self.caller.call(server.address, errand, Duration::ZERO).await
     }
 
+    /// Whether the others don't know yet which engines reload.
+    fn has_news(&self) -> bool {
+        let told = self.told.borrow();
+        Holding { word: told.word, ..self.holding() } != *told
+    }
+
     /// What the other instances should know.
     fn holding(&self) -> Holding {
         let rollout = self.rollout.borrow();
@@ -247,28 +267,40 @@
         Holding {
             instance: self.control.settings.instance.clone(),
             life: self.control.life,
+            word: self.told.borrow().word + 1,
             loading: rollout.loading().into_iter().collect(),
             loaded,
         }
     }
 
-    /// Tells the other instances which engines reload.
-    async fn tell(&self, client: &mut Client) {
+    /// Tells the other instances which engines reload, with those that are ordered to next; false
+    /// if the store did not take it.
+    async fn tell(&self, client: &mut Client, orders: &[Act]) -> bool {
         let revision = self.control.picture.borrow().holder().map(|holder| holder.revision);
-        let (Some(lease), Some(revision)) = (self.lease.get(), revision) else { return };
+        let (Some(lease), Some(revision)) = (self.lease.get(), revision) else { return false };
         let holding = self.holding();
+        let mut word = holding.clone();
+        word.loading.extend(orders.iter().filter_map(|order| match order {
+            Act::Order { server, .. } => Some(server.id.clone()),
+            Act::Look(_) => None,
+        }));
         self.control.metrics.store_call("write");
-        let written = client.write(&holder_key(), &holding.encode(), Some(revision), lease.id).await;
+        let written = client.write(&holder_key(), &word.encode(), Some(revision), lease.id).await;
         match written {
-            Ok(Written::Done(_)) => {
-                self.told.replace(holding);
+            Ok(Written::Done(revision)) => {
+                self.control.picture.borrow_mut().own_word(word.clone(), revision);
+                self.told.replace(word);
+                return true;
             }
             Ok(Written::Conflict) => tracing::debug!("an own word to the store is still on its way"),
             Ok(Written::LeaseEnded) => self.lose("the store ended the lease"),
             Err(failure) => tracing::debug!(%failure, "the others could not be told"),
         }
+        false
     }
 }
 
 /// Most turns that an instance waits for others.
 const MOST_TURNS: u32 = 16;
+/// Time between a word to the store and the last order that follows it.
+const ORDER_WINDOW: Duration = Duration::from_millis(400);
--- a/crates/gateway/src/librarian.rs
+++ b/crates/gateway/src/librarian.rs
@@ -20,7 +20,7 @@
 /// How long a call for events waits at the store, nearly the longest that stores allow.
 const EVENTS_WAIT: Duration = Duration::from_millis(950);
 /// Pause after events came, in which others gather.
-const GATHER: Duration = Duration::from_millis(350);
+const GATHER: Duration = Duration::from_millis(500);
 /// Pause after a store could not be reached.
 const FAILURE_PAUSE: Duration = Duration::from_millis(300);
 /// Shortest time between two lists of one store that are written.
--- a/crates/gateway/src/picture.rs
+++ b/crates/gateway/src/picture.rs
@@ -36,9 +36,11 @@
     stocks: BTreeMap<String, (Arc<Stock>, ModRevision)>,
     heard: Time,
     server_clock: Option<(Time, u64)>,
+    last_word: Time,
     trouble: Option<Time>,
     detached: Option<Time>,
     is_current: bool,
+    own_life: u64,
 }
 
 /// Who holds the right to order.
@@ -85,6 +87,11 @@
 }
 
 impl Picture {
+    /// An empty picture of the process with that life.
+    pub fn new(own_life: u64) -> Self {
+        Self { own_life, ..Self::default() }
+    }
+
     /// The present view for the instance `own`; none before a configuration is known.
     pub fn view(&self, own: &str) -> Option<View> {
         let holding = self.holder.as_ref().map(|holder| &holder.holding);
@@ -164,6 +171,21 @@
         self.holder.as_ref()
     }
 
+    /// An own word as the holder was taken by the store, before the watch tells it.
+    pub fn own_word(&mut self, holding: Holding, revision: ModRevision) {
+        if let Some(holder) = self.holder.as_mut().filter(|h| h.holding.life == holding.life)
+            && holder.revision < revision
+        {
+            holder.holding = holding;
+            holder.revision = revision;
+        }
+    }
+
+    /// When another holder may have given its last word to the store.
+    pub fn last_word(&self) -> Time {
+        self.last_word
+    }
+
     /// Listed instances.
     pub fn instances(&self) -> &BTreeMap<String, Presence> {
         &self.instances
@@ -201,6 +223,8 @@
             let created = entry.revision;
             beliefs.extend(self.set(now, &entry.key, &entry.value, entry.revision, created));
         }
+        // Words that were given before may have gone unheard.
+        self.last_word = now;
         self.is_current = true;
         beliefs
     }
@@ -249,6 +273,12 @@
                         Some(old) if old.holding.life == holding.life => old.created,
                         _ => created,
                     };
+                    if holding.life != self.own_life {
+                        self.last_word = now;
+                    }
+                    if self.holder.as_ref().is_some_and(|known| known.revision >= revision) {
+                        return None;
+                    }
                     self.holder = Some(Holder { holding, revision, created });
                     Some(Belief::Holder)
                 }
--- a/crates/policy/src/gateway/rollout.rs
+++ b/crates/policy/src/gateway/rollout.rs
@@ -253,7 +253,7 @@
         acts
     }
 
-    /// The engine to go on with, from the zone where the fewest reload.
+    /// The engine to go on with: one with the oldest weights, in the zone where the fewest reload.
     fn next_engine(
         &self,
         now: Time,
@@ -273,20 +273,26 @@
             self.engines.values().filter(active).filter(|e| e.server.zone == zone).count()
         };
         open.min_by_key(|(_, engine)| {
-            let order = u8::from(engine.stage != Stage::Looked);
-            (order, engine.server.leaving, by_zone(engine.server.zone.clone()))
+            let begun = u8::from(engine.stage != Stage::Looked);
+            let known = engine.known(model);
+            (begun, engine.server.leaving, known, by_zone(engine.server.zone.clone()))
         })
         .map(|(id, _)| id.clone())
     }
 }
 
 impl Engine {
-    /// Whether it has weights of a model at least as new, by its entry or its report.
+    /// Whether it has weights of a model at least as new.
     fn has(&self, model: &ModelName, version: WeightVersion) -> bool {
+        self.known(model).is_none_or(|known| known >= version)
+    }
+
+    /// Its weights of a model, by its entry or its report.
+    fn known(&self, model: &ModelName) -> Option<WeightVersion> {
         let reported = self.report.as_ref().filter(|report| !report.busy).and_then(|report| {
             report.models.iter().find(|(name, _)| name == model).map(|(_, version)| *version)
         });
-        self.server.weights(model).max(reported).is_none_or(|known| known >= version)
+        self.server.weights(model).max(reported)
     }
 }
 
@@ -303,7 +309,7 @@
 
 /// Time before a lease's end when its holder stops: an order is on its way for that long at most,
 /// and clocks drift by much less.
-const TENURE_MARGIN: Duration = Duration::from_millis(300);
+pub const TENURE_MARGIN: Duration = Duration::from_millis(300);
 
 impl Tenure {
     /// Whether orders may be sent now.
--- a/crates/policy/src/gateway/stock.rs
+++ b/crates/policy/src/gateway/stock.rs
@@ -24,9 +24,9 @@
 
 /// Time for which knowledge of a stock may be read by. Two waits of the watch pass before it is
 /// renewed, and a transfer takes some tens of milliseconds, or a second where links are slow.
-pub const READ_LIMIT: Duration = Duration::from_millis(4_000);
+pub const READ_LIMIT: Duration = Duration::from_millis(2_400);
 /// Time for clocks to differ in while a part is not yet freed: servers' reports lag by less.
-const FREE_MARGIN: Duration = Duration::from_millis(700);
+const FREE_MARGIN: Duration = Duration::from_millis(600);
 /// Part of a store that is filled; parts are rounded up to blocks.
 const FILL_PART: f64 = 0.96;
 
@@ -40,14 +40,16 @@
     pub epoch: EpochId,
     /// More may be saved there.
     pub is_open: bool,
+    /// Tokens of parts that are no longer to be read and not freed yet.
+    pub retired_tokens: u64,
     /// Whole parts.
     pub parts: FxHashMap<PartKey, u32>,
 }
 
 impl Stock {
-    /// Tokens that it holds.
+    /// Tokens that take its space.
     pub fn tokens(&self) -> u64 {
-        self.parts.values().map(|tokens| u64::from(*tokens)).sum()
+        self.retired_tokens + self.parts.values().map(|tokens| u64::from(*tokens)).sum::<u64>()
     }
 
     /// Whether a part of `tokens` fits into `capacity` beside what is on its way.
@@ -101,8 +103,8 @@
     pub epoch: EpochId,
     /// Whole parts.
     pub held: Vec<Item>,
-    /// Parts that are being written, or were broken off.
-    pub incomplete: Vec<Name>,
+    /// Parts that are being written, or were broken off, and the tokens that they take.
+    pub incomplete: Vec<(Name, u32)>,
 }
 
 /// A change in a store.
@@ -120,8 +122,8 @@
     epoch: EpochId,
     opens: Time,
     held: BTreeMap<Name, (u32, ModelName)>,
-    incomplete: Vec<Name>,
-    retired: Vec<Name>,
+    incomplete: Vec<(Name, u32)>,
+    retired: Vec<(Name, u32)>,
     due: Option<Time>,
     is_published: bool,
 }
@@ -168,19 +170,17 @@
             let version = weights_of(&name.salt);
             newest(model).is_some_and(|newest| version.is_none_or(|version| version < newest))
         };
-        let old: Vec<Name> = self
-            .held
-            .iter()
-            .filter(|(name, (_, model))| is_old(name, model))
-            .map(|(name, _)| name.clone())
-            .collect();
-        if old.is_empty() {
+        let before = self.retired.len();
+        self.held.retain(|name, (tokens, model)| {
+            let is_kept = !is_old(name, model);
+            if !is_kept {
+                self.retired.push((name.clone(), *tokens));
+            }
+            is_kept
+        });
+        if self.retired.len() == before {
             return;
         }
-        for name in &old {
-            self.held.remove(name);
-        }
-        self.retired.extend(old);
         self.retired.append(&mut self.incomplete);
         self.due = None;
         self.is_published = false;
@@ -201,7 +201,8 @@
             return Vec::new();
         }
         self.due = None;
-        std::mem::take(&mut self.retired)
+        self.is_published = false;
+        std::mem::take(&mut self.retired).into_iter().map(|(name, _)| name).collect()
     }
 
     /// Whether the stock differs from what was written.
@@ -219,7 +220,12 @@
         let parts = self.held.iter().map(|(name, (tokens, _))| {
             (part_key(&name.salt, &name.id), *tokens)
         });
-        Stock { epoch: self.epoch, is_open: self.is_open(now), parts: parts.collect() }
+        Stock {
+            epoch: self.epoch,
+            is_open: self.is_open(now),
+            retired_tokens: self.retired.iter().map(|(_, tokens)| u64::from(*tokens)).sum(),
+            parts: parts.collect(),
+        }
     }
 
     fn is_open(&self, now: Time) -> bool {
