Stand-ins for the users' platform, and real processes tested against them

A metadata store over the present keyspace, servers (plain and engines) that list themselves, and a managed store that notices reads of parts that are not whole.

--- /dev/null
+++ b/crates/daemon/tests/platform/scene.rs
@@ -0,0 +1,325 @@
+//! A small deployment: stand-ins for the platform, and real processes.
+
+use std::fs;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use acacia_connection::{Connection, KeepAlive, request};
+use acacia_standin::platform::server::{self, Engine, Seen, Settings};
+use acacia_standin::platform::{cache, store};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+
+/// Longest wait for what must come about; not a bound on anything.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Events of each stream.
+const EVENTS: u32 = 8;
+
+/// The deployment.
+pub struct Scene {
+    pub store: store::Handle,
+    pub services: Vec<server::Handle>,
+    pub engines: Vec<server::Handle>,
+    pub cache: cache::Handle,
+    instances: Vec<Instance>,
+}
+
+struct Instance {
+    process: Mutex<Child>,
+    address: SocketAddr,
+    ready: SocketAddr,
+    folder: PathBuf,
+}
+
+/// What a caller got.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub body: Bytes,
+    pub is_whole: bool,
+}
+
+impl Answer {
+    /// Ids of the events in order.
+    pub fn event_ids(&self) -> Vec<u32> {
+        let text = String::from_utf8_lossy(&self.body);
+        text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect()
+    }
+}
+
+impl Scene {
+    /// Starts the stand-ins and `count` instances, and waits until these are ready.
+    pub async fn start(count: usize) -> Self {
+        let store = store::start().await.unwrap();
+        let cache = cache::start(100_000).await.unwrap();
+        let mut services = Vec::new();
+        let mut engines = Vec::new();
+        for number in 0..3 {
+            let settings = settings(&format!("app-{number}"), "app", None);
+            services.push(server::start(settings, &store).await.unwrap());
+            let engine = Engine {
+                model: "m".to_owned(),
+                events: EVENTS,
+                load_time: Duration::from_millis(50),
+                caches: vec![(cache.address, cache.state())],
+            };
+            let settings = settings_of(&format!("llm-{number}"), engine);
+            engines.push(server::start(settings, &store).await.unwrap());
+        }
+        // Entries of other writers must change nothing.
+        store.put("servers/forged-1", &json!("no object"));
+        store.put("servers/forged-2", &json!({"service": "app", "state": "ready"}));
+        let mut scene = Self { store, services, engines, cache, instances: Vec::new() };
+        scene.store.put("op/config", &scene.configuration(1, "key-1"));
+        for number in 0..count {
+            let instance = scene.launch(number);
+            scene.instances.push(instance);
+        }
+        for number in 0..count {
+            eventually("the instance is ready", async || scene.is_ready(number).await).await;
+        }
+        scene
+    }
+
+    fn launch(&self, number: usize) -> Instance {
+        static FOLDERS: AtomicU32 = AtomicU32::new(0);
+        let folder = std::env::temp_dir().join(format!(
+            "acacia-platform-{}-{}",
+            std::process::id(),
+            FOLDERS.fetch_add(1, Ordering::Relaxed)
+        ));
+        fs::create_dir_all(&folder).unwrap();
+        let [address, ready, first, last] = free_addresses();
+        let text = format!(
+            "node_name = \"instance-{number}\"\nzone = \"z1\"\nport_range = [{}, {}]\n\
+             new_field = 1\n\
+             [listen_addrs]\nfront = \"{address}\"\nready = \"{ready}\"\n\
+             [bounds]\nlease_ms = 300\nbudget_slack = 1000\nbudget_ratio = 1.0\n\
+             [provider]\naddress = \"{}\"\nform = \"kv\"\nttl_min_ms = 1000\n",
+            first.port(),
+            last.port(),
+            self.store.address,
+        );
+        let path = folder.join("boot.toml");
+        fs::write(&path, text).unwrap();
+        let log = fs::File::create(folder.join("log")).unwrap();
+        let process = Command::new(env!("CARGO_BIN_EXE_acaciad"))
+            .arg("--platform")
+            .env("ACACIAARCH_SETTINGS", &path)
+            .stdout(log)
+            .stderr(Stdio::inherit())
+            .spawn()
+            .unwrap();
+        Instance { process: Mutex::new(process), address, ready, folder }
+    }
+
+    /// Where callers of an instance connect.
+    pub fn address(&self, instance: usize) -> SocketAddr {
+        self.instances[instance].address
+    }
+
+    /// Sends a prompt that may be resumed.
+    pub async fn ask(&self, instance: usize, id: &str) -> Answer {
+        call(self.address(instance), "POST", "/ask/", &self.prompt(id, 1), b"x").await
+    }
+
+    /// Sends a prompt with one of several shared parts.
+    pub async fn ask_about(&self, instance: usize, subject: usize) -> Answer {
+        let mut headers = self.prompt("subject", 1);
+        headers.retain(|(name, _)| *name != "x-prompt-prefix");
+        headers.push(("x-prompt-prefix", format!("b{subject}:4000,1:1000")));
+        call(self.address(instance), "POST", "/ask/", &headers, b"x").await
+    }
+
+    /// Fields of a request.
+    pub fn headers(&self, id: &str) -> Vec<(&'static str, String)> {
+        vec![
+            ("host", "app.example".to_owned()),
+            ("x-request-id", id.to_owned()),
+            ("x-deadline-ms", "20000".to_owned()),
+            ("x-tenant", "forged".to_owned()),
+            ("authorization", "Bearer key-1".to_owned()),
+        ]
+    }
+
+    /// Fields of a request with a prompt whose own part has that number.
+    pub fn prompt(&self, id: &str, own: usize) -> Vec<(&'static str, String)> {
+        let mut headers = self.headers(id);
+        headers.push(("x-model", "m".to_owned()));
+        headers.push(("x-token-usage", "5000,8".to_owned()));
+        headers.push(("x-prompt-prefix", format!("aa:4000,{own:x}:1000")));
+        headers
+    }
+
+    /// Ids of all events of a stream.
+    pub fn all_events(&self) -> Vec<u32> {
+        (1..=EVENTS).collect()
+    }
+
+    /// Everything that ran anywhere.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.services.iter().chain(&self.engines).flat_map(|server| server.seen()).collect()
+    }
+
+    /// How often a request ran.
+    pub fn runs(&self, id: &str) -> usize {
+        self.seen().iter().filter(|seen| seen.id == id).count()
+    }
+
+    /// Weights of all engines.
+    pub fn weights(&self) -> Vec<u64> {
+        self.engines.iter().map(|engine| engine.weights()).collect()
+    }
+
+    /// Whether an instance says that it is ready.
+    pub async fn is_ready(&self, instance: usize) -> bool {
+        let ready = self.instances[instance].ready;
+        let headers = [("host", "x".to_owned())];
+        try_call(ready, "GET", "/acaciaarch/readyz", &headers, b"")
+            .await
+            .is_some_and(|answer| answer.status == 200)
+    }
+
+    /// Tells an instance to stop.
+    pub fn terminate(&self, instance: usize) {
+        let id = self.instances[instance].process.lock().id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    }
+
+    /// Whether an instance's process has ended.
+    pub fn has_ended(&self, instance: usize) -> bool {
+        self.instances[instance].process.lock().try_wait().unwrap().is_some()
+    }
+
+    /// Ends everything.
+    pub async fn stop(self) {
+        drop(self);
+    }
+
+    /// A configuration with one organisation that has one key.
+    pub fn configuration(&self, version: u64, key: &str) -> Value {
+        let route = |prefix: &str, kind: &str, service: &str| {
+            json!({
+                "name": format!("r{prefix}"), "host": "app.example", "path_prefix": prefix,
+                "kind": kind, "timeout_ms": 20_000, "target_latency_ms": 2_000, "priority": 1,
+                "service": service, "max_attempts": if kind == "streaming" { 4 } else { 2 },
+            })
+        };
+        let mut ask = route("/ask/", "streaming", "llm");
+        ask["resumable"] = json!(true);
+        ask["gap_target_ms"] = json!(2_000);
+        json!({
+            "version": version,
+            "routes": [
+                route("/read/", "idempotent", "app"),
+                route("/charge/", "non_idempotent", "app"),
+                route("/long/", "streaming", "llm"),
+                ask,
+            ],
+            "services": [
+                {"name": "app", "max_conns": 1_000},
+                {"name": "llm", "max_conns": 1_000, "engine": {
+                    "slots": 8, "kv_capacity": 12_000, "kv_token_bytes": 1_000,
+                    "link_mbps": 100_000.0, "models": [{"name": "m"}],
+                }},
+                {"name": "kv", "kv_store_addr": self.cache.address, "zone": "z1",
+                 "kv_capacity": 100_000, "link_mbps": 100_000.0, "managed": true, "first_ms": 0.5},
+            ],
+            "tenants": [{"name": "acme", "api_keys": [key]}],
+        })
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        let mut process = self.process.lock();
+        if matches!(process.try_wait(), Ok(None)) {
+            // It may end by itself between the two calls.
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+        if std::thread::panicking() {
+            eprintln!("the log lies in {}", self.folder.display());
+        } else {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+fn settings(id: &str, service: &str, engine: Option<Engine>) -> Settings {
+    Settings {
+        id: id.to_owned(),
+        service: service.to_owned(),
+        zone: "z1".to_owned(),
+        latency: Duration::from_millis(5),
+        engine,
+    }
+}
+
+fn settings_of(id: &str, engine: Engine) -> Settings {
+    settings(id, "llm", Some(engine))
+}
+
+fn free_addresses<const N: usize>() -> [SocketAddr; N] {
+    let listeners: [TcpListener; N] =
+        std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").unwrap());
+    std::array::from_fn(|at| listeners[at].local_addr().unwrap())
+}
+
+/// Waits until something holds.
+pub async fn eventually(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let end = tokio::time::Instant::now() + PATIENCE;
+    while !holds().await {
+        assert!(tokio::time::Instant::now() < end, "never: {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Sends a request over a connection of its own.
+pub async fn call(
+    address: SocketAddr,
+    method: &str,
+    target: &str,
+    headers: &[(&'static str, String)],
+    body: &'static [u8],
+) -> Answer {
+    try_call(address, method, target, headers, body).await.expect("an answer")
+}
+
+async fn try_call(
+    address: SocketAddr,
+    method: &str,
+    target: &str,
+    headers: &[(&'static str, String)],
+    body: &'static [u8],
+) -> Option<Answer> {
+    let keep_alive = KeepAlive {
+        idle: PATIENCE,
+        interval: PATIENCE,
+        probes: 2,
+        unacknowledged: PATIENCE,
+    };
+    let mut connection = Connection::open(address, PATIENCE, keep_alive).await.ok()?;
+    let mut fields = HeaderMap::new();
+    for (name, value) in headers {
+        fields.insert(HeaderName::from_static(name), HeaderValue::from_str(value).unwrap());
+    }
+    let method: Method = method.parse().unwrap();
+    let head = request(&method, target, &fields, body.len());
+    connection.send(&method, &head, &Bytes::from_static(body)).await.ok()?;
+    let head = connection.head().await.ok()?;
+    let mut whole = Vec::new();
+    let is_whole = loop {
+        match connection.chunk().await {
+            Ok(Some(chunk)) => whole.extend_from_slice(&chunk),
+            Ok(None) => break true,
+            Err(_) => break false,
+        }
+    };
+    Some(Answer { status: head.status.as_u16(), body: whole.into(), is_whole })
+}
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -89,6 +89,11 @@
         Ok(Self { address, control, gate, tasks })
     }
 
+    /// Its state, for another stand-in of this process.
+    pub fn state(&self) -> Arc<S> {
+        self.gate.standin.clone()
+    }
+
     /// Its counters now.
     pub fn counters(&self) -> Counters {
         self.gate.standin.tally().read()
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -3,7 +3,7 @@
 //! [`keyspace`] holds keys, leases and history; [`wire`] the gateway's JSON. This module checks
 //! rates and joins the two.
 
-mod keyspace;
+pub(crate) mod keyspace;
 pub mod wire;
 
 use std::net::SocketAddr;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,7 +3,7 @@
 //! Each of [`kv`], [`list`], [`engine`], [`store`] and [`service`] has a `start(Settings)` that
 //! serves its protocol (`docs/PROTOCOLS.md`) on loopback and yields a [`Handle`]: addresses,
 //! [`Counters`] for an oracle, and [`Fault`] switches, which the control port offers over HTTP too.
-//! [`host`] is the only module that knows of an HTTP server; [`warmth`], [`slots`] and [`pace`] are the
+//! [`platform`] has those of the users' platform. [`host`] is the only module that knows of an HTTP server; [`warmth`], [`slots`] and [`pace`] are the
 //! parts of a time model that several share.
 
 pub mod command;
@@ -15,6 +15,7 @@
 pub mod kv;
 pub mod list;
 pub mod pace;
+pub mod platform;
 pub mod service;
 pub mod slots;
 pub mod store;
--- /dev/null
+++ b/crates/standin/src/platform/cache.rs
@@ -0,0 +1,219 @@
+//! A managed store of KV cache. Engines of the same process read and write it directly; the calls
+//! of the manager go over HTTP.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use parking_lot::Mutex;
+use serde::Deserialize;
+use serde_json::json;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::counter::{Counter, Tally};
+use crate::exchange::{Answer, Call, Reply};
+use crate::fault::Fault;
+use crate::host::{self, Standin};
+
+/// A running store.
+pub type Handle = host::Handle<State>;
+
+/// Longest wait of a call for events.
+const EVENTS_WAIT: u64 = 1_000;
+
+/// Full name of a part: its name space and its id.
+pub type Name = (String, String);
+
+/// Serves a store of `capacity` tokens on a free port of loopback.
+pub async fn start(capacity: u64) -> std::io::Result<Handle> {
+    let state = Arc::new(State {
+        tally: Tally::default(),
+        capacity,
+        epoch: AtomicU64::new(1),
+        shelf: Mutex::default(),
+        changed: watch::channel(0).0,
+        started: Instant::now(),
+    });
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    host::Handle::start(state, any, any).await
+}
+
+/// The store's state.
+pub struct State {
+    tally: Tally,
+    capacity: u64,
+    epoch: AtomicU64,
+    shelf: Mutex<Shelf>,
+    changed: watch::Sender<u64>,
+    started: Instant,
+}
+
+#[derive(Debug, Default)]
+struct Shelf {
+    parts: BTreeMap<Name, Part>,
+    events: Vec<(char, Name, u32, String)>,
+}
+
+/// A part that is held or written.
+#[derive(Clone, Debug)]
+struct Part {
+    tokens: u32,
+    model: String,
+    /// The weights that it was made on.
+    weights: u64,
+    is_whole: bool,
+}
+
+impl State {
+    /// Begins to write a part; false if there is no room or it is there already.
+    pub fn reserve(&self, name: &Name, tokens: u32, model: &str, weights: u64) -> bool {
+        let mut shelf = self.shelf.lock();
+        let used: u64 = shelf.parts.values().map(|part| u64::from(part.tokens)).sum();
+        if shelf.parts.contains_key(name) || used + u64::from(tokens) > self.capacity {
+            return false;
+        }
+        let part = Part { tokens, model: model.to_owned(), weights, is_whole: false };
+        shelf.parts.insert(name.clone(), part);
+        true
+    }
+
+    /// Ends the writing of a part.
+    pub fn finish(&self, name: &Name) {
+        let mut shelf = self.shelf.lock();
+        let Some(part) = shelf.parts.get_mut(name) else { return };
+        part.is_whole = true;
+        let (tokens, model) = (part.tokens, part.model.clone());
+        shelf.events.push(('+', name.clone(), tokens, model));
+        self.tally.count(Counter::BlockWrites);
+        let count = shelf.events.len() as u64;
+        drop(shelf);
+        self.changed.send_replace(count);
+    }
+
+    /// Reads a part; gives its tokens and weights. A part that is not whole is counted.
+    pub fn read(&self, name: &Name) -> Option<(u32, u64)> {
+        let shelf = self.shelf.lock();
+        let part = shelf.parts.get(name)?;
+        self.tally.count(Counter::BlockReads);
+        if !part.is_whole {
+            self.tally.count(Counter::WrongBlockRead);
+        }
+        Some((part.tokens, part.weights))
+    }
+
+    /// Parts that are whole.
+    pub fn whole_parts(&self) -> Vec<Name> {
+        let shelf = self.shelf.lock();
+        shelf.parts.iter().filter(|(_, part)| part.is_whole).map(|(name, _)| name.clone()).collect()
+    }
+
+    /// The servers' clock, in milliseconds.
+    pub fn clock(&self) -> u64 {
+        // Any start will do; callers only compare times of one clock.
+        self.started.elapsed().as_millis() as u64 + 1_000_000
+    }
+
+    fn list(&self) -> Answer {
+        let shelf = self.shelf.lock();
+        let of = |whole: bool| shelf.parts.iter().filter(move |(_, part)| part.is_whole == whole);
+        let held: Vec<_> =
+            of(true).map(|((salt, id), p)| json!([salt, id, p.tokens, p.model])).collect();
+        let incomplete: Vec<_> =
+            of(false).map(|((salt, id), p)| json!([salt, id, 0, p.tokens])).collect();
+        let body = json!({
+            "boot_epoch": self.epoch.load(Ordering::Relaxed),
+            "next_token": shelf.events.len(),
+            "held": held,
+            "incomplete": incomplete,
+        });
+        Answer::json(StatusCode::OK, &body)
+    }
+
+    async fn events(&self, call: &Call) -> Answer {
+        let since = call.parameter("since").and_then(|text| text.parse::<usize>().ok()).unwrap_or(0);
+        let wait = call.header("wait-ms").parse::<u64>().unwrap_or(0).min(EVENTS_WAIT);
+        let mut changed = self.changed.subscribe();
+        let is_new = |count: &u64| *count > since as u64;
+        // Without news the call ends with the wait.
+        let _ = tokio::time::timeout(Duration::from_millis(wait), changed.wait_for(is_new)).await;
+        let shelf = self.shelf.lock();
+        let news = shelf.events.iter().enumerate().skip(since);
+        let events: Vec<_> = news
+            .map(|(at, (kind, (salt, id), tokens, model))| {
+                json!([at + 1, kind.to_string(), salt, id, tokens, model])
+            })
+            .collect();
+        let body = json!({
+            "boot_epoch": self.epoch.load(Ordering::Relaxed),
+            "next_token": shelf.events.len(),
+            "lost": false,
+            "events": events,
+            "clock_ms": self.clock(),
+        });
+        Answer::json(StatusCode::OK, &body)
+    }
+
+    fn free(&self, call: &Call) -> Reply {
+        #[derive(Deserialize)]
+        struct Body {
+            parts: Vec<Name>,
+            boot_epoch: Option<u64>,
+        }
+        let body: Body = call.json()?;
+        let epoch = self.epoch.load(Ordering::Relaxed);
+        if body.boot_epoch.is_some_and(|expected| expected != epoch) {
+            return Err(Answer::json(StatusCode::CONFLICT, &json!({})));
+        }
+        let mut shelf = self.shelf.lock();
+        for name in body.parts {
+            shelf.parts.remove(&name);
+        }
+        Ok(Answer::json(StatusCode::OK, &json!({})))
+    }
+
+    fn report(&self) -> Answer {
+        let shelf = self.shelf.lock();
+        let used: u64 = shelf.parts.values().map(|part| u64::from(part.tokens)).sum();
+        let body = json!({
+            "kv_used": used,
+            "kv_total": self.capacity,
+            "boot_epoch": self.epoch.load(Ordering::Relaxed),
+            "clock_ms": self.clock(),
+        });
+        Answer::json(StatusCode::OK, &body)
+    }
+}
+
+impl Standin for State {
+    const NAME: &'static str = "platform_cache";
+
+    fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
+    async fn respond(self: Arc<Self>, call: Call) -> Answer {
+        let path = call.path.strip_prefix("/acaciaarch/").unwrap_or("");
+        match (&call.method, path) {
+            (&Method::GET, "kv-list") => self.list(),
+            (&Method::GET, "kv-events") => self.events(&call).await,
+            (&Method::GET, "report") => self.report(),
+            (&Method::POST, "kv-free") => self.free(&call).unwrap_or_else(|refusal| refusal),
+            _ => Answer::unknown_path(),
+        }
+    }
+
+    fn fault(&self, fault: &Fault) -> bool {
+        if *fault == Fault::Restart {
+            self.tally.count(Counter::Restarts);
+            self.epoch.fetch_add(1, Ordering::Relaxed);
+            *self.shelf.lock() = Shelf::default();
+            self.changed.send_replace(u64::MAX);
+            return true;
+        }
+        false
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/server.rs
@@ -0,0 +1,378 @@
+//! A plain service or a model engine that lists itself in the metadata store.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+use http::{Method, StatusCode};
+use parking_lot::Mutex;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use super::{cache, store};
+use crate::counter::{Counter, Tally};
+use crate::exchange::{Answer, Call, Cut, Reply};
+use crate::fault::Fault;
+use crate::host::{self, Standin, spend};
+
+/// A running server.
+pub type Handle = host::Handle<State>;
+
+/// How a server is set up.
+#[derive(Clone)]
+pub struct Settings {
+    /// Its id.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Time that a plain request runs, and between two events of a stream.
+    pub latency: Duration,
+    /// What an engine has; none for a plain service.
+    pub engine: Option<Engine>,
+}
+
+/// What an engine has.
+#[derive(Clone)]
+pub struct Engine {
+    /// Its model.
+    pub model: String,
+    /// Events of each answer.
+    pub events: u32,
+    /// Time that new weights take.
+    pub load_time: Duration,
+    /// Stores that it can save to and fetch from.
+    pub caches: Vec<(SocketAddr, Arc<cache::State>)>,
+}
+
+/// A request that reached a server.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// Its id.
+    pub id: String,
+    /// The organisation that it was sent for.
+    pub organisation: String,
+    /// The organisation's key, which no server should see.
+    pub key: String,
+    /// Method and target.
+    pub target: String,
+    /// Its body.
+    pub body: Bytes,
+    /// The weights that it was to run on.
+    pub weights: String,
+    /// The name space of its cached parts.
+    pub salt: String,
+    /// Where parts were to be fetched from.
+    pub fetch: String,
+    /// The event that a stream went on after.
+    pub last_event: String,
+}
+
+/// Serves a server on a free port of loopback and lists it in `store`.
+pub async fn start(settings: Settings, store: &store::Handle) -> std::io::Result<Handle> {
+    let state = Arc::new(State {
+        tally: Tally::default(),
+        weights: AtomicU64::new(1),
+        orders: AtomicU64::new(0),
+        loading: AtomicBool::new(false),
+        leaving: AtomicBool::new(false),
+        fence: AtomicU64::new(0),
+        failures: AtomicU32::new(0),
+        broken: Mutex::default(),
+        seen: Mutex::default(),
+        ran: Mutex::default(),
+        parts: Mutex::default(),
+        settings,
+    });
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let handle = host::Handle::start(state, any, any).await?;
+    handle.list(store);
+    Ok(handle)
+}
+
+/// The server's state.
+pub struct State {
+    settings: Settings,
+    tally: Tally,
+    weights: AtomicU64,
+    orders: AtomicU64,
+    loading: AtomicBool,
+    leaving: AtomicBool,
+    fence: AtomicU64,
+    failures: AtomicU32,
+    broken: Mutex<Option<(u32, u32)>>,
+    seen: Mutex<Vec<Seen>>,
+    ran: Mutex<BTreeMap<String, u32>>,
+    /// Cached parts, with the weights that made them.
+    parts: Mutex<BTreeMap<cache::Name, u64>>,
+}
+
+impl Handle {
+    /// Writes the server's entry.
+    pub fn list(&self, store: &store::Handle) {
+        store.put(&format!("servers/{}", self.settings.id), &self.entry(self.address));
+    }
+}
+
+impl State {
+    /// Requests that it ran.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.seen.lock().clone()
+    }
+
+    /// How often each request ran.
+    pub fn runs(&self) -> BTreeMap<String, u32> {
+        self.ran.lock().clone()
+    }
+
+    /// Its weights.
+    pub fn weights(&self) -> u64 {
+        self.weights.load(Ordering::Relaxed)
+    }
+
+    /// Orders that it took.
+    pub fn orders(&self) -> u64 {
+        self.orders.load(Ordering::Relaxed)
+    }
+
+    /// The next answers are failures of its own.
+    pub fn fail(&self, times: u32) {
+        self.failures.store(times, Ordering::Relaxed);
+    }
+
+    fn entry(&self, address: SocketAddr) -> Value {
+        let state = if self.leaving.load(Ordering::Relaxed) { "draining" } else { "ready" };
+        let mut entry = json!({
+            "service": self.settings.service,
+            "address": address,
+            "zone": self.settings.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "cold_left_ms": 0,
+            "sequence": 1,
+            "born": 1,
+        });
+        if let Some(models) = self.models() {
+            entry["stage"] = json!("colocated");
+            entry["models"] = models;
+        }
+        entry
+    }
+
+    fn models(&self) -> Option<Value> {
+        let engine = self.settings.engine.as_ref()?;
+        Some(json!([{"name": engine.model, "version": self.weights(), "adapters": []}]))
+    }
+
+    async fn run(self: Arc<Self>, call: &Call) -> Reply {
+        self.check(call)?;
+        let id = call.header("x-request-id").to_owned();
+        *self.ran.lock().entry(id.clone()).or_default() += 1;
+        self.tally.count(Counter::Started);
+        self.seen.lock().push(Seen {
+            id,
+            organisation: call.header("x-tenant").to_owned(),
+            key: call.header("authorization").to_owned(),
+            target: format!("{} {}", call.method, call.path),
+            body: call.body.clone(),
+            weights: call.header("x-expect-version").to_owned(),
+            salt: call.header("x-cache-salt").to_owned(),
+            fetch: call.header("x-kv-fetch").to_owned(),
+            last_event: call.header("last-event-id").to_owned(),
+        });
+        tokio::time::sleep(self.settings.latency).await;
+        if spend(&self.failures) {
+            let body = "the server's own failure";
+            return Ok(Answer::bytes(StatusCode::INTERNAL_SERVER_ERROR, body)
+                .with("x-response-seal", "s"));
+        }
+        let answer = match &self.settings.engine {
+            Some(engine) => {
+                self.read_prompt(engine, call);
+                let answer = self.clone().stream(engine, call);
+                answer.with("x-weight-versions", self.weights())
+            }
+            None => {
+                let body = format!("{} {} {}", call.method, call.path, call.body.len());
+                Answer::bytes(StatusCode::OK, body)
+            }
+        };
+        Ok(answer.with("x-response-seal", "s"))
+    }
+
+    /// Turns away what is not for this server, its weights or its state.
+    fn check(&self, call: &Call) -> Result<(), Answer> {
+        let other = |name, own: &str| !["", own].contains(&call.header(name));
+        let weights = self.weights().to_string();
+        if other("x-expect-instance", &self.settings.id) || other("x-expect-version", &weights) {
+            return Err(Answer::bytes(StatusCode::MISDIRECTED_REQUEST, ""));
+        }
+        if self.loading.load(Ordering::Relaxed) {
+            let full = Answer::bytes(StatusCode::SERVICE_UNAVAILABLE, "");
+            return Err(full.with("x-not-executed", 1));
+        }
+        if self.leaving.load(Ordering::Relaxed) {
+            self.tally.count(Counter::StartedWhileLeaving);
+        }
+        Ok(())
+    }
+
+    /// Fetches, reads and saves the parts of a prompt; counts parts made on other weights.
+    fn read_prompt(&self, engine: &Engine, call: &Call) {
+        let salt = call.header("x-cache-salt").to_owned();
+        let cache = |address: &str| {
+            let address: SocketAddr = address.parse().ok()?;
+            engine.caches.iter().find(|(at, _)| *at == address).map(|(_, cache)| cache.clone())
+        };
+        let list = |name: &str| -> Vec<String> {
+            call.header(name).split(',').map(str::to_owned).collect()
+        };
+        let (fetch, save) = (list("x-kv-fetch"), list("x-kv-save"));
+        let weights = self.weights();
+        for (at, part) in call.header("x-prompt-prefix").split(',').enumerate() {
+            let Some((id, tokens)) = part.split_once(':') else { continue };
+            let tokens: u32 = tokens.parse().unwrap_or(0);
+            let name = (salt.clone(), id.to_owned());
+            let fetched =
+                fetch.get(at).and_then(|address| cache(address)).and_then(|c| c.read(&name));
+            let kept = self.parts.lock().get(&name).copied();
+            let made = kept.or(fetched.map(|(_, weights)| weights));
+            let counter = match made {
+                Some(made) if made != weights => Counter::WrongPrefixRead,
+                Some(_) => Counter::PromptTokensCached,
+                None => Counter::PromptTokensComputed,
+            };
+            self.tally.add(counter, tokens.into());
+            self.parts.lock().insert(name.clone(), made.unwrap_or(weights));
+            if let Some(cache) = save.get(at).and_then(|address| cache(address))
+                && cache.reserve(&name, tokens, &engine.model, weights)
+            {
+                let latency = self.settings.latency;
+                tokio::spawn(async move {
+                    tokio::time::sleep(latency).await;
+                    cache.finish(&name);
+                });
+            }
+        }
+    }
+
+    /// The events of an answer, from the one that the caller asked to go on after.
+    fn stream(self: Arc<Self>, engine: &Engine, call: &Call) -> Answer {
+        let first = call.header("last-event-id").parse::<u32>().map_or(1, |last| last + 1);
+        let (count, latency) = (engine.events, self.settings.latency);
+        let broken = self.broken.lock().as_mut().and_then(|(event, times)| {
+            *times = times.checked_sub(1)?;
+            Some(*event)
+        });
+        let events = stream::iter(first..=count).then(move |number| async move {
+            tokio::time::sleep(latency).await;
+            let event = format!("id: {number}\ndata: token {number}\n\n");
+            if broken == Some(number) {
+                // Half of an event leaves before the break.
+                return [Ok(Bytes::from(event[..event.len() / 2].to_owned())), Err(Cut)].to_vec();
+            }
+            vec![Ok(Bytes::from(event))]
+        });
+        let chunks = events.flat_map(|chunks| {
+            stream::iter(chunks).then(|chunk| async move {
+                if chunk.is_err() {
+                    // The server flushes what came before the break only when it is given a turn.
+                    tokio::task::yield_now().await;
+                }
+                chunk
+            })
+        });
+        Answer::stream("text/event-stream", chunks)
+    }
+
+    fn order(self: Arc<Self>, call: &Call) -> Reply {
+        #[derive(Deserialize)]
+        struct Body {
+            version: u64,
+            fence: u64,
+            expected: Option<u64>,
+        }
+        let body: Body = call.json()?;
+        let refuse = |status| Err(Answer::json(status, &json!({})));
+        if body.fence < self.fence.fetch_max(body.fence, Ordering::Relaxed) {
+            self.tally.count(Counter::StaleOrdersRefused);
+            return refuse(StatusCode::PRECONDITION_FAILED);
+        }
+        if self.weights() == body.version {
+            return refuse(StatusCode::OK);
+        }
+        let is_busy = self.loading.load(Ordering::Relaxed);
+        if is_busy || body.expected.is_some_and(|expected| expected != self.orders()) {
+            return refuse(StatusCode::CONFLICT);
+        }
+        self.tally.count(Counter::Orders);
+        self.orders.fetch_add(1, Ordering::Relaxed);
+        self.loading.store(true, Ordering::Relaxed);
+        let load_time = self.settings.engine.as_ref().map_or(Duration::ZERO, |e| e.load_time);
+        tokio::spawn(async move {
+            tokio::time::sleep(load_time).await;
+            self.parts.lock().clear();
+            self.weights.store(body.version, Ordering::Relaxed);
+            self.loading.store(false, Ordering::Relaxed);
+        });
+        Ok(Answer::json(StatusCode::ACCEPTED, &json!({})))
+    }
+
+    fn report(&self) -> Answer {
+        let body = json!({
+            "models": self.models(),
+            "busy": self.loading.load(Ordering::Relaxed),
+            "sequence": self.orders(),
+            "born": 1,
+        });
+        Answer::json(StatusCode::OK, &body)
+    }
+}
+
+impl Standin for State {
+    const NAME: &'static str = "platform_server";
+
+    fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
+    async fn respond(self: Arc<Self>, call: Call) -> Answer {
+        let id = call.header("x-request-id").to_owned();
+        let instance = self.settings.id.clone();
+        let answer = match (&call.method, &*call.path) {
+            (&Method::GET, "/acaciaarch/report") => Ok(self.report()),
+            (&Method::POST, "/acaciaarch/order") => self.order(&call),
+            _ => self.run(&call).await,
+        };
+        let answer = answer.unwrap_or_else(|refusal| refusal);
+        answer.with("x-request-id", id).with("x-instance-id", instance)
+    }
+
+    fn fault(&self, fault: &Fault) -> bool {
+        match fault {
+            Fault::BrokenStream { token, times } => {
+                *self.broken.lock() = Some((*token, times.unwrap_or(u32::MAX)));
+            }
+            Fault::Leaving { on } => self.leaving.store(*on, Ordering::Relaxed),
+            _ => return false,
+        }
+        true
+    }
+}
+
+/// Ids of requests that ran more than once, over several servers.
+pub fn repeated<'a>(servers: impl IntoIterator<Item = &'a Handle>) -> BTreeSet<String> {
+    let mut runs: BTreeMap<String, u32> = BTreeMap::new();
+    for server in servers {
+        for (id, count) in server.runs() {
+            *runs.entry(id).or_default() += count;
+        }
+    }
+    runs.into_iter().filter(|(_, count)| *count > 1).map(|(id, _)| id).collect()
+}
--- /dev/null
+++ b/crates/standin/src/platform/store.rs
@@ -0,0 +1,312 @@
+//! The platform's metadata store.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicI64, Ordering};
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use http::{Method, StatusCode};
+use parking_lot::Mutex;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::counter::{Counter, Tally};
+use crate::exchange::{Answer, Call, Reply};
+use crate::fault::Fault;
+use crate::host::{self, Standin};
+use crate::kv::keyspace::Keyspace;
+use crate::kv::wire::{
+    Compare, Delete, EventKind, KeyValue, LeaseGrant, Operation, Put, Range, Relation, Target,
+    Transaction, WatchEvent,
+};
+
+/// A running store.
+pub type Handle = host::Handle<State>;
+
+/// Leases count in milliseconds, a thousand times finer than the keyspace's seconds.
+const LEASE_SCALE: f64 = 1_000.0;
+/// Changes held for watches.
+const HISTORY: usize = 4_096;
+/// Longest sleep between two looks for leases that ran out.
+const EXPIRY_STEP: Duration = Duration::from_millis(20);
+/// Most entries on one page.
+const PAGE: usize = 500;
+
+/// Serves a store on a free port of loopback; fails when none can be bound.
+pub async fn start() -> std::io::Result<Handle> {
+    let state = Arc::new(State {
+        tally: Tally::default(),
+        keyspace: Mutex::new(Keyspace::new(LEASE_SCALE, HISTORY)),
+        revision: watch::channel(0).0,
+        forgotten: AtomicI64::new(0),
+    });
+    tokio::spawn(expire(Arc::downgrade(&state)));
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    host::Handle::start(state, any, any).await
+}
+
+async fn expire(state: std::sync::Weak<State>) {
+    loop {
+        tokio::time::sleep(EXPIRY_STEP).await;
+        let Some(state) = state.upgrade() else { return };
+        state.change(|_| ());
+    }
+}
+
+/// The store's state.
+pub struct State {
+    tally: Tally,
+    keyspace: Mutex<Keyspace>,
+    revision: watch::Sender<i64>,
+    forgotten: AtomicI64,
+}
+
+impl State {
+    /// Writes a key, as operators and servers do; gives the revision.
+    pub fn put(&self, key: &str, value: &Value) -> i64 {
+        let put = Put { key: key.into(), value: value.to_string().into_bytes(), lease: 0 };
+        self.operate(Operation::RequestPut(put))
+    }
+
+    /// Removes a key, as operators and servers do.
+    pub fn remove(&self, key: &str) -> i64 {
+        self.operate(Operation::RequestDeleteRange(Delete { key: key.into() }))
+    }
+
+    /// The value of a key.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        self.change(|keyspace| keyspace.get(key.as_bytes()).map(|entry| entry.value.clone()))
+    }
+
+    /// Drops all history, so that watches must begin anew.
+    pub fn forget_history(&self) {
+        let now = self.change(|keyspace| keyspace.revision());
+        self.forgotten.store(now, Ordering::Relaxed);
+        self.revision.send_modify(|_| ());
+    }
+
+    fn operate(&self, operation: Operation) -> i64 {
+        let transaction =
+            Transaction { compare: Vec::new(), success: vec![operation], failure: Vec::new() };
+        self.change(|keyspace| {
+            // Neither a lease nor a size is at fault here.
+            let _ = keyspace.transact(&transaction);
+            keyspace.revision()
+        })
+    }
+
+    fn change<T>(&self, change: impl FnOnce(&mut Keyspace) -> T) -> T {
+        let (value, revision) = {
+            let mut keyspace = self.keyspace.lock();
+            let expired = keyspace.expire(Instant::now());
+            self.tally.add(Counter::Expiries, expired as u64);
+            let value = change(&mut keyspace);
+            (value, keyspace.revision())
+        };
+        self.revision.send_if_modified(|now| std::mem::replace(now, revision) != revision);
+        value
+    }
+
+    async fn route(&self, call: &Call) -> Reply {
+        let path = call.path.strip_prefix("/acaciaarch/").unwrap_or("");
+        match (&call.method, path) {
+            (&Method::GET, "kv-range") => Ok(self.range(call)),
+            (&Method::GET, "kv-watch") => Ok(self.watch(call).await),
+            (&Method::POST, "kv-txn") => self.transaction(call),
+            (&Method::POST, "kv-lease") => self.grant(call),
+            (&Method::POST, path) if path.starts_with("kv-keep/") => self.renew(path),
+            (&Method::DELETE, path) if path.starts_with("kv-lease-end/") => self.end(path),
+            _ => Err(Answer::unknown_path()),
+        }
+    }
+
+    fn range(&self, call: &Call) -> Answer {
+        self.tally.count(Counter::Ranges);
+        let prefix = call.parameter("path_prefix").unwrap_or("");
+        let after = call.parameter("after").unwrap_or("");
+        let (all, revision) =
+            self.change(|keyspace| (keyspace.range(&prefix_range(prefix)).kvs, keyspace.revision()));
+        let later: Vec<_> = all.into_iter().filter(|item| &*item.key > after.as_bytes()).collect();
+        let items: Vec<Value> = later.iter().take(PAGE).map(item).collect();
+        let body = json!({"items": items, "truncated": later.len() > PAGE, "as_of": revision});
+        Answer::json(StatusCode::OK, &body)
+    }
+
+    async fn watch(&self, call: &Call) -> Answer {
+        self.tally.count(Counter::Watches);
+        let prefix = call.parameter("path_prefix").unwrap_or("").to_owned();
+        let number = |name| call.parameter(name).and_then(|text| text.parse::<i64>().ok());
+        let (after, wait) = (number("after").unwrap_or(0), number("wait_ms").unwrap_or(0));
+        let end = Instant::now() + Duration::from_millis(wait.unsigned_abs());
+        let mut revisions = self.revision.subscribe();
+        loop {
+            revisions.borrow_and_update();
+            let range = prefix_range(&prefix);
+            let (batch, revision) = self.change(|keyspace| {
+                let range = (&*range.key, &*range.range_end);
+                (keyspace.events(range, after + 1), keyspace.revision())
+            });
+            if batch.compacted > 0 || after < self.forgotten.load(Ordering::Relaxed) {
+                return Answer::json(StatusCode::GONE, &json!({}));
+            }
+            let is_over = tokio::time::timeout_at(end, revisions.changed());
+            if !batch.events.is_empty() || Instant::now() >= end {
+                let events: Vec<Value> = batch.events.iter().map(event).collect();
+                return Answer::json(StatusCode::OK, &json!({"events": events, "as_of": revision}));
+            }
+            // The end of the wait is looked at above.
+            let _ = is_over.await;
+        }
+    }
+
+    fn transaction(&self, call: &Call) -> Reply {
+        self.tally.count(Counter::Transactions);
+        let body: TransactionBody = call.json()?;
+        let compare = body.expected.iter().map(|row| Compare {
+            key: row.key.clone().into_bytes(),
+            target: Target::Mod,
+            result: Relation::Equal,
+            mod_revision: row.revision,
+        });
+        let puts = body.set_keys.iter().map(|row| {
+            let value = STANDARD.decode(&row.value).unwrap_or_default();
+            let key = row.key.clone().into_bytes();
+            Operation::RequestPut(Put { key, value, lease: row.lease })
+        });
+        let removals = body.remove.iter().map(|key| {
+            Operation::RequestDeleteRange(Delete { key: key.clone().into_bytes() })
+        });
+        let transaction = Transaction {
+            compare: compare.collect(),
+            success: puts.chain(removals).collect(),
+            failure: Vec::new(),
+        };
+        match self.change(|keyspace| keyspace.transact(&transaction)) {
+            Ok(done) if done.succeeded => {
+                self.tally.count(Counter::Writes);
+                let body = json!({"revision": done.header.revision});
+                Ok(Answer::json(StatusCode::OK, &body).with_effect())
+            }
+            Ok(_) => {
+                self.tally.count(Counter::Conflicts);
+                Ok(Answer::json(StatusCode::PRECONDITION_FAILED, &json!({"items": []})))
+            }
+            Err(_) => Err(Answer::json(StatusCode::NOT_FOUND, &json!({}))),
+        }
+    }
+
+    fn grant(&self, call: &Call) -> Reply {
+        #[derive(Deserialize)]
+        struct Body {
+            ttl_ms: i64,
+        }
+        self.tally.count(Counter::Grants);
+        let body: Body = call.json()?;
+        let grant = LeaseGrant { ttl: body.ttl_ms, id: 0 };
+        let leased = self.change(|keyspace| keyspace.grant(&grant, Instant::now()));
+        let body = json!({"lease": leased.id, "ttl_ms": leased.ttl});
+        Ok(Answer::json(StatusCode::OK, &body).with_effect())
+    }
+
+    fn renew(&self, path: &str) -> Reply {
+        self.tally.count(Counter::Renewals);
+        let leased =
+            self.change(|keyspace| keyspace.keep_alive(lease(path), Instant::now()));
+        if leased.ttl == 0 {
+            return Err(Answer::json(StatusCode::NOT_FOUND, &json!({})));
+        }
+        Ok(Answer::json(StatusCode::OK, &json!({"ttl_ms": leased.ttl})))
+    }
+
+    fn end(&self, path: &str) -> Reply {
+        self.tally.count(Counter::Revocations);
+        self.change(|keyspace| keyspace.revoke(lease(path)));
+        Ok(Answer::json(StatusCode::OK, &json!({})).with_effect())
+    }
+}
+
+impl Standin for State {
+    const NAME: &'static str = "platform_store";
+
+    fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
+    async fn respond(self: Arc<Self>, call: Call) -> Answer {
+        self.route(&call).await.unwrap_or_else(|refusal| refusal)
+    }
+
+    fn fault(&self, fault: &Fault) -> bool {
+        if *fault == Fault::LeaseLapse {
+            let lapsed = self.change(Keyspace::lapse);
+            self.tally.add(Counter::Expiries, lapsed as u64);
+            return true;
+        }
+        false
+    }
+}
+
+#[derive(Deserialize)]
+struct TransactionBody {
+    #[serde(default)]
+    expected: Vec<ExpectedRow>,
+    #[serde(default)]
+    set_keys: Vec<SetRow>,
+    #[serde(default)]
+    remove: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct ExpectedRow {
+    key: String,
+    revision: i64,
+}
+
+#[derive(Deserialize)]
+struct SetRow {
+    key: String,
+    value: String,
+    #[serde(default)]
+    lease: i64,
+}
+
+/// Every key that begins with a prefix.
+fn prefix_range(prefix: &str) -> Range {
+    let mut range_end = prefix.as_bytes().to_vec();
+    match range_end.last_mut() {
+        Some(last) => *last += 1,
+        None => range_end = vec![0],
+    }
+    let key = if prefix.is_empty() { vec![0] } else { prefix.as_bytes().to_vec() };
+    Range { key, range_end, limit: 0 }
+}
+
+fn item(entry: &KeyValue) -> Value {
+    json!({
+        "key": String::from_utf8_lossy(&entry.key),
+        "value": STANDARD.encode(&entry.value),
+        "revision": entry.mod_revision,
+        "created": entry.create_revision,
+        "lease": entry.lease,
+    })
+}
+
+fn event(event: &WatchEvent) -> Value {
+    match event.kind {
+        EventKind::Put => item(&event.kv),
+        EventKind::Delete => json!({
+            "key": String::from_utf8_lossy(&event.kv.key),
+            "revision": event.kv.mod_revision,
+            "removed": true,
+        }),
+    }
+}
+
+/// The lease that a path ends with; none has the id zero.
+fn lease(path: &str) -> i64 {
+    path.rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0)
+}
