Gateway: a part being written is not freed with older ones; weights are dated by the servers' clock

Test: retire_keeps_part_that_is_being_written failed first. The holder now tells the store when weights were named, by the servers' clock; without that they count as named long ago.

--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use acacia_connection::Fault;
-use acacia_platform::document::{Holding, holder_key};
+use acacia_platform::document::{Holding, holder_key, naming_key};
 use acacia_platform::store::{Client, Written};
 use acacia_platform::upstream::{self, Errand};
 use acacia_policy::Time;
@@ -30,6 +30,11 @@
 const ROUND: Duration = Duration::from_millis(60);
 /// Pause of an instance for each other that may take the right before it.
 const TURN: Duration = Duration::from_millis(40);
+/// Time until a date that the watch does not show is written again.
+const DATE_AGAIN: Duration = Duration::from_secs(1);
+/// The lease of keys that outlive their writer.
+pub const NO_LEASE: LeaseId = 0;
+
 /// Takes the right to order when nobody has it, and orders while it has.
 pub struct Orderer {
     control: Rc<Control>,
@@ -37,6 +42,7 @@
     rollout: RefCell<Rollout>,
     told: RefCell<Holding>,
     fenced: Cell<bool>,
+    dated: Cell<Time>,
     caller: Rc<Caller>,
     librarian: Rc<Librarian>,
 }
@@ -61,6 +67,7 @@
             rollout: RefCell::default(),
             told: RefCell::default(),
             fenced: Cell::default(),
+            dated: Cell::default(),
         })
     }
 
@@ -175,6 +182,7 @@
     async fn order(self: &Rc<Self>, client: &mut Client) {
         let Some(tenure) = self.tenure() else { return };
         self.librarian.work();
+        self.date_weights(client).await;
         let now = self.control.clock.now();
         if !tenure.is_open(now) {
             return;
@@ -204,6 +212,21 @@
         }
     }
 
+    /// Tells the store when weights were named.
+    async fn date_weights(&self, client: &mut Client) {
+        let news = self.control.picture.borrow().naming_news();
+        let now = self.control.clock.now();
+        let (Some((naming, revision)), true) = (news, now >= self.dated.get() + DATE_AGAIN) else {
+            return;
+        };
+        self.dated.set(now);
+        self.control.metrics.store_call("write");
+        let value = naming.encode();
+        if let Err(failure) = client.write(&naming_key(), &value, Some(revision), NO_LEASE).await {
+            tracing::info!(%failure, "when weights were named could not be told");
+        }
+    }
+
     async fn act(self: Rc<Self>, act: Act, tenure: Tenure) {
         match act {
             Act::Look(server) => {
--- a/crates/gateway/src/librarian.rs
+++ b/crates/gateway/src/librarian.rs
@@ -16,6 +16,7 @@
 
 use crate::control::Control;
 use crate::errand::Caller;
+use crate::holder::NO_LEASE;
 
 /// How long a call for events waits at the store, nearly the longest that stores allow.
 const EVENTS_WAIT: Duration = Duration::from_millis(950);
@@ -199,6 +200,3 @@
         }
     }
 }
-
-/// The lease of keys that outlive their writer.
-const NO_LEASE: i64 = 0;
--- a/crates/gateway/src/picture.rs
+++ b/crates/gateway/src/picture.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_platform::document::{self, Holding, Presence, Subject, WeightOrder};
+use acacia_platform::document::{self, Holding, Naming, Presence, Subject, WeightOrder};
 use acacia_platform::{Document, store};
 use acacia_policy::Time;
 use acacia_policy::gateway::configuration::{ModelName, Role, ZoneName};
@@ -31,6 +31,8 @@
     lapsed: BTreeMap<ServerId, (Arc<Server>, Time)>,
     evacuated: BTreeSet<ZoneName>,
     weights: BTreeMap<ModelName, Weights>,
+    naming: Naming,
+    naming_revision: ModRevision,
     instances: BTreeMap<String, Presence>,
     holder: Option<Holder>,
     stocks: BTreeMap<String, (Arc<Stock>, ModRevision)>,
@@ -106,7 +108,7 @@
             servers: self.servers.clone(),
             lapsed: self.lapsed.clone(),
             evacuated: self.evacuated.clone(),
-            weights: self.weights.clone(),
+            weights: self.dated_weights(),
             loading: holding.map(|h| h.loading.iter().cloned().collect()).unwrap_or_default(),
             loaded: loaded.collect(),
             instances: self.instance_count(),
@@ -118,6 +120,39 @@
         })
     }
 
+    /// The wanted weights with the earliest time that is known of each.
+    fn dated_weights(&self) -> BTreeMap<ModelName, Weights> {
+        let dated = self.weights.iter().map(|(model, weights)| {
+            let told = self.naming.0.get(model).filter(|(version, _)| *version == weights.version);
+            let told = told.zip(self.server_clock).map(|((_, named), (known, clock))| {
+                let age = Duration::from_millis(clock.saturating_sub(*named));
+                known.saturating_sub(age)
+            });
+            let named = match (weights.named, told) {
+                (Time::ZERO, told) => told.unwrap_or(Time::ZERO),
+                (heard, told) => told.map_or(heard, |told| told.min(heard)),
+            };
+            (model.clone(), Weights { named, ..*weights })
+        });
+        dated.collect()
+    }
+
+    /// When weights were named, if this instance heard it and nobody has told the store yet.
+    pub fn naming_news(&self) -> Option<(Naming, ModRevision)> {
+        let (known, clock) = self.server_clock?;
+        let mut naming = self.naming.clone();
+        for (model, weights) in self.weights.iter().filter(|(_, w)| w.named > Time::ZERO) {
+            let age = known.saturating_sub(weights.named).as_millis();
+            let after = weights.named.saturating_sub(known).as_millis();
+            let named = clock.saturating_add(after as u64).saturating_sub(age as u64);
+            let told = naming.0.get(model).is_some_and(|(version, _)| *version >= weights.version);
+            if !told {
+                naming.0.insert(model.clone(), (weights.version, named));
+            }
+        }
+        (naming != self.naming).then_some((naming, self.naming_revision))
+    }
+
     /// Stores of KV cache whose stock is known.
     fn shelves(&self) -> Vec<Shelf> {
         let services = self.configuration.iter().flat_map(|c| c.services.values());
@@ -260,6 +295,14 @@
                 }
                 Err(problem) => Some(malformed(key, value, &problem)),
             },
+            Subject::Naming => match Naming::decode("", value) {
+                Ok(naming) => {
+                    self.naming = naming;
+                    self.naming_revision = revision;
+                    None
+                }
+                Err(problem) => Some(malformed(key, value, &problem)),
+            },
             Subject::Stock(service) => match Stock::decode(service, value) {
                 Ok(stock) => {
                     self.stocks.insert(service.to_owned(), (Arc::new(stock), revision));
@@ -314,7 +357,9 @@
         if known.is_some_and(|known| known.version >= order.version) {
             return None;
         }
-        let weights = Weights { version: order.version, named: now };
+        // What was there before this process looked was named at an unknown time.
+        let named = if self.is_current { now } else { Time::ZERO };
+        let weights = Weights { version: order.version, named };
         self.weights.insert(model.clone(), weights);
         Some(Belief::Weights(model, order.version))
     }
@@ -349,7 +394,7 @@
             Subject::Stock(service) => {
                 self.stocks.remove(service).map(|_| Belief::Stock(service.to_owned()))
             }
-            Subject::Configuration | Subject::Weights(_) | Subject::Other => None,
+            Subject::Configuration | Subject::Weights(_) | Subject::Naming | Subject::Other => None,
         }
     }
 
--- a/crates/policy/src/gateway/stock.rs
+++ b/crates/policy/src/gateway/stock.rs
@@ -9,7 +9,7 @@
 //! store that lost its parts is filled again only after the same time, so that no instance takes a
 //! part that is being written for one that was whole before.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -124,6 +124,8 @@
     held: BTreeMap<Name, (u32, ModelName)>,
     incomplete: Vec<(Name, u32)>,
     retired: Vec<(Name, u32)>,
+    /// Models of parts that were ever retired; a store does not say the model of a broken part.
+    retired_models: BTreeSet<ModelName>,
     due: Option<Time>,
     is_published: bool,
 }
@@ -148,6 +150,8 @@
         self.is_published = false;
         match change {
             Change::Added(item) => {
+                self.incomplete.retain(|(name, _)| *name != item.name);
+                self.retired.retain(|(name, _)| *name != item.name);
                 self.held.insert(item.name, (item.tokens, item.model));
             }
             Change::Removed(name) => {
@@ -175,13 +179,21 @@
             let is_kept = !is_old(name, model);
             if !is_kept {
                 self.retired.push((name.clone(), *tokens));
+                self.retired_models.insert(model.clone());
             }
             is_kept
         });
         if self.retired.len() == before {
             return;
         }
-        self.retired.append(&mut self.incomplete);
+        // A broken part is freed with those of its weights; one on newer weights may be on its way.
+        let incomplete = std::mem::take(&mut self.incomplete);
+        let (old, kept) = incomplete.into_iter().partition(|(name, _)| {
+            let models = self.retired_models.iter();
+            !self.retired_models.is_empty() && models.clone().all(|model| is_old(name, model))
+        });
+        self.incomplete = kept;
+        self.retired.extend::<Vec<_>>(old);
         self.due = None;
         self.is_published = false;
     }
--- a/crates/policy/src/gateway/view.rs
+++ b/crates/policy/src/gateway/view.rs
@@ -63,7 +63,7 @@
 pub struct Weights {
     /// The newest version.
     pub version: WeightVersion,
-    /// When this instance heard of it; zero when it was there at the start.
+    /// When it was named, as far as is known; long ago if nothing is known.
     pub named: Time,
 }
 
--- /dev/null
+++ b/crates/policy/tests/gateway_stock.rs
@@ -0,0 +1,94 @@
+//! The accounts of managed stores: what may be read, and when space is freed.
+
+use std::time::Duration;
+
+use acacia_policy::Time;
+use acacia_policy::gateway::stock::{Change, Item, Ledger, Listing, Name, READ_LIMIT, Stock};
+
+const MODEL: &str = "m";
+
+fn name(salt: &str, id: &str) -> Name {
+    Name { salt: salt.to_owned(), id: id.to_owned() }
+}
+
+fn item(salt: &str, id: &str) -> Item {
+    Item { name: name(salt, id), tokens: 100, model: MODEL.into() }
+}
+
+fn at(millis: u64) -> Time {
+    Duration::from_millis(millis)
+}
+
+fn listing(held: &[(&str, &str)], incomplete: &[(&str, &str)]) -> Listing {
+    Listing {
+        epoch: 7,
+        held: held.iter().map(|(salt, id)| item(salt, id)).collect(),
+        incomplete: incomplete.iter().map(|(salt, id)| (name(salt, id), 100)).collect(),
+    }
+}
+
+/// The stock of a store whose life all instances know.
+fn known() -> Stock {
+    Stock { epoch: 7, ..Stock::default() }
+}
+
+#[test]
+fn retire_frees_parts_only_after_all_reads() {
+    let mut ledger = Ledger::default();
+    ledger.list(at(0), listing(&[("1", "a"), ("2", "b")], &[]), Some(&known()));
+    ledger.retire(|_| Some(2));
+    assert_eq!(ledger.stock(at(0)).parts.len(), 1);
+    assert_eq!(ledger.stock(at(0)).retired_tokens, 100);
+    assert!(ledger.take_due(at(60_000)).is_empty(), "the list without it is not written yet");
+    ledger.published(at(1_000));
+    assert!(ledger.take_due(at(1_000) + READ_LIMIT).is_empty(), "an instance may still read it");
+    assert_eq!(ledger.take_due(at(10_000)), [name("1", "a")]);
+    assert!(!ledger.is_published(at(10_000), Some(&ledger.stock(at(0)))), "its space is told");
+}
+
+/// Found on trouble-2 --seed 352892507247 of Ferreira: a part on newer weights that was being
+/// written when the store was listed was freed with those on older ones.
+#[test]
+fn retire_keeps_part_that_is_being_written() {
+    let mut ledger = Ledger::default();
+    ledger.list(at(0), listing(&[("1", "a")], &[("2", "b"), ("1", "c")]), Some(&known()));
+    ledger.retire(|_| Some(2));
+    ledger.change(Change::Added(item("2", "b")));
+    ledger.published(at(0));
+    let mut due = ledger.take_due(at(60_000));
+    due.sort();
+    assert_eq!(due, [name("1", "a"), name("1", "c")]);
+    assert_eq!(ledger.stock(at(0)).parts.len(), 1);
+}
+
+#[test]
+fn retire_waits_anew_for_each_list() {
+    let mut ledger = Ledger::default();
+    ledger.list(at(0), listing(&[("1", "a"), ("2", "b")], &[]), Some(&known()));
+    ledger.retire(|_| Some(2));
+    ledger.published(at(0));
+    ledger.retire(|_| Some(3));
+    assert!(ledger.take_due(at(60_000)).is_empty(), "the second list is not written yet");
+    ledger.published(at(60_000));
+    assert_eq!(ledger.take_due(at(120_000)).len(), 2);
+}
+
+#[test]
+fn list_closes_store_of_new_life() {
+    let mut ledger = Ledger::default();
+    let before = Stock { epoch: 6, ..Stock::default() };
+    ledger.list(at(0), listing(&[], &[]), Some(&before));
+    assert!(!ledger.stock(READ_LIMIT).is_open);
+    assert!(ledger.stock(at(10_000)).is_open);
+    ledger.list(at(0), listing(&[], &[]), Some(&known()));
+    ledger.lose();
+    assert!(!ledger.stock(at(60_000)).is_open, "nothing is known of a store that is away");
+}
+
+#[test]
+fn has_room_counts_what_is_retired_and_on_its_way() {
+    let stock = Stock { epoch: 7, is_open: true, retired_tokens: 500, ..Stock::default() };
+    assert!(stock.has_room(100, 0, 1_000));
+    assert!(!stock.has_room(100, 400, 1_000));
+    assert!(!Stock { is_open: false, ..stock }.has_room(100, 0, 1_000));
+}
