Large fleets: a quarter of the engines reload at once, cold limits are dealt to some instances, fewer store calls

Change: a quarter of the engines at once; the pause between watches is a fifth of the time within which changes must be in force; where a share of a cold limit is below two a second, the first instances by a common rank have it.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -28,9 +28,9 @@
 const WATCH_WAIT: Duration = Duration::from_millis(700);
 /// Time between looks at the servers' clock; clocks drift by far less than a millisecond in it.
 const CLOCK_LOOK: Duration = Duration::from_secs(15);
-/// Pause between two watches, in which changes gather: a sixth of the shortest time within which a
-/// change must be in force.
-const WATCH_PAUSE: Duration = Duration::from_millis(300);
+/// Part of the time within which a change must be in force that passes between two watches; changes
+/// gather in it.
+const WATCH_PAUSE_PART: u32 = 5;
 /// Pause after a failed call, doubled with each further one.
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls: a store that is back must be heard within a second.
@@ -176,7 +176,8 @@
         }
         self.publish();
         if !changes.changes.is_empty() {
-            tokio::time::sleep(WATCH_PAUSE).await;
+            let bounds = &self.settings.bounds;
+            tokio::time::sleep(bounds.drain.min(bounds.apply) / WATCH_PAUSE_PART).await;
         }
         Ok(changes.revision)
     }
--- a/crates/gateway/src/picture.rs
+++ b/crates/gateway/src/picture.rs
@@ -112,6 +112,7 @@
             loading: holding.map(|h| h.loading.iter().cloned().collect()).unwrap_or_default(),
             loaded: loaded.collect(),
             instances: self.instance_count(),
+            own: self.instances.get(own).and_then(|presence| presence.peer),
             peers: others.filter_map(|(_, presence)| presence.peer).collect(),
             shelves: self.shelves(),
             heard: self.heard,
--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -22,7 +22,7 @@
 use super::save::Saves;
 use super::stock::{READ_LIMIT, salt};
 use super::view::{Server, ServerId, View, WeightVersion};
-use super::window::cold_share;
+use super::window::ColdShare;
 use crate::Time;
 
 /// Tokens that an engine reads in a second: the slowest of the engines that the users' sheets name.
@@ -178,8 +178,14 @@
             if now < from {
                 return Fitness::At(from);
             }
-            let share = cold_share(rate, self.terms.cold, view.instances);
-            match member.cold_slot(now, share) {
+            let requests = match ColdShare::new(rate, self.terms.cold, view.instances) {
+                ColdShare::Each(requests) => requests,
+                ColdShare::First { instances, requests } if own_rank(view, id) < instances => {
+                    requests
+                }
+                ColdShare::First { .. } => return Fitness::Never,
+            };
+            match member.cold_slot(now, requests) {
                 Some(at) if at <= now => {}
                 Some(at) => return Fitness::At(at),
                 None => return Fitness::Never,
@@ -201,7 +207,7 @@
     ) -> Option<Offer> {
         let aim = self.plan.route.aim.as_secs_f64();
         let member = &self.members[id];
-        let load = member.own.plus(self.tallies.load(self.now, member.key));
+        let load = member.own.plus(self.tallies.load(member.key));
         let delay = member.delay(self.now);
         let mut cost = self.rng.random::<f64>() * JITTER;
         cost += member.failure_share(self.now) * FAILURE_COST * aim;
@@ -434,6 +440,23 @@
     unread_tokens: u64,
 }
 
+/// How many instances come before this one at an upstream, by a hash that all compute alike.
+fn own_rank(view: &View, id: &ServerId) -> usize {
+    let rank = |address: &SocketAddr| {
+        let mut hasher = FxHasher::default();
+        address.hash(&mut hasher);
+        id.hash(&mut hasher);
+        spread(hasher.finish())
+    };
+    let Some(own) = view.own.as_ref().map(rank) else { return usize::MAX };
+    view.peers.iter().filter(|peer| rank(peer) > own).count()
+}
+
+/// Spreads a hash whose last steps leave similar keys close together.
+fn spread(hash: u64) -> u64 {
+    hash.wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(31)
+}
+
 /// Connections that this instance may open to one upstream.
 fn connection_share(service: &Service, instances: u32) -> u32 {
     service.connections.map_or(u32::MAX, |all| (all / instances.max(1)).max(1))
@@ -456,6 +479,5 @@
     let mut hasher = FxHasher::default();
     part.id.hash(&mut hasher);
     server.id.hash(&mut hasher);
-    // The last steps of the hash alone leave similar ids close together.
-    hasher.finish().wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(31)
+    spread(hasher.finish())
 }
--- a/crates/policy/src/gateway/gossip.rs
+++ b/crates/policy/src/gateway/gossip.rs
@@ -59,6 +59,16 @@
             memory_tokens: self.memory_tokens + other.memory_tokens,
         }
     }
+
+    /// What is left of it without some work.
+    #[must_use]
+    pub fn minus(self, other: Self) -> Self {
+        Self {
+            running: self.running.saturating_sub(other.running),
+            unread_tokens: self.unread_tokens.saturating_sub(other.unread_tokens),
+            memory_tokens: self.memory_tokens.saturating_sub(other.memory_tokens),
+        }
+    }
 }
 
 /// A prompt that an engine reads.
@@ -70,10 +80,11 @@
     pub parts: Vec<(PartKey, u32)>,
 }
 
-/// What the other instances told last.
+/// What the other instances told last, and its sum by engine.
 #[derive(Debug, Default)]
 pub struct Tallies {
     heard: FxHashMap<LifeId, Heard>,
+    sums: FxHashMap<ServerKey, Load>,
 }
 
 #[derive(Debug)]
@@ -86,19 +97,40 @@
 impl Tallies {
     /// Takes a tally in, unless a later one of its sender came before; gives its reads.
     pub fn hear(&mut self, now: Time, tally: Tally) -> Vec<Read> {
-        self.heard.retain(|_, heard| now < heard.at + TALLY_LIFE);
+        self.expire(now);
         let known = self.heard.get(&tally.life).map_or(0, |heard| heard.sequence);
         if tally.sequence > known {
+            for (server, load) in &tally.loads {
+                let sum = self.sums.entry(*server).or_default();
+                *sum = sum.plus(*load);
+            }
             let heard = Heard { at: now, sequence: tally.sequence, loads: tally.loads };
-            self.heard.insert(tally.life, heard);
+            if let Some(old) = self.heard.insert(tally.life, heard) {
+                self.forget(&old);
+            }
         }
         tally.reads
     }
 
     /// The others' work at one engine.
-    pub fn load(&self, now: Time, server: ServerKey) -> Load {
-        let fresh = self.heard.values().filter(|heard| now < heard.at + TALLY_LIFE);
-        fresh.filter_map(|heard| heard.loads.get(&server)).fold(Load::default(), |a, b| a.plus(*b))
+    pub fn load(&self, server: ServerKey) -> Load {
+        self.sums.get(&server).copied().unwrap_or_default()
+    }
+
+    /// Drops what is too old to count.
+    pub fn expire(&mut self, now: Time) {
+        let old = self.heard.extract_if(|_, heard| now >= heard.at + TALLY_LIFE);
+        for (_, heard) in old.collect::<Vec<_>>() {
+            self.forget(&heard);
+        }
+    }
+
+    fn forget(&mut self, heard: &Heard) {
+        for (server, load) in &heard.loads {
+            if let Some(sum) = self.sums.get_mut(server) {
+                *sum = sum.minus(*load);
+            }
+        }
     }
 }
 
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -162,6 +162,7 @@
     /// Decides where a request goes next.
     pub fn next(&mut self, now: Time, plan: &mut Plan) -> Step {
         let Some(view) = self.view.clone() else { return Step::Refuse(not_run(Reason::NotReady)) };
+        self.tallies.expire(now);
         if now >= plan.deadline {
             return self.refuse(now, plan, Reason::Expired, None);
         }
@@ -210,7 +211,7 @@
             if let (Some(prompt), Some(run)) = (&plan.prompt, &attempt.engine) {
                 let read = Read { server: member.key, parts: part_keys(prompt, &run.salt) };
                 self.saves.begin(now, &read.parts, &run.save);
-                self.take_read(now, &read);
+                self.take_read(&read);
                 self.reads.push(read);
             }
         }
@@ -218,18 +219,18 @@
     }
 
     /// An engine reads a prompt that this instance or another one sent.
-    fn take_read(&mut self, now: Time, read: &Read) {
+    fn take_read(&mut self, read: &Read) {
         let Some(id) = self.keys.get(&read.server) else { return };
         let Some(member) = self.members.get_mut(id) else { return };
         let memory = engine_memory(self.view.as_deref(), &member.server.service);
-        let running = member.own.plus(self.tallies.load(now, read.server)).memory_tokens;
+        let running = member.own.plus(self.tallies.load(read.server)).memory_tokens;
         member.cache.read(&read.parts, memory.saturating_sub(running));
     }
 
     /// Takes in what another instance tells.
     pub fn hear(&mut self, now: Time, tally: Tally) {
         for read in self.tallies.hear(now, tally) {
-            self.take_read(now, &read);
+            self.take_read(&read);
         }
     }
 
--- a/crates/policy/src/gateway/rollout.rs
+++ b/crates/policy/src/gateway/rollout.rs
@@ -16,11 +16,14 @@
 use super::view::{Server, ServerId, WeightVersion, Weights};
 use crate::Time;
 
-/// Engines that reload at once. The weight store serves two at full speed; a third one waits for
-/// its runs to end meanwhile.
+/// Fewest engines that reload at once, if the others suffice. The weight stores of small deployments
+/// serve two at full speed; a third engine waits for its runs to end meanwhile.
 const AT_ONCE: usize = 3;
-/// Part of a model's engines that may reload at once.
-const AT_ONCE_PART: usize = 3;
+/// Part of a model's engines that reload at once where that is more: the weight stores of large
+/// deployments serve a fifth of the engines at full speed, and some wait for their runs to end.
+const AT_ONCE_PART: usize = 4;
+/// Part of a model's engines that may reload at once at most; the others serve.
+const MOST_PART: usize = 3;
 /// First look after an order: a little less than a load takes.
 const FIRST_LOOK: Duration = Duration::from_millis(500);
 /// Time between looks at an engine that reloads. Reports lag by about as much.
@@ -234,7 +237,7 @@
     /// Begins or goes on with engines that have older weights of a model.
     fn advance(&mut self, now: Time, model: &ModelName, version: WeightVersion) -> Vec<Act> {
         let all = self.engines.values().filter(|e| e.server.weights(model).is_some()).count();
-        let limit = AT_ONCE.min(all / AT_ONCE_PART).max(1);
+        let limit = AT_ONCE.max(all / AT_ONCE_PART).min(all / MOST_PART).max(1);
         let mut acts = Vec::new();
         while let Some(id) = self.next_engine(now, model, version, limit) {
             let Some(engine) = self.engines.get_mut(&id) else { break };
--- a/crates/policy/src/gateway/view.rs
+++ b/crates/policy/src/gateway/view.rs
@@ -36,6 +36,8 @@
     pub loaded: Vec<(ServerId, ModelName, WeightVersion)>,
     /// Entry instances that may share a limit with this one.
     pub instances: u32,
+    /// Where this instance listens for the others' word.
+    pub own: Option<SocketAddr>,
     /// Where the other instances listen for this one's word.
     pub peers: Vec<SocketAddr>,
     /// Stores of KV cache.
--- a/crates/policy/src/gateway/window.rs
+++ b/crates/policy/src/gateway/window.rs
@@ -114,8 +114,35 @@
     pub slack: f64,
 }
 
-/// Requests that this instance may send a cold upstream in one second; zero when the limit is
-/// smaller than the fleet.
-pub fn cold_share(rate: f64, terms: ColdTerms, instances: u32) -> usize {
-    ((rate * terms.factor + terms.slack) / f64::from(instances.max(1))) as usize
+/// Requests in one second that make up the smallest share; with less, a share is of little use.
+const LEAST_SHARE: f64 = 2.0;
+/// Part of the limit that is dealt out where not all instances have a share: they may differ for a
+/// moment on who they are.
+const DEALT_PART: f64 = 0.8;
+
+/// What one instance may send to a cold upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ColdShare {
+    /// Each instance may send as many in one second.
+    Each(usize),
+    /// Only the first instances, by a rank that all of them compute alike, may send as many.
+    First {
+        /// Instances with a share.
+        instances: usize,
+        /// Requests of each.
+        requests: usize,
+    },
+}
+
+impl ColdShare {
+    /// Deals the limit of an upstream that bears `rate` requests a second out.
+    pub fn new(rate: f64, terms: ColdTerms, instances: u32) -> Self {
+        let limit = rate * terms.factor + terms.slack;
+        let each = limit / f64::from(instances.max(1));
+        if each >= LEAST_SHARE {
+            return Self::Each(each as usize);
+        }
+        let instances = (limit * DEALT_PART / LEAST_SHARE) as usize;
+        Self::First { instances, requests: LEAST_SHARE as usize }
+    }
 }
--- a/crates/policy/tests/gateway_fuzz.rs
+++ b/crates/policy/tests/gateway_fuzz.rs
@@ -11,6 +11,7 @@
 mod gateway_world;
 
 use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -29,8 +30,8 @@
 const STORIES: u64 = 150;
 /// Steps of a story.
 const STEPS: usize = 3_000;
-/// Instances of a story.
-const INSTANCES: usize = 5;
+/// Instances of a story by turns: few share a cold limit all, of many only some have a part of it.
+const FLEETS: [usize; 2] = [5, 48];
 /// Repeats allowed in a window, over all instances, beside the share of requests.
 const SLACK: f64 = 40.0;
 /// Share of requests that may be repeated.
@@ -64,6 +65,7 @@
     lie: Lie,
     now: Time,
     truth: View,
+    fleet: usize,
     instances: Vec<Instance>,
     cold_sends: BTreeMap<String, VecDeque<Time>>,
     /// Cold servers, and since when all instances know.
@@ -79,11 +81,13 @@
     fn new(seed: u64, lie: Lie) -> Self {
         let mut rng = ChaCha12Rng::seed_from_u64(seed);
         let mut truth = view(4);
-        truth.instances = if lie == Lie::Alone { 1 } else { INSTANCES as u32 };
+        let fleet = FLEETS[seed as usize % FLEETS.len()];
+        truth.instances = if lie == Lie::Alone { 1 } else { fleet as u32 };
         let mut story = Self {
             now: Duration::from_secs(3_600),
             instances: Vec::new(),
             truth,
+            fleet: seed as usize % FLEETS.len(),
             cold_sends: BTreeMap::new(),
             cold: BTreeMap::new(),
             firsts: VecDeque::new(),
@@ -94,16 +98,17 @@
             lie,
             rng: ChaCha12Rng::seed_from_u64(rng.random()),
         };
-        story.instances = (0..INSTANCES).map(|_| story.instance()).collect();
+        story.instances = (0..fleet).map(|at| story.instance(at)).collect();
         story
     }
 
-    fn instance(&mut self) -> Instance {
+    fn instance(&mut self, at: usize) -> Instance {
         let mut terms = terms(SLACK);
         terms.retries.ratio = RATIO;
         let mut gateway = Gateway::new(terms, self.rng.random());
-        gateway.observe(self.now, Arc::new(self.truth.clone()));
-        Instance { gateway, view: self.truth.clone(), running: Vec::new() }
+        let view = self.seen_by(at);
+        gateway.observe(self.now, Arc::new(view.clone()));
+        Instance { gateway, view, running: Vec::new() }
     }
 
     fn run(mut self) -> Result<u64, String> {
@@ -122,7 +127,7 @@
 
     /// A request arrives at some instance, and goes where that says.
     fn arrive(&mut self) -> Result<(), String> {
-        let at = self.rng.random_range(0..INSTANCES);
+        let at = self.rng.random_range(0..self.instances.len());
         self.calls += 1;
         let path = ["/once/", "/read/", "/ask/"][self.rng.random_range(0..3)];
         let subject = format!("subject-{}", self.rng.random_range(0..5));
@@ -221,7 +226,7 @@
 
     /// Some attempt ends somehow.
     fn end(&mut self) -> Result<(), String> {
-        let at = self.rng.random_range(0..INSTANCES);
+        let at = self.rng.random_range(0..self.instances.len());
         let count = self.instances[at].running.len();
         if count == 0 {
             return Ok(());
@@ -260,9 +265,9 @@
 
     /// One instance's word reaches some others.
     fn gossip(&mut self) {
-        let at = self.rng.random_range(0..INSTANCES);
+        let at = self.rng.random_range(0..self.instances.len());
         let Some(tally): Option<Tally> = self.instances[at].gateway.tally() else { return };
-        for other in 0..INSTANCES {
+        for other in 0..self.instances.len() {
             if other != at && self.rng.random::<f64>() < 0.8 {
                 self.instances[other].gateway.hear(self.now, tally.clone());
             }
@@ -271,12 +276,12 @@
 
     /// Some instance hears what the store says now.
     fn hear(&mut self) {
-        let at = self.rng.random_range(0..INSTANCES);
+        let at = self.rng.random_range(0..self.instances.len());
         self.show(at);
     }
 
     fn show(&mut self, at: usize) {
-        let mut view = self.truth.clone();
+        let mut view = self.seen_by(at);
         if self.lie == Lie::Deaf {
             for server in view.servers.values_mut() {
                 *server = Arc::new(Server { leaving: false, ..(**server).clone() });
@@ -286,6 +291,14 @@
         self.instances[at].gateway.observe(self.now, Arc::new(view));
     }
 
+    /// What the store says, as an instance sees it that knows who it is.
+    fn seen_by(&self, at: usize) -> View {
+        let fleet = FLEETS[self.fleet];
+        let address = |at: usize| SocketAddr::from(([10, 0, 0, 1], at as u16 + 1));
+        let peers = (0..fleet).filter(|other| *other != at).map(address).collect();
+        View { own: Some(address(at)), peers, ..self.truth.clone() }
+    }
+
     /// The world changes.
     fn disturb(&mut self) {
         let ids: Vec<_> = self.truth.servers.keys().cloned().collect();
@@ -309,7 +322,7 @@
                     server.born = Some(born);
                     server.cold_left = COLD_TIME;
                 });
-                (0..INSTANCES).for_each(|at| self.show(at));
+                (0..self.instances.len()).for_each(|at| self.show(at));
                 self.cold.insert(id.to_string(), self.now);
             }
             3 => {
@@ -330,9 +343,9 @@
                 });
             }
             6 => {
-                let at = self.rng.random_range(0..INSTANCES);
+                let at = self.rng.random_range(0..self.instances.len());
                 self.instances[at].running.clear();
-                self.instances[at] = self.instance();
+                self.instances[at] = self.instance(at);
             }
             _ => self.now += Duration::from_millis(self.rng.random_range(0..3_000)),
         }
--- a/crates/policy/tests/gateway_world/mod.rs
+++ b/crates/policy/tests/gateway_world/mod.rs
@@ -37,6 +37,8 @@
             calls: 0,
         };
         world.change(|_, _| {});
+        // The share of repeats grows over the first window.
+        world.pass(Duration::from_secs(20));
         world
     }
 
@@ -156,6 +158,7 @@
         loading: BTreeSet::new(),
         loaded: Vec::new(),
         instances: 3,
+        own: None,
         peers: Vec::new(),
         shelves: Vec::new(),
         heard: Time::ZERO,
