--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -32,6 +32,8 @@
 /// Part of the time within which a change must be in force that passes between two watches; changes
 /// gather in it.
 const WATCH_PAUSE_PART: u32 = 5;
+/// The same while engines reload: each tenth of a second that an engine is ready and unknown counts.
+const RELOAD_PAUSE: Duration = Duration::from_millis(200);
 /// Pause after a failed call, doubled with each further one.
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls: a store that is back must be heard within a second.
@@ -177,12 +179,20 @@
         }
         self.publish();
         if !changes.changes.is_empty() {
-            let bounds = &self.settings.bounds;
-            tokio::time::sleep(bounds.drain.min(bounds.apply) / WATCH_PAUSE_PART).await;
+            tokio::time::sleep(self.watch_pause()).await;
         }
         Ok(changes.revision)
     }
 
+    /// Pause between two watches.
+    pub fn watch_pause(&self) -> Duration {
+        if self.picture.borrow().is_reloading() {
+            return RELOAD_PAUSE;
+        }
+        let bounds = &self.settings.bounds;
+        bounds.drain.min(bounds.apply) / WATCH_PAUSE_PART
+    }
+
     /// Logs what is believed now.
     fn tell(&self, beliefs: Vec<Belief>, revision: ModRevision) {
         for belief in beliefs {
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -178,8 +178,9 @@
         (!self.fenced.get()).then_some(Tenure { fence, begins, ends: lease.ends })
     }
 
-    /// Does what the rollout asks for. An order follows a word to the store within a short time, so
-    /// that the next holder, who has seen every word, knows when the last order may have been sent.
+    /// Does what the rollout asks for. An order follows a word to the store: late enough that the
+    /// other instances have heard it and send the engine nothing more, and soon enough that the next
+    /// holder, who has seen every word, knows when the last order may have been sent.
     async fn order(self: &Rc<Self>, client: &mut Client) {
         let Some(tenure) = self.tenure() else { return };
         self.librarian.work();
@@ -190,7 +191,8 @@
         }
         let acts = {
             let picture = self.control.picture.borrow();
-            self.rollout.borrow_mut().step(now, picture.servers(), picture.weights())
+            let time = self.control.settings.bounds.weights;
+            self.rollout.borrow_mut().step(now, picture.servers(), &picture.dated_weights(), time)
         };
         let (orders, looks): (Vec<_>, Vec<_>) =
             acts.into_iter().partition(|act| matches!(act, Act::Order { .. }));
@@ -237,7 +239,8 @@
                 self.rollout.borrow_mut().looked(self.control.clock.now(), &server.id, report);
             }
             Act::Order { server, model, version, expected } => {
-                // The lease may have ended while the report was read.
+                tokio::time::sleep(self.control.watch_pause() + WORD_WAY).await;
+                // The lease may have ended meanwhile.
                 if !tenure.is_open(self.control.clock.now()) {
                     let now = self.control.clock.now();
                     self.rollout.borrow_mut().received(now, &server.id, Receipt::Conflict);
@@ -328,5 +331,7 @@
 
 /// Most turns that an instance waits for others.
 const MOST_TURNS: u32 = 16;
+/// Time for a word from the store to the other instances, beside the pause between two watches.
+const WORD_WAY: Duration = Duration::from_millis(60);
 /// Time between a word to the store and the last order that follows it.
-const ORDER_WINDOW: Duration = Duration::from_millis(400);
+const ORDER_WINDOW: Duration = Duration::from_millis(1_000);
--- a/crates/gateway/src/picture.rs
+++ b/crates/gateway/src/picture.rs
@@ -123,7 +123,7 @@
     }
 
     /// The wanted weights with the earliest time that is known of each.
-    fn dated_weights(&self) -> BTreeMap<ModelName, Weights> {
+    pub fn dated_weights(&self) -> BTreeMap<ModelName, Weights> {
         let dated = self.weights.iter().map(|(model, weights)| {
             let told = self.naming.0.get(model).filter(|(version, _)| *version == weights.version);
             let told = told.zip(self.server_clock).map(|((_, named), (known, clock))| {
@@ -228,6 +228,11 @@
         &self.instances
     }
 
+    /// Whether engines reload now.
+    pub fn is_reloading(&self) -> bool {
+        self.holder.as_ref().is_some_and(|holder| !holder.holding.loading.is_empty())
+    }
+
     /// Whether the store was read to the end at least once and answers.
     pub fn is_current(&self) -> bool {
         self.is_current && self.detached.is_none()
--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -40,8 +40,9 @@
 const FAILURE_COST: f64 = 3.0;
 /// Cost of an upstream that may be gone, in aims.
 const LAPSED_COST: f64 = 2.0;
-/// Cost of older weights, in aims, once answers on them are worth less.
-const OLD_WEIGHTS_COST: f64 = 0.5;
+/// Cost of older weights, in aims, once answers on them are worth less: a fifth to the users, where a
+/// late answer loses four fifths.
+const OLD_WEIGHTS_COST: f64 = 0.1;
 /// Time from which answers on older weights are worth less to the users.
 const OLD_WEIGHTS_AGE: Duration = Duration::from_millis(1_200);
 /// Cost of an engine whose memory running requests have filled, in aims.
@@ -69,9 +70,9 @@
 /// Silence, in aims, from which another plain upstream is tried: late enough for the slowest
 /// hundredth of the answers, and early enough for a second one in time.
 const PLAIN_PATIENCE: f64 = 0.6;
-/// Silence, in aims, from which another engine is tried: a second reading of the prompt is only
-/// worth its cost once the first is late.
-const STREAM_PATIENCE: f64 = 1.0;
+/// Silence, in aims, from which another engine is tried. Under load most silent engines are only
+/// busy, and a second reading of the prompt makes them busier.
+const STREAM_PATIENCE: f64 = 2.0;
 /// Silence, in expected times, from which another upstream is tried.
 const PATIENCE_EXPECTED: f64 = 3.0;
 /// Pause between events from which a stream goes on elsewhere, in the pauses that callers accept.
--- a/crates/policy/src/gateway/rollout.rs
+++ b/crates/policy/src/gateway/rollout.rs
@@ -16,18 +16,20 @@
 use super::view::{Server, ServerId, WeightVersion, Weights};
 use crate::Time;
 
-/// Fewest engines that reload at once, if the others suffice. The weight stores of small deployments
-/// serve two at full speed; a third engine waits for its runs to end meanwhile.
-const AT_ONCE: usize = 3;
-/// Part of a model's engines that reload at once where that is more: the weight stores of large
-/// deployments serve a fifth of the engines at full speed, and some wait for their runs to end.
-const AT_ONCE_PART: usize = 4;
+/// Part of a model's engines that reload at once as long as there is time: what the weight stores of
+/// the users' deployments serve at full speed. Load is at its worst meanwhile, as the engines that
+/// are left have nothing cached.
+const AT_ONCE_PART: f64 = 0.2;
 /// Part of a model's engines that may reload at once at most; the others serve.
 const MOST_PART: usize = 3;
-/// First look after an order: a little less than a load takes.
-const FIRST_LOOK: Duration = Duration::from_millis(500);
-/// Time between looks at an engine that reloads. Reports lag by about as much.
-const LOOK_AGAIN: Duration = Duration::from_millis(250);
+/// Time that one engine is out for: its runs end, it loads, and the others hear of it.
+const RELOAD_TIME: Duration = Duration::from_millis(1_400);
+/// Part of the time until older weights can't be used any more in which the rollout is to end.
+const SCHEDULE_PART: f64 = 0.7;
+/// First look after an order: about the time that a load takes.
+const FIRST_LOOK: Duration = Duration::from_millis(600);
+/// Time between looks at an engine that reloads. Reports lag by a little more.
+const LOOK_AGAIN: Duration = Duration::from_millis(150);
 /// Time until an order is tried again after it failed or was not answered.
 const ORDER_AGAIN: Duration = Duration::from_millis(500);
 /// Longest time that an engine counts as reloading without showing it.
@@ -112,17 +114,18 @@
 }
 
 impl Rollout {
-    /// What to do now for the named weights.
+    /// What to do now for the named weights, which engines must have `time` after they were named.
     pub fn step(
         &mut self,
         now: Time,
         servers: &BTreeMap<ServerId, Arc<Server>>,
         weights: &BTreeMap<ModelName, Weights>,
+        time: Duration,
     ) -> Vec<Act> {
         self.update(servers);
         let mut acts = self.look_at_ordered(now, weights);
         for (model, newest) in weights {
-            acts.extend(self.advance(now, model, newest.version));
+            acts.extend(self.advance(now, model, newest, time));
         }
         acts
     }
@@ -235,10 +238,28 @@
         acts
     }
 
+    /// Engines that reload at once: few, unless the time gets short.
+    fn limit(&self, now: Time, model: &ModelName, newest: &Weights, time: Duration) -> usize {
+        let serving = self.engines.values().filter(|e| e.server.weights(model).is_some());
+        let all = serving.clone().count();
+        let old = serving.filter(|engine| !engine.has(model, newest.version)).count();
+        let end = newest.named + time.mul_f64(SCHEDULE_PART);
+        let left = end.saturating_sub(now).max(RELOAD_TIME);
+        let needed = (old as f64 * RELOAD_TIME.as_secs_f64() / left.as_secs_f64()).ceil();
+        let usual = (all as f64 * AT_ONCE_PART).ceil();
+        (usual.max(needed) as usize).min(all / MOST_PART).max(1)
+    }
+
     /// Begins or goes on with engines that have older weights of a model.
-    fn advance(&mut self, now: Time, model: &ModelName, version: WeightVersion) -> Vec<Act> {
-        let all = self.engines.values().filter(|e| e.server.weights(model).is_some()).count();
-        let limit = AT_ONCE.max(all / AT_ONCE_PART).min(all / MOST_PART).max(1);
+    fn advance(
+        &mut self,
+        now: Time,
+        model: &ModelName,
+        newest: &Weights,
+        time: Duration,
+    ) -> Vec<Act> {
+        let limit = self.limit(now, model, newest, time);
+        let version = newest.version;
         let mut acts = Vec::new();
         while let Some(id) = self.next_engine(now, model, version, limit) {
             let Some(engine) = self.engines.get_mut(&id) else { break };
