--- a/crates/policy/tests/gateway_world/mod.rs
+++ b/crates/policy/tests/gateway_world/mod.rs
@@ -83,13 +83,22 @@
     }
 
     pub fn admit(&mut self, path: &str, key: &str) -> Result<Plan, Refusal> {
+        let prompt = path.starts_with("/ask/").then(|| prompt("shared", 800));
+        self.admit_with(path, key, prompt)
+    }
+
+    /// Admits a prompt whose shared part has a name and a length.
+    pub fn admit_prompt(&mut self, shared: &str, tokens: u32) -> Plan {
+        self.admit_with("/ask/", "key", Some(prompt(shared, tokens))).expect("a good request")
+    }
+
+    fn admit_with(
+        &mut self,
+        path: &str,
+        key: &str,
+        prompt: Option<Prompt>,
+    ) -> Result<Plan, Refusal> {
         self.calls += 1;
-        let prompt = path.starts_with("/ask/").then(|| Prompt {
-            model: MODEL.into(),
-            input_tokens: 1_000,
-            output_tokens: 10,
-            parts: vec![part("shared", 800), part("own", 200)],
-        });
         let call = Call {
             id: format!("call-{}", self.calls),
             host: "svc.example".to_owned(),
@@ -121,11 +130,25 @@
         self.gateway.ended(self.now, plan, attempt, ending, instance);
     }
 
+    /// The first event of an attempt comes.
+    pub fn begin(&mut self, plan: &Plan, attempt: &mut Attempt) {
+        self.gateway.began(self.now, plan, attempt);
+    }
+
     pub fn has_alternative(&mut self, plan: &Plan, attempt: &Attempt) -> bool {
         self.gateway.has_alternative(self.now, plan, attempt)
     }
 }
 
+fn prompt(shared: &str, tokens: u32) -> Prompt {
+    Prompt {
+        model: MODEL.into(),
+        input_tokens: tokens + 200,
+        output_tokens: 10,
+        parts: vec![part(shared, tokens), part("own", 200)],
+    }
+}
+
 pub fn part(id: &str, tokens: u32) -> Part {
     Part { id: id.to_owned(), tokens }
 }
