A dark upstream is noticed by what it does not acknowledge, and left alone

A machine that acknowledges nothing counted as a broken exchange only, and got requests on. Change: after 500 ms without an acknowledgement it pauses like one that can't be connected to.

--- a/crates/connection/src/connection.rs
+++ b/crates/connection/src/connection.rs
@@ -30,14 +30,20 @@
     /// The peer closed in the middle.
     #[strum(to_string = "the peer closed the connection before the end of its answer")]
     Closed,
-    /// The connection was reset or timed out.
-    #[strum(to_string = "the connection was reset or timed out")]
+    /// The connection was reset.
+    #[strum(to_string = "the connection was reset")]
     Reset,
+    /// The peer's machine acknowledges nothing.
+    #[strum(to_string = "the peer's machine does not answer")]
+    Unacknowledged,
 }
 
 impl From<io::Error> for Fault {
-    fn from(_: io::Error) -> Self {
-        Self::Reset
+    fn from(error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::TimedOut | io::ErrorKind::HostUnreachable => Self::Unacknowledged,
+            _ => Self::Reset,
+        }
     }
 }
 
@@ -138,7 +144,10 @@
                 Ok(()) => self.whole = true,
                 // A peer that rejects a request may have closed before it read all; its answer
                 // can still be there.
-                Err(_) => return self.fill().await.map(|_| ()),
+                Err(error) => return match error.into() {
+                    Fault::Unacknowledged => Err(Fault::Unacknowledged),
+                    _ => self.fill().await.map(|_| ()),
+                },
             },
             read = reader.read_buf(&mut self.buffer) => {
                 if read? == 0 {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -20,7 +20,8 @@
     idle: Duration::from_secs(1),
     interval: Duration::from_secs(1),
     probes: 2,
-    unacknowledged: Duration::from_millis(1_200),
+    // Two lost packets are sent again within it; with more, an upstream counts as gone.
+    unacknowledged: Duration::from_millis(500),
 };
 /// Largest answer that is held back until it is whole.
 const ANSWER_LIMIT: usize = 16 << 20;
@@ -227,7 +228,7 @@
     upstream::set_attempt(&mut headers, &plan, &flight.attempt, left, last);
     let bytes = request(&message.method, &message.target, &headers, message.body.len());
     let connection = flight.connect(is_careful).await.map_err(|_| (Ending::Unreachable, None))?;
-    let broken = |_: Fault| (Ending::Broken, None);
+    let broken = |fault: Fault| (broken_by(fault), None);
     connection.send(&message.method, &bytes, &message.body).await.map_err(broken)?;
     let head = own_head(connection, &plan.id).await?;
     let reply = Reply::read(head.status, &head.headers);
@@ -254,14 +255,22 @@
     }
 }
 
+/// What a fault in the middle of an exchange says of the upstream.
+pub fn broken_by(fault: Fault) -> Ending {
+    match fault {
+        Fault::Unacknowledged => Ending::Lost,
+        Fault::Malformed | Fault::Closed | Fault::Reset => Ending::Broken,
+    }
+}
+
 /// The head of the answer to this request. An answer to an earlier one may come before it.
 async fn own_head(connection: &mut Connection, id: &str) -> Result<Head, Failed> {
     for _ in 0..=STRAY_LIMIT {
-        let head = connection.head().await.map_err(|_| (Ending::Broken, None))?;
+        let head = connection.head().await.map_err(|fault| (broken_by(fault), None))?;
         if Reply::read(head.status, &head.headers).id == Some(id) {
             return Ok(head);
         }
-        connection.body(ANSWER_LIMIT).await.map_err(|_| (Ending::Broken, None))?;
+        connection.body(ANSWER_LIMIT).await.map_err(|fault| (broken_by(fault), None))?;
     }
     Err((Ending::Broken, None))
 }
@@ -283,7 +292,7 @@
                 }
             }
             Ok(None) => return Ok(Received::Whole(head, splitter.rest())),
-            Err(_) => return Err((Ending::Broken, None)),
+            Err(fault) => return Err((broken_by(fault), None)),
         }
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,14 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use acacia_connection::{Fault, Head};
+use acacia_connection::Head;
 use acacia_policy::gateway::configuration::Repeat;
 use acacia_policy::gateway::{Ending, Plan, Step};
 use bytes::Bytes;
 use futures::Stream as FutureStream;
 use futures::stream::unfold;
 
-use crate::attempt::{Flight, Message, Outcome, Stream, patiently, send};
+use crate::attempt::{Flight, Message, Outcome, Stream, broken_by, patiently, send};
 use crate::event::Splitter;
 use crate::request::{End, log_sent};
 use crate::traffic::Traffic;
@@ -95,9 +95,7 @@
                         }
                     }
                     Ok(None) => return Next::Whole(splitter.rest()),
-                    Err(Fault::Malformed | Fault::Closed | Fault::Reset) => {
-                        return Next::Broken(Ending::Broken);
-                    }
+                    Err(fault) => return Next::Broken(broken_by(fault)),
                 }
             }
         };
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -69,7 +69,7 @@
     ) {
         let now = self.now();
         self.gateway.borrow_mut().ended(now, plan, attempt, ending, instance);
-        if matches!(ending, Ending::Broken | Ending::Unreachable | Ending::Silent) {
+        if matches!(ending, Ending::Broken | Ending::Lost | Ending::Unreachable | Ending::Silent) {
             self.pool.borrow_mut().forget(&attempt.server.id);
         }
         let outcome: &'static str = ending.into();
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -325,7 +325,7 @@
                     member.doubt_weights(&run.model, run.weights, newest);
                 }
             }
-            Ending::Misdirected | Ending::Unreachable => {
+            Ending::Misdirected | Ending::Unreachable | Ending::Lost => {
                 member.unreachable(now);
                 if let Some(service) = service {
                     member.suspect_restart(now, service);
--- a/crates/policy/src/gateway/plan.rs
+++ b/crates/policy/src/gateway/plan.rs
@@ -141,6 +141,8 @@
     Silent,
     /// The exchange broke after the request was sent.
     Broken,
+    /// The upstream's machine acknowledges nothing that is sent.
+    Lost,
     /// The upstream answered with a failure.
     Failed,
     /// The upstream answered in full.
@@ -156,7 +158,9 @@
     pub fn verdict(self) -> Verdict {
         match self {
             Self::Unreachable | Self::Refused | Self::Misdirected => Verdict::NotRun,
-            Self::Silent | Self::Broken | Self::Cancelled | Self::Expired => Verdict::MayHaveRun,
+            Self::Silent | Self::Broken | Self::Lost | Self::Cancelled | Self::Expired => {
+                Verdict::MayHaveRun
+            }
             Self::Failed | Self::Answered => Verdict::Ran,
         }
     }
--- a/crates/policy/tests/gateway_machine.rs
+++ b/crates/policy/tests/gateway_machine.rs
@@ -42,6 +42,7 @@
         (Ending::Unreachable, true),
         (Ending::Misdirected, true),
         (Ending::Broken, false),
+        (Ending::Lost, false),
         (Ending::Silent, false),
         (Ending::Failed, false),
     ] {
@@ -173,3 +174,19 @@
     }
     assert!(second.sends == 1 && world.now() >= second.arrived + aim);
 }
+
+/// Found on scale-1 of Actas: a quarter of the engines fell dark, and each instance went on sending
+/// there.
+#[test]
+fn next_leaves_a_lost_upstream_alone_for_a_while() {
+    let mut world = World::new(2);
+    let mut plan = world.admit("/read/", "key").unwrap();
+    let attempt = world.send(&mut plan);
+    world.end(&mut plan, &attempt, Ending::Lost);
+    for _ in 0..10 {
+        let mut plan = world.admit("/read/", "key").unwrap();
+        let next = world.send(&mut plan);
+        assert_ne!(next.server.id, attempt.server.id);
+        world.end(&mut plan, &next, Ending::Answered);
+    }
+}
