--- a/crates/gateway/src/picture.rs
+++ b/crates/gateway/src/picture.rs
@@ -127,8 +127,9 @@
         let dated = self.weights.iter().map(|(model, weights)| {
             let told = self.naming.0.get(model).filter(|(version, _)| *version == weights.version);
             let told = told.zip(self.server_clock).map(|((_, named), (known, clock))| {
-                let age = Duration::from_millis(clock.saturating_sub(*named));
-                known.saturating_sub(age)
+                let before = Duration::from_millis(clock.saturating_sub(*named));
+                let after = Duration::from_millis(named.saturating_sub(clock));
+                (known + after).saturating_sub(before)
             });
             let named = match (weights.named, told) {
                 (Time::ZERO, told) => told.unwrap_or(Time::ZERO),
--- a/crates/gateway/tests/picture.rs
+++ b/crates/gateway/tests/picture.rs
@@ -125,6 +125,12 @@
     let named = started.view("own").unwrap().weights["m"].named;
     assert_eq!(named, at(0) - Duration::from_secs(6));
 
+    // Found on quiet-1 of Actas: weights that were named after the clock was read counted as named
+    // when it was read.
+    started.apply(at(0), &set("acacia/naming", json!({"m": [3, 107_000]}), 4));
+    let named = started.view("own").unwrap().weights["m"].named;
+    assert_eq!(named, at(0) + Duration::from_secs(7));
+
     let mut running = picture();
     running.apply(at(10), &set("op/version/m", order, 2));
     assert_eq!(running.view("own").unwrap().weights["m"].named, at(10));
