--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -31,6 +31,12 @@
 const ROUND: Duration = Duration::from_millis(60);
 /// Pause of an instance for each other that may take the right before it.
 const TURN: Duration = Duration::from_millis(40);
+/// Time between a word to the store and the last order that follows it.
+const ORDER_WINDOW: Duration = Duration::from_millis(1_000);
+/// Time for a word from the store to the other instances, beside the pause between two watches.
+const WORD_WAY: Duration = Duration::from_millis(60);
+/// Most turns that an instance waits for others.
+const MOST_TURNS: u32 = 16;
 /// Time until a date that the watch does not show is written again.
 const DATE_AGAIN: Duration = Duration::from_secs(1);
 /// The lease of keys that outlive their writer.
@@ -328,10 +334,3 @@
         false
     }
 }
-
-/// Most turns that an instance waits for others.
-const MOST_TURNS: u32 = 16;
-/// Time for a word from the store to the other instances, beside the pause between two watches.
-const WORD_WAY: Duration = Duration::from_millis(60);
-/// Time between a word to the store and the last order that follows it.
-const ORDER_WINDOW: Duration = Duration::from_millis(1_000);
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -20,6 +20,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Connections that wait to be taken; bursts of callers come within a few milliseconds.
 const BACKLOG: u32 = 1_024;
+/// Smallest buffer that the library takes.
+const MIN_BUFFER: usize = 8 << 10;
 
 /// Listens at an address.
 ///
@@ -79,9 +81,6 @@
     log_end(connection.await);
 }
 
-/// Smallest buffer that the library takes.
-const MIN_BUFFER: usize = 8 << 10;
-
 fn log_end(ended: Result<(), hyper::Error>) {
     if let Err(error) = ended {
         tracing::debug!(%error, "a caller's connection ended");
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -34,6 +34,9 @@
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
 /// Time between notes on log lines that were left out.
 const LINES_LOOK: Duration = Duration::from_secs(1);
+/// Time without the store after which nothing is denied by what it said: a short fault of a single
+/// call is over by then.
+const STALE_AFTER: Duration = Duration::from_millis(500);
 
 /// Runs an entry instance until it is told to stop.
 ///
@@ -236,7 +239,3 @@
         stale_after: STALE_AFTER,
     }
 }
-
-/// Time without the store after which nothing is denied by what it said: a short fault of a single
-/// call is over by then.
-const STALE_AFTER: Duration = Duration::from_millis(500);
--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -77,6 +77,10 @@
 const PATIENCE_EXPECTED: f64 = 3.0;
 /// Pause between events from which a stream goes on elsewhere, in the pauses that callers accept.
 const PAUSE_PART: f64 = 1.7;
+/// Time after which an upstream that is out for an unknown time is looked at again.
+const PAUSED_LOOK: Duration = Duration::from_millis(25);
+/// Time within which an entry that lapsed while the store was away is back, if its upstream lives.
+const LAPSE_LIMIT: Duration = Duration::from_millis(1_900);
 
 /// What the choice came to.
 pub enum Candidate {
@@ -113,7 +117,9 @@
 /// An upstream that may take the request.
 struct Offer {
     id: ServerId,
+    /// What it costs, in seconds; the cheapest offer wins.
     cost: f64,
+    /// Time to the first event without any queue, in seconds.
     expected: f64,
     run: Option<EngineRun>,
     unread_tokens: u64,
@@ -142,17 +148,17 @@
                 Fitness::Never => {}
                 Fitness::At(at) => later = Some(later.map_or(at, |other| other.min(at))),
                 Fitness::Now { lapsed } => {
-                    let Some(option) = self.cost(&service, &id, lapsed, primary.as_ref()) else {
+                    let Some(offer) = self.cost(&service, &id, lapsed, primary.as_ref()) else {
                         continue;
                     };
-                    if best.as_ref().is_none_or(|best| option.cost < best.cost) {
-                        best = Some(option);
+                    if best.as_ref().is_none_or(|best| offer.cost < best.cost) {
+                        best = Some(offer);
                     }
                 }
             }
         }
         match (best, later) {
-            (Some(option), _) => self.attempt(&service, option),
+            (Some(offer), _) => self.attempt(&service, offer),
             (None, Some(at)) => Candidate::Later(at),
             (None, None) => Candidate::None,
         }
@@ -405,39 +411,35 @@
     }
 
     /// The attempt at the chosen upstream.
-    fn attempt(self, service: &Service, option: Offer) -> Candidate {
-        let member = &self.members[&option.id];
+    fn attempt(self, service: &Service, offer: Offer) -> Candidate {
+        let member = &self.members[&offer.id];
         let route = &self.plan.route;
         let runs_left = route.attempts.saturating_sub(self.plan.runs + 1);
         let is_last = !route.repeat.is_repeatable() || runs_left == 0;
         let aims = if route.repeat.is_stream() { STREAM_PATIENCE } else { PLAIN_PATIENCE };
         let seconds = (route.aim.as_secs_f64() * aims)
-            .max((option.expected + member.delay(self.now)) * PATIENCE_EXPECTED);
+            .max((offer.expected + member.delay(self.now)) * PATIENCE_EXPECTED);
         let patience = (!is_last).then(|| Duration::from_secs_f64(seconds));
         let pause = route.pause.filter(|_| !is_last).map(|pause| pause.mul_f64(PAUSE_PART));
         Candidate::Best(Box::new(Attempt {
             server: member.server.clone(),
-            engine: option.run,
+            engine: offer.run,
             patience,
             pause,
             connections: connection_share(service, self.view.instances),
-            expected: Duration::from_secs_f64(option.expected),
-            unread_tokens: option.unread_tokens,
+            expected: Duration::from_secs_f64(offer.expected),
+            unread_tokens: offer.unread_tokens,
             sent: self.now,
             cold: member.is_cold(self.now),
         }))
     }
 }
 
-/// Time after which an upstream that is out for an unknown time is looked at again.
-const PAUSED_LOOK: Duration = Duration::from_millis(25);
-
-/// Time within which an entry that lapsed while the store was away is back, if its upstream lives.
-const LAPSE_LIMIT: Duration = Duration::from_millis(1_900);
-
 /// What an engine has to read.
 struct Reading {
+    /// Time until all is read, in seconds.
     time: f64,
+    /// The same with what it keeps the engine from.
     cost: f64,
     fetch: Fetch,
     unread_tokens: u64,
--- a/crates/policy/src/gateway/rollout.rs
+++ b/crates/policy/src/gateway/rollout.rs
@@ -34,6 +34,9 @@
 const ORDER_AGAIN: Duration = Duration::from_millis(500);
 /// Longest time that an engine counts as reloading without showing it.
 const RELOAD_LIMIT: Duration = Duration::from_secs(4);
+/// Time before a lease's end when its holder stops: an order is on its way for that long at most,
+/// and clocks drift by much less.
+pub const TENURE_MARGIN: Duration = Duration::from_millis(300);
 
 /// What an engine reports of itself.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -331,10 +334,6 @@
     pub ends: Time,
 }
 
-/// Time before a lease's end when its holder stops: an order is on its way for that long at most,
-/// and clocks drift by much less.
-pub const TENURE_MARGIN: Duration = Duration::from_millis(300);
-
 impl Tenure {
     /// Whether orders may be sent now.
     pub fn is_open(&self, now: Time) -> bool {
--- /dev/null
+++ b/crates/policy/tests/gateway_gossip.rs
@@ -0,0 +1,81 @@
+//! Words between instances, in any order, and the shares of limits that need none.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use acacia_policy::Time;
+use acacia_policy::gateway::gossip::{Load, Tallies, Tally, server_key};
+use acacia_policy::gateway::window::{ColdShare, ColdTerms, RetryBudget, RetryTerms, Window};
+use quickcheck::quickcheck;
+
+fn at(millis: u64) -> Time {
+    Duration::from_millis(millis)
+}
+
+fn tally(life: u64, sequence: u64, running: u32) -> Tally {
+    let load = Load { running, unread_tokens: 10, memory_tokens: 20 };
+    let loads = BTreeMap::from([(server_key("e"), load)]);
+    Tally { life, sequence, loads, reads: Vec::new() }
+}
+
+#[test]
+fn hear_sums_the_newest_word_of_each() {
+    let mut tallies = Tallies::default();
+    tallies.hear(at(0), tally(1, 1, 3));
+    tallies.hear(at(0), tally(2, 1, 4));
+    assert_eq!(tallies.load(server_key("e")).running, 7);
+    tallies.hear(at(10), tally(1, 3, 1));
+    tallies.hear(at(20), tally(1, 2, 9));
+    assert_eq!(tallies.load(server_key("e")).running, 5, "an older word changes nothing");
+    assert_eq!(tallies.load(server_key("other")), Load::default());
+}
+
+#[test]
+fn expire_forgets_instances_that_fell_silent() {
+    let mut tallies = Tallies::default();
+    tallies.hear(at(0), tally(1, 1, 3));
+    tallies.hear(at(1_000), tally(2, 1, 4));
+    tallies.expire(at(2_000));
+    assert_eq!(tallies.load(server_key("e")).running, 4);
+    tallies.expire(at(9_000));
+    assert_eq!(tallies.load(server_key("e")), Load::default());
+}
+
+#[test]
+fn count_slides() {
+    let mut window = Window::new(at(1_000));
+    for millis in [0, 400, 800] {
+        window.add(at(millis));
+    }
+    assert_eq!(window.count(at(900)), 3);
+    assert_eq!(window.free_at(at(900), 4), Some(at(900)));
+    assert_eq!(window.free_at(at(900), 3), Some(at(1_000)));
+    assert_eq!(window.free_at(at(900), 2), Some(at(1_400)));
+    assert_eq!(window.free_at(at(900), 0), None);
+    assert_eq!(window.count(at(1_500)), 1);
+}
+
+#[test]
+fn take_grows_over_the_first_window() {
+    let terms = RetryTerms { ratio: 0.0, slack: 100.0, window: at(10_000) };
+    let mut budget = RetryBudget::new(terms, at(0));
+    assert!(!budget.take(at(0), terms, 10), "a life before may have used the share");
+    let taken = (0..100).filter(|_| budget.take(at(10_000), terms, 10)).count();
+    assert!((1..=10).contains(&taken), "{taken}");
+}
+
+/// However many instances share a cold limit, all shares together stay within it.
+#[test]
+fn cold_shares_stay_within_the_limit() {
+    fn holds(rate: u8, slack: u8, instances: u16) -> bool {
+        let terms = ColdTerms { factor: 1.5, slack: f64::from(slack) };
+        let instances = u32::from(instances).max(1);
+        let limit = f64::from(rate) * terms.factor + terms.slack;
+        let dealt = match ColdShare::new(rate.into(), terms, instances) {
+            ColdShare::Each(requests) => requests as f64 * f64::from(instances),
+            ColdShare::First { instances, requests } => (instances * requests) as f64,
+        };
+        dealt <= limit
+    }
+    quickcheck(holds as fn(u8, u8, u16) -> bool);
+}
