--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -86,6 +86,11 @@
             let now = self.control.clock.now();
             match self.lease.get() {
                 Some(lease) if now >= lease.ends => self.lose("the lease ended"),
+                Some(_) if self.fenced.replace(false) => {
+                    // Whoever takes the right next has a higher token.
+                    self.give_back().await;
+                    self.lose("an engine has seen a higher fencing token");
+                }
                 Some(lease) if now >= renewed + RENEWAL => {
                     renewed = now;
                     self.renew(&mut client, lease).await;
@@ -107,6 +112,11 @@
     /// Gives the right back.
     pub async fn stop(&self) {
         self.librarian.rest();
+        self.give_back().await;
+    }
+
+    /// Ends the lease, if there is one.
+    async fn give_back(&self) {
         if let Some(lease) = self.lease.take() {
             self.control.end_lease(lease.id).await;
         }
@@ -146,11 +156,7 @@
             }
             // The watch shows whether the right is ours after all.
             Err(Failure::Ambiguous) => tracing::info!("no answer on who has the right to order"),
-            Ok(Written::Conflict | Written::LeaseEnded) | Err(_) => {
-                if let Some(lease) = self.lease.take() {
-                    self.control.end_lease(lease.id).await;
-                }
-            }
+            Ok(Written::Conflict | Written::LeaseEnded) | Err(_) => self.give_back().await,
         }
     }
 
@@ -205,11 +211,10 @@
         for look in looks {
             tokio::task::spawn_local(self.clone().act(look, tenure));
         }
-        let is_told = if orders.is_empty() && !self.has_news() {
+        if orders.is_empty() && !self.has_news() {
             return;
-        } else {
-            self.tell(client, &orders).await
-        };
+        }
+        let is_told = self.tell(client, &orders).await;
         let limit = Tenure { ends: tenure.ends.min(now + ORDER_WINDOW + TENURE_MARGIN), ..tenure };
         for order in orders {
             if let (Act::Order { server, .. }, false) = (&order, is_told) {
--- a/crates/gateway/src/librarian.rs
+++ b/crates/gateway/src/librarian.rs
@@ -42,6 +42,23 @@
     address: SocketAddr,
     ledger: RefCell<Ledger>,
     written: Cell<Time>,
+    is_lost: Cell<bool>,
+}
+
+impl Account {
+    /// The store does not answer; logged once until it does.
+    fn lose(&self, failure: &str) {
+        if !self.is_lost.replace(true) {
+            tracing::warn!(dependency = %self.address, failure, "dependency lost");
+        }
+    }
+
+    /// The store answers.
+    fn regain(&self) {
+        if self.is_lost.replace(false) {
+            tracing::info!(dependency = %self.address, "dependency regained");
+        }
+    }
 }
 
 impl Librarian {
@@ -69,6 +86,7 @@
                     address,
                     ledger: RefCell::default(),
                     written: Cell::default(),
+                    is_lost: Cell::default(),
                 };
                 tokio::task::spawn_local(self.clone().keep(account))
             });
@@ -113,9 +131,10 @@
         let answer = self.caller.call(account.address, &errand, Duration::ZERO).await;
         let listed = answer.ok().and_then(|(status, body)| cache::listed(status, &body));
         let Some(Listed { listing, next }) = listed else {
-            tracing::warn!(store = %account.address, "a store of KV cache gives no list");
+            account.lose("no list");
             return None;
         };
+        account.regain();
         tracing::info!(
             store = %account.address,
             epoch = listing.epoch,
@@ -137,7 +156,7 @@
             let answer = self.caller.call(account.address, &errand, EVENTS_WAIT).await;
             let events = answer.ok().and_then(|(status, body)| cache::events(status, &body));
             let Some(Events { epoch, next: after, has_gap, changes }) = events else {
-                tracing::warn!(store = %account.address, "a store of KV cache gives no events");
+                account.lose("no events");
                 account.ledger.borrow_mut().lose();
                 self.settle(account).await;
                 return;
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -30,7 +30,8 @@
         .buffered_lines_limit(QUEUE_LINES)
         .finish(std::io::stdout());
     let dropped = writer.error_counter();
-    let filter = EnvFilter::builder().parse_lossy("info,hyper=warn");
+    let filter = EnvFilter::builder()
+        .parse_lossy("info,hyper=warn,opentelemetry=warn,opentelemetry_sdk=warn");
     tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
