Each version of weights is judged from its own naming; older ones only where a prompt begins in time

Change: views remember when each version was named, the store too; a prompt goes to older weights only if it begins a second before the bound after twice the expected wait. Tests: next_uses_older_weights_only_where_a_prompt_begins_in_time failed first; next_judges_each_version_from_its_own_naming could not be compiled against the old type.

--- a/crates/gateway/src/librarian.rs
+++ b/crates/gateway/src/librarian.rs
@@ -11,6 +11,7 @@
 use acacia_platform::own::encode_stock;
 use acacia_platform::store::{Client, Written};
 use acacia_policy::Time;
+use acacia_policy::gateway::Weights;
 use acacia_policy::gateway::configuration::{Role, ServiceName};
 use acacia_policy::gateway::stock::Ledger;
 use tokio::sync::Mutex;
@@ -181,7 +182,7 @@
     async fn settle(&self, account: &Account) {
         let now = self.control.clock.now();
         let weights = self.control.picture.borrow().weights().clone();
-        account.ledger.borrow_mut().retire(|model| weights.get(model).map(|w| w.version));
+        account.ledger.borrow_mut().retire(|model| weights.get(model).map(Weights::version));
         let (written, revision) = match self.control.picture.borrow().stock(&account.service) {
             Some((stock, revision)) => (Some(stock.clone()), revision),
             None => (None, 0),
--- a/crates/gateway/src/picture.rs
+++ b/crates/gateway/src/picture.rs
@@ -125,34 +125,46 @@
     /// The wanted weights with the earliest time that is known of each.
     pub fn dated_weights(&self) -> BTreeMap<ModelName, Weights> {
         let dated = self.weights.iter().map(|(model, weights)| {
-            let told = self.naming.0.get(model).filter(|(version, _)| *version == weights.version);
-            let told = told.zip(self.server_clock).map(|((_, named), (known, clock))| {
-                let before = Duration::from_millis(clock.saturating_sub(*named));
-                let after = Duration::from_millis(named.saturating_sub(clock));
-                (known + after).saturating_sub(before)
+            let dates = self.naming.0.get(model);
+            let versions = weights.iter().map(|(version, heard)| {
+                let told = dates.and_then(|dates| dates.get(&version));
+                (version, self.earliest(heard, told.copied()))
             });
-            let named = match (weights.named, told) {
-                (Time::ZERO, told) => told.unwrap_or(Time::ZERO),
-                (heard, told) => told.map_or(heard, |told| told.min(heard)),
-            };
-            (model.clone(), Weights { named, ..*weights })
+            (model.clone(), versions.collect())
         });
         dated.collect()
     }
 
+    /// The earlier of the times when a version was heard of and when it is told to have been named.
+    fn earliest(&self, heard: Time, told: Option<u64>) -> Time {
+        let told = told.zip(self.server_clock).map(|(named, (known, clock))| {
+            let before = Duration::from_millis(clock.saturating_sub(named));
+            let after = Duration::from_millis(named.saturating_sub(clock));
+            (known + after).saturating_sub(before)
+        });
+        match (heard, told) {
+            (Time::ZERO, told) => told.unwrap_or(Time::ZERO),
+            (heard, told) => told.map_or(heard, |told| told.min(heard)),
+        }
+    }
+
     /// When weights were named, if this instance heard it and nobody has told the store yet.
     pub fn naming_news(&self) -> Option<(Naming, ModRevision)> {
         let (known, clock) = self.server_clock?;
         let mut naming = self.naming.clone();
-        for (model, weights) in self.weights.iter().filter(|(_, w)| w.named > Time::ZERO) {
-            let age = known.saturating_sub(weights.named).as_millis();
-            let after = weights.named.saturating_sub(known).as_millis();
-            let named = clock.saturating_add(after as u64).saturating_sub(age as u64);
-            let told = naming.0.get(model).is_some_and(|(version, _)| *version >= weights.version);
-            if !told {
-                naming.0.insert(model.clone(), (weights.version, named));
+        for (model, weights) in &self.weights {
+            let dates = naming.0.entry(model.clone()).or_default();
+            for (version, heard) in weights.iter().filter(|(_, heard)| *heard > Time::ZERO) {
+                let age = known.saturating_sub(heard).as_millis();
+                let after = heard.saturating_sub(known).as_millis();
+                let named = clock.saturating_add(after as u64).saturating_sub(age as u64);
+                dates.entry(version).or_insert(named);
             }
+            // Versions that no instance remembers need no date.
+            let oldest = weights.iter().next().map_or(0, |(version, _)| version);
+            dates.retain(|version, _| *version >= oldest);
         }
+        naming.0.retain(|_, dates| !dates.is_empty());
         (naming != self.naming).then_some((naming, self.naming_revision))
     }
 
@@ -361,14 +373,13 @@
             Err(problem) => return Some(malformed(key, value, &problem)),
         };
         let model: ModelName = model.into();
-        let known = self.weights.get(&model);
-        if known.is_some_and(|known| known.version >= order.version) {
+        let weights = self.weights.entry(model.clone()).or_default();
+        if weights.version() >= order.version {
             return None;
         }
         // What was there before this process looked was named at an unknown time.
         let named = if self.is_current { now } else { Time::ZERO };
-        let weights = Weights { version: order.version, named };
-        self.weights.insert(model.clone(), weights);
+        weights.name(order.version, named);
         Some(Belief::Weights(model, order.version))
     }
 
--- a/crates/gateway/tests/picture.rs
+++ b/crates/gateway/tests/picture.rs
@@ -55,7 +55,7 @@
     assert_eq!(picture.view("own").unwrap().configuration.version, 3);
     picture.apply(at(1), &set("op/version/m", json!({"model": "m", "version": 5}), 3));
     assert_eq!(picture.apply(at(2), &set("op/version/m", json!({"version": 4}), 4)), None);
-    assert_eq!(picture.view("own").unwrap().weights["m"].version, 5);
+    assert_eq!(picture.view("own").unwrap().weights["m"].version(), 5);
     picture.apply(at(3), &removed("op/config", 5));
     assert_eq!(picture.view("own").unwrap().configuration.version, 3);
 }
@@ -118,26 +118,26 @@
         at(0),
         vec![entry("op/config", configuration(1), 1), entry("op/version/m", order.clone(), 2)],
     );
-    assert_eq!(started.view("own").unwrap().weights["m"].named, Time::ZERO, "long ago");
+    assert_eq!(started.view("own").unwrap().weights["m"].named(), Time::ZERO, "long ago");
     // By the servers' clock, they were named 6 s before.
     started.set_server_clock(at(0), 100_000);
-    started.apply(at(0), &set("acacia/naming", json!({"m": [3, 94_000]}), 3));
-    let named = started.view("own").unwrap().weights["m"].named;
+    started.apply(at(0), &set("acacia/naming", json!({"m": {"3": 94_000}}), 3));
+    let named = started.view("own").unwrap().weights["m"].named();
     assert_eq!(named, at(0) - Duration::from_secs(6));
 
     // Found on quiet-1 of Actas: weights that were named after the clock was read counted as named
     // when it was read.
-    started.apply(at(0), &set("acacia/naming", json!({"m": [3, 107_000]}), 4));
-    let named = started.view("own").unwrap().weights["m"].named;
+    started.apply(at(0), &set("acacia/naming", json!({"m": {"3": 107_000}}), 4));
+    let named = started.view("own").unwrap().weights["m"].named();
     assert_eq!(named, at(0) + Duration::from_secs(7));
 
     let mut running = picture();
     running.apply(at(10), &set("op/version/m", order, 2));
-    assert_eq!(running.view("own").unwrap().weights["m"].named, at(10));
+    assert_eq!(running.view("own").unwrap().weights["m"].named(), at(10));
     assert!(running.naming_news().is_none(), "the servers' clock is unknown");
     running.set_server_clock(at(0), 100_000);
     let (naming, _) = running.naming_news().unwrap();
-    assert_eq!(naming.0["m"], (3, 110_000));
+    assert_eq!(naming.0["m"][&3], 110_000);
 }
 
 #[test]
--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -43,6 +43,8 @@
 /// Cost of older weights, in aims, once answers on them are worth less: a fifth to the users, where a
 /// late answer loses four fifths.
 const OLD_WEIGHTS_COST: f64 = 0.1;
+/// How much longer than expected a prompt may wait in an engine's queue before it begins.
+const WAIT_DOUBT: f64 = 2.0;
 /// Time from which answers on older weights are worth less to the users.
 const OLD_WEIGHTS_AGE: Duration = Duration::from_millis(1_200);
 /// Cost of an engine whose memory running requests have filled, in aims.
@@ -226,10 +228,11 @@
             let expected = aim / 2.0 + delay;
             return Some(Offer { id: id.clone(), cost, expected, run: None, unread_tokens: 0 });
         };
-        let (weights, stale) = self.weights(member, prompt)?;
+        let wait = delay.max(load.unread_tokens as f64 / READ_RATE);
+        let (weights, stale) = self.weights(member, prompt, wait)?;
         cost += if stale { OLD_WEIGHTS_COST * aim } else { 0.0 };
         cost += BATCH_STEP * f64::from(load.running);
-        cost += delay.max(load.unread_tokens as f64 / READ_RATE);
+        cost += wait;
         cost += if is_full(load, prompt, terms) { FULL_MEMORY_COST * aim } else { 0.0 };
         let salt = self.salt(weights);
         let parts = part_keys(prompt, &salt);
@@ -254,19 +257,23 @@
     }
 
     /// The weights that an engine is believed to have, and whether answers on them are worth less;
-    /// nothing if it may start nothing on them.
-    fn weights(&self, member: &Member, prompt: &Prompt) -> Option<(WeightVersion, bool)> {
+    /// nothing if a prompt that waits for `wait` seconds may no longer begin on them.
+    fn weights(
+        &self,
+        member: &Member,
+        prompt: &Prompt,
+        wait: f64,
+    ) -> Option<(WeightVersion, bool)> {
         let known = member.weights(&prompt.model)?;
-        let Some(newest) = self.view.weights.get(&prompt.model) else {
+        let wanted = self.view.weights.get(&prompt.model);
+        let Some(outdated) = wanted.and_then(|wanted| wanted.outdated(known)) else {
             return Some((known, false));
         };
-        if known >= newest.version {
-            return Some((known, false));
-        }
-        if self.now >= weights_end(newest.named, self.terms) {
+        let begins = self.now + Duration::from_secs_f64(wait * WAIT_DOUBT);
+        if begins >= weights_end(outdated, self.terms) {
             return None;
         }
-        Some((known, self.now >= newest.named + OLD_WEIGHTS_AGE))
+        Some((known, self.now >= outdated + OLD_WEIGHTS_AGE))
     }
 
     /// What has to be read at an engine, and from where the rest may come.
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -15,7 +15,7 @@
 use super::member::Member;
 use super::plan::{Attempt, Ending, Plan, Reason, Refusal, Step};
 use super::save::Saves;
-use super::view::{ServerId, View};
+use super::view::{ServerId, View, Weights};
 use super::window::{ColdTerms, RetryBudget, RetryTerms};
 use crate::{Time, Verdict};
 
@@ -28,9 +28,9 @@
 /// Part of its aim that a request may wait for an upstream to come free. A refusal up to an eighth
 /// of the aim costs a caller nothing that it would not have spent on a retry.
 const WAIT_PART: u32 = 4;
-/// Time before the end of an upstream's old weights when it gets no more requests: a request
-/// arrives up to that much later than it was sent.
-const WEIGHTS_MARGIN: Duration = Duration::from_millis(700);
+/// Time before the end of an engine's old weights when it gets no more requests, beside the wait in
+/// its queue: a request begins later than expected by up to that much.
+const WEIGHTS_MARGIN: Duration = Duration::from_millis(1_000);
 /// Delay counted as an answer's, for a plain request within this part of its aim.
 const PLAIN_EXPECTED_PART: u32 = 2;
 
@@ -320,7 +320,7 @@
             Ending::Refused => member.refused(now),
             Ending::Misdirected if is_same => {
                 if let (Some(run), Some(view)) = (&attempt.engine, &view) {
-                    let newest = view.weights.get(&run.model).map_or(run.weights, |w| w.version);
+                    let newest = view.weights.get(&run.model).map_or(run.weights, Weights::version);
                     member.doubt_weights(&run.model, run.weights, newest);
                 }
             }
--- a/crates/policy/src/gateway/rollout.rs
+++ b/crates/policy/src/gateway/rollout.rs
@@ -231,7 +231,7 @@
         let mut acts = Vec::new();
         for engine in self.engines.values_mut().filter(|engine| !engine.waiting) {
             let Stage::Ordered(_) = engine.stage else { continue };
-            if weights.iter().all(|(model, newest)| engine.has(model, newest.version)) {
+            if weights.iter().all(|(model, newest)| engine.has(model, newest.version())) {
                 engine.stage = Stage::Idle;
             } else if now >= engine.next {
                 engine.waiting = true;
@@ -245,8 +245,8 @@
     fn limit(&self, now: Time, model: &ModelName, newest: &Weights, time: Duration) -> usize {
         let serving = self.engines.values().filter(|e| e.server.weights(model).is_some());
         let all = serving.clone().count();
-        let old = serving.filter(|engine| !engine.has(model, newest.version)).count();
-        let end = newest.named + time.mul_f64(SCHEDULE_PART);
+        let old = serving.filter(|engine| !engine.has(model, newest.version())).count();
+        let end = newest.named() + time.mul_f64(SCHEDULE_PART);
         let left = end.saturating_sub(now).max(RELOAD_TIME);
         let needed = (old as f64 * RELOAD_TIME.as_secs_f64() / left.as_secs_f64()).ceil();
         let usual = (all as f64 * AT_ONCE_PART).ceil();
@@ -262,7 +262,7 @@
         time: Duration,
     ) -> Vec<Act> {
         let limit = self.limit(now, model, newest, time);
-        let version = newest.version;
+        let version = newest.version();
         let mut acts = Vec::new();
         while let Some(id) = self.next_engine(now, model, version, limit) {
             let Some(engine) = self.engines.get_mut(&id) else { break };
--- a/crates/policy/src/gateway/view.rs
+++ b/crates/policy/src/gateway/view.rs
@@ -61,12 +61,57 @@
 }
 
 /// The weights that operators want of a model.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Weights {
+    /// Versions with the time when each was named, as far as is known; long ago if nothing is known.
+    /// The newest is last.
+    named: Vec<(WeightVersion, Time)>,
+}
+
+/// Versions that are remembered of a model; engines are seldom more than two behind.
+const VERSIONS: usize = 8;
+
+impl Weights {
+    /// Weights of which one version was named.
+    pub fn new(version: WeightVersion, named: Time) -> Self {
+        Self { named: vec![(version, named)] }
+    }
+
     /// The newest version.
-    pub version: WeightVersion,
-    /// When it was named, as far as is known; long ago if nothing is known.
-    pub named: Time,
+    pub fn version(&self) -> WeightVersion {
+        self.named.last().map_or(0, |(version, _)| *version)
+    }
+
+    /// When the newest version was named.
+    pub fn named(&self) -> Time {
+        self.named.last().map_or(Time::ZERO, |(_, named)| *named)
+    }
+
+    /// A newer version is named; an older one changes nothing.
+    pub fn name(&mut self, version: WeightVersion, named: Time) {
+        if version > self.version() {
+            self.named.push((version, named));
+            let surplus = self.named.len().saturating_sub(VERSIONS);
+            self.named.drain(..surplus);
+        }
+    }
+
+    /// Since when weights of a version are not the newest; each version that is named later is
+    /// judged from its own naming.
+    pub fn outdated(&self, version: WeightVersion) -> Option<Time> {
+        self.named.iter().filter(|(newer, _)| *newer > version).map(|(_, named)| *named).min()
+    }
+
+    /// All versions with their times.
+    pub fn iter(&self) -> impl Iterator<Item = (WeightVersion, Time)> {
+        self.named.iter().copied()
+    }
+}
+
+impl FromIterator<(WeightVersion, Time)> for Weights {
+    fn from_iter<I: IntoIterator<Item = (WeightVersion, Time)>>(versions: I) -> Self {
+        Self { named: versions.into_iter().collect() }
+    }
 }
 
 /// An upstream's own entry.
--- a/crates/policy/tests/gateway_fuzz.rs
+++ b/crates/policy/tests/gateway_fuzz.rs
@@ -334,12 +334,11 @@
                 }
             }
             4 => {
-                let known = self.truth.weights.get(MODEL).map_or(1, |weights| weights.version);
-                let weights = Weights { version: known + 1, named: self.now };
-                self.truth.weights.insert(MODEL.into(), weights);
+                let weights = self.truth.weights.entry(MODEL.into()).or_default();
+                weights.name(weights.version().max(1) + 1, self.now);
             }
             5 => {
-                let newest = self.truth.weights.get(MODEL).map_or(1, |weights| weights.version);
+                let newest = self.truth.weights.get(MODEL).map_or(1, Weights::version);
                 change(self, &|server| {
                     server.models.iter_mut().for_each(|(_, version)| *version = newest);
                 });
--- a/crates/policy/tests/gateway_machine.rs
+++ b/crates/policy/tests/gateway_machine.rs
@@ -129,6 +129,35 @@
     assert!(matches!(world.next(&mut plan), Step::Refuse(r) if r.verdict == Verdict::NotRun));
 }
 
+/// Found on trouble-2 --seed 984860934193 of Ferreira: a prompt was sent in time and began 0.75 s
+/// later, past the bound, as it had waited in the engine's queue.
+#[test]
+fn next_uses_older_weights_only_where_a_prompt_begins_in_time() {
+    let mut world = World::new(1);
+    world.name_weights(2);
+    world.pass(Duration::from_millis(6_500));
+    let mut plan = world.admit("/ask/", "key").unwrap();
+    assert!(matches!(world.next(&mut plan), Step::Send(_)), "the engine is idle");
+    for number in 0..3 {
+        let mut long = world.admit_prompt(&format!("long-{number}"), 17_000);
+        world.next(&mut long);
+    }
+    let mut plan = world.admit("/ask/", "key").unwrap();
+    assert!(matches!(world.next(&mut plan), Step::Refuse(r) if r.verdict == Verdict::NotRun));
+}
+
+/// Found on the same day: a third version was named when the bound for the second had passed, and
+/// engines on the first counted from the third.
+#[test]
+fn next_judges_each_version_from_its_own_naming() {
+    let mut world = World::new(1);
+    world.name_weights(2);
+    world.pass(Duration::from_secs(9));
+    world.name_weights(3);
+    let mut plan = world.admit("/ask/", "key").unwrap();
+    assert!(matches!(world.next(&mut plan), Step::Refuse(r) if r.verdict == Verdict::NotRun));
+}
+
 #[test]
 fn ended_learns_weights_from_misdirection() {
     let mut world = World::new(1);
--- a/crates/policy/tests/gateway_rollout.rs
+++ b/crates/policy/tests/gateway_rollout.rs
@@ -76,7 +76,7 @@
         for (_, id, version, expected) in due as Vec<(Time, ServerId, WeightVersion, u64)> {
             self.order(&id, version, expected);
         }
-        let weights = Weights { version: self.newest, named: self.named };
+        let weights = Weights::new(self.newest, self.named);
         let weights = BTreeMap::from([(MODEL.into(), weights)]);
         for act in self.rollout.step(self.now, &self.servers, &weights, self.limit) {
             match act {
--- a/crates/policy/tests/gateway_world/mod.rs
+++ b/crates/policy/tests/gateway_world/mod.rs
@@ -13,7 +13,7 @@
 use acacia_policy::gateway::window::{ColdTerms, RetryTerms};
 use acacia_policy::gateway::{
     Attempt, Call, Configuration, Ending, Gateway, Part, Plan, Prompt, Refusal, Server, Step,
-    Terms, View, Weights,
+    Terms, View,
 };
 
 /// The model that engines serve.
@@ -73,7 +73,7 @@
     /// Newer weights are named now.
     pub fn name_weights(&mut self, version: u64) {
         self.change(|view, now| {
-            view.weights.insert(MODEL.into(), Weights { version, named: now });
+            view.weights.entry(MODEL.into()).or_default().name(version, now);
         });
     }
 
@@ -87,6 +87,11 @@
         self.admit_with(path, key, prompt)
     }
 
+    /// Admits a prompt whose shared part has a name and a length.
+    pub fn admit_prompt(&mut self, shared: &str, tokens: u32) -> Plan {
+        self.admit_with("/ask/", "key", Some(prompt(shared, tokens))).expect("a good request")
+    }
+
     fn admit_with(
         &mut self,
         path: &str,
