--- a/crates/connection/src/connection.rs
+++ b/crates/connection/src/connection.rs
@@ -78,7 +78,6 @@
     buffer: BytesMut,
     method: Method,
     body: Body,
-    exchanges: u32,
     whole: bool,
 }
 
@@ -107,16 +106,10 @@
             buffer: BytesMut::new(),
             method: Method::GET,
             body: Body::Done,
-            exchanges: 0,
             whole: true,
         })
     }
 
-    /// Requests that it has carried.
-    pub fn exchanges(&self) -> u32 {
-        self.exchanges
-    }
-
     /// Writes a request.
     ///
     /// Ends early, and leaves the connection for this exchange only, where the peer answers before
@@ -126,7 +119,6 @@
     /// If the connection breaks before anything was answered.
     pub async fn send(&mut self, method: &Method, head: &Bytes, body: &Bytes) -> Result<(), Fault> {
         self.method = method.clone();
-        self.exchanges += 1;
         self.whole = false;
         let mut bytes;
         let bytes: &[u8] = if body.is_empty() {
--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -160,7 +160,7 @@
             }
         }
         match (best, later) {
-            (Some(offer), _) => self.attempt(&service, offer),
+            (Some(offer), _) => self.attempt(offer),
             (None, Some(at)) => Candidate::Later(at),
             (None, None) => Candidate::None,
         }
@@ -418,7 +418,7 @@
     }
 
     /// The attempt at the chosen upstream.
-    fn attempt(self, service: &Service, offer: Offer) -> Candidate {
+    fn attempt(self, offer: Offer) -> Candidate {
         let member = &self.members[&offer.id];
         let route = &self.plan.route;
         let runs_left = route.attempts.saturating_sub(self.plan.runs + 1);
@@ -433,7 +433,6 @@
             engine: offer.run,
             patience,
             pause,
-            connections: connection_share(service, self.view.instances),
             expected: Duration::from_secs_f64(offer.expected),
             unread_tokens: offer.unread_tokens,
             sent: self.now,
--- a/crates/policy/src/gateway/plan.rs
+++ b/crates/policy/src/gateway/plan.rs
@@ -70,8 +70,6 @@
     pub patience: Option<Duration>,
     /// Longest wait between two events, where the stream may go on elsewhere.
     pub pause: Option<Duration>,
-    /// Connections that may be open to it.
-    pub connections: u32,
     /// Expected time to the first event.
     pub expected: Duration,
     /// Tokens that it has to read for this request.
