Only the chosen engine's saves are worked out; an attempt's end takes its load off by Load::minus

Cause, on reading the whole change: the store for each shared part was hashed out for every engine that a prompt might go to, and only the chosen one's was used; and the end of an attempt spelt out what Load::minus does. Behaviour is the same: the same parts, stores and time decide.

--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -243,7 +243,8 @@
             weights,
             salt,
             fetch: reading.fetch,
-            save: self.saves(prompt, &parts),
+            // Only the chosen engine is told what to save.
+            save: Vec::new(),
             rank: self.plan.rank(),
         };
         let expected = FIRST_TOKEN + reading.time;
@@ -418,7 +419,10 @@
     }
 
     /// The attempt at the chosen upstream.
-    fn attempt(self, offer: Offer) -> Candidate {
+    fn attempt(self, mut offer: Offer) -> Candidate {
+        if let (Some(prompt), Some(run)) = (&self.plan.prompt, &mut offer.run) {
+            run.save = self.saves(prompt, &part_keys(prompt, &run.salt));
+        }
         let member = &self.members[&offer.id];
         let route = &self.plan.route;
         let runs_left = route.attempts.saturating_sub(self.plan.runs + 1);
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -308,11 +308,9 @@
         }
         let view = self.view.clone();
         let Some(member) = self.members.get_mut(&attempt.server.id) else { return };
-        let own = &mut member.own;
         let memory_tokens = plan.prompt.as_ref().map_or(0, Prompt::memory_tokens);
-        own.running = own.running.saturating_sub(1);
-        own.unread_tokens = own.unread_tokens.saturating_sub(attempt.unread_tokens);
-        own.memory_tokens = own.memory_tokens.saturating_sub(memory_tokens);
+        let unread_tokens = attempt.unread_tokens;
+        member.own = member.own.minus(Load { running: 1, unread_tokens, memory_tokens });
         let service = view.as_ref().and_then(|view| view.configuration.services.get(&plan.service));
         match ending {
             Ending::Answered => member.responded(now, false),
