A choice finds a prompt's holders by an index and looks at a sample of a large service

Change: policy::gateway::roster keeps members in a slot map with indexes by id, service, part and a ring; a choice works a prompt out once for each version of weights; above 64 upstreams it looks at 32 at random, the holders and the primary, and at all only if none of these may take it. What a view says of an upstream is copied into its member when the view comes, not looked up in each choice. Ruled out: an index of first parts only, since a hot first part has every engine as holder.

--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -4,24 +4,26 @@
 //! seconds, as far as this instance can tell from its own work and from what the others tell. The
 //! cheapest one wins. Parts that nobody holds yet go to the engine that all instances rank first by
 //! the same hash, so that two instances read a new part at one place.
+//!
+//! Of a large service only some upstreams are looked at: those that hold the prompt's parts, the one
+//! that all instances rank first, and some at random.
 
-use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::RngExt;
 use rand_chacha::ChaCha12Rng;
-use rustc_hash::{FxHashMap, FxHasher};
 
-use super::call::{Part, Prompt};
+use super::call::Prompt;
 use super::configuration::{EngineTerms, Role, Service};
 use super::gossip::{Load, PartKey, Tallies, part_keys};
 use super::machine::{Terms, weights_end};
 use super::member::{COLD_SPAN, Member};
 use super::plan::{Attempt, EngineRun, Fetch, Plan};
+use super::roster::{MemberKey, Roster};
 use super::save::Saves;
-use super::stock::{READ_LIMIT, salt};
-use super::view::{Server, ServerId, View, WeightVersion};
+use super::stock::{READ_LIMIT, Shelf, salt};
+use super::view::{View, WeightVersion};
 use super::window::ColdShare;
 use crate::Time;
 
@@ -83,6 +85,12 @@
 const PAUSED_LOOK: Duration = Duration::from_millis(25);
 /// Time within which an entry that lapsed while the store was away is back, if its upstream lives.
 const LAPSE_LIMIT: Duration = Duration::from_millis(1_900);
+/// Upstreams of a service up to which all are looked at: twice the sample, below which a sample saves
+/// less than it costs.
+const SCAN_LIMIT: usize = 64;
+/// Upstreams of a larger service that are looked at besides those with the prompt's parts: with so
+/// many, the best of them is among the best thirtieth of all.
+const SAMPLE: usize = 32;
 
 /// What the choice came to.
 pub enum Candidate {
@@ -107,24 +115,56 @@
     /// The request.
     pub plan: &'a Plan,
     /// Beliefs by upstream.
-    pub members: &'a mut FxHashMap<ServerId, Member>,
+    pub roster: &'a mut Roster,
     /// The others' work.
     pub tallies: &'a Tallies,
     /// Parts that are on their way to stores.
     pub saves: &'a Saves,
     /// For jitter.
     pub rng: &'a mut ChaCha12Rng,
+    /// The prompt on each version of weights that was looked at.
+    pub readings: Vec<Reading<'a>>,
 }
 
 /// An upstream that may take the request.
 struct Offer {
-    id: ServerId,
+    key: MemberKey,
     /// What it costs, in seconds; the cheapest offer wins.
     cost: f64,
     /// Time to the first event without any queue, in seconds.
     expected: f64,
-    run: Option<EngineRun>,
-    unread_tokens: u64,
+    /// How an engine would get the prompt's parts.
+    access: Option<Access>,
+}
+
+/// How an engine would get a prompt's parts.
+struct Access {
+    /// The prompt, by its place in [`Chooser::readings`].
+    reading: usize,
+    source: Source,
+    /// Time until all is there, in seconds.
+    time: f64,
+    /// The same with what it keeps the engine from.
+    cost: f64,
+    unread_tokens: u32,
+}
+
+/// Where parts come from that an engine does not hold.
+enum Source {
+    Nowhere,
+    Engine(MemberKey),
+    Stores,
+}
+
+/// A prompt on one version of weights.
+pub struct Reading<'a> {
+    weights: WeightVersion,
+    salt: String,
+    parts: Vec<(PartKey, u32)>,
+    /// Engines that hold the most of it, and how many tokens.
+    holders: Vec<(MemberKey, u32)>,
+    /// The stores that hold each part.
+    shelves: Vec<Vec<&'a Shelf>>,
 }
 
 /// Whether an upstream may take the request.
@@ -137,20 +177,52 @@
 impl Chooser<'_> {
     /// Picks the cheapest upstream.
     pub fn choose(mut self) -> Candidate {
-        let Some(service) = self.view.configuration.services.get(&self.plan.service).cloned()
-        else {
+        let configuration = &self.view.configuration;
+        let Some(service) = configuration.services.get(&self.plan.service) else {
             return Candidate::None;
         };
         let primary = self.primary();
-        let ids: Vec<ServerId> = self.members.keys().cloned().collect();
+        if self.roster.of_service(&self.plan.service).len() > SCAN_LIMIT {
+            let some = self.sample(primary);
+            if let Candidate::Best(attempt) = self.cheapest(service, &some, primary) {
+                return Candidate::Best(attempt);
+            }
+        }
+        let all = self.roster.of_service(&self.plan.service).to_vec();
+        self.cheapest(service, &all, primary)
+    }
+
+    /// Upstreams of a large service that are looked at first.
+    fn sample(&mut self, primary: Option<MemberKey>) -> Vec<MemberKey> {
+        let mut some = self.roster.sample(&self.plan.service, SAMPLE, self.rng);
+        some.extend(primary);
+        if let Some(prompt) = &self.plan.prompt {
+            let newest = self.view.weights.get(&prompt.model);
+            for (version, _) in newest.into_iter().flat_map(|weights| weights.iter().rev().take(2))
+            {
+                let reading = self.reading(version, prompt);
+                some.extend(self.readings[reading].holders.iter().map(|(key, _)| *key));
+            }
+        }
+        some
+    }
+
+    /// The cheapest of some upstreams.
+    fn cheapest(
+        &mut self,
+        service: &Service,
+        keys: &[MemberKey],
+        primary: Option<MemberKey>,
+    ) -> Candidate {
         let mut best: Option<Offer> = None;
         let mut later: Option<Time> = None;
-        for id in ids {
-            match self.fitness(&service, &id) {
+        for key in keys {
+            match self.fitness(service, *key) {
                 Fitness::Never => {}
                 Fitness::At(at) => later = Some(later.map_or(at, |other| other.min(at))),
                 Fitness::Now { lapsed } => {
-                    let Some(offer) = self.cost(&service, &id, lapsed, primary.as_ref()) else {
+                    let Some(offer) = self.cost(service, *key, lapsed, primary == Some(*key))
+                    else {
                         continue;
                     };
                     if best.as_ref().is_none_or(|best| offer.cost < best.cost) {
@@ -160,22 +232,21 @@
             }
         }
         match (best, later) {
-            (Some(offer), _) => self.attempt(offer),
+            (Some(offer), _) => Candidate::Best(Box::new(self.attempt(&offer))),
             (None, Some(at)) => Candidate::Later(at),
             (None, None) => Candidate::None,
         }
     }
 
     /// Whether an upstream may take the request at all.
-    fn fitness(&mut self, service: &Service, id: &ServerId) -> Fitness {
+    fn fitness(&mut self, service: &Service, key: MemberKey) -> Fitness {
         let (now, plan, view) = (self.now, self.plan, self.view);
-        let Some(member) = self.members.get_mut(id) else { return Fitness::Never };
-        let server = &member.server;
-        let is_other = server.service != plan.service || plan.tried.contains(id);
-        if is_other || server.leaving || view.evacuated.contains(&server.zone) {
+        let member = &mut self.roster[key];
+        let standing = member.standing;
+        if member.server.leaving || standing.evacuated || plan.tried.contains(&member.server.id) {
             return Fitness::Never;
         }
-        if view.loading.contains(id) || now < member.paused_until {
+        if standing.loading || now < member.paused_until {
             return Fitness::At(member.paused_until.max(now + PAUSED_LOOK));
         }
         if member.own.running >= connection_share(service, view.instances) {
@@ -189,7 +260,7 @@
             }
             let requests = match ColdShare::new(rate, self.terms.cold, view.instances) {
                 ColdShare::Each(requests) => requests,
-                ColdShare::First { instances, requests } if own_rank(view, id) < instances => {
+                ColdShare::First { instances, requests } if member.rank(view) < instances => {
                     requests
                 }
                 ColdShare::First { .. } => return Fitness::Never,
@@ -200,8 +271,8 @@
                 None => return Fitness::Never,
             }
         }
-        match view.lapsed.get(id) {
-            Some((_, since)) if now >= *since + LAPSE_LIMIT => Fitness::Never,
+        match standing.lapsed {
+            Some(since) if now >= since + LAPSE_LIMIT => Fitness::Never,
             lapsed => Fitness::Now { lapsed: lapsed.is_some() },
         }
     }
@@ -210,12 +281,12 @@
     fn cost(
         &mut self,
         service: &Service,
-        id: &ServerId,
+        key: MemberKey,
         lapsed: bool,
-        primary: Option<&ServerId>,
+        is_primary: bool,
     ) -> Option<Offer> {
         let aim = self.plan.route.aim.as_secs_f64();
-        let member = &self.members[id];
+        let member = &self.roster[key];
         let load = member.own.plus(self.tallies.load(member.key));
         let delay = member.delay(self.now);
         let mut cost = self.rng.random::<f64>() * JITTER;
@@ -225,8 +296,7 @@
         let (Role::Engine(terms), Some(prompt)) = (&service.role, &self.plan.prompt) else {
             let slots = f64::from(member.server.slots.max(1));
             cost += delay + PLAIN_WORK * f64::from(load.running) / slots;
-            let expected = aim / 2.0 + delay;
-            return Some(Offer { id: id.clone(), cost, expected, run: None, unread_tokens: 0 });
+            return Some(Offer { key, cost, expected: aim / 2.0 + delay, access: None });
         };
         let wait = delay.max(load.unread_tokens as f64 / READ_RATE);
         let (weights, stale) = self.weights(member, prompt, wait)?;
@@ -234,27 +304,10 @@
         cost += BATCH_STEP * f64::from(load.running);
         cost += wait;
         cost += if is_full(load, prompt, terms) { FULL_MEMORY_COST * aim } else { 0.0 };
-        let salt = self.salt(weights);
-        let parts = part_keys(prompt, &salt);
-        let reading = self.reading(member, prompt, &parts, terms, primary);
-        cost += reading.cost;
-        let run = EngineRun {
-            model: prompt.model.clone(),
-            weights,
-            salt,
-            fetch: reading.fetch,
-            // Only the chosen engine is told what to save.
-            save: Vec::new(),
-            rank: self.plan.rank(),
-        };
-        let expected = FIRST_TOKEN + reading.time;
-        Some(Offer {
-            id: id.clone(),
-            cost,
-            expected,
-            run: Some(run),
-            unread_tokens: reading.unread_tokens,
-        })
+        let reading = self.reading(weights, prompt);
+        let access = self.access(key, reading, terms, is_primary);
+        let expected = FIRST_TOKEN + access.time;
+        Some(Offer { key, cost: cost + access.cost, expected, access: Some(access) })
     }
 
     /// The weights that an engine is believed to have, and whether answers on them are worth less;
@@ -277,90 +330,132 @@
         Some((known, self.now >= outdated + OLD_WEIGHTS_AGE))
     }
 
+    /// The place in `readings` of the prompt on a version of weights.
+    fn reading(&mut self, weights: WeightVersion, prompt: &Prompt) -> usize {
+        let known = self.readings.iter().position(|reading| reading.weights == weights);
+        if let Some(known) = known {
+            return known;
+        }
+        // Another organisation's parts are never found where one of the two is isolated, nor parts
+        // made on other weights.
+        let organisation = self.plan.organisation.as_ref().filter(|o| o.isolated);
+        let salt = salt(weights, organisation.map(|organisation| &*organisation.name));
+        let parts = part_keys(prompt, &salt);
+        let point = self.rng.random::<u32>() as usize;
+        let holders = self.roster.holders(&parts, point, |member| {
+            self.now >= member.paused_until
+                && !member.standing.loading
+                && !member.standing.evacuated
+                && member.standing.lapsed.is_none()
+                && member.server.service == self.plan.service
+                && member.weights(&prompt.model) == Some(weights)
+        });
+        let shelves = parts.iter().map(|(key, tokens)| {
+            let shelves = self.view.shelves.iter().filter(|shelf| {
+                shelf.stock.parts.get(key).is_some_and(|held| held >= tokens)
+                    && !self.view.evacuated.contains(&shelf.zone)
+            });
+            shelves.collect()
+        });
+        let shelves = shelves.collect();
+        self.readings.push(Reading { weights, salt, parts, holders, shelves });
+        self.readings.len() - 1
+    }
+
     /// What has to be read at an engine, and from where the rest may come.
-    fn reading(
+    fn access(
         &self,
-        member: &Member,
-        prompt: &Prompt,
-        parts: &[(PartKey, u32)],
+        key: MemberKey,
+        reading: usize,
         terms: &EngineTerms,
-        primary: Option<&ServerId>,
-    ) -> Reading {
-        let held = member.cache.held_tokens(parts);
-        let unread = prompt.input_tokens.saturating_sub(held);
-        let is_primary = primary == Some(&member.server.id);
+        is_primary: bool,
+    ) -> Access {
+        let parts = &self.readings[reading].parts;
+        let held = self.roster[key].cache.held_tokens(parts);
+        let unread = self.input_tokens().saturating_sub(held);
         let time = f64::from(unread) / READ_RATE;
         let cost = time - if is_primary { PRIMARY_GAIN } else { 0.0 };
-        let plain = Reading { time, cost, fetch: Fetch::None, unread_tokens: unread.into() };
-        let stored = self.store_fetch(member, prompt, parts, terms);
-        let elsewhere = self.engine_fetch(member, prompt, parts, terms, held);
+        let plain = Access { reading, source: Source::Nowhere, time, cost, unread_tokens: unread };
+        let stored = self.store_access(key, reading, terms);
+        let elsewhere = self.engine_access(key, reading, terms, held);
         let fetched = [stored, elsewhere].into_iter().flatten();
         let Some(best) = fetched.min_by(|a, b| a.cost.total_cmp(&b.cost)) else { return plain };
-        let again = unread.saturating_sub(u32::try_from(best.unread_tokens).unwrap_or(u32::MAX));
+        let again = unread.saturating_sub(best.unread_tokens);
         let again = f64::from(again) / READ_RATE * READ_AGAIN_COST;
         if best.cost >= cost + again {
-            return Reading { cost: cost + again, ..plain };
+            return Access { cost: cost + again, ..plain };
         }
         best
     }
 
+    fn input_tokens(&self) -> u32 {
+        self.plan.prompt.as_ref().map_or(0, |prompt| prompt.input_tokens)
+    }
+
     /// A fetch of whatever another engine holds beyond this one.
-    fn engine_fetch(
+    fn engine_access(
         &self,
-        member: &Member,
-        prompt: &Prompt,
-        parts: &[(PartKey, u32)],
+        key: MemberKey,
+        reading: usize,
         terms: &EngineTerms,
         held: u32,
-    ) -> Option<Reading> {
-        let (source, found) = self.source(member, prompt, parts)?;
+    ) -> Option<Access> {
+        let zone = &self.roster[key].server.zone;
+        let others = self.readings[reading].holders.iter().filter(|(other, _)| *other != key);
+        let is_near = |other: &MemberKey| self.roster[*other].server.zone == *zone;
+        let (source, found) =
+            others.max_by_key(|(other, tokens)| (*tokens, is_near(other))).copied()?;
         let fetched = found.checked_sub(held).filter(|tokens| *tokens > 0)?;
-        let rest = prompt.input_tokens.saturating_sub(found);
-        let link = terms.link_bytes.max(1.0);
-        let way = transfer(fetched, terms, link, source.server.zone == member.server.zone);
+        let rest = self.input_tokens().saturating_sub(found);
+        let way = transfer(fetched, terms, terms.link_bytes.max(1.0), is_near(&source));
         let time = f64::from(rest) / READ_RATE + way + FETCH_RISK;
-        let fetch = Fetch::Engine(source.server.address);
-        Some(Reading { time, cost: time, fetch, unread_tokens: rest.into() })
+        let source = Source::Engine(source);
+        Some(Access { reading, source, time, cost: time, unread_tokens: rest })
     }
 
     /// A fetch of the parts that stores hold beyond this engine, as far as they follow each other.
-    fn store_fetch(
-        &self,
-        member: &Member,
-        prompt: &Prompt,
-        parts: &[(PartKey, u32)],
-        terms: &EngineTerms,
-    ) -> Option<Reading> {
-        let view = self.view;
-        let until = view.heard + READ_LIMIT;
-        if until < self.now + LEAST_FETCH {
+    fn store_access(&self, key: MemberKey, reading: usize, terms: &EngineTerms) -> Option<Access> {
+        // Without the servers' clock a read could not be bounded.
+        if self.view.heard + READ_LIMIT < self.now + LEAST_FETCH || self.view.server_clock.is_none()
+        {
             return None;
         }
-        let until = view.server_time(until)?;
-        let mut sources = vec![None; parts.len()];
-        let (mut known, mut way) = (0, 0.0);
-        for ((key, tokens), source) in parts.iter().zip(&mut sources) {
-            if !member.cache.holds(*key) {
-                let shelves = view.shelves.iter().filter(|shelf| {
-                    shelf.stock.parts.get(key).is_some_and(|held| held >= tokens)
-                        && !view.evacuated.contains(&shelf.zone)
-                });
-                let zone = &member.server.zone;
-                let Some(shelf) = shelves.max_by_key(|shelf| shelf.zone == *zone) else { break };
-                let link = terms.link_bytes.min(shelf.link_bytes).max(1.0);
-                way += transfer(*tokens, terms, link, shelf.zone == *zone);
-                way += shelf.first_byte.as_secs_f64();
-                *source = Some(shelf.address);
-            }
-            known += tokens;
-        }
-        if sources.iter().all(Option::is_none) {
+        let zone = &self.roster[key].server.zone;
+        let (mut way, mut is_useful) = (0.0, false);
+        let known = self.stored(key, reading, |_, tokens, shelf| {
+            let link = terms.link_bytes.min(shelf.link_bytes).max(1.0);
+            way += transfer(tokens, terms, link, shelf.zone == *zone);
+            way += shelf.first_byte.as_secs_f64();
+            is_useful = true;
+        });
+        if !is_useful {
             return None;
         }
-        let rest = prompt.input_tokens.saturating_sub(known);
+        let rest = self.input_tokens().saturating_sub(known);
         let time = f64::from(rest) / READ_RATE + way;
-        let fetch = Fetch::Stores { sources, until };
-        Some(Reading { time, cost: time, fetch, unread_tokens: rest.into() })
+        Some(Access { reading, source: Source::Stores, time, cost: time, unread_tokens: rest })
+    }
+
+    /// Visits the parts that an engine would fetch from stores, by their place in the prompt; gives
+    /// the tokens from the prompt's start on that it then has.
+    fn stored(
+        &self,
+        key: MemberKey,
+        reading: usize,
+        mut visit: impl FnMut(usize, u32, &Shelf),
+    ) -> u32 {
+        let Reading { parts, shelves, .. } = &self.readings[reading];
+        let Member { cache, server, .. } = &self.roster[key];
+        let mut known = 0;
+        for (place, ((part, tokens), shelves)) in parts.iter().zip(shelves).enumerate() {
+            if !cache.holds(*part) {
+                let nearest = shelves.iter().max_by_key(|shelf| shelf.zone == server.zone);
+                let Some(shelf) = nearest else { break };
+                visit(place, *tokens, shelf);
+            }
+            known += tokens;
+        }
+        known
     }
 
     /// The stores that the engine is to save the prompt's shared parts to.
@@ -377,53 +472,42 @@
         stores
     }
 
-    /// The engine that holds the most of a prompt, beside the one that would read it.
-    fn source(
-        &self,
-        reader: &Member,
-        prompt: &Prompt,
-        parts: &[(PartKey, u32)],
-    ) -> Option<(&Member, u32)> {
-        let usable = self.members.values().filter(|member| {
-            let server = &member.server;
-            server.service == reader.server.service
-                && server.id != reader.server.id
-                && self.now >= member.paused_until
-                && !self.view.loading.contains(&server.id)
-                && !self.view.lapsed.contains_key(&server.id)
-                && !self.view.evacuated.contains(&server.zone)
-                && member.weights(&prompt.model) == reader.weights(&prompt.model)
-        });
-        let held = usable.map(|member| (member, member.cache.held_tokens(parts)));
-        held.filter(|(_, tokens)| *tokens > 0)
-            .max_by_key(|(member, tokens)| (*tokens, member.server.zone == reader.server.zone))
-    }
-
     /// The engine that all instances rank first for the longest shared part.
-    fn primary(&self) -> Option<ServerId> {
+    fn primary(&self) -> Option<MemberKey> {
         let part = self.plan.prompt.as_ref()?.shared().iter().max_by_key(|part| part.tokens)?;
-        let view = self.view;
-        let usable = self.members.values().map(|member| &member.server).filter(|server| {
-            server.service == self.plan.service
-                && !server.leaving
-                && !view.evacuated.contains(&server.zone)
-        });
-        usable.max_by_key(|server| affinity(part, server)).map(|server| server.id.clone())
+        self.roster.primary(&self.plan.service, &part.id, |member| {
+            !member.server.leaving && !member.standing.evacuated
+        })
     }
 
-    /// Name space of cached parts: another organisation's parts are never found where one of the
-    /// two is isolated, nor parts made on other weights.
-    fn salt(&self, weights: WeightVersion) -> String {
-        let organisation = self.plan.organisation.as_ref().filter(|o| o.isolated);
-        salt(weights, organisation.map(|organisation| &*organisation.name))
+    /// How the chosen engine is to run the prompt.
+    fn run(&self, key: MemberKey, prompt: &Prompt, access: &Access) -> EngineRun {
+        let Reading { weights, salt, parts, .. } = &self.readings[access.reading];
+        let fetch = match access.source {
+            Source::Nowhere => Fetch::None,
+            Source::Engine(source) => Fetch::Engine(self.roster[source].server.address),
+            Source::Stores => {
+                let mut sources = vec![None; parts.len()];
+                self.stored(key, access.reading, |place, _, shelf| {
+                    sources[place] = Some(shelf.address);
+                });
+                let until = self.view.server_time(self.view.heard + READ_LIMIT);
+                until.map_or(Fetch::None, |until| Fetch::Stores { sources, until })
+            }
+        };
+        EngineRun {
+            model: prompt.model.clone(),
+            weights: *weights,
+            salt: salt.clone(),
+            fetch,
+            save: self.saves(prompt, parts),
+            rank: self.plan.rank(),
+        }
     }
 
     /// The attempt at the chosen upstream.
-    fn attempt(self, mut offer: Offer) -> Candidate {
-        if let (Some(prompt), Some(run)) = (&self.plan.prompt, &mut offer.run) {
-            run.save = self.saves(prompt, &part_keys(prompt, &run.salt));
-        }
-        let member = &self.members[&offer.id];
+    fn attempt(&self, offer: &Offer) -> Attempt {
+        let member = &self.roster[offer.key];
         let route = &self.plan.route;
         let runs_left = route.attempts.saturating_sub(self.plan.runs + 1);
         let is_last = !route.repeat.is_repeatable() || runs_left == 0;
@@ -432,46 +516,20 @@
             .max((offer.expected + member.delay(self.now)) * PATIENCE_EXPECTED);
         let patience = (!is_last).then(|| Duration::from_secs_f64(seconds));
         let pause = route.pause.filter(|_| !is_last).map(|pause| pause.mul_f64(PAUSE_PART));
-        Candidate::Best(Box::new(Attempt {
+        let engine = self.plan.prompt.as_ref().zip(offer.access.as_ref());
+        Attempt {
             server: member.server.clone(),
-            engine: offer.run,
+            engine: engine.map(|(prompt, access)| self.run(offer.key, prompt, access)),
             patience,
             pause,
             expected: Duration::from_secs_f64(offer.expected),
-            unread_tokens: offer.unread_tokens,
+            unread_tokens: offer.access.as_ref().map_or(0, |access| access.unread_tokens.into()),
             sent: self.now,
             cold: member.is_cold(self.now),
-        }))
+        }
     }
 }
 
-/// What an engine has to read.
-struct Reading {
-    /// Time until all is read, in seconds.
-    time: f64,
-    /// The same with what it keeps the engine from.
-    cost: f64,
-    fetch: Fetch,
-    unread_tokens: u64,
-}
-
-/// How many instances come before this one at an upstream, by a hash that all compute alike.
-fn own_rank(view: &View, id: &ServerId) -> usize {
-    let rank = |address: &SocketAddr| {
-        let mut hasher = FxHasher::default();
-        address.hash(&mut hasher);
-        id.hash(&mut hasher);
-        spread(hasher.finish())
-    };
-    let Some(own) = view.own.as_ref().map(rank) else { return usize::MAX };
-    view.peers.iter().filter(|peer| rank(peer) > own).count()
-}
-
-/// Spreads a hash whose last steps leave similar keys close together.
-fn spread(hash: u64) -> u64 {
-    hash.wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(31)
-}
-
 /// Connections that this instance may open to one upstream.
 fn connection_share(service: &Service, instances: u32) -> u32 {
     service.connections.map_or(u32::MAX, |all| (all / instances.max(1)).max(1))
@@ -488,11 +546,3 @@
     let needed = load.memory_tokens + prompt.memory_tokens();
     load.running > 0 && needed as f64 > terms.memory_tokens as f64 * MEMORY_PART
 }
-
-/// Rank of an upstream for a part; the same on all instances.
-fn affinity(part: &Part, server: &Server) -> u64 {
-    let mut hasher = FxHasher::default();
-    part.id.hash(&mut hasher);
-    server.id.hash(&mut hasher);
-    spread(hasher.finish())
-}
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -14,8 +14,9 @@
 use super::gossip::{LifeId, Load, Read, ServerKey, Tallies, Tally, part_keys};
 use super::member::Member;
 use super::plan::{Attempt, Ending, Plan, Reason, Refusal, Step};
+use super::roster::Roster;
 use super::save::Saves;
-use super::view::{ServerId, View, Weights};
+use super::view::{View, Weights};
 use super::window::{ColdTerms, RetryBudget, RetryTerms};
 use crate::{Time, Verdict};
 
@@ -55,10 +56,9 @@
     view: Option<Arc<View>>,
     /// When it saw its first view.
     begun: Option<Time>,
-    members: FxHashMap<ServerId, Member>,
+    roster: Roster,
     budgets: FxHashMap<ServiceName, RetryBudget>,
     rng: ChaCha12Rng,
-    keys: FxHashMap<ServerKey, ServerId>,
     tallies: Tallies,
     life: LifeId,
     sequence: u64,
@@ -75,9 +75,8 @@
             terms,
             view: None,
             begun: None,
-            members: FxHashMap::default(),
+            roster: Roster::default(),
             budgets: FxHashMap::default(),
-            keys: FxHashMap::default(),
             tallies: Tallies::default(),
             life: rng.random(),
             sequence: 0,
@@ -96,17 +95,7 @@
     /// Takes a newer view.
     pub fn observe(&mut self, now: Time, view: Arc<View>) {
         self.begun.get_or_insert(now);
-        self.members.retain(|id, _| view.servers.contains_key(id) || view.lapsed.contains_key(id));
-        for (id, server) in &view.servers {
-            let member = self.members.entry(id.clone());
-            member.or_insert_with(|| Member::new(now, server.clone())).update(now, server.clone());
-        }
-        self.keys = self.members.iter().map(|(id, member)| (member.key, id.clone())).collect();
-        for (id, model, version) in &view.loaded {
-            if let Some(member) = self.members.get_mut(id) {
-                member.learn_weights(model, *version);
-            }
-        }
+        self.roster.observe(now, &view);
         self.view = Some(view);
     }
 
@@ -117,7 +106,7 @@
 
     /// What is believed of an upstream.
     pub fn member(&self, id: &str) -> Option<&Member> {
-        self.members.get(id)
+        self.roster.get(id)
     }
 
     /// Finds the request's route, service and organisation.
@@ -183,10 +172,11 @@
             view,
             begun: self.begun.unwrap_or(now),
             plan,
-            members: &mut self.members,
+            roster: &mut self.roster,
             tallies: &self.tallies,
             saves: &self.saves,
             rng: &mut self.rng,
+            readings: Vec::new(),
         }
     }
 
@@ -202,7 +192,7 @@
             }
         }
         plan.sends += 1;
-        if let Some(member) = self.members.get_mut(&attempt.server.id) {
+        if let Some(member) = self.roster.get_mut(&attempt.server.id) {
             member.sent(now);
             let memory_tokens = plan.prompt.as_ref().map_or(0, Prompt::memory_tokens);
             let unread_tokens = attempt.unread_tokens;
@@ -219,11 +209,11 @@
 
     /// An engine reads a prompt that this instance or another one sent.
     fn take_read(&mut self, read: &Read) {
-        let Some(id) = self.keys.get(&read.server) else { return };
-        let Some(member) = self.members.get_mut(id) else { return };
+        let Some(key) = self.roster.by_short_name(read.server) else { return };
+        let member = &self.roster[key];
         let memory = engine_memory(self.view.as_deref(), &member.server.service);
         let running = member.own.plus(self.tallies.load(read.server)).memory_tokens;
-        member.cache.read(&read.parts, memory.saturating_sub(running));
+        self.roster.reads(key, &read.parts, memory.saturating_sub(running));
     }
 
     /// Takes in what another instance tells.
@@ -254,7 +244,7 @@
 
     /// Own work by upstream.
     fn loads(&self) -> BTreeMap<ServerKey, Load> {
-        let busy = self.members.values().filter(|member| member.own != Load::default());
+        let busy = self.roster.values().filter(|member| member.own != Load::default());
         busy.map(|member| (member.key, member.own)).collect()
     }
 
@@ -273,13 +263,13 @@
         }
         let choice = self.chooser(now, &view, &plan).choose();
         let Candidate::Best(other) = choice else { return false };
-        let delay = self.members.get(&other.server.id).map_or(0.0, |member| member.delay(now));
+        let delay = self.roster.get(&other.server.id).map_or(0.0, |member| member.delay(now));
         other.expected + Duration::from_secs_f64(delay) < plan.route.aim
     }
 
     /// Takes in that an attempt's first event, or whole plain answer, came.
     pub fn began(&mut self, now: Time, plan: &Plan, attempt: &mut Attempt) {
-        let Some(member) = self.members.get_mut(&attempt.server.id) else { return };
+        let Some(member) = self.roster.get_mut(&attempt.server.id) else { return };
         let took = now.saturating_sub(attempt.sent);
         let expected = match attempt.engine {
             Some(_) => attempt.expected,
@@ -307,7 +297,7 @@
             plan.tried.push(attempt.server.id.clone());
         }
         let view = self.view.clone();
-        let Some(member) = self.members.get_mut(&attempt.server.id) else { return };
+        let Some(member) = self.roster.get_mut(&attempt.server.id) else { return };
         let memory_tokens = plan.prompt.as_ref().map_or(0, Prompt::memory_tokens);
         let unread_tokens = attempt.unread_tokens;
         member.own = member.own.minus(Load { running: 1, unread_tokens, memory_tokens });
--- a/crates/policy/src/gateway/member.rs
+++ b/crates/policy/src/gateway/member.rs
@@ -8,7 +8,8 @@
 
 use super::configuration::{ModelName, Service};
 use super::gossip::{Load, PartKey, ServerKey, server_key};
-use super::view::{Server, WeightVersion};
+use super::roster::own_rank;
+use super::view::{Server, View, WeightVersion};
 use super::window::Window;
 use crate::Time;
 
@@ -49,6 +50,8 @@
     pub paused_until: Time,
     /// Its cached parts.
     pub cache: Cache,
+    /// What the newest view says of it besides its entry.
+    pub standing: Standing,
     sends: Window,
     failures: f64,
     failures_at: Time,
@@ -71,6 +74,7 @@
             cold_until,
             paused_until: Time::ZERO,
             cache: Cache::default(),
+            standing: Standing::default(),
             sends: Window::new(COLD_SPAN),
             failures: 0.0,
             failures_at: now,
@@ -99,6 +103,22 @@
         self.server = server;
     }
 
+    /// Takes in what a newer view says of it besides its entry.
+    pub fn observe(&mut self, view: &View) {
+        let id = &self.server.id;
+        self.standing = Standing {
+            loading: view.loading.contains(id),
+            evacuated: view.evacuated.contains(&self.server.zone),
+            lapsed: view.lapsed.get(id).map(|(_, since)| *since),
+            rank: None,
+        };
+    }
+
+    /// How many instances come before this one there.
+    pub fn rank(&mut self, view: &View) -> usize {
+        *self.standing.rank.get_or_insert_with(|| own_rank(view, &self.server.id))
+    }
+
     /// Counts a request that goes there.
     pub fn sent(&mut self, now: Time) {
         self.sends.add(now);
@@ -147,6 +167,9 @@
 
     /// Share of recent requests that failed, from zero to one.
     pub fn failure_share(&self, now: Time) -> f64 {
+        if self.failures == 0.0 {
+            return 0.0;
+        }
         let age = now.saturating_sub(self.failures_at).as_secs_f64();
         self.failures * 0.5_f64.powf(age / TROUBLE_HALF_LIFE)
     }
@@ -166,6 +189,9 @@
 
     /// Expected wait in its queue, in seconds.
     pub fn delay(&self, now: Time) -> f64 {
+        if self.delay == 0.0 {
+            return 0.0;
+        }
         let age = now.saturating_sub(self.delay_at).as_secs_f64();
         self.delay * 0.5_f64.powf(age / DELAY_HALF_LIFE)
     }
@@ -202,6 +228,19 @@
     }
 }
 
+/// What a view says of an upstream besides its entry.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Standing {
+    /// It loads weights.
+    pub loading: bool,
+    /// Its availability zone gets no new work.
+    pub evacuated: bool,
+    /// Its entry left the list then, while the store was in trouble.
+    pub lapsed: Option<Time>,
+    /// Instances that come before this one there, once somebody asked.
+    rank: Option<usize>,
+}
+
 /// Parts that an engine probably holds, least recently used last.
 #[derive(Debug, Default)]
 pub struct Cache {
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod member;
 mod plan;
 pub mod rollout;
+mod roster;
 mod save;
 pub mod stock;
 mod view;
--- /dev/null
+++ b/crates/policy/src/gateway/roster.rs
@@ -0,0 +1,233 @@
+//! Upstreams that this instance knows, so arranged that a choice among thousands looks at some tens.
+//!
+//! Members are found by id, by service, by the parts that they hold, and by a ring
+//! on which all instances rank the upstreams of a service alike for a part.
+
+use std::hash::{Hash, Hasher};
+use std::ops::{Index, IndexMut};
+
+use rand::RngExt;
+use rand_chacha::ChaCha12Rng;
+use rustc_hash::{FxHashMap, FxHasher};
+use slotmap::{SlotMap, new_key_type};
+
+use super::configuration::ServiceName;
+use super::gossip::{PartKey, ServerKey};
+use super::member::Member;
+use super::view::{ServerId, View};
+use crate::Time;
+
+/// Points of an upstream on its service's ring: parts then spread over upstreams within a third.
+const RING_POINTS: u64 = 8;
+/// Holders of a prompt's parts with which the search for more ends: one of them is near and not busy.
+const HOLDERS_WANTED: usize = 8;
+/// Holders of one part that are looked at; hot parts have hundreds.
+const HOLDERS_SEEN: usize = 32;
+/// Entries of the index of holders from which forgotten ones are looked for.
+const HOLDERS_LIMIT: usize = 1_024;
+
+new_key_type! {
+    /// A member for as long as its upstream is known.
+    pub struct MemberKey;
+}
+
+/// All members.
+#[derive(Debug, Default)]
+pub struct Roster {
+    members: SlotMap<MemberKey, Member>,
+    ids: FxHashMap<ServerId, MemberKey>,
+    keys: FxHashMap<ServerKey, MemberKey>,
+    groups: FxHashMap<ServiceName, Group>,
+    /// Members that read a part; some may have dropped it since.
+    holders: FxHashMap<PartKey, Vec<MemberKey>>,
+    /// Entries of `holders` at which it is cleared next.
+    holders_limit: usize,
+}
+
+/// The upstreams of one service.
+#[derive(Debug, Default)]
+struct Group {
+    keys: Vec<MemberKey>,
+    /// Points in order.
+    ring: Vec<(u64, MemberKey)>,
+}
+
+impl Roster {
+    /// Takes a newer view in.
+    pub fn observe(&mut self, now: Time, view: &View) {
+        let mut is_changed = false;
+        self.members.retain(|_, member| {
+            let id = &member.server.id;
+            let is_kept = view.servers.contains_key(id) || view.lapsed.contains_key(id);
+            is_changed |= !is_kept;
+            is_kept
+        });
+        if is_changed {
+            self.ids.retain(|_, key| self.members.contains_key(*key));
+        }
+        for (id, server) in &view.servers {
+            if let Some(member) = self.get_mut(id) {
+                is_changed |= member.server.service != server.service;
+                member.update(now, server.clone());
+            } else {
+                let key = self.members.insert(Member::new(now, server.clone()));
+                self.ids.insert(id.clone(), key);
+                is_changed = true;
+            }
+        }
+        for (id, model, version) in &view.loaded {
+            if let Some(member) = self.get_mut(id) {
+                member.learn_weights(model, *version);
+            }
+        }
+        self.members.values_mut().for_each(|member| member.observe(view));
+        if is_changed {
+            self.arrange();
+        }
+    }
+
+    /// Builds the indexes of a changed membership.
+    fn arrange(&mut self) {
+        self.keys = self.members.iter().map(|(key, member)| (member.key, key)).collect();
+        self.groups.clear();
+        for (key, member) in &self.members {
+            let group = self.groups.entry(member.server.service.clone()).or_default();
+            group.keys.push(key);
+            group
+                .ring
+                .extend((0..RING_POINTS).map(|point| (place(&(&member.server.id, point)), key)));
+        }
+        self.groups.values_mut().for_each(|group| group.ring.sort_unstable());
+    }
+
+    /// The member with an upstream's id.
+    pub fn get(&self, id: &str) -> Option<&Member> {
+        self.members.get(*self.ids.get(id)?)
+    }
+
+    /// The same, to change it.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut Member> {
+        self.members.get_mut(*self.ids.get(id)?)
+    }
+
+    /// The member with a short name.
+    pub fn by_short_name(&self, key: ServerKey) -> Option<MemberKey> {
+        self.keys.get(&key).copied()
+    }
+
+    /// All members.
+    pub fn values(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// All members of a service.
+    pub fn of_service(&self, service: &ServiceName) -> &[MemberKey] {
+        self.groups.get(service).map_or(&[], |group| &group.keys)
+    }
+
+    /// `count` members of a service, drawn at random; some may be drawn twice.
+    pub fn sample(
+        &self,
+        service: &ServiceName,
+        count: usize,
+        rng: &mut ChaCha12Rng,
+    ) -> Vec<MemberKey> {
+        let keys = self.of_service(service);
+        if keys.is_empty() {
+            return Vec::new();
+        }
+        (0..count).map(|_| keys[rng.random_range(0..keys.len())]).collect()
+    }
+
+    /// The first usable member that all instances rank for a part.
+    pub fn primary(
+        &self,
+        service: &ServiceName,
+        part: &str,
+        is_usable: impl Fn(&Member) -> bool,
+    ) -> Option<MemberKey> {
+        let ring = &self.groups.get(service)?.ring;
+        let start = place(&part);
+        let (before, after) = ring.split_at(ring.partition_point(|(point, _)| *point < start));
+        let mut order = after.iter().chain(before);
+        order.find(|(_, key)| is_usable(&self.members[*key])).map(|(_, key)| *key)
+    }
+
+    /// A member reads a prompt.
+    pub fn reads(&mut self, key: MemberKey, parts: &[(PartKey, u32)], capacity: u64) {
+        self.members[key].cache.read(parts, capacity);
+        for (part, _) in parts {
+            let holders = self.holders.entry(*part).or_default();
+            if !holders.contains(&key) {
+                holders.push(key);
+            }
+        }
+        if self.holders.len() >= self.holders_limit.max(HOLDERS_LIMIT) {
+            self.forget_dropped();
+        }
+    }
+
+    fn forget_dropped(&mut self) {
+        let members = &self.members;
+        self.holders.retain(|part, holders| {
+            holders.retain(|key| members.get(*key).is_some_and(|m| m.cache.holds(*part)));
+            !holders.is_empty()
+        });
+        self.holders_limit = self.holders.len() * 2;
+    }
+
+    /// Some usable members that hold the most of a prompt, with the tokens that they hold from its
+    /// start on. `point` says at which of a part's holders the search begins.
+    pub fn holders(
+        &self,
+        parts: &[(PartKey, u32)],
+        point: usize,
+        is_usable: impl Fn(&Member) -> bool,
+    ) -> Vec<(MemberKey, u32)> {
+        let mut found: Vec<(MemberKey, u32)> = Vec::new();
+        for (part, _) in parts.iter().rev() {
+            let Some(known) = self.holders.get(part) else { continue };
+            let (before, after) = known.split_at(point % known.len());
+            for key in after.iter().chain(before).take(HOLDERS_SEEN) {
+                let Some(member) = self.members.get(*key) else { continue };
+                let is_known = found.iter().any(|(known, _)| known == key);
+                let tokens = member.cache.held_tokens(parts);
+                if tokens > 0 && !is_known && is_usable(member) {
+                    found.push((*key, tokens));
+                }
+            }
+            if found.len() >= HOLDERS_WANTED {
+                break;
+            }
+        }
+        found
+    }
+}
+
+impl Index<MemberKey> for Roster {
+    type Output = Member;
+
+    fn index(&self, key: MemberKey) -> &Member {
+        &self.members[key]
+    }
+}
+
+impl IndexMut<MemberKey> for Roster {
+    fn index_mut(&mut self, key: MemberKey) -> &mut Member {
+        &mut self.members[key]
+    }
+}
+
+/// How many instances come before this one at an upstream, in an order that all compute alike.
+pub fn own_rank(view: &View, id: &ServerId) -> usize {
+    let Some(own) = view.own.as_ref().map(|own| place(&(own, id))) else { return usize::MAX };
+    view.peers.iter().filter(|peer| place(&(*peer, id)) > own).count()
+}
+
+/// A point that all instances compute alike.
+fn place(value: &impl Hash) -> u64 {
+    let mut hasher = FxHasher::default();
+    value.hash(&mut hasher);
+    // The last steps of the hash leave similar keys close together.
+    hasher.finish().wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(31)
+}
--- a/crates/policy/src/gateway/view.rs
+++ b/crates/policy/src/gateway/view.rs
@@ -103,7 +103,7 @@
     }
 
     /// All versions with their times.
-    pub fn iter(&self) -> impl Iterator<Item = (WeightVersion, Time)> {
+    pub fn iter(&self) -> impl DoubleEndedIterator<Item = (WeightVersion, Time)> {
         self.named.iter().copied()
     }
 }
--- a/crates/policy/tests/gateway_machine.rs
+++ b/crates/policy/tests/gateway_machine.rs
@@ -189,3 +189,55 @@
         world.end(&mut plan, &next, Ending::Answered);
     }
 }
+
+#[test]
+fn next_finds_holder_among_thousands() {
+    let mut world = World::new(2_000);
+    let mut plan = world.admit_prompt("report", 20_000);
+    let first = world.send(&mut plan);
+    world.end(&mut plan, &first, Ending::Answered);
+    for _ in 0..50 {
+        let mut plan = world.admit_prompt("report", 20_000);
+        let again = world.send(&mut plan);
+        assert_eq!(again.server.id, first.server.id);
+        world.end(&mut plan, &again, Ending::Answered);
+    }
+}
+
+#[test]
+fn next_reads_a_new_part_where_all_instances_do() {
+    let places = (0..5).map(|seed| {
+        let mut world = World::with_seed(2_000, seed);
+        let mut plan = world.admit_prompt("report", 20_000);
+        world.send(&mut plan).server.id.clone()
+    });
+    let places: std::collections::BTreeSet<_> = places.collect();
+    assert_eq!(places.len(), 1, "{places:?}");
+}
+
+#[test]
+fn next_finds_the_only_upstream_left_among_thousands() {
+    let mut world = World::new(2_000);
+    world.change(|view, _| {
+        let others = view.servers.keys().filter(|id| &***id != "s1234").cloned();
+        view.loading = others.collect();
+    });
+    for _ in 0..5 {
+        let mut plan = world.admit("/read/", "key").unwrap();
+        let attempt = world.send(&mut plan);
+        assert_eq!(&*attempt.server.id, "s1234");
+        world.end(&mut plan, &attempt, Ending::Answered);
+    }
+}
+
+#[test]
+fn next_spreads_over_a_large_service() {
+    let mut world = World::new(200);
+    let mut most = std::collections::BTreeMap::new();
+    for _ in 0..400 {
+        let mut plan = world.admit("/read/", "key").unwrap();
+        *most.entry(world.send(&mut plan).server.id.clone()).or_insert(0) += 1;
+    }
+    // Two each is even; the choice among a sample stays within twice that.
+    assert!(most.values().all(|count| *count <= 4), "{most:?}");
+}
