An entry instance can run beside others of one process; placement rules to compare with

Change: gateway::Instance runs the two threads and hears orders (Change, Stop); process turns signals and the settings file into them. Terms::placement names the rule of a choice: ours, least loaded (no caches), random; the process always takes ours. Tests: the 12 end-to-end cases of daemon/tests/platform and 16 of gateway_machine pass.

--- /dev/null
+++ b/crates/gateway/src/instance.rs
@@ -0,0 +1,243 @@
+//! A running entry instance: its two threads, from its settings to its end.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use acacia_platform::Settings;
+use acacia_policy::gateway::window::{ColdTerms, RetryTerms};
+use acacia_policy::gateway::{Gateway, Placement, Terms, View};
+use miette::IntoDiagnostic;
+use rand::RngExt;
+use tokio::sync::{mpsc, watch};
+use tokio::task::LocalSet;
+use tracing_appender::non_blocking::ErrorCounter;
+
+use crate::clock::Clock;
+use crate::control::Control;
+use crate::gossip;
+use crate::listener::{listen, serve, serve_metrics, serve_ready};
+use crate::log::Volume;
+use crate::metric::Metrics;
+use crate::traffic::{Phase, Traffic};
+
+/// Time after the order to stop for which new callers are still taken: the platform asks each
+/// second, and sends none after the second answer that says no.
+const LINGER: Duration = Duration::from_millis(2_700);
+/// Time between looks at whether all requests are answered.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+/// Time before the kill when the process ends by itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(300);
+/// Time between notes on log lines that were left out.
+const LINES_LOOK: Duration = Duration::from_secs(1);
+/// Time without the store after which nothing is denied by what it said: a short fault of a single
+/// call is over by then.
+const STALE_AFTER: Duration = Duration::from_millis(500);
+
+/// An instance on threads of its own, beside others of the same process.
+pub struct Instance {
+    /// Where callers connect.
+    pub address: SocketAddr,
+    /// Where it says whether it is ready.
+    pub ready: SocketAddr,
+    orders: mpsc::UnboundedSender<Order>,
+    thread: JoinHandle<miette::Result<()>>,
+}
+
+/// What a running instance is told.
+#[derive(Debug)]
+pub enum Order {
+    /// Other settings hold.
+    Change(Box<Settings>),
+    /// It is to answer what it has and end.
+    Stop,
+}
+
+impl Instance {
+    /// Starts an instance. The process's log is the caller's to set up.
+    ///
+    /// # Errors
+    /// If no thread can be started. An address that is taken shows when it is stopped.
+    pub fn start(settings: Settings, placement: Placement) -> miette::Result<Self> {
+        let (address, ready) = (settings.traffic_address, settings.ready_address);
+        let (orders, ordered) = mpsc::unbounded_channel();
+        let thread = std::thread::Builder::new()
+            .name("traffic".to_owned())
+            .spawn(move || run(settings, placement, None, async move |_| ordered))
+            .into_diagnostic()?;
+        Ok(Self { address, ready, orders, thread })
+    }
+
+    /// Stops it without cutting a request off, and waits for its end.
+    ///
+    /// # Errors
+    /// If it could not listen.
+    pub fn stop(self) -> miette::Result<()> {
+        // An instance that ended by itself says why when it is joined.
+        let _ = self.orders.send(Order::Stop);
+        match self.thread.join() {
+            Ok(ended) => ended,
+            Err(_) => Err(miette::miette!("the traffic thread failed")),
+        }
+    }
+}
+
+/// Runs an instance on this thread until it is told to stop. `orders` gives its orders, once the
+/// runtime of the traffic thread is there.
+pub(crate) fn run(
+    settings: Settings,
+    placement: Placement,
+    lines: Option<ErrorCounter>,
+    orders: impl AsyncFnOnce(&Settings) -> mpsc::UnboundedReceiver<Order>,
+) -> miette::Result<()> {
+    let clock = Clock::start();
+    let metrics = Metrics::new().into_diagnostic()?;
+    let (views, viewed) = watch::channel(None);
+    let (stop, stopped) = watch::channel(false);
+    let control = {
+        let (settings, metrics) = (settings.clone(), metrics.clone());
+        std::thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || control(clock, settings, metrics, views, stopped))
+            .into_diagnostic()?
+    };
+    let terms = Terms { placement, ..terms(&settings) };
+    let traffic = Rc::new(Traffic {
+        clock,
+        gateway: RefCell::new(Gateway::new(terms, rand::rng().random())),
+        pool: RefCell::default(),
+        metrics,
+        volume: Volume::default(),
+        phase: Cell::new(Phase::Serving),
+        open: Cell::new(0),
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let ended = LocalSet::new().block_on(&runtime.into_diagnostic()?, async {
+        let orders = orders(&settings).await;
+        tokio::task::spawn_local(count_lines(traffic.clone(), lines));
+        serve_all(traffic, settings, viewed, orders).await
+    });
+    stop.send_replace(true);
+    if control.join().is_err() {
+        tracing::error!("the control thread failed");
+    }
+    tracing::info!("stopped");
+    ended
+}
+
+/// The control thread.
+fn control(
+    clock: Clock,
+    settings: Settings,
+    metrics: Metrics,
+    views: watch::Sender<Option<Arc<View>>>,
+    stopped: watch::Receiver<bool>,
+) {
+    match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => {
+            let control = Rc::new(Control::new(clock, settings, metrics, views));
+            LocalSet::new().block_on(&runtime, control.run(stopped));
+        }
+        Err(error) => tracing::error!(%error, "the control thread can't start"),
+    }
+}
+
+/// The traffic thread.
+async fn serve_all(
+    traffic: Rc<Traffic>,
+    settings: Settings,
+    viewed: watch::Receiver<Option<Arc<View>>>,
+    mut orders: mpsc::UnboundedReceiver<Order>,
+) -> miette::Result<()> {
+    let (phases, phase) = watch::channel(Phase::Serving);
+    let ready = listen(settings.ready_address).into_diagnostic()?;
+    let callers = listen(settings.traffic_address).into_diagnostic()?;
+    tokio::task::spawn_local(serve_ready(traffic.clone(), ready));
+    tokio::task::spawn_local(serve(traffic.clone(), callers, phase));
+    if let Some(address) = settings.metrics_address {
+        let metrics = listen(address).into_diagnostic()?;
+        tokio::task::spawn_local(serve_metrics(traffic.clone(), metrics));
+    }
+    if let Some(address) = settings.peer_address {
+        tokio::task::spawn_local(gossip::run(traffic.clone(), address));
+    }
+    tokio::task::spawn_local(observe(traffic.clone(), viewed));
+    tracing::info!(
+        instance = settings.instance,
+        zone = settings.zone,
+        traffic = %settings.traffic_address,
+        store = %settings.store_address,
+        version = env!("CARGO_PKG_VERSION"),
+        "started"
+    );
+    let mut grace = settings.bounds.grace;
+    // Orders end with the one to stop, or when nobody is left to give any.
+    while let Some(Order::Change(settings)) = orders.recv().await {
+        grace = settings.bounds.grace;
+        let placement = traffic.gateway.borrow().terms().placement;
+        traffic.gateway.borrow_mut().set_terms(Terms { placement, ..terms(&settings) });
+    }
+    leave(&traffic, &phases, grace).await;
+    Ok(())
+}
+
+/// Stops without cutting a request off: callers are sent elsewhere first.
+async fn leave(traffic: &Traffic, phases: &watch::Sender<Phase>, grace: Duration) {
+    let begun = traffic.now();
+    let enter = |phase| {
+        tracing::info!(phase = ?phase, open_connections = traffic.open.get(), "stopping");
+        traffic.phase.set(phase);
+        phases.send_replace(phase);
+    };
+    enter(Phase::Leaving);
+    tokio::time::sleep(LINGER.min(grace / 2)).await;
+    enter(Phase::Closing);
+    while traffic.open.get() > 0 && traffic.now() < begun + grace.saturating_sub(GRACE_MARGIN) {
+        tokio::time::sleep(STOP_LOOK).await;
+    }
+}
+
+/// Takes each newer view in.
+async fn observe(traffic: Rc<Traffic>, mut viewed: watch::Receiver<Option<Arc<View>>>) {
+    while viewed.changed().await.is_ok() {
+        let view = viewed.borrow_and_update().clone();
+        if let Some(view) = view {
+            traffic.observe(view);
+        }
+    }
+}
+
+/// Notes log lines that were left out.
+async fn count_lines(traffic: Rc<Traffic>, unwritten: Option<ErrorCounter>) {
+    let mut before = 0;
+    loop {
+        tokio::time::sleep(LINES_LOOK).await;
+        let now = unwritten.as_ref().map_or(0, ErrorCounter::dropped_lines);
+        let lines = traffic.volume.left_out() + (now - before) as u64;
+        before = now;
+        if lines > 0 {
+            traffic.metrics.lines_dropped(lines);
+            tracing::info!(lines, "log lines were left out");
+        }
+    }
+}
+
+/// What the deployment allows, as decisions need it.
+fn terms(settings: &Settings) -> Terms {
+    let bounds = &settings.bounds;
+    Terms {
+        zone: settings.zone.as_str().into(),
+        retries: RetryTerms {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window: bounds.retry_window,
+        },
+        cold: ColdTerms { factor: bounds.cold_factor, slack: bounds.cold_slack },
+        weights_limit: bounds.weights,
+        stale_after: STALE_AFTER,
+        placement: Placement::default(),
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod event;
 mod gossip;
 mod holder;
+mod instance;
 mod librarian;
 mod listener;
 mod log;
@@ -27,4 +28,5 @@
 mod traffic;
 
 pub use event::Splitter;
+pub use instance::Instance;
 pub use process::{check, run};
--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -17,7 +17,7 @@
 use super::call::Prompt;
 use super::configuration::{EngineTerms, Role, Service};
 use super::gossip::{Load, PartKey, Tallies, part_keys};
-use super::machine::{Terms, weights_end};
+use super::machine::{Placement, Terms, weights_end};
 use super::member::{COLD_SPAN, Member};
 use super::plan::{Attempt, EngineRun, Fetch, Plan};
 use super::roster::{MemberKey, Roster};
@@ -284,6 +284,24 @@
         key: MemberKey,
         lapsed: bool,
         is_primary: bool,
+    ) -> Option<Offer> {
+        let offer = self.full_cost(service, key, lapsed, is_primary)?;
+        let access = offer.access.as_ref().map_or(0.0, |access| access.cost);
+        let cost = match self.terms.placement {
+            Placement::Ours => offer.cost,
+            Placement::LeastLoaded => offer.cost - access,
+            Placement::Random => self.rng.random(),
+        };
+        Some(Offer { cost, ..offer })
+    }
+
+    /// The same by the rule that weighs all.
+    fn full_cost(
+        &mut self,
+        service: &Service,
+        key: MemberKey,
+        lapsed: bool,
+        is_primary: bool,
     ) -> Option<Offer> {
         let aim = self.plan.route.aim.as_secs_f64();
         let member = &self.roster[key];
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -7,6 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha12Rng;
 use rustc_hash::FxHashMap;
+use strum::{Display, EnumString};
 
 use super::call::{Call, Prompt};
 use super::choice::{Candidate, Chooser};
@@ -48,6 +49,21 @@
     pub weights_limit: Duration,
     /// Age of a configuration from which nothing is denied by it.
     pub stale_after: Duration,
+    /// What a choice weighs.
+    pub placement: Placement,
+}
+
+/// What the choice of an engine weighs; others than the first are baselines to compare it with.
+#[derive(Clone, Copy, Debug, Default, Display, EnumString, Eq, PartialEq)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Placement {
+    /// Load, and which parts of the prompt lie where.
+    #[default]
+    Ours,
+    /// Load only.
+    LeastLoaded,
+    /// Neither.
+    Random,
 }
 
 /// Decides each request of one instance.
@@ -87,6 +103,11 @@
         }
     }
 
+    /// What the deployment allows.
+    pub fn terms(&self) -> &Terms {
+        &self.terms
+    }
+
     /// Takes other terms.
     pub fn set_terms(&mut self, terms: Terms) {
         self.terms = terms;
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -22,7 +22,7 @@
 
 pub use call::{Call, Part, Prompt};
 pub use configuration::Configuration;
-pub use machine::{Gateway, Terms};
+pub use machine::{Gateway, Placement, Terms};
 pub use member::Member;
 pub use plan::{Attempt, Ending, EngineRun, Fetch, Plan, Reason, Refusal, Step};
 pub use view::{Server, ServerId, View, WeightVersion, Weights};
--- a/crates/policy/tests/gateway_world/mod.rs
+++ b/crates/policy/tests/gateway_world/mod.rs
@@ -12,8 +12,8 @@
 };
 use acacia_policy::gateway::window::{ColdTerms, RetryTerms};
 use acacia_policy::gateway::{
-    Attempt, Call, Configuration, Ending, Gateway, Part, Plan, Prompt, Refusal, Server, Step,
-    Terms, View,
+    Attempt, Call, Configuration, Ending, Gateway, Part, Placement, Plan, Prompt, Refusal, Server,
+    Step, Terms, View,
 };
 
 /// The model that engines serve.
@@ -161,6 +161,7 @@
         cold: ColdTerms { factor: 1.5, slack: 5.0 },
         weights_limit: Duration::from_secs(8),
         stale_after: Duration::from_millis(500),
+        placement: Placement::default(),
     }
 }
 
