--- a/crates/cli/src/command/demo.rs
+++ b/crates/cli/src/command/demo.rs
@@ -1,11 +1,22 @@
 //! `acacia demo`.
 
+use std::time::Duration;
+
+use acacia_policy::gateway::Placement;
 use bpaf::Bpaf;
 
-use super::load::{judged, system_failure};
+use super::load::{failure, judged, system_failure};
 use crate::Failure;
 use crate::demo::{self, Options};
+use crate::load::workload::User;
 use crate::output::{Format, format};
+use crate::site::compare as site;
+use crate::site::trouble::Trouble;
+use crate::site::workload::Shape;
+
+/// How long callers ask in the demo of the platform, with each rule: the weights of nine engines
+/// change within it.
+const PLATFORM_LENGTH: Duration = Duration::from_secs(15);
 
 /// Plays a small workload against a whole system on loopback.
 #[derive(Bpaf, Clone, Debug)]
@@ -16,6 +27,9 @@
     /// Seed of the workload
     #[bpaf(argument("NUMBER"), fallback(1), display_fallback)]
     pub(super) seed: u64,
+    /// Show the users' platform instead: ours beside least-loaded while weights change and an engine
+    /// goes
+    pub(super) platform: bool,
     /// Stay up at the end and print the addresses
     pub(super) keep: bool,
     #[bpaf(external)]
@@ -24,7 +38,21 @@
 
 impl Demo {
     pub(super) async fn run(self) -> Result<(), Failure> {
-        let Self { scale, seed, keep, format } = self;
+        let Self { scale, seed, platform, keep, format } = self;
+        if platform {
+            let options = site::Options {
+                user: User::Actas,
+                placements: vec![Placement::Ours, Placement::LeastLoaded],
+                shape: Shape::Steady,
+                load: 1.0,
+                length: PLATFORM_LENGTH,
+                troubles: vec![Trouble::Weights, Trouble::Engine],
+                seed,
+                report: None,
+                json: format == Format::Json,
+            };
+            return judged(site::compare(&options).await.map_err(failure)?);
+        }
         let options = Options { scale, seed, keep, json: format == Format::Json };
         judged(demo::demo(&options).await.map_err(system_failure)?)
     }
--- a/crates/cli/src/command/load.rs
+++ b/crates/cli/src/command/load.rs
@@ -1,14 +1,19 @@
 //! `acacia load`.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use acacia_policy::dispatch::Strategy;
+use acacia_policy::gateway::Placement;
 use bpaf::Bpaf;
 
 use crate::compare::{self, Error, Options};
 use crate::demo::Judgement;
 use crate::load::workload::User;
 use crate::output::{Format, format};
+use crate::site::compare as site;
+use crate::site::trouble::Trouble;
+use crate::site::workload::Shape;
 use crate::{Exit, Failure, system};
 
 /// Plays a user's workload under one or several strategies, side by side.
@@ -28,6 +33,33 @@
     pub(super) seed: u64,
     /// Take an availability zone out and back during the run
     pub(super) zone_move: bool,
+    /// Play the users' platform instead, with entry instances in this process
+    pub(super) platform: bool,
+    /// On the platform, a rule of placement: ours, least-loaded or random; may be repeated
+    #[bpaf(argument("RULE"), many)]
+    pub(super) placement: Vec<Placement>,
+    /// On the platform, how load changes: steady, ramp or spike
+    #[bpaf(argument("SHAPE"), fallback(Shape::Steady), display_fallback)]
+    pub(super) shape: Shape,
+    /// On the platform, what goes wrong: engine, streams, weights, store or cache; may be repeated
+    #[bpaf(argument("TROUBLE"), many)]
+    pub(super) trouble: Vec<Trouble>,
+    /// On the platform, a factor on the load
+    #[bpaf(
+        argument("FACTOR"),
+        fallback(1.0),
+        display_fallback,
+        guard(above_zero, "it must be above zero")
+    )]
+    pub(super) load: f64,
+    /// On the platform, how long callers ask
+    #[bpaf(
+        argument("SECONDS"),
+        fallback(20.0),
+        display_fallback,
+        guard(above_zero, "it must be above zero")
+    )]
+    pub(super) seconds: f64,
     /// Write the report here as JSON, and a page of plots beside it
     #[bpaf(argument("FILE"), optional)]
     pub(super) report: Option<PathBuf>,
@@ -37,6 +69,9 @@
 
 impl Load {
     pub(super) async fn run(self) -> Result<(), Failure> {
+        if self.platform {
+            return self.run_platform().await;
+        }
         let mut strategies = self.strategy;
         if strategies.is_empty() {
             strategies.push(Strategy::Ours);
@@ -52,6 +87,29 @@
         };
         judged(compare::compare(&options).await.map_err(failure)?)
     }
+
+    async fn run_platform(self) -> Result<(), Failure> {
+        let mut placements = self.placement;
+        if placements.is_empty() {
+            placements.push(Placement::Ours);
+        }
+        let options = site::Options {
+            user: self.profile,
+            placements,
+            shape: self.shape,
+            load: self.load,
+            length: Duration::from_secs_f64(self.seconds),
+            troubles: self.trouble,
+            seed: self.seed,
+            report: self.report,
+            json: self.format == Format::Json,
+        };
+        judged(site::compare(&options).await.map_err(failure)?)
+    }
+}
+
+fn above_zero(factor: &f64) -> bool {
+    *factor > 0.0
 }
 
 /// A broken promise is a failure of the command.
@@ -72,9 +130,11 @@
         .hint("close what else uses many ports, or look at the daemons' logs")
 }
 
-fn failure(error: Error) -> Failure {
+pub(super) fn failure(error: Error) -> Failure {
     match error {
         Error::System(error) => system_failure(error),
+        Error::Site(error) => Failure::new(Exit::Refused, "site", error.to_string())
+            .hint("close what else uses many ports, or look at the logs with RUST_LOG=info"),
         Error::Write { .. } => Failure::new(Exit::Refused, "unwritable", error.to_string())
             .hint("name a file in a directory that exists and may be written"),
     }
--- a/crates/cli/src/compare.rs
+++ b/crates/cli/src/compare.rs
@@ -13,6 +13,7 @@
 use crate::load::report::Report;
 use crate::load::run::{self, Plan};
 use crate::load::workload::{Shape, User};
+use crate::site;
 use crate::system;
 use crate::system::layout::Layout;
 
@@ -42,6 +43,10 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     System(#[from] system::Error),
+    /// A deployment on the platform can't run.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Site(#[from] site::Error),
     /// A report can't be written.
     #[error("the report can't be written to {path}")]
     #[diagnostic(help("name a file in a directory that exists and may be written"))]
@@ -97,7 +102,7 @@
     serde_json::to_string_pretty(reports).expect("a report is plain data")
 }
 
-fn write(path: &PathBuf, text: &str) -> Result<(), Error> {
+pub(crate) fn write(path: &PathBuf, text: &str) -> Result<(), Error> {
     fs::write(path, text)
         .map_err(|source| Error::Write { path: path.display().to_string(), source })
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -4,7 +4,7 @@
 //! something talk to a daemon's administration API through [`connection`]; what they print goes
 //! through [`output`], as text or JSON; what goes wrong is a [`Failure`] with an [`Exit`] code.
 //! [`demo`] and [`compare`] start a whole [`system`] of stand-ins and daemons in this process and
-//! play a [`load`] against it; [`capacity`] measures what it costs.
+//! play a [`load`] against it, [`site`] does the same on the users' platform; [`capacity`] measures what it costs.
 
 pub mod capacity;
 pub mod command;
@@ -15,6 +15,7 @@
 pub mod failure;
 pub mod load;
 pub mod output;
+pub mod site;
 pub mod source;
 pub mod system;
 
--- a/crates/cli/src/load/page.rs
+++ b/crates/cli/src/load/page.rs
@@ -5,6 +5,7 @@
 
 use super::record::Kind;
 use super::report::Report;
+use crate::site::report as site;
 
 /// Size of one plot, in pixels.
 const SIZE: (u32, u32) = (900, 340);
@@ -16,14 +17,36 @@
 
 /// Renders reports side by side as one HTML page.
 pub fn render(reports: &[Report]) -> String {
-    let plots = [
-        plot(|area| bars(area, "Time to first token of returns, p95 (s)", reports, return_p95)),
-        plot(|area| {
-            bars(area, "Computed tokens over the floor", reports, |r| r.tokens.over_floor())
-        }),
-        plot(|area| bars(area, "Bytes over links (GB)", reports, |r| r.link.total() as f64 / 1e9)),
+    let rows = |value: &dyn Fn(&Report) -> f64| -> Vec<(String, f64)> {
+        reports.iter().map(|report| (report.strategy.clone(), value(report))).collect()
+    };
+    page([
+        bars("Time to first token of returns, p95 (s)", &rows(&return_p95)),
+        bars("Computed tokens over the floor", &rows(&|r| r.tokens.over_floor())),
+        bars("Bytes over links (GB)", &rows(&|r| r.link.total() as f64 / 1e9)),
         plot(|area| scatter(area, reports)),
+    ])
+}
+
+/// Renders reports of runs on the platform side by side as one HTML page.
+pub fn render_site(reports: &[site::Report]) -> String {
+    let rows = |value: &dyn Fn(&site::Report) -> f64| -> Vec<(String, f64)> {
+        reports.iter().map(|report| (report.placement.clone(), value(report))).collect()
+    };
+    let classes = reports.first().into_iter().flat_map(|report| report.classes.keys());
+    let times = classes.map(|class| {
+        let p95 = |r: &site::Report| r.classes.get(class).map_or(0.0, |c| c.first.p95_ms);
+        bars(&format!("{class}: time to the first event, p95 (ms)"), &rows(&p95))
+    });
+    let mut plots = vec![
+        bars("Worth of the answers, as a part of all", &rows(&|r| r.worth)),
+        bars("Part of the prompts' tokens that was read", &rows(&site::Report::read_part)),
     ];
+    plots.extend(times);
+    page(plots)
+}
+
+fn page(plots: impl IntoIterator<Item = Result<String, String>>) -> String {
     let mut page = String::from("<!doctype html><meta charset=utf-8><title>acacia load</title>");
     for plot in plots {
         page.push_str(&plot.unwrap_or_else(|error| format!("<p>{error}</p>")));
@@ -46,31 +69,21 @@
     Ok(svg)
 }
 
-fn bars(
-    area: &Area<'_>,
-    title: &str,
-    reports: &[Report],
-    value: impl Fn(&Report) -> f64,
-) -> Result<(), String> {
-    draw_bars(area, title, reports, value).map_err(|e| e.to_string())
+/// One bar for each name.
+fn bars(title: &str, rows: &[(String, f64)]) -> Result<String, String> {
+    plot(|area| draw_bars(area, title, rows).map_err(|e| e.to_string()))
 }
 
-fn draw_bars<'a>(
-    area: &Area<'a>,
-    title: &str,
-    reports: &[Report],
-    value: impl Fn(&Report) -> f64,
-) -> Drawn<'a> {
-    let highest = reports.iter().map(&value).fold(f64::MIN_POSITIVE, f64::max) * 1.1;
-    let last = reports.len();
+fn draw_bars<'a>(area: &Area<'a>, title: &str, rows: &[(String, f64)]) -> Drawn<'a> {
+    let highest = rows.iter().map(|(_, value)| *value).fold(f64::MIN_POSITIVE, f64::max) * 1.1;
     let mut chart = ChartBuilder::on(area)
         .caption(title, ("sans-serif", 20))
         .margin(10)
         .set_left_and_bottom_label_area_size(LABELS)
-        .build_cartesian_2d((0..last).into_segmented(), 0.0..highest)?;
+        .build_cartesian_2d((0..rows.len()).into_segmented(), 0.0..highest)?;
     let name = |at: &SegmentValue<usize>| match at {
         SegmentValue::CenterOf(i) => {
-            reports.get(*i).map_or_else(String::new, |r| r.strategy.clone())
+            rows.get(*i).map_or_else(String::new, |(name, _)| name.clone())
         }
         _ => String::new(),
     };
@@ -78,7 +91,7 @@
     let bars = Histogram::vertical(&chart)
         .style(BLUE.mix(0.6).filled())
         .margin(30)
-        .data(reports.iter().enumerate().map(|(i, r)| (i, value(r))));
+        .data(rows.iter().enumerate().map(|(i, (_, value))| (i, *value)));
     chart.draw_series(bars)?;
     Ok(())
 }
--- /dev/null
+++ b/crates/cli/src/site.rs
@@ -0,0 +1,204 @@
+//! A small deployment on the users' platform, in one process: stand-ins for the platform, entry
+//! instances on threads of their own, and callers.
+//!
+//! [`profile`] says what callers ask, [`workload`] draws it from a seed, [`run`] plays it while
+//! [`trouble`] comes, [`report`] sums it up, and [`compare`] sets rules of placement side by side.
+
+pub mod compare;
+pub mod profile;
+pub mod report;
+pub mod run;
+pub mod trouble;
+pub mod workload;
+
+use std::io;
+use std::path::Path;
+use std::time::Duration;
+
+use acacia_gateway::Instance;
+use acacia_platform::Settings;
+use acacia_policy::gateway::Placement;
+use acacia_standin::platform::caller::Caller;
+use acacia_standin::platform::document::{self, Addresses, CONFIGURATION_KEY, Deployment, MODEL};
+use acacia_standin::platform::server::{self, Engine, Others, Reading};
+use acacia_standin::platform::{cache, store};
+use miette::Diagnostic;
+use thiserror::Error;
+
+use profile::Profile;
+
+/// Organisations with their keys.
+pub const ORGANISATIONS: [(&str, &str); 3] =
+    [("north", "key-north"), ("south", "key-south"), ("east", "key-east")];
+/// Availability zones; instances, servers and engines take turns in them.
+const ZONES: usize = 2;
+/// Requests that wait at a server; more are refused.
+const QUEUE: usize = 64;
+/// Time that new weights take an engine.
+const LOAD_TIME: Duration = Duration::from_millis(570);
+/// Bytes of a token in an engine's memory, by the users' sheets.
+const TOKEN_BYTES: u64 = 163_840;
+/// Link of an engine or store, in megabits a second, by the users' sheets.
+const LINK_MBPS: f64 = 280_000.0;
+/// Time between two questions whether an instance is ready.
+const READY_LOOK: Duration = Duration::from_millis(20);
+/// Questions after which it is given up.
+const READY_LOOKS: u32 = 500;
+
+/// A running deployment.
+pub struct Site {
+    /// The metadata store.
+    pub store: store::Handle,
+    /// Servers of the plain service.
+    pub services: Vec<server::Handle>,
+    /// Model engines.
+    pub engines: Vec<server::Handle>,
+    /// The managed store of KV cache.
+    pub cache: cache::Handle,
+    /// Entry instances.
+    instances: Vec<Instance>,
+    caller: Caller,
+}
+
+/// Why a deployment can't run.
+#[derive(Debug, Diagnostic, Error)]
+pub enum Error {
+    /// A stand-in can't listen.
+    #[error("a stand-in can't listen on loopback")]
+    #[diagnostic(help("close programs that hold many ports, or raise the limit of open files"))]
+    Standin(#[from] io::Error),
+    /// The settings of an instance are wrong.
+    #[error(transparent)]
+    Settings(#[from] acacia_platform::settings::Problem),
+    /// An instance can't start or failed.
+    #[error("an entry instance failed: {0}")]
+    #[diagnostic(help("look at its log with RUST_LOG=info"))]
+    Instance(String),
+    /// The callers can't be set up.
+    #[error("the callers can't be set up: {0}")]
+    Caller(#[from] reqwest::Error),
+    /// An instance takes no requests.
+    #[error("the instance at {0} was not ready in time")]
+    #[diagnostic(help("look at its log with RUST_LOG=info"))]
+    NotReady(std::net::SocketAddr),
+}
+
+impl Site {
+    /// Starts stand-ins and instances, and waits until all are ready.
+    pub async fn start(profile: &Profile, placement: Placement) -> Result<Self, Error> {
+        let store = store::start().await?;
+        let cache = cache::start(profile.cache_tokens).await?;
+        let others = Others::default();
+        let mut services = Vec::new();
+        for number in 0..profile.services {
+            let latency = profile.service_time;
+            let settings = server_settings("app", number, latency, profile.service_slots, None);
+            services.push(server::start(settings, &store).await?);
+        }
+        let mut engines = Vec::new();
+        for number in 0..profile.engines {
+            let engine = engine(profile, &cache, &others);
+            let latency = profile.step_time;
+            let settings =
+                server_settings("llm", number, latency, profile.engine_slots, Some(engine));
+            engines.push(server::start(settings, &store).await?);
+        }
+        let deployment = deployment(profile, &cache);
+        store.put(CONFIGURATION_KEY, &deployment.configuration(1, &ORGANISATIONS));
+        let mut instances = Vec::new();
+        for number in 0..profile.instances {
+            instances.push(instance(number, placement, &store)?);
+        }
+        let caller = Caller::new(instances.iter().map(|instance| instance.address).collect())?;
+        let site = Self { store, services, engines, cache, instances, caller };
+        for instance in &site.instances {
+            site.wait_ready(instance.ready).await?;
+        }
+        Ok(site)
+    }
+
+    /// Callers of all instances.
+    pub fn caller(&self) -> &Caller {
+        &self.caller
+    }
+
+    async fn wait_ready(&self, ready: std::net::SocketAddr) -> Result<(), Error> {
+        for _ in 0..READY_LOOKS {
+            if self.caller.is_ready(ready).await {
+                return Ok(());
+            }
+            tokio::time::sleep(READY_LOOK).await;
+        }
+        Err(Error::NotReady(ready))
+    }
+
+    /// Stops every instance without cutting a request off.
+    pub async fn stop(self) -> Result<(), Error> {
+        let stops = self.instances.into_iter().map(|instance| {
+            tokio::task::spawn_blocking(move || instance.stop().map_err(|error| error.to_string()))
+        });
+        for stopped in futures::future::join_all(stops).await {
+            stopped.map_err(|error| error.to_string()).flatten().map_err(Error::Instance)?;
+        }
+        Ok(())
+    }
+}
+
+fn instance(number: usize, placement: Placement, store: &store::Handle) -> Result<Instance, Error> {
+    let addresses = Addresses::free()?;
+    let text =
+        document::settings(&format!("instance-{number}"), &zone(number), &addresses, store.address);
+    let settings = Settings::parse(&text, Path::new("settings of the deployment"))?;
+    Instance::start(settings, placement).map_err(|error| Error::Instance(error.to_string()))
+}
+
+fn deployment(profile: &Profile, cache: &cache::Handle) -> Deployment {
+    let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    Deployment {
+        timeout_ms: millis(profile.patience),
+        aim_ms: millis(profile.aim),
+        pause_ms: millis(profile.pause),
+        engine_slots: profile.engine_slots,
+        engine_tokens: profile.engine_tokens,
+        token_bytes: TOKEN_BYTES,
+        link_mbps: LINK_MBPS,
+        cache: Some((cache.address, profile.cache_tokens)),
+    }
+}
+
+fn engine(profile: &Profile, cache: &cache::Handle, others: &Others) -> Engine {
+    let bytes_per_second = LINK_MBPS * 1e6 / 8.0;
+    Engine {
+        model: MODEL.to_owned(),
+        load_time: LOAD_TIME,
+        caches: vec![(cache.address, cache.state())],
+        others: others.clone(),
+        reading: Reading {
+            token_time: profile.token_time,
+            fetch_time: Duration::from_secs_f64(TOKEN_BYTES as f64 / bytes_per_second),
+            kept_tokens: profile.engine_tokens,
+        },
+    }
+}
+
+fn server_settings(
+    service: &str,
+    number: usize,
+    latency: Duration,
+    slots: usize,
+    engine: Option<Engine>,
+) -> server::Settings {
+    server::Settings {
+        id: format!("{service}-{number}"),
+        service: service.to_owned(),
+        zone: zone(number),
+        latency,
+        slots,
+        queue: QUEUE,
+        engine,
+    }
+}
+
+fn zone(number: usize) -> String {
+    format!("z{}", 1 + number % ZONES)
+}
--- /dev/null
+++ b/crates/cli/src/site/compare.rs
@@ -0,0 +1,120 @@
+//! The same callers under one or several rules of placement, side by side.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use acacia_policy::gateway::Placement;
+use comfy_table::{Table, presets::UTF8_FULL_CONDENSED};
+
+use super::Error;
+use super::profile::Profile;
+use super::report::{Class, Report};
+use super::run::{self, Plan};
+use super::trouble::Trouble;
+use super::workload::Shape;
+use crate::compare::write;
+use crate::demo::{Judgement, progress};
+use crate::load::page;
+use crate::load::workload::User;
+
+/// What a comparison is asked.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Whose callers ask.
+    pub user: User,
+    /// The rules.
+    pub placements: Vec<Placement>,
+    /// How load changes.
+    pub shape: Shape,
+    /// Factor on the load.
+    pub load: f64,
+    /// How long callers ask.
+    pub length: Duration,
+    /// What goes wrong.
+    pub troubles: Vec<Trouble>,
+    /// Seed of the workload.
+    pub seed: u64,
+    /// Where the report goes as JSON; a page of plots goes beside it.
+    pub report: Option<PathBuf>,
+    /// Whether the report is printed as JSON.
+    pub json: bool,
+}
+
+/// Runs the rules one after another and reports them side by side.
+///
+/// # Errors
+/// If a deployment can't run, or the report can't be written.
+pub async fn compare(options: &Options) -> Result<Judgement, crate::compare::Error> {
+    let mut reports = Vec::new();
+    for placement in &options.placements {
+        reports.push(one(options, *placement).await?);
+    }
+    let json = serde_json::to_string_pretty(&reports).expect("a report is plain data");
+    if let Some(path) = &options.report {
+        write(path, &json)?;
+        write(&path.with_extension("html"), &page::render_site(&reports))?;
+    }
+    if options.json {
+        println!("{json}");
+    } else {
+        println!("{}", table(&reports));
+        for report in &reports {
+            for (error, count) in &report.errors {
+                println!("{}: {count} x {error}", report.placement);
+            }
+        }
+    }
+    let broken: Vec<_> = reports.iter().flat_map(Report::broken_promises).collect();
+    for promise in &broken {
+        eprintln!("broken promise: {promise}");
+    }
+    Ok(if broken.is_empty() { Judgement::Kept } else { Judgement::Broken })
+}
+
+async fn one(options: &Options, placement: Placement) -> Result<Report, Error> {
+    let plan = Plan {
+        profile: Profile::of(options.user),
+        placement,
+        shape: options.shape,
+        load: options.load,
+        length: options.length,
+        troubles: options.troubles.clone(),
+        seed: options.seed,
+    };
+    let bar = progress(&placement.to_string());
+    let ran = run::run(&plan, &bar).await;
+    bar.finish_and_clear();
+    ran
+}
+
+fn table(reports: &[Report]) -> Table {
+    let mut table = Table::new();
+    table.load_preset(UTF8_FULL_CONDENSED);
+    let names = reports.iter().map(|report| report.placement.clone());
+    table.set_header(std::iter::once(String::new()).chain(names));
+    let mut row = |name: String, value: &dyn Fn(&Report) -> String| {
+        table.add_row(std::iter::once(name).chain(reports.iter().map(value)));
+    };
+    let classes = reports.first().into_iter().flat_map(|report| report.classes.keys());
+    for name in classes {
+        let of = |report: &Report| report.classes.get(name).cloned().unwrap_or_default();
+        row(format!("{name}: asked, in time, late, refused, broken"), &|r| ends(&of(r)));
+        row(format!("{name}: first event p50 / p95 / p99 ms"), &|r| {
+            let Class { first, .. } = of(r);
+            format!("{:.0} / {:.0} / {:.0}", first.p50_ms, first.p95_ms, first.p99_ms)
+        });
+    }
+    row("worth".to_owned(), &|r| format!("{:.3}", r.worth));
+    row("prompts' tokens read".to_owned(), &|r| format!("{:.1}%", r.read_part() * 100.0));
+    row("wrong answers".to_owned(), &|r| {
+        r.classes.values().map(|class| class.wrong).sum::<u64>().to_string()
+    });
+    row("duplicates".to_owned(), &|r| r.duplicates.to_string());
+    row("wrong parts used".to_owned(), &|r| r.wrong_parts.to_string());
+    table
+}
+
+fn ends(class: &Class) -> String {
+    let Class { asked, in_aim, late, refused, broken, .. } = class;
+    format!("{asked}, {in_aim}, {late}, {refused}, {broken}")
+}
--- a/crates/daemon/tests/platform/scene.rs
+++ b/crates/daemon/tests/platform/scene.rs
@@ -1,14 +1,15 @@
 //! A small deployment: stand-ins for the platform, and real processes.
 
 use std::fs;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use acacia_connection::{Connection, KeepAlive, request};
-use acacia_standin::platform::server::{self, Engine, Seen, Settings};
+use acacia_standin::platform::document::{self, Addresses, CONFIGURATION_KEY, Deployment, MODEL};
+use acacia_standin::platform::server::{self, Engine, Others, Reading, Seen, Settings};
 use acacia_standin::platform::{cache, store};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
@@ -19,6 +20,10 @@
 const PATIENCE: Duration = Duration::from_secs(30);
 /// Events of each stream.
 const EVENTS: u32 = 8;
+/// Requests that a server works on at once.
+const SLOTS: usize = 8;
+/// Requests that wait at a server.
+const QUEUE: usize = 100;
 
 /// The deployment.
 pub struct Scene {
@@ -57,16 +62,18 @@
     pub async fn start(count: usize) -> Self {
         let store = store::start().await.unwrap();
         let cache = cache::start(100_000).await.unwrap();
+        let others = Others::default();
         let mut services = Vec::new();
         let mut engines = Vec::new();
         for number in 0..3 {
             let settings = settings(&format!("app-{number}"), "app", None);
             services.push(server::start(settings, &store).await.unwrap());
             let engine = Engine {
-                model: "m".to_owned(),
-                events: EVENTS,
+                model: MODEL.to_owned(),
                 load_time: Duration::from_millis(50),
                 caches: vec![(cache.address, cache.state())],
+                others: others.clone(),
+                reading: Reading::default(),
             };
             let settings = settings_of(&format!("llm-{number}"), engine);
             engines.push(server::start(settings, &store).await.unwrap());
@@ -75,7 +82,7 @@
         store.put("servers/forged-1", &json!("no object"));
         store.put("servers/forged-2", &json!({"service": "app", "state": "ready"}));
         let mut scene = Self { store, services, engines, cache, instances: Vec::new() };
-        scene.store.put("op/config", &scene.configuration(1, "key-1"));
+        scene.store.put(CONFIGURATION_KEY, &scene.configuration(1, "key-1"));
         for number in 0..count {
             let instance = scene.launch(number);
             scene.instances.push(instance);
@@ -94,17 +101,9 @@
             FOLDERS.fetch_add(1, Ordering::Relaxed)
         ));
         fs::create_dir_all(&folder).unwrap();
-        let [address, ready, first, last] = free_addresses();
-        let text = format!(
-            "node_name = \"instance-{number}\"\nzone = \"z1\"\nport_range = [{}, {}]\n\
-             new_field = 1\n\
-             [listen_addrs]\nfront = \"{address}\"\nready = \"{ready}\"\n\
-             [bounds]\nlease_ms = 300\nbudget_slack = 1000\nbudget_ratio = 1.0\nbudget_window_s = 1\n\
-             [provider]\naddress = \"{}\"\nform = \"kv\"\nttl_min_ms = 1000\n",
-            first.port(),
-            last.port(),
-            self.store.address,
-        );
+        let addresses = Addresses::free().unwrap();
+        let name = format!("instance-{number}");
+        let text = document::settings(&name, "z1", &addresses, self.store.address);
         let path = folder.join("boot.toml");
         fs::write(&path, text).unwrap();
         let log = fs::File::create(folder.join("log")).unwrap();
@@ -115,7 +114,12 @@
             .stderr(Stdio::inherit())
             .spawn()
             .unwrap();
-        Instance { process: Mutex::new(process), address, ready, folder }
+        Instance {
+            process: Mutex::new(process),
+            address: addresses.callers,
+            ready: addresses.ready,
+            folder,
+        }
     }
 
     /// Where callers of an instance connect.
@@ -151,7 +155,7 @@
     pub fn prompt(&self, id: &str, own: usize) -> Vec<(&'static str, String)> {
         let mut headers = self.headers(id);
         headers.push(("x-model", "m".to_owned()));
-        headers.push(("x-token-usage", "5000,8".to_owned()));
+        headers.push(("x-token-usage", format!("5000,{EVENTS}")));
         headers.push(("x-prompt-prefix", format!("aa:4000,{own:x}:1000")));
         headers
     }
@@ -203,35 +207,17 @@
 
     /// A configuration with one organisation that has one key.
     pub fn configuration(&self, version: u64, key: &str) -> Value {
-        let route = |prefix: &str, kind: &str, service: &str| {
-            json!({
-                "name": format!("r{prefix}"), "host": "app.example", "path_prefix": prefix,
-                "kind": kind, "timeout_ms": 20_000, "target_latency_ms": 2_000, "priority": 1,
-                "service": service, "max_attempts": if kind == "streaming" { 4 } else { 2 },
-            })
+        let deployment = Deployment {
+            timeout_ms: 20_000,
+            aim_ms: 2_000,
+            pause_ms: 2_000,
+            engine_slots: SLOTS,
+            engine_tokens: 12_000,
+            token_bytes: 1_000,
+            link_mbps: 100_000.0,
+            cache: Some((self.cache.address, 100_000)),
         };
-        let mut ask = route("/ask/", "streaming", "llm");
-        ask["resumable"] = json!(true);
-        ask["gap_target_ms"] = json!(2_000);
-        json!({
-            "version": version,
-            "routes": [
-                route("/read/", "idempotent", "app"),
-                route("/charge/", "non_idempotent", "app"),
-                route("/long/", "streaming", "llm"),
-                ask,
-            ],
-            "services": [
-                {"name": "app", "max_conns": 1_000},
-                {"name": "llm", "max_conns": 1_000, "engine": {
-                    "slots": 8, "kv_capacity": 12_000, "kv_token_bytes": 1_000,
-                    "link_mbps": 100_000.0, "models": [{"name": "m"}],
-                }},
-                {"name": "kv", "kv_store_addr": self.cache.address, "zone": "z1",
-                 "kv_capacity": 100_000, "link_mbps": 100_000.0, "managed": true, "first_ms": 0.5},
-            ],
-            "tenants": [{"name": "acme", "api_keys": [key]}],
-        })
+        deployment.configuration(version, &[("acme", key)])
     }
 }
 
@@ -257,6 +243,8 @@
         service: service.to_owned(),
         zone: "z1".to_owned(),
         latency: Duration::from_millis(5),
+        slots: SLOTS,
+        queue: QUEUE,
         engine,
     }
 }
@@ -265,12 +253,6 @@
     settings(id, "llm", Some(engine))
 }
 
-fn free_addresses<const N: usize>() -> [SocketAddr; N] {
-    let listeners: [TcpListener; N] =
-        std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").unwrap());
-    std::array::from_fn(|at| listeners[at].local_addr().unwrap())
-}
-
 /// Waits until something holds.
 pub async fn eventually(what: &str, mut holds: impl AsyncFnMut() -> bool) {
     let end = tokio::time::Instant::now() + PATIENCE;
--- /dev/null
+++ b/crates/standin/src/platform/caller.rs
@@ -0,0 +1,208 @@
+//! The platform's callers behind its balancer.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use reqwest::{Client, Method, RequestBuilder, Response};
+use tokio::time::Instant;
+
+use super::document::{HOST, MODEL};
+
+/// Callers that take entry instances in turn.
+#[derive(Debug)]
+pub struct Caller {
+    client: Client,
+    entries: Vec<SocketAddr>,
+    next: AtomicUsize,
+}
+
+/// What a caller asks.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Id of the request.
+    pub id: String,
+    /// Key of the caller's organisation.
+    pub key: String,
+    /// What is asked.
+    pub subject: Subject,
+    /// How long the caller waits.
+    pub patience: Duration,
+    /// How often it asks again when it is told that nothing ran.
+    pub retries: u32,
+}
+
+/// What is asked for.
+#[derive(Clone, Debug)]
+pub enum Subject {
+    /// Something that may be read twice.
+    Read,
+    /// Something that must be done once.
+    Charge,
+    /// An answer to a prompt.
+    Prompt {
+        /// Parts with their tokens.
+        parts: Vec<(String, u32)>,
+        /// Tokens of the answer.
+        output: u32,
+    },
+}
+
+/// What a caller got.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// How it ended.
+    pub end: End,
+    /// Time to the first event, or to the whole answer where it is plain.
+    pub first: Option<Duration>,
+    /// Times that it was sent.
+    pub sends: u32,
+}
+
+/// How a request ended, as its caller saw it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum End {
+    /// The whole answer came, and it was this request's.
+    Whole,
+    /// It was refused with a status; whether it may have run.
+    Refused {
+        /// The status.
+        status: u16,
+        /// Whether it is certain that nothing ran.
+        not_run: bool,
+    },
+    /// The answer broke off, or none came.
+    Broken(String),
+    /// The answer was another one's.
+    Wrong(String),
+}
+
+impl Caller {
+    /// Callers of some entry instances.
+    ///
+    /// # Errors
+    /// If the client can't be set up.
+    pub fn new(entries: Vec<SocketAddr>) -> reqwest::Result<Self> {
+        // Another part of the process may have chosen one already; none is used over plain HTTP.
+        let _ = rustls::crypto::ring::default_provider().install_default();
+        let client = Client::builder().no_proxy().build()?;
+        Ok(Self { client, entries, next: AtomicUsize::new(0) })
+    }
+
+    /// Sends a request, again if nothing ran and it was told when to come back.
+    pub async fn ask(&self, ask: &Ask) -> Answer {
+        let end = Instant::now() + ask.patience;
+        let mut sends = 0;
+        loop {
+            sends += 1;
+            let left = end.saturating_duration_since(Instant::now());
+            let sent = tokio::time::timeout(left, self.send(ask, left)).await;
+            let (outcome, after) = sent
+                .unwrap_or_else(|_| ((End::Broken("no answer in time".to_owned()), None), None));
+            let is_refused = matches!(outcome.0, End::Refused { not_run: true, .. });
+            let after = after.filter(|after| is_refused && Instant::now() + *after < end);
+            match after {
+                Some(after) if sends <= ask.retries => tokio::time::sleep(after).await,
+                _ => {
+                    let (outcome, first) = outcome;
+                    // A caller counts from its first try.
+                    let waited = ask.patience - left;
+                    return Answer { end: outcome, first: first.map(|f| f + waited), sends };
+                }
+            }
+        }
+    }
+
+    /// Whether an instance says that it is ready.
+    pub async fn is_ready(&self, ready: SocketAddr) -> bool {
+        let answer = self.client.get(format!("http://{ready}/acaciaarch/readyz")).send().await;
+        answer.is_ok_and(|answer| answer.status().is_success())
+    }
+
+    /// Sends a request once; gives how it ended, the time to its first event, and when to come back.
+    async fn send(&self, ask: &Ask, left: Duration) -> ((End, Option<Duration>), Option<Duration>) {
+        let begun = Instant::now();
+        let response = match self.request(ask, left).send().await {
+            Ok(response) => response,
+            Err(error) => return ((End::Broken(error.to_string()), None), None),
+        };
+        let header = |name: &str| response.headers().get(name)?.to_str().ok().map(str::to_owned);
+        let status = response.status();
+        if header("x-request-id").as_deref() != Some(&ask.id) {
+            return ((End::Wrong("another request's id".to_owned()), None), None);
+        }
+        if !status.is_success() {
+            let not_run = header("x-not-executed").is_some();
+            let after = header("retry-after").and_then(|text| text.parse().ok());
+            let end = End::Refused { status: status.as_u16(), not_run };
+            return ((end, None), after.map(Duration::from_secs_f64));
+        }
+        let (end, first) = read(response, ask, begun).await;
+        ((end, first), None)
+    }
+
+    fn request(&self, ask: &Ask, left: Duration) -> RequestBuilder {
+        let turn = self.next.fetch_add(1, Ordering::Relaxed);
+        let entry = self.entries[turn % self.entries.len()];
+        let (method, path) = match ask.subject {
+            Subject::Read => (Method::GET, "/read/x"),
+            Subject::Charge => (Method::POST, "/charge/x"),
+            Subject::Prompt { .. } => (Method::POST, "/ask/x"),
+        };
+        let request = self
+            .client
+            .request(method, format!("http://{entry}{path}"))
+            .header("host", HOST)
+            .header("x-request-id", &ask.id)
+            .header("x-deadline-ms", left.as_millis().to_string())
+            .bearer_auth(&ask.key);
+        let Subject::Prompt { parts, output } = &ask.subject else { return request };
+        let tokens: u32 = parts.iter().map(|(_, tokens)| tokens).sum();
+        let names: Vec<String> =
+            parts.iter().map(|(id, tokens)| format!("{id}:{tokens}")).collect();
+        request
+            .header("x-model", MODEL)
+            .header("x-token-usage", format!("{tokens},{output}"))
+            .header("x-prompt-prefix", names.join(","))
+            .body("x")
+    }
+}
+
+/// Reads an answer to its end and judges it.
+async fn read(mut response: Response, ask: &Ask, begun: Instant) -> (End, Option<Duration>) {
+    let mut body = Vec::new();
+    let mut first = None;
+    loop {
+        match response.chunk().await {
+            Ok(Some(chunk)) => {
+                first.get_or_insert(begun.elapsed());
+                body.extend_from_slice(&chunk);
+            }
+            Ok(None) => break,
+            Err(error) => return (End::Broken(error.to_string()), first),
+        }
+    }
+    let end = match ask.subject {
+        Subject::Prompt { output, .. } => {
+            judge_events(&String::from_utf8_lossy(&body), ask, output)
+        }
+        _ => End::Whole,
+    };
+    match ask.subject {
+        Subject::Prompt { .. } => (end, first),
+        _ => (end, Some(begun.elapsed())),
+    }
+}
+
+/// Whether a stream holds each of its own events once and in order.
+fn judge_events(body: &str, ask: &Ask, output: u32) -> End {
+    let events: Vec<&str> = body.split_terminator("\n\n").collect();
+    let own = |number: u32| format!("id: {number}\ndata: {} {number}", ask.id);
+    let wrong = (1..).zip(&events).find(|(number, event)| ***event != own(*number));
+    match wrong {
+        Some((_, event)) => End::Wrong(format!("the event {event:?}")),
+        None if events.len() < output as usize => End::Broken("events are missing".to_owned()),
+        None if events.len() > output as usize => End::Wrong("events to spare".to_owned()),
+        None => End::Whole,
+    }
+}
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,6 +18,8 @@
 use crate::exchange::{Answer, Call, Cut, Reply};
 use crate::fault::Fault;
 use crate::host::{self, Standin, spend};
+use crate::pace::Pace;
+use crate::slots::{Slot, Slots};
 
 /// A running server.
 pub type Handle = host::Handle<State>;
@@ -33,6 +35,10 @@
     pub zone: String,
     /// Time that a plain request runs, and between two events of a stream.
     pub latency: Duration,
+    /// Requests that it works on at once.
+    pub slots: usize,
+    /// Requests that wait for a slot at most; more are refused.
+    pub queue: usize,
     /// What an engine has; none for a plain service.
     pub engine: Option<Engine>,
 }
@@ -42,14 +48,36 @@
 pub struct Engine {
     /// Its model.
     pub model: String,
-    /// Events of each answer.
-    pub events: u32,
     /// Time that new weights take.
     pub load_time: Duration,
     /// Stores that it can save to and fetch from.
     pub caches: Vec<(SocketAddr, Arc<cache::State>)>,
+    /// Engines that it can fetch from.
+    pub others: Others,
+    /// How fast it reads, and how much it keeps.
+    pub reading: Reading,
 }
 
+/// How an engine reads prompts.
+#[derive(Clone, Copy, Debug)]
+pub struct Reading {
+    /// Time to read one token of a prompt; prompts are read one after the other.
+    pub token_time: Duration,
+    /// Time to fetch one token; transfers run one after the other.
+    pub fetch_time: Duration,
+    /// Tokens that it keeps.
+    pub kept_tokens: u64,
+}
+
+impl Default for Reading {
+    fn default() -> Self {
+        Self { token_time: Duration::ZERO, fetch_time: Duration::ZERO, kept_tokens: u64::MAX }
+    }
+}
+
+/// The engines of one service by address.
+pub type Others = Arc<Mutex<BTreeMap<SocketAddr, Weak<State>>>>;
+
 /// A request that reached a server.
 #[derive(Clone, Debug, Default)]
 pub struct Seen {
@@ -86,11 +114,17 @@
         broken: Mutex::default(),
         seen: Mutex::default(),
         ran: Mutex::default(),
-        parts: Mutex::default(),
+        memory: Mutex::default(),
+        slots: Slots::new(settings.slots),
+        reader: Pace::default(),
+        link: Pace::default(),
         settings,
     });
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let handle = host::Handle::start(state, any, any).await?;
+    if let Some(engine) = &handle.settings.engine {
+        engine.others.lock().insert(handle.address, Arc::downgrade(&handle.state()));
+    }
     handle.list(store);
     Ok(handle)
 }
@@ -108,8 +142,44 @@
     broken: Mutex<Option<(u32, u32)>>,
     seen: Mutex<Vec<Seen>>,
     ran: Mutex<BTreeMap<String, u32>>,
-    /// Cached parts, with the weights that made them.
-    parts: Mutex<BTreeMap<cache::Name, u64>>,
+    memory: Mutex<Memory>,
+    slots: Arc<Slots>,
+    reader: Pace,
+    link: Pace,
+}
+
+/// The parts that an engine keeps.
+#[derive(Debug, Default)]
+struct Memory {
+    parts: BTreeMap<cache::Name, Part>,
+    uses: u64,
+}
+
+/// A part that an engine keeps.
+#[derive(Clone, Copy, Debug)]
+struct Part {
+    tokens: u32,
+    /// The weights that made it.
+    weights: u64,
+    /// Grows with each use of any part.
+    used: u64,
+}
+
+impl Memory {
+    fn get(&self, name: &cache::Name) -> Option<Part> {
+        self.parts.get(name).copied()
+    }
+
+    /// Keeps a part, at the cost of those that were used longest ago.
+    fn keep(&mut self, name: cache::Name, tokens: u32, weights: u64, capacity: u64) {
+        self.uses += 1;
+        self.parts.insert(name, Part { tokens, weights, used: self.uses });
+        while self.parts.values().map(|part| u64::from(part.tokens)).sum::<u64>() > capacity {
+            let oldest = self.parts.iter().min_by_key(|(_, part)| part.used);
+            let Some(name) = oldest.map(|(name, _)| name.clone()) else { return };
+            self.parts.remove(&name);
+        }
+    }
 }
 
 impl Handle {
@@ -152,7 +222,7 @@
             "address": address,
             "zone": self.settings.zone,
             "version": "v1",
-            "slots": 8,
+            "slots": self.settings.slots,
             "state": state,
             "cold_left_ms": 0,
             "sequence": 1,
@@ -171,6 +241,14 @@
     }
 
     async fn run(self: Arc<Self>, call: &Call) -> Reply {
+        self.check(call)?;
+        if self.slots.waiting() >= self.settings.queue {
+            self.tally.count(Counter::Refused);
+            return Err(not_run());
+        }
+        let rank = call.header("x-request-priority").parse().unwrap_or(0);
+        let slot = self.slots.take(rank).await;
+        // New weights may have come while it waited.
         self.check(call)?;
         let id = call.header("x-request-id").to_owned();
         *self.ran.lock().entry(id.clone()).or_default() += 1;
@@ -186,6 +264,9 @@
             fetch: call.header("x-kv-fetch").to_owned(),
             last_event: call.header("last-event-id").to_owned(),
         });
+        if let Some(engine) = &self.settings.engine {
+            self.read_prompt(engine, call).await;
+        }
         tokio::time::sleep(self.settings.latency).await;
         if spend(&self.failures) {
             let body = "the server's own failure";
@@ -194,9 +275,8 @@
             );
         }
         let answer = match &self.settings.engine {
-            Some(engine) => {
-                self.read_prompt(engine, call);
-                let answer = self.clone().stream(engine, call);
+            Some(_) => {
+                let answer = self.clone().stream(slot, call);
                 answer.with("x-weight-versions", self.weights())
             }
             None => {
@@ -215,8 +295,7 @@
             return Err(Answer::bytes(StatusCode::MISDIRECTED_REQUEST, ""));
         }
         if self.loading.load(Ordering::Relaxed) {
-            let full = Answer::bytes(StatusCode::SERVICE_UNAVAILABLE, "");
-            return Err(full.with("x-not-executed", 1));
+            return Err(not_run());
         }
         if self.leaving.load(Ordering::Relaxed) {
             self.tally.count(Counter::StartedWhileLeaving);
@@ -225,33 +304,40 @@
     }
 
     /// Fetches, reads and saves the parts of a prompt; counts parts made on other weights.
-    fn read_prompt(&self, engine: &Engine, call: &Call) {
+    async fn read_prompt(&self, engine: &Engine, call: &Call) {
         let salt = call.header("x-cache-salt").to_owned();
-        let cache = |address: &str| {
-            let address: SocketAddr = address.parse().ok()?;
-            engine.caches.iter().find(|(at, _)| *at == address).map(|(_, cache)| cache.clone())
-        };
         let list = |name: &str| -> Vec<String> {
             call.header(name).split(',').map(str::to_owned).collect()
         };
         let (fetch, save) = (list("x-kv-fetch"), list("x-kv-save"));
         let weights = self.weights();
+        let (mut unread, mut fetched) = (0, 0);
+        // What follows a part that was missing is read too.
+        let mut is_missing = false;
         for (at, part) in call.header("x-prompt-prefix").split(',').enumerate() {
             let Some((id, tokens)) = part.split_once(':') else { continue };
             let tokens: u32 = tokens.parse().unwrap_or(0);
             let name = (salt.clone(), id.to_owned());
-            let fetched =
-                fetch.get(at).and_then(|address| cache(address)).and_then(|c| c.read(&name));
-            let kept = self.parts.lock().get(&name).copied();
-            let made = kept.or(fetched.map(|(_, weights)| weights));
-            let counter = match made {
-                Some(made) if made != weights => Counter::WrongPrefixRead,
-                Some(_) => Counter::PromptTokensCached,
-                None => Counter::PromptTokensComputed,
-            };
-            self.tally.add(counter, tokens.into());
-            self.parts.lock().insert(name.clone(), made.unwrap_or(weights));
-            if let Some(cache) = save.get(at).and_then(|address| cache(address))
+            let kept = self.memory.lock().get(&name).map(|part| part.weights);
+            let source = fetch.get(if fetch.len() == 1 { 0 } else { at });
+            let elsewhere = || source.and_then(|source| engine.fetch(source, &name));
+            let made = kept.or_else(elsewhere).filter(|_| !is_missing);
+            is_missing |= made.is_none();
+            match made {
+                Some(made) => {
+                    let is_wrong = made != weights;
+                    self.tally.add(Counter::WrongPrefixRead, u64::from(is_wrong));
+                    self.tally.add(Counter::PromptTokensCached, tokens.into());
+                    fetched += if kept.is_none() { tokens } else { 0 };
+                }
+                None => {
+                    self.tally.add(Counter::PromptTokensComputed, tokens.into());
+                    unread += tokens;
+                }
+            }
+            let capacity = engine.reading.kept_tokens;
+            self.memory.lock().keep(name.clone(), tokens, made.unwrap_or(weights), capacity);
+            if let Some(cache) = save.get(at).and_then(|address| engine.cache(address))
                 && cache.reserve(&name, tokens, &engine.model, weights)
             {
                 let latency = self.settings.latency;
@@ -261,24 +347,37 @@
                 });
             }
         }
+        if fetched > 0 {
+            self.link.spend(engine.reading.fetch_time * fetched).await;
+        }
+        self.reader.spend(engine.reading.token_time * unread).await;
     }
 
     /// The events of an answer, from the one that the caller asked to go on after.
-    fn stream(self: Arc<Self>, engine: &Engine, call: &Call) -> Answer {
+    fn stream(self: Arc<Self>, slot: Slot, call: &Call) -> Answer {
         let first = call.header("last-event-id").parse::<u32>().map_or(1, |last| last + 1);
-        let (count, latency) = (engine.events, self.settings.latency);
+        let usage = call.header("x-token-usage").split_once(',');
+        let count = usage.and_then(|(_, output)| output.trim().parse().ok()).unwrap_or(1);
+        let (id, latency) = (call.header("x-request-id").to_owned(), self.settings.latency);
         let broken = self.broken.lock().as_mut().and_then(|(event, times)| {
             *times = times.checked_sub(1)?;
             Some(*event)
         });
-        let events = stream::iter(first..=count).then(move |number| async move {
-            tokio::time::sleep(latency).await;
-            let event = format!("id: {number}\ndata: token {number}\n\n");
-            if broken == Some(number) {
-                // Half of an event leaves before the break.
-                return [Ok(Bytes::from(event[..event.len() / 2].to_owned())), Err(Cut)].to_vec();
+        // The slot is held until the last event has left, or the caller.
+        let slot = Arc::new(slot);
+        let events = stream::iter(first..=count).then(move |number| {
+            let (id, slot) = (id.clone(), slot.clone());
+            async move {
+                tokio::time::sleep(latency).await;
+                drop(slot);
+                let event = format!("id: {number}\ndata: {id} {number}\n\n");
+                if broken == Some(number) {
+                    // Half of an event leaves before the break.
+                    return [Ok(Bytes::from(event[..event.len() / 2].to_owned())), Err(Cut)]
+                        .to_vec();
+                }
+                vec![Ok(Bytes::from(event))]
             }
-            vec![Ok(Bytes::from(event))]
         });
         let chunks = events.flat_map(|chunks| {
             stream::iter(chunks).then(|chunk| async move {
@@ -318,7 +417,7 @@
         let load_time = self.settings.engine.as_ref().map_or(Duration::ZERO, |e| e.load_time);
         tokio::spawn(async move {
             tokio::time::sleep(load_time).await;
-            self.parts.lock().clear();
+            *self.memory.lock() = Memory::default();
             self.weights.store(body.version, Ordering::Relaxed);
             self.loading.store(false, Ordering::Relaxed);
         });
@@ -367,6 +466,28 @@
     }
 }
 
+impl Engine {
+    /// The weights of a part that a store or another engine holds.
+    fn fetch(&self, source: &str, name: &cache::Name) -> Option<u64> {
+        if let Some(cache) = self.cache(source) {
+            return cache.read(name).map(|(_, weights)| weights);
+        }
+        let source = self.others.lock().get(&source.parse().ok()?)?.upgrade()?;
+        let part = source.memory.lock().get(name);
+        part.map(|part| part.weights)
+    }
+
+    fn cache(&self, address: &str) -> Option<Arc<cache::State>> {
+        let address: SocketAddr = address.parse().ok()?;
+        self.caches.iter().find(|(at, _)| *at == address).map(|(_, cache)| cache.clone())
+    }
+}
+
+/// The answer that says that nothing ran.
+fn not_run() -> Answer {
+    Answer::bytes(StatusCode::SERVICE_UNAVAILABLE, "").with("x-not-executed", 1)
+}
+
 /// Ids of requests that ran more than once, over several servers.
 pub fn repeated<'a>(servers: impl IntoIterator<Item = &'a Handle>) -> BTreeSet<String> {
     let mut runs: BTreeMap<String, u32> = BTreeMap::new();
