--- /dev/null
+++ b/crates/daemon/benches/platform.rs
@@ -0,0 +1,170 @@
+//! What one real `acaciad` on the platform costs: processor time a request and an event, memory with
+//! 300 open streams. Prints one JSON line.
+
+use std::fs;
+use std::io;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use acacia_standin::platform::caller::{Ask, Caller, End, Subject};
+use acacia_standin::platform::document::{self, Addresses, CONFIGURATION_KEY, Deployment, MODEL};
+use acacia_standin::platform::server::{self, Engine, Others, Reading, Settings};
+use acacia_standin::platform::store;
+use futures::StreamExt;
+use futures::stream;
+use serde_json::json;
+
+/// Requests that are under way at a time.
+const AT_ONCE: usize = 16;
+/// Plain requests that are measured.
+const REQUESTS: usize = 20_000;
+/// Streams that are measured, and events of each.
+const STREAMS: (usize, u32) = (64, 1_000);
+/// Streams that are open at once, and events of each.
+const OPEN: (usize, u32) = (300, 400);
+/// Time between two events.
+const STEP: Duration = Duration::from_millis(5);
+/// Longest wait of a caller.
+const PATIENCE: Duration = Duration::from_secs(120);
+/// Key of the one organisation.
+const KEY: &str = "key";
+
+fn main() -> miette::Result<()> {
+    let runtime = tokio::runtime::Runtime::new().map_err(failure)?;
+    runtime.block_on(measure()).map_err(failure)
+}
+
+fn failure(error: impl std::fmt::Display) -> miette::Report {
+    miette::miette!("{error}")
+}
+
+async fn measure() -> io::Result<()> {
+    let store = store::start().await?;
+    let service = server::start(server_settings("app", None), &store).await?;
+    let engine = Engine {
+        model: MODEL.to_owned(),
+        load_time: Duration::ZERO,
+        caches: Vec::new(),
+        others: Others::default(),
+        reading: Reading::default(),
+    };
+    let engine = server::start(server_settings("llm", Some(engine)), &store).await?;
+    let deployment = Deployment {
+        timeout_ms: 120_000,
+        aim_ms: 60_000,
+        pause_ms: 60_000,
+        engine_slots: OPEN.0,
+        engine_tokens: 100_000_000,
+        token_bytes: 1_000,
+        link_mbps: 100_000.0,
+        cache: None,
+    };
+    store.put(CONFIGURATION_KEY, &deployment.configuration(1, &[("one", KEY)]));
+    let process = Process::start(&store)?;
+    let caller = Caller::new(vec![process.addresses.callers]).map_err(io::Error::other)?;
+    while !caller.is_ready(process.addresses.ready).await {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let started = process.cost()?;
+    let idle = process.peak_memory()?;
+    ask(&caller, AT_ONCE, REQUESTS, &Subject::Read).await?;
+    let plain = process.cost()?;
+    let prompt = |output| Subject::Prompt { parts: vec![("a".to_owned(), 100)], output };
+    ask(&caller, STREAMS.0, STREAMS.0, &prompt(STREAMS.1)).await?;
+    let streams = process.cost()?;
+    ask(&caller, OPEN.0, OPEN.0, &prompt(OPEN.1)).await?;
+    let events = STREAMS.0 as f64 * f64::from(STREAMS.1);
+    let micros = |time: Duration, count: f64| time.as_secs_f64() * 1e6 / count;
+    let line = json!({
+        "start_cpu_ms": started.as_millis() as u64,
+        "request_cpu_us": micros(plain - started, REQUESTS as f64),
+        "event_cpu_us": micros(streams - plain, events),
+        "peak_mb_at_start": idle,
+        "peak_mb_with_300_streams": process.peak_memory()?,
+    });
+    println!("{line}");
+    drop((service, engine));
+    Ok(())
+}
+
+/// Sends requests, some at a time, and fails unless each is answered whole.
+async fn ask(caller: &Caller, at_once: usize, count: usize, subject: &Subject) -> io::Result<()> {
+    let asks = (0..count).map(|number| Ask {
+        id: format!("r{number}"),
+        key: KEY.to_owned(),
+        subject: subject.clone(),
+        patience: PATIENCE,
+        retries: 0,
+    });
+    let answers = stream::iter(asks).map(async |ask| caller.ask(&ask).await);
+    let mut answers = std::pin::pin!(answers.buffer_unordered(at_once));
+    while let Some(answer) = answers.next().await {
+        if answer.end != End::Whole {
+            return Err(io::Error::other(format!("a request ended {:?}", answer.end)));
+        }
+    }
+    Ok(())
+}
+
+fn server_settings(service: &str, engine: Option<Engine>) -> Settings {
+    Settings {
+        id: service.to_owned(),
+        service: service.to_owned(),
+        zone: "z1".to_owned(),
+        latency: if engine.is_some() { STEP } else { Duration::ZERO },
+        slots: OPEN.0,
+        queue: OPEN.0,
+        engine,
+    }
+}
+
+/// A real `acaciad`, ended when dropped.
+struct Process {
+    child: Child,
+    addresses: Addresses,
+    settings: PathBuf,
+}
+
+impl Process {
+    fn start(store: &store::Handle) -> io::Result<Self> {
+        let addresses = Addresses::free()?;
+        let name = format!("acacia-cost-{}.toml", std::process::id());
+        let settings = std::env::temp_dir().join(name);
+        fs::write(&settings, document::settings("one", "z1", &addresses, store.address))?;
+        let child = Command::new(env!("CARGO_BIN_EXE_acaciad"))
+            .arg("--platform")
+            .env("ACACIAARCH_SETTINGS", &settings)
+            .stdout(Stdio::null())
+            .spawn()?;
+        Ok(Self { child, addresses, settings })
+    }
+
+    /// Processor time of all its threads.
+    fn cost(&self) -> io::Result<Duration> {
+        let mut nanos = 0;
+        for thread in fs::read_dir(format!("/proc/{}/task", self.child.id()))? {
+            let text = fs::read_to_string(thread?.path().join("schedstat"))?;
+            let first = text.split_whitespace().next().and_then(|text| text.parse::<u64>().ok());
+            nanos += first.ok_or_else(|| io::Error::other("schedstat can't be read"))?;
+        }
+        Ok(Duration::from_nanos(nanos))
+    }
+
+    /// Largest memory so far, in megabytes.
+    fn peak_memory(&self) -> io::Result<f64> {
+        let text = fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let peak = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = peak.and_then(|text| text.trim().split(' ').next()?.parse::<f64>().ok());
+        kilobytes.map(|kb| kb / 1_000.0).ok_or_else(|| io::Error::other("status can't be read"))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -79,11 +79,6 @@
         Self { traffic, plan: Some(plan), attempt, connection: None }
     }
 
-    /// The attempt.
-    pub fn attempt(&self) -> &Attempt {
-        &self.attempt
-    }
-
     /// Ends the attempt and gives the request back.
     pub fn end(&mut self, ending: Ending, instance: Option<&str>) -> Option<Plan> {
         let mut plan = self.plan.take()?;
@@ -91,12 +86,9 @@
         Some(plan)
     }
 
-    /// Reads the next bytes of a stream's body.
-    pub async fn chunk(&mut self) -> Result<Option<Bytes>, Fault> {
-        match &mut self.connection {
-            Some(connection) => connection.chunk().await,
-            None => Err(Fault::Closed),
-        }
+    /// The request, the attempt and the connection of a stream that goes on.
+    pub fn parts(&mut self) -> Option<(&Plan, &Attempt, &mut Connection)> {
+        Some((self.plan.as_ref()?, &self.attempt, self.connection.as_mut()?))
     }
 
     /// Keeps the connection for another request, after a whole answer.
@@ -283,7 +275,10 @@
 ) -> Result<Received, Failed> {
     let mut splitter = Splitter::after(last_event);
     loop {
-        match flight.chunk().await {
+        let Some((_, _, connection)) = flight.parts() else {
+            return Err((Ending::Cancelled, None));
+        };
+        match connection.chunk().await {
             Ok(Some(bytes)) => {
                 let first = splitter.push(&bytes);
                 if !first.is_empty() {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -82,12 +82,13 @@
 
     /// Reads until an event is whole.
     async fn read(&mut self) -> Next {
-        let Some(plan) = self.flight.plan.clone() else { return Next::Broken(Ending::Broken) };
-        let attempt = self.flight.attempt().clone();
-        let (flight, splitter) = (&mut self.flight, &mut self.splitter);
+        let splitter = &mut self.splitter;
+        let Some((plan, attempt, connection)) = self.flight.parts() else {
+            return Next::Broken(Ending::Broken);
+        };
         let events = async {
             loop {
-                match flight.chunk().await {
+                match connection.chunk().await {
                     Ok(Some(bytes)) => {
                         let events = splitter.push(&bytes);
                         if !events.is_empty() {
@@ -99,7 +100,7 @@
                 }
             }
         };
-        let read = patiently(&self.traffic, &plan, &attempt, attempt.pause, events).await;
+        let read = patiently(&self.traffic, plan, attempt, attempt.pause, events).await;
         read.unwrap_or_else(Next::Broken)
     }
 
