--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -203,6 +203,7 @@
         return;
     }
     let run = attempt.engine.as_ref();
+    let shared = plan.prompt.as_ref().and_then(|prompt| prompt.longest_shared());
     tracing::info!(
         id = plan.id,
         route = plan.route.name,
@@ -213,6 +214,8 @@
         send = plan.sends,
         cold = attempt.cold,
         weights = run.map(|run| run.weights),
+        shared_part = shared.map(|part| &*part.id),
+        shared_tokens = shared.map(|part| part.tokens),
         unread_tokens = attempt.unread_tokens,
         fetch = run.map(|run| tracing::field::debug(&run.fetch)),
         save = run.map(|run| tracing::field::debug(&run.save)),
--- a/crates/policy/src/gateway/call.rs
+++ b/crates/policy/src/gateway/call.rs
@@ -54,6 +54,11 @@
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
+    /// The longest part that other requests may share.
+    pub fn longest_shared(&self) -> Option<&Part> {
+        self.shared().iter().max_by_key(|part| part.tokens)
+    }
+
     /// Tokens that the request holds in an engine's memory when it ends.
     pub fn memory_tokens(&self) -> u64 {
         u64::from(self.input_tokens) + u64::from(self.output_tokens)
--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -492,7 +492,7 @@
 
     /// The engine that all instances rank first for the longest shared part.
     fn primary(&self) -> Option<MemberKey> {
-        let part = self.plan.prompt.as_ref()?.shared().iter().max_by_key(|part| part.tokens)?;
+        let part = self.plan.prompt.as_ref()?.longest_shared()?;
         self.roster.primary(&self.plan.service, &part.id, |member| {
             !member.server.leaving && !member.standing.evacuated
         })
