What runs at an engine needs no memory beside the parts that it read last

Cause: the capacity of an engine's believed cache was its memory less that of its running requests, whose parts are themselves in the cache; a busy engine's parts were forgotten the moment they were read. Test: next_finds_holder_that_is_busy fails before.

--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -231,10 +231,9 @@
     /// An engine reads a prompt that this instance or another one sent.
     fn take_read(&mut self, read: &Read) {
         let Some(key) = self.roster.by_short_name(read.server) else { return };
-        let member = &self.roster[key];
-        let memory = engine_memory(self.view.as_deref(), &member.server.service);
-        let running = member.own.plus(self.tallies.load(read.server)).memory_tokens;
-        self.roster.reads(key, &read.parts, memory.saturating_sub(running));
+        // What runs is among the parts read last, so it needs no memory besides.
+        let memory = engine_memory(self.view.as_deref(), &self.roster[key].server.service);
+        self.roster.reads(key, &read.parts, memory);
     }
 
     /// Takes in what another instance tells.
--- a/crates/policy/tests/gateway_machine.rs
+++ b/crates/policy/tests/gateway_machine.rs
@@ -6,7 +6,7 @@
 
 use acacia_policy::Verdict;
 use acacia_policy::gateway::configuration::Repeat;
-use acacia_policy::gateway::{Ending, Reason, Step};
+use acacia_policy::gateway::{Ending, Fetch, Reason, Step};
 
 use gateway_world::World;
 
@@ -204,6 +204,26 @@
     }
 }
 
+#[test]
+fn next_finds_holder_that_is_busy() {
+    let mut world = World::new(2);
+    // More prompts run than the engine's memory holds at their ends.
+    let mut running = Vec::new();
+    for number in 0..14 {
+        let mut plan = world.admit_prompt(&format!("report-{number}"), 10_000);
+        let attempt = world.send(&mut plan);
+        running.push((plan, attempt));
+    }
+    let (_, last) = running.last().unwrap();
+    let (holder, reader) = (last.server.id.clone(), last.server.address);
+    let mut plan = world.admit_prompt("report-13", 10_000);
+    let again = world.send(&mut plan);
+    let run = again.engine.as_ref().unwrap();
+    let is_used = again.server.id == holder || run.fetch == Fetch::Engine(reader);
+    assert!(is_used, "{} reads what {holder} has just read", again.server.id);
+    assert!(again.unread_tokens < 1_000, "{}", again.unread_tokens);
+}
+
 #[test]
 fn next_reads_a_new_part_where_all_instances_do() {
     let places = (0..5).map(|seed| {
