No saves on older weights; half of the managed stores keep parts of older weights during a rollout

Change: a prompt on older weights saves nothing; stock::Renewal lets half of the stores give older parts up at once and the others as engines are renewed. Tests: renewal_keeps_half_of_the_stores_..., next_saves_no_parts_of_older_weights.

--- a/crates/gateway/src/librarian.rs
+++ b/crates/gateway/src/librarian.rs
@@ -13,6 +13,7 @@
 use acacia_policy::Time;
 use acacia_policy::gateway::Weights;
 use acacia_policy::gateway::configuration::{Role, ServiceName};
+use acacia_policy::gateway::gossip::place;
 use acacia_policy::gateway::stock::Ledger;
 use tokio::sync::Mutex;
 
@@ -181,8 +182,10 @@
     /// Retires parts of older weights, writes the list if it changed, and frees what is due.
     async fn settle(&self, account: &Account) {
         let now = self.control.clock.now();
-        let weights = self.control.picture.borrow().weights().clone();
-        account.ledger.borrow_mut().retire(|model| weights.get(model).map(Weights::version));
+        if self.gives_up(account) {
+            let weights = self.control.picture.borrow().weights().clone();
+            account.ledger.borrow_mut().retire(|model| weights.get(model).map(Weights::version));
+        }
         let (written, revision) = match self.control.picture.borrow().stock(&account.service) {
             Some((stock, revision)) => (Some(stock.clone()), revision),
             None => (None, 0),
@@ -202,6 +205,17 @@
         }
     }
 
+    /// Whether a store is to give parts of older weights up now.
+    fn gives_up(&self, account: &Account) -> bool {
+        let mut stores = self.stores();
+        // By a hash, so that small and large stores come by turns.
+        stores.sort_unstable_by_key(|(_, address)| place(address));
+        let own = stores.iter().position(|(service, _)| *service == account.service);
+        let limit = self.control.settings.bounds.weights;
+        let renewal = self.control.picture.borrow().renewal(self.control.clock.now(), limit);
+        own.is_none_or(|own| renewal.is_due(own, stores.len()))
+    }
+
     async fn write(&self, account: &Account, revision: i64) {
         let stock = account.ledger.borrow().stock(self.control.clock.now());
         let value = encode_stock(&stock);
--- a/crates/gateway/src/picture.rs
+++ b/crates/gateway/src/picture.rs
@@ -10,7 +10,7 @@
 use acacia_policy::Time;
 use acacia_policy::gateway::configuration::{ModelName, Role, ZoneName};
 use acacia_policy::gateway::mesh::Peer;
-use acacia_policy::gateway::stock::{Shelf, Stock};
+use acacia_policy::gateway::stock::{Renewal, Shelf, Stock};
 use acacia_policy::gateway::{Configuration, Server, ServerId, View, WeightVersion, Weights};
 use acacia_policy::kv::{Entry, ModRevision};
 
@@ -217,6 +217,23 @@
         &self.weights
     }
 
+    /// How far the newest weights have come.
+    pub fn renewal(&self, now: Time, limit: Duration) -> Renewal {
+        let loaded = self.holder.as_ref().map(|holder| &holder.holding.loaded);
+        let (mut engines, mut renewed) = (0_u32, 0_u32);
+        for (id, server) in &self.servers {
+            for (model, version) in &server.models {
+                let Some(newest) = self.weights.get(model).map(Weights::version) else { continue };
+                let seen = loaded.and_then(|loaded| loaded.get(id)?.get(model));
+                engines += 1;
+                renewed += u32::from(*version >= newest || seen.is_some_and(|v| *v >= newest));
+            }
+        }
+        let named = self.weights.values().map(Weights::named).max().unwrap_or_default();
+        let part = f64::from(renewed) / f64::from(engines.max(1));
+        Renewal { part, age: now.saturating_sub(named), limit }
+    }
+
     /// Who holds the right to order.
     pub fn holder(&self) -> Option<&Holder> {
         self.holder.as_ref()
--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -476,10 +476,14 @@
         known
     }
 
-    /// The stores that the engine is to save the prompt's shared parts to.
-    fn saves(&self, prompt: &Prompt, parts: &[(PartKey, u32)]) -> Vec<Option<SocketAddr>> {
+    /// The stores that the engine is to save the prompt's shared parts to. Parts of older weights
+    /// would take the space of those that are about to be made.
+    fn saves(&self, prompt: &Prompt, reading: &Reading<'_>) -> Vec<Option<SocketAddr>> {
+        let parts = &reading.parts;
+        let newest = self.view.weights.get(&prompt.model);
+        let is_old = newest.is_some_and(|newest| newest.outdated(reading.weights).is_some());
         let is_fresh = self.now < self.view.heard + SAVE_LIMIT;
-        let shared = if is_fresh { prompt.shared().len() } else { 0 };
+        let shared = if is_fresh && !is_old { prompt.shared().len() } else { 0 };
         let shelves = &self.view.shelves;
         let store = |part: &(PartKey, u32)| self.saves.store(self.now, *part, shelves);
         let mut stores: Vec<_> = parts[..shared.min(parts.len())].iter().map(store).collect();
@@ -500,7 +504,8 @@
 
     /// How the chosen engine is to run the prompt.
     fn run(&self, key: MemberKey, prompt: &Prompt, access: &Access) -> EngineRun {
-        let Reading { weights, salt, parts, .. } = &self.readings[access.reading];
+        let reading = &self.readings[access.reading];
+        let Reading { weights, salt, parts, .. } = reading;
         let fetch = match access.source {
             Source::Nowhere => Fetch::None,
             Source::Engine(source) => Fetch::Engine(self.roster[source].server.address),
@@ -518,7 +523,7 @@
             weights: *weights,
             salt: salt.clone(),
             fetch,
-            save: self.saves(prompt, parts),
+            save: self.saves(prompt, reading),
             rank: self.plan.rank(),
         }
     }
--- a/crates/policy/src/gateway/stock.rs
+++ b/crates/policy/src/gateway/stock.rs
@@ -27,6 +27,10 @@
 pub const READ_LIMIT: Duration = Duration::from_millis(2_400);
 /// Time for clocks to differ in while a part is not yet freed: servers' reports lag by less.
 const FREE_MARGIN: Duration = Duration::from_millis(600);
+/// Part of the managed stores that give parts of older weights up as soon as newer ones are named, so
+/// that there is room for parts that are made on these; the rest serves engines that still have the
+/// older ones.
+const FIRST_STORES: f64 = 0.5;
 /// Part of a store that is filled; parts are rounded up to blocks.
 const FILL_PART: f64 = 0.96;
 
@@ -116,6 +120,25 @@
     Removed(Name),
 }
 
+/// How far newer weights have come to the engines.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Renewal {
+    /// Part of the engines that have them, from zero to one.
+    pub part: f64,
+    /// Time since they were named.
+    pub age: Duration,
+    /// Time after which no request begins on older ones.
+    pub limit: Duration,
+}
+
+impl Renewal {
+    /// Whether a store gives parts of older weights up, by its place among all managed stores.
+    pub fn is_due(&self, place: usize, stores: usize) -> bool {
+        let due = stores as f64 * self.part.max(FIRST_STORES);
+        (place as f64) < due || self.age >= self.limit
+    }
+}
+
 /// The account of one store.
 #[derive(Debug, Default)]
 pub struct Ledger {
--- a/crates/policy/tests/gateway_machine.rs
+++ b/crates/policy/tests/gateway_machine.rs
@@ -2,11 +2,13 @@
 
 mod gateway_world;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use acacia_policy::Verdict;
 use acacia_policy::gateway::configuration::Repeat;
 use acacia_policy::gateway::mesh::Detail;
+use acacia_policy::gateway::stock::{Shelf, Stock};
 use acacia_policy::gateway::{Ending, Fetch, Reason, Step};
 
 use gateway_world::World;
@@ -282,3 +284,29 @@
     world.send(&mut plain);
     assert!(world.tally(Detail::Large).is_some(), "a plain upstream's load is told");
 }
+
+#[test]
+fn next_saves_no_parts_of_older_weights() {
+    let mut world = World::new(2);
+    world.change(|view, now| {
+        view.heard = now;
+        view.shelves = vec![Shelf {
+            address: ([127, 0, 0, 1], 2).into(),
+            zone: "z0".into(),
+            capacity_tokens: 100_000,
+            link_bytes: 35e9,
+            first_byte: Duration::from_millis(1),
+            stock: Arc::new(Stock { epoch: 1, is_open: true, ..Stock::default() }),
+        }];
+    });
+    let saved = |world: &mut World, part: &str| {
+        let mut plan = world.admit_prompt(part, 5_000);
+        let attempt = world.send(&mut plan);
+        let run = attempt.engine.clone().unwrap();
+        world.end(&mut plan, &attempt, Ending::Answered);
+        run.save.iter().flatten().count()
+    };
+    assert_eq!(saved(&mut world, "a"), 1);
+    world.name_weights(2);
+    assert_eq!(saved(&mut world, "b"), 0, "the engine still has the older weights");
+}
--- a/crates/policy/tests/gateway_stock.rs
+++ b/crates/policy/tests/gateway_stock.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use acacia_policy::Time;
-use acacia_policy::gateway::stock::{Change, Item, Ledger, Listing, Name, READ_LIMIT, Stock};
+use acacia_policy::gateway::stock::{
+    Change, Item, Ledger, Listing, Name, READ_LIMIT, Renewal, Stock,
+};
 
 const MODEL: &str = "m";
 
@@ -92,3 +94,16 @@
     assert!(!stock.has_room(100, 400, 1_000));
     assert!(!Stock { is_open: false, ..stock }.has_room(100, 0, 1_000));
 }
+
+#[test]
+fn renewal_keeps_half_of_the_stores_while_engines_have_older_weights() {
+    let due = |part, age| {
+        let renewal = Renewal { part, age: at(age), limit: at(8_000) };
+        (0..6).filter(|place| renewal.is_due(*place, 6)).count()
+    };
+    assert_eq!(due(0.0, 0), 3, "there is room for parts of the newer weights at once");
+    assert_eq!(due(0.6, 0), 4);
+    assert_eq!(due(1.0, 0), 6);
+    assert_eq!(due(0.0, 8_000), 6, "nothing begins on older weights any more");
+    assert!(Renewal { part: 0.0, age: at(0), limit: at(8_000) }.is_due(0, 1), "a single store");
+}
