A soak of real processes from seeds; a looked-at engine that needs no order blocks no rollout

Cause: a new holder looks at an engine whose entry tells older weights; where its report says that it has the newest, it needs no order, but stayed 'looked at' and kept the one place among engines that reload. Test: step_goes_on_after_an_engine_that_was_renewed_before fails before. Ruled out: errands without a time limit (they have one).

--- a/crates/policy/src/gateway/rollout.rs
+++ b/crates/policy/src/gateway/rollout.rs
@@ -226,14 +226,15 @@
         }
     }
 
-    /// Looks at engines that reload, and ends the reloads that are done.
+    /// Looks at engines that reload, and ends what was begun at those that are done.
     fn look_at_ordered(&mut self, now: Time, weights: &BTreeMap<ModelName, Weights>) -> Vec<Act> {
         let mut acts = Vec::new();
         for engine in self.engines.values_mut().filter(|engine| !engine.waiting) {
-            let Stage::Ordered(_) = engine.stage else { continue };
-            if weights.iter().all(|(model, newest)| engine.has(model, newest.version())) {
+            let is_done = weights.iter().all(|(model, newest)| engine.has(model, newest.version()));
+            if is_done {
+                // One that was only looked at may have been renewed by the holder before.
                 engine.stage = Stage::Idle;
-            } else if now >= engine.next {
+            } else if matches!(engine.stage, Stage::Ordered(_)) && now >= engine.next {
                 engine.waiting = true;
                 acts.push(Act::Look(engine.server.clone()));
             }
--- a/crates/policy/tests/gateway_rollout.rs
+++ b/crates/policy/tests/gateway_rollout.rs
@@ -227,3 +227,30 @@
     assert!(!tenure.is_open(at(9)));
     assert!(!tenure.is_open(at(9) - Duration::from_millis(100)), "an order is on its way a while");
 }
+
+/// Found by the soak, seed 11: a new holder looks at an engine whose entry still tells the older
+/// weights. That engine needs no order, and must not keep the others from theirs.
+#[test]
+fn step_goes_on_after_an_engine_that_was_renewed_before() {
+    let mut fleet = Fleet::new(3);
+    fleet.name(2);
+    let servers = fleet.servers.clone();
+    let weights = BTreeMap::from([(MODEL.into(), Weights::new(2, fleet.now))]);
+    let mut rollout = Rollout::default();
+    let mut ordered = Vec::new();
+    for round in 0..100 {
+        let now = fleet.now + STEP * round;
+        for act in rollout.step(now, &servers, &weights, LIMIT) {
+            match act {
+                Act::Look(server) => {
+                    let version = if &*server.id == "e0" { 2 } else { 1 };
+                    let models = vec![(MODEL.into(), version)];
+                    let report = Report { models, orders: 1, ..Report::default() };
+                    rollout.looked(now, &server.id, Some(report));
+                }
+                Act::Order { server, .. } => ordered.push(server.id.to_string()),
+            }
+        }
+    }
+    assert_eq!(ordered.first().map(String::as_str), Some("e1"));
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,82 @@
+//! Plays seeds and prints a line for each; fails if a promise was broken.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use acacia_soak::run::{Outcome, Plan, run};
+use bpaf::Bpaf;
+use futures::{StreamExt, stream};
+use miette::IntoDiagnostic;
+
+/// Play faults against real processes, from seeds
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, version)]
+struct Arguments {
+    /// The first seed
+    #[bpaf(argument("NUMBER"), fallback(1), display_fallback)]
+    seed: u64,
+    /// How many seeds
+    #[bpaf(argument("NUMBER"), fallback(1), display_fallback)]
+    count: u64,
+    /// Seeds that are played at once
+    #[bpaf(argument("NUMBER"), fallback(2), display_fallback)]
+    jobs: usize,
+    /// Entry instances of each
+    #[bpaf(argument("NUMBER"), fallback(3), display_fallback)]
+    instances: usize,
+    /// Time in which faults begin
+    #[bpaf(argument("SECONDS"), fallback(8), display_fallback)]
+    seconds: u64,
+    /// The program; acaciad beside this one if absent
+    #[bpaf(argument("FILE"), optional)]
+    daemon: Option<PathBuf>,
+    /// Where logs of failed seeds stay
+    #[bpaf(argument("FOLDER"), optional)]
+    logs: Option<PathBuf>,
+}
+
+#[tokio::main]
+async fn main() -> miette::Result<()> {
+    let arguments = arguments().run();
+    let own = std::env::current_exe().into_diagnostic()?;
+    let folder = format!("acacia-soak-{}", std::process::id());
+    let plan = Plan {
+        daemon: arguments.daemon.unwrap_or_else(|| own.with_file_name("acaciad")),
+        instances: arguments.instances.max(1),
+        length: Duration::from_secs(arguments.seconds),
+        folder: arguments.logs.unwrap_or_else(|| std::env::temp_dir().join(folder)),
+    };
+    let seeds = arguments.seed..arguments.seed + arguments.count;
+    let plays = stream::iter(seeds).map(|seed| run(&plan, seed));
+    let mut plays = std::pin::pin!(plays.buffered(arguments.jobs.max(1)));
+    let mut failed = Vec::new();
+    while let Some(outcome) = plays.next().await {
+        let outcome = outcome.into_diagnostic()?;
+        print(&outcome);
+        if outcome.broken.is_empty() {
+            // Only logs of failed seeds are of use.
+            let _ = std::fs::remove_dir_all(&outcome.folder);
+        } else {
+            failed.push(outcome.seed);
+        }
+    }
+    if failed.is_empty() {
+        return Ok(());
+    }
+    Err(miette::miette!(
+        help = "play one with --seed N; its logs are named above",
+        "promises were broken by the seeds {failed:?}"
+    ))
+}
+
+fn print(outcome: &Outcome) {
+    let (all, served) = outcome.requests;
+    let verdict = if outcome.broken.is_empty() { "kept" } else { "BROKEN" };
+    println!("seed {}: {verdict}, {served} of {all} requests served", outcome.seed);
+    for broken in &outcome.broken {
+        println!("  {broken}");
+    }
+    if !outcome.broken.is_empty() {
+        println!("  logs: {}", outcome.folder.display());
+    }
+}
--- /dev/null
+++ b/crates/soak/src/proxy.rs
@@ -0,0 +1,159 @@
+//! A proxy for TCP that can hold, delay, refuse and reset what passes.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// Bytes that are passed on at once.
+const BUFFER: usize = 16 << 10;
+
+/// A proxy before one server; dropping it closes all.
+pub struct Proxy {
+    /// Where it listens.
+    pub address: SocketAddr,
+    mode: watch::Sender<Mode>,
+    resets: watch::Sender<u64>,
+    task: JoinHandle<()>,
+}
+
+/// What happens to bytes.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Mode {
+    /// They pass.
+    #[default]
+    Pass,
+    /// They pass later.
+    Delay(Duration),
+    /// Those of the server wait until the mode ends; those of its callers pass.
+    OneWay,
+    /// All wait until the mode ends.
+    Silent,
+    /// New connections are reset.
+    Refuse,
+}
+
+/// Who sent some bytes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Sender {
+    Caller,
+    Server,
+}
+
+impl Mode {
+    /// How long bytes wait; none if until the mode changes.
+    fn wait(self, sender: Sender) -> Option<Duration> {
+        match (self, sender) {
+            (Self::Delay(time), _) => Some(time),
+            (Self::Silent, _) | (Self::OneWay, Sender::Server) => None,
+            _ => Some(Duration::ZERO),
+        }
+    }
+}
+
+impl Proxy {
+    /// Listens on a free port of loopback.
+    ///
+    /// # Errors
+    /// If none can be bound.
+    pub async fn start(server: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let address = listener.local_addr()?;
+        let (mode, modes) = watch::channel(Mode::default());
+        let (resets, reset) = watch::channel(0);
+        let task = tokio::spawn(serve(listener, server, modes, reset));
+        Ok(Self { address, mode, resets, task })
+    }
+
+    /// Changes what happens to bytes.
+    pub fn set(&self, mode: Mode) {
+        self.mode.send_replace(mode);
+    }
+
+    /// Resets every open connection.
+    pub fn reset(&self) {
+        self.resets.send_modify(|count| *count += 1);
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.task.abort();
+        self.reset();
+    }
+}
+
+async fn serve(
+    listener: TcpListener,
+    server: SocketAddr,
+    modes: watch::Receiver<Mode>,
+    resets: watch::Receiver<u64>,
+) {
+    loop {
+        // A connection that could not be taken is the caller's to make again.
+        let Ok((caller, _)) = listener.accept().await else { continue };
+        if *modes.borrow() == Mode::Refuse {
+            abort(&caller);
+            continue;
+        }
+        let (modes, mut resets) = (modes.clone(), resets.clone());
+        resets.mark_unchanged();
+        tokio::spawn(async move {
+            let Ok(server) = TcpStream::connect(server).await else {
+                abort(&caller);
+                return;
+            };
+            // A reset finds the sockets through these, while the halves are in use.
+            let sockets = [&caller, &server].map(|stream| SockRef::from(stream).try_clone());
+            let (from_caller, to_caller) = caller.into_split();
+            let (from_server, to_server) = server.into_split();
+            let both = async {
+                tokio::join!(
+                    pass(from_caller, to_server, modes.clone(), Sender::Caller),
+                    pass(from_server, to_caller, modes.clone(), Sender::Server),
+                );
+            };
+            tokio::select! {
+                () = both => {}
+                _ = resets.changed() => {
+                    for socket in sockets.into_iter().flatten() {
+                        // The peer sees an end instead of a reset if this fails.
+                        let _ = socket.set_linger(Some(Duration::ZERO));
+                    }
+                }
+            }
+        });
+    }
+}
+
+/// Closes a connection with a reset.
+fn abort(stream: &TcpStream) {
+    // The peer sees an end instead of a reset if this fails.
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
+/// Passes bytes on until their sender closes.
+async fn pass(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut modes: watch::Receiver<Mode>,
+    sender: Sender,
+) {
+    let mut buffer = vec![0; BUFFER];
+    while let Ok(count @ 1..) = from.read(&mut buffer).await {
+        let released = modes.wait_for(|mode| mode.wait(sender).is_some()).await;
+        let wait = released.map_or(None, |mode| mode.wait(sender)).unwrap_or_default();
+        tokio::time::sleep(wait).await;
+        if to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+    // The other side may have closed first.
+    let _ = to.shutdown().await;
+}
--- /dev/null
+++ b/crates/soak/src/scene.rs
@@ -0,0 +1,295 @@
+//! A small deployment: the platform's stand-ins, proxies before them, and real processes.
+
+use std::fs::{self, File};
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use acacia_standin::Counter;
+use acacia_standin::platform::caller::Caller;
+use acacia_standin::platform::document::{self, Addresses, CONFIGURATION_KEY, Deployment, MODEL};
+use acacia_standin::platform::server::{self, Engine, Others, Reading};
+use acacia_standin::platform::{cache, store};
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::sync::Mutex;
+use tokio::time::Instant;
+
+use crate::oracle::Evidence;
+use crate::proxy::Proxy;
+
+/// Organisations with their keys.
+pub const ORGANISATIONS: [(&str, &str); 2] = [("north", "key-north"), ("south", "key-south")];
+/// Servers of the plain service, and model engines.
+const SERVERS: usize = 4;
+/// Requests that a server works on at once.
+const SLOTS: usize = 16;
+/// Time between two events.
+const STEP: Duration = Duration::from_millis(5);
+/// Tokens of the managed store.
+const CACHE_TOKENS: u64 = 40_000;
+/// Time between two looks at something.
+const LOOK: Duration = Duration::from_millis(20);
+/// Longest wait for an instance to be ready, or to stop: twice the grace time.
+const PATIENCE: Duration = Duration::from_secs(16);
+
+/// A running deployment.
+pub struct Scene {
+    /// The metadata store.
+    pub store: store::Handle,
+    /// The way to it.
+    pub store_way: Proxy,
+    /// Plain servers, then engines.
+    pub servers: Vec<server::Handle>,
+    /// The ways to them.
+    pub ways: Vec<Proxy>,
+    /// The managed store of KV cache.
+    pub cache: cache::Handle,
+    /// Entry instances.
+    pub instances: Vec<Instance>,
+    folder: PathBuf,
+}
+
+/// An entry instance; its process changes.
+pub struct Instance {
+    /// Asks this instance only.
+    pub caller: Caller,
+    /// Whether the platform's balancer sends callers here.
+    pub is_ready: AtomicBool,
+    /// Held while something happens to the process.
+    pub process: Mutex<Process>,
+    addresses: Addresses,
+}
+
+/// A process of an instance.
+pub struct Process {
+    child: Child,
+    daemon: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+}
+
+impl Scene {
+    /// Starts a deployment with the program `daemon`, and waits until its instances are ready. Logs go
+    /// to `folder`.
+    ///
+    /// # Errors
+    /// If something can't be started, or an instance is not ready in time.
+    pub async fn start(daemon: &Path, folder: PathBuf, count: usize) -> io::Result<Self> {
+        fs::create_dir_all(&folder)?;
+        let store = store::start().await?;
+        let store_way = Proxy::start(store.address).await?;
+        let cache = cache::start(CACHE_TOKENS).await?;
+        let others = Others::default();
+        let (mut servers, mut ways) = (Vec::new(), Vec::new());
+        for number in 0..SERVERS * 2 {
+            let engine = (number >= SERVERS).then(|| engine(&cache, &others));
+            let server = server::start(server_settings(number, engine), &store).await?;
+            let way = Proxy::start(server.address).await?;
+            others.lock().insert(way.address, Arc::downgrade(&server.state()));
+            server.list_at(&store, way.address);
+            servers.push(server);
+            ways.push(way);
+        }
+        let mut scene =
+            Self { store, store_way, servers, ways, cache, instances: Vec::new(), folder };
+        scene.configure(1);
+        for number in 0..count {
+            let instance = scene.instance(daemon, number)?;
+            scene.instances.push(instance);
+        }
+        for instance in &scene.instances {
+            instance.wait_ready().await?;
+        }
+        Ok(scene)
+    }
+
+    fn instance(&self, daemon: &Path, number: usize) -> io::Result<Instance> {
+        let addresses = Addresses::free()?;
+        let settings = self.folder.join(format!("{number}.toml"));
+        let name = format!("instance-{number}");
+        let text = document::settings(&name, &zone(number), &addresses, self.store_way.address);
+        fs::write(&settings, text)?;
+        let log = self.folder.join(format!("{number}.log"));
+        let child = spawn(daemon, &settings, &log)?;
+        let process = Process { child, daemon: daemon.to_owned(), settings, log };
+        let caller = Caller::new(vec![addresses.callers]).map_err(io::Error::other)?;
+        let is_ready = AtomicBool::new(false);
+        Ok(Instance { caller, is_ready, process: Mutex::new(process), addresses })
+    }
+
+    /// Names a configuration with both organisations.
+    pub fn configure(&self, version: u64) {
+        self.name(version, &ORGANISATIONS);
+    }
+
+    /// Names a configuration with some organisations.
+    pub fn name(&self, version: u64, organisations: &[(&str, &str)]) {
+        let deployment = Deployment {
+            timeout_ms: 10_000,
+            aim_ms: 1_000,
+            pause_ms: 1_000,
+            engine_slots: SLOTS,
+            engine_tokens: 20_000,
+            token_bytes: 1_000,
+            link_mbps: 100_000.0,
+            cache: Some((self.cache.address, CACHE_TOKENS)),
+        };
+        let configuration = deployment.configuration(version, organisations);
+        self.store.put(CONFIGURATION_KEY, &configuration);
+    }
+
+    /// Model engines.
+    pub fn engines(&self) -> &[server::Handle] {
+        &self.servers[SERVERS..]
+    }
+
+    /// What servers saw.
+    pub fn evidence(&self) -> Evidence {
+        let wrong = self.engines().iter().map(|engine| engine.count(Counter::WrongPrefixRead));
+        Evidence {
+            seen: self.servers.iter().flat_map(|server| server.seen()).collect(),
+            wrong_parts: wrong.sum::<u64>() + self.cache.count(Counter::WrongBlockRead),
+        }
+    }
+
+    /// Asks each instance whether it is ready, for as long as it is polled. As on the platform, two
+    /// answers in a row decide.
+    pub async fn watch_ready(&self) {
+        let mut before = vec![true; self.instances.len()];
+        loop {
+            for (instance, before) in self.instances.iter().zip(&mut before) {
+                let now = instance.caller.is_ready(instance.addresses.ready).await;
+                if now || !*before {
+                    instance.is_ready.store(now, Ordering::Relaxed);
+                }
+                *before = now;
+            }
+            tokio::time::sleep(LOOK * 5).await;
+        }
+    }
+}
+
+impl Instance {
+    /// Waits until it is ready.
+    ///
+    /// # Errors
+    /// If it is not in time.
+    pub async fn wait_ready(&self) -> io::Result<()> {
+        let end = Instant::now() + PATIENCE;
+        while !self.caller.is_ready(self.addresses.ready).await {
+            if Instant::now() > end {
+                return Err(io::Error::other("an instance is not ready in time; see its log"));
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        self.is_ready.store(true, Ordering::Relaxed);
+        Ok(())
+    }
+}
+
+impl Process {
+    /// Sends a signal.
+    ///
+    /// # Errors
+    /// If the process is gone.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        Ok(kill_process(Pid::from_child(&self.child), signal)?)
+    }
+
+    /// Kills it and starts it anew after a pause.
+    ///
+    /// # Errors
+    /// If it can't be started.
+    pub async fn kill(&mut self, pause: Duration) -> io::Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        tokio::time::sleep(pause).await;
+        self.child = spawn(&self.daemon, &self.settings, &self.log)?;
+        Ok(())
+    }
+
+    /// Tells it to stop, waits until it has, and starts it anew.
+    ///
+    /// # Errors
+    /// If it does not stop in time, or not well, or can't be started.
+    pub async fn replace(&mut self) -> io::Result<()> {
+        self.signal(Signal::TERM)?;
+        let end = Instant::now() + PATIENCE;
+        let status = loop {
+            match self.child.try_wait()? {
+                Some(status) => break status,
+                None if Instant::now() > end => {
+                    return Err(io::Error::other("an instance did not stop in time"));
+                }
+                None => tokio::time::sleep(LOOK).await,
+            }
+        };
+        if !status.success() {
+            return Err(io::Error::other(format!("an instance ended with {status}")));
+        }
+        self.child = spawn(&self.daemon, &self.settings, &self.log)?;
+        Ok(())
+    }
+
+    /// Writes its settings again and tells it to read them.
+    ///
+    /// # Errors
+    /// If the file can't be written or the process is gone.
+    pub fn reload(&self) -> io::Result<()> {
+        let text = fs::read_to_string(&self.settings)?;
+        fs::write(&self.settings, text)?;
+        self.signal(Signal::HUP)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn spawn(daemon: &Path, settings: &Path, log: &Path) -> io::Result<Child> {
+    let log = File::options().create(true).append(true).open(log)?;
+    Command::new(daemon)
+        .arg("--platform")
+        .env("ACACIAARCH_SETTINGS", settings)
+        .stdout(log)
+        .stderr(Stdio::inherit())
+        .spawn()
+}
+
+fn engine(cache: &cache::Handle, others: &Others) -> Engine {
+    Engine {
+        model: MODEL.to_owned(),
+        load_time: Duration::from_millis(300),
+        caches: vec![(cache.address, cache.state())],
+        others: others.clone(),
+        reading: Reading {
+            token_time: Duration::from_micros(20),
+            fetch_time: Duration::from_micros(2),
+            kept_tokens: 20_000,
+        },
+    }
+}
+
+fn server_settings(number: usize, engine: Option<Engine>) -> server::Settings {
+    let service = if engine.is_some() { "llm" } else { "app" };
+    server::Settings {
+        id: format!("{service}-{number}"),
+        service: service.to_owned(),
+        zone: zone(number),
+        latency: STEP,
+        slots: SLOTS,
+        queue: SLOTS,
+        engine,
+    }
+}
+
+fn zone(number: usize) -> String {
+    format!("z{}", 1 + number % 2)
+}
--- /dev/null
+++ b/crates/soak/tests/proxy.rs
@@ -0,0 +1,75 @@
+//! The proxy's modes, seen from both sides.
+
+#![expect(clippy::unwrap_used, reason = "a helper that fails fails its test")]
+
+use std::io::ErrorKind;
+use std::time::Duration;
+
+use acacia_soak::proxy::{Mode, Proxy};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+/// Time in which held bytes must not come; short, as it only delays the test.
+const HELD: Duration = Duration::from_millis(100);
+
+async fn pair() -> (Proxy, TcpStream, TcpStream) {
+    let server = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let proxy = Proxy::start(server.local_addr().unwrap()).await.unwrap();
+    let caller = TcpStream::connect(proxy.address).await.unwrap();
+    let (accepted, _) = server.accept().await.unwrap();
+    (proxy, caller, accepted)
+}
+
+async fn read(stream: &mut TcpStream) -> std::io::Result<u8> {
+    stream.read_u8().await
+}
+
+#[tokio::test]
+async fn pass_both_ways() {
+    let (_proxy, mut caller, mut server) = pair().await;
+    caller.write_all(b"a").await.unwrap();
+    assert_eq!(read(&mut server).await.unwrap(), b'a');
+    server.write_all(b"b").await.unwrap();
+    assert_eq!(read(&mut caller).await.unwrap(), b'b');
+}
+
+#[tokio::test]
+async fn one_way_holds_the_servers_bytes() {
+    let (proxy, mut caller, mut server) = pair().await;
+    proxy.set(Mode::OneWay);
+    caller.write_all(b"a").await.unwrap();
+    assert_eq!(read(&mut server).await.unwrap(), b'a');
+    server.write_all(b"b").await.unwrap();
+    assert!(timeout(HELD, read(&mut caller)).await.is_err());
+    proxy.set(Mode::Pass);
+    assert_eq!(read(&mut caller).await.unwrap(), b'b');
+}
+
+#[tokio::test]
+async fn silent_holds_all_bytes() {
+    let (proxy, mut caller, mut server) = pair().await;
+    proxy.set(Mode::Silent);
+    caller.write_all(b"a").await.unwrap();
+    assert!(timeout(HELD, read(&mut server)).await.is_err());
+    proxy.set(Mode::Pass);
+    assert_eq!(read(&mut server).await.unwrap(), b'a');
+}
+
+#[tokio::test]
+async fn reset_cuts_open_connections() {
+    let (proxy, mut caller, mut server) = pair().await;
+    proxy.reset();
+    for stream in [&mut caller, &mut server] {
+        let error = read(stream).await.unwrap_err();
+        assert!(matches!(error.kind(), ErrorKind::ConnectionReset | ErrorKind::UnexpectedEof));
+    }
+}
+
+#[tokio::test]
+async fn refuse_takes_no_new_connection() {
+    let (proxy, _caller, _server) = pair().await;
+    proxy.set(Mode::Refuse);
+    let mut other = TcpStream::connect(proxy.address).await.unwrap();
+    assert!(read(&mut other).await.is_err());
+}
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -185,7 +185,12 @@
 impl Handle {
     /// Writes the server's entry.
     pub fn list(&self, store: &store::Handle) {
-        store.put(&format!("servers/{}", self.settings.id), &self.entry(self.address));
+        self.list_at(store, self.address);
+    }
+
+    /// Writes the server's entry with another address, that of a way to it.
+    pub fn list_at(&self, store: &store::Handle, address: SocketAddr) {
+        store.put(&format!("servers/{}", self.settings.id), &self.entry(address));
     }
 }
 
