--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use acacia_soak::regression::REGRESSIONS;
 use acacia_soak::run::{Outcome, Plan, run};
 use bpaf::Bpaf;
 use futures::{StreamExt, stream};
@@ -18,6 +19,8 @@
     /// How many seeds
     #[bpaf(argument("NUMBER"), fallback(1), display_fallback)]
     count: u64,
+    /// Play the seeds that failed once instead
+    regressions: bool,
     /// Seeds that are played at once
     #[bpaf(argument("NUMBER"), fallback(2), display_fallback)]
     jobs: usize,
@@ -46,7 +49,11 @@
         length: Duration::from_secs(arguments.seconds),
         folder: arguments.logs.unwrap_or_else(|| std::env::temp_dir().join(folder)),
     };
-    let seeds = arguments.seed..arguments.seed + arguments.count;
+    let seeds: Vec<u64> = if arguments.regressions {
+        REGRESSIONS.iter().map(|(seed, _)| *seed).collect()
+    } else {
+        (arguments.seed..arguments.seed + arguments.count).collect()
+    };
     let plays = stream::iter(seeds).map(|seed| run(&plan, seed));
     let mut plays = std::pin::pin!(plays.buffered(arguments.jobs.max(1)));
     let mut failed = Vec::new();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,9 +7,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use acacia_standin::Fault as Shown;
 use acacia_standin::platform::caller::{Ask, End, Subject};
 use acacia_standin::platform::document;
+use acacia_standin::{Fault as Shown, Unsupported};
 use futures::future::join_all;
 use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng};
@@ -127,63 +127,91 @@
     }
 
     async fn begin_and_end(&self, fault: Fault) -> io::Result<()> {
-        let scene = &self.scene;
-        let instance = &scene.instances[fault.target % scene.instances.len()];
-        let server = fault.target % scene.servers.len();
-        let way = &scene.ways[server];
-        let engine = &scene.engines()[fault.target % scene.engines().len()];
-        let shows = |shown: Result<(), _>| shown.map_err(io::Error::other);
         match fault.kind {
-            // A new process is left alone until it is ready, as operators do: a signal that comes
-            // before it can be heard ends it.
+            Kind::Replace | Kind::Reload | Kind::Kill | Kind::Pause => self.instance(fault).await,
+            Kind::Configure => {
+                self.scene.configure(self.versions.fetch_add(1, Ordering::Relaxed) + 1);
+                Ok(())
+            }
+            Kind::Renew => {
+                self.renew();
+                Ok(())
+            }
+            Kind::StoreDown
+            | Kind::StoreFrozen
+            | Kind::StoreLosesAnswers
+            | Kind::LeasesLapse
+            | Kind::StoreSlow => self.store(fault).await.map_err(io::Error::other),
+            _ => self.server(fault).await.map_err(io::Error::other),
+        }
+    }
+
+    /// What happens to an instance. A new process is left alone until it is ready, as operators do: a
+    /// signal that comes before it can be heard ends it.
+    async fn instance(&self, fault: Fault) -> io::Result<()> {
+        let instances = &self.scene.instances;
+        let instance = &instances[fault.target % instances.len()];
+        let mut process = instance.process.lock().await;
+        match fault.kind {
             Kind::Replace => {
-                let mut process = instance.process.lock().await;
                 process.replace().await?;
                 instance.wait_ready().await?;
             }
-            Kind::Reload => instance.process.lock().await.reload()?,
             Kind::Kill => {
-                let mut process = instance.process.lock().await;
                 process.kill(fault.length).await?;
                 instance.wait_ready().await?;
             }
             Kind::Pause => {
-                let process = instance.process.lock().await;
                 process.signal(Signal::STOP)?;
                 tokio::time::sleep(fault.length).await;
                 process.signal(Signal::CONT)?;
             }
-            Kind::Configure => {
-                scene.configure(self.versions.fetch_add(1, Ordering::Relaxed) + 1);
-            }
-            Kind::Renew => self.renew(),
+            _ => process.reload()?,
+        }
+        Ok(())
+    }
+
+    /// What happens to the metadata store.
+    async fn store(&self, fault: Fault) -> Result<(), Unsupported> {
+        let Scene { store, store_way, .. } = &self.scene;
+        match fault.kind {
             Kind::StoreDown => {
-                shows(scene.store.fault(Shown::Down { on: true }))?;
+                store.fault(Shown::Down { on: true })?;
                 tokio::time::sleep(fault.length).await;
-                shows(scene.store.fault(Shown::Down { on: false }))?;
+                store.fault(Shown::Down { on: false })
             }
             Kind::StoreFrozen => {
-                shows(scene.store.fault(Shown::Frozen { on: true }))?;
+                store.fault(Shown::Frozen { on: true })?;
                 tokio::time::sleep(fault.length).await;
-                shows(scene.store.fault(Shown::Frozen { on: false }))?;
+                store.fault(Shown::Frozen { on: false })
             }
-            Kind::StoreLosesAnswers => {
-                shows(scene.store.fault(Shown::LostAnswer { times: LOST_ANSWERS }))?;
+            Kind::StoreLosesAnswers => store.fault(Shown::LostAnswer { times: LOST_ANSWERS }),
+            Kind::LeasesLapse => store.fault(Shown::LeaseLapse),
+            _ => {
+                hold(store_way, Mode::Delay(DELAY), fault).await;
+                Ok(())
             }
-            Kind::LeasesLapse => shows(scene.store.fault(Shown::LeaseLapse))?,
-            Kind::StoreSlow => hold(&scene.store_way, Mode::Delay(DELAY), fault).await,
+        }
+    }
+
+    /// What happens to a server or to the way to it.
+    async fn server(&self, fault: Fault) -> Result<(), Unsupported> {
+        let way = &self.scene.ways[fault.target % self.scene.ways.len()];
+        match fault.kind {
             Kind::ServerGone => hold(way, Mode::Refuse, fault).await,
             Kind::ServerSilent => hold(way, Mode::Silent, fault).await,
             Kind::ServerOneWay => hold(way, Mode::OneWay, fault).await,
             Kind::ServerSlow => hold(way, Mode::Delay(DELAY), fault).await,
             Kind::ServerReset => way.reset(),
             Kind::StreamsBreak => {
+                let engines = self.scene.engines();
+                let engine = &engines[fault.target % engines.len()];
                 let broken = |times| Shown::BrokenStream { token: BREAK_EVENT, times };
-                shows(engine.fault(broken(None)))?;
+                engine.fault(broken(None))?;
                 tokio::time::sleep(fault.length).await;
-                shows(engine.fault(broken(Some(0))))?;
+                engine.fault(broken(Some(0)))?;
             }
-            Kind::CacheLost => shows(scene.cache.fault(Shown::Restart))?,
+            _ => self.scene.cache.fault(Shown::Restart)?,
         }
         Ok(())
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -22,5 +22,5 @@
 pub mod warmth;
 
 pub use counter::{Counter, Counters};
-pub use fault::Fault;
+pub use fault::{Fault, Unsupported};
 pub use host::Handle;
