--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -7,6 +7,7 @@
 mod check;
 pub mod chunk;
 pub mod diff;
+pub mod excerpt;
 pub mod file;
 pub mod generate;
 pub mod id;
@@ -17,6 +18,7 @@
 pub mod set;
 pub mod tokenizer;
 
+pub use excerpt::Excerpt;
 pub use file::File;
 pub use object::{Document, Object};
 pub use problem::Problem;
--- /dev/null
+++ b/crates/catalog/tests/excerpt.rs
@@ -0,0 +1,33 @@
+//! Long lines in messages.
+
+use acacia_catalog::Excerpt;
+use quickcheck::quickcheck;
+
+#[test]
+fn around_keeps_short_lines() {
+    let text = "one\ntwo\nthree";
+    assert_eq!(Excerpt::around(text, 4..7), Excerpt { text: text.to_owned(), place: 4..7 });
+}
+
+#[test]
+fn around_cuts_a_long_line_beside_the_place() {
+    let text = format!("first\n{}WRONG{}\nlast", "a".repeat(100_000), "b".repeat(100_000));
+    let at = text.find("WRONG").unwrap_or_default();
+    let excerpt = Excerpt::around(&text, at..at + 5);
+    assert!(excerpt.text.len() < 300, "{}", excerpt.text.len());
+    assert_eq!(&excerpt.text[excerpt.place.clone()], "WRONG");
+    assert_eq!(excerpt.text.lines().count(), 3);
+    assert!(excerpt.text.starts_with("first\n…a") && excerpt.text.ends_with("b…\nlast"));
+}
+
+#[test]
+fn around_marks_the_same_character() {
+    fn holds(before: String, mark: char, after: String, long: bool) -> bool {
+        let filler = if long { "é".repeat(500) } else { String::new() };
+        let text = format!("{before}{filler}{mark}{filler}{after}");
+        let at = before.len() + filler.len();
+        let excerpt = Excerpt::around(&text, at..at + mark.len_utf8());
+        excerpt.text[excerpt.place.start..].starts_with(mark)
+    }
+    quickcheck(holds as fn(String, char, String, bool) -> bool);
+}
--- a/crates/cli/src/source.rs
+++ b/crates/cli/src/source.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::sync::Arc;
 
-use acacia_catalog::{File, Problem, Set};
+use acacia_catalog::{Excerpt, File, Problem, Set};
 use miette::NamedSource;
 
 use crate::failure::Note;
@@ -71,7 +71,9 @@
     message: String,
     hint: Option<String>,
 ) -> Note {
-    Note { message, hint, place: place.into(), text: text.clone() }
+    let excerpt = Excerpt::around(text.inner(), place);
+    let text = Arc::new(NamedSource::new(text.name(), excerpt.text));
+    Note { message, hint, place: excerpt.place.into(), text }
 }
 
 /// The text as messages show it: of the same length, with secrets starred out.
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use acacia_catalog::Excerpt;
 use acacia_catalog::id::{Name, ZoneId};
 use acacia_policy::dispatch::Strategy;
 use miette::{Diagnostic, NamedSource, SourceSpan};
@@ -157,8 +158,9 @@
         let parsed: Result<Self, _> = serde_path_to_error::deserialize(&mut reader);
         let end = reader.end();
         let wrong = |field: String, reason: String, at: usize, text: String| {
-            let text = NamedSource::new(name, text);
-            Box::new(Fault::Wrong { field, reason, text, at: at.into() })
+            let excerpt = Excerpt::around(&text, at..at);
+            let text = NamedSource::new(name, excerpt.text);
+            Box::new(Fault::Wrong { field, reason, text, at: excerpt.place.into() })
         };
         match (parsed, end) {
             (Err(error), _) => {
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -51,3 +51,13 @@
 fn parse_trailing_text() {
     fault(&format!("{LEAST} x"));
 }
+
+#[test]
+fn parse_shows_a_window_of_a_long_line() {
+    let filler = "x".repeat(200_000);
+    let text = format!("{{\"name\": \"{filler}\", \"no_such_setting\": 1}}");
+    let fault = Settings::parse("long.json", text).unwrap_err();
+    let shown = format!("{:?}", miette::Report::new(*fault));
+    assert!(shown.len() < 3_000, "{} bytes are shown", shown.len());
+    assert!(shown.contains("no_such_setting"), "{shown}");
+}
