--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 //! instances together are kept by shares, in [`window`], so that no request waits for another
 //! instance.
 
+mod access;
 pub mod call;
 mod choice;
 pub mod configuration;
--- a/crates/policy/src/gateway/roster.rs
+++ b/crates/policy/src/gateway/roster.rs
@@ -1,7 +1,7 @@
 //! Upstreams that this instance knows, so arranged that a choice among thousands looks at some tens.
 //!
-//! Members are found by id, by service, by the parts that they hold, and by a ring
-//! on which all instances rank the upstreams of a service alike for a part.
+//! Members are found by id, by service, by the parts that they hold, and by a ring on which all
+//! instances rank the upstreams of a service alike for a part.
 
 use std::ops::{Index, IndexMut};
 
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -9,5 +9,6 @@
 pub mod cache;
 pub mod caller;
 pub mod document;
+mod memory;
 pub mod server;
 pub mod store;
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -13,6 +13,7 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 
+use super::memory::Memory;
 use super::{cache, store};
 use crate::counter::{Counter, Tally};
 use crate::exchange::{Answer, Call, Cut, Reply};
@@ -148,40 +149,6 @@
     link: Pace,
 }
 
-/// The parts that an engine keeps.
-#[derive(Debug, Default)]
-struct Memory {
-    parts: BTreeMap<cache::Name, Part>,
-    uses: u64,
-}
-
-/// A part that an engine keeps.
-#[derive(Clone, Copy, Debug)]
-struct Part {
-    tokens: u32,
-    /// The weights that made it.
-    weights: u64,
-    /// Grows with each use of any part.
-    used: u64,
-}
-
-impl Memory {
-    fn get(&self, name: &cache::Name) -> Option<Part> {
-        self.parts.get(name).copied()
-    }
-
-    /// Keeps a part, at the cost of those that were used longest ago.
-    fn keep(&mut self, name: cache::Name, tokens: u32, weights: u64, capacity: u64) {
-        self.uses += 1;
-        self.parts.insert(name, Part { tokens, weights, used: self.uses });
-        while self.parts.values().map(|part| u64::from(part.tokens)).sum::<u64>() > capacity {
-            let oldest = self.parts.iter().min_by_key(|(_, part)| part.used);
-            let Some(name) = oldest.map(|(name, _)| name.clone()) else { return };
-            self.parts.remove(&name);
-        }
-    }
-}
-
 impl Handle {
     /// Writes the server's entry.
     pub fn list(&self, store: &store::Handle) {
