Old weights end 1.4 s before their bound, as a naming is heard of late

Cause: the margin of a second covers the wait beyond what is expected, but not that the naming itself is heard of up to a pause between two watches late (0.28 s here). Test: next_leaves_time_for_a_naming_that_was_heard_of_late fails before.

--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -32,8 +32,9 @@
 /// of the aim costs a caller nothing that it would not have spent on a retry.
 const WAIT_PART: u32 = 4;
 /// Time before the end of an engine's old weights when it gets no more requests, beside the wait in
-/// its queue: a request begins later than expected by up to that much.
-const WEIGHTS_MARGIN: Duration = Duration::from_millis(1_000);
+/// its queue: a request begins later than expected by up to a second, and a version is heard of up to
+/// a pause between two watches after it was named.
+const WEIGHTS_MARGIN: Duration = Duration::from_millis(1_400);
 /// Delay counted as an answer's, for a plain request within this part of its aim.
 const PLAIN_EXPECTED_PART: u32 = 2;
 
--- a/crates/policy/tests/gateway_machine.rs
+++ b/crates/policy/tests/gateway_machine.rs
@@ -149,7 +149,18 @@
     assert!(matches!(world.next(&mut plan), Step::Refuse(r) if r.verdict == Verdict::NotRun));
 }
 
-/// Found on the same day: a third version was named when the bound for the second had passed, and
+/// Found on trouble-2 --seed 85652722708 of Ferreira: the naming was heard of 0.28 s late, and a prompt
+/// that was sent 7 s after that waited 0.83 s longer than expected.
+#[test]
+fn next_leaves_time_for_a_naming_that_was_heard_of_late() {
+    let mut world = World::new(1);
+    world.name_weights(2);
+    world.pass(Duration::from_millis(6_650));
+    let mut plan = world.admit("/ask/", "key").unwrap();
+    assert!(matches!(world.next(&mut plan), Step::Refuse(r) if r.verdict == Verdict::NotRun));
+}
+
+/// Found on trouble-2 --seed 984860934193 too: a third version was named when the bound for the second had passed, and
 /// engines on the first counted from the third.
 #[test]
 fn next_judges_each_version_from_its_own_naming() {
