--- a/crates/standin/src/platform/document.rs
+++ b/crates/standin/src/platform/document.rs
@@ -1,7 +1,9 @@
 //! What the platform and its operators write: a process's settings and the configuration.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
+use std::ops::Range;
 
+use rand::RngExt;
 use serde_json::{Value, json};
 
 /// The model that engines serve.
@@ -11,6 +13,11 @@
 /// The key in the metadata store that holds the configuration.
 pub const CONFIGURATION_KEY: &str = "op/config";
 
+/// Ports of instances: above those of common services, below those of outgoing connections.
+const PORTS: Range<u16> = 12_000..32_000;
+/// Ports that are tried until the last one's error is told.
+const PORT_TRIES: u32 = 50;
+
 /// A small deployment, as operators describe it.
 #[derive(Clone, Debug)]
 pub struct Deployment {
@@ -96,19 +103,27 @@
 }
 
 impl Addresses {
-    /// Addresses of loopback that were free a moment ago.
+    /// Addresses of loopback that were free a moment ago. They lie below the ports that systems give
+    /// to outgoing connections, so that none of these takes one before the instance listens.
     ///
     /// # Errors
     /// If no port can be bound.
     pub fn free() -> std::io::Result<Self> {
         // All are held at once, so that no two are the same.
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let held = [(); 4].map(|()| std::net::TcpListener::bind(any));
+        let held = [(); 4].map(|()| free_listener());
         let [callers, ready, metrics, peers] = held.map(|listener| listener?.local_addr());
         Ok(Self { callers: callers?, ready: ready?, metrics: metrics?, peers: peers? })
     }
 }
 
+/// Listens on a port that no outgoing connection is given.
+fn free_listener() -> std::io::Result<TcpListener> {
+    let any = || SocketAddr::from(([127, 0, 0, 1], rand::rng().random_range(PORTS)));
+    (1..PORT_TRIES)
+        .find_map(|_| TcpListener::bind(any()).ok())
+        .map_or_else(|| TcpListener::bind(any()), Ok)
+}
+
 /// The text of an entry instance's settings file.
 pub fn settings(name: &str, zone: &str, addresses: &Addresses, store: SocketAddr) -> String {
     let Addresses { callers, ready, metrics, peers } = addresses;
