--- a/crates/policy/src/gateway/configuration.rs
+++ b/crates/policy/src/gateway/configuration.rs
@@ -109,8 +109,8 @@
 impl Route {
     /// The service for a request at `point` of the split, from zero to one.
     pub fn service(&self, point: f64) -> Option<&ServiceName> {
-        let total: u32 = self.split.iter().map(|(_, weight)| weight).sum();
-        let mut left = point * f64::from(total);
+        let total: u64 = self.split.iter().map(|(_, weight)| u64::from(*weight)).sum();
+        let mut left = point * total as f64;
         let found = self.split.iter().filter(|(_, weight)| *weight > 0).find(|(_, weight)| {
             left -= f64::from(*weight);
             left < 0.0
