--- a/crates/daemon/tests/platform/fixture.rs
+++ b/crates/daemon/tests/platform/fixture.rs
@@ -47,6 +47,8 @@
     pub status: u16,
     pub body: Bytes,
     pub is_complete: bool,
+    /// Seconds after which the caller may come back, if the answer states them.
+    pub retry_after: Option<f64>,
 }
 
 impl Answer {
@@ -299,5 +301,7 @@
             Err(_) => break false,
         }
     };
-    Some(Answer { status: head.status.as_u16(), body: received.into(), is_complete })
+    let retry_after = head.headers.get("retry-after").and_then(|v| v.to_str().ok()?.parse().ok());
+    let status = head.status.as_u16();
+    Some(Answer { status, body: received.into(), is_complete, retry_after })
 }
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -246,3 +246,102 @@
     fixture::eventually("the configuration is in force", in_force).await;
     fixture.stop().await;
 }
+
+/// Regression: a server that says in its answers that it is leaving got requests until its entry
+/// changed.
+#[tokio::test(flavor = "multi_thread")]
+async fn routing_skips_server_that_says_it_leaves() {
+    let fixture = Fixture::start(1).await;
+    // Its entry stays as it is.
+    fixture.services[0].fault(Fault::Leaving { on: true }).unwrap();
+    let mut number = 0;
+    let is_told = async || {
+        number += 1;
+        let headers = fixture.headers(&format!("l{number}"));
+        call(fixture.address(0), "GET", "/read/", &headers, b"").await;
+        fixture.services[0].count(Counter::StartedWhileLeaving) > 0
+    };
+    fixture::eventually("the server has said that it leaves", is_told).await;
+    let started = fixture.services[0].count(Counter::StartedWhileLeaving);
+    for number in 0..30 {
+        let headers = fixture.headers(&format!("m{number}"));
+        assert_eq!(call(fixture.address(0), "GET", "/read/", &headers, b"").await.status, 200);
+    }
+    assert_eq!(fixture.services[0].count(Counter::StartedWhileLeaving), started);
+    // A new incarnation is another server.
+    fixture.services[0].restart();
+    fixture.services[0].register(&fixture.store);
+    let ran = || fixture.services[0].executions().len();
+    let before = ran();
+    let is_used = async || {
+        let headers = fixture.headers("n");
+        call(fixture.address(0), "GET", "/read/", &headers, b"").await;
+        ran() > before
+    };
+    fixture::eventually("the new incarnation gets requests", is_used).await;
+    fixture.stop().await;
+}
+
+/// Regression: a server that asks for a pause got requests after the pause of its refusals, 80 ms.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_refused_while_all_servers_pause() {
+    let fixture = Fixture::start(1).await;
+    let pause = Fault::Paused { millis: 5_000 };
+    fixture.services.iter().for_each(|service| service.fault(pause.clone()).unwrap());
+    for number in 0..40 {
+        let headers = fixture.headers(&format!("p{number}"));
+        let answer = call(fixture.address(0), "GET", "/read/", &headers, b"").await;
+        assert_eq!(answer.status, 503);
+        let after = answer.retry_after.expect("a time to come back");
+        assert!(number < 3 || after > 1.0, "request {number} is told to come back after {after} s");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for service in &fixture.services {
+        assert!(service.count(Counter::Refused) <= 2, "{}", service.count(Counter::Refused));
+        assert!(service.executions().is_empty());
+        service.fault(Fault::Paused { millis: 0 }).unwrap();
+    }
+    let is_served = async || {
+        let headers = fixture.headers("q");
+        call(fixture.address(0), "GET", "/read/", &headers, b"").await.status == 200
+    };
+    fixture::eventually("the servers get requests after the pause", is_served).await;
+    fixture.stop().await;
+}
+
+/// The metadata store is restored from a copy that is three seconds old, twice, while a revoked key,
+/// newer weights and an evacuation are among what the copy lacks.
+#[tokio::test(flavor = "multi_thread")]
+async fn metadata_store_restored_from_copy() {
+    let fixture = Fixture::start(2).await;
+    for restore in 1..=2_u64 {
+        let (configuration, weights) = (restore + 1, restore + 1);
+        let revoked = fixture.headers("revoked");
+        fixture.store.put("op/config", &fixture.configuration(configuration, "key-new"));
+        fixture.store.put("op/version/m", &json!({"model": "m", "version": weights}));
+        for instance in 0..2 {
+            let is_denied = async || {
+                call(fixture.address(instance), "GET", "/read/", &revoked, b"").await.status == 401
+            };
+            fixture::eventually("the old key is denied", is_denied).await;
+        }
+        fixture.store.fault(Fault::Restored { millis: 3_000 }).unwrap();
+        let mut headers = revoked.clone();
+        headers.retain(|(name, _)| *name != "authorization");
+        headers.push(("authorization", "Bearer key-new".to_owned()));
+        for number in 0..40 {
+            let instance = number % 2;
+            assert!(fixture.is_ready(instance).await, "readiness must not drop");
+            let denied = call(fixture.address(instance), "GET", "/read/", &revoked, b"").await;
+            assert!([401, 503].contains(&denied.status), "{}", denied.status);
+            let served = call(fixture.address(instance), "GET", "/read/", &headers, b"").await;
+            assert_eq!(served.status, 200);
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        let is_updated = async || fixture.weights().iter().all(|loaded| *loaded == weights);
+        fixture::eventually("all engines have the newest weights", is_updated).await;
+    }
+    let stale = fixture.engines.iter().map(|engine| engine.count(Counter::StaleOrdersRefused));
+    assert_eq!(stale.sum::<u64>(), 0, "fencing tokens never go back");
+    fixture.stop().await;
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -216,6 +216,7 @@
     left: Duration,
 ) -> Result<Received, Failure> {
     let Some(plan) = inflight.plan.clone() else { return Err((Ending::Cancelled, None)) };
+    let (traffic, server) = (inflight.traffic.clone(), inflight.attempt.server.clone());
     let is_unrepeatable = !plan.route.repeat.is_repeatable();
     let mut headers = payload.headers.clone();
     let last = last_event.as_ref().and_then(|id| std::str::from_utf8(id).ok());
@@ -227,6 +228,9 @@
     connection.send(&payload.method, &bytes, &payload.body).await.map_err(broken)?;
     let head = matching_head(connection, &plan.id).await?;
     let reply = Reply::read(head.status, &head.headers);
+    if reply.is_from(&server.id) {
+        traffic.gateway.borrow_mut().heard(traffic.now(), &server, reply.notice);
+    }
     let instance = reply.instance.map(str::to_owned);
     match reply.meaning {
         Meaning::NotRun | Meaning::Misdirected => {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -8,12 +8,12 @@
 
 use acacia_platform::document::instance_key;
 use acacia_platform::instance::Presence;
-use acacia_platform::store::{Client as StoreClient, WatchFailure, Written};
+use acacia_platform::store::{Client as StoreClient, Eras, WatchFailure, Written};
 use acacia_platform::{Settings, cache};
 use acacia_policy::Time;
 use acacia_policy::gateway::View;
 use acacia_policy::gateway::configuration::Role;
-use acacia_policy::kv::{Failure, LeaseId, ModRevision};
+use acacia_policy::kv::{Failure, Lease, Revision};
 use rand::RngExt;
 use tokio::sync::watch;
 
@@ -56,6 +56,8 @@
     pub metrics: Metrics,
     /// Random id of this run of the process.
     pub incarnation: u64,
+    /// The newest era of the metadata store.
+    pub eras: Eras,
     views: watch::Sender<Option<Arc<View>>>,
 }
 
@@ -70,7 +72,18 @@
         // 52 bits, which every JSON reader represents exactly.
         let incarnation = rand::rng().random::<u64>() >> 12;
         let replica = RefCell::new(Replica::new(incarnation));
-        Self { clock, settings, replica, metrics, incarnation, views }
+        Self { clock, settings, replica, metrics, incarnation, eras: Eras::default(), views }
+    }
+
+    /// A new client of the metadata store.
+    pub fn store_client(&self) -> StoreClient {
+        StoreClient::new(self.settings.store_address, self.eras.clone())
+    }
+
+    /// Whether the replica reflects the metadata store's current era, and the store answers.
+    pub fn is_current(&self) -> bool {
+        let replica = self.replica.borrow();
+        replica.is_current() && replica.era() == self.eras.current()
     }
 
     /// Runs until `stop` becomes true, then ends the leases.
@@ -101,18 +114,18 @@
     }
 
     /// Revokes a lease. If that fails, the lease expires by itself.
-    pub async fn end_lease(&self, lease: LeaseId) {
+    pub async fn end_lease(&self, lease: Lease) {
         self.metrics.store_call("revoke");
-        if let Err(failure) = StoreClient::new(self.settings.store_address).revoke(lease).await {
-            tracing::info!(%failure, lease, "lease not revoked; it will expire");
+        if let Err(failure) = self.store_client().revoke(lease).await {
+            tracing::info!(%failure, lease = lease.id, "lease not revoked; it will expire");
         }
     }
 
     /// Reads all entries, then watches for changes.
     async fn follow(self: Rc<Self>) {
-        let mut client = StoreClient::new(self.settings.store_address);
+        let mut client = self.store_client();
         let mut failures = 0;
-        let mut after: Option<ModRevision> = None;
+        let mut after: Option<Revision> = None;
         loop {
             let result = match after {
                 None => self.read_all(&mut client).await,
@@ -124,11 +137,13 @@
                     after = Some(revision);
                 }
                 Err(WatchFailure::HistoryLost) => {
+                    let after = after.take();
                     tracing::warn!(
-                        after,
-                        "watch history compacted in the metadata store; reading all entries again"
+                        after = after.map(|revision| revision.number),
+                        era = after.map(|revision| revision.era),
+                        current_era = self.eras.current(),
+                        "watch history lost in the metadata store; reading all entries again"
                     );
-                    after = None;
                 }
                 Err(WatchFailure::Call(failure)) => {
                     self.record_failure(failure);
@@ -141,7 +156,7 @@
         }
     }
 
-    async fn read_all(&self, client: &mut StoreClient) -> Result<ModRevision, WatchFailure> {
+    async fn read_all(&self, client: &mut StoreClient) -> Result<Revision, WatchFailure> {
         let mut entries = Vec::new();
         let mut after = String::new();
         let mut first = None;
@@ -152,12 +167,16 @@
             // Pages are read one after the other. The watch starts at the first page's revision, so
             // that changes made while reading are not missed.
             let (revision, first_sent) = *first.get_or_insert((page.revision, sent));
+            if page.revision.era != revision.era {
+                return Err(WatchFailure::HistoryLost);
+            }
             after = page.entries.last().map(|entry| entry.key.clone()).unwrap_or_default();
             let is_last = !page.has_more || page.entries.is_empty();
             entries.extend(page.entries);
             if is_last {
                 self.record_answer(first_sent);
-                let updates = self.replica.borrow_mut().replace(self.clock.now(), entries);
+                let now = self.clock.now();
+                let updates = self.replica.borrow_mut().replace(now, revision, &entries);
                 self.log_updates(updates, revision);
                 self.publish();
                 return Ok(revision);
@@ -168,8 +187,8 @@
     async fn watch(
         &self,
         client: &mut StoreClient,
-        after: ModRevision,
-    ) -> Result<ModRevision, WatchFailure> {
+        after: Revision,
+    ) -> Result<Revision, WatchFailure> {
         self.metrics.store_call("watch");
         let sent = self.clock.now();
         let changes = client.watch("", after, WATCH_WAIT).await?;
@@ -179,6 +198,7 @@
         for change in &changes.changes {
             updates.extend(self.replica.borrow_mut().apply(now, change));
         }
+        self.replica.borrow_mut().advance(changes.revision);
         if !updates.is_empty() {
             self.log_updates(updates, changes.revision);
         }
@@ -199,7 +219,8 @@
     }
 
     /// Logs updates of the replica and counts malformed values.
-    fn log_updates(&self, updates: Vec<Update>, revision: ModRevision) {
+    fn log_updates(&self, updates: Vec<Update>, revision: Revision) {
+        let revision = revision.number;
         for update in updates {
             match update {
                 Update::Malformed { key, problem } => {
@@ -280,8 +301,8 @@
     }
 
     /// Keeps this instance registered. Limits are divided by the number of registered instances.
-    async fn keep_registered(self: Rc<Self>, lease: Rc<RefCell<Option<LeaseId>>>) {
-        let mut client = StoreClient::new(self.settings.store_address);
+    async fn keep_registered(self: Rc<Self>, lease: Rc<RefCell<Option<Lease>>>) {
+        let mut client = self.store_client();
         loop {
             let kept = *lease.borrow();
             let registered = match kept {
@@ -308,14 +329,14 @@
         }
     }
 
-    async fn register(&self, client: &mut StoreClient) -> Result<Option<LeaseId>, Failure> {
+    async fn register(&self, client: &mut StoreClient) -> Result<Option<Lease>, Failure> {
         self.metrics.store_call("grant");
         let (lease, _) = client.grant(REGISTRATION_TTL.max(self.settings.min_lease_ttl)).await?;
         self.metrics.store_call("write");
         let key = instance_key(&self.settings.instance);
         let presence =
             Presence { peer: self.settings.peer_address, zone: self.settings.zone.clone() };
-        match client.write(&key, &presence.encode(), None, lease).await? {
+        match client.write(&key, &presence.encode(), None, Some(lease)).await? {
             Written::Done(_) => Ok(Some(lease)),
             Written::Conflict | Written::LeaseEnded => Ok(None),
         }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -143,7 +143,7 @@
     if digest.prefills.len() <= PREFILLS_PER_DIGEST {
         return vec![digest];
     }
-    let Digest { incarnation, sequence, is_full, loads, prefills } = digest;
+    let Digest { incarnation, sequence, is_full, loads, prefills, notes } = digest;
     let chunks = prefills.chunks(PREFILLS_PER_DIGEST);
     let chunk = |prefills: &[_]| Digest {
         incarnation,
@@ -151,6 +151,7 @@
         is_full,
         loads: loads.clone(),
         prefills: prefills.to_vec(),
+        notes: notes.clone(),
     };
     chunks.map(chunk).collect()
 }
@@ -175,5 +176,6 @@
 /// of 32.
 fn bytes(digest: &Digest) -> usize {
     let parts: usize = digest.prefills.iter().map(|read| read.parts.len()).sum();
-    24 + digest.loads.len() * 34 + digest.prefills.len() * 12 + parts * 15
+    let notes = digest.notes.len() * 42;
+    24 + digest.loads.len() * 34 + digest.prefills.len() * 17 + parts * 15 + notes
 }
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -13,11 +13,11 @@
 use acacia_policy::Time;
 use acacia_policy::gateway::Server;
 use acacia_policy::gateway::rollout::{Action, LEASE_MARGIN, LeaseTerm, Receipt, Rollout};
-use acacia_policy::kv::{Failure, LeaseId};
+use acacia_policy::kv::{Failure, Lease, Revision};
 use bytes::Bytes;
 use http::StatusCode;
 
-use crate::client::Client;
+use crate::client::{ANSWER_TIMEOUT, Client};
 use crate::control::Control;
 use crate::inventory::Manager;
 use crate::traffic::millis;
@@ -40,13 +40,13 @@
 const MAX_DELAY_STEPS: u32 = 16;
 /// Time after which announcement times are written again if the watch has not shown them.
 const ANNOUNCEMENT_RETRY: Duration = Duration::from_secs(1);
-/// The lease id for keys that outlive their writer.
-pub const NO_LEASE: LeaseId = 0;
+/// Longest time that an order may take to reach an engine; then the call is abandoned.
+const ORDER_TRANSIT: Duration = ANSWER_TIMEOUT;
 
 /// Acquires the order lease when it is free, and orders weights while holding it.
 pub struct Holder {
     control: Rc<Control>,
-    lease: Cell<Option<Lease>>,
+    grant: Cell<Option<Grant>>,
     rollout: RefCell<Rollout>,
     published: RefCell<OrderLease>,
     fenced: Cell<bool>,
@@ -57,8 +57,8 @@
 
 /// A lease granted by the metadata store.
 #[derive(Clone, Copy, Debug)]
-struct Lease {
-    id: LeaseId,
+struct Grant {
+    lease: Lease,
     ends: Time,
 }
 
@@ -71,7 +71,7 @@
             control,
             http,
             inventory,
-            lease: Cell::default(),
+            grant: Cell::default(),
             rollout: RefCell::default(),
             published: RefCell::default(),
             fenced: Cell::default(),
@@ -81,20 +81,23 @@
 
     /// Runs until it is dropped.
     pub async fn run(self: Rc<Self>) {
-        let mut client = StoreClient::new(self.control.settings.store_address);
+        let mut client = self.control.store_client();
         let mut renewed = self.control.clock.now();
         loop {
             let now = self.control.clock.now();
-            match self.lease.get() {
-                Some(lease) if now >= lease.ends => self.lose("the lease expired"),
+            match self.grant.get() {
+                Some(grant) if now >= grant.ends => self.lose("the lease expired"),
+                Some(grant) if grant.lease.era != self.control.eras.current() => {
+                    self.lose("the metadata store was restored from an older copy");
+                }
                 Some(_) if self.fenced.replace(false) => {
                     // The next holder gets a higher fencing token.
                     self.release().await;
                     self.lose("an engine has seen a higher fencing token");
                 }
-                Some(lease) if now >= renewed + RENEWAL_INTERVAL => {
+                Some(grant) if now >= renewed + RENEWAL_INTERVAL => {
                     renewed = now;
-                    self.renew(&mut client, lease).await;
+                    self.renew(&mut client, grant).await;
                 }
                 Some(_) => self.order(&mut client).await,
                 None if self.is_vacant() => {
@@ -118,15 +121,24 @@
 
     /// Revokes the lease, if there is one.
     async fn release(&self) {
-        if let Some(lease) = self.lease.take() {
-            self.control.end_lease(lease.id).await;
+        if let Some(grant) = self.grant.take() {
+            self.control.end_lease(grant.lease).await;
         }
     }
 
-    /// Whether nobody holds the order lease.
+    /// Whether nobody holds the order lease. A holder of an earlier era may not have noticed yet
+    /// that its lease is over, so its time to live is waited for.
     fn is_vacant(&self) -> bool {
         let replica = self.control.replica.borrow();
-        replica.is_current() && replica.holder().is_none()
+        let is_over = replica.era_began().is_none_or(|began| {
+            self.control.clock.now() >= began + self.lease_ttl() + LEASE_MARGIN
+        });
+        self.control.is_current() && replica.holder().is_none() && is_over
+    }
+
+    /// Time to live of the order lease.
+    fn lease_ttl(&self) -> Duration {
+        LEASE_TTL.max(self.control.settings.min_lease_ttl)
     }
 
     /// Delay before this instance tries to acquire the lease, so that few try at once.
@@ -141,12 +153,13 @@
         let now = self.control.clock.now();
         let taken = async {
             self.control.metrics.store_call("grant");
-            let (id, ttl) =
-                client.grant(LEASE_TTL.max(self.control.settings.min_lease_ttl)).await?;
-            self.lease.set(Some(Lease { id, ends: now + ttl }));
+            let (lease, ttl) = client.grant(self.lease_ttl()).await?;
+            self.grant.set(Some(Grant { lease, ends: now + ttl }));
             let holding = self.holding();
             self.control.metrics.store_call("write");
-            let written = client.write(&holder_key(), &holding.encode(), Some(0), id).await?;
+            let absent = Revision::absent(lease.era);
+            let written =
+                client.write(&holder_key(), &holding.encode(), Some(absent), Some(lease)).await?;
             self.published.replace(holding);
             Ok::<_, Failure>(written)
         };
@@ -154,7 +167,7 @@
             Ok(Written::Done(revision)) => {
                 self.fenced.set(false);
                 self.rollout.borrow_mut().reset();
-                tracing::info!(fence = revision, "acquired the order lease");
+                tracing::info!(fence = revision.fencing_token(), "acquired the order lease");
             }
             // The watch will show whether this instance holds the lease.
             Err(Failure::Ambiguous) => tracing::info!("no answer on acquiring the order lease"),
@@ -162,14 +175,11 @@
         }
     }
 
-    async fn renew(&self, client: &mut StoreClient, lease: Lease) {
+    async fn renew(&self, client: &mut StoreClient, grant: Grant) {
         let sent = self.control.clock.now();
         self.control.metrics.store_call("renew");
-        match client.renew(lease.id).await {
-            Ok(true) => {
-                let ttl = LEASE_TTL.max(self.control.settings.min_lease_ttl);
-                self.lease.set(Some(Lease { ends: sent + ttl, ..lease }));
-            }
+        match client.renew(grant.lease).await {
+            Ok(true) => self.grant.set(Some(Grant { ends: sent + self.lease_ttl(), ..grant })),
             Ok(false) => self.lose("the lease expired in the metadata store"),
             Err(failure) => tracing::debug!(%failure, "order lease not renewed"),
         }
@@ -177,21 +187,26 @@
 
     fn lose(&self, reason: &str) {
         tracing::warn!(reason, "lost the order lease");
-        self.lease.set(None);
+        self.grant.set(None);
         self.inventory.stop_all();
         self.rollout.borrow_mut().reset();
     }
 
     /// The lease term, if the replica shows this instance as the holder.
     fn term(&self) -> Option<LeaseTerm> {
-        let lease = self.lease.get()?;
+        let grant = self.grant.get()?;
         let replica = self.control.replica.borrow();
-        let holder =
-            replica.holder().filter(|h| h.holding.incarnation == self.control.incarnation)?;
-        let starts_at =
-            replica.last_holder_write() + ORDER_WINDOW + self.control.settings.bounds.lease;
-        let fence = u64::try_from(holder.created).ok()?;
-        (!self.fenced.get()).then_some(LeaseTerm { fence, starts_at, ends_at: lease.ends })
+        let holder = replica.holder().filter(|holder| {
+            holder.holding.incarnation == self.control.incarnation
+                && holder.created.era == grant.lease.era
+        })?;
+        let bounds = &self.control.settings.bounds;
+        // Engines that check no fencing tokens execute an order of the previous holder even if it
+        // arrives after the first one of this holder.
+        let transit = if bounds.fencing { Duration::ZERO } else { ORDER_TRANSIT };
+        let starts_at = replica.last_holder_write() + ORDER_WINDOW + bounds.lease + transit;
+        let fence = holder.created.fencing_token();
+        (!self.fenced.get()).then_some(LeaseTerm { fence, starts_at, ends_at: grant.ends })
     }
 
     /// Performs the rollout's next actions. An order follows a write to the metadata store that
@@ -250,7 +265,7 @@
         self.control.metrics.store_call("write");
         let value = announcements.encode();
         if let Err(failure) =
-            client.write(&announcement_times_key(), &value, Some(revision), NO_LEASE).await
+            client.write(&announcement_times_key(), &value, Some(revision), None).await
         {
             tracing::info!(%failure, "announcement times of weights not written");
         }
@@ -330,7 +345,7 @@
     /// store did not accept the write.
     async fn publish(&self, client: &mut StoreClient, orders: &[Action]) -> bool {
         let revision = self.control.replica.borrow().holder().map(|holder| holder.revision);
-        let (Some(lease), Some(revision)) = (self.lease.get(), revision) else { return false };
+        let (Some(grant), Some(revision)) = (self.grant.get(), revision) else { return false };
         let holding = self.holding();
         let mut next = holding.clone();
         next.loading.extend(orders.iter().filter_map(|order| match order {
@@ -338,7 +353,8 @@
             Action::Poll(_) => None,
         }));
         self.control.metrics.store_call("write");
-        let written = client.write(&holder_key(), &next.encode(), Some(revision), lease.id).await;
+        let written =
+            client.write(&holder_key(), &next.encode(), Some(revision), Some(grant.lease)).await;
         match written {
             Ok(Written::Done(revision)) => {
                 self.control.replica.borrow_mut().apply_own_write(next.clone(), revision);
--- a/crates/gateway/src/inventory.rs
+++ b/crates/gateway/src/inventory.rs
@@ -15,11 +15,11 @@
 use acacia_policy::gateway::configuration::{Role, ServiceName};
 use acacia_policy::gateway::gossip::stable_hash;
 use acacia_policy::gateway::inventory::Ledger;
+use acacia_policy::kv::Revision;
 use tokio::sync::Mutex;
 
 use crate::client::Client;
 use crate::control::Control;
-use crate::holder::NO_LEASE;
 
 /// How long a call for events waits at the store: slightly less than the stores' limit.
 const EVENTS_WAIT: Duration = Duration::from_millis(950);
@@ -27,6 +27,9 @@
 const EVENTS_PAUSE: Duration = Duration::from_millis(500);
 /// Pause before a store that failed is called again.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Interval at which newer weights, and parts that are due to be freed, are checked for while a call
+/// for events waits.
+const UPDATE_INTERVAL: Duration = Duration::from_millis(250);
 /// Shortest interval between two writes of one store's inventory.
 const WRITE_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -66,7 +69,7 @@
 impl Manager {
     /// A manager without tasks.
     pub fn new(control: Rc<Control>, http: Rc<Client>) -> Rc<Self> {
-        let client = Mutex::new(StoreClient::new(control.settings.store_address));
+        let client = Mutex::new(control.store_client());
         Rc::new(Self { control, http, client, tasks: RefCell::default() })
     }
 
@@ -87,7 +90,7 @@
                 let store = Store {
                     service,
                     address,
-                    ledger: RefCell::default(),
+                    ledger: RefCell::new(Ledger::new(self.control.eras.current())),
                     written: Cell::default(),
                     is_failed: Cell::default(),
                 };
@@ -158,7 +161,16 @@
         loop {
             self.update(store).await;
             let request = cache::events_request(store.address, next, EVENTS_WAIT);
-            let answer = self.http.call(store.address, &request, EVENTS_WAIT).await;
+            let answer = {
+                let call = self.http.call(store.address, &request, EVENTS_WAIT);
+                let mut call = std::pin::pin!(call);
+                loop {
+                    match tokio::time::timeout(UPDATE_INTERVAL, &mut call).await {
+                        Ok(answer) => break answer,
+                        Err(_) => self.update(store).await,
+                    }
+                }
+            };
             let events = answer.ok().and_then(|(status, body)| cache::events(status, &body));
             let Some(Events { epoch, next: after, has_gap, changes }) = events else {
                 store.record_failure("no answer to the request for events");
@@ -185,6 +197,9 @@
     /// Retires prompt parts of older weights, writes the inventory if it changed, and frees the
     /// parts that are due.
     async fn update(&self, store: &Store) {
+        if store.ledger.borrow().era() != self.control.eras.current() {
+            return;
+        }
         let now = self.control.clock.now();
         if self.may_retire(store) {
             let weights = self.control.replica.borrow().weights().clone();
@@ -192,7 +207,7 @@
         }
         let (written, revision) = match self.control.replica.borrow().inventory(&store.service) {
             Some((inventory, revision)) => (Some(inventory.clone()), revision),
-            None => (None, 0),
+            None => (None, Revision::absent(self.control.eras.current())),
         };
         let is_published = store.ledger.borrow().is_published(now, written.as_deref());
         if !is_published && now >= store.written.get() + WRITE_INTERVAL {
@@ -221,12 +236,12 @@
         own.is_none_or(|own| progress.is_due(own, stores.len()))
     }
 
-    async fn write(&self, store: &Store, revision: i64) {
+    async fn write(&self, store: &Store, revision: Revision) {
         let inventory = store.ledger.borrow().inventory(self.control.clock.now());
         let value = encode_inventory(&inventory);
         self.control.metrics.store_call("write");
         let key = inventory_key(&store.service);
-        let written = self.client.lock().await.write(&key, &value, Some(revision), NO_LEASE).await;
+        let written = self.client.lock().await.write(&key, &value, Some(revision), None).await;
         match written {
             Ok(Written::Done(_)) => {
                 store.ledger.borrow_mut().published(self.control.clock.now());
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -1,4 +1,8 @@
 //! The local replica of the metadata store.
+//!
+//! The replica never goes back: configurations and weights keep the newest version seen, and after
+//! the store was restored from an older copy, [`Carryover`] keeps what the copy lacks until its
+//! writers have written it again.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -8,22 +12,20 @@
 use acacia_platform::instance::{AnnouncementTimes, OrderLease, Presence};
 use acacia_platform::{Document, store};
 use acacia_policy::Time;
-use acacia_policy::gateway::configuration::{ModelName, Role, ZoneName};
-use acacia_policy::gateway::inventory::{Inventory, Progress, Store};
-use acacia_policy::gateway::mesh::Peer;
-use acacia_policy::gateway::{Configuration, Server, ServerId, View, WeightVersion, Weights};
-use acacia_policy::kv::{Entry, ModRevision};
+use acacia_policy::gateway::configuration::{ModelName, ZoneName};
+use acacia_policy::gateway::inventory::{Inventory, Progress};
+use acacia_policy::gateway::{Configuration, Server, ServerId, WeightVersion, Weights};
+use acacia_policy::kv::{Era, Revision};
+
+use crate::carryover::{Carryover, Departures};
+
+mod view;
 
 /// Time after a disruption of the metadata store in which an upstream's entry may be missing only
 /// because its lease expired. It covers noticing a silent connection and writing the entry again.
 const EXPIRY_WINDOW: Duration = Duration::from_millis(5_500);
 /// How long an expired entry is kept.
 const EXPIRED_RETENTION: Duration = Duration::from_secs(4);
-/// Lower bound of the number of instances that share a limit. When a fleet starts all at once, its
-/// instances are not all registered when the first one counts them.
-const MIN_INSTANCES: u32 = 8;
-/// Instances that may have started since the registrations were read.
-const UNSEEN_INSTANCES: u32 = 1;
 
 /// A replica of the metadata store's contents.
 #[derive(Debug, Default)]
@@ -33,11 +35,23 @@
     expired: BTreeMap<ServerId, (Arc<Server>, Time)>,
     evacuated: BTreeSet<ZoneName>,
     weights: BTreeMap<ModelName, Weights>,
+    /// Announcement times that the metadata store holds.
     announcements: AnnouncementTimes,
-    announcements_revision: ModRevision,
+    announcements_revision: Revision,
+    /// Those times, and times of earlier eras that the store may have lost.
+    known_announcements: AnnouncementTimes,
     instances: BTreeMap<String, Presence>,
     holder: Option<Holder>,
-    inventories: BTreeMap<String, (Arc<Inventory>, ModRevision)>,
+    inventories: BTreeMap<String, (Arc<Inventory>, Revision)>,
+    era: Era,
+    /// The revision up to which changes were applied.
+    revision: Revision,
+    /// The last known change that removed a part from an inventory.
+    last_removal: Revision,
+    /// When the current era was noticed; none if no earlier one was seen.
+    era_began: Option<Time>,
+    carryover: Carryover,
+    departures: Departures,
     as_of: Time,
     server_clock: Option<(Time, u64)>,
     last_holder_write: Time,
@@ -53,9 +67,9 @@
     /// The state that it published.
     pub holding: OrderLease,
     /// Revision of its last write.
-    pub revision: ModRevision,
-    /// Revision at which it acquired the lease; the fencing token.
-    pub created: ModRevision,
+    pub revision: Revision,
+    /// Revision at which it acquired the lease, which determines the fencing token.
+    pub created: Revision,
 }
 
 /// An update of the replica, for the log.
@@ -81,6 +95,8 @@
     Instances(usize),
     /// The inventory of a KV cache store changed.
     Stock(String),
+    /// The metadata store was restored from an older copy; its new era.
+    Era(Era),
     /// A malformed value was ignored.
     Malformed {
         /// The key.
@@ -96,67 +112,11 @@
         Self { own_incarnation, ..Self::default() }
     }
 
-    /// The current view for the instance `own`; none until a configuration is known.
-    pub fn view(&self, own: &str) -> Option<View> {
-        let holding = self.holder.as_ref().map(|holder| &holder.holding);
-        let loaded = holding.into_iter().flat_map(|holding| {
-            holding.loaded.iter().flat_map(|(id, models)| {
-                models.iter().map(|(model, version)| (id.clone(), model.clone(), *version))
-            })
-        });
-        let others = self.instances.iter().filter(|(name, _)| *name != own);
-        Some(View {
-            configuration: self.configuration.clone()?,
-            servers: self.servers.clone(),
-            expired: self.expired.clone(),
-            evacuated: self.evacuated.clone(),
-            weights: self.announced_weights(),
-            loading: holding.map(|h| h.loading.iter().cloned().collect()).unwrap_or_default(),
-            loaded: loaded.collect(),
-            instances: self.instance_count(),
-            own_address: self.instances.get(own).and_then(|presence| presence.peer),
-            peers: others.filter_map(|(_, presence)| peer(presence)).collect(),
-            stores: self.cache_stores(),
-            as_of: self.as_of,
-            server_clock: self.server_clock,
-            unavailable_since: self.unavailable_since,
-        })
-    }
-
-    /// The announced weights, each with the earliest known announcement time.
-    pub fn announced_weights(&self) -> BTreeMap<ModelName, Weights> {
-        let announced = self.weights.iter().map(|(model, weights)| {
-            let times = self.announcements.0.get(model);
-            let versions = weights.iter().map(|(version, received)| {
-                let announced = times.and_then(|times| times.get(&version));
-                (version, self.earliest(received, announced.copied()))
-            });
-            (model.clone(), versions.collect())
-        });
-        announced.collect()
-    }
-
-    /// The earlier of the time when a version was received and its announcement time in the
-    /// metadata store.
-    fn earliest(&self, received: Time, announced: Option<u64>) -> Time {
-        let announced = announced.zip(self.server_clock).map(|(announced, (known, clock))| {
-            let before = Duration::from_millis(clock.saturating_sub(announced));
-            let after = Duration::from_millis(announced.saturating_sub(clock));
-            (known + after).saturating_sub(before)
-        });
-        match (received, announced) {
-            (Time::ZERO, announced) => announced.unwrap_or(Time::ZERO),
-            (received, announced) => {
-                announced.map_or(received, |announced| announced.min(received))
-            }
-        }
-    }
-
     /// Announcement times that this instance observed and that the metadata store does not hold
     /// yet, merged with those that it holds.
-    pub fn unwritten_announcements(&self) -> Option<(AnnouncementTimes, ModRevision)> {
+    pub fn unwritten_announcements(&self) -> Option<(AnnouncementTimes, Revision)> {
         let (known, clock) = self.server_clock?;
-        let mut announcements = self.announcements.clone();
+        let mut announcements = self.known_announcements.clone();
         for (model, weights) in &self.weights {
             let times = announcements.0.entry(model.clone()).or_default();
             for (version, received) in weights.iter().filter(|(_, received)| *received > Time::ZERO)
@@ -175,31 +135,13 @@
             .then_some((announcements, self.announcements_revision))
     }
 
-    /// KV cache stores whose inventory is known.
-    fn cache_stores(&self) -> Vec<Store> {
-        let services = self.configuration.iter().flat_map(|c| c.services.values());
-        let stores = services.filter_map(|service| {
-            let Role::Store(terms) = &service.role else { return None };
-            let (inventory, _) = self.inventories.get(&*service.name)?;
-            Some(Store {
-                address: terms.address,
-                zone: terms.zone.clone(),
-                capacity_tokens: terms.capacity_tokens,
-                link_bytes: terms.link_bytes,
-                first_byte: terms.first_byte,
-                inventory: inventory.clone(),
-            })
-        });
-        stores.collect()
-    }
-
     /// The configuration in force.
     pub fn configuration(&self) -> Option<&Arc<Configuration>> {
         self.configuration.as_ref()
     }
 
     /// The last written inventory of a KV cache store, and its revision.
-    pub fn inventory(&self, service: &str) -> Option<(&Arc<Inventory>, ModRevision)> {
+    pub fn inventory(&self, service: &str) -> Option<(&Arc<Inventory>, Revision)> {
         self.inventories.get(service).map(|(inventory, revision)| (inventory, *revision))
     }
 
@@ -208,6 +150,11 @@
         self.as_of = self.as_of.max(sent);
     }
 
+    /// Records that all changes up to a revision were applied.
+    pub fn advance(&mut self, revision: Revision) {
+        self.revision = self.revision.max(revision);
+    }
+
     /// Records that the servers' clock showed `millis`, in milliseconds, at `now`.
     pub fn set_server_clock(&mut self, now: Time, millis: u64) {
         self.server_clock = Some((now, millis));
@@ -246,7 +193,7 @@
     }
 
     /// Applies this instance's own write as the holder, before the watch delivers it.
-    pub fn apply_own_write(&mut self, holding: OrderLease, revision: ModRevision) {
+    pub fn apply_own_write(&mut self, holding: OrderLease, revision: Revision) {
         if let Some(holder) =
             self.holder.as_mut().filter(|h| h.holding.incarnation == holding.incarnation)
             && holder.revision < revision
@@ -276,6 +223,16 @@
         self.is_current && self.unavailable_since.is_none()
     }
 
+    /// The era of the metadata store that the replica reflects.
+    pub fn era(&self) -> Era {
+        self.era
+    }
+
+    /// When that era was noticed; none if no earlier one was seen.
+    pub fn era_began(&self) -> Option<Time> {
+        self.era_began
+    }
+
     /// Records a failed call to the metadata store; true if it was the first after an answer.
     pub fn fail(&mut self, now: Time) -> bool {
         self.disrupted = Some(now);
@@ -292,39 +249,67 @@
         self.unavailable_since.take()
     }
 
-    /// Replaces the contents with all entries of the metadata store.
-    pub fn replace(&mut self, now: Time, entries: Vec<Entry>) -> Vec<Update> {
+    /// Replaces the contents with all entries of the metadata store, read at a revision. A listing
+    /// of an earlier era is ignored.
+    pub fn replace(
+        &mut self,
+        now: Time,
+        revision: Revision,
+        entries: &[store::Change],
+    ) -> Vec<Update> {
         let mut updates = Vec::new();
+        if revision.era < self.era {
+            return updates;
+        }
+        if self.is_current && revision.era > self.era {
+            self.begin_era(now);
+            updates.push(Update::Era(revision.era));
+        }
+        self.era = revision.era;
+        self.revision = revision;
+        // Removals before it may have been missed.
+        self.last_removal = revision;
         let listed: BTreeSet<&str> = entries.iter().map(|entry| &*entry.key).collect();
         for key in self.keys().into_iter().filter(|key| !listed.contains(&**key)) {
             updates.extend(self.remove(now, &key));
         }
-        for entry in entries {
-            let created = entry.revision;
-            updates.extend(self.set(now, &entry.key, &entry.value, entry.revision, created));
-        }
+        updates.extend(entries.iter().filter_map(|entry| self.set(now, entry)));
         // Earlier writes of another holder may have been missed.
         self.last_holder_write = now;
         self.is_current = true;
         updates
     }
 
-    /// Applies one change from the watch.
+    /// Applies one change from the watch; one of another era is ignored.
     pub fn apply(&mut self, now: Time, change: &store::Change) -> Option<Update> {
+        if change.revision.era != self.era {
+            return None;
+        }
+        // Its writer has written the entry again.
+        self.carryover.forget(&Subject::of(&change.key));
+        if let (None, Subject::Inventory(_)) = (&change.value, Subject::of(&change.key)) {
+            self.last_removal = self.last_removal.max(change.revision);
+        }
         match &change.value {
-            Some(value) => self.set(now, &change.key, value, change.revision, change.created),
+            Some(_) => self.set(now, change),
             None => self.remove(now, &change.key),
         }
     }
 
-    fn set(
-        &mut self,
-        now: Time,
-        key: &str,
-        value: &[u8],
-        revision: ModRevision,
-        created: ModRevision,
-    ) -> Option<Update> {
+    /// Prepares for the contents of an older copy.
+    fn begin_era(&mut self, now: Time) {
+        self.era_began = Some(now);
+        // Servers may have to write their entries again.
+        self.disrupted = Some(now);
+        let closed = self.servers.values().filter(|server| server.leaving).cloned();
+        let closed = closed.chain(self.departures.recent(now)).collect();
+        self.carryover =
+            Carryover::new(now, self.evacuated.clone(), self.instances.clone(), closed);
+    }
+
+    fn set(&mut self, now: Time, change: &store::Change) -> Option<Update> {
+        let store::Change { key, value, revision, .. } = change;
+        let (value, revision) = (value.as_deref()?, *revision);
         match Subject::of(key) {
             Subject::Configuration => self.set_configuration(key, value),
             Subject::Evacuation(zone) => {
@@ -340,39 +325,72 @@
                 }
                 Err(problem) => Some(malformed(key, value, &problem)),
             },
-            Subject::AnnouncementTimes => match AnnouncementTimes::decode("", value) {
-                Ok(announcements) => {
-                    self.announcements = announcements;
-                    self.announcements_revision = revision;
-                    None
+            Subject::AnnouncementTimes => self.set_announcement_times(key, value, revision),
+            Subject::Inventory(service) => self.set_inventory(key, service, value, revision),
+            Subject::Holder => self.set_holder(now, change, value),
+            Subject::Other => None,
+        }
+    }
+
+    fn set_announcement_times(
+        &mut self,
+        key: &str,
+        value: &[u8],
+        revision: Revision,
+    ) -> Option<Update> {
+        match AnnouncementTimes::decode("", value) {
+            Ok(announcements) => {
+                for (model, times) in &announcements.0 {
+                    let known = self.known_announcements.0.entry(model.clone()).or_default();
+                    known.extend(times);
                 }
-                Err(problem) => Some(malformed(key, value, &problem)),
-            },
-            Subject::Inventory(service) => match Inventory::decode(service, value) {
-                Ok(inventory) => {
-                    self.inventories.insert(service.to_owned(), (Arc::new(inventory), revision));
-                    Some(Update::Stock(service.to_owned()))
+                self.announcements = announcements;
+                self.announcements_revision = revision;
+                None
+            }
+            Err(problem) => Some(malformed(key, value, &problem)),
+        }
+    }
+
+    fn set_inventory(
+        &mut self,
+        key: &str,
+        service: &str,
+        value: &[u8],
+        revision: Revision,
+    ) -> Option<Update> {
+        match Inventory::decode(service, value) {
+            Ok(inventory) => {
+                let old = self.inventories.get(service).map(|(old, _)| old);
+                if old.is_some_and(|old| !old.is_contained_in(&inventory)) {
+                    self.last_removal = self.last_removal.max(revision);
                 }
-                Err(problem) => Some(malformed(key, value, &problem)),
-            },
-            Subject::Holder => match OrderLease::decode("", value) {
-                Ok(holding) => {
-                    let created = match &self.holder {
-                        Some(old) if old.holding.incarnation == holding.incarnation => old.created,
-                        _ => created,
-                    };
-                    if holding.incarnation != self.own_incarnation {
-                        self.last_holder_write = now;
-                    }
-                    if self.holder.as_ref().is_some_and(|known| known.revision >= revision) {
-                        return None;
-                    }
-                    self.holder = Some(Holder { holding, revision, created });
-                    Some(Update::Holder)
+                self.inventories.insert(service.to_owned(), (Arc::new(inventory), revision));
+                Some(Update::Stock(service.to_owned()))
+            }
+            Err(problem) => Some(malformed(key, value, &problem)),
+        }
+    }
+
+    fn set_holder(&mut self, now: Time, change: &store::Change, value: &[u8]) -> Option<Update> {
+        let store::Change { key, revision, created, .. } = change;
+        let revision = *revision;
+        match OrderLease::decode("", value) {
+            Ok(holding) => {
+                let created = match &self.holder {
+                    Some(old) if created.number == 0 => old.created,
+                    _ => *created,
+                };
+                if holding.incarnation != self.own_incarnation {
+                    self.last_holder_write = now;
                 }
-                Err(problem) => Some(malformed(key, value, &problem)),
-            },
-            Subject::Other => None,
+                if self.holder.as_ref().is_some_and(|known| known.revision >= revision) {
+                    return None;
+                }
+                self.holder = Some(Holder { holding, revision, created });
+                Some(Update::Holder)
+            }
+            Err(problem) => Some(malformed(key, value, &problem)),
         }
     }
 
@@ -412,6 +430,7 @@
         match Server::decode(id, value) {
             Ok(server) => {
                 let id = server.id.clone();
+                self.departures.forget(&id);
                 let was_expired = self.expired.remove(&id).is_some();
                 let server = Arc::new(server);
                 let old = self.servers.insert(id.clone(), server.clone());
@@ -428,7 +447,9 @@
     fn remove(&mut self, now: Time, key: &str) -> Option<Update> {
         match Subject::of(key) {
             Subject::Evacuation(zone) => {
-                self.evacuated.remove(zone).then(|| Update::Restored(zone.into()))
+                let was_evacuated = self.evacuated.remove(zone);
+                let is_carried = self.carryover.evacuated(now).any(|carried| **carried == *zone);
+                (was_evacuated && !is_carried).then(|| Update::Restored(zone.into()))
             }
             Subject::Server(id) => self.remove_server(now, id),
             Subject::Instance(name) => {
@@ -447,6 +468,7 @@
 
     fn remove_server(&mut self, now: Time, id: &str) -> Option<Update> {
         let server = self.servers.remove(id)?;
+        self.departures.add(now, server.clone());
         self.expired.retain(|_, (_, since)| now < *since + EXPIRED_RETENTION);
         let is_disrupted = self.disrupted.is_some_and(|at| now < at + EXPIRY_WINDOW);
         let id = server.id.clone();
@@ -463,12 +485,8 @@
         let zones = self.evacuated.iter().map(|zone| document::evacuation_key(zone));
         let instances = self.instances.keys().map(|name| document::instance_key(name));
         let holder = self.holder.iter().map(|_| document::holder_key());
-        servers.chain(zones).chain(instances).chain(holder).collect()
-    }
-
-    fn instance_count(&self) -> u32 {
-        let listed = u32::try_from(self.instances.len()).unwrap_or(u32::MAX - UNSEEN_INSTANCES);
-        listed.max(MIN_INSTANCES) + UNSEEN_INSTANCES
+        let inventories = self.inventories.keys().map(|service| document::inventory_key(service));
+        servers.chain(zones).chain(instances).chain(holder).chain(inventories).collect()
     }
 }
 
@@ -476,9 +494,3 @@
     let problem = format!("{problem}; the value is {}", document::shape(value));
     Update::Malformed { key: key.to_owned(), problem }
 }
-
-/// The gossip peer of an instance; none if it has no gossip address.
-fn peer(presence: &Presence) -> Option<Peer> {
-    let zone = presence.zone.as_str().into();
-    presence.peer.map(|address| Peer { address, zone })
-}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -223,6 +223,7 @@
         fetch = run.map(|run| tracing::field::debug(&run.fetch)),
         save = run.map(|run| tracing::field::debug(&run.save)),
         expected_ms = millis(attempt.expected),
+        wait_ms = millis(attempt.wait),
         left_ms = millis(plan.left(now)),
         "sent"
     );
--- a/crates/gateway/tests/picture.rs
+++ b/crates/gateway/tests/picture.rs
@@ -5,7 +5,7 @@
 use acacia_gateway::replica::{Replica, Update};
 use acacia_platform::store::Change;
 use acacia_policy::Time;
-use acacia_policy::kv::Entry;
+use acacia_policy::kv::Revision;
 use serde_json::{Value, json};
 
 const OWN: u64 = 1;
@@ -14,13 +14,23 @@
     Duration::from_secs(3_600 + seconds)
 }
 
-fn set(key: &str, value: Value, revision: i64) -> Change {
-    let value = Some(value.to_string().into_bytes());
+fn revision(number: i64) -> Revision {
+    Revision { era: 0, number }
+}
+
+fn set(key: &str, value: Value, number: i64) -> Change {
+    let (revision, value) = (revision(number), Some(value.to_string().into_bytes()));
     Change { key: key.to_owned(), value, revision, created: revision }
 }
 
-fn removed(key: &str, revision: i64) -> Change {
-    Change { key: key.to_owned(), value: None, revision, created: 0 }
+fn removed(key: &str, number: i64) -> Change {
+    Change { key: key.to_owned(), value: None, revision: revision(number), created: revision(0) }
+}
+
+/// The same change in another era.
+fn in_era(era: u64, change: Change) -> Change {
+    let of = |revision: Revision| Revision { era, ..revision };
+    Change { revision: of(change.revision), created: of(change.created), ..change }
 }
 
 fn server() -> Value {
@@ -33,15 +43,11 @@
 
 fn replica() -> Replica {
     let mut replica = Replica::new(OWN);
-    replica.replace(at(0), Vec::new());
+    replica.replace(at(0), revision(0), &[]);
     replica.apply(at(0), &set("op/config", configuration(3), 1));
     replica
 }
 
-fn entry(key: &str, value: Value, revision: i64) -> Entry {
-    Entry { key: key.to_owned(), value: value.to_string().into_bytes(), revision }
-}
-
 #[test]
 fn view_without_configuration() {
     assert!(Replica::new(OWN).view("own").is_none());
@@ -102,7 +108,7 @@
     replica.apply(at(1), &set("servers/i-1", server(), 2));
     replica.apply(at(1), &set("servers/i-2", server(), 3));
     replica.apply(at(1), &set("op/evacuate/z", json!({}), 4));
-    replica.replace(at(60), vec![entry("servers/i-2", server(), 3)]);
+    replica.replace(at(60), revision(5), &[set("servers/i-2", server(), 3)]);
     let view = replica.view("own").unwrap();
     assert_eq!(view.servers.keys().map(|id| &**id).collect::<Vec<_>>(), ["i-2"]);
     assert!(view.evacuated.is_empty());
@@ -116,7 +122,8 @@
     let mut started = Replica::new(OWN);
     started.replace(
         at(0),
-        vec![entry("op/config", configuration(1), 1), entry("op/version/m", order.clone(), 2)],
+        revision(2),
+        &[set("op/config", configuration(1), 1), set("op/version/m", order.clone(), 2)],
     );
     assert_eq!(
         started.view("own").unwrap().weights["m"].announced_at(),
@@ -152,12 +159,126 @@
     let before = replica.last_holder_write();
     let mut next = replica.holder().unwrap().holding.clone();
     next.sequence = 2;
-    replica.apply_own_write(next, 12);
+    replica.apply_own_write(next, revision(12));
     let holder = replica.holder().unwrap();
-    assert_eq!((holder.revision, holder.created), (12, 10));
+    assert_eq!((holder.revision, holder.created), (revision(12), revision(10)));
     assert_eq!(
         replica.last_holder_write(),
         before,
         "an instance's own writes don't delay its orders"
     );
 }
+
+fn holding(incarnation: u64, word: u64) -> Value {
+    json!({"instance": "i", "life": incarnation, "word": word, "loading": [], "loaded": {}})
+}
+
+fn inventory(era: u64) -> Value {
+    json!({"era": era, "epoch": 3, "open": true, "parts": [[7, 100]]})
+}
+
+fn store_service() -> Value {
+    json!({"version": 4, "services": [
+        {"name": "kv", "kv_store_addr": "10.0.0.9:80", "zone": "z", "kv_capacity": 1000,
+         "managed": true, "link_mbps": 1000.0, "first_ms": 1.0}]})
+}
+
+/// Regression: after a full read, the fencing token was the revision of the holder's last write. It
+/// went down at the next change.
+#[test]
+fn replace_keeps_fencing_token() {
+    let mut replica = replica();
+    replica.apply(at(1), &set("acacia/holder", holding(OWN, 1), 10));
+    let written = Change { created: revision(10), ..set("acacia/holder", holding(OWN, 2), 25) };
+    replica.replace(at(2), revision(30), &[written]);
+    assert_eq!(replica.holder().unwrap().created.fencing_token(), 10);
+}
+
+/// Regression: an inventory that was removed while the replica did not follow stayed.
+#[test]
+fn replace_unlisted_inventory() {
+    let mut replica = replica();
+    replica.apply(at(1), &set("op/config", store_service(), 2));
+    replica.apply(at(1), &set("acacia/stocks/kv", inventory(0), 3));
+    assert_eq!(replica.view("own").unwrap().stores.len(), 1);
+    replica.replace(at(2), revision(5), &[]);
+    assert!(replica.view("own").unwrap().stores.is_empty());
+}
+
+#[test]
+fn fencing_token_over_eras() {
+    let token = |era, number| Revision { era, number }.fencing_token();
+    assert_eq!(token(0, 41), 41, "as before eras were stated");
+    assert!(token(1, 1) > token(0, 1_000_000_000));
+    assert!(token(2, 5) > token(1, 1_000_000_000));
+    assert!(token(1_000, 1_000_000_000) < 1 << 53);
+}
+
+/// A copy that is some seconds old lacks an evacuation, the leaving of a server, the end of
+/// another, newer weights, a newer configuration and an instance.
+#[test]
+fn replace_older_copy() {
+    let mut replica = replica();
+    let leaving = json!({"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 6,
+        "state": "draining"});
+    for (key, value) in [
+        ("servers/i-1", leaving),
+        ("servers/i-2", server()),
+        ("op/evacuate/z", json!({})),
+        ("op/version/m", json!({"model": "m", "version": 5})),
+        ("acacia/instances/a", json!({"peer": "10.0.0.8:1", "zone": "z"})),
+        ("acacia/holder", holding(9, 1)),
+    ] {
+        replica.apply(at(1), &set(key, value, 10));
+    }
+    replica.apply(at(2), &removed("servers/i-2", 11));
+    let before = replica.view("own").unwrap();
+
+    let copy = [
+        in_era(1, set("op/config", configuration(2), 3)),
+        in_era(1, set("op/version/m", json!({"model": "m", "version": 4}), 4)),
+        in_era(1, set("servers/i-1", server(), 5)),
+        in_era(1, set("servers/i-2", server(), 6)),
+    ];
+    let updates = replica.replace(at(10), Revision { era: 1, number: 8 }, &copy);
+    assert_eq!(updates[0], Update::Era(1));
+    replica.confirm(at(10));
+    let view = replica.view("own").unwrap();
+    assert_eq!(view.configuration.version, 3);
+    assert_eq!(view.weights["m"].version(), 5);
+    assert!(view.evacuated.contains("z"));
+    assert!(view.servers.values().all(|server| server.leaving), "{:?}", view.servers);
+    assert_eq!((view.instances, &view.peers), (before.instances, &before.peers));
+    assert!(replica.holder().is_none(), "leases of the earlier era are over");
+    assert_eq!(replica.last_holder_write(), at(10));
+
+    // A change of the earlier era that arrives late is ignored.
+    assert_eq!(replica.apply(at(11), &set("acacia/holder", holding(9, 2), 12)), None);
+    assert!(replica.holder().is_none());
+
+    // Writers in the new era say otherwise.
+    replica.apply(at(12), &in_era(1, set("servers/i-1", server(), 9)));
+    replica.apply(at(12), &in_era(1, set("op/evacuate/z", json!({}), 10)));
+    replica.apply(at(12), &in_era(1, removed("op/evacuate/z", 11)));
+    let view = replica.view("own").unwrap();
+    assert!(!view.servers["i-1"].leaving);
+    assert!(view.evacuated.is_empty());
+
+    // What nobody writes again is forgotten after a while.
+    replica.confirm(at(30));
+    assert!(replica.view("own").unwrap().peers.is_empty());
+}
+
+#[test]
+fn view_inventory_of_earlier_era() {
+    let mut replica = replica();
+    replica.apply(at(1), &set("op/config", store_service(), 2));
+    replica.apply(at(1), &set("acacia/stocks/kv", inventory(0), 3));
+    let parts = |replica: &Replica| replica.view("own").unwrap().stores[0].inventory.parts.len();
+    assert_eq!(parts(&replica), 1);
+    let listed = in_era(1, set("acacia/stocks/kv", inventory(0), 3));
+    replica.replace(at(2), Revision { era: 1, number: 3 }, &[listed]);
+    assert_eq!(parts(&replica), 0, "it may list parts that were freed since");
+    replica.apply(at(3), &in_era(1, set("acacia/stocks/kv", inventory(1), 4)));
+    assert_eq!(parts(&replica), 1);
+}
--- a/crates/policy/src/gateway/access.rs
+++ b/crates/policy/src/gateway/access.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 
 use super::call::Prompt;
-use super::choice::{Chooser, PREFILL_TOKENS_PER_SECOND};
+use super::choice::Chooser;
 use super::configuration::EngineSpec;
 use super::gossip::{PartKey, part_keys};
 use super::inventory::{READ_LIMIT, Store, salt};
@@ -73,7 +73,7 @@
         let parts = part_keys(prompt, &salt);
         let point = self.rng.random::<u32>() as usize;
         let holders = self.roster.holders(&parts, point, |member| {
-            self.now >= member.paused_until
+            self.now >= member.available_at()
                 && !member.status.loading
                 && !member.status.evacuated
                 && member.status.expired.is_none()
@@ -103,7 +103,7 @@
         let parts = &self.variants[variant].parts;
         let held = self.roster[key].cache.held_tokens(parts);
         let uncached = self.input_tokens().saturating_sub(held);
-        let time = f64::from(uncached) / PREFILL_TOKENS_PER_SECOND;
+        let time = self.prefill_time(uncached);
         let cost = time - if is_primary { PRIMARY_BONUS_S } else { 0.0 };
         let plain =
             Access { variant, source: Source::Nowhere, time, cost, prefill_tokens: uncached };
@@ -112,14 +112,18 @@
         let fetched = [stored, elsewhere].into_iter().flatten();
         let Some(best) = fetched.min_by(|a, b| a.cost.total_cmp(&b.cost)) else { return plain };
         let recomputed = uncached.saturating_sub(best.prefill_tokens);
-        let recompute_cost =
-            f64::from(recomputed) / PREFILL_TOKENS_PER_SECOND * RECOMPUTE_COST_FACTOR;
+        let recompute_cost = self.prefill_time(recomputed) * RECOMPUTE_COST_FACTOR;
         if best.cost >= cost + recompute_cost {
             return Access { cost: cost + recompute_cost, ..plain };
         }
         best
     }
 
+    /// Duration of a prefill, in seconds.
+    fn prefill_time(&self, tokens: u32) -> f64 {
+        f64::from(tokens) / self.pace.prefill_rate()
+    }
+
     fn input_tokens(&self) -> u32 {
         self.plan.prompt.as_ref().map_or(0, |prompt| prompt.input_tokens)
     }
@@ -140,7 +144,7 @@
         let fetched = found.checked_sub(held).filter(|tokens| *tokens > 0)?;
         let rest = self.input_tokens().saturating_sub(found);
         let transfer_time = transfer(fetched, spec, spec.link_bytes.max(1.0), is_near(&source));
-        let time = f64::from(rest) / PREFILL_TOKENS_PER_SECOND + transfer_time + FETCH_RISK_S;
+        let time = self.prefill_time(rest) + transfer_time + FETCH_RISK_S;
         let source = Source::Engine(source);
         Some(Access { variant, source, time, cost: time, prefill_tokens: rest })
     }
@@ -148,24 +152,25 @@
     /// A fetch of the parts that stores hold and this engine does not, up to the first gap.
     fn store_access(&self, key: MemberKey, variant: usize, spec: &EngineSpec) -> Option<Access> {
         // Without the servers' clock no deadline can be set for a fetch.
-        if self.view.as_of + READ_LIMIT < self.now + MIN_FETCH_TIME
+        if self.inventories_as_of + READ_LIMIT < self.now + MIN_FETCH_TIME
             || self.view.server_clock.is_none()
         {
             return None;
         }
         let zone = &self.roster[key].server.zone;
-        let (mut transfer_time, mut is_useful) = (0.0, false);
+        let (mut transfer_time, mut delay, mut is_useful) = (0.0, 0.0_f64, false);
         let known = self.stored(key, variant, |_, tokens, store| {
             let link = spec.link_bytes.min(store.link_bytes).max(1.0);
             transfer_time += transfer(tokens, spec, link, store.zone == *zone);
             transfer_time += store.first_byte.as_secs_f64();
+            delay = delay.max(self.links.delay(self.now, store.address));
             is_useful = true;
         });
         if !is_useful {
             return None;
         }
         let rest = self.input_tokens().saturating_sub(known);
-        let time = f64::from(rest) / PREFILL_TOKENS_PER_SECOND + transfer_time;
+        let time = self.prefill_time(rest) + transfer_time + delay;
         Some(Access { variant, source: Source::Stores, time, cost: time, prefill_tokens: rest })
     }
 
--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -15,23 +15,22 @@
 use rand_chacha::ChaCha12Rng;
 
 use super::access::{Access, Source, Variant};
+use super::admission::{self, Admission};
 use super::call::Prompt;
-use super::configuration::{EngineSpec, Role, Service};
-use super::gossip::{Digests, Load, PartKey};
+use super::configuration::{Role, Service};
+use super::gossip::{Digests, PartKey};
 use super::inventory::READ_LIMIT;
+use super::link::Links;
 use super::machine::{Placement, Terms, weights_end};
 use super::member::{COLD_SPAN, Member};
+use super::pace::{FIRST_TOKEN_S, Pace};
 use super::plan::{Attempt, EngineRun, Fetch, Plan};
 use super::roster::{MemberKey, Roster};
 use super::save::Saves;
 use super::view::{View, WeightVersion};
-use super::window::ColdShare;
+use super::window::{ColdShare, distributed};
 use crate::Time;
 
-/// Prefill rate of an engine: that of the slowest engine in the platform's specifications.
-pub const PREFILL_TOKENS_PER_SECOND: f64 = 51_000.0;
-/// Time to the first token besides prefill and queueing, in seconds, by the same specifications.
-const FIRST_TOKEN_S: f64 = 0.050;
 /// Cost of each request in an engine's batch, in seconds: the time that it adds to each step,
 /// summed over the steps of a short answer.
 const BATCH_STEP_S: f64 = 0.001;
@@ -51,10 +50,8 @@
 const WAIT_SAFETY_FACTOR: f64 = 2.0;
 /// Time since the announcement of newer weights after which answers on older ones lose value.
 const OLD_WEIGHTS_AGE: Duration = Duration::from_millis(1_200);
-/// Cost of an engine whose memory is filled by running requests, in latency targets.
-const FULL_MEMORY_COST_TARGETS: f64 = 0.5;
-/// Share of an engine's memory that running requests may fill.
-const MEMORY_SHARE: f64 = 0.8;
+/// Number of running requests from which an engine's next request is delayed like earlier ones.
+const BUSY_REQUESTS: f64 = 4.0;
 /// Maximum random addition to a cost, in seconds, so that instances with equal estimates pick
 /// different upstreams.
 const JITTER_S: f64 = 0.004;
@@ -112,6 +109,12 @@
     pub digests: &'a Digests,
     /// Parts that are being saved to stores.
     pub saves: &'a Saves,
+    /// Speed of the service's engines.
+    pub pace: Pace,
+    /// Delays of the stores.
+    pub links: &'a Links,
+    /// When the view's inventories were last known to be current.
+    pub inventories_as_of: Time,
     /// Source of jitter and samples.
     pub rng: &'a mut ChaCha12Rng,
     /// The prompt on each version of the weights considered so far.
@@ -125,10 +128,21 @@
     cost: f64,
     /// Expected time to the first event, in seconds; for engines, without the queue.
     expected: f64,
+    /// Expected time in an engine's queue, in seconds.
+    wait: f64,
+    /// Whether the request would be refused rather than wait for so long.
+    is_turned_away: bool,
     /// How an engine would obtain the prompt's parts.
     access: Option<Access>,
 }
 
+impl Offer {
+    /// An offer that can be in time comes first, then the cheaper one.
+    fn is_better_than(&self, other: &Self) -> bool {
+        (self.is_turned_away, self.cost) < (other.is_turned_away, other.cost)
+    }
+}
+
 /// When an upstream may take the request.
 enum Eligibility {
     Now { expired: bool },
@@ -146,7 +160,9 @@
         let primary = self.primary();
         if self.roster.of_service(&self.plan.service).len() > SCAN_LIMIT {
             let sampled = self.sample(primary);
-            if let Candidate::Best(attempt) = self.cheapest(service, &sampled, primary) {
+            if let Candidate::Best(attempt) = self.cheapest(service, &sampled, primary)
+                && !self.is_turned_away(attempt.wait, attempt.expected)
+            {
                 return Candidate::Best(attempt);
             }
         }
@@ -187,7 +203,7 @@
                     else {
                         continue;
                     };
-                    if best.as_ref().is_none_or(|best| offer.cost < best.cost) {
+                    if best.as_ref().is_none_or(|best| offer.is_better_than(best)) {
                         best = Some(offer);
                     }
                 }
@@ -205,14 +221,18 @@
         let (now, plan, view) = (self.now, self.plan, self.view);
         let member = &mut self.roster[key];
         let status = member.status;
-        if member.server.leaving || status.evacuated || plan.tried.contains(&member.server.id) {
+        if member.is_leaving() || status.evacuated || plan.tried.contains(&member.server.id) {
             return Eligibility::Never;
         }
-        if status.loading || now < member.paused_until {
-            return Eligibility::At(member.paused_until.max(now + RECHECK_INTERVAL));
+        if status.loading || now < member.available_at() {
+            return Eligibility::At(member.available_at().max(now + RECHECK_INTERVAL));
         }
-        if member.own_load.running >= connection_share(service, view.instances) {
-            return Eligibility::At(now + RECHECK_INTERVAL);
+        match connection_share(service, member, view) {
+            0 => return Eligibility::Never,
+            share if member.own_load.running >= share => {
+                return Eligibility::At(now + RECHECK_INTERVAL);
+            }
+            _ => {}
         }
         if let (Some(rate), true) = (service.cold_rate, member.is_cold(now)) {
             // The previous incarnation of this instance may just have used up its share.
@@ -276,22 +296,31 @@
         let (Role::Engine(spec), Some(prompt)) = (&service.role, &self.plan.prompt) else {
             let slots = f64::from(member.server.slots.max(1));
             cost += delay + PLAIN_REQUEST_S * f64::from(load.running) / slots;
-            return Some(Offer { key, cost, expected: latency_target / 2.0 + delay, access: None });
+            let expected = latency_target / 2.0 + delay;
+            let (wait, is_turned_away) = (0.0, false);
+            return Some(Offer { key, cost, expected, wait, is_turned_away, access: None });
         };
-        let wait = delay.max(load.prefill_tokens as f64 / PREFILL_TOKENS_PER_SECOND);
+        // The fewer requests run there, the less the delay of earlier ones says about the next.
+        let busy = (f64::from(load.running) / BUSY_REQUESTS).min(1.0);
+        let wait = (delay * busy).max(self.pace.wait(load, prompt, spec));
         let (weights, stale) = self.weights(member, prompt, wait)?;
         cost += if stale { OLD_WEIGHTS_COST_TARGETS * latency_target } else { 0.0 };
         cost += BATCH_STEP_S * f64::from(load.running);
         cost += wait;
-        cost += if is_full(load, prompt, spec) {
-            FULL_MEMORY_COST_TARGETS * latency_target
-        } else {
-            0.0
-        };
         let variant = self.variant(weights, prompt);
         let access = self.access(key, variant, spec, is_primary);
         let expected = FIRST_TOKEN_S + access.time;
-        Some(Offer { key, cost: cost + access.cost, expected, access: Some(access) })
+        let (cost, access) = (cost + access.cost, Some(access));
+        let is_turned_away =
+            self.is_turned_away(Duration::from_secs_f64(wait), Duration::from_secs_f64(expected));
+        Some(Offer { key, cost, expected, wait, is_turned_away, access })
+    }
+
+    /// Whether a prompt is refused rather than wait for `wait` at its engine.
+    fn is_turned_away(&self, wait: Duration, expected: Duration) -> bool {
+        self.plan.prompt.is_some()
+            && self.terms.placement == Placement::LoadAndCache
+            && admission::decide(self.now, self.plan, wait, expected) != Admission::Send
     }
 
     /// The weights last known of an engine, and whether answers on them have lost value; none if a
@@ -320,7 +349,7 @@
         let parts = &variant.parts;
         let newest = self.view.weights.get(&prompt.model);
         let is_old = newest.is_some_and(|newest| newest.outdated_since(variant.weights).is_some());
-        let is_fresh = self.now < self.view.as_of + SAVE_VIEW_MAX_AGE;
+        let is_fresh = self.now < self.inventories_as_of + SAVE_VIEW_MAX_AGE;
         let shared = if is_fresh && !is_old { prompt.shared().len() } else { 0 };
         let stores = &self.view.stores;
         let target = |part: &(PartKey, u32)| self.saves.store(self.now, *part, stores);
@@ -336,7 +365,7 @@
     fn primary(&self) -> Option<MemberKey> {
         let part = self.plan.prompt.as_ref()?.longest_shared()?;
         self.roster.primary(&self.plan.service, &part.id, |member| {
-            !member.server.leaving && !member.status.evacuated
+            !member.is_leaving() && !member.status.evacuated
         })
     }
 
@@ -352,7 +381,7 @@
                 self.stored(key, access.variant, |index, _, store| {
                     sources[index] = Some(store.address);
                 });
-                let until = self.view.server_time(self.view.as_of + READ_LIMIT);
+                let until = self.view.server_time(self.inventories_as_of + READ_LIMIT);
                 until.map_or(Fetch::None, |until| Fetch::Stores { sources, until })
             }
         };
@@ -386,20 +415,21 @@
             response_timeout,
             event_timeout,
             expected: Duration::from_secs_f64(offer.expected),
+            wait: Duration::from_secs_f64(offer.wait),
             prefill_tokens: offer.access.as_ref().map_or(0, |access| access.prefill_tokens.into()),
             sent: self.now,
+            began: None,
             cold: member.is_cold(self.now),
         }
     }
 }
 
-/// Maximum number of connections from this instance to one upstream.
-fn connection_share(service: &Service, instances: u32) -> u32 {
-    service.connections.map_or(u32::MAX, |all| (all / instances.max(1)).max(1))
-}
-
-/// Whether running requests and the prompt would fill an engine's memory.
-fn is_full(load: Load, prompt: &Prompt, spec: &EngineSpec) -> bool {
-    let needed = load.memory_tokens + prompt.memory_tokens();
-    load.running > 0 && needed as f64 > spec.memory_tokens as f64 * MEMORY_SHARE
+/// Maximum number of connections from this instance to one upstream. If there are fewer connections
+/// than instances, only the first instances get one, by a rank that is equal on all of them.
+fn connection_share(service: &Service, member: &mut Member, view: &View) -> u32 {
+    let Some(all) = service.connections else { return u32::MAX };
+    match all / view.instances.max(1) {
+        0 => u32::from(member.rank(view) < distributed(f64::from(all))),
+        share => share,
+    }
 }
--- /dev/null
+++ b/crates/policy/src/gateway/exchange.rs
@@ -0,0 +1,107 @@
+//! Digests that an instance sends to the others, and what it learns from theirs.
+
+use std::collections::BTreeMap;
+
+use super::confirmation::Confirmation;
+use super::gossip::{Digest, Load, Note, Prefill, ServerKey};
+use super::machine::Gateway;
+use super::mesh::Detail;
+use super::notice::Departure;
+use crate::Time;
+
+impl Gateway {
+    /// Records another instance's digest.
+    pub fn receive(&mut self, now: Time, digest: Digest) {
+        // Hubs forward a digest to its sender too.
+        if digest.incarnation == self.incarnation {
+            return;
+        }
+        for note in &digest.notes {
+            match note {
+                Note::Departed(departure) => {
+                    if let Some(key) = self.roster.by_server_key(departure.server)
+                        && self.roster[key].server.born == departure.born
+                    {
+                        self.roster[key].standing.is_leaving = true;
+                    }
+                }
+                Note::Confirmed(confirmation) => {
+                    if let Some(view) = &self.view {
+                        self.confirmed.receive(view, confirmation);
+                    }
+                }
+            }
+        }
+        for prefill in self.digests.receive(now, digest) {
+            self.record_prefill(now, &prefill);
+        }
+    }
+
+    /// The changes since the last digest; none if nothing has changed.
+    pub fn digest(&mut self, detail: Detail) -> Option<Digest> {
+        let loads = self.loads();
+        let servers = loads.keys().chain(self.sent_loads.keys());
+        let changed = servers.filter_map(|server| {
+            let load = loads.get(server).copied().unwrap_or_default();
+            let sent = self.sent_loads.get(server).copied().unwrap_or_default();
+            let is_changed = match detail {
+                Detail::All => load != sent,
+                Detail::Large => load.is_far_from(sent),
+            };
+            is_changed.then_some((*server, load))
+        });
+        let changed: BTreeMap<_, _> = changed.collect();
+        let prefills = self.take_prefills(detail);
+        let departures = std::mem::take(&mut self.departures);
+        let notes: Vec<Note> = departures.into_iter().map(Note::Departed).collect();
+        if changed.is_empty() && prefills.is_empty() && notes.is_empty() {
+            return None;
+        }
+        self.sent_loads.extend(changed.clone());
+        self.sent_loads.retain(|_, load| *load != Load::default());
+        Some(self.next_digest(false, changed, prefills, notes))
+    }
+
+    /// The full state, which makes up for lost digests; none if there is no load now and there was
+    /// none in the last digest.
+    pub fn full_digest(&mut self, detail: Detail) -> Option<Digest> {
+        let loads = self.loads();
+        let prefills = self.take_prefills(detail);
+        self.departures.clear();
+        let leaving = self.roster.values().filter(|member| member.standing.is_leaving);
+        let departed = leaving.map(|member| Note::Departed(Departure::of(&member.server)));
+        let mut notes: Vec<Note> = departed.collect();
+        let has_load = !loads.is_empty() || !self.sent_loads.is_empty();
+        if prefills.is_empty() && notes.is_empty() && !has_load {
+            return None;
+        }
+        let confirmation = self.view.as_deref().and_then(Confirmation::of);
+        notes.extend(confirmation.map(Note::Confirmed));
+        self.sent_loads.clone_from(&loads);
+        Some(self.next_digest(true, loads, prefills, notes))
+    }
+
+    fn take_prefills(&mut self, detail: Detail) -> Vec<Prefill> {
+        let mut prefills = std::mem::take(&mut self.prefills);
+        prefills.retain(|prefill| detail == Detail::All || prefill.is_large());
+        prefills
+    }
+
+    fn next_digest(
+        &mut self,
+        is_full: bool,
+        loads: BTreeMap<ServerKey, Load>,
+        prefills: Vec<Prefill>,
+        notes: Vec<Note>,
+    ) -> Digest {
+        self.sequence += 1;
+        let (incarnation, sequence) = (self.incarnation, self.sequence);
+        Digest { incarnation, sequence, is_full, loads, prefills, notes }
+    }
+
+    /// This instance's load by upstream.
+    fn loads(&self) -> BTreeMap<ServerKey, Load> {
+        let busy = self.roster.values().filter(|member| member.own_load != Load::default());
+        busy.map(|member| (member.key, member.own_load)).collect()
+    }
+}
--- a/crates/policy/src/gateway/gossip.rs
+++ b/crates/policy/src/gateway/gossip.rs
@@ -13,6 +13,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::call::Prompt;
+use super::confirmation::Confirmation;
+use super::notice::Departure;
 use crate::Time;
 
 /// Age from which another instance's digest is ignored. Full digests are sent more often, so that
@@ -43,6 +45,18 @@
     /// Prompts that it sent to engines since its last digest.
     #[serde(rename = "reads")]
     pub prefills: Vec<Prefill>,
+    /// What else it tells.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub notes: Vec<Note>,
+}
+
+/// A statement in a digest besides load.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Note {
+    /// An upstream told the sender that it is leaving.
+    Departed(Departure),
+    /// The inventories of KV cache stores were current at a time.
+    Confirmed(Confirmation),
 }
 
 /// The contents of one datagram.
@@ -86,6 +100,7 @@
             return self != other;
         }
         self.prefill_tokens.abs_diff(other.prefill_tokens) >= LARGE_TOKENS
+            || self.memory_tokens.abs_diff(other.memory_tokens) >= LARGE_MEMORY_TOKENS
             || self.running.abs_diff(other.running) >= LARGE_RUNNING
     }
 
@@ -103,6 +118,8 @@
 /// Tokens from which a prompt, or a change in an engine's outstanding prefill, is large: its
 /// prefill takes about as long as the delivery of a message.
 const LARGE_TOKENS: u64 = 1_000;
+/// Tokens from which a change in an engine's occupied memory is large: that of a long prompt.
+const LARGE_MEMORY_TOKENS: u64 = 8_000;
 /// Number of requests from which a change in an engine's running requests is large.
 const LARGE_RUNNING: u32 = 3;
 
@@ -113,6 +130,8 @@
     pub server: ServerKey,
     /// Its parts in order, with their lengths in tokens.
     pub parts: Vec<(PartKey, u32)>,
+    /// Expected time for which it occupies the engine's memory, in milliseconds.
+    pub residence_ms: u32,
 }
 
 impl Prefill {
--- a/crates/policy/src/gateway/inventory.rs
+++ b/crates/policy/src/gateway/inventory.rs
@@ -8,6 +8,10 @@
 //! it has been unlisted for that long, even if instances were paused or partitioned meanwhile. A
 //! store that lost its parts is filled again only after the same time, so that no instance mistakes
 //! a part that is being written for one that was complete before.
+//!
+//! If the metadata store is restored from an older copy, an older inventory comes back. Each
+//! inventory therefore states the era of the metadata store that it was written in, and is used only
+//! in that era.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -21,6 +25,7 @@
 use super::gossip::part_key;
 use super::view::WeightVersion;
 use crate::Time;
+use crate::kv::Era;
 
 /// Time for which a view of an inventory permits reads. Up to two waits of the watch pass before
 /// the view is refreshed, and a transfer takes some tens of milliseconds, or a second on slow
@@ -43,6 +48,8 @@
 /// Parts that may be read from one store.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Inventory {
+    /// The era of the metadata store in which it was written.
+    pub era: Era,
     /// The store's epoch.
     pub epoch: EpochId,
     /// Whether more parts may be saved there.
@@ -59,6 +66,12 @@
         self.retired_tokens + self.parts.values().map(|tokens| u64::from(*tokens)).sum::<u64>()
     }
 
+    /// Whether a newer inventory lists all of its parts, in the same incarnation of the store.
+    pub fn is_contained_in(&self, newer: &Self) -> bool {
+        let lists = |(key, tokens): (&PartKey, &u32)| newer.parts.get(key) == Some(tokens);
+        self.era == newer.era && self.epoch == newer.epoch && self.parts.iter().all(lists)
+    }
+
     /// Whether a part of `tokens` fits into `capacity` beside parts that are being saved.
     pub fn has_room(&self, tokens: u32, in_flight_tokens: u64, capacity: u64) -> bool {
         let filled = self.tokens() + in_flight_tokens + u64::from(tokens);
@@ -145,6 +158,7 @@
 /// Tracks the contents of one store.
 #[derive(Debug, Default)]
 pub struct Ledger {
+    era: Era,
     epoch: EpochId,
     opens_at: Time,
     held: BTreeMap<Name, (u32, ModelName)>,
@@ -157,10 +171,16 @@
 }
 
 impl Ledger {
+    /// An empty ledger for an era of the metadata store.
+    pub fn new(era: Era) -> Self {
+        Self { era, ..Self::default() }
+    }
+
     /// Replaces the contents by a complete listing. `before` is the inventory that instances may
     /// still use.
     pub fn list(&mut self, now: Time, listing: Listing, before: Option<&Inventory>) {
-        let is_new_life = before.is_none_or(|before| before.epoch != listing.epoch);
+        let is_new_life =
+            before.is_none_or(|before| before.epoch != listing.epoch || before.era != self.era);
         if is_new_life {
             self.opens_at = now + READ_LIMIT + FREE_MARGIN;
         }
@@ -247,7 +267,14 @@
 
     /// Whether the inventory is equal to the `written` one.
     pub fn is_published(&self, now: Time, written: Option<&Inventory>) -> bool {
-        self.is_published && written.is_some_and(|inventory| inventory.is_open == self.is_open(now))
+        let is_equal =
+            |written: &Inventory| written.era == self.era && written.is_open == self.is_open(now);
+        self.is_published && written.is_some_and(is_equal)
+    }
+
+    /// The era of the metadata store that it publishes in.
+    pub fn era(&self) -> Era {
+        self.era
     }
 
     /// The store's epoch.
@@ -260,6 +287,7 @@
         let parts =
             self.held.iter().map(|(name, (tokens, _))| (part_key(&name.salt, &name.id), *tokens));
         Inventory {
+            era: self.era,
             epoch: self.epoch,
             is_open: self.is_open(now),
             retired_tokens: self.retired.iter().map(|(_, tokens)| u64::from(*tokens)).sum(),
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -9,16 +9,20 @@
 use rustc_hash::FxHashMap;
 use strum::{Display, EnumString};
 
+use super::admission::{self, Admission};
 use super::call::{Call, Prompt};
 use super::choice::{Candidate, Chooser};
 use super::configuration::{Role, Route, ServiceName, ZoneName};
-use super::gossip::{Digest, Digests, Incarnation, Load, Prefill, ServerKey, part_keys};
+use super::confirmation::Confirmed;
+use super::gossip::{Digests, Incarnation, Load, Prefill, ServerKey, part_keys};
+use super::link::{Blame, Links};
 use super::member::Member;
-use super::mesh::Detail;
+use super::notice::{Departure, Notice};
+use super::pace::{Mean, Pace};
 use super::plan::{Attempt, Ending, Plan, Reason, Refusal, Step};
 use super::roster::Roster;
 use super::save::Saves;
-use super::view::{View, Weights};
+use super::view::{Server, View, Weights};
 use super::window::{ColdTerms, RetryBudget, RetryTerms};
 use crate::{Time, Verdict};
 
@@ -38,6 +42,9 @@
 /// counts as delay.
 const PLAIN_EXPECTED_DIVISOR: u32 = 2;
 
+/// Expected wait in an engine's queue up to which the time to the first token measures the prefill.
+const SHORT_WAIT: Duration = Duration::from_millis(20);
+
 /// The deployment's limits.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Terms {
@@ -74,18 +81,26 @@
 /// Decides on all requests of one instance.
 pub struct Gateway {
     terms: Terms,
-    view: Option<Arc<View>>,
+    pub(super) view: Option<Arc<View>>,
     /// When it received its first view.
     started: Option<Time>,
-    roster: Roster,
+    pub(super) roster: Roster,
     budgets: FxHashMap<ServiceName, RetryBudget>,
+    paces: FxHashMap<ServiceName, Pace>,
+    /// Time for which prompts of a route occupy an engine.
+    residences: FxHashMap<String, Mean>,
     rng: ChaCha12Rng,
-    digests: Digests,
-    incarnation: Incarnation,
-    sequence: u64,
-    sent_loads: BTreeMap<ServerKey, Load>,
-    prefills: Vec<Prefill>,
+    pub(super) digests: Digests,
+    pub(super) incarnation: Incarnation,
+    pub(super) sequence: u64,
+    pub(super) sent_loads: BTreeMap<ServerKey, Load>,
+    pub(super) prefills: Vec<Prefill>,
+    /// Upstreams that told this instance that they are leaving, and of which the others were not
+    /// informed yet.
+    pub(super) departures: Vec<Departure>,
     saves: Saves,
+    links: Links,
+    pub(super) confirmed: Confirmed,
 }
 
 impl Gateway {
@@ -98,12 +113,17 @@
             started: None,
             roster: Roster::default(),
             budgets: FxHashMap::default(),
+            paces: FxHashMap::default(),
+            residences: FxHashMap::default(),
             digests: Digests::default(),
             incarnation: rng.random(),
             sequence: 0,
             sent_loads: BTreeMap::new(),
             prefills: Vec::new(),
+            departures: Vec::new(),
             saves: Saves::default(),
+            links: Links::default(),
+            confirmed: Confirmed::default(),
             rng,
         }
     }
@@ -122,6 +142,7 @@
     pub fn observe(&mut self, now: Time, view: Arc<View>) {
         self.started.get_or_insert(now);
         self.roster.observe(now, &view);
+        self.links.retain(|address| view.stores.iter().any(|store| store.address == address));
         self.view = Some(view);
     }
 
@@ -158,6 +179,7 @@
         let point = self.rng.random::<f64>();
         let service = route.service(point).ok_or(not_run(Reason::NoUpstream))?.clone();
         let limit = call.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
+        let waited = route.timeout.saturating_sub(limit);
         let (terms, started) = (self.terms.retries, self.started.unwrap_or(now));
         let budget = self.budgets.entry(service.clone());
         budget.or_insert_with(|| RetryBudget::new(terms, started)).record_first(now);
@@ -168,6 +190,7 @@
             prompt: call.prompt,
             version: configuration.version,
             arrived: now,
+            waited,
             deadline: now + limit,
             tried: Vec::new(),
             runs: 0,
@@ -188,7 +211,21 @@
             return self.refuse(now, plan, Reason::Broken, None);
         }
         match self.chooser(now, &view, plan).choose() {
-            Candidate::Best(attempt) => self.send(now, plan, *attempt),
+            Candidate::Best(attempt) => {
+                let is_limited =
+                    attempt.engine.is_some() && self.terms.placement == Placement::LoadAndCache;
+                let admission = if is_limited {
+                    admission::decide(now, plan, attempt.wait, attempt.expected)
+                } else {
+                    Admission::Send
+                };
+                match admission {
+                    Admission::Send => self.send(now, plan, *attempt),
+                    Admission::Refuse(after) => {
+                        self.refuse(now, plan, Reason::QueueFull, Some(now + after))
+                    }
+                }
+            }
             Candidate::Later(at) if at < plan.arrived + wait_limit(&plan.route) => Step::Wait(at),
             Candidate::Later(at) => self.refuse(now, plan, Reason::Overloaded, Some(at)),
             Candidate::None => self.refuse(now, plan, Reason::NoUpstream, None),
@@ -205,6 +242,9 @@
             roster: &mut self.roster,
             digests: &self.digests,
             saves: &self.saves,
+            links: &self.links,
+            inventories_as_of: self.confirmed.as_of(view),
+            pace: self.paces.get(&plan.service).copied().unwrap_or_default(),
             rng: &mut self.rng,
             variants: Vec::new(),
         }
@@ -229,9 +269,15 @@
             member.own_load =
                 member.own_load.plus(Load { running: 1, prefill_tokens, memory_tokens });
             if let (Some(prompt), Some(run)) = (&plan.prompt, &attempt.engine) {
-                let prefill = Prefill { server: member.key, parts: part_keys(prompt, &run.salt) };
+                let residence =
+                    self.residences.get(&*plan.route.name).copied().unwrap_or_default().seconds();
+                let prefill = Prefill {
+                    server: member.key,
+                    parts: part_keys(prompt, &run.salt),
+                    residence_ms: (residence * 1_000.0) as u32,
+                };
                 self.saves.begin(now, &prefill.parts, &run.save);
-                self.record_prefill(&prefill);
+                self.record_prefill(now, &prefill);
                 self.prefills.push(prefill);
             }
         }
@@ -239,79 +285,22 @@
     }
 
     /// Records the parts that an engine holds after a prompt that this or another instance sent it.
-    fn record_prefill(&mut self, prefill: &Prefill) {
+    pub(super) fn record_prefill(&mut self, now: Time, prefill: &Prefill) {
         let Some(key) = self.roster.by_server_key(prefill.server) else { return };
-        // Running requests use the most recent parts, so they need no memory in addition.
-        let memory = engine_memory(self.view.as_deref(), &self.roster[key].server.service);
-        self.roster.record_prefill(key, &prefill.parts, memory);
-    }
-
-    /// Records another instance's digest.
-    pub fn receive(&mut self, now: Time, digest: Digest) {
-        // Hubs forward a digest to its sender too.
-        if digest.incarnation == self.incarnation {
-            return;
-        }
-        for prefill in self.digests.receive(now, digest) {
-            self.record_prefill(&prefill);
-        }
-    }
-
-    /// The changes since the last digest; none if nothing has changed.
-    pub fn digest(&mut self, detail: Detail) -> Option<Digest> {
-        let loads = self.loads();
-        let servers = loads.keys().chain(self.sent_loads.keys());
-        let changed = servers.filter_map(|server| {
-            let load = loads.get(server).copied().unwrap_or_default();
-            let sent = self.sent_loads.get(server).copied().unwrap_or_default();
-            let is_changed = match detail {
-                Detail::All => load != sent,
-                Detail::Large => load.is_far_from(sent),
-            };
-            is_changed.then_some((*server, load))
-        });
-        let changed: BTreeMap<_, _> = changed.collect();
-        let prefills = self.take_prefills(detail);
-        if changed.is_empty() && prefills.is_empty() {
-            return None;
-        }
-        self.sent_loads.extend(changed.clone());
-        self.sent_loads.retain(|_, load| *load != Load::default());
-        Some(self.next_digest(false, changed, prefills))
+        let member = &self.roster[key];
+        let memory = engine_memory(self.view.as_deref(), &member.server.service);
+        let load = member.own_load.plus(self.digests.load(member.key));
+        let free = memory.saturating_sub(load.memory_tokens);
+        let residence = Duration::from_millis(prefill.residence_ms.into());
+        self.roster.record_prefill(now, key, &prefill.parts, residence, free);
     }
 
-    /// The full state, which makes up for lost digests; none if there is no load now and there was
-    /// none in the last digest.
-    pub fn full_digest(&mut self, detail: Detail) -> Option<Digest> {
-        let loads = self.loads();
-        let prefills = self.take_prefills(detail);
-        if prefills.is_empty() && loads.is_empty() && self.sent_loads.is_empty() {
-            return None;
+    /// Records what an upstream stated about itself in the head of an answer. `server` is its entry
+    /// when the request was sent; a newer incarnation at the same id is another upstream.
+    pub fn heard(&mut self, now: Time, server: &Arc<Server>, notice: Notice) {
+        if self.roster.hear(now, server, notice) {
+            self.departures.push(Departure::of(server));
         }
-        self.sent_loads.clone_from(&loads);
-        Some(self.next_digest(true, loads, prefills))
-    }
-
-    fn take_prefills(&mut self, detail: Detail) -> Vec<Prefill> {
-        let mut prefills = std::mem::take(&mut self.prefills);
-        prefills.retain(|prefill| detail == Detail::All || prefill.is_large());
-        prefills
-    }
-
-    fn next_digest(
-        &mut self,
-        is_full: bool,
-        loads: BTreeMap<ServerKey, Load>,
-        prefills: Vec<Prefill>,
-    ) -> Digest {
-        self.sequence += 1;
-        Digest { incarnation: self.incarnation, sequence: self.sequence, is_full, loads, prefills }
-    }
-
-    /// This instance's load by upstream.
-    fn loads(&self) -> BTreeMap<ServerKey, Load> {
-        let busy = self.roster.values().filter(|member| member.own_load != Load::default());
-        busy.map(|member| (member.key, member.own_load)).collect()
     }
 
     /// Whether a request whose upstream does not respond could continue at another one. If not, it
@@ -330,7 +319,8 @@
         let choice = self.chooser(now, &view, &plan).choose();
         let Candidate::Best(other) = choice else { return false };
         let delay = self.roster.get(&other.server.id).map_or(0.0, |member| member.delay(now));
-        other.expected + Duration::from_secs_f64(delay) < plan.route.latency_target
+        let wait = other.wait.max(Duration::from_secs_f64(delay));
+        other.expected + wait < plan.route.latency_target
     }
 
     /// Records that an attempt's first event, or its whole plain answer, was received.
@@ -341,7 +331,18 @@
             Some(_) => attempt.expected,
             None => plan.route.latency_target / PLAIN_EXPECTED_DIVISOR,
         };
-        member.observe_delay(now, took.saturating_sub(expected));
+        // A longer delay tells no more than that the queue was too long when the request was sent.
+        let late = took.saturating_sub(expected).min(plan.route.latency_target);
+        let known = Duration::from_secs_f64(member.delay(now)).max(attempt.wait);
+        match self.links.attribute(now, attempt.stores(), late, known) {
+            Blame::Engine(late) => member.observe_delay(now, late),
+            Blame::Stores => {}
+        }
+        if attempt.engine.is_some() && attempt.wait < SHORT_WAIT {
+            let pace = self.paces.entry(plan.service.clone()).or_default();
+            pace.observe_prefill(attempt.prefill_tokens, took);
+        }
+        attempt.began = Some(now);
         let own_load = &mut member.own_load;
         own_load.prefill_tokens = own_load.prefill_tokens.saturating_sub(attempt.prefill_tokens);
         attempt.prefill_tokens = 0;
@@ -367,6 +368,13 @@
         let memory_tokens = plan.prompt.as_ref().map_or(0, Prompt::memory_tokens);
         let prefill_tokens = attempt.prefill_tokens;
         member.own_load = member.own_load.minus(Load { running: 1, prefill_tokens, memory_tokens });
+        if let (Some(began), Ending::Answered, Some(_)) = (attempt.began, ending, &attempt.engine) {
+            let occupied = now.saturating_sub(began) + attempt.expected;
+            let pace = self.paces.entry(plan.service.clone()).or_default();
+            pace.observe_run(memory_tokens, occupied);
+            let residence = self.residences.entry(plan.route.name.clone()).or_default();
+            residence.add(occupied, 1.0);
+        }
         let service = view.as_ref().and_then(|view| view.configuration.services.get(&plan.service));
         match ending {
             Ending::Answered => member.responded(now, false),
@@ -399,8 +407,12 @@
         let retry_after = (plan.verdict == Verdict::NotRun).then(|| {
             let delay =
                 free.map_or(MIN_RETRY_AFTER, |at| at.saturating_sub(now)).max(MIN_RETRY_AFTER);
-            let jittered = delay.mul_f64(1.0 + self.rng.random::<f64>());
-            jittered.min(plan.left(now) / RETRY_AFTER_DIVISOR)
+            let (limit, jitter) = (plan.left(now) / RETRY_AFTER_DIVISOR, self.rng.random::<f64>());
+            if delay >= limit && free.is_some() {
+                // No upstream is free earlier, so an earlier return would be of no use.
+                return delay + MIN_RETRY_AFTER.mul_f64(jitter);
+            }
+            delay.mul_f64(1.0 + jitter).min(limit)
         });
         Step::Refuse(Refusal { reason, verdict: plan.verdict, retry_after })
     }
--- a/crates/policy/src/gateway/member.rs
+++ b/crates/policy/src/gateway/member.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rustc_hash::FxHashMap;
-
+use super::cache::Cache;
 use super::configuration::{ModelName, Service};
-use super::gossip::{Load, PartKey, ServerKey, server_key};
+use super::gossip::{Load, ServerKey, server_key};
+use super::lateness::Lateness;
+use super::notice::Standing;
 use super::roster::own_rank;
 use super::view::{Server, View, WeightVersion};
 use super::window::Window;
@@ -21,10 +22,8 @@
 const FAILURE_HALF_LIFE_S: f64 = 2.0;
 /// Weight of a failure that the upstream itself reported; healthy services fail some requests too.
 const ANSWERED_FAILURE: f64 = 0.5;
-/// Weight of the latest delay in the average, which covers about the last five requests.
-const DELAY_WEIGHT: f64 = 0.3;
-/// Half-life of the average delay, in seconds; queues of engines drain within it.
-const DELAY_HALF_LIFE_S: f64 = 0.7;
+/// Half-life of the average delay; queues of engines drain within it.
+const DELAY_HALF_LIFE: Duration = Duration::from_millis(700);
 /// Pause after a refusal, doubled with each further one: the prefill time of one long prompt.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(80);
 /// Maximum pause after refusals, below the latency targets of interactive requests.
@@ -45,8 +44,10 @@
     pub own_load: Load,
     /// When it stops being cold.
     pub cold_until: Time,
-    /// When it may get requests again.
+    /// Until when it gets no requests after refusals or failures.
     pub paused_until: Time,
+    /// What it stated about itself in its answers.
+    pub standing: Standing,
     /// The parts that it probably holds.
     pub cache: Cache,
     /// Its status in the latest view.
@@ -54,8 +55,7 @@
     sends: Window,
     failures: f64,
     failures_at: Time,
-    delay: f64,
-    delay_at: Time,
+    delay: Lateness,
     refusals: u32,
     unreachable: u32,
     weights: BTreeMap<ModelName, WeightVersion>,
@@ -72,13 +72,13 @@
             server,
             cold_until,
             paused_until: Time::ZERO,
+            standing: Standing::default(),
             cache: Cache::default(),
             status: Status::default(),
             sends: Window::new(COLD_SPAN),
             failures: 0.0,
             failures_at: now,
-            delay: 0.0,
-            delay_at: now,
+            delay: Lateness::default(),
             refusals: 0,
             unreachable: 0,
             weights,
@@ -118,6 +118,16 @@
         *self.status.rank.get_or_insert_with(|| own_rank(view, &self.server.id))
     }
 
+    /// Whether it takes no new requests, by its entry or its own answers.
+    pub fn is_leaving(&self) -> bool {
+        self.server.leaving || self.standing.is_leaving
+    }
+
+    /// When it may get requests again.
+    pub fn available_at(&self) -> Time {
+        self.paused_until.max(self.standing.paused_until)
+    }
+
     /// Counts a request that is sent to it.
     pub fn sent(&mut self, now: Time) {
         self.sends.add(now);
@@ -181,18 +191,12 @@
 
     /// Records how much later than expected an answer began.
     pub fn observe_delay(&mut self, now: Time, late: Duration) {
-        let before = self.delay(now);
-        self.delay = before + DELAY_WEIGHT * (late.as_secs_f64() - before);
-        self.delay_at = now;
+        self.delay.observe(now, late, DELAY_HALF_LIFE);
     }
 
     /// Expected wait in its queue, in seconds.
     pub fn delay(&self, now: Time) -> f64 {
-        if self.delay == 0.0 {
-            return 0.0;
-        }
-        let age = now.saturating_sub(self.delay_at).as_secs_f64();
-        self.delay * 0.5_f64.powf(age / DELAY_HALF_LIFE_S)
+        self.delay.seconds(now, DELAY_HALF_LIFE)
     }
 
     /// The version of a model's weights that it has.
@@ -239,39 +243,3 @@
     /// Number of instances that rank before this one; computed on first use.
     rank: Option<usize>,
 }
-
-/// Parts that an engine probably holds, evicted least recently used first.
-#[derive(Debug, Default)]
-pub struct Cache {
-    parts: FxHashMap<PartKey, (u32, u64)>,
-    tokens: u64,
-    clock: u64,
-}
-
-impl Cache {
-    /// Tokens at the prompt's start that need no prefill.
-    pub fn held_tokens(&self, parts: &[(PartKey, u32)]) -> u32 {
-        let held = parts.iter().take_while(|(key, _)| self.parts.contains_key(key));
-        held.map(|(_, tokens)| tokens).sum()
-    }
-
-    /// Whether a part needs no prefill.
-    pub fn holds(&self, part: PartKey) -> bool {
-        self.parts.contains_key(&part)
-    }
-
-    /// Adds a prompt's parts, and evicts the least recently used ones beyond `capacity` tokens.
-    pub fn record_prefill(&mut self, parts: &[(PartKey, u32)], capacity: u64) {
-        for (key, tokens) in parts {
-            self.clock += 1;
-            let old = self.parts.insert(*key, (*tokens, self.clock));
-            self.tokens += u64::from(*tokens) - old.map_or(0, |(tokens, _)| u64::from(tokens));
-        }
-        while self.tokens > capacity {
-            let oldest = self.parts.iter().min_by_key(|(_, (_, used))| *used);
-            let Some((&oldest, &(tokens, _))) = oldest else { return };
-            self.parts.remove(&oldest);
-            self.tokens -= u64::from(tokens);
-        }
-    }
-}
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -2,21 +2,30 @@
 //!
 //! [`Gateway::admit`] finds a [`Call`]'s route, service and organisation in the latest [`View`] and
 //! creates a [`Plan`]; [`Gateway::next`] decides each [`Step`] of it, with an upstream from
-//! [`choice`]; [`Gateway::ended`] records how an [`Attempt`] ended. [`rollout`] brings announced
+//! [`choice`], which [`pace`] gives the expected wait at an engine, and [`admission`] refuses what
+//! can't be served in time; [`Gateway::ended`] records how an [`Attempt`] ended. [`rollout`] brings announced
 //! weights to the engines, and [`inventory`] tracks the contents of KV cache stores. Instances
 //! report by [`gossip`] what they sent where, and [`mesh`] selects the recipients. Limits on all
 //! instances together are divided into shares by [`window`], so that no request waits for another
 //! instance.
 
 mod access;
+pub mod admission;
+pub mod cache;
 pub mod call;
 mod choice;
 pub mod configuration;
+pub mod confirmation;
+mod exchange;
 pub mod gossip;
 pub mod inventory;
+mod lateness;
+pub mod link;
 mod machine;
 mod member;
 pub mod mesh;
+pub mod notice;
+pub mod pace;
 mod plan;
 pub mod rollout;
 mod roster;
@@ -28,5 +37,6 @@
 pub use configuration::Configuration;
 pub use machine::{Gateway, Placement, Terms};
 pub use member::Member;
+pub use notice::Notice;
 pub use plan::{Attempt, Ending, EngineRun, Fetch, Plan, Reason, Refusal, Step};
 pub use view::{Server, ServerId, View, WeightVersion, Weights};
--- a/crates/policy/src/gateway/plan.rs
+++ b/crates/policy/src/gateway/plan.rs
@@ -28,6 +28,9 @@
     pub version: Version,
     /// When it was received.
     pub arrived: Time,
+    /// Time that the caller had spent before, if it was refused and came back: its deadline is
+    /// nearer than the route's timeout then.
+    pub waited: Duration,
     /// When its answer must be complete: the caller's deadline or the route's timeout.
     pub deadline: Time,
     /// Upstreams that are not tried again.
@@ -71,16 +74,32 @@
     pub response_timeout: Option<Duration>,
     /// Maximum wait between two events; none if no other upstream may continue the stream.
     pub event_timeout: Option<Duration>,
-    /// Expected time to the first event.
+    /// Expected time to the first event; for engines, without the queue.
     pub expected: Duration,
+    /// Expected time in an engine's queue.
+    pub wait: Duration,
     /// Outstanding prefill in tokens.
     pub prefill_tokens: u64,
     /// When it was sent.
     pub sent: Time,
+    /// When its first event, or its whole plain answer, was received.
+    pub began: Option<Time>,
     /// Whether the upstream was cold then.
     pub cold: bool,
 }
 
+impl Attempt {
+    /// Stores that the engine fetches parts from.
+    pub fn stores(&self) -> impl Iterator<Item = SocketAddr> {
+        let fetch = self.engine.as_ref().map(|run| &run.fetch);
+        let sources = match fetch {
+            Some(Fetch::Stores { sources, .. }) => &**sources,
+            _ => &[],
+        };
+        sources.iter().flatten().copied()
+    }
+}
+
 /// Instructions that an engine gets with the request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineRun {
@@ -196,6 +215,8 @@
     NoUpstream,
     /// Every upstream refuses or would be free too late.
     Overloaded,
+    /// No engine could begin the prompt in time.
+    QueueFull,
     /// The retry budget is exhausted.
     RetryBudget,
     /// The exchange with the upstream broke.
--- a/crates/policy/src/gateway/roster.rs
+++ b/crates/policy/src/gateway/roster.rs
@@ -4,6 +4,8 @@
 //! ring on which all instances rank the upstreams of a service identically for a part.
 
 use std::ops::{Index, IndexMut};
+use std::sync::Arc;
+use std::time::Duration;
 
 use rand::RngExt;
 use rand_chacha::ChaCha12Rng;
@@ -13,7 +15,8 @@
 use super::configuration::ServiceName;
 use super::gossip::{PartKey, ServerKey, stable_hash};
 use super::member::Member;
-use super::view::{ServerId, View};
+use super::notice::{Notice, Notices};
+use super::view::{Server, ServerId, View};
 use crate::Time;
 
 /// Points of an upstream on its service's ring; with this many, the numbers of parts per upstream
@@ -43,6 +46,8 @@
     holders: FxHashMap<PartKey, Vec<MemberKey>>,
     /// Size of `holders` at which stale entries are removed next.
     cleanup_size: usize,
+    /// What upstreams stated that are not listed now.
+    notices: Notices,
 }
 
 /// The upstreams of one service.
@@ -61,6 +66,9 @@
             let id = &member.server.id;
             let is_kept = view.servers.contains_key(id) || view.expired.contains_key(id);
             is_changed |= !is_kept;
+            if !is_kept {
+                self.notices.keep(now, member.server.clone(), member.standing);
+            }
             is_kept
         });
         if is_changed {
@@ -71,7 +79,10 @@
                 is_changed |= member.server.service != server.service;
                 member.update(now, server.clone());
             } else {
-                let key = self.members.insert(Member::new(now, server.clone()));
+                let standing = self.notices.take(server);
+                let mut member = Member::new(now, server.clone());
+                member.standing = standing;
+                let key = self.members.insert(member);
                 self.ids.insert(id.clone(), key);
                 is_changed = true;
             }
@@ -87,6 +98,22 @@
         }
     }
 
+    /// Records what an upstream stated about itself; true if it is news that it is leaving.
+    pub fn hear(&mut self, now: Time, server: &Arc<Server>, notice: Notice) -> bool {
+        let Some(member) = self.get_mut(&server.id) else {
+            let mut standing = self.notices.take(server);
+            standing.add(now, notice);
+            self.notices.keep(now, server.clone(), standing);
+            return notice.is_leaving;
+        };
+        if !member.server.is_same_incarnation(server) {
+            return false;
+        }
+        let is_news = notice.is_leaving && !member.standing.is_leaving;
+        member.standing.add(now, notice);
+        is_news
+    }
+
     /// Rebuilds the indexes after members were added, removed or moved to another service.
     fn rebuild_indexes(&mut self) {
         self.keys = self.members.iter().map(|(key, member)| (member.key, key)).collect();
@@ -154,9 +181,17 @@
         order.find(|(_, key)| is_usable(&self.members[*key])).map(|(_, key)| *key)
     }
 
-    /// Records that a member holds the parts of a prompt that it was sent.
-    pub fn record_prefill(&mut self, key: MemberKey, parts: &[(PartKey, u32)], capacity: u64) {
-        self.members[key].cache.record_prefill(parts, capacity);
+    /// Records that a member holds the parts of a prompt that it was sent; `free` tokens of its
+    /// memory are not occupied by running requests.
+    pub fn record_prefill(
+        &mut self,
+        now: Time,
+        key: MemberKey,
+        parts: &[(PartKey, u32)],
+        residence: Duration,
+        free: u64,
+    ) {
+        self.members[key].cache.record_prefill(now, parts, residence, free);
         for (part, _) in parts {
             let holders = self.holders.entry(*part).or_default();
             if !holders.contains(&key) {
--- a/crates/policy/src/gateway/view.rs
+++ b/crates/policy/src/gateway/view.rs
@@ -11,6 +11,7 @@
 use super::inventory::Store;
 use super::mesh::Peer;
 use crate::Time;
+use crate::kv::Revision;
 
 /// Id of an upstream, usually new at each of its starts.
 pub type ServerId = Arc<str>;
@@ -46,6 +47,10 @@
     /// The view is at least as new as this: when the latest answered call to the metadata store was
     /// sent.
     pub as_of: Time,
+    /// The revision that the view reflects.
+    pub revision: Revision,
+    /// The last known change that removed a part from an inventory.
+    pub last_removal: Revision,
     /// A time of this instance's clock, and the servers' clock in milliseconds at that time.
     pub server_clock: Option<(Time, u64)>,
     /// Since when the metadata store has not answered; none while it does.
@@ -60,6 +65,14 @@
         let before = u64::try_from(known.saturating_sub(at).as_millis()).ok()?;
         (clock + passed).checked_sub(before)
     }
+
+    /// The time of this instance's clock at which the servers' clock shows `millis`.
+    pub fn local_time(&self, millis: u64) -> Option<Time> {
+        let (known, clock) = self.server_clock?;
+        let after = Duration::from_millis(millis.saturating_sub(clock));
+        let before = Duration::from_millis(clock.saturating_sub(millis));
+        (known + after).checked_sub(before)
+    }
 }
 
 /// The announced versions of a model's weights.
--- a/crates/policy/src/gateway/window.rs
+++ b/crates/policy/src/gateway/window.rs
@@ -142,7 +142,12 @@
         if each >= MIN_SHARE {
             return Self::Each(each as usize);
         }
-        let instances = (limit * DISTRIBUTED_SHARE / MIN_SHARE) as usize;
+        let instances = distributed(limit / MIN_SHARE);
         Self::First { instances, requests: MIN_SHARE as usize }
     }
 }
+
+/// Number of instances that may get a share of a limit if not all do.
+pub fn distributed(shares: f64) -> usize {
+    (shares * DISTRIBUTED_SHARE) as usize
+}
--- a/crates/policy/src/kv.rs
+++ b/crates/policy/src/kv.rs
@@ -12,6 +12,52 @@
 pub type LeaseId = i64;
 /// Revision of a key's last change; zero if the key is absent.
 pub type ModRevision = i64;
+/// Number of times that the service's contents were restored from an older copy.
+pub type Era = u64;
+
+/// Bits of a fencing token that hold the revision; the era is in the higher ones. Together they fit
+/// into the 53 bits that every JSON reader represents exactly.
+const FENCE_REVISION_BITS: u32 = 40;
+/// Highest era that a fencing token can represent.
+const FENCE_MAX_ERA: Era = (1 << (53 - FENCE_REVISION_BITS)) - 1;
+
+/// A revision in one era of the service.
+///
+/// A restored copy gives out again the numbers of the revisions that it has lost, so numbers are
+/// comparable only within an era. Revisions are ordered by era first.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Revision {
+    /// The era.
+    pub era: Era,
+    /// The number within the era; zero if the key is absent.
+    pub number: ModRevision,
+}
+
+impl Revision {
+    /// The revision of a key that is absent in an era.
+    pub fn absent(era: Era) -> Self {
+        Self { era, number: 0 }
+    }
+
+    /// A fencing token that is unique and increases over eras. In era zero it equals the number.
+    pub fn fencing_token(self) -> u64 {
+        let number = u64::try_from(self.number).unwrap_or(0);
+        let mask = (1 << FENCE_REVISION_BITS) - 1;
+        (self.era.min(FENCE_MAX_ERA) << FENCE_REVISION_BITS) | (number & mask)
+    }
+}
+
+/// A lease granted in one era. It is over once a later era was seen, although the later era may
+/// have granted another lease with the same id.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Lease {
+    /// The era.
+    pub era: Era,
+    /// Its id in that era.
+    pub id: LeaseId,
+}
 
 /// A call.
 #[derive(Clone, Debug, Deserialize, Eq, IntoStaticStr, PartialEq, Serialize)]
--- a/crates/policy/tests/gateway_fuzz.rs
+++ b/crates/policy/tests/gateway_fuzz.rs
@@ -4,13 +4,15 @@
 //! The oracle checks these invariants: a request that may run once runs at most once; a request
 //! refused as not run has not run; attempts are bounded; all instances together keep to the limit
 //! of cold servers and to the retry budget; no instance sends to a server that it knows to be
-//! leaving, or into an evacuated zone; the namespace of cached parts matches the weights.
+//! leaving, or into an evacuated zone; no instance sends to a server that told it in this
+//! incarnation that it is leaving, or that asked it for a pause; the namespace of cached parts
+//! matches the weights.
 //!
 //! `ACACIA_SEEDS` sets the number of scenarios.
 
 mod gateway_simulation;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,7 +21,7 @@
 use acacia_policy::gateway::gossip::Digest;
 use acacia_policy::gateway::mesh::{Detail, Peer};
 use acacia_policy::gateway::{
-    Attempt, Call, Ending, Gateway, Plan, Prompt, Server, ServerId, Step, View, Weights,
+    Attempt, Call, Ending, Gateway, Notice, Plan, Prompt, Server, ServerId, Step, View, Weights,
 };
 use acacia_policy::{Time, Verdict};
 use rand::{RngExt, SeedableRng};
@@ -54,12 +56,18 @@
     CountOneInstance,
     /// Hides from instances that servers are leaving.
     MissLeaving,
+    /// Hides from instances what servers state in their answers.
+    MissNotices,
 }
 
 struct Instance {
     gateway: Gateway,
     view: View,
     running: Vec<(Plan, Attempt)>,
+    /// Incarnations that told this instance that they are leaving.
+    left: BTreeSet<(String, Option<u64>)>,
+    /// Until when servers want no request from this instance, by incarnation.
+    paused: BTreeMap<(String, Option<u64>), Time>,
 }
 
 struct Scenario {
@@ -110,7 +118,8 @@
         let mut gateway = Gateway::new(terms, self.rng.random());
         let view = self.view_of(at);
         gateway.observe(self.now, Arc::new(view.clone()));
-        Instance { gateway, view, running: Vec::new() }
+        let (left, paused) = (BTreeSet::new(), BTreeMap::new());
+        Instance { gateway, view, running: Vec::new(), left, paused }
     }
 
     fn run(mut self) -> Result<u64, String> {
@@ -182,6 +191,13 @@
         if known.evacuated.contains(&entry.zone) {
             return Err(format!("{id} is in an evacuated zone and gets {}", plan.id));
         }
+        let incarnation = (id.clone(), entry.born);
+        if self.instances[at].left.contains(&incarnation) {
+            return Err(format!("{id} said that it is leaving and gets {}", plan.id));
+        }
+        if self.instances[at].paused.get(&incarnation).is_some_and(|end| self.now < *end) {
+            return Err(format!("{id} asked for a pause and gets {}", plan.id));
+        }
         if let Some(run) = &attempt.engine {
             let salt = run.weights.to_string();
             if run.salt != salt {
@@ -261,6 +277,7 @@
             (Mutation::ReportRefused, Ending::Broken | Ending::Silent) => Ending::Refused,
             (_, ending) => ending,
         };
+        self.notify(at, &attempt, ending);
         let instance = Some(&*attempt.server.id);
         self.instances[at].gateway.ended(self.now, &mut plan, &attempt, reported, instance);
         match ending {
@@ -269,6 +286,29 @@
         }
     }
 
+    /// Some answers state that their sender is leaving or wants a pause.
+    fn notify(&mut self, at: usize, attempt: &Attempt, ending: Ending) {
+        let has_answer = matches!(ending, Ending::Answered | Ending::Failed | Ending::Refused);
+        if !has_answer || self.rng.random::<f64>() > 0.02 {
+            return;
+        }
+        let id = attempt.server.id.to_string();
+        let instance = &mut self.instances[at];
+        let incarnation = (id.clone(), attempt.server.born);
+        let notice = if ending == Ending::Refused {
+            let pause = Duration::from_millis(self.rng.random_range(100..4_000));
+            let end = instance.paused.entry(incarnation).or_default();
+            *end = (*end).max(self.now + pause);
+            Notice { is_leaving: false, pause: Some(pause) }
+        } else {
+            instance.left.insert(incarnation);
+            Notice { is_leaving: true, pause: None }
+        };
+        if self.mutation != Mutation::MissNotices {
+            instance.gateway.heard(self.now, &attempt.server, notice);
+        }
+    }
+
     /// Delivers one instance's digest to some of the others.
     fn gossip(&mut self) {
         let at = self.rng.random_range(0..self.instances.len());
@@ -392,7 +432,12 @@
 
 #[test]
 fn oracle_detects_mutations() {
-    for mutation in [Mutation::ReportRefused, Mutation::CountOneInstance, Mutation::MissLeaving] {
+    for mutation in [
+        Mutation::ReportRefused,
+        Mutation::CountOneInstance,
+        Mutation::MissLeaving,
+        Mutation::MissNotices,
+    ] {
         let noticed = (0..scenarios()).any(|seed| Scenario::new(seed, mutation).run().is_err());
         assert!(noticed, "{mutation:?}");
     }
--- a/crates/policy/tests/gateway_gossip.rs
+++ b/crates/policy/tests/gateway_gossip.rs
@@ -16,7 +16,7 @@
 fn digest(incarnation: u64, sequence: u64, running: u32) -> Digest {
     let load = Load { running, prefill_tokens: 10, memory_tokens: 20 };
     let loads = BTreeMap::from([(server_key("e"), load)]);
-    Digest { incarnation, sequence, is_full: true, loads, prefills: Vec::new() }
+    Digest { incarnation, sequence, is_full: true, loads, ..Digest::default() }
 }
 
 #[test]
--- a/crates/policy/tests/gateway_machine.rs
+++ b/crates/policy/tests/gateway_machine.rs
@@ -9,7 +9,7 @@
 use acacia_policy::gateway::configuration::Repeat;
 use acacia_policy::gateway::inventory::{Inventory, Store};
 use acacia_policy::gateway::mesh::Detail;
-use acacia_policy::gateway::{Ending, Fetch, Reason, Step};
+use acacia_policy::gateway::{Ending, Fetch, Notice, Reason, Step};
 
 use gateway_simulation::Simulation;
 
@@ -224,16 +224,25 @@
 #[test]
 fn next_uses_busy_holder() {
     let mut simulation = Simulation::new(2);
-    // More prompts run than fit into the engines' memory when they complete.
+    // As many prompts run as the engines admit.
     let mut running = Vec::new();
-    for number in 0..14 {
-        let mut plan = simulation.admit_prompt(&format!("report-{number}"), 10_000);
-        let attempt = simulation.send(&mut plan);
-        running.push((plan, attempt));
+    loop {
+        let mut plan = simulation.admit_prompt(&format!("report-{}", running.len()), 10_000);
+        match simulation.next(&mut plan) {
+            Step::Send(mut attempt) => {
+                simulation.begin(&plan, &mut attempt);
+                running.push((plan, *attempt));
+            }
+            Step::Refuse(_) => break,
+            Step::Wait(at) => panic!("no upstream is paused: {at:?}"),
+        }
     }
+    assert!(running.len() >= 6, "each engine's memory holds four such prompts");
+    let (mut ended, attempt) = running.remove(0);
+    simulation.end(&mut ended, &attempt, Ending::Answered);
     let (_, last) = running.last().unwrap();
     let (holder, reader) = (last.server.id.clone(), last.server.address);
-    let mut plan = simulation.admit_prompt("report-13", 10_000);
+    let mut plan = simulation.admit_prompt(&format!("report-{}", running.len()), 10_000);
     let again = simulation.send(&mut plan);
     let run = again.engine.as_ref().unwrap();
     let is_used = again.server.id == holder || run.fetch == Fetch::Engine(reader);
@@ -324,3 +333,99 @@
     simulation.announce_weights(2);
     assert_eq!(saved(&mut simulation, "b"), 0, "the engine still has the older weights");
 }
+
+const LEAVING: Notice = Notice { is_leaving: true, pause: None };
+
+fn pause(seconds: u64) -> Notice {
+    Notice { is_leaving: false, pause: Some(Duration::from_secs(seconds)) }
+}
+
+/// The servers that get ten requests.
+fn used(simulation: &mut Simulation) -> Vec<String> {
+    let mut used = Vec::new();
+    for _ in 0..10 {
+        let mut plan = simulation.admit("/once/", "key").expect("a valid request");
+        let attempt = simulation.send(&mut plan);
+        used.push(attempt.server.id.to_string());
+        simulation.end(&mut plan, &attempt, Ending::Answered);
+    }
+    used
+}
+
+#[test]
+fn next_skips_server_that_said_it_leaves() {
+    let mut simulation = Simulation::new(2);
+    simulation.hear("s0", LEAVING);
+    assert!(used(&mut simulation).iter().all(|id| id == "s1"));
+    // It is unlisted for a while, as after a restore of the metadata store, and ready again.
+    let entry = simulation.view().servers["s0"].clone();
+    simulation.change(|view, _| {
+        view.servers.remove("s0");
+    });
+    simulation.pass(Duration::from_secs(1));
+    simulation.change(|view, _| {
+        view.servers.insert("s0".into(), entry.clone());
+    });
+    assert!(used(&mut simulation).iter().all(|id| id == "s1"));
+    // A new incarnation is another server.
+    simulation.change(|view, _| {
+        let server = acacia_policy::gateway::Server { born: Some(2), ..(*entry).clone() };
+        view.servers.insert("s0".into(), Arc::new(server));
+    });
+    assert!(used(&mut simulation).iter().any(|id| id == "s0"));
+}
+
+#[test]
+fn digest_tells_others_that_server_leaves() {
+    let mut told = Simulation::new(2);
+    let mut other = Simulation::with_seed(2, 2);
+    told.hear("s0", LEAVING);
+    let digest = told.digest(Detail::Large).expect("a digest");
+    assert_eq!(digest.notes.len(), 1);
+    other.receive(digest);
+    assert!(used(&mut other).iter().all(|id| id == "s1"));
+}
+
+#[test]
+fn next_observes_pause_that_server_asked_for() {
+    let mut simulation = Simulation::new(2);
+    simulation.hear("s0", pause(3));
+    let started = simulation.now();
+    assert!(used(&mut simulation).iter().all(|id| id == "s1"));
+    simulation.hear("s1", pause(2));
+    let mut plan = simulation.admit("/once/", "key").unwrap();
+    let Step::Refuse(refusal) = simulation.next(&mut plan) else { panic!("both servers pause") };
+    assert_eq!(refusal.verdict, Verdict::NotRun);
+    let after = refusal.retry_after.unwrap();
+    let shortest = started + Duration::from_secs(2) - simulation.now();
+    assert!(after >= shortest, "{after:?} is before the end of the shortest pause, {shortest:?}");
+    simulation.pass(Duration::from_millis(3_100));
+    used(&mut simulation);
+}
+
+/// Load pattern: all engines' memory is filled by running prompts. A prompt that would wait beyond
+/// its latency target is refused at once, and served again when memory is free.
+#[test]
+fn next_refuses_prompt_without_memory() {
+    let mut simulation = Simulation::new(2);
+    let mut running = Vec::new();
+    let refusal = loop {
+        let mut plan = simulation.admit_prompt(&format!("long-{}", running.len()), 15_000);
+        match simulation.next(&mut plan) {
+            Step::Send(mut attempt) => {
+                simulation.begin(&plan, &mut attempt);
+                running.push((plan, *attempt));
+            }
+            Step::Refuse(refusal) => break refusal,
+            Step::Wait(at) => panic!("no upstream is paused: {at:?}"),
+        }
+        assert!(running.len() < 20, "each engine's memory holds three such prompts");
+    };
+    assert_eq!((refusal.reason, refusal.verdict), (Reason::QueueFull, Verdict::NotRun));
+    assert!(running.len() >= 4, "{}", running.len());
+    for (mut plan, attempt) in running {
+        simulation.end(&mut plan, &attempt, Ending::Answered);
+    }
+    let mut plan = simulation.admit_prompt("long-0", 15_000);
+    assert!(matches!(simulation.next(&mut plan), Step::Send(_)));
+}
--- a/crates/policy/tests/gateway_simulation/mod.rs
+++ b/crates/policy/tests/gateway_simulation/mod.rs
@@ -14,9 +14,10 @@
 use acacia_policy::gateway::mesh::Detail;
 use acacia_policy::gateway::window::{ColdTerms, RetryTerms};
 use acacia_policy::gateway::{
-    Attempt, Call, Configuration, Ending, Gateway, Part, Placement, Plan, Prompt, Refusal, Server,
-    Step, Terms, View,
+    Attempt, Call, Configuration, Ending, Gateway, Notice, Part, Placement, Plan, Prompt, Refusal,
+    Server, Step, Terms, View,
 };
+use acacia_policy::kv::Revision;
 
 /// The model that all engines serve.
 pub const MODEL: &str = "m";
@@ -135,11 +136,27 @@
         }
     }
 
+    /// Records that an attempt's first event was received now.
+    pub fn begin(&mut self, plan: &Plan, attempt: &mut Attempt) {
+        self.gateway.began(self.now, plan, attempt);
+    }
+
     pub fn end(&mut self, plan: &mut Plan, attempt: &Attempt, ending: Ending) {
         let instance = Some(&*attempt.server.id);
         self.gateway.ended(self.now, plan, attempt, ending, instance);
     }
 
+    /// Passes on what a server states about itself in an answer.
+    pub fn hear(&mut self, server: &str, notice: Notice) {
+        let server = self.view.servers[server].clone();
+        self.gateway.heard(self.now, &server, notice);
+    }
+
+    /// Passes on another instance's digest.
+    pub fn receive(&mut self, digest: Digest) {
+        self.gateway.receive(self.now, digest);
+    }
+
     pub fn digest(&mut self, detail: Detail) -> Option<Digest> {
         self.gateway.digest(detail)
     }
@@ -195,6 +212,8 @@
         peers: Vec::new(),
         stores: Vec::new(),
         as_of: Time::ZERO,
+        revision: Revision::default(),
+        last_removal: Revision::default(),
         server_clock: None,
         unavailable_since: None,
     }
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -52,8 +52,18 @@
     StreamsBreak,
     /// The managed KV cache store loses its contents.
     CacheLost,
+    /// The metadata store is restored from an older copy.
+    StoreRestored,
+    /// A server says in its answers that it is leaving, and restarts later.
+    ServerLeaving,
+    /// A server refuses requests and asks for a pause.
+    ServerPaused,
 }
 
+/// Kinds that were added after seeds had been recorded; they are drawn separately, so that the
+/// other faults of a seed stay the same.
+const LATER_KINDS: [Kind; 3] = [Kind::StoreRestored, Kind::ServerLeaving, Kind::ServerPaused];
+
 impl Kind {
     /// Whether it is a planned change by operators, which must not lose requests.
     pub fn is_planned(self) -> bool {
@@ -88,7 +98,9 @@
     pub fn draw(seed: u64, length: Duration) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let is_planned = seed.is_multiple_of(3);
-        let kinds: Vec<Kind> = Kind::iter().filter(|k| !is_planned || k.is_planned()).collect();
+        let is_drawn =
+            |kind: &Kind| !LATER_KINDS.contains(kind) && (!is_planned || kind.is_planned());
+        let kinds: Vec<Kind> = Kind::iter().filter(is_drawn).collect();
         // About one per second; as faults last up to 2.5 s, several overlap.
         let count = length.as_secs().max(1) + rng.random_range(0..4);
         let faults = (0..count).map(|_| Fault {
@@ -99,4 +111,20 @@
         });
         Self { is_planned, faults: faults.collect() }
     }
+
+    /// Adds one fault of each of [`LATER_KINDS`], unless only planned changes are made.
+    #[must_use]
+    pub fn with_later_kinds(mut self, seed: u64, length: Duration) -> Self {
+        if self.is_planned {
+            return self;
+        }
+        let mut rng = ChaCha8Rng::seed_from_u64(!seed);
+        self.faults.extend(LATER_KINDS.map(|kind| Fault {
+            at: length.mul_f64(rng.random()),
+            length: Duration::from_millis(rng.random_range(MIN_DURATION_MS..MAX_DURATION_MS)),
+            kind,
+            target: rng.random_range(0..64),
+        }));
+        self
+    }
 }
--- a/crates/soak/src/fixture.rs
+++ b/crates/soak/src/fixture.rs
@@ -146,6 +146,17 @@
         &self.servers[SERVERS_PER_KIND..]
     }
 
+    /// A server, modulo their count.
+    pub fn server(&self, target: usize) -> &server::Handle {
+        &self.servers[target % self.servers.len()]
+    }
+
+    /// Registers a server again, at the address of its proxy.
+    pub fn register(&self, target: usize) {
+        let address = self.proxies[target % self.proxies.len()].address;
+        self.server(target).register_at(&self.store, address);
+    }
+
     /// Observations of the servers.
     pub fn evidence(&self) -> Evidence {
         let wrong = self.engines().iter().map(|engine| engine.count(Counter::WrongPrefixRead));
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -48,6 +48,7 @@
         instances: arguments.instances.max(1),
         length: Duration::from_secs(arguments.seconds),
         folder: arguments.logs.unwrap_or_else(|| std::env::temp_dir().join(folder)),
+        has_later_kinds: !arguments.regressions,
     };
     let seeds: Vec<u64> = if arguments.regressions {
         REGRESSIONS.iter().map(|(seed, _)| *seed).collect()
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -55,6 +55,8 @@
     pub length: Duration,
     /// Folder for logs.
     pub folder: PathBuf,
+    /// Whether kinds of faults are added that recorded seeds do not have.
+    pub has_later_kinds: bool,
 }
 
 /// Result of a run.
@@ -76,6 +78,8 @@
 /// If the deployment can't be started.
 pub async fn run(plan: &Plan, seed: u64) -> io::Result<Outcome> {
     let schedule = Schedule::draw(seed, plan.length);
+    let schedule =
+        if plan.has_later_kinds { schedule.with_later_kinds(seed, plan.length) } else { schedule };
     let folder = plan.folder.join(seed.to_string());
     let fixture = Fixture::start(Path::new(&plan.daemon), folder.clone(), plan.instances).await?;
     let context = Arc::new(Context {
@@ -143,6 +147,7 @@
             | Kind::StoreFrozen
             | Kind::StoreLosesAnswers
             | Kind::LeasesLapse
+            | Kind::StoreRestored
             | Kind::StoreSlow => self.store(fault).await.map_err(io::Error::other),
             _ => self.server(fault).await.map_err(io::Error::other),
         }
@@ -191,6 +196,9 @@
                 store.fault(StandinFault::LostAnswer { times: LOST_ANSWERS })
             }
             Kind::LeasesLapse => store.fault(StandinFault::LeaseLapse),
+            Kind::StoreRestored => store.fault(StandinFault::Restored {
+                millis: u64::try_from(fault.length.as_millis()).unwrap_or(u64::MAX),
+            }),
             _ => {
                 set_during(store_proxy, Mode::Delay(SLOW_DELAY), fault).await;
                 Ok(())
@@ -216,6 +224,20 @@
                 tokio::time::sleep(fault.length).await;
                 engine.fault(break_streams(Some(0)))?;
             }
+            Kind::ServerLeaving => {
+                let server = self.fixture.server(fault.target);
+                server.fault(StandinFault::Leaving { on: true })?;
+                tokio::time::sleep(fault.length).await;
+                server.restart();
+                self.fixture.register(fault.target);
+            }
+            Kind::ServerPaused => {
+                let server = self.fixture.server(fault.target);
+                let millis = u64::try_from(fault.length.as_millis()).unwrap_or(u64::MAX);
+                server.fault(StandinFault::Paused { millis })?;
+                tokio::time::sleep(fault.length).await;
+                server.fault(StandinFault::Paused { millis: 0 })?;
+            }
             _ => self.fixture.cache.fault(StandinFault::Restart)?,
         }
         Ok(())
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -42,6 +42,17 @@
     },
     /// All leases expire now.
     LeaseLapse,
+    /// The metadata store loses what the system wrote since a copy of this age, and begins a new
+    /// era; operators and servers write their entries again.
+    Restored {
+        /// Age of the copy in milliseconds.
+        millis: u64,
+    },
+    /// Every request is refused with `503` and a `Retry-After` of this time; zero clears the fault.
+    Paused {
+        /// Time in milliseconds.
+        millis: u64,
+    },
     /// The instance is cold again, within the same incarnation.
     Cold,
     /// The process restarts: new incarnation, memory lost, cold.
--- a/crates/standin/src/kv/keyspace.rs
+++ b/crates/standin/src/kv/keyspace.rs
@@ -23,6 +23,7 @@
 }
 
 /// Keys, leases and history.
+#[derive(Clone)]
 pub struct Keyspace {
     scale: f64,
     revision: i64,
@@ -36,6 +37,7 @@
 }
 
 /// An active lease.
+#[derive(Clone)]
 struct Lease {
     ttl: i64,
     expires_at: Instant,
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -117,6 +117,8 @@
         orders: AtomicU64::new(0),
         loading: AtomicBool::new(false),
         leaving: AtomicBool::new(false),
+        pause_ms: AtomicU64::new(0),
+        born: AtomicU64::new(1),
         fence: AtomicU64::new(0),
         failures: AtomicU32::new(0),
         broken: Mutex::default(),
@@ -145,6 +147,8 @@
     orders: AtomicU64,
     loading: AtomicBool,
     leaving: AtomicBool,
+    pause_ms: AtomicU64,
+    born: AtomicU64,
     fence: AtomicU64,
     failures: AtomicU32,
     broken: Mutex<Option<(u32, u32)>>,
@@ -194,6 +198,16 @@
         self.failures.store(times, Ordering::Relaxed);
     }
 
+    /// Begins a new incarnation, which is not leaving and knows nothing but its weights. The entry
+    /// must be registered again.
+    pub fn restart(&self) {
+        self.leaving.store(false, Ordering::Relaxed);
+        self.born.fetch_add(1, Ordering::Relaxed);
+        self.orders.store(0, Ordering::Relaxed);
+        self.fence.store(0, Ordering::Relaxed);
+        *self.memory.lock() = Memory::default();
+    }
+
     fn entry(&self, address: SocketAddr) -> Value {
         let state = if self.leaving.load(Ordering::Relaxed) { "draining" } else { "ready" };
         let mut entry = json!({
@@ -205,7 +219,7 @@
             "state": state,
             "cold_left_ms": 0,
             "sequence": 1,
-            "born": 1,
+            "born": self.born.load(Ordering::Relaxed),
         });
         if let Some(models) = self.models() {
             entry["stage"] = json!("colocated");
@@ -276,6 +290,11 @@
         if self.loading.load(Ordering::Relaxed) {
             return Err(not_run());
         }
+        let pause_ms = self.pause_ms.load(Ordering::Relaxed);
+        if pause_ms > 0 {
+            self.tally.count(Counter::Refused);
+            return Err(not_run().with("retry-after", pause_ms as f64 / 1_000.0));
+        }
         if self.leaving.load(Ordering::Relaxed) {
             self.tally.count(Counter::StartedWhileLeaving);
         }
@@ -408,7 +427,7 @@
             "models": self.models(),
             "busy": self.loading.load(Ordering::Relaxed),
             "sequence": self.orders(),
-            "born": 1,
+            "born": self.born.load(Ordering::Relaxed),
         });
         Answer::json(StatusCode::OK, &body)
     }
@@ -424,13 +443,15 @@
     async fn respond(self: Arc<Self>, call: Call) -> Answer {
         let id = call.header("x-request-id").to_owned();
         let instance = self.settings.id.clone();
+        let is_leaving = self.leaving.load(Ordering::Relaxed);
         let answer = match (&call.method, &*call.path) {
             (&Method::GET, "/acaciaarch/report") => Ok(self.report()),
             (&Method::POST, "/acaciaarch/order") => self.order(&call),
             _ => self.run(&call).await,
         };
         let answer = answer.unwrap_or_else(|refusal| refusal);
-        answer.with("x-request-id", id).with("x-instance-id", instance)
+        let answer = answer.with("x-request-id", id).with("x-instance-id", instance);
+        if is_leaving { answer.with("server-leaving", 1) } else { answer }
     }
 
     fn fault(&self, fault: &Fault) -> bool {
@@ -439,6 +460,7 @@
                 *self.broken.lock() = Some((*token, times.unwrap_or(u32::MAX)));
             }
             Fault::Leaving { on } => self.leaving.store(*on, Ordering::Relaxed),
+            Fault::Paused { millis } => self.pause_ms.store(*millis, Ordering::Relaxed),
             _ => return false,
         }
         true
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -1,8 +1,9 @@
 //! Metadata store of the platform.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicI64, Ordering};
+use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 use std::time::Duration;
 
 use base64::Engine as _;
@@ -33,6 +34,12 @@
 const HISTORY: usize = 4_096;
 /// Interval between checks for expired leases.
 const EXPIRY_STEP: Duration = Duration::from_millis(20);
+/// Interval between two copies of the keyspace.
+const COPY_INTERVAL: Duration = Duration::from_millis(200);
+/// Age from which a copy is discarded.
+const COPY_RETENTION: Duration = Duration::from_secs(15);
+/// The first era.
+const FIRST_ERA: u64 = 1;
 /// Maximum number of items on a page.
 const PAGE_ITEMS: usize = 500;
 
@@ -46,6 +53,9 @@
         keyspace: Mutex::new(Keyspace::new(LEASE_SCALE, HISTORY)),
         revision: watch::channel(0).0,
         discarded: AtomicI64::new(0),
+        era: AtomicU64::new(FIRST_ERA),
+        copies: Mutex::default(),
+        outside_writes: Mutex::default(),
     });
     tokio::spawn(expire(Arc::downgrade(&state)));
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -57,6 +67,7 @@
         tokio::time::sleep(EXPIRY_STEP).await;
         let Some(state) = state.upgrade() else { return };
         state.change(|_| ());
+        state.copy();
     }
 }
 
@@ -66,9 +77,58 @@
     keyspace: Mutex<Keyspace>,
     revision: watch::Sender<i64>,
     discarded: AtomicI64,
+    era: AtomicU64,
+    /// Copies of the keyspace, oldest first.
+    copies: Mutex<VecDeque<(Instant, Keyspace)>>,
+    /// Writes of operators and servers, which they repeat after a restore, oldest first.
+    outside_writes: Mutex<VecDeque<(Instant, Operation)>>,
 }
 
 impl State {
+    /// Copies the keyspace from time to time.
+    fn copy(&self) {
+        let now = Instant::now();
+        let mut copies = self.copies.lock();
+        if copies.back().is_none_or(|(at, _)| *at + COPY_INTERVAL <= now) {
+            copies.push_back((now, self.keyspace.lock().clone()));
+        }
+        while copies.front().is_some_and(|(at, _)| *at + COPY_RETENTION < now) {
+            copies.pop_front();
+        }
+        let mut writes = self.outside_writes.lock();
+        while writes.front().is_some_and(|(at, _)| *at + COPY_RETENTION < now) {
+            writes.pop_front();
+        }
+    }
+
+    /// Restores the newest copy that is at least as old as `age`, or the oldest one, and begins a
+    /// new era. Operators and servers write again what they wrote since.
+    pub fn restore(&self, age: Duration) {
+        let limit = Instant::now().checked_sub(age);
+        let restored = {
+            let mut copies = self.copies.lock();
+            let found = copies.iter().rposition(|(at, _)| limit.is_some_and(|limit| *at <= limit));
+            let copy = copies.get(found.unwrap_or(0)).cloned();
+            // Copies of the lost time belong to no era that can be restored.
+            copies.truncate(found.unwrap_or(0) + 1);
+            copy
+        };
+        let Some((copied_at, copy)) = restored else { return };
+        let revision = copy.revision();
+        *self.keyspace.lock() = copy;
+        self.era.fetch_add(1, Ordering::Relaxed);
+        self.discarded.fetch_min(revision, Ordering::Relaxed);
+        self.revision.send_replace(revision);
+        let writes: Vec<Operation> = {
+            let writes = self.outside_writes.lock();
+            let lost = writes.iter().filter(|(at, _)| *at >= copied_at);
+            lost.map(|(_, operation)| operation.clone()).collect()
+        };
+        for operation in writes {
+            self.apply(operation);
+        }
+    }
+
     /// Writes a key as operators and servers do, without a lease; returns the revision.
     pub fn put(&self, key: &str, value: &Value) -> i64 {
         let put = Put { key: key.into(), value: value.to_string().into_bytes(), lease: 0 };
@@ -93,6 +153,11 @@
     }
 
     fn write(&self, operation: Operation) -> i64 {
+        self.outside_writes.lock().push_back((Instant::now(), operation.clone()));
+        self.apply(operation)
+    }
+
+    fn apply(&self, operation: Operation) -> i64 {
         let transaction =
             Transaction { compare: Vec::new(), success: vec![operation], failure: Vec::new() };
         self.change(|keyspace| {
@@ -154,7 +219,8 @@
                 let range = (&*range.key, &*range.range_end);
                 (keyspace.events(range, after + 1), keyspace.revision())
             });
-            if batch.compacted > 0 || after < self.discarded.load(Ordering::Relaxed) {
+            let is_unknown = after > revision || after < self.discarded.load(Ordering::Relaxed);
+            if batch.compacted > 0 || is_unknown {
                 return Answer::json(StatusCode::GONE, &json!({}));
             }
             let changed = tokio::time::timeout_at(end, revisions.changed());
@@ -241,16 +307,20 @@
     }
 
     async fn respond(self: Arc<Self>, call: Call) -> Answer {
-        self.route(&call).await.unwrap_or_else(|refusal| refusal)
+        let answer = self.route(&call).await.unwrap_or_else(|refusal| refusal);
+        answer.with("store-era", self.era.load(Ordering::Relaxed))
     }
 
     fn fault(&self, fault: &Fault) -> bool {
-        if *fault == Fault::LeaseLapse {
-            let expired = self.change(Keyspace::expire_all);
-            self.tally.add(Counter::Expiries, expired as u64);
-            return true;
+        match fault {
+            Fault::LeaseLapse => {
+                let expired = self.change(Keyspace::expire_all);
+                self.tally.add(Counter::Expiries, expired as u64);
+            }
+            Fault::Restored { millis } => self.restore(Duration::from_millis(*millis)),
+            _ => return false,
         }
-        false
+        true
     }
 }
 
