--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -17,7 +17,7 @@
 use super::access::{Access, Source, Variant};
 use super::admission::{self, Admission};
 use super::call::Prompt;
-use super::configuration::{Role, Service};
+use super::configuration::{EngineSpec, Role, Service};
 use super::gossip::{Digests, PartKey};
 use super::inventory::READ_LIMIT;
 use super::link::Links;
@@ -85,6 +85,8 @@
 pub enum Candidate {
     /// The best upstream.
     Best(Box<Attempt>),
+    /// No engine could begin the prompt in time; room is expected after this time.
+    Full(Duration),
     /// None now; one may be eligible at the given time.
     Later(Time),
     /// No upstream is eligible.
@@ -130,8 +132,8 @@
     expected: f64,
     /// Expected time in an engine's queue, in seconds.
     wait: f64,
-    /// Whether the request would be refused rather than wait for so long.
-    is_turned_away: bool,
+    /// If the request would be refused rather than wait for so long: when room is expected.
+    turned_away: Option<Duration>,
     /// How an engine would obtain the prompt's parts.
     access: Option<Access>,
 }
@@ -139,7 +141,7 @@
 impl Offer {
     /// An offer that can be in time comes first, then the cheaper one.
     fn is_better_than(&self, other: &Self) -> bool {
-        (self.is_turned_away, self.cost) < (other.is_turned_away, other.cost)
+        (self.turned_away.is_some(), self.cost) < (other.turned_away.is_some(), other.cost)
     }
 }
 
@@ -160,9 +162,7 @@
         let primary = self.primary();
         if self.roster.of_service(&self.plan.service).len() > SCAN_LIMIT {
             let sampled = self.sample(primary);
-            if let Candidate::Best(attempt) = self.cheapest(service, &sampled, primary)
-                && !self.is_turned_away(attempt.wait, attempt.expected)
-            {
+            if let Candidate::Best(attempt) = self.cheapest(service, &sampled, primary) {
                 return Candidate::Best(attempt);
             }
         }
@@ -210,6 +210,7 @@
             }
         }
         match (best, later) {
+            (Some(Offer { turned_away: Some(after), .. }), _) => Candidate::Full(after),
             (Some(offer), _) => Candidate::Best(Box::new(self.attempt(&offer))),
             (None, Some(at)) => Candidate::Later(at),
             (None, None) => Candidate::None,
@@ -297,8 +298,8 @@
             let slots = f64::from(member.server.slots.max(1));
             cost += delay + PLAIN_REQUEST_S * f64::from(load.running) / slots;
             let expected = latency_target / 2.0 + delay;
-            let (wait, is_turned_away) = (0.0, false);
-            return Some(Offer { key, cost, expected, wait, is_turned_away, access: None });
+            let (wait, turned_away) = (0.0, None);
+            return Some(Offer { key, cost, expected, wait, turned_away, access: None });
         };
         // The fewer requests run there, the less the delay of earlier ones says about the next.
         let busy = (f64::from(load.running) / BUSY_REQUESTS).min(1.0);
@@ -311,16 +312,25 @@
         let access = self.access(key, variant, spec, is_primary);
         let expected = FIRST_TOKEN_S + access.time;
         let (cost, access) = (cost + access.cost, Some(access));
-        let is_turned_away =
-            self.is_turned_away(Duration::from_secs_f64(wait), Duration::from_secs_f64(expected));
-        Some(Offer { key, cost, expected, wait, is_turned_away, access })
+        let turned_away = self.turned_away(prompt, spec, wait, expected);
+        Some(Offer { key, cost, expected, wait, turned_away, access })
     }
 
-    /// Whether a prompt is refused rather than wait for `wait` at its engine.
-    fn is_turned_away(&self, wait: Duration, expected: Duration) -> bool {
-        self.plan.prompt.is_some()
-            && self.terms.placement == Placement::LoadAndCache
-            && admission::decide(self.now, self.plan, wait, expected) != Admission::Send
+    /// When room is expected, if a prompt is refused rather than wait at an engine.
+    fn turned_away(
+        &self,
+        prompt: &Prompt,
+        spec: &EngineSpec,
+        wait: f64,
+        expected: f64,
+    ) -> Option<Duration> {
+        let is_limited = self.terms.placement == Placement::LoadAndCache
+            && !admission::is_negligible(prompt, spec);
+        let (wait, expected) = (Duration::from_secs_f64(wait), Duration::from_secs_f64(expected));
+        match admission::decide(self.now, self.plan, wait, expected) {
+            Admission::Refuse(after) if is_limited => Some(after),
+            _ => None,
+        }
     }
 
     /// The weights last known of an engine, and whether answers on them have lost value; none if a
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -9,7 +9,6 @@
 use rustc_hash::FxHashMap;
 use strum::{Display, EnumString};
 
-use super::admission::{self, Admission};
 use super::call::{Call, Prompt};
 use super::choice::{Candidate, Chooser};
 use super::configuration::{Role, Route, ServiceName, ZoneName};
@@ -211,21 +210,8 @@
             return self.refuse(now, plan, Reason::Broken, None);
         }
         match self.chooser(now, &view, plan).choose() {
-            Candidate::Best(attempt) => {
-                let is_limited =
-                    attempt.engine.is_some() && self.terms.placement == Placement::LoadAndCache;
-                let admission = if is_limited {
-                    admission::decide(now, plan, attempt.wait, attempt.expected)
-                } else {
-                    Admission::Send
-                };
-                match admission {
-                    Admission::Send => self.send(now, plan, *attempt),
-                    Admission::Refuse(after) => {
-                        self.refuse(now, plan, Reason::QueueFull, Some(now + after))
-                    }
-                }
-            }
+            Candidate::Best(attempt) => self.send(now, plan, *attempt),
+            Candidate::Full(after) => self.refuse(now, plan, Reason::QueueFull, Some(now + after)),
             Candidate::Later(at) if at < plan.arrived + wait_limit(&plan.route) => Step::Wait(at),
             Candidate::Later(at) => self.refuse(now, plan, Reason::Overloaded, Some(at)),
             Candidate::None => self.refuse(now, plan, Reason::NoUpstream, None),
