Publish no view that seems newer than it is

Cause, found by reading: on the first answer after a failure, a view was published before the answer's changes were applied, with the time of the answer. For a moment the traffic thread could read parts of cache stores by an old inventory, or confirm it to other instances. Change: views are published only after the changes of an answer are applied. Comments are wrapped at the line width.

--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -309,8 +309,8 @@
     fixture.stop().await;
 }
 
-/// The metadata store is restored from a copy that is three seconds old, twice, while a revoked key,
-/// newer weights and an evacuation are among what the copy lacks.
+/// The metadata store is restored from a copy that is three seconds old, twice, while a revoked
+/// key, newer weights and an evacuation are among what the copy lacks.
 #[tokio::test(flavor = "multi_thread")]
 async fn metadata_store_restored_from_copy() {
     let fixture = Fixture::start(2).await;
--- a/crates/gateway/src/carryover.rs
+++ b/crates/gateway/src/carryover.rs
@@ -2,8 +2,8 @@
 //!
 //! A copy is some seconds old. Operators, servers and instances write again what they wrote since,
 //! but not at the same moment. Until then the copy may lack an evacuation or the registration of an
-//! instance, and may list a server as ready that is leaving or gone. Each fact is carried over until
-//! its writer has written the entry again, for at most [`CARRYOVER_TIME`].
+//! instance, and may list a server as ready that is leaving or gone. Each fact is carried over
+//! until its writer has written the entry again, for at most [`CARRYOVER_TIME`].
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -248,7 +248,8 @@
         }
     }
 
-    /// Records that the metadata store answered a call sent at `sent`.
+    /// Records that the metadata store answered a call sent at `sent`. The caller publishes a view
+    /// after it has applied the answer: until then, the view would seem newer than it is.
     fn record_answer(&self, sent: Time) {
         let now = self.clock.now();
         self.replica.borrow_mut().confirm(sent);
@@ -256,7 +257,6 @@
         if let Some(since) = lost {
             let after_ms = millis(now.saturating_sub(since));
             tracing::info!(dependency = "store", after_ms, "dependency regained");
-            self.publish();
         }
     }
 
--- a/crates/gateway/src/inventory.rs
+++ b/crates/gateway/src/inventory.rs
@@ -27,8 +27,8 @@
 const EVENTS_PAUSE: Duration = Duration::from_millis(500);
 /// Pause before a store that failed is called again.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
-/// Interval at which newer weights, and parts that are due to be freed, are checked for while a call
-/// for events waits.
+/// Interval at which newer weights, and parts that are due to be freed, are checked for while a
+/// call for events waits.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(250);
 /// Shortest interval between two writes of one store's inventory.
 const WRITE_INTERVAL: Duration = Duration::from_millis(300);
--- a/crates/policy/src/gateway/confirmation.rs
+++ b/crates/policy/src/gateway/confirmation.rs
@@ -3,9 +3,9 @@
 //! A part of a managed store may be read only until shortly after the reader's inventories were
 //! known to be current. An instance that the metadata store does not answer would therefore compute
 //! every part again. But only removals matter: an instance whose inventories include the last
-//! removal lists no part that was removed since, even if it misses additions. So instances tell each
-//! other at what time their own inventories were current, by the servers' clock, and what the last
-//! removal was.
+//! removal lists no part that was removed since, even if it misses additions. So instances tell
+//! each other at what time their own inventories were current, by the servers' clock, and what the
+//! last removal was.
 //!
 //! The time is that of the sender's call to the metadata store, so a late datagram proves less, not
 //! more. A conversion to the receiver's clock and back to the servers' clock, in which the end of a
@@ -19,8 +19,8 @@
 use crate::Time;
 use crate::kv::Revision;
 
-/// Longest time for which confirmations of others replace the own view's freshness. An instance that
-/// is cut off for longer misses too many additions to profit.
+/// Longest time for which confirmations of others replace the own view's freshness. An instance
+/// that is cut off for longer misses too many additions to profit.
 const MAX_LEAD: Duration = Duration::from_secs(30);
 
 /// One instance's statement about the metadata store.
--- a/crates/policy/src/gateway/inventory.rs
+++ b/crates/policy/src/gateway/inventory.rs
@@ -10,8 +10,8 @@
 //! a part that is being written for one that was complete before.
 //!
 //! If the metadata store is restored from an older copy, an older inventory comes back. Each
-//! inventory therefore states the era of the metadata store that it was written in, and is used only
-//! in that era.
+//! inventory therefore states the era of the metadata store that it was written in, and is used
+//! only in that era.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
--- a/crates/policy/src/gateway/link.rs
+++ b/crates/policy/src/gateway/link.rs
@@ -1,9 +1,9 @@
 //! Delays of fetches from KV cache stores.
 //!
-//! Load pattern: the link of a store turns slow. Fetches queue there for up to seconds, although the
-//! engines could compute the parts in a fraction of that time. A prompt that fetches from stores and
-//! begins late by more than its engine's known delay is attributed to the stores, not to the engine,
-//! so that the engine keeps getting prompts that need none of them.
+//! Load pattern: the link of a store turns slow. Fetches queue there for up to seconds, although
+//! the engines could compute the parts in a fraction of that time. A prompt that fetches from
+//! stores and begins late by more than its engine's known delay is attributed to the stores, not to
+//! the engine, so that the engine keeps getting prompts that need none of them.
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -3,11 +3,11 @@
 //! [`Gateway::admit`] finds a [`Call`]'s route, service and organisation in the latest [`View`] and
 //! creates a [`Plan`]; [`Gateway::next`] decides each [`Step`] of it, with an upstream from
 //! [`choice`], which [`pace`] gives the expected wait at an engine, and [`admission`] refuses what
-//! can't be served in time; [`Gateway::ended`] records how an [`Attempt`] ended. [`rollout`] brings announced
-//! weights to the engines, and [`inventory`] tracks the contents of KV cache stores. Instances
-//! report by [`gossip`] what they sent where, and [`mesh`] selects the recipients. Limits on all
-//! instances together are divided into shares by [`window`], so that no request waits for another
-//! instance.
+//! can't be served in time; [`Gateway::ended`] records how an [`Attempt`] ended. [`rollout`] brings
+//! announced weights to the engines, and [`inventory`] tracks the contents of KV cache stores.
+//! Instances report by [`gossip`] what they sent where, and [`mesh`] selects the recipients. Limits
+//! on all instances together are divided into shares by [`window`], so that no request waits for
+//! another instance.
 
 mod access;
 pub mod admission;
