Limit older weights by the whole lateness of an engine

Cause, found by reading: the delay that the choice uses is capped by the latency target, halved for engines with few requests, and not raised by late fetches. The test fails without it.

--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -304,7 +304,7 @@
         // The fewer requests run there, the less the delay of earlier ones says about the next.
         let busy = (f64::from(load.running) / BUSY_REQUESTS).min(1.0);
         let wait = (delay * busy).max(self.pace.wait(load, prompt, spec));
-        let (weights, stale) = self.weights(member, prompt, wait)?;
+        let (weights, stale) = self.weights(member, prompt, wait.max(member.lateness(self.now)))?;
         cost += if stale { OLD_WEIGHTS_COST_TARGETS * latency_target } else { 0.0 };
         cost += BATCH_STEP_S * f64::from(load.running);
         cost += wait;
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -317,8 +317,10 @@
             Some(_) => attempt.expected,
             None => plan.route.latency_target / PLAIN_EXPECTED_DIVISOR,
         };
+        let late = took.saturating_sub(expected);
+        member.observe_lateness(now, late);
         // A longer delay tells no more than that the queue was too long when the request was sent.
-        let late = took.saturating_sub(expected).min(plan.route.latency_target);
+        let late = late.min(plan.route.latency_target);
         let known = Duration::from_secs_f64(member.delay(now)).max(attempt.wait);
         match self.links.attribute(now, attempt.stores(), late, known) {
             Blame::Engine(late) => member.observe_delay(now, late),
--- a/crates/policy/src/gateway/member.rs
+++ b/crates/policy/src/gateway/member.rs
@@ -56,6 +56,7 @@
     failures: f64,
     failures_at: Time,
     delay: Lateness,
+    lateness: Lateness,
     refusals: u32,
     unreachable: u32,
     weights: BTreeMap<ModelName, WeightVersion>,
@@ -79,6 +80,7 @@
             failures: 0.0,
             failures_at: now,
             delay: Lateness::default(),
+            lateness: Lateness::default(),
             refusals: 0,
             unreachable: 0,
             weights,
@@ -189,11 +191,21 @@
         self.failures_at = now;
     }
 
-    /// Records how much later than expected an answer began.
+    /// Records how much later than expected an answer began, as far as the engine's queue caused it.
     pub fn observe_delay(&mut self, now: Time, late: Duration) {
         self.delay.observe(now, late, DELAY_HALF_LIFE);
     }
 
+    /// Records how much later than expected an answer began, whatever caused it.
+    pub fn observe_lateness(&mut self, now: Time, late: Duration) {
+        self.lateness.observe(now, late, DELAY_HALF_LIFE);
+    }
+
+    /// How much later than expected its answers begin, in seconds.
+    pub fn lateness(&self, now: Time) -> f64 {
+        self.lateness.seconds(now, DELAY_HALF_LIFE)
+    }
+
     /// Expected wait in its queue, in seconds.
     pub fn delay(&self, now: Time) -> f64 {
         self.delay.seconds(now, DELAY_HALF_LIFE)
--- a/crates/policy/tests/gateway_machine.rs
+++ b/crates/policy/tests/gateway_machine.rs
@@ -175,6 +175,22 @@
     assert!(matches!(simulation.next(&mut plan), Step::Refuse(r) if r.verdict == Verdict::NotRun));
 }
 
+/// The limit on older weights counts with the whole lateness of an engine, also beyond the latency
+/// target, and while few requests run there.
+#[test]
+fn next_limits_older_weights_by_whole_lateness() {
+    let mut simulation = Simulation::new(1);
+    simulation.announce_weights(2);
+    simulation.pass(Duration::from_millis(3_000));
+    let mut plan = simulation.admit("/ask/", "key").expect("a valid request");
+    let mut attempt = simulation.send(&mut plan);
+    simulation.pass(Duration::from_millis(3_000));
+    simulation.begin(&plan, &mut attempt);
+    simulation.end(&mut plan, &attempt, Ending::Answered);
+    let mut plan = simulation.admit("/ask/", "key").expect("a valid request");
+    assert!(matches!(simulation.next(&mut plan), Step::Refuse(r) if r.verdict == Verdict::NotRun));
+}
+
 #[test]
 fn ended_updates_weights_after_misdirection() {
     let mut simulation = Simulation::new(1);
