Revert "Give up hanging calls to the metadata store sooner after a failure"

Instances on links of 10 Mbit/s stayed on an old configuration for seconds after the store was back, likely as the changes to read did not arrive within the shorter timeout.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -8,7 +8,7 @@
 
 use acacia_platform::document::instance_key;
 use acacia_platform::instance::Presence;
-use acacia_platform::store::{CALL_TIMEOUT, Client as StoreClient, Eras, WatchFailure, Written};
+use acacia_platform::store::{Client as StoreClient, Eras, WatchFailure, Written};
 use acacia_platform::{Settings, cache};
 use acacia_policy::Time;
 use acacia_policy::gateway::View;
@@ -17,7 +17,6 @@
 use rand::RngExt;
 use tokio::sync::watch;
 
-use crate::backoff::{Backoff, Terms};
 use crate::client::Client;
 use crate::clock::Clock;
 use crate::holder::Holder;
@@ -25,9 +24,9 @@
 use crate::replica::{Replica, Update};
 use crate::traffic::millis;
 
-/// Terms of a watch. Its answer proves that the replica is current, which reads from managed stores
-/// require: two waits fit into the time for which an inventory stays valid.
-const WATCH: Terms = Terms { wait: Duration::from_millis(700), timeout: CALL_TIMEOUT };
+/// Longest wait of a watch. Its answer proves that the replica is current, which reads from managed
+/// stores require: two waits fit into the time for which an inventory stays valid.
+const WATCH_WAIT: Duration = Duration::from_millis(700);
 /// Interval between reads of the servers' clock. Clocks drift by far less than a millisecond in it.
 const CLOCK_INTERVAL: Duration = Duration::from_secs(15);
 /// The pause between two watches is this fraction of the time within which a change must be in
@@ -36,10 +35,10 @@
 /// Pause between two watches while engines reload. Each 100 ms for which a ready engine is not yet
 /// known to be ready matters.
 const RELOAD_WATCH_PAUSE: Duration = Duration::from_millis(200);
-/// Pause before a registration that has ended is made again.
-const REGISTER_PAUSE: Duration = Duration::from_millis(100);
-/// Pause after a failed heartbeat.
-const HEARTBEAT_RETRY: Duration = Duration::from_millis(400);
+/// Pause after the first failed call, doubled after each further one.
+const MIN_BACKOFF: Duration = Duration::from_millis(100);
+/// Longest pause after failed calls. A recovered metadata store must be noticed within a second.
+const MAX_BACKOFF: Duration = Duration::from_millis(400);
 /// How long this instance stays registered after its last heartbeat.
 const REGISTRATION_TTL: Duration = Duration::from_secs(10);
 /// Interval between heartbeats. Three fit into the lease.
@@ -125,16 +124,16 @@
     /// Reads all entries, then watches for changes.
     async fn follow(self: Rc<Self>) {
         let mut client = self.store_client();
-        let mut backoff = Backoff::default();
+        let mut failures = 0;
         let mut after: Option<Revision> = None;
         loop {
             let result = match after {
                 None => self.read_all(&mut client).await,
-                Some(revision) => self.watch(&mut client, revision, backoff.watch(WATCH)).await,
+                Some(revision) => self.watch(&mut client, revision).await,
             };
             match result {
                 Ok(revision) => {
-                    backoff.answered();
+                    failures = 0;
                     after = Some(revision);
                 }
                 Err(WatchFailure::HistoryLost) => {
@@ -148,8 +147,10 @@
                 }
                 Err(WatchFailure::Call(failure)) => {
                     self.record_failure(failure);
+                    let backoff = MIN_BACKOFF * 2_u32.pow(failures);
+                    failures = (failures + 1).min(4);
                     let jitter = rand::rng().random_range(0.5..1.0);
-                    tokio::time::sleep(backoff.failed().mul_f64(jitter)).await;
+                    tokio::time::sleep(backoff.min(MAX_BACKOFF).mul_f64(jitter)).await;
                 }
             }
         }
@@ -187,11 +188,10 @@
         &self,
         client: &mut StoreClient,
         after: Revision,
-        terms: Terms,
     ) -> Result<Revision, WatchFailure> {
         self.metrics.store_call("watch");
         let sent = self.clock.now();
-        let changes = client.watch("", after, terms.wait, terms.timeout).await?;
+        let changes = client.watch("", after, WATCH_WAIT).await?;
         self.record_answer(sent);
         let now = self.clock.now();
         let mut updates = Vec::new();
@@ -319,11 +319,11 @@
                 }
                 Ok(None) => {
                     lease.replace(None);
-                    tokio::time::sleep(REGISTER_PAUSE).await;
+                    tokio::time::sleep(MIN_BACKOFF).await;
                 }
                 Err(failure) => {
                     tracing::debug!(%failure, "heartbeat failed");
-                    tokio::time::sleep(HEARTBEAT_RETRY).await;
+                    tokio::time::sleep(MAX_BACKOFF).await;
                 }
             }
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,6 @@
 //! other instances. Both threads write decisions to the [`log`] and count them in [`metric`].
 
 mod attempt;
-pub mod backoff;
 mod carryover;
 mod client;
 mod clock;
