Log the framing, the fault and the incomplete rest of each attempt

Change: attempt ended has framing, incomplete_bytes and fault; the exchange's failure carries the fault. No decision is changed.

--- a/crates/connection/src/head.rs
+++ b/crates/connection/src/head.rs
@@ -3,6 +3,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use strum::IntoStaticStr;
 
 use crate::connection::Fault;
 
@@ -23,7 +24,8 @@
 }
 
 /// How the end of a body is determined.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
 pub enum Framing {
     /// By its length, in bytes.
     Length(u64),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use acacia_connection::{Connection, Fault, Head, KeepAlive, encode_head};
+use acacia_connection::{Connection, Fault, Framing, Head, KeepAlive, encode_head};
 use acacia_platform::upstream::{self, Meaning, Reply};
 use acacia_policy::gateway::{Attempt, Ending, Plan};
 use bytes::Bytes;
@@ -71,21 +71,41 @@
     pub plan: Option<Plan>,
     attempt: Attempt,
     connection: Option<Connection>,
+    /// What was received of the answer.
+    pub progress: Progress,
+}
+
+/// What was received of an answer, for the log.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Progress {
+    /// Framing of the body; none before the head.
+    pub framing: Option<Framing>,
+    /// Bytes after the last whole event, at the end of a stream.
+    pub incomplete_bytes: Option<usize>,
+    /// Why the exchange failed.
+    pub fault: Option<&'static str>,
 }
 
 impl Inflight {
     /// Starts an attempt.
     pub fn new(traffic: Rc<Traffic>, plan: Plan, attempt: Attempt) -> Self {
-        Self { traffic, plan: Some(plan), attempt, connection: None }
+        let progress = Progress::default();
+        Self { traffic, plan: Some(plan), attempt, connection: None, progress }
     }
 
     /// Finishes the attempt and returns the plan; none if it had already finished.
     pub fn finish(&mut self, ending: Ending, instance: Option<&str>) -> Option<Plan> {
         let mut plan = self.plan.take()?;
-        self.traffic.end_attempt(&mut plan, &self.attempt, ending, instance);
+        self.traffic.end_attempt(&mut plan, &self.attempt, ending, instance, self.progress);
         Some(plan)
     }
 
+    /// Finishes an attempt that failed and returns the plan; none if it had already finished.
+    pub fn fail(&mut self, failure: Failure) -> Option<Plan> {
+        self.progress.fault = failure.fault;
+        self.finish(failure.ending, failure.instance.as_deref())
+    }
+
     /// The plan, the attempt and the connection of an unfinished stream.
     pub fn parts(&mut self) -> Option<(&Plan, &Attempt, &mut Connection)> {
         Some((self.plan.as_ref()?, &self.attempt, self.connection.as_mut()?))
@@ -130,7 +150,8 @@
 impl Drop for Inflight {
     fn drop(&mut self) {
         if let Some(mut plan) = self.plan.take() {
-            self.traffic.end_attempt(&mut plan, &self.attempt, Ending::Cancelled, None);
+            let (attempt, progress) = (&self.attempt, self.progress);
+            self.traffic.end_attempt(&mut plan, attempt, Ending::Cancelled, None, progress);
         }
     }
 }
@@ -154,9 +175,7 @@
             let stream = Stream { head, first, inflight, splitter };
             (None, Outcome::Stream(Box::new(stream)))
         }
-        Ok(Err((ending, instance))) => {
-            (inflight.finish(ending, instance.as_deref()), Outcome::None)
-        }
+        Ok(Err(failure)) => (inflight.fail(failure), Outcome::None),
         Err(ending) => (inflight.finish(ending, None), Outcome::None),
     }
 }
@@ -206,8 +225,37 @@
     Stream(Head, Bytes, Splitter),
 }
 
-/// How an exchange failed, and the instance id from the answer, if it gave one.
-type Failure = (Ending, Option<String>);
+/// How an exchange failed.
+#[derive(Debug)]
+pub struct Failure {
+    ending: Ending,
+    /// Instance id from the answer, if it gave one.
+    instance: Option<String>,
+    /// Name of the cause, for the log.
+    fault: Option<&'static str>,
+}
+
+impl Failure {
+    fn new(ending: Ending, instance: Option<String>) -> Self {
+        Self { ending, instance, fault: None }
+    }
+}
+
+impl From<Ending> for Failure {
+    fn from(ending: Ending) -> Self {
+        Self::new(ending, None)
+    }
+}
+
+impl From<Fault> for Failure {
+    fn from(fault: Fault) -> Self {
+        let ending = match fault {
+            Fault::Unacknowledged => Ending::Lost,
+            Fault::Malformed | Fault::Closed | Fault::Reset => Ending::Broken,
+        };
+        Self { ending, instance: None, fault: Some(fault.into()) }
+    }
+}
 
 async fn exchange(
     inflight: &mut Inflight,
@@ -215,23 +263,17 @@
     last_event: Option<Bytes>,
     left: Duration,
 ) -> Result<Received, Failure> {
-    let Some(plan) = inflight.plan.clone() else { return Err((Ending::Cancelled, None)) };
+    let head = request_head(inflight, payload, last_event.as_ref(), left).await?;
+    inflight.progress.framing = Some(head.framing);
     let (traffic, server) = (inflight.traffic.clone(), inflight.attempt.server.clone());
-    let is_unrepeatable = !plan.route.repeat.is_repeatable();
-    let mut headers = payload.headers.clone();
-    let last = last_event.as_ref().and_then(|id| std::str::from_utf8(id).ok());
-    upstream::set_attempt(&mut headers, &plan, &inflight.attempt, left, last);
-    let bytes = encode_head(&payload.method, &payload.target, &headers, payload.body.len());
-    let connection =
-        inflight.connect(is_unrepeatable).await.map_err(|_| (Ending::Unreachable, None))?;
-    let broken = |fault: Fault| (ending_of(fault), None);
-    connection.send(&payload.method, &bytes, &payload.body).await.map_err(broken)?;
-    let head = matching_head(connection, &plan.id).await?;
     let reply = Reply::read(head.status, &head.headers);
     if reply.is_from(&server.id) {
         traffic.gateway.borrow_mut().heard(traffic.now(), &server, reply.notice);
     }
     let instance = reply.instance.map(str::to_owned);
+    let Some((plan, _, connection)) = inflight.parts() else {
+        return Err(Ending::Cancelled.into());
+    };
     match reply.meaning {
         Meaning::NotRun | Meaning::Misdirected => {
             let ending = match reply.meaning {
@@ -241,37 +283,47 @@
             if connection.body(ANSWER_LIMIT).await.is_ok() {
                 inflight.release(&head);
             }
-            Err((ending, instance))
+            Err(Failure::new(ending, instance))
         }
-        Meaning::Unverified => Err((Ending::Broken, instance)),
+        Meaning::Unverified => Err(Failure::new(Ending::Broken, instance)),
         Meaning::Success if plan.route.repeat.is_stream() && head.status.is_success() => {
             first_event(inflight, head, last_event).await
         }
         Meaning::Success | Meaning::Failure => {
-            let body = connection.body(ANSWER_LIMIT).await.map_err(broken)?;
+            let body = connection.body(ANSWER_LIMIT).await?;
             Ok(Received::Whole(head, body))
         }
     }
 }
 
-/// How an attempt ends after a connection fault.
-pub fn ending_of(fault: Fault) -> Ending {
-    match fault {
-        Fault::Unacknowledged => Ending::Lost,
-        Fault::Malformed | Fault::Closed | Fault::Reset => Ending::Broken,
-    }
+/// Sends the request and reads the head of its answer.
+async fn request_head(
+    inflight: &mut Inflight,
+    payload: &Payload,
+    last_event: Option<&Bytes>,
+    left: Duration,
+) -> Result<Head, Failure> {
+    let Some(plan) = inflight.plan.clone() else { return Err(Ending::Cancelled.into()) };
+    let mut headers = payload.headers.clone();
+    let last = last_event.and_then(|id| std::str::from_utf8(id).ok());
+    upstream::set_attempt(&mut headers, &plan, &inflight.attempt, left, last);
+    let bytes = encode_head(&payload.method, &payload.target, &headers, payload.body.len());
+    let is_unrepeatable = !plan.route.repeat.is_repeatable();
+    let connection = inflight.connect(is_unrepeatable).await.map_err(|_| Ending::Unreachable)?;
+    connection.send(&payload.method, &bytes, &payload.body).await?;
+    matching_head(connection, &plan.id).await
 }
 
 /// Reads the answer to the request with this `id`, skipping answers to earlier requests.
 async fn matching_head(connection: &mut Connection, id: &str) -> Result<Head, Failure> {
     for _ in 0..=STALE_ANSWER_LIMIT {
-        let head = connection.head().await.map_err(|fault| (ending_of(fault), None))?;
+        let head = connection.head().await?;
         if Reply::read(head.status, &head.headers).id == Some(id) {
             return Ok(head);
         }
-        connection.body(ANSWER_LIMIT).await.map_err(|fault| (ending_of(fault), None))?;
+        connection.body(ANSWER_LIMIT).await?;
     }
-    Err((Ending::Broken, None))
+    Err(Ending::Broken.into())
 }
 
 /// Waits for the first whole event of a stream.
@@ -283,18 +335,21 @@
     let mut splitter = Splitter::after(last_event);
     loop {
         let Some((_, _, connection)) = inflight.parts() else {
-            return Err((Ending::Cancelled, None));
+            return Err(Ending::Cancelled.into());
         };
-        match connection.chunk().await {
-            Ok(Some(bytes)) => {
+        match connection.chunk().await? {
+            Some(bytes) => {
                 let first = splitter.push(&bytes);
                 if !first.is_empty() {
                     inflight.record_first_byte();
                     return Ok(Received::Stream(head, first, splitter));
                 }
             }
-            Ok(None) => return Ok(Received::Whole(head, splitter.rest())),
-            Err(fault) => return Err((ending_of(fault), None)),
+            None => {
+                let rest = splitter.rest();
+                inflight.progress.incomplete_bytes = Some(rest.len());
+                return Ok(Received::Whole(head, rest));
+            }
         }
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,7 +10,7 @@
 use futures::Stream as FutureStream;
 use futures::stream::unfold;
 
-use crate::attempt::{Inflight, Outcome, Payload, Stream, ending_of, send, with_timeout};
+use crate::attempt::{Failure, Inflight, Outcome, Payload, Stream, send, with_timeout};
 use crate::event::Splitter;
 use crate::request::{Completion, log_sent};
 use crate::traffic::Traffic;
@@ -36,7 +36,7 @@
 enum Next {
     Bytes(Bytes),
     Whole(Bytes),
-    Broken(Ending),
+    Broken(Failure),
 }
 
 impl Relay {
@@ -74,11 +74,12 @@
             Next::Bytes(events) => Ok(Some(events)),
             Next::Whole(rest) => {
                 self.inflight.release(&self.head);
+                self.inflight.progress.incomplete_bytes = Some(rest.len());
                 let plan = self.inflight.finish(Ending::Answered, None);
                 self.completion.record(&self.traffic, plan.as_ref(), "answered");
                 Ok(Some(rest).filter(|rest| !rest.is_empty()))
             }
-            Next::Broken(ending) => match self.inflight.finish(ending, None) {
+            Next::Broken(failure) => match self.inflight.fail(failure) {
                 Some(plan) => self.resume(plan).await,
                 None => Err(Interrupted),
             },
@@ -89,7 +90,7 @@
     async fn read(&mut self) -> Next {
         let splitter = &mut self.splitter;
         let Some((plan, attempt, connection)) = self.inflight.parts() else {
-            return Next::Broken(Ending::Broken);
+            return Next::Broken(Ending::Broken.into());
         };
         let events = async {
             loop {
@@ -101,12 +102,12 @@
                         }
                     }
                     Ok(None) => return Next::Whole(splitter.rest()),
-                    Err(fault) => return Next::Broken(ending_of(fault)),
+                    Err(fault) => return Next::Broken(fault.into()),
                 }
             }
         };
         let read = with_timeout(&self.traffic, plan, attempt, attempt.event_timeout, events).await;
-        read.unwrap_or_else(Next::Broken)
+        read.unwrap_or_else(|ending| Next::Broken(ending.into()))
     }
 
     /// Resumes the stream at another upstream, after the last event that the caller received.
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -6,6 +6,7 @@
 use acacia_policy::Time;
 use acacia_policy::gateway::{Attempt, Ending, Gateway, Plan, View};
 
+use crate::attempt::Progress;
 use crate::clock::Clock;
 use crate::log::{Budget, Kind};
 use crate::metric::Metrics;
@@ -66,6 +67,7 @@
         attempt: &Attempt,
         ending: Ending,
         instance: Option<&str>,
+        progress: Progress,
     ) {
         let now = self.now();
         self.gateway.borrow_mut().ended(now, plan, attempt, ending, instance);
@@ -84,6 +86,9 @@
                 server = &*attempt.server.id,
                 ending = outcome,
                 answered_by = instance,
+                framing = progress.framing.map(<&'static str>::from),
+                incomplete_bytes = progress.incomplete_bytes,
+                fault = progress.fault,
                 verdict = %plan.verdict,
                 after_ms = millis(now.saturating_sub(attempt.sent)),
                 "attempt ended"
