Deliver the events that arrived before a stream broke off

What callers saw: if a stream broke off right after events had arrived, the connection was closed without any of them, and without a head if they were the first ones. Cause: hyper drops what it has buffered for a caller when the response body fails before the next flush. Evidence: stream_cut_delivers_events fails before (no answer) and passes 20 times in a row after. Change: the relay yields once before the error, so that hyper flushes first. It does not wait for a caller that does not read: the stream is broken either way.

--- a/crates/daemon/tests/platform/answer.rs
+++ b/crates/daemon/tests/platform/answer.rs
@@ -13,6 +13,26 @@
     Answer { bytes, end: End::Close }
 }
 
+/// A stream that breaks off at once after some events.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_cut_delivers_events() {
+    let fixture = Fixture::start(1).await;
+    fixture.unregister_engines();
+    let raw = raw::Server::start(|request| {
+        let mut bytes = raw::head(request, "transfer-encoding: chunked\r\n\r\n");
+        bytes.extend(b"f\r\nid: 1\ndata: x\n\n\r\n");
+        Answer { bytes, end: End::Close }
+    })
+    .await;
+    fixture.register(&raw, "llm");
+    for _ in 0..20 {
+        let answer = fixture.answer_of(&raw, "/long/").await;
+        assert!(!answer.is_complete);
+        assert_eq!(answer.event_ids(), [1]);
+    }
+    fixture.stop().await;
+}
+
 /// Incomplete ends of a stream after event 3.
 const INCOMPLETE_ENDS: [&str; 5] =
     ["id: 4\ndata: x 4\n", "id: 4\ndata: x 4", "id: 4\nda", "i", "id: 4\r\ndata: x 4\r\n\r"];
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -58,7 +58,11 @@
             match relay.next().await {
                 Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
                 Ok(None) => None,
-                Err(broken) => Some((Err(broken), None)),
+                Err(broken) => {
+                    // hyper discards what it has not flushed yet when the body fails.
+                    tokio::task::yield_now().await;
+                    Some((Err(broken), None))
+                }
             }
         })
     }
