Treat a stream that ends inside an event as broken off

Cause: the end of a connection was taken for the end of the stream. A body without a length or chunks has no other end, and an engine that fails closes its connection like one that is done; what was left of an event was forwarded, and our own answer got its last chunk. A resumed stream without events was taken for proof that the caller had the last one. Change: the splitter judges the end of each stream. It is broken off inside an event, with any framing, and before the first event if only the connection's end says that it is over; then it is resumed where the route allows, and otherwise the caller's connection is closed without an end. A partial event can no longer be forwarded, as nothing returns it.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 
-use crate::event::Splitter;
+use crate::event::{End, Splitter};
 use crate::traffic::Traffic;
 
 /// Connect timeout. A reachable server accepts within a few milliseconds.
@@ -80,7 +80,7 @@
 pub struct Progress {
     /// Framing of the body; none before the head.
     pub framing: Option<Framing>,
-    /// Bytes after the last whole event, at the end of a stream.
+    /// Bytes of the event inside which a stream was broken off.
     pub incomplete_bytes: Option<usize>,
     /// Why the exchange failed.
     pub fault: Option<&'static str>,
@@ -106,6 +106,20 @@
         self.finish(failure.ending, failure.instance.as_deref())
     }
 
+    /// Judges the end of a stream and returns what follows its last event.
+    ///
+    /// # Errors
+    /// If the upstream broke the stream off.
+    pub fn end_stream(&mut self, head: &Head, splitter: &mut Splitter) -> Result<Bytes, Failure> {
+        match splitter.end(head.framing) {
+            End::Whole(rest) => Ok(rest),
+            End::BrokenOff { incomplete_bytes } => {
+                self.progress.incomplete_bytes = Some(incomplete_bytes);
+                Err(Failure::broken_off())
+            }
+        }
+    }
+
     /// The plan, the attempt and the connection of an unfinished stream.
     pub fn parts(&mut self) -> Option<(&Plan, &Attempt, &mut Connection)> {
         Some((self.plan.as_ref()?, &self.attempt, self.connection.as_mut()?))
@@ -239,6 +253,11 @@
     fn new(ending: Ending, instance: Option<String>) -> Self {
         Self { ending, instance, fault: None }
     }
+
+    fn broken_off() -> Self {
+        let fault = Some("the stream ended inside an event or before its first one");
+        Self { ending: Ending::Broken, instance: None, fault }
+    }
 }
 
 impl From<Ending> for Failure {
@@ -346,8 +365,7 @@
                 }
             }
             None => {
-                let rest = splitter.rest();
-                inflight.progress.incomplete_bytes = Some(rest.len());
+                let rest = inflight.end_stream(&head, &mut splitter)?;
                 return Ok(Received::Whole(head, rest));
             }
         }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -1,5 +1,10 @@
 //! Splits event streams at event boundaries.
+//!
+//! A body without a length or chunks ends with its connection, which an upstream that fails closes
+//! like one that is done. The events then decide: a stream that ends inside an event, or before its
+//! first one, is broken off. A stream that ends inside an event is broken off with any framing.
 
+use acacia_connection::Framing;
 use bytes::{Bytes, BytesMut};
 
 /// Buffers the bytes of an event until it is whole, so that a caller never receives part of an
@@ -8,12 +13,25 @@
 pub struct Splitter {
     buffer: BytesMut,
     last: Option<Bytes>,
+    has_event: bool,
+}
+
+/// How a stream ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum End {
+    /// After a whole event; contains any line breaks after it.
+    Whole(Bytes),
+    /// Inside an event, or possibly before its first event.
+    BrokenOff {
+        /// Bytes of the incomplete event.
+        incomplete_bytes: usize,
+    },
 }
 
 impl Splitter {
     /// A splitter for a stream that resumes after the event with the id `last`.
     pub fn after(last: Option<Bytes>) -> Self {
-        Self { buffer: BytesMut::new(), last }
+        Self { buffer: BytesMut::new(), last, has_event: false }
     }
 
     /// Adds bytes and returns the events that they complete, without those already returned before
@@ -30,9 +48,15 @@
         self.take(events)
     }
 
-    /// Takes the bytes after the last whole event, at the end of the stream.
-    pub fn rest(&mut self) -> Bytes {
-        self.buffer.split().freeze()
+    /// Judges the end of a body with this framing.
+    pub fn end(&mut self, framing: Framing) -> End {
+        let rest = self.buffer.split().freeze();
+        let is_inside_event = rest.iter().any(|byte| !matches!(byte, b'\r' | b'\n'));
+        let is_proven = self.has_event || framing != Framing::Close;
+        if is_inside_event || !is_proven {
+            return End::BrokenOff { incomplete_bytes: rest.len() };
+        }
+        End::Whole(rest)
     }
 
     /// The id of the last event returned.
@@ -49,6 +73,7 @@
             let end = start + first_end(&events[start..]).unwrap_or(events.len() - start);
             let event = events.slice(start..end);
             start = end;
+            self.has_event = true;
             let id = id(&event);
             if let (Some(id), Some(last)) = (&id, &self.last)
                 && !is_after(id, last)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,6 @@
 mod request;
 mod traffic;
 
-pub use event::Splitter;
+pub use event::{End, Splitter};
 pub use instance::Instance;
 pub use process::{check, run};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -34,8 +34,8 @@
 
 /// Result of reading from the upstream.
 enum Next {
-    Bytes(Bytes),
-    Whole(Bytes),
+    Events(Bytes),
+    End,
     Broken(Failure),
 }
 
@@ -75,18 +75,25 @@
             return Ok(None);
         }
         match self.read().await {
-            Next::Bytes(events) => Ok(Some(events)),
-            Next::Whole(rest) => {
-                self.inflight.release(&self.head);
-                self.inflight.progress.incomplete_bytes = Some(rest.len());
-                let plan = self.inflight.finish(Ending::Answered, None);
-                self.completion.record(&self.traffic, plan.as_ref(), "answered");
-                Ok(Some(rest).filter(|rest| !rest.is_empty()))
-            }
-            Next::Broken(failure) => match self.inflight.fail(failure) {
-                Some(plan) => self.resume(plan).await,
-                None => Err(Interrupted),
+            Next::Events(events) => Ok(Some(events)),
+            Next::End => match self.inflight.end_stream(&self.head, &mut self.splitter) {
+                Ok(rest) => {
+                    self.inflight.release(&self.head);
+                    let plan = self.inflight.finish(Ending::Answered, None);
+                    self.completion.record(&self.traffic, plan.as_ref(), "answered");
+                    Ok(Some(rest).filter(|rest| !rest.is_empty()))
+                }
+                Err(failure) => self.recover(failure).await,
             },
+            Next::Broken(failure) => self.recover(failure).await,
+        }
+    }
+
+    /// Resumes the stream after a failure of its upstream, if it can be resumed.
+    async fn recover(&mut self, failure: Failure) -> Result<Option<Bytes>, Interrupted> {
+        match self.inflight.fail(failure) {
+            Some(plan) => self.resume(plan).await,
+            None => Err(Interrupted),
         }
     }
 
@@ -102,10 +109,10 @@
                     Ok(Some(bytes)) => {
                         let events = splitter.push(&bytes);
                         if !events.is_empty() {
-                            return Next::Bytes(events);
+                            return Next::Events(events);
                         }
                     }
-                    Ok(None) => return Next::Whole(splitter.rest()),
+                    Ok(None) => return Next::End,
                     Err(fault) => return Next::Broken(fault.into()),
                 }
             }
@@ -146,9 +153,9 @@
                     return Ok(Some(first));
                 }
                 (Some(given_back), Outcome::None) => plan = given_back,
-                (given_back, Outcome::Whole(head, body)) => {
+                (given_back, Outcome::Whole(head, _)) => {
                     // If the caller already has the last event, the resumed stream is empty.
-                    if head.status.is_success() && body.is_empty() {
+                    if head.status.is_success() {
                         self.completion.record(&self.traffic, given_back.as_ref(), "answered");
                         return Ok(None);
                     }
--- a/crates/gateway/tests/event.rs
+++ b/crates/gateway/tests/event.rs
@@ -2,7 +2,8 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed helper fails the test")]
 
-use acacia_gateway::Splitter;
+use acacia_connection::Framing;
+use acacia_gateway::{End, Splitter};
 use bytes::Bytes;
 
 fn push(splitter: &mut Splitter, text: &str) -> String {
@@ -16,7 +17,7 @@
     assert_eq!(push(&mut splitter, "ta: a\n\nid: 2\ndata: b\n"), "id: 1\ndata: a\n\n");
     assert_eq!(push(&mut splitter, "\n"), "id: 2\ndata: b\n\n");
     assert_eq!(splitter.last_id().unwrap(), "2");
-    assert!(splitter.rest().is_empty());
+    assert_eq!(splitter.end(Framing::Chunked), End::Whole(Bytes::new()));
 }
 
 #[test]
@@ -45,9 +46,47 @@
 }
 
 #[test]
-fn rest_incomplete_event() {
+fn end_incomplete_event() {
+    for framing in [Framing::Close, Framing::Chunked, Framing::Length(20)] {
+        let mut splitter = Splitter::default();
+        push(&mut splitter, "id: 1\n\nid: 2\nda");
+        assert_eq!(splitter.last_id().unwrap(), "1");
+        assert_eq!(splitter.end(framing), End::BrokenOff { incomplete_bytes: 8 });
+    }
+}
+
+#[test]
+fn end_any_cut() {
+    let events =
+        ["id: 1\ndata: a\n\n", "x-weight-versions: 2\nid: 2\r\ndata: b\r\n\r\n", "id: 3\n\n"];
+    let text = events.concat();
+    let boundaries = [events[0].len(), events[0].len() + events[1].len(), text.len()];
+    for cut in 0..=text.len() {
+        let mut splitter = Splitter::default();
+        push(&mut splitter, &text[..cut]);
+        let is_whole = matches!(splitter.end(Framing::Close), End::Whole(_));
+        assert_eq!(is_whole, boundaries.contains(&cut), "cut after {cut} bytes");
+    }
+}
+
+#[test]
+fn end_without_event() {
+    let empty = End::BrokenOff { incomplete_bytes: 0 };
+    assert_eq!(Splitter::default().end(Framing::Close), empty);
+    assert_eq!(Splitter::default().end(Framing::Chunked), End::Whole(Bytes::new()));
+}
+
+/// An upstream that sends the caller's last event again is at the end of the stream.
+#[test]
+fn end_resumed_at_last_event() {
+    let mut splitter = Splitter::after(Some(Bytes::from("2")));
+    assert_eq!(push(&mut splitter, "id: 2\ndata: b\n\n"), "");
+    assert_eq!(splitter.end(Framing::Close), End::Whole(Bytes::new()));
+}
+
+#[test]
+fn end_line_breaks_after_last_event() {
     let mut splitter = Splitter::default();
-    push(&mut splitter, "id: 1\n\nid: 2\nda");
-    assert_eq!(splitter.last_id().unwrap(), "1");
-    assert_eq!(splitter.rest(), "id: 2\nda");
+    push(&mut splitter, "id: 1\n\n\r\n");
+    assert_eq!(splitter.end(Framing::Close), End::Whole(Bytes::from("\r\n")));
 }
