Reset a caller's connection when an answer without chunks is broken off

What callers saw: a caller of HTTP/1.0 got a stream that was broken off as a complete one, as for it the answer ends with the connection. Cause: the connection was closed like one whose answer is complete. Evidence: stream_http_1_0_broken_off_resets fails before (a clean end after event 3) and passes after; the same test gets a whole stream with a clean end. Change: from the request on, the connection of such a caller is set to be reset when it is closed, and hyper's shutdown after a complete answer clears that. Callers of HTTP/1.1 get chunks and are not affected.

--- a/crates/daemon/tests/platform/answer.rs
+++ b/crates/daemon/tests/platform/answer.rs
@@ -172,3 +172,26 @@
     }
     fixture.stop().await;
 }
+
+/// A caller of HTTP/1.0 gets no chunks: the end of its connection is the end of its answer, unless
+/// it is a reset.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_http_1_0_broken_off_resets() {
+    let fixture = Fixture::start(1).await;
+    fixture.unregister_engines();
+    for (last, is_whole) in [(8, true), (3, false)] {
+        let rest = if is_whole { "" } else { "id: 4\n" };
+        let raw = raw::Server::start(move |request| broken_off(request, last, rest)).await;
+        fixture.register(&raw, "llm");
+        fixture.answer_of(&raw, "/long/").await;
+        let mut received = Vec::new();
+        let ended = fixture.send_http_1_0("/long/", &mut received).await;
+        assert_eq!(ended.is_ok(), is_whole, "{ended:?}");
+        if is_whole {
+            let text = String::from_utf8(received).unwrap();
+            assert!(text.starts_with("HTTP/1.0 200 OK\r\n") && text.ends_with(" 8\n\n"), "{text}");
+        }
+        fixture.unregister(&raw);
+    }
+    fixture.stop().await;
+}
--- a/crates/daemon/tests/platform/fixture.rs
+++ b/crates/daemon/tests/platform/fixture.rs
@@ -1,6 +1,7 @@
 //! A small deployment of stand-in platform services and `acaciad` processes.
 
 use std::fs;
+use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -15,6 +16,8 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::raw;
 
@@ -174,6 +177,17 @@
         answer.unwrap()
     }
 
+    /// Sends a prompt in HTTP/1.0 to the first instance and reads until the connection ends.
+    pub async fn send_http_1_0(&self, path: &str, received: &mut Vec<u8>) -> io::Result<usize> {
+        let mut stream = TcpStream::connect(self.address(0)).await?;
+        let mut head = format!("POST {path} HTTP/1.0\r\ncontent-length: 1\r\n");
+        for (name, value) in self.prompt("old", 1) {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        stream.write_all(format!("{head}\r\nx").as_bytes()).await?;
+        stream.read_to_end(received).await
+    }
+
     /// Headers of a request.
     pub fn headers(&self, id: &str) -> Vec<(&'static str, String)> {
         vec![
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod relay;
 pub mod replica;
 mod request;
+mod socket;
 mod traffic;
 
 pub use event::{End, Splitter};
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -1,12 +1,13 @@
 //! Listeners for callers, readiness probes and metrics.
 
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use acacia_platform::ingress::READY_PATH;
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, StatusCode, Version};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -14,6 +15,7 @@
 use tokio::sync::watch;
 
 use crate::request::{handle, plain};
+use crate::socket::{Closing, Socket};
 use crate::traffic::{Phase, Traffic};
 
 /// Pause after a failed accept, so that a lack of file descriptors causes no busy loop.
@@ -65,18 +67,25 @@
     }
     let view = traffic.gateway.borrow().view().cloned();
     let limits = view.map(|view| view.configuration.limits.clone()).unwrap_or_default();
-    let service = service_fn(|request| handle(traffic.clone(), request));
+    let closing = Rc::new(Cell::new(Closing::Plain));
+    let socket = Socket::new(stream, closing.clone());
+    let service = service_fn(|request| {
+        if request.version() < Version::HTTP_11 {
+            closing.set(Closing::Requested);
+        }
+        handle(traffic.clone(), request)
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // hyper includes the idle time between requests in the time for reading a head.
         .header_read_timeout(limits.idle_time.max(limits.head_time))
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
-    let closing = phase.wait_for(|phase| *phase == Phase::Closing);
+    let stopping = phase.wait_for(|phase| *phase == Phase::Closing);
     tokio::select! {
         ended = connection.as_mut() => return log_end(ended),
-        _ = closing => connection.as_mut().graceful_shutdown(),
+        _ = stopping => connection.as_mut().graceful_shutdown(),
     }
     log_end(connection.await);
 }
