Soak: streams that end with their connection, and cut answers as violations

Its engines always sent chunks, and its oracle took an answer that lacks its last events for one that was broken off, even if it was framed as complete. Bodies of plain answers were not compared at all. Change: a proxy mode that makes an engine's streams end with their connection, as a fault of its own while the engine interrupts streams; a complete answer that lacks events or bytes is a wrong answer. The check is stricter than before, and no other is changed.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -58,11 +58,14 @@
     ServerLeaving,
     /// A server refuses requests and asks for a pause.
     ServerPaused,
+    /// A model engine's streams end with their connection, and it interrupts them.
+    StreamsBreakUntilClose,
 }
 
 /// Kinds that were added after seeds had been recorded; they are drawn separately, so that the
 /// other faults of a seed stay the same.
-const LATER_KINDS: [Kind; 3] = [Kind::StoreRestored, Kind::ServerLeaving, Kind::ServerPaused];
+const LATER_KINDS: [Kind; 4] =
+    [Kind::StoreRestored, Kind::ServerLeaving, Kind::ServerPaused, Kind::StreamsBreakUntilClose];
 
 impl Kind {
     /// Whether it is a planned change by operators, which must not lose requests.
--- a/crates/soak/src/fixture.rs
+++ b/crates/soak/src/fixture.rs
@@ -146,6 +146,11 @@
         &self.servers[SERVERS_PER_KIND..]
     }
 
+    /// Proxies in front of the model engines.
+    pub fn engine_proxies(&self) -> &[Proxy] {
+        &self.proxies[SERVERS_PER_KIND..]
+    }
+
     /// A server, modulo their count.
     pub fn server(&self, target: usize) -> &server::Handle {
         &self.servers[target % self.servers.len()]
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -33,8 +33,8 @@
 /// A violated guarantee.
 #[derive(Clone, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Violation {
-    /// A caller received an answer that is not its own.
-    #[strum(to_string = "{0} got the answer of another request: {1}")]
+    /// A caller received an answer that is not its own, or a cut one that is framed as complete.
+    #[strum(to_string = "{0} got a wrong answer: {1}")]
     WrongAnswer(String, String),
     /// A request that must run at most once ran more often.
     #[strum(to_string = "{0} ran {1} times")]
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -14,6 +14,10 @@
 /// Most bytes forwarded at a time.
 const BUFFER_BYTES: usize = 16 << 10;
 
+/// End of the first line of a request.
+const VERSION: &[u8] = b" HTTP/1.1\r\n";
+const LOWER_VERSION: &[u8] = b" HTTP/1.0\r\n";
+
 /// A proxy in front of one server; dropping it resets all connections.
 pub struct Proxy {
     /// Address that it listens on.
@@ -37,6 +41,9 @@
     Stall,
     /// New connections are reset.
     Refuse,
+    /// Requests are forwarded as HTTP/1.0, which has no chunks: an answer without a length ends with
+    /// its connection.
+    UntilClose,
 }
 
 /// Sender of bytes.
@@ -138,6 +145,14 @@
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
+/// Changes the version of the request that begins in these bytes, if one does.
+fn lower_version(bytes: &mut [u8]) {
+    let end = bytes.windows(VERSION.len()).position(|window| window == VERSION);
+    if let Some(at) = end {
+        bytes[at..at + VERSION.len()].copy_from_slice(LOWER_VERSION);
+    }
+}
+
 /// Forwards bytes until their sender closes the connection.
 async fn forward(
     mut from: OwnedReadHalf,
@@ -148,8 +163,11 @@
     let mut buffer = vec![0; BUFFER_BYTES];
     while let Ok(count @ 1..) = from.read(&mut buffer).await {
         let released = modes.wait_for(|mode| mode.wait(sender).is_some()).await;
-        let wait = released.map_or(None, |mode| mode.wait(sender)).unwrap_or_default();
-        tokio::time::sleep(wait).await;
+        let mode = released.map_or(Mode::Pass, |mode| *mode);
+        tokio::time::sleep(mode.wait(sender).unwrap_or_default()).await;
+        if mode == Mode::UntilClose && sender == Sender::Caller {
+            lower_version(&mut buffer[..count]);
+        }
         if to.write_all(&buffer[..count]).await.is_err() {
             return;
         }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -215,14 +215,14 @@
             Kind::ServerOneWay => set_during(proxy, Mode::StallServer, fault).await,
             Kind::ServerSlow => set_during(proxy, Mode::Delay(SLOW_DELAY), fault).await,
             Kind::ServerReset => proxy.reset(),
-            Kind::StreamsBreak => {
-                let engines = self.fixture.engines();
-                let engine = &engines[fault.target % engines.len()];
-                let break_streams =
-                    |times| StandinFault::BrokenStream { token: BREAK_EVENT, times };
-                engine.fault(break_streams(None))?;
-                tokio::time::sleep(fault.length).await;
-                engine.fault(break_streams(Some(0)))?;
+            Kind::StreamsBreak => self.break_streams(fault).await?,
+            Kind::StreamsBreakUntilClose => {
+                let proxies = self.fixture.engine_proxies();
+                let proxy = &proxies[fault.target % proxies.len()];
+                proxy.set(Mode::UntilClose);
+                let broken = self.break_streams(fault).await;
+                proxy.set(Mode::Pass);
+                broken?;
             }
             Kind::ServerLeaving => {
                 let server = self.fixture.server(fault.target);
@@ -243,6 +243,15 @@
         Ok(())
     }
 
+    /// Makes an engine interrupt its streams.
+    async fn break_streams(&self, fault: Fault) -> Result<(), Unsupported> {
+        let engines = self.fixture.engines();
+        let engine = &engines[fault.target % engines.len()];
+        engine.fault(StandinFault::BrokenStream { token: BREAK_EVENT, times: None })?;
+        tokio::time::sleep(fault.length).await;
+        engine.fault(StandinFault::BrokenStream { token: BREAK_EVENT, times: Some(0) })
+    }
+
     /// Announces newer weights.
     fn announce_weights(&self) {
         let version = self.weights_version.fetch_add(1, Ordering::Relaxed) + 1;
--- a/crates/soak/tests/proxy.rs
+++ b/crates/soak/tests/proxy.rs
@@ -73,3 +73,17 @@
     let mut other = TcpStream::connect(proxy.address).await.unwrap();
     assert!(read(&mut other).await.is_err());
 }
+
+#[tokio::test]
+async fn until_close_lowers_version() {
+    let (proxy, mut caller, mut server) = pair().await;
+    proxy.set(Mode::UntilClose);
+    caller.write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").await.unwrap();
+    let mut received = [0; 27];
+    server.read_exact(&mut received).await.unwrap();
+    assert_eq!(&received, b"GET / HTTP/1.0\r\nhost: x\r\n\r\n");
+    server.write_all(b" HTTP/1.1\r\n").await.unwrap();
+    let mut answer = [0; 11];
+    caller.read_exact(&mut answer).await.unwrap();
+    assert_eq!(&answer, b" HTTP/1.1\r\n");
+}
--- a/crates/standin/src/platform/caller.rs
+++ b/crates/standin/src/platform/caller.rs
@@ -193,11 +193,12 @@
             Err(error) => return (Ending::Broken(error.to_string()), first),
         }
     }
+    let text = String::from_utf8_lossy(&body);
     let ending = match request.operation {
-        Operation::Prompt { output, .. } => {
-            check_events(&String::from_utf8_lossy(&body), request, output)
-        }
-        _ => Ending::Complete,
+        Operation::Prompt { output, .. } => check_events(&text, request, output),
+        // The server names the request and the length of its body.
+        Operation::Read => check_body(&text, "GET /read/x 0"),
+        Operation::Charge => check_body(&text, "POST /charge/x 0"),
     };
     match request.operation {
         Operation::Prompt { .. } => (ending, first),
@@ -205,6 +206,14 @@
     }
 }
 
+/// Checks the body of a plain answer.
+fn check_body(body: &str, expected: &str) -> Ending {
+    if body == expected {
+        return Ending::Complete;
+    }
+    Ending::Wrong(format!("unexpected body {body:?}"))
+}
+
 /// Checks that a stream has each event of this request once and in order.
 fn check_events(body: &str, request: &Request, output: u32) -> Ending {
     let events: Vec<&str> = body.split_terminator("\n\n").collect();
@@ -212,7 +221,9 @@
     let wrong = (1..).zip(&events).find(|(number, event)| ***event != expected(*number));
     match wrong {
         Some((_, event)) => Ending::Wrong(format!("unexpected event {event:?}")),
-        None if events.len() < output as usize => Ending::Broken("events are missing".to_owned()),
+        None if events.len() < output as usize => {
+            Ending::Wrong("a complete answer lacks its last events".to_owned())
+        }
         None if events.len() > output as usize => {
             Ending::Wrong("there are surplus events".to_owned())
         }
