Limit interim responses of an upstream

What callers saw: nothing yet, found by a test for answers without end. An upstream that sends interim responses without end kept a request until its deadline and the instance's processor busy. Cause: interim responses were skipped without a limit; all other endless heads were limited. Evidence: head_endless fails before on these (504 at the deadline) and passes after with 502; its other three heads passed before. Change: the seventeenth interim response makes the exchange fail as malformed.

--- a/crates/connection/src/connection.rs
+++ b/crates/connection/src/connection.rs
@@ -19,6 +19,8 @@
 const READ_BYTES: usize = 8 << 10;
 /// Maximum size of a response head.
 const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Maximum number of interim responses before a response.
+const MAX_INTERIM_RESPONSES: usize = 16;
 
 /// Why an exchange failed.
 #[derive(Clone, Copy, Debug, Display, Eq, Error, IntoStaticStr, PartialEq)]
@@ -154,12 +156,19 @@
     /// Reads the head of the response and skips interim responses.
     ///
     /// # Errors
-    /// If the connection ends before the head does, or if the head is malformed.
+    /// If the connection ends before the head does, if the head is malformed, or after too many
+    /// interim responses.
     pub async fn head(&mut self) -> Result<Head, Fault> {
+        let mut interim_responses = 0;
         loop {
             match Head::parse(&mut self.buffer, &self.method)? {
                 Some(head) if head.status == 101 => return Err(Fault::Malformed),
-                Some(head) if head.status.is_informational() => {}
+                Some(head) if head.status.is_informational() => {
+                    interim_responses += 1;
+                    if interim_responses > MAX_INTERIM_RESPONSES {
+                        return Err(Fault::Malformed);
+                    }
+                }
                 Some(head) => {
                     self.body = Decoder::new(head.framing);
                     self.can_reuse &= head.keeps_alive;
--- a/crates/connection/tests/exchange.rs
+++ b/crates/connection/tests/exchange.rs
@@ -153,6 +153,15 @@
     assert!(connection.is_reusable());
 }
 
+#[tokio::test]
+async fn head_too_many_interim_responses() {
+    let interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    let text = format!("{}HTTP/1.1 204 No Content\r\n\r\n", interim.repeat(17));
+    assert_eq!(exchange_once(&text, End::Keep).await.0, Err(Fault::Malformed));
+    let text = format!("{}HTTP/1.1 204 No Content\r\n\r\n", interim.repeat(16));
+    assert_eq!(exchange_once(&text, End::Keep).await.0, Ok((204, Bytes::new())));
+}
+
 #[tokio::test]
 async fn send_early_response() {
     let early = b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n".to_vec();
--- a/crates/daemon/tests/platform/answer.rs
+++ b/crates/daemon/tests/platform/answer.rs
@@ -1,6 +1,6 @@
 //! Answers that are broken off or malformed, from upstreams that send given bytes.
 
-use crate::fixture::{self, Fixture, call};
+use crate::fixture::Fixture;
 use crate::raw::{self, Answer, End, Request};
 
 /// A stream without a length that is broken off after the given event and these bytes.
@@ -146,9 +146,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn plain_until_close_reset() {
     let fixture = Fixture::start(1).await;
-    for service in &fixture.services {
-        fixture.store.remove(&format!("servers/{}", service.id()));
-    }
+    fixture.unregister_services();
     for (end, status) in [(End::Close, 200), (End::Reset, 502)] {
         let raw = raw::Server::start(move |request| {
             let mut bytes = raw::head(request, "\r\n");
@@ -157,15 +155,7 @@
         })
         .await;
         fixture.register(&raw, "app");
-        let path = "/charge/";
-        let mut answer = None;
-        fixture::eventually("the raw server is used", async || {
-            let headers = fixture.headers("p");
-            answer = Some(call(fixture.address(0), "POST", path, &headers, b"x").await);
-            !raw.requests().is_empty()
-        })
-        .await;
-        let answer = answer.unwrap();
+        let answer = fixture.answer_of(&raw, "/charge/").await;
         assert_eq!(answer.status, status);
         assert_eq!(&*answer.body == b"hello", status == 200);
         fixture.unregister(&raw);
@@ -195,3 +185,28 @@
     }
     fixture.stop().await;
 }
+
+/// Bytes that an answer without an end may bring before it is given up, with what sockets buffer.
+const ENDLESS_BYTES: u64 = 24 << 20;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn head_endless() {
+    let fixture = Fixture::start(1).await;
+    fixture.unregister_services();
+    for (start, repeated) in [
+        ("HTTP/1.1 200 OK\r\n", "x-more: x\r\n"),
+        ("HTTP/1.1 200 OK\r\nx-long: ", "xxxxxxxx"),
+        ("", "HTTP/1.1 103 Early Hints\r\n\r\n"),
+        ("", "\r\n"),
+    ] {
+        let raw =
+            raw::Server::start(move |_| Answer { bytes: start.into(), end: End::Repeat(repeated) })
+                .await;
+        fixture.register(&raw, "app");
+        let answer = fixture.answer_of(&raw, "/charge/").await;
+        assert_eq!(answer.status, 502, "{start:?} {repeated:?}");
+        assert!(raw.sent_bytes() < ENDLESS_BYTES, "{}", raw.sent_bytes());
+        fixture.unregister(&raw);
+    }
+    fixture.stop().await;
+}
--- a/crates/daemon/tests/platform/fixture.rs
+++ b/crates/daemon/tests/platform/fixture.rs
@@ -23,6 +23,8 @@
 
 /// Timeout of waits in tests; not a bound on the system's behaviour.
 const TIMEOUT: Duration = Duration::from_secs(30);
+/// Deadline of requests to raw upstreams, some of which never end their answers.
+const RAW_DEADLINE_MS: u32 = 1_500;
 /// Events per stream.
 const EVENTS: u32 = 8;
 /// Concurrent requests per server.
@@ -154,22 +156,31 @@
 
     /// Removes an upstream that sends given bytes.
     pub fn unregister(&self, raw: &raw::Server) {
-        self.store.remove(&format!("servers/{}", raw.id));
+        self.unregister_id(&raw.id);
     }
 
     /// Removes the engines.
     pub fn unregister_engines(&self) {
-        for engine in &self.engines {
-            self.store.remove(&format!("servers/{}", engine.id()));
-        }
+        self.engines.iter().for_each(|engine| self.unregister_id(engine.id()));
+    }
+
+    /// Removes the plain services.
+    pub fn unregister_services(&self) {
+        self.services.iter().for_each(|service| self.unregister_id(service.id()));
+    }
+
+    fn unregister_id(&self, id: &str) {
+        self.store.remove(&format!("servers/{id}"));
     }
 
-    /// Sends prompts to `path` until one reaches the upstream, and returns its answer.
+    /// Sends requests to `path` until one reaches the upstream, and returns its answer.
     pub async fn answer_of(&self, raw: &raw::Server, path: &str) -> Answer {
         let before = raw.requests().len();
         let mut answer = None;
         eventually("the raw upstream gets a request", async || {
-            let headers = self.prompt("raw-prompt", 1);
+            let mut headers = self.prompt("raw-prompt", 1);
+            headers.retain(|(name, _)| *name != "x-deadline-ms");
+            headers.push(("x-deadline-ms", RAW_DEADLINE_MS.to_string()));
             answer = Some(call(self.address(0), "POST", path, &headers, b"x").await);
             raw.requests().len() > before
         })
--- a/crates/daemon/tests/platform/raw.rs
+++ b/crates/daemon/tests/platform/raw.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use acacia_standin::platform::document::MODEL;
@@ -12,11 +12,15 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 
+/// Size of one write of an answer that repeats.
+const REPEATED_BYTES: usize = 16 << 10;
+
 /// A running upstream.
 pub struct Server {
     pub id: String,
     address: SocketAddr,
     requests: Arc<Mutex<Vec<Request>>>,
+    sent_bytes: Arc<AtomicU64>,
     task: JoinHandle<()>,
 }
 
@@ -37,12 +41,16 @@
 }
 
 /// What follows the first bytes of an answer.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub enum End {
     /// The connection is closed.
     Close,
     /// The connection is reset.
     Reset,
+    /// Nothing, until the caller closes the connection.
+    Silence,
+    /// These bytes, again and again until the caller closes the connection.
+    Repeat(&'static str),
 }
 
 impl Server {
@@ -53,15 +61,16 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let requests = Arc::<Mutex<Vec<Request>>>::default();
-        let seen = requests.clone();
+        let sent_bytes = Arc::<AtomicU64>::default();
+        let (seen, sent) = (requests.clone(), sent_bytes.clone());
         let respond = Arc::new(respond);
         let task = tokio::spawn(async move {
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
-                tokio::spawn(serve(stream, respond.clone(), seen.clone()));
+                tokio::spawn(serve(stream, respond.clone(), seen.clone(), sent.clone()));
             }
         });
-        Self { id, address, requests, task }
+        Self { id, address, requests, sent_bytes, task }
     }
 
     /// Requests received so far.
@@ -69,6 +78,11 @@
         self.requests.lock().clone()
     }
 
+    /// Bytes that callers took, of answers that repeat.
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent_bytes.load(Ordering::Relaxed)
+    }
+
     /// The entry of the upstream in the metadata store, as an engine or a plain service.
     pub fn entry(&self, service: &str) -> Value {
         let mut entry = json!({
@@ -103,6 +117,7 @@
     mut stream: TcpStream,
     respond: Arc<impl Fn(&Request) -> Answer>,
     seen: Arc<Mutex<Vec<Request>>>,
+    sent: Arc<AtomicU64>,
 ) {
     let Some(request) = read_request(&mut stream).await else { return };
     // Calls of the instance itself, such as for a report.
@@ -123,6 +138,15 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
             socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
         }
+        End::Silence => {
+            let _ = stream.read(&mut [0]).await;
+        }
+        End::Repeat(text) => {
+            let bytes = text.repeat(REPEATED_BYTES / text.len());
+            while stream.write_all(bytes.as_bytes()).await.is_ok() {
+                sent.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+            }
+        }
     }
 }
 
