Count a refusal from its head, whatever its body does

What callers saw: nothing yet, found by a test for answers without end. If the body of an upstream's refusal stalled or had no end, the request waited until its deadline and was answered 504, as if it might have run, although the head had said that it was not run. Cause: the attempt read the whole body, up to 16 MiB, before it recorded the refusal. Answers to other requests were read to their end in the same way. Evidence: refusal_without_end fails before (504 at the deadline) and passes after (503). Change: the body of a refusal is skipped for 50 ms and 256 KiB at most, and an answer to another request for 256 KiB; after that the connection is closed instead of being kept.

--- a/crates/connection/src/connection.rs
+++ b/crates/connection/src/connection.rs
@@ -223,6 +223,21 @@
         Ok(body.freeze())
     }
 
+    /// Skips the rest of the response body.
+    ///
+    /// # Errors
+    /// As [`Connection::chunk`], and if the body exceeds `max_bytes`.
+    pub async fn discard(&mut self, max_bytes: usize) -> Result<(), Fault> {
+        let mut skipped = 0;
+        while let Some(chunk) = self.chunk().await? {
+            skipped += chunk.len();
+            if skipped > max_bytes {
+                return Err(Fault::Malformed);
+            }
+        }
+        Ok(())
+    }
+
     /// Whether another request may follow: the exchange is complete and no bytes are left over.
     pub fn is_reusable(&self) -> bool {
         self.can_reuse && self.body == Decoder::Done && self.buffer.is_empty()
--- a/crates/connection/tests/exchange.rs
+++ b/crates/connection/tests/exchange.rs
@@ -162,6 +162,19 @@
     assert_eq!(exchange_once(&text, End::Keep).await.0, Ok((204, Bytes::new())));
 }
 
+#[tokio::test]
+async fn discard_within_limit() {
+    let text = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
+    for (max_bytes, skipped) in [(5, Ok(())), (4, Err(Fault::Malformed))] {
+        let mut connection =
+            connect(start_peer(vec![text.as_bytes().to_vec()], End::Keep).await).await;
+        let head = encode_head(&Method::GET, "/", &HeaderMap::new(), 0);
+        connection.send(&Method::GET, &head, &Bytes::new()).await.unwrap();
+        connection.head().await.unwrap();
+        assert_eq!(connection.discard(max_bytes).await, skipped);
+    }
+}
+
 #[tokio::test]
 async fn send_early_response() {
     let early = b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n".to_vec();
--- a/crates/daemon/tests/platform/answer.rs
+++ b/crates/daemon/tests/platform/answer.rs
@@ -210,3 +210,23 @@
     }
     fixture.stop().await;
 }
+
+/// The head of a refusal says that the request was not run; its body adds nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_without_end() {
+    let fixture = Fixture::start(1).await;
+    fixture.unregister_services();
+    for end in [End::Silence, End::Repeat("xxxxxxxx")] {
+        let raw = raw::Server::start(move |request| {
+            let fields = "x-not-executed: 1\r\ntransfer-encoding: chunked\r\n\r\nfffffff\r\n";
+            let head = String::from_utf8(raw::head(request, fields)).unwrap();
+            Answer { bytes: head.replacen("200 OK", "503 Busy", 1).into_bytes(), end }
+        })
+        .await;
+        fixture.register(&raw, "app");
+        let answer = fixture.answer_of(&raw, "/charge/").await;
+        assert_eq!(answer.status, 503, "{end:?}");
+        fixture.unregister(&raw);
+    }
+    fixture.stop().await;
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -25,6 +25,10 @@
 };
 /// Size limit of a buffered answer, in bytes.
 const ANSWER_LIMIT: usize = 16 << 20;
+/// Size limit of a skipped body, in bytes. A connection is closed instead of reading more.
+const DISCARD_LIMIT: usize = 256 << 10;
+/// Longest wait for the rest of a refusal. A longer one costs more than another connection.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
 /// Answers to earlier requests that are skipped on one connection.
 const STALE_ANSWER_LIMIT: usize = 2;
 
@@ -299,7 +303,8 @@
                 Meaning::NotRun => Ending::Refused,
                 _ => Ending::Misdirected,
             };
-            if connection.body(ANSWER_LIMIT).await.is_ok() {
+            let rest = tokio::time::timeout(DISCARD_TIMEOUT, connection.discard(DISCARD_LIMIT));
+            if matches!(rest.await, Ok(Ok(()))) {
                 inflight.release(&head);
             }
             Err(Failure::new(ending, instance))
@@ -340,7 +345,7 @@
         if Reply::read(head.status, &head.headers).id == Some(id) {
             return Ok(head);
         }
-        connection.body(ANSWER_LIMIT).await?;
+        connection.discard(DISCARD_LIMIT).await?;
     }
     Err(Ending::Broken.into())
 }
