Limit the size of an event that an upstream has not ended

What callers saw: nothing yet, found by a test for answers without end. A stream whose event never ends was kept in memory until the request's deadline; a few of them at once could end the process. Cause: the splitter buffered an event without a limit, and searched all of it again for each read. Evidence: stream_endless_event fails before (504 at the deadline) and passes after; push_oversized_event. Change: an event of over 256 KiB breaks the stream off. Bytes are searched once.

--- a/crates/daemon/tests/platform/answer.rs
+++ b/crates/daemon/tests/platform/answer.rs
@@ -230,3 +230,22 @@
     }
     fixture.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_endless_event() {
+    let fixture = Fixture::start(1).await;
+    fixture.unregister_engines();
+    for fields in ["\r\n", "content-length: 99999999999\r\n\r\nid: 1\n\n"] {
+        let raw = raw::Server::start(move |request| Answer {
+            bytes: raw::head(request, fields),
+            end: End::Repeat("data: x\n"),
+        })
+        .await;
+        fixture.register(&raw, "llm");
+        let answer = fixture.answer_of(&raw, "/long/").await;
+        assert!(answer.status == 502 || !answer.is_complete, "{}", answer.status);
+        assert!(raw.sent_bytes() < ENDLESS_BYTES, "{}", raw.sent_bytes());
+        fixture.unregister(&raw);
+    }
+    fixture.stop().await;
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 
-use crate::event::{End, Splitter};
+use crate::event::{End, Oversized, Splitter};
 use crate::traffic::Traffic;
 
 /// Connect timeout. A reachable server accepts within a few milliseconds.
@@ -280,6 +280,13 @@
     }
 }
 
+impl From<Oversized> for Failure {
+    fn from(_: Oversized) -> Self {
+        let fault = Some("an event of the stream exceeds the size limit");
+        Self { ending: Ending::Broken, instance: None, fault }
+    }
+}
+
 async fn exchange(
     inflight: &mut Inflight,
     payload: &Payload,
@@ -363,7 +370,7 @@
         };
         match connection.chunk().await? {
             Some(bytes) => {
-                let first = splitter.push(&bytes);
+                let first = splitter.push(&bytes)?;
                 if !first.is_empty() {
                     inflight.record_first_byte();
                     return Ok(Received::Stream(head, first, splitter));
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -7,15 +7,26 @@
 use acacia_connection::Framing;
 use bytes::{Bytes, BytesMut};
 
+/// Size limit of an event, in bytes.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// Buffers the bytes of an event until it is whole, so that a caller never receives part of an
 /// event that its upstream did not complete.
 #[derive(Debug, Default)]
 pub struct Splitter {
+    /// Begins with an incomplete event, all of whose bytes have been searched for its end.
     buffer: BytesMut,
+    /// Start of the last line in the buffer.
+    line: usize,
     last: Option<Bytes>,
     has_event: bool,
 }
 
+/// An event exceeds the size limit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("an event exceeds the size limit of {MAX_EVENT_BYTES} bytes")]
+pub struct Oversized;
+
 /// How a stream ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum End {
@@ -31,26 +42,51 @@
 impl Splitter {
     /// A splitter for a stream that resumes after the event with the id `last`.
     pub fn after(last: Option<Bytes>) -> Self {
-        Self { buffer: BytesMut::new(), last, has_event: false }
+        Self { last, ..Self::default() }
     }
 
     /// Adds bytes and returns the events that they complete, without those already returned before
     /// a resumption.
-    pub fn push(&mut self, bytes: &Bytes) -> Bytes {
-        if self.buffer.is_empty() {
-            let end = last_end(bytes);
+    ///
+    /// # Errors
+    /// If an event exceeds the size limit.
+    pub fn push(&mut self, bytes: &Bytes) -> Result<Bytes, Oversized> {
+        let searched = self.buffer.len();
+        let events = if searched == 0 {
+            let end = self.search(bytes, 0);
             self.buffer.extend_from_slice(&bytes[end..]);
-            return self.take(bytes.slice(..end));
+            bytes.slice(..end)
+        } else {
+            let mut buffer = std::mem::take(&mut self.buffer);
+            buffer.extend_from_slice(bytes);
+            let end = self.search(&buffer, searched);
+            let events = buffer.split_to(end).freeze();
+            self.buffer = buffer;
+            events
+        };
+        if self.buffer.len() > MAX_EVENT_BYTES {
+            return Err(Oversized);
         }
-        self.buffer.extend_from_slice(bytes);
-        let end = last_end(&self.buffer);
-        let events = self.buffer.split_to(end).freeze();
-        self.take(events)
+        Ok(self.take(events))
+    }
+
+    /// Finds the end of the last whole event in `bytes`, which were searched up to `searched`.
+    fn search(&mut self, bytes: &[u8], searched: usize) -> usize {
+        let mut end = 0;
+        for at in (searched..bytes.len()).filter(|at| bytes[*at] == b'\n') {
+            let line = &bytes[self.line..at];
+            if matches!(line, b"" | b"\r") && self.line > end {
+                end = at + 1;
+            }
+            self.line = at + 1;
+        }
+        self.line -= end;
+        end
     }
 
     /// Judges the end of a body with this framing.
     pub fn end(&mut self, framing: Framing) -> End {
-        let rest = self.buffer.split().freeze();
+        let rest = std::mem::take(&mut self.buffer).freeze();
         let is_inside_event = rest.iter().any(|byte| !matches!(byte, b'\r' | b'\n'));
         let is_proven = self.has_event || framing != Framing::Close;
         if is_inside_event || !is_proven {
@@ -99,15 +135,6 @@
     }
 }
 
-/// End of the last whole event in `bytes`.
-fn last_end(bytes: &[u8]) -> usize {
-    let mut end = 0;
-    while let Some(next) = first_end(&bytes[end..]) {
-        end += next;
-    }
-    end
-}
-
 /// End of the first event, after its empty line; none if it is incomplete.
 fn first_end(bytes: &[u8]) -> Option<usize> {
     let mut line = 0;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,6 @@
 mod socket;
 mod traffic;
 
-pub use event::{End, Splitter};
+pub use event::{End, Oversized, Splitter};
 pub use instance::Instance;
 pub use process::{check, run};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -106,12 +106,11 @@
         let events = async {
             loop {
                 match connection.chunk().await {
-                    Ok(Some(bytes)) => {
-                        let events = splitter.push(&bytes);
-                        if !events.is_empty() {
-                            return Next::Events(events);
-                        }
-                    }
+                    Ok(Some(bytes)) => match splitter.push(&bytes) {
+                        Ok(events) if events.is_empty() => {}
+                        Ok(events) => return Next::Events(events),
+                        Err(oversized) => return Next::Broken(oversized.into()),
+                    },
                     Ok(None) => return Next::End,
                     Err(fault) => return Next::Broken(fault.into()),
                 }
--- a/crates/gateway/tests/event.rs
+++ b/crates/gateway/tests/event.rs
@@ -3,11 +3,12 @@
 #![expect(clippy::unwrap_used, reason = "a failed helper fails the test")]
 
 use acacia_connection::Framing;
-use acacia_gateway::{End, Splitter};
+use acacia_gateway::{End, Oversized, Splitter};
 use bytes::Bytes;
 
 fn push(splitter: &mut Splitter, text: &str) -> String {
-    String::from_utf8(splitter.push(&Bytes::copy_from_slice(text.as_bytes())).to_vec()).unwrap()
+    let events = splitter.push(&Bytes::copy_from_slice(text.as_bytes())).unwrap();
+    String::from_utf8(events.to_vec()).unwrap()
 }
 
 #[test]
@@ -33,7 +34,8 @@
     for size in 1..text.len() {
         let mut splitter = Splitter::default();
         let chunks = text.as_bytes().chunks(size).map(Bytes::copy_from_slice);
-        let events: Vec<u8> = chunks.flat_map(|chunk| splitter.push(&chunk).to_vec()).collect();
+        let events: Vec<u8> =
+            chunks.flat_map(|chunk| splitter.push(&chunk).unwrap().to_vec()).collect();
         assert_eq!(events, text.as_bytes(), "chunks of {size} bytes");
     }
 }
@@ -90,3 +92,21 @@
     push(&mut splitter, "id: 1\n\n\r\n");
     assert_eq!(splitter.end(Framing::Close), End::Whole(Bytes::from("\r\n")));
 }
+
+#[test]
+fn push_oversized_event() {
+    let line = Bytes::from("data: x\n".repeat(1 << 10));
+    for event_lines in [31, 32, 33] {
+        let mut splitter = Splitter::default();
+        let pushed = (0..event_lines).try_for_each(|_| splitter.push(&line).map(|_| ()));
+        assert_eq!(pushed, if event_lines > 32 { Err(Oversized) } else { Ok(()) });
+    }
+}
+
+/// Many whole events in one chunk are no oversized event.
+#[test]
+fn push_many_events() {
+    let events: String = (0..100_000).map(|id| format!("id: {id}\n\n")).collect();
+    let pushed = push(&mut Splitter::default(), &events);
+    assert!(pushed == events, "{} of {} bytes", pushed.len(), events.len());
+}
