Limit the memory of incomplete answers of all requests together

What callers saw: nothing yet, found by a test for answers without end. An upstream that sends plain answers without end to 41 requests drove a process to 674 MB, over six times what the smallest deployment allows, so one upstream in trouble could end processes. Cause: each plain answer was buffered up to 16 MiB, and nothing limited their sum. Evidence: plain_endless_many_at_once fails before (673,584 KiB at its peak) and passes after (under 110 MiB). plain_endless passed before with the limit of one answer. The body of a connection is checked from its first chunk on, not from its third.

--- a/crates/connection/src/connection.rs
+++ b/crates/connection/src/connection.rs
@@ -208,17 +208,30 @@
     /// Reads the rest of the response body.
     ///
     /// # Errors
-    /// As [`Connection::chunk`], and if a body of more than two chunks exceeds `max_bytes`.
+    /// As [`Connection::chunk`], and if the body exceeds `max_bytes`.
     pub async fn body(&mut self, max_bytes: usize) -> Result<Bytes, Fault> {
+        self.body_while(|bytes| bytes <= max_bytes).await
+    }
+
+    /// Reads the rest of the response body, asking before each chunk whether a body of this many
+    /// bytes is still accepted.
+    ///
+    /// # Errors
+    /// As [`Connection::chunk`], and if the body is not accepted.
+    pub async fn body_while(
+        &mut self,
+        mut accepts: impl FnMut(usize) -> bool,
+    ) -> Result<Bytes, Fault> {
+        let mut check = |bytes| if accepts(bytes) { Ok(()) } else { Err(Fault::Malformed) };
         let Some(first) = self.chunk().await? else { return Ok(Bytes::new()) };
+        check(first.len())?;
         let Some(second) = self.chunk().await? else { return Ok(first) };
         let mut body = BytesMut::from(first);
-        body.extend_from_slice(&second);
-        while let Some(more) = self.chunk().await? {
-            if body.len() + more.len() > max_bytes {
-                return Err(Fault::Malformed);
-            }
-            body.extend_from_slice(&more);
+        let mut next = Some(second);
+        while let Some(chunk) = next {
+            check(body.len() + chunk.len())?;
+            body.extend_from_slice(&chunk);
+            next = self.chunk().await?;
         }
         Ok(body.freeze())
     }
--- a/crates/daemon/tests/platform/answer.rs
+++ b/crates/daemon/tests/platform/answer.rs
@@ -249,3 +249,48 @@
     }
     fixture.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_endless() {
+    let fixture = Fixture::start(1).await;
+    fixture.unregister_services();
+    for (fields, repeated) in [
+        ("\r\n", "xxxxxxxx"),
+        ("transfer-encoding: chunked\r\n\r\n", "20\r\nxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\n"),
+    ] {
+        let raw = raw::Server::start(move |request| Answer {
+            bytes: raw::head(request, fields),
+            end: End::Repeat(repeated),
+        })
+        .await;
+        fixture.register(&raw, "app");
+        let answer = fixture.answer_of(&raw, "/charge/").await;
+        assert!([502, 504].contains(&answer.status), "{}", answer.status);
+        assert!(raw.sent_bytes() < ENDLESS_BYTES, "{}", raw.sent_bytes());
+        fixture.unregister(&raw);
+    }
+    fixture.stop().await;
+}
+
+/// Memory that a process may use, in KiB: the smallest limit of the deployments.
+const PROCESS_KIB: u64 = 110 << 10;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_endless_many_at_once() {
+    let fixture = Fixture::start(1).await;
+    fixture.unregister_services();
+    let raw = raw::Server::start(|request| Answer {
+        bytes: raw::head(request, "\r\n"),
+        end: End::Repeat("xxxxxxxx"),
+    })
+    .await;
+    fixture.register(&raw, "app");
+    fixture.answer_of(&raw, "/charge/").await;
+    let answers = (0..40).map(|_| fixture.answer_of(&raw, "/charge/"));
+    for answer in futures::future::join_all(answers).await {
+        assert!(answer.status >= 500, "{}", answer.status);
+    }
+    let peak = fixture.peak_memory_kib(0);
+    assert!(peak < PROCESS_KIB, "{peak} KiB");
+    fixture.stop().await;
+}
--- a/crates/daemon/tests/platform/fixture.rs
+++ b/crates/daemon/tests/platform/fixture.rs
@@ -254,6 +254,14 @@
         assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
     }
 
+    /// Peak of the memory that an instance's process has used.
+    pub fn peak_memory_kib(&self, instance: usize) -> u64 {
+        let id = self.instances[instance].process.lock().id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        peak.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     /// Whether an instance's process has ended.
     pub fn has_ended(&self, instance: usize) -> bool {
         self.instances[instance].process.lock().try_wait().unwrap().is_some()
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -23,8 +23,6 @@
     // Leaves time for two retransmissions; after more lost packets the upstream counts as lost.
     user_timeout: Duration::from_millis(500),
 };
-/// Size limit of a buffered answer, in bytes.
-const ANSWER_LIMIT: usize = 16 << 20;
 /// Size limit of a skipped body, in bytes. A connection is closed instead of reading more.
 const DISCARD_LIMIT: usize = 256 << 10;
 /// Longest wait for the rest of a refusal. A longer one costs more than another connection.
@@ -321,7 +319,8 @@
             first_event(inflight, head, last_event).await
         }
         Meaning::Success | Meaning::Failure => {
-            let body = connection.body(ANSWER_LIMIT).await?;
+            let mut memory = traffic.memory.reservation();
+            let body = connection.body_while(|bytes| memory.enlarge(bytes)).await?;
             Ok(Received::Whole(head, body))
         }
     }
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -21,6 +21,7 @@
 use crate::gossip;
 use crate::listener::{listen, serve, serve_metrics, serve_ready};
 use crate::log::Budget;
+use crate::memory::Memory;
 use crate::metric::Metrics;
 use crate::traffic::{Phase, Traffic};
 
@@ -111,6 +112,7 @@
         pool: RefCell::default(),
         metrics,
         log_budget: Budget::default(),
+        memory: Memory::default(),
         phase: Cell::new(Phase::Serving),
         open_connections: Cell::new(0),
     });
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod inventory;
 mod listener;
 mod log;
+mod memory;
 mod metric;
 mod pool;
 mod process;
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -9,6 +9,7 @@
 use crate::attempt::Progress;
 use crate::clock::Clock;
 use crate::log::{Budget, Kind};
+use crate::memory::Memory;
 use crate::metric::Metrics;
 use crate::pool::Pool;
 
@@ -24,6 +25,8 @@
     pub metrics: Metrics,
     /// Budget of log lines on requests.
     pub log_budget: Budget,
+    /// Memory of answers that are not yet complete.
+    pub memory: Memory,
     /// The phase of the process.
     pub phase: Cell<Phase>,
     /// Open connections of callers.
