End streams whose events never pause at the deadline

What callers saw: nothing yet, found by a test for answers without end. An upstream that sent whole events without a pause kept a stream open long after its deadline, as long as the caller read. Cause: the deadline was noticed only while the next event was awaited. Evidence: stream_endless_events fails before (not ended 30 s after a deadline of 1.5 s) and passes after. Change: after the deadline, at most 1 MiB of events that are ready is still forwarded, so that a caller that reads slowly gets what had arrived for it. A limit in time was tried first and would have cut such callers.

--- a/crates/daemon/tests/platform/answer.rs
+++ b/crates/daemon/tests/platform/answer.rs
@@ -1,6 +1,6 @@
 //! Answers that are broken off or malformed, from upstreams that send given bytes.
 
-use crate::fixture::Fixture;
+use crate::fixture::{self, Fixture};
 use crate::raw::{self, Answer, End, Request};
 
 /// A stream without a length that is broken off after the given event and these bytes.
@@ -294,3 +294,25 @@
     assert!(peak < PROCESS_KIB, "{peak} KiB");
     fixture.stop().await;
 }
+
+/// Events that arrive without a pause must not keep a stream open after its deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_endless_events() {
+    let fixture = Fixture::start(1).await;
+    fixture.unregister_engines();
+    let raw = raw::Server::start(|request| Answer {
+        bytes: raw::head(request, "\r\n"),
+        end: End::Repeat("data: x\n\n"),
+    })
+    .await;
+    fixture.register(&raw, "llm");
+    let ended = async || {
+        let mut ignored = tokio::io::sink();
+        let sent = fixture.send_http_1_0("/long/", &mut ignored);
+        let ended = tokio::time::timeout(fixture::TIMEOUT, sent).await;
+        assert!(ended.is_ok(), "the stream did not end");
+        !raw.requests().is_empty()
+    };
+    fixture::eventually("the raw engine gets a request", ended).await;
+    fixture.stop().await;
+}
--- a/crates/daemon/tests/platform/fixture.rs
+++ b/crates/daemon/tests/platform/fixture.rs
@@ -16,13 +16,13 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 use crate::raw;
 
 /// Timeout of waits in tests; not a bound on the system's behaviour.
-const TIMEOUT: Duration = Duration::from_secs(30);
+pub const TIMEOUT: Duration = Duration::from_secs(30);
 /// Deadline of requests to raw upstreams, some of which never end their answers.
 const RAW_DEADLINE_MS: u32 = 1_500;
 /// Events per stream.
@@ -178,25 +178,34 @@
         let before = raw.requests().len();
         let mut answer = None;
         eventually("the raw upstream gets a request", async || {
-            let mut headers = self.prompt("raw-prompt", 1);
-            headers.retain(|(name, _)| *name != "x-deadline-ms");
-            headers.push(("x-deadline-ms", RAW_DEADLINE_MS.to_string()));
-            answer = Some(call(self.address(0), "POST", path, &headers, b"x").await);
+            answer = Some(call(self.address(0), "POST", path, &self.raw_prompt(), b"x").await);
             raw.requests().len() > before
         })
         .await;
         answer.unwrap()
     }
 
+    /// Headers of a prompt for an upstream that sends given bytes.
+    fn raw_prompt(&self) -> Vec<(&'static str, String)> {
+        let mut headers = self.prompt("raw-prompt", 1);
+        headers.retain(|(name, _)| *name != "x-deadline-ms");
+        headers.push(("x-deadline-ms", RAW_DEADLINE_MS.to_string()));
+        headers
+    }
+
     /// Sends a prompt in HTTP/1.0 to the first instance and reads until the connection ends.
-    pub async fn send_http_1_0(&self, path: &str, received: &mut Vec<u8>) -> io::Result<usize> {
+    pub async fn send_http_1_0(
+        &self,
+        path: &str,
+        received: &mut (impl AsyncWrite + Unpin),
+    ) -> io::Result<u64> {
         let mut stream = TcpStream::connect(self.address(0)).await?;
         let mut head = format!("POST {path} HTTP/1.0\r\ncontent-length: 1\r\n");
-        for (name, value) in self.prompt("old", 1) {
+        for (name, value) in self.raw_prompt() {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
         stream.write_all(format!("{head}\r\nx").as_bytes()).await?;
-        stream.read_to_end(received).await
+        tokio::io::copy(&mut stream, received).await
     }
 
     /// Headers of a request.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,6 +15,9 @@
 use crate::request::{Completion, log_sent};
 use crate::traffic::Traffic;
 
+/// Bytes that are forwarded after the deadline if they are ready, as for a slow caller.
+const LATE_BYTES: usize = 1 << 20;
+
 /// The stream was interrupted. The caller's connection is closed without an end, so that the answer
 /// is recognisably incomplete.
 #[derive(Debug, thiserror::Error)]
@@ -30,6 +33,8 @@
     inflight: Inflight,
     splitter: Splitter,
     completion: Completion,
+    /// Bytes forwarded after the deadline.
+    late_bytes: usize,
 }
 
 /// Result of reading from the upstream.
@@ -48,7 +53,16 @@
         completion: Completion,
     ) -> Self {
         let Stream { head, first, inflight, splitter } = stream;
-        Self { traffic, payload, head, first: Some(first), inflight, splitter, completion }
+        Self {
+            traffic,
+            payload,
+            head,
+            first: Some(first),
+            inflight,
+            splitter,
+            completion,
+            late_bytes: 0,
+        }
     }
 
     /// The chunks of the answer to the caller.
@@ -103,6 +117,10 @@
         let Some((plan, attempt, connection)) = self.inflight.parts() else {
             return Next::Broken(Ending::Broken.into());
         };
+        if self.late_bytes > LATE_BYTES {
+            return Next::Broken(Ending::Expired.into());
+        }
+        let is_late = self.traffic.now() >= plan.deadline;
         let events = async {
             loop {
                 match connection.chunk().await {
@@ -117,6 +135,9 @@
             }
         };
         let read = with_timeout(&self.traffic, plan, attempt, attempt.event_timeout, events).await;
+        if let (Ok(Next::Events(events)), true) = (&read, is_late) {
+            self.late_bytes += events.len();
+        }
         read.unwrap_or_else(|ending| Next::Broken(ending.into()))
     }
 
