--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -117,7 +117,7 @@
             End::Whole(rest) => Ok(rest),
             End::BrokenOff { incomplete_bytes } => {
                 self.progress.incomplete_bytes = Some(incomplete_bytes);
-                Err(Failure::broken_off())
+                Err(Failure::broken("the stream ended inside an event or before its first one"))
             }
         }
     }
@@ -247,7 +247,7 @@
     ending: Ending,
     /// Instance id from the answer, if it gave one.
     instance: Option<String>,
-    /// Name of the cause, for the log.
+    /// The cause, for the log.
     fault: Option<&'static str>,
 }
 
@@ -256,9 +256,8 @@
         Self { ending, instance, fault: None }
     }
 
-    fn broken_off() -> Self {
-        let fault = Some("the stream ended inside an event or before its first one");
-        Self { ending: Ending::Broken, instance: None, fault }
+    fn broken(fault: &'static str) -> Self {
+        Self { ending: Ending::Broken, instance: None, fault: Some(fault) }
     }
 }
 
@@ -280,8 +279,7 @@
 
 impl From<Oversized> for Failure {
     fn from(_: Oversized) -> Self {
-        let fault = Some("an event of the stream exceeds the size limit");
-        Self { ending: Ending::Broken, instance: None, fault }
+        Self::broken("an event of the stream exceeds the size limit")
     }
 }
 
