Test: any bytes of a stream, split in any way

Cause: the search for the end of an event was rewritten for its size limit, and its tests had fixed texts. Change: a property test compares the splitter with the definition of an event's end. No other code is changed.

--- a/crates/gateway/tests/event.rs
+++ b/crates/gateway/tests/event.rs
@@ -5,6 +5,7 @@
 use acacia_connection::Framing;
 use acacia_gateway::{End, Oversized, Splitter};
 use bytes::Bytes;
+use quickcheck::quickcheck;
 
 fn push(splitter: &mut Splitter, text: &str) -> String {
     let events = splitter.push(&Bytes::copy_from_slice(text.as_bytes())).unwrap();
@@ -110,3 +111,39 @@
     let pushed = push(&mut Splitter::default(), &events);
     assert!(pushed == events, "{} of {} bytes", pushed.len(), events.len());
 }
+
+/// End of the last whole event, by the definition: an empty line after at least one other line.
+fn last_boundary(text: &str) -> usize {
+    let (mut end, mut at, mut has_line) = (0, 0, false);
+    for line in text.split_inclusive('\n').filter(|line| line.ends_with('\n')) {
+        at += line.len();
+        if matches!(line, "\n" | "\r\n") && has_line {
+            (end, has_line) = (at, false);
+        } else {
+            has_line = true;
+        }
+    }
+    end
+}
+
+/// Whatever the bytes and however they are split, exactly the whole events are returned, and the
+/// stream is whole only if nothing but line breaks follows them.
+#[test]
+fn push_any_bytes() {
+    fn holds(choices: Vec<u8>, sizes: Vec<u8>) -> bool {
+        let pieces = ["\n", "\r\n", "data: a", "x", "\n\n", "\r", ": comment\n"];
+        let text: String =
+            choices.iter().map(|at| pieces[usize::from(*at) % pieces.len()]).collect();
+        let mut splitter = Splitter::default();
+        let (mut rest, mut returned) = (&text[..], String::new());
+        for size in sizes.iter().map(|size| usize::from(*size % 9)).chain([text.len()]) {
+            let (chunk, left) = rest.split_at(rest.len().min(size));
+            returned.push_str(&push(&mut splitter, chunk));
+            rest = left;
+        }
+        let (events, rest) = text.split_at(last_boundary(&text));
+        let is_whole = rest.trim_matches(['\r', '\n']).is_empty() && !events.is_empty();
+        returned == events && matches!(splitter.end(Framing::Close), End::Whole(_)) == is_whole
+    }
+    quickcheck(holds as fn(Vec<u8>, Vec<u8>) -> bool);
+}
