--- a/crates/daemon/tests/platform/answer.rs
+++ b/crates/daemon/tests/platform/answer.rs
@@ -3,8 +3,9 @@
 use crate::fixture::{self, Fixture};
 use crate::raw::{self, Answer, End, Request};
 
-/// A stream without a length that is broken off after the given event and these bytes.
-fn broken_off(request: &Request, last: u32, rest: &str) -> Answer {
+/// A stream that ends with its connection, after the event `last` and the bytes `rest`. It is whole
+/// if `rest` is empty.
+fn until_close(request: &Request, last: u32, rest: &str) -> Answer {
     let mut bytes = raw::head(request, "\r\n");
     for number in request.last_event.unwrap_or(0) + 1..=last {
         bytes.extend(format!("id: {number}\ndata: {} {number}\n\n", request.id).into_bytes());
@@ -41,7 +42,7 @@
 async fn stream_until_close_incomplete_event_resumes() {
     let fixture = Fixture::start(1).await;
     for rest in INCOMPLETE_ENDS {
-        let raw = raw::Server::start(|request| broken_off(request, 3, rest)).await;
+        let raw = raw::Server::start(|request| until_close(request, 3, rest)).await;
         fixture.register(&raw, "llm");
         let mut number = 0;
         while raw.requests().is_empty() {
@@ -62,7 +63,7 @@
     let fixture = Fixture::start(1).await;
     fixture.unregister_engines();
     for rest in INCOMPLETE_ENDS {
-        let raw = raw::Server::start(|request| broken_off(request, 3, rest)).await;
+        let raw = raw::Server::start(|request| until_close(request, 3, rest)).await;
         fixture.register(&raw, "llm");
         let answer = fixture.answer_of(&raw, "/long/").await;
         assert!(!answer.is_complete, "a broken stream must not look complete: {rest:?}");
@@ -77,7 +78,7 @@
     let fixture = Fixture::start(1).await;
     fixture.unregister_engines();
     for rest in ["", "id: 1\ndata: x 1"] {
-        let raw = raw::Server::start(|request| broken_off(request, 0, rest)).await;
+        let raw = raw::Server::start(|request| until_close(request, 0, rest)).await;
         fixture.register(&raw, "llm");
         let answer = fixture.answer_of(&raw, "/long/").await;
         assert_eq!(answer.status, 502, "{rest:?}");
@@ -92,12 +93,12 @@
     let fixture = Fixture::start(1).await;
     fixture.unregister_engines();
     let raw = raw::Server::start(|request| match request.last_event {
-        None => broken_off(request, 3, "id: 4\n"),
-        Some(_) => broken_off(request, 0, ""),
+        None => until_close(request, 3, "id: 4\n"),
+        Some(_) => until_close(request, 0, ""),
     })
     .await;
     fixture.register(&raw, "llm");
-    let other = raw::Server::start(|request| broken_off(request, 0, "")).await;
+    let other = raw::Server::start(|request| until_close(request, 0, "")).await;
     fixture.register(&other, "llm");
     let answer = fixture.answer_of(&raw, "/ask/").await;
     assert!(!answer.is_complete, "the stream was broken off after event 3");
@@ -109,7 +110,7 @@
 async fn stream_until_close_whole() {
     let fixture = Fixture::start(1).await;
     fixture.unregister_engines();
-    let raw = raw::Server::start(|request| broken_off(request, 8, "")).await;
+    let raw = raw::Server::start(|request| until_close(request, 8, "")).await;
     fixture.register(&raw, "llm");
     for path in ["/ask/", "/long/"] {
         let answer = fixture.answer_of(&raw, path).await;
@@ -171,7 +172,7 @@
     fixture.unregister_engines();
     for (last, is_whole) in [(8, true), (3, false)] {
         let rest = if is_whole { "" } else { "id: 4\n" };
-        let raw = raw::Server::start(move |request| broken_off(request, last, rest)).await;
+        let raw = raw::Server::start(move |request| until_close(request, last, rest)).await;
         fixture.register(&raw, "llm");
         fixture.answer_of(&raw, "/long/").await;
         let mut received = Vec::new();
