Log why a broken-off answer could not go on, and the configurations around it

`request ended` now has the reason, the configuration that admitted the request and the one in force at its end.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -145,7 +145,7 @@
     async fn resume(&mut self, mut plan: Plan) -> Result<Option<Bytes>, Interrupted> {
         let last = self.splitter.last_id().cloned();
         if plan.route.repeat != Repeat::ResumableStream || last.is_none() {
-            self.completion.record(&self.traffic, Some(&plan), "broken_off");
+            self.completion.record_broken_off(&self.traffic, &plan, "not_resumable");
             return Err(Interrupted);
         }
         loop {
@@ -158,9 +158,7 @@
                     continue;
                 }
                 Step::Refuse(refusal) => {
-                    let reason: &'static str = refusal.reason.into();
-                    tracing::debug!(id = plan.id, reason, "an interrupted stream can't be resumed");
-                    self.completion.record(&self.traffic, Some(&plan), "broken_off");
+                    self.completion.record_broken_off(&self.traffic, &plan, refusal.reason.into());
                     return Err(Interrupted);
                 }
             };
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -152,19 +152,38 @@
 }
 
 impl Completion {
-    /// Records that an upstream answered the request, in full or in part.
+    /// Records that an upstream answered the request.
     pub fn record(&mut self, traffic: &Traffic, plan: Option<&Plan>, outcome: &'static str) {
+        self.record_with(traffic, plan, outcome, None);
+    }
+
+    /// Records that an answer was broken off, and why it could not go on at another upstream.
+    pub fn record_broken_off(&mut self, traffic: &Traffic, plan: &Plan, reason: &'static str) {
+        self.record_with(traffic, Some(plan), "broken_off", Some(reason));
+    }
+
+    fn record_with(
+        &mut self,
+        traffic: &Traffic,
+        plan: Option<&Plan>,
+        outcome: &'static str,
+        reason: Option<&'static str>,
+    ) {
         let now = traffic.now();
         let took = now.saturating_sub(self.arrived);
         let route = plan.map_or("", |plan| &*plan.route.name);
         traffic.metrics.request(route, outcome, took);
         let kind = if outcome == "answered" { Kind::Usual } else { Kind::Failure };
         if traffic.log_budget.admits(now, kind) {
+            let gateway = traffic.gateway.borrow();
             tracing::info!(
                 id = self.id,
                 route,
                 outcome,
+                reason,
                 sends = plan.map_or(0, |plan| plan.sends),
+                admitted_by = plan.map(|plan| plan.version),
+                configuration = gateway.view().map(|view| view.configuration.version),
                 took_ms = millis(took),
                 "request ended"
             );
