Cancel an attempt at a silent upstream only when another has answered

What callers saw: the stream of a sound engine that was silent for a second ended after its last event, or a request whose first event or plain answer took long ended with 502, beside a second upstream that refused, failed, broke off or was silent too (LOST).

Cause: the timeout of an attempt ended it as soon as another upstream looked free. From then on the request depended on that one; if it did not take the request, or no repeat was left after it, nothing was left, although the first upstream would have answered. A missing response was taken for a failure.

Change: at the timeout a second attempt starts beside the first (a hedged request). The one that answers first goes on and the other is cancelled; a second attempt that fails leaves the first as it was. At most two are in progress, each counts against the retry budget and the route's attempts, and a further one starts only after a further timeout.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,6 +11,7 @@
 use http::{HeaderMap, Method};
 
 use crate::event::{End, Oversized, Splitter};
+use crate::hedge::{Hedge, Response};
 use crate::traffic::Traffic;
 
 /// Connect timeout. A reachable server accepts within a few milliseconds.
@@ -122,6 +123,13 @@
         }
     }
 
+    /// Replaces the plan by one that includes what attempts beside this one used up.
+    pub fn update_plan(&mut self, spent: Option<Plan>) {
+        if let (Some(plan), Some(spent)) = (&mut self.plan, spent) {
+            *plan = spent;
+        }
+    }
+
     /// The plan, the attempt and the connection of an unfinished stream.
     pub fn parts(&mut self) -> Option<(&Plan, &Attempt, &mut Connection)> {
         Some((self.plan.as_ref()?, &self.attempt, self.connection.as_mut()?))
@@ -172,7 +180,8 @@
     }
 }
 
-/// Sends a request and waits for a whole plain answer or for a stream's first event.
+/// Sends a request and waits for a whole plain answer or for a stream's first event. If the
+/// upstream does not respond in time, a second attempt starts beside the first.
 pub async fn send(
     mut inflight: Inflight,
     payload: &Payload,
@@ -180,48 +189,49 @@
 ) -> (Option<Plan>, Outcome) {
     let Some(plan) = inflight.plan.clone() else { return (None, Outcome::None) };
     let (traffic, attempt) = (inflight.traffic.clone(), inflight.attempt.clone());
-    let received = {
-        let left = plan.left(traffic.now());
-        let exchange = exchange(&mut inflight, payload, last_event, left);
-        with_timeout(&traffic, &plan, &attempt, attempt.response_timeout, exchange).await
-    };
-    match received {
-        Ok(Ok(Received::Whole(head, body))) => finish_whole(inflight, head, body),
-        Ok(Ok(Received::Stream(head, first, splitter))) => {
-            let stream = Stream { head, first, inflight, splitter };
-            (None, Outcome::Stream(Box::new(stream)))
+    let mut hedge = Hedge::new(&traffic, &plan, &attempt, payload, last_event.clone());
+    let left = plan.left(traffic.now());
+    let exchange = exchange(&mut inflight, payload, last_event, left);
+    let response = hedge.race(attempt.response_timeout, exchange).await;
+    let (spent, failure) = hedge.into_spent();
+    inflight.update_plan(spent);
+    match response {
+        Response::Own(received) => match finish(inflight, received) {
+            // The second upstream's own error is more specific than none.
+            (plan, Outcome::None) => (plan, failure.unwrap_or(Outcome::None)),
+            finished => finished,
+        },
+        Response::Other(answer) => {
+            inflight.finish(Ending::Silent, None);
+            (answer.plan, answer.outcome)
+        }
+        Response::Expired => {
+            (inflight.finish(Ending::Expired, None), failure.unwrap_or(Outcome::None))
         }
-        Ok(Err(failure)) => (inflight.fail(failure), Outcome::None),
-        Err(ending) => (inflight.finish(ending, None), Outcome::None),
     }
 }
 
-/// Waits for an upstream until the request's deadline. If `timeout` passes earlier, the wait ends
-/// only if another upstream could take the request.
-///
-/// # Errors
-/// [`Ending::Expired`] at the deadline, [`Ending::Silent`] at the timeout.
-pub async fn with_timeout<T>(
-    traffic: &Traffic,
-    plan: &Plan,
-    attempt: &Attempt,
-    timeout: Option<Duration>,
-    awaited: impl Future<Output = T>,
-) -> Result<T, Ending> {
-    tokio::pin!(awaited);
-    loop {
-        let left = plan.left(traffic.now());
-        let wait = timeout.map_or(left, |timeout| timeout.min(left));
-        if let Ok(output) = tokio::time::timeout(wait, &mut awaited).await {
-            return Ok(output);
-        }
-        let now = traffic.now();
-        if now >= plan.deadline {
-            return Err(Ending::Expired);
-        }
-        if timeout.is_some() && traffic.gateway.borrow_mut().has_alternative(now, plan, attempt) {
-            return Err(Ending::Silent);
+/// Like [`send`], but waits for this upstream alone, without a limit on the time.
+pub async fn send_alone(
+    mut inflight: Inflight,
+    payload: &Payload,
+    last_event: Option<Bytes>,
+) -> (Option<Plan>, Outcome) {
+    let Some(plan) = &inflight.plan else { return (None, Outcome::None) };
+    let left = plan.left(inflight.traffic.now());
+    let received = exchange(&mut inflight, payload, last_event, left).await;
+    finish(inflight, received)
+}
+
+/// Finishes an attempt unless it goes on as a stream.
+fn finish(mut inflight: Inflight, received: Result<Received, Failure>) -> (Option<Plan>, Outcome) {
+    match received {
+        Ok(Received::Whole(head, body)) => finish_whole(inflight, head, body),
+        Ok(Received::Stream(head, first, splitter)) => {
+            let stream = Stream { head, first, inflight, splitter };
+            (None, Outcome::Stream(Box::new(stream)))
         }
+        Err(failure) => (inflight.fail(failure), Outcome::None),
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,7 +7,8 @@
 //!
 //! The traffic thread serves callers: [`listener`] accepts connections, [`request`] takes one
 //! request through the decisions of [`acacia_policy::gateway`], [`attempt`] sends it to one
-//! upstream, and [`relay`] forwards an event stream. [`gossip`] exchanges load digests with the
+//! upstream, [`hedge`] starts a second attempt beside one whose upstream does not respond, and
+//! [`relay`] forwards an event stream. [`gossip`] exchanges load digests with the
 //! other instances. Both threads write decisions to the [`log`] and count them in [`metric`].
 
 mod attempt;
@@ -17,6 +18,7 @@
 mod control;
 mod event;
 mod gossip;
+mod hedge;
 mod holder;
 mod instance;
 mod inventory;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,8 +10,9 @@
 use futures::Stream as FutureStream;
 use futures::stream::unfold;
 
-use crate::attempt::{Failure, Inflight, Outcome, Payload, Stream, send, with_timeout};
+use crate::attempt::{Failure, Inflight, Outcome, Payload, Stream, send};
 use crate::event::Splitter;
+use crate::hedge::{Hedge, Response};
 use crate::request::{Completion, log_sent};
 use crate::traffic::Traffic;
 
@@ -42,6 +43,10 @@
     Events(Bytes),
     End,
     Broken(Failure),
+    /// Another upstream goes on with the stream.
+    Resumed(Box<Stream>),
+    /// Another upstream has no event after the last one that the caller received.
+    Complete(Option<Plan>),
 }
 
 impl Relay {
@@ -100,9 +105,25 @@
                 Err(failure) => self.recover(failure).await,
             },
             Next::Broken(failure) => self.recover(failure).await,
+            Next::Resumed(stream) => {
+                self.inflight.finish(Ending::Silent, None);
+                Ok(Some(self.switch_to(*stream)))
+            }
+            Next::Complete(plan) => {
+                self.inflight.finish(Ending::Silent, None);
+                self.completion.record(&self.traffic, plan.as_ref(), "answered");
+                Ok(None)
+            }
         }
     }
 
+    /// Goes on with a stream that another upstream has resumed; returns its first events.
+    fn switch_to(&mut self, stream: Stream) -> Bytes {
+        let Stream { head, first, inflight, splitter } = stream;
+        (self.head, self.inflight, self.splitter) = (head, inflight, splitter);
+        first
+    }
+
     /// Resumes the stream after a failure of its upstream, if it can be resumed.
     async fn recover(&mut self, failure: Failure) -> Result<Option<Bytes>, Interrupted> {
         match self.inflight.fail(failure) {
@@ -113,14 +134,17 @@
 
     /// Reads until at least one event is whole.
     async fn read(&mut self) -> Next {
+        if self.late_bytes > LATE_BYTES {
+            return Next::Broken(Ending::Expired.into());
+        }
+        let last_event = self.splitter.last_id().cloned();
         let splitter = &mut self.splitter;
         let Some((plan, attempt, connection)) = self.inflight.parts() else {
             return Next::Broken(Ending::Broken.into());
         };
-        if self.late_bytes > LATE_BYTES {
-            return Next::Broken(Ending::Expired.into());
-        }
         let is_late = self.traffic.now() >= plan.deadline;
+        let is_resumable = is_resumable(plan, last_event.as_ref());
+        let timeout = attempt.event_timeout.filter(|_| is_resumable);
         let events = async {
             loop {
                 match connection.chunk().await {
@@ -134,17 +158,29 @@
                 }
             }
         };
-        let read = with_timeout(&self.traffic, plan, attempt, attempt.event_timeout, events).await;
-        if let (Ok(Next::Events(events)), true) = (&read, is_late) {
-            self.late_bytes += events.len();
+        let mut hedge = Hedge::new(&self.traffic, plan, attempt, &self.payload, last_event);
+        let response = hedge.race(timeout, events).await;
+        let (spent, _) = hedge.into_spent();
+        self.inflight.update_plan(spent);
+        match response {
+            Response::Own(next) => {
+                if let (Next::Events(events), true) = (&next, is_late) {
+                    self.late_bytes += events.len();
+                }
+                next
+            }
+            Response::Other(answer) => match answer.outcome {
+                Outcome::Stream(stream) => Next::Resumed(stream),
+                Outcome::Whole(..) | Outcome::None => Next::Complete(answer.plan),
+            },
+            Response::Expired => Next::Broken(Ending::Expired.into()),
         }
-        read.unwrap_or_else(|ending| Next::Broken(ending.into()))
     }
 
     /// Resumes the stream at another upstream, after the last event that the caller received.
     async fn resume(&mut self, mut plan: Plan) -> Result<Option<Bytes>, Interrupted> {
         let last = self.splitter.last_id().cloned();
-        if plan.route.repeat != Repeat::ResumableStream || last.is_none() {
+        if !is_resumable(&plan, last.as_ref()) {
             self.completion.record_broken_off(&self.traffic, &plan, "not_resumable");
             return Err(Interrupted);
         }
@@ -166,9 +202,7 @@
             let inflight = Inflight::new(self.traffic.clone(), plan, attempt);
             match send(inflight, &self.payload, last.clone()).await {
                 (_, Outcome::Stream(stream)) => {
-                    let Stream { head, first, inflight, splitter } = *stream;
-                    (self.head, self.inflight, self.splitter) = (head, inflight, splitter);
-                    return Ok(Some(first));
+                    return Ok(Some(self.switch_to(*stream)));
                 }
                 (Some(given_back), Outcome::None) => plan = given_back,
                 (given_back, Outcome::Whole(head, _)) => {
@@ -188,6 +222,11 @@
     }
 }
 
+/// Whether another upstream can go on with a stream after the event `last`.
+fn is_resumable(plan: &Plan, last: Option<&Bytes>) -> bool {
+    plan.route.repeat == Repeat::ResumableStream && last.is_some()
+}
+
 /// Waits until a time of [`Traffic::clock`].
 pub async fn wait_until(traffic: &Traffic, at: Duration) {
     tokio::time::sleep(at.saturating_sub(traffic.now())).await;
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -289,24 +289,35 @@
         }
     }
 
-    /// Whether a request whose upstream does not respond could continue at another one. If not, it
-    /// stays where it is, as a missing response is no failure.
-    pub fn has_alternative(&mut self, now: Time, plan: &Plan, attempt: &Attempt) -> bool {
-        let Some(view) = self.view.clone() else { return false };
-        let mut plan = plan.clone();
-        plan.runs += 1;
-        plan.tried.push(attempt.server.id.clone());
+    /// Starts a second attempt beside one whose upstream does not respond, if another upstream is
+    /// likely to answer in time. The first attempt goes on, as a missing response is no failure.
+    /// Returns the request as the second attempt leaves it; [`Plan::absorb`] joins them again.
+    pub fn hedge(&mut self, now: Time, plan: &Plan, attempt: &Attempt) -> Option<(Plan, Attempt)> {
+        let mut plan = plan.beside(attempt);
+        let other = self.alternative(now, &plan)?;
+        if let Some(member) = self.roster.get_mut(&attempt.server.id) {
+            member.broke(now);
+        }
+        match self.send(now, &mut plan, other) {
+            Step::Send(attempt) => Some((plan, *attempt)),
+            Step::Wait(_) | Step::Refuse(_) => None,
+        }
+    }
+
+    /// An attempt that is likely to answer in time, within the request's limits on repeats.
+    fn alternative(&mut self, now: Time, plan: &Plan) -> Option<Attempt> {
+        let view = self.view.clone()?;
         let terms = self.terms.retries;
         let budget = self.budgets.get_mut(&plan.service);
         let may_repeat = budget.is_some_and(|budget| budget.has_room(now, terms, view.instances));
         if now >= plan.deadline || !plan.may_run_again() || !may_repeat {
-            return false;
+            return None;
         }
-        let choice = self.chooser(now, &view, &plan).choose();
-        let Candidate::Best(other) = choice else { return false };
+        let choice = self.chooser(now, &view, plan).choose();
+        let Candidate::Best(other) = choice else { return None };
         let delay = self.roster.get(&other.server.id).map_or(0.0, |member| member.delay(now));
         let wait = other.wait.max(Duration::from_secs_f64(delay));
-        other.expected + wait < plan.route.latency_target
+        (other.expected + wait < plan.route.latency_target).then_some(*other)
     }
 
     /// Records that an attempt's first event, or its whole plain answer, was received.
@@ -380,13 +391,14 @@
                     member.suspect_restart(now, service);
                 }
             }
-            Ending::Broken | Ending::Silent => {
+            Ending::Broken => {
                 member.broke(now);
-                if let (Some(service), Ending::Broken) = (service, ending) {
+                if let Some(service) = service {
                     member.suspect_restart(now, service);
                 }
             }
-            Ending::Cancelled | Ending::Expired => {}
+            // A silence is recorded when the second attempt starts.
+            Ending::Silent | Ending::Cancelled | Ending::Expired => {}
         }
     }
 
--- a/crates/policy/src/gateway/plan.rs
+++ b/crates/policy/src/gateway/plan.rs
@@ -60,6 +60,24 @@
         let untouched = self.runs == 0;
         untouched || (self.route.repeat.is_repeatable() && self.runs < self.route.attempts)
     }
+
+    /// The request for another attempt beside one in progress, which may run it.
+    #[must_use]
+    pub fn beside(&self, attempt: &Attempt) -> Self {
+        let mut plan = self.clone();
+        plan.runs += 1;
+        plan.tried.push(attempt.server.id.clone());
+        plan
+    }
+
+    /// Takes over what a request from [`Plan::beside`] used up, after its attempt ended without an
+    /// answer. The attempt in progress is recorded when it ends itself.
+    pub fn absorb(&mut self, beside: Self) {
+        self.tried.extend(beside.tried.into_iter().skip(self.tried.len() + 1));
+        self.runs = beside.runs.saturating_sub(1);
+        self.sends = beside.sends;
+        self.verdict = beside.verdict;
+    }
 }
 
 /// One send of a request to an upstream.
@@ -69,10 +87,11 @@
     pub server: Arc<Server>,
     /// Instructions for an engine.
     pub engine: Option<EngineRun>,
-    /// Maximum wait for the first event or the whole answer; none if no other upstream may be
-    /// tried.
+    /// Wait for the first event or the whole answer after which a second attempt starts; none if no
+    /// other upstream may be tried.
     pub response_timeout: Option<Duration>,
-    /// Maximum wait between two events; none if no other upstream may continue the stream.
+    /// Wait between two events after which a second attempt starts; none if no other upstream may
+    /// continue the stream.
     pub event_timeout: Option<Duration>,
     /// Expected time to the first event; for engines, without the queue.
     pub expected: Duration,
@@ -155,7 +174,7 @@
     Refused,
     /// Another upstream has the address, or this one has other weights; it was not run.
     Misdirected,
-    /// Nothing was received within the time-out.
+    /// Nothing was received within the timeout, and another attempt has answered.
     Silent,
     /// The exchange broke after the request was sent.
     Broken,
@@ -165,7 +184,7 @@
     Failed,
     /// The upstream answered in full.
     Answered,
-    /// The caller disconnected.
+    /// The caller disconnected, or another attempt answered first.
     Cancelled,
     /// The deadline passed.
     Expired,
--- a/crates/policy/tests/gateway_fleet/mod.rs
+++ b/crates/policy/tests/gateway_fleet/mod.rs
@@ -105,6 +105,10 @@
     has_begun: bool,
     /// When the caller sent this attempt.
     sent: Time,
+    /// The other attempt of the request that is in progress.
+    other: Option<FlightId>,
+    /// Whether this is the second attempt.
+    is_second: bool,
 }
 
 /// Gateways, engines and callers.
@@ -290,28 +294,91 @@
         match self.gateways[gateway].next(self.now, &mut plan) {
             Step::Send(attempt) => {
                 let engine = self.engine_of(&attempt.server.id);
-                let class = self.callers[caller].class;
-                let job = Job {
-                    flight: self.next_flight,
-                    priority: class.priority,
-                    // Subjects of different classes are different parts.
-                    subject: self.callers[caller].subject * 2 + class.priority,
-                    shared_tokens: class.shared_tokens.into(),
-                    input_tokens: u64::from(class.shared_tokens + class.own_tokens),
-                    output_tokens: class.output_tokens.into(),
-                };
-                self.engines[engine].submit(job);
-                let attempt = *attempt;
-                let flight =
-                    Flight { caller, gateway, plan, attempt, engine, has_begun: false, sent };
-                self.flights.insert(self.next_flight, flight);
-                self.next_flight += 1;
+                let (attempt, has_begun, other, is_second) = (*attempt, false, None, false);
+                self.depart(Flight {
+                    caller,
+                    gateway,
+                    plan,
+                    attempt,
+                    engine,
+                    has_begun,
+                    sent,
+                    other,
+                    is_second,
+                });
             }
             Step::Wait(at) => self.waiting.push((at, gateway, caller, plan, sent)),
             Step::Refuse(refusal) => self.refused(caller, refusal.retry_after),
         }
     }
 
+    /// Submits an attempt to its engine.
+    fn depart(&mut self, flight: Flight) -> FlightId {
+        let Caller { class, subject, .. } = self.callers[flight.caller];
+        let id = self.next_flight;
+        self.engines[flight.engine].submit(Job {
+            flight: id,
+            priority: class.priority,
+            // Subjects of different classes are different parts.
+            subject: subject * 2 + class.priority,
+            shared_tokens: class.shared_tokens.into(),
+            input_tokens: u64::from(class.shared_tokens + class.own_tokens),
+            output_tokens: class.output_tokens.into(),
+        });
+        self.flights.insert(id, flight);
+        self.next_flight += 1;
+        id
+    }
+
+    /// Starts a second attempt beside one that does not respond, if its gateway does.
+    fn hedge(&mut self, id: FlightId) {
+        let flight = &self.flights[&id];
+        let gateway = &mut self.gateways[flight.gateway];
+        let Some((plan, attempt)) = gateway.hedge(self.now, &flight.plan, &flight.attempt) else {
+            return;
+        };
+        let second = Flight {
+            caller: flight.caller,
+            gateway: flight.gateway,
+            plan,
+            engine: self.engine_of(&attempt.server.id),
+            attempt,
+            has_begun: false,
+            sent: flight.sent,
+            other: Some(id),
+            is_second: true,
+        };
+        let second = self.depart(second);
+        if let Some(flight) = self.flights.get_mut(&id) {
+            flight.other = Some(second);
+        }
+    }
+
+    /// Cancels the other attempt of a request one of whose attempts has begun.
+    fn cancel_other(&mut self, id: FlightId) {
+        let Some(other) = self.flights.get_mut(&id).and_then(|flight| flight.other.take()) else {
+            return;
+        };
+        let Some(flight) = self.flights.remove(&other) else { return };
+        self.engines[flight.engine].cancel(other);
+        let ending = if flight.is_second { Ending::Cancelled } else { Ending::Silent };
+        self.end(flight, ending);
+    }
+
+    /// Ends an attempt and lets the request's other one go on alone.
+    fn leave_to_other(&mut self, flight: Flight, ending: Ending) {
+        let Some(other) = flight.other else { return };
+        let is_second = flight.is_second;
+        let (_, _, plan, _) = self.end(flight, ending);
+        let Some(other) = self.flights.get_mut(&other) else { return };
+        other.other = None;
+        if is_second {
+            other.plan.absorb(plan);
+        } else {
+            other.is_second = false;
+        }
+    }
+
     fn refused(&mut self, caller: usize, after: Option<Duration>) {
         let Caller { class, arrived, retries_left, .. } = self.callers[caller];
         let left = (arrived + class.timeout).saturating_sub(self.now);
@@ -335,6 +402,7 @@
                 let is_in_time = self.now <= caller.arrived + caller.class.target;
                 let outcome = if is_in_time { Outcome::InTime } else { Outcome::Late };
                 caller.outcome.get_or_insert(outcome);
+                self.cancel_other(id);
             }
             Event::Ended(id) => {
                 if let Some(flight) = self.flights.remove(&id) {
@@ -365,19 +433,21 @@
                 Ending::Cancelled
             } else if is_dark && age >= LOST_AFTER {
                 Ending::Lost
-            } else if flight.attempt.response_timeout.is_some_and(|timeout| age >= timeout)
-                && self.gateways[flight.gateway].has_alternative(
-                    self.now,
-                    &flight.plan,
-                    &flight.attempt,
-                )
+            } else if flight.other.is_none()
+                && flight.attempt.response_timeout.is_some_and(|timeout| age >= timeout)
             {
-                Ending::Silent
+                self.hedge(id);
+                continue;
             } else {
                 continue;
             };
-            let Some(flight) = self.flights.remove(&id) else { continue };
+            let Some(mut flight) = self.flights.remove(&id) else { continue };
             self.engines[flight.engine].cancel(id);
+            if ending == Ending::Lost && flight.other.is_some() {
+                self.leave_to_other(flight, ending);
+                continue;
+            }
+            flight.other = None;
             let (gateway, caller, plan, sent) = self.end(flight, ending);
             if ending == Ending::Cancelled {
                 self.callers[caller].outcome.get_or_insert(Outcome::Unserved);
--- a/crates/policy/tests/gateway_machine.rs
+++ b/crates/policy/tests/gateway_machine.rs
@@ -106,20 +106,42 @@
 /// Regression, mix --seed 861306548170 of Actas: a stream without events was abandoned although no
 /// other upstream could continue it.
 #[test]
-fn has_alternative_requires_eligible_upstream() {
+fn hedge_requires_eligible_upstream() {
     let mut simulation = Simulation::new(2);
     let mut plan = simulation.admit("/read/", "key").unwrap();
     let attempt = simulation.send(&mut plan);
-    assert!(simulation.has_alternative(&plan, &attempt));
+    assert!(simulation.hedge(&plan, &attempt).is_some());
     simulation.leave("s1");
     simulation.leave("s0");
-    assert!(!simulation.has_alternative(&plan, &attempt));
+    assert!(simulation.hedge(&plan, &attempt).is_none());
 
     let mut simulation = Simulation::new(2);
     simulation.forbid_repeats();
     let mut plan = simulation.admit("/read/", "key").unwrap();
     let attempt = simulation.send(&mut plan);
-    assert!(!simulation.has_alternative(&plan, &attempt), "the retry budget is exhausted");
+    assert!(simulation.hedge(&plan, &attempt).is_none(), "the retry budget is exhausted");
+}
+
+/// The second attempt counts, and the first is neither ended nor chosen again.
+#[test]
+fn hedge_second_attempt_fails() {
+    let mut simulation = Simulation::new(3);
+    let mut plan = simulation.admit("/read/", "key").unwrap();
+    let first = simulation.send(&mut plan);
+    let (mut beside, second) = simulation.hedge(&plan, &first).unwrap();
+    assert_ne!(first.server.id, second.server.id);
+    simulation.end(&mut beside, &second, Ending::Refused);
+    plan.absorb(beside);
+    assert_eq!((plan.sends, plan.runs, plan.verdict), (2, 0, Verdict::NotRun));
+    let (mut beside, third) = simulation.hedge(&plan, &first).unwrap();
+    assert_ne!(third.server.id, first.server.id);
+    assert_ne!(third.server.id, second.server.id);
+    simulation.end(&mut beside, &third, Ending::Broken);
+    plan.absorb(beside);
+    assert_eq!((plan.sends, plan.runs, plan.verdict), (3, 1, Verdict::MayHaveRun));
+    assert!(simulation.hedge(&plan, &first).is_none(), "two may have run it, the route's limit");
+    simulation.end(&mut plan, &first, Ending::Answered);
+    assert_eq!((plan.runs, plan.verdict), (2, Verdict::Ran));
 }
 
 #[test]
--- a/crates/policy/tests/gateway_simulation/mod.rs
+++ b/crates/policy/tests/gateway_simulation/mod.rs
@@ -161,8 +161,8 @@
         self.gateway.digest(detail)
     }
 
-    pub fn has_alternative(&mut self, plan: &Plan, attempt: &Attempt) -> bool {
-        self.gateway.has_alternative(self.now, plan, attempt)
+    pub fn hedge(&mut self, plan: &Plan, attempt: &Attempt) -> Option<(Plan, Attempt)> {
+        self.gateway.hedge(self.now, plan, attempt)
     }
 }
 
