--- a/crates/daemon/tests/platform/fixture.rs
+++ b/crates/daemon/tests/platform/fixture.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use acacia_connection::{Connection, KeepAlive, encode_head};
+use acacia_connection::{Connection, IdleState, KeepAlive, encode_head};
 use acacia_standin::platform::document::{self, Addresses, CONFIGURATION_KEY, Deployment, MODEL};
 use acacia_standin::platform::server::{self, Engine, Execution, Peers, Performance, Settings};
 use acacia_standin::platform::{cache, store};
@@ -356,26 +356,62 @@
     headers: &[(&'static str, String)],
     body: &'static [u8],
 ) -> Option<Answer> {
-    let keep_alive =
-        KeepAlive { idle: TIMEOUT, interval: TIMEOUT, probes: 2, user_timeout: TIMEOUT };
-    let mut connection = Connection::open(address, TIMEOUT, keep_alive).await.ok()?;
+    let mut caller = Caller::connect(address).await?;
+    let head = request_head(method, target, headers, body.len());
+    caller.send(&[&*head, body].concat()).await?;
+    caller.answer().await
+}
+
+/// Head of a request.
+pub fn request_head(
+    method: &str,
+    target: &str,
+    headers: &[(&'static str, String)],
+    body_bytes: usize,
+) -> Bytes {
     let mut fields = HeaderMap::new();
     for (name, value) in headers {
         fields.insert(HeaderName::from_static(name), HeaderValue::from_str(value).unwrap());
     }
-    let method: Method = method.parse().unwrap();
-    let head = encode_head(&method, target, &fields, body.len());
-    connection.send(&method, &head, &Bytes::from_static(body)).await.ok()?;
-    let head = connection.head().await.ok()?;
-    let mut received = Vec::new();
-    let is_complete = loop {
-        match connection.chunk().await {
-            Ok(Some(chunk)) => received.extend_from_slice(&chunk),
-            Ok(None) => break true,
-            Err(_) => break false,
-        }
-    };
-    let retry_after = head.headers.get("retry-after").and_then(|v| v.to_str().ok()?.parse().ok());
-    let status = head.status.as_u16();
-    Some(Answer { status, body: received.into(), is_complete, retry_after })
+    encode_head(&method.parse().unwrap(), target, &fields, body_bytes)
+}
+
+/// A caller's connection.
+pub struct Caller(Connection);
+
+impl Caller {
+    /// Connects to an instance.
+    pub async fn connect(address: SocketAddr) -> Option<Self> {
+        let keep_alive =
+            KeepAlive { idle: TIMEOUT, interval: TIMEOUT, probes: 2, user_timeout: TIMEOUT };
+        Connection::open(address, TIMEOUT, keep_alive).await.ok().map(Self)
+    }
+
+    /// Sends some bytes of a request; `None` if the connection is closed.
+    pub async fn send(&mut self, bytes: &[u8]) -> Option<()> {
+        let bytes = Bytes::copy_from_slice(bytes);
+        self.0.send(&Method::POST, &bytes, &Bytes::new()).await.ok()
+    }
+
+    /// Reads an answer; `None` if the connection ends before one begins.
+    pub async fn answer(&mut self) -> Option<Answer> {
+        let head = self.0.head().await.ok()?;
+        let mut received = Vec::new();
+        let is_complete = loop {
+            match self.0.chunk().await {
+                Ok(Some(chunk)) => received.extend_from_slice(&chunk),
+                Ok(None) => break true,
+                Err(_) => break false,
+            }
+        };
+        let retry_after =
+            head.headers.get("retry-after").and_then(|v| v.to_str().ok()?.parse().ok());
+        let status = head.status.as_u16();
+        Some(Answer { status, body: received.into(), is_complete, retry_after })
+    }
+
+    /// Whether the instance keeps the connection open.
+    pub fn is_open(&self) -> bool {
+        self.0.idle_state() == IdleState::Quiet
+    }
 }
--- a/crates/daemon/tests/platform/raw.rs
+++ b/crates/daemon/tests/platform/raw.rs
@@ -49,6 +49,8 @@
     Reset,
     /// Nothing, until the caller closes the connection.
     Silence,
+    /// These bytes after a pause, and then the connection is closed.
+    Later(Duration, &'static str),
     /// These bytes, again and again until the caller closes the connection.
     Repeat(&'static str),
 }
@@ -141,6 +143,10 @@
         End::Silence => {
             let _ = stream.read(&mut [0]).await;
         }
+        End::Later(pause, text) => {
+            tokio::time::sleep(pause).await;
+            let _ = stream.write_all(text.as_bytes()).await;
+        }
         End::Repeat(text) => {
             let bytes = text.repeat(REPEATED_BYTES / text.len());
             while stream.write_all(bytes.as_bytes()).await.is_ok() {
