Test: kept connection after a change to a longer idle time, failing

What callers saw: nothing known yet. An instance closes a kept connection after the idle time that was in force when the connection began, while callers may reuse it within the longer one. Their next request meets a closed connection, or crosses the close and gets neither an answer nor a refusal.

--- a/crates/daemon/tests/platform/change.rs
+++ b/crates/daemon/tests/platform/change.rs
@@ -376,6 +376,19 @@
     scene.fixture.stop().await;
 }
 
+/// Regression: a connection kept the idle time of its beginning, and was closed before the end of
+/// the longer one that callers had been told.
+#[tokio::test(flavor = "multi_thread")]
+async fn kept_connection_after_longer_idle_time() {
+    let mut scene = Scene::start().await;
+    scene.change(|c| c["limits"] = limits(16 << 10, 4 << 20, 500, 2_000)).await;
+    let mut kept = scene.kept_connection().await;
+    scene.change(|c| c["limits"] = limits(16 << 10, 4 << 20, 500, 8_000)).await;
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert!(scene.is_served(&mut kept, "late").await, "the connection was closed too early");
+    scene.fixture.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn kept_connection_after_shorter_idle_time() {
     let mut scene = Scene::start().await;
