Apply the idle time in force to connections that are kept

What callers saw: nothing known yet. Beside a change to a longer idle time, an instance closed kept connections after the old one, although callers may reuse them within the new one; a request that crossed the close got neither an answer nor a refusal, unread. Cause: hyper's time limit for a head, which includes the idle time before it, was set once, when the connection was accepted. The class: a value of the configuration copied into something that outlives the configuration. Change: the connection's timer reads the limits when a wait begins and again when it would end, and goes on if they allow more. A shorter limit holds from the next wait on, as callers may not know it yet.

--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -114,6 +114,7 @@
         log_budget: Budget::default(),
         memory: Memory::default(),
         phase: Cell::new(Phase::Serving),
+        limits: watch::Sender::default(),
         open_connections: Cell::new(0),
     });
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod replica;
 mod request;
 mod socket;
+mod timer;
 mod traffic;
 
 pub use event::{End, Oversized, Splitter};
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -10,12 +10,13 @@
 use http::{HeaderMap, StatusCode, Version};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use crate::request::{handle, plain};
 use crate::socket::{Closing, Socket};
+use crate::timer::Timer;
 use crate::traffic::{Phase, Traffic};
 
 /// Pause after a failed accept, so that a lack of file descriptors causes no busy loop.
@@ -65,8 +66,7 @@
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "failed to set TCP_NODELAY for a caller");
     }
-    let view = traffic.gateway.borrow().view().cloned();
-    let limits = view.map(|view| view.configuration.limits.clone()).unwrap_or_default();
+    let head_bytes = traffic.limits.borrow().head_bytes;
     let closing = Rc::new(Cell::new(Closing::Plain));
     let socket = Socket::new(stream, closing.clone());
     let service = service_fn(|request| {
@@ -76,10 +76,10 @@
         handle(traffic.clone(), request)
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // hyper includes the idle time between requests in the time for reading a head.
-        .header_read_timeout(limits.idle_time.max(limits.head_time))
-        .max_buf_size(limits.head_bytes.max(MIN_BUFFER))
+        .timer(Timer::new(traffic.limits.subscribe()))
+        // The timer adds the limits in force.
+        .header_read_timeout(Duration::ZERO)
+        .max_buf_size(head_bytes.max(MIN_BUFFER))
         .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
     let stopping = phase.wait_for(|phase| *phase == Phase::Closing);
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use acacia_policy::Time;
+use acacia_policy::gateway::configuration::Limits;
 use acacia_policy::gateway::{Attempt, Ending, Gateway, Plan, View};
+use tokio::sync::watch;
 
 use crate::attempt::Progress;
 use crate::clock::Clock;
@@ -29,6 +31,8 @@
     pub memory: Memory,
     /// The phase of the process.
     pub phase: Cell<Phase>,
+    /// Limits on callers' requests and connections, by the latest view.
+    pub limits: watch::Sender<Limits>,
     /// Open connections of callers.
     pub open_connections: Cell<u32>,
 }
@@ -58,6 +62,12 @@
     /// Applies a newer view.
     pub fn observe(&self, view: Arc<View>) {
         let now = self.now();
+        let newer = &view.configuration.limits;
+        self.limits.send_if_modified(|limits| {
+            let is_changed = limits != newer;
+            limits.clone_from(newer);
+            is_changed
+        });
         let mut pool = self.pool.borrow_mut();
         pool.sweep(now, |id| view.servers.contains_key(id) || view.expired.contains_key(id));
         self.gateway.borrow_mut().observe(now, view);
