Test: slow head on a kept connection, failing

What callers saw: nothing known yet. A caller that reuses a connection within its idle time and then sends the head within the time for heads gets neither an answer nor a refusal, if both together exceed the longer limit.

--- a/crates/daemon/tests/platform/change.rs
+++ b/crates/daemon/tests/platform/change.rs
@@ -420,3 +420,19 @@
     }
     scene.fixture.stop().await;
 }
+
+/// Regression: the idle time before a head counted as time for the head.
+#[tokio::test(flavor = "multi_thread")]
+async fn kept_connection_slow_head_after_idle_time() {
+    let mut scene = Scene::start().await;
+    scene.change(|c| c["limits"] = limits(16 << 10, 4 << 20, 2_000, 2_000)).await;
+    let mut kept = scene.kept_connection().await;
+    tokio::time::sleep(Duration::from_millis(1_300)).await;
+    let request = [&*scene.head("/charge/", "slow-head"), b"x"].concat();
+    let (start, rest) = request.split_at(request.len() / 2);
+    kept.send(start).await.expect("an open connection");
+    tokio::time::sleep(Duration::from_millis(1_300)).await;
+    kept.send(rest).await.expect("an open connection");
+    assert_eq!(scene.check("slow head", "slow-head", kept.answer().await), 200);
+    scene.fixture.stop().await;
+}
