Give a head its whole time, however long its connection was idle

What callers saw: nothing known yet. Near the end of a kept connection's idle time, a head that took longer than the rest of it got neither an answer nor a refusal, though both the idle time and the head's time were kept. A change to a shorter idle time makes this likelier. Cause: hyper runs one timer for the idle time and the head, which was the longer of both limits. Change: the socket tells the timer that bytes arrived; from then on the head has its own time, if that ends later. No wait ends earlier than before.

--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -16,7 +16,7 @@
 
 use crate::request::{handle, plain};
 use crate::socket::{Closing, Socket};
-use crate::timer::Timer;
+use crate::timer::{Received, Timer};
 use crate::traffic::{Phase, Traffic};
 
 /// Pause after a failed accept, so that a lack of file descriptors causes no busy loop.
@@ -68,7 +68,8 @@
     }
     let head_bytes = traffic.limits.borrow().head_bytes;
     let closing = Rc::new(Cell::new(Closing::Plain));
-    let socket = Socket::new(stream, closing.clone());
+    let received = Received::default();
+    let socket = Socket::new(stream, closing.clone(), received.clone());
     let service = service_fn(|request| {
         if request.version() < Version::HTTP_11 {
             closing.set(Closing::Requested);
@@ -76,7 +77,7 @@
         handle(traffic.clone(), request)
     });
     let connection = http1::Builder::new()
-        .timer(Timer::new(traffic.limits.subscribe()))
+        .timer(Timer::new(traffic.limits.subscribe(), received))
         // The timer adds the limits in force.
         .header_read_timeout(Duration::ZERO)
         .max_buf_size(head_bytes.max(MIN_BUFFER))
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -8,6 +8,7 @@
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -15,10 +16,13 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::timer::Received;
+
 /// A caller's connection, as hyper uses it.
 pub struct Socket {
     stream: TcpStream,
     closing: Rc<Cell<Closing>>,
+    received: Received,
 }
 
 /// What the end of the connection means to the caller.
@@ -33,9 +37,10 @@
 }
 
 impl Socket {
-    /// Wraps a connection; `closing` is changed to [`Closing::Requested`] by its owner.
-    pub fn new(stream: TcpStream, closing: Rc<Cell<Closing>>) -> Self {
-        Self { stream, closing }
+    /// Wraps a connection; `closing` is changed to [`Closing::Requested`] by its owner, and
+    /// `received` is set when bytes arrive.
+    pub fn new(stream: TcpStream, closing: Rc<Cell<Closing>>, received: Received) -> Self {
+        Self { stream, closing, received }
     }
 
     /// Makes the operating system reset the connection when it is closed, if that was requested.
@@ -54,7 +59,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.received.store(true, Ordering::Relaxed);
+        }
+        polled
     }
 }
 
--- a/crates/gateway/src/timer.rs
+++ b/crates/gateway/src/timer.rs
@@ -2,9 +2,12 @@
 //!
 //! hyper runs one timer from the end of an exchange to the end of the next request's head. A
 //! connection may outlast the configuration that it began with, so [`Timer`] applies the limits
-//! that are in force when the timer would end.
+//! that are in force when the timer would end. A head that begins before that end has the time for
+//! heads from its first bytes on.
 
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
@@ -18,12 +21,16 @@
 #[derive(Clone, Debug)]
 pub struct Timer {
     limits: watch::Receiver<Limits>,
+    received: Received,
 }
 
+/// Whether a connection has received bytes since its wait began.
+pub type Received = Arc<AtomicBool>;
+
 impl Timer {
-    /// A timer that follows `limits`.
-    pub fn new(limits: watch::Receiver<Limits>) -> Self {
-        Self { limits }
+    /// A timer that follows `limits`; the connection sets `received`.
+    pub fn new(limits: watch::Receiver<Limits>, received: Received) -> Self {
+        Self { limits, received }
     }
 }
 
@@ -33,7 +40,8 @@
     }
 
     fn sleep_until(&self, start: Instant) -> Pin<Box<dyn Sleep>> {
-        Box::pin(Wait::new(start, self.limits.clone()))
+        self.received.store(false, Ordering::Relaxed);
+        Box::pin(Wait::new(start, self.clone()))
     }
 }
 
@@ -41,25 +49,31 @@
 #[derive(Debug)]
 struct Wait {
     start: Instant,
-    limits: watch::Receiver<Limits>,
+    /// When the head began.
+    head: Option<Instant>,
+    timer: Timer,
     sleep: Pin<Box<tokio::time::Sleep>>,
 }
 
 impl Wait {
-    fn new(start: Instant, limits: watch::Receiver<Limits>) -> Self {
-        let end = end(start, &limits.borrow());
-        Self { start, limits, sleep: Box::pin(tokio::time::sleep_until(end)) }
+    fn new(start: Instant, timer: Timer) -> Self {
+        let end = end(start, None, &timer.limits.borrow());
+        Self { start, head: None, timer, sleep: Box::pin(tokio::time::sleep_until(end)) }
     }
 }
 
 impl Future for Wait {
     type Output = ();
 
+    /// Polled by hyper after it has received bytes that don't complete a head, too.
     fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        if self.timer.received.load(Ordering::Relaxed) {
+            self.head.get_or_insert_with(Instant::now);
+        }
         loop {
             ready!(self.sleep.as_mut().poll(context));
             // A limit that became shorter holds from the next wait on.
-            let end = end(self.start, &self.limits.borrow());
+            let end = end(self.start, self.head, &self.timer.limits.borrow());
             if end <= self.sleep.deadline() {
                 return Poll::Ready(());
             }
@@ -70,8 +84,8 @@
 
 impl Sleep for Wait {}
 
-/// When a wait ends that began at `start`.
-fn end(start: Instant, limits: &Limits) -> TokioInstant {
-    // hyper includes the idle time between requests in the time for reading a head.
-    (start + limits.idle_time.max(limits.head_time)).into()
+/// When a wait ends that began at `start`, for a head that began at `head`.
+fn end(start: Instant, head: Option<Instant>, limits: &Limits) -> TokioInstant {
+    let idle = start + limits.idle_time.max(limits.head_time);
+    head.map_or(idle, |head| idle.max(head + limits.head_time)).into()
 }
