Test: kept connection after a change to longer heads, failing

What callers saw: nothing known yet. A proper request on a kept connection is refused with 431, which callers don't retry, if its head is longer than the limit that was in force when the connection began.

--- a/crates/daemon/tests/platform/change.rs
+++ b/crates/daemon/tests/platform/change.rs
@@ -421,6 +421,21 @@
     scene.fixture.stop().await;
 }
 
+/// Regression: a connection kept the limit of a head's size of its beginning.
+#[tokio::test(flavor = "multi_thread")]
+async fn kept_connection_after_longer_heads() {
+    let mut scene = Scene::start().await;
+    scene.change(|c| c["limits"] = limits(8 << 10, 4 << 20, 3_000, 15_000)).await;
+    let mut kept = scene.kept_connection().await;
+    scene.change(|c| c["limits"] = limits(32 << 10, 4 << 20, 3_000, 15_000)).await;
+    let mut headers = scene.headers("long-head");
+    headers.push(("x-long", "x".repeat(20 << 10)));
+    let head = request_head("POST", "/charge/", &headers, 1);
+    kept.send(&[&*head, b"x"].concat()).await.expect("an open connection");
+    assert_eq!(scene.check("longer heads", "long-head", kept.answer().await), 200);
+    scene.fixture.stop().await;
+}
+
 /// Regression: the idle time before a head counted as time for the head.
 #[tokio::test(flavor = "multi_thread")]
 async fn kept_connection_slow_head_after_idle_time() {
