Apply the limit of heads in force to connections that are kept

What callers saw: nothing known yet. Beside a change to longer heads, a proper request on a kept connection got 431, which callers don't retry. Evidence: change::kept_connection_after_longer_heads fails before, six runs of six, and passes after, three of three, with a check added for a change to shorter heads. The whole platform test binary passes, three runs. Change: any connection can hold a head of 64 KiB, and the limit in force is checked once the head is read. A limit beyond 64 KiB holds for new connections only.

--- a/crates/daemon/tests/platform/change.rs
+++ b/crates/daemon/tests/platform/change.rs
@@ -109,6 +109,15 @@
         answer.is_some_and(|answer| answer.status == 200 && answer.is_complete)
     }
 
+    /// Sends a request with a head of some 20 KiB.
+    async fn send_long_head(&self, caller: &mut Caller, id: &str) -> Option<Answer> {
+        let mut headers = self.headers(id);
+        headers.push(("x-long", "x".repeat(20 << 10)));
+        let head = request_head("POST", "/charge/", &headers, 1);
+        caller.send(&[&*head, b"x"].concat()).await?;
+        caller.answer().await
+    }
+
     /// Writes a version of the configuration.
     fn write(&mut self, change: impl FnOnce(&mut Value)) {
         self.version += 1;
@@ -428,11 +437,11 @@
     scene.change(|c| c["limits"] = limits(8 << 10, 4 << 20, 3_000, 15_000)).await;
     let mut kept = scene.kept_connection().await;
     scene.change(|c| c["limits"] = limits(32 << 10, 4 << 20, 3_000, 15_000)).await;
-    let mut headers = scene.headers("long-head");
-    headers.push(("x-long", "x".repeat(20 << 10)));
-    let head = request_head("POST", "/charge/", &headers, 1);
-    kept.send(&[&*head, b"x"].concat()).await.expect("an open connection");
-    assert_eq!(scene.check("longer heads", "long-head", kept.answer().await), 200);
+    let answer = scene.send_long_head(&mut kept, "long-head").await;
+    assert_eq!(scene.check("longer heads", "long-head", answer), 200);
+    scene.change(|c| c["limits"] = limits(8 << 10, 4 << 20, 3_000, 15_000)).await;
+    let answer = scene.send_long_head(&mut kept, "refused-head").await;
+    assert_eq!(scene.check("shorter heads", "refused-head", answer), 431);
     scene.fixture.stop().await;
 }
 
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -7,14 +7,16 @@
 use std::time::Duration;
 
 use acacia_platform::ingress::READY_PATH;
-use http::{HeaderMap, StatusCode, Version};
+use acacia_policy::Time;
+use http::{HeaderMap, Request, Response, StatusCode, Version};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::request::{handle, plain};
+use crate::log::Kind;
+use crate::request::{Body, handle, plain};
 use crate::socket::{Closing, Socket};
 use crate::timer::{Received, Timer};
 use crate::traffic::{Phase, Traffic};
@@ -23,8 +25,10 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Length of the accept queue. Bursts of callers arrive within a few milliseconds.
 const BACKLOG: u32 = 1_024;
-/// Smallest buffer that hyper accepts, in bytes.
-const MIN_BUFFER: usize = 8 << 10;
+/// Smallest limit on a head that is applied, in bytes.
+const MIN_HEAD_BYTES: usize = 8 << 10;
+/// Size of a head, in bytes, that a connection can hold even if the limit was shorter when it began.
+const HEAD_BUFFER: usize = 64 << 10;
 
 /// Listens on an address.
 ///
@@ -66,21 +70,25 @@
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "failed to set TCP_NODELAY for a caller");
     }
-    let head_bytes = traffic.limits.borrow().head_bytes;
+    let buffer = traffic.limits.borrow().head_bytes.max(HEAD_BUFFER);
     let closing = Rc::new(Cell::new(Closing::Plain));
     let received = Received::default();
     let socket = Socket::new(stream, closing.clone(), received.clone());
-    let service = service_fn(|request| {
+    let service = service_fn(async |request| {
         if request.version() < Version::HTTP_11 {
             closing.set(Closing::Requested);
         }
-        handle(traffic.clone(), request)
+        let limit = traffic.limits.borrow().head_bytes.max(MIN_HEAD_BYTES);
+        if head_bytes(&request) > limit {
+            return Ok(head_too_long(traffic, limit));
+        }
+        handle(traffic.clone(), request).await
     });
     let connection = http1::Builder::new()
         .timer(Timer::new(traffic.limits.subscribe(), received))
         // The timer adds the limits in force.
         .header_read_timeout(Duration::ZERO)
-        .max_buf_size(head_bytes.max(MIN_BUFFER))
+        .max_buf_size(buffer)
         .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
     let stopping = phase.wait_for(|phase| *phase == Phase::Closing);
@@ -91,6 +99,26 @@
     log_end(connection.await);
 }
 
+/// Size of a request's head as it is sent, without optional spaces.
+fn head_bytes<B>(request: &Request<B>) -> usize {
+    let target = request.uri().path_and_query().map_or(0, |target| target.as_str().len());
+    let line = request.method().as_str().len() + target + "  HTTP/1.1\r\n".len();
+    let fields = request.headers().iter();
+    let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
+    line + fields.sum::<usize>() + "\r\n".len()
+}
+
+/// Answer to a request whose head exceeds the limit.
+fn head_too_long(traffic: &Traffic, limit: usize) -> Response<Body> {
+    let now = traffic.now();
+    traffic.metrics.request("", "head_too_long", Time::ZERO);
+    if traffic.log_budget.admits(now, Kind::Failure) {
+        tracing::warn!(outcome = "refused", reason = "head_too_long", limit, "request ended");
+    }
+    let text = format!("the head exceeds {limit} bytes; hint: `max_header_bytes`\n");
+    plain(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, HeaderMap::new(), &text)
+}
+
 fn log_end(ended: Result<(), hyper::Error>) {
     if let Err(error) = ended {
         tracing::debug!(%error, "a caller's connection ended with an error");
@@ -133,7 +161,7 @@
         };
         let respond = respond.clone();
         tokio::task::spawn_local(async move {
-            let service = service_fn(|request: http::Request<hyper::body::Incoming>| {
+            let service = service_fn(|request: Request<hyper::body::Incoming>| {
                 let (status, text) = respond(request.uri().path());
                 std::future::ready(Ok::<_, std::convert::Infallible>(plain(
                     status,
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -18,6 +18,10 @@
 
 use crate::timer::Received;
 
+/// Size limit of one read, in bytes. hyper enlarges its buffer, up to the longest head, after each
+/// read that fills it.
+const READ_BYTES: usize = (8 << 10) - 1;
+
 /// A caller's connection, as hyper uses it.
 pub struct Socket {
     stream: TcpStream,
@@ -59,9 +63,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before {
+        let limit = buffer.remaining().min(READ_BYTES);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(limit));
+        let polled = Pin::new(&mut self.stream).poll_read(context, &mut part);
+        let received = part.filled().len();
+        buffer.advance(received);
+        if received > 0 {
             self.received.store(true, Ordering::Relaxed);
         }
         polled
