Test: body over a shorter limit, failing

What callers saw: nothing known yet. A caller that sends a body over `max_body_bytes`, as after a change to a shorter limit, gets a reset while it sends, and neither an answer nor a refusal. Once the limit is in force, this is every such request whose body doesn't fit into the sockets' buffers. Cause: the request is refused without reading its body, and hyper closes a connection with an unread body at once. The kernel answers what still arrives with a reset, which also discards the refusal. By reading, not by a test, the same holds for a body that takes too long and for a request without an id.

--- a/crates/daemon/tests/platform/change.rs
+++ b/crates/daemon/tests/platform/change.rs
@@ -8,6 +8,8 @@
 
 use parking_lot::Mutex;
 use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::fixture::{self, Answer, Caller, Fixture, call, request_head};
 use crate::raw::{self, End, Request};
@@ -460,3 +462,20 @@
     assert_eq!(scene.check("slow head", "slow-head", kept.answer().await), 200);
     scene.fixture.stop().await;
 }
+
+/// A caller that sends all of a body over a shorter limit gets the refusal, not a reset.
+#[tokio::test(flavor = "multi_thread")]
+async fn body_over_shorter_limit() {
+    let mut scene = Scene::start().await;
+    scene.change(|c| c["limits"] = limits(16 << 10, 64 << 10, 3_000, 15_000)).await;
+    let body = vec![b'x'; 2 << 20];
+    let head = request_head("POST", "/charge/", &scene.headers("large-body"), body.len());
+    for _ in 0..20 {
+        let mut stream = TcpStream::connect(scene.fixture.address(0)).await.unwrap();
+        stream.write_all(&[&*head, &*body].concat()).await.expect("an open connection");
+        let mut answer = [0; 1 << 10];
+        let received = stream.read(&mut answer).await.expect("an answer that no reset discards");
+        assert!(answer[..received].starts_with(b"HTTP/1.1 413 "), "{received} bytes");
+    }
+    scene.fixture.stop().await;
+}
