--- a/crates/daemon/tests/platform/change.rs
+++ b/crates/daemon/tests/platform/change.rs
@@ -210,6 +210,10 @@
     routes.filter(|route| route["name"] != "marker")
 }
 
+fn services(configuration: &mut Value) -> impl Iterator<Item = &mut Value> {
+    configuration["services"].as_array_mut().unwrap().iter_mut()
+}
+
 fn limits(head_bytes: usize, body_bytes: usize, head_ms: u64, idle_ms: u64) -> Value {
     json!({
         "max_header_bytes": head_bytes, "max_body_bytes": body_bytes,
@@ -228,10 +232,16 @@
     ("no routes", |c| c["routes"].as_array_mut().unwrap().retain(is_marker), &[404]),
 ];
 
-const ACCESS_CHANGES: [Change; 4] = [
+const ACCESS_CHANGES: [Change; 2] = [
     ("other key", |c| c["tenants"][0]["api_keys"] = json!(["key-2"]), &[401]),
     ("no keys needed", |c| c["tenants"] = Value::Null, &[200]),
-    ("few connections", |c| c["services"][0]["max_conns"] = json!(1), &[200, 503]),
+];
+
+const SERVICE_CHANGES: [Change; 5] = [
+    ("few connections", |c| services(c).for_each(|s| s["max_conns"] = json!(1)), &[503]),
+    ("no limit of connections", |c| services(c).for_each(|s| s["max_conns"] = Value::Null), &[200]),
+    ("small engines", |c| c["services"][1]["engine"] = json!({"kv_capacity": 10}), &[200, 503]),
+    ("no engines", |c| c["services"][1]["engine"] = Value::Null, &[200]),
     ("no services", |c| c["services"] = json!([]), &[503]),
 ];
 
@@ -270,6 +280,11 @@
     change_during_requests(&ACCESS_CHANGES).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn service_changed_during_requests() {
+    change_during_requests(&SERVICE_CHANGES).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn limits_changed_during_requests() {
     change_during_requests(&LIMIT_CHANGES).await;
@@ -359,13 +374,14 @@
 }
 
 /// Time between the versions of a burst.
-const BURST_INTERVAL: Duration = Duration::from_millis(7);
+const BURST_INTERVAL: Duration = Duration::from_millis(6);
 
 #[tokio::test(flavor = "multi_thread")]
 async fn changes_in_burst_during_requests() {
     let mut scene = Scene::start().await;
     let burst = async |scene: &mut Scene| {
-        for (_, change, _) in ROUTE_CHANGES.iter().chain(&ACCESS_CHANGES).chain(&LIMIT_CHANGES) {
+        let changes = ROUTE_CHANGES.iter().chain(&ACCESS_CHANGES).chain(&SERVICE_CHANGES);
+        for (_, change, _) in changes.chain(&LIMIT_CHANGES) {
             scene.write(change);
             tokio::time::sleep(BURST_INTERVAL).await;
         }
