--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -8,6 +8,7 @@
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -15,10 +16,17 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::timer::Received;
+
+/// Size limit of one read, in bytes. hyper enlarges its buffer, up to the longest head, after each
+/// read that fills it.
+const READ_BYTES: usize = (8 << 10) - 1;
+
 /// A caller's connection, as hyper uses it.
 pub struct Socket {
     stream: TcpStream,
     closing: Rc<Cell<Closing>>,
+    received: Received,
 }
 
 /// What the end of the connection means to the caller.
@@ -33,9 +41,10 @@
 }
 
 impl Socket {
-    /// Wraps a connection; `closing` is changed to [`Closing::Requested`] by its owner.
-    pub fn new(stream: TcpStream, closing: Rc<Cell<Closing>>) -> Self {
-        Self { stream, closing }
+    /// Wraps a connection; `closing` is changed to [`Closing::Requested`] by its owner, and
+    /// `received` is set when bytes arrive.
+    pub fn new(stream: TcpStream, closing: Rc<Cell<Closing>>, received: Received) -> Self {
+        Self { stream, closing, received }
     }
 
     /// Makes the operating system reset the connection when it is closed, if that was requested.
@@ -54,7 +63,15 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let limit = buffer.remaining().min(READ_BYTES);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(limit));
+        let polled = Pin::new(&mut self.stream).poll_read(context, &mut part);
+        let received = part.filled().len();
+        buffer.advance(received);
+        if received > 0 {
+            self.received.store(true, Ordering::Relaxed);
+        }
+        polled
     }
 }
 
