Read on while a refusal of a body is sent

What callers saw: beside a change to a shorter body limit, the connection of a caller that was still sending a body over it was reset, and the 413 was lost. Cause: the connection was closed with unread bytes. The rest of the body is skipped now, at most 16 MiB or 10 s, also for bodies that arrive too slowly and for malformed requests.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -23,6 +23,8 @@
 /// Body of an answer.
 pub type Body = Pin<Box<dyn hyper::body::Body<Data = Bytes, Error = Interrupted>>>;
 
+/// Size limit of a refused request's body that is skipped, in bytes.
+const DISCARD_BYTES: usize = 16 << 20;
 /// Time limit for reading a request's body if the caller states no deadline.
 const BODY_TIMEOUT: Time = Time::from_secs(10);
 
@@ -35,7 +37,10 @@
     let (head, incoming) = request.into_parts();
     let call = match ingress::call(&head) {
         Ok(call) => call,
-        Err(problem) => return Ok(malformed(&traffic, &problem.to_string())),
+        Err(problem) => {
+            discard(incoming);
+            return Ok(malformed(&traffic, &problem.to_string()));
+        }
     };
     let id = call.id.clone();
     let mut completion = Completion { arrived, id: id.clone() };
@@ -68,7 +73,7 @@
 }
 
 /// Reads a request's whole body, so that the request can be retried.
-async fn read_body(traffic: &Traffic, call: &Call, body: Incoming) -> Result<Bytes, Refusal> {
+async fn read_body(traffic: &Traffic, call: &Call, mut body: Incoming) -> Result<Bytes, Refusal> {
     let refusal = |reason| Refusal { reason, verdict: Verdict::NotRun, retry_after: None };
     if body.is_end_stream() {
         return Ok(Bytes::new());
@@ -76,16 +81,34 @@
     let view = traffic.gateway.borrow().view().cloned();
     let limits = view.map(|view| view.configuration.limits.clone()).unwrap_or_default();
     if body.size_hint().lower() > limits.body_bytes as u64 {
+        discard(body);
         return Err(refusal(Reason::TooLarge));
     }
-    let whole = Limited::new(body, limits.body_bytes).collect();
+    let whole = Limited::new(&mut body, limits.body_bytes).collect();
     let timeout = call.timeout.unwrap_or(BODY_TIMEOUT);
-    match tokio::time::timeout(timeout, whole).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(refusal(Reason::TooLarge)),
-        Ok(Err(_)) => Err(refusal(Reason::Malformed)),
-        Err(_) => Err(refusal(Reason::Expired)),
-    }
+    let reason = match tokio::time::timeout(timeout, whole).await {
+        Ok(Ok(body)) => return Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Reason::TooLarge,
+        Ok(Err(_)) => Reason::Malformed,
+        Err(_) => Reason::Expired,
+    };
+    discard(body);
+    Err(refusal(reason))
+}
+
+/// Skips the rest of a refused request's body. If the connection were closed before, the caller
+/// would get a reset instead of the refusal.
+fn discard(mut body: Incoming) {
+    let rest = async move {
+        let mut bytes = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            bytes += frame.data_ref().map_or(0, Bytes::len);
+            if bytes > DISCARD_BYTES {
+                return;
+            }
+        }
+    };
+    tokio::task::spawn_local(tokio::time::timeout(BODY_TIMEOUT, rest));
 }
 
 /// Sends a request to the upstreams that the gateway's decisions select, until it is answered or
