--- a/crates/connection/tests/exchange.rs
+++ b/crates/connection/tests/exchange.rs
@@ -249,3 +249,67 @@
     }
     quickcheck(holds as fn(Vec<Vec<u8>>, Vec<u8>) -> TestResult);
 }
+
+/// A peer that reads nothing for a second and then goes on is no unreachable one.
+#[tokio::test]
+async fn send_peer_pauses_before_reading() {
+    const BODY_BYTES: usize = 256 << 10;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let mut received = 0;
+        let mut buffer = vec![0; 64 << 10];
+        while received < BODY_BYTES {
+            let count = stream.read(&mut buffer).await.unwrap();
+            assert!(count > 0);
+            received += count;
+        }
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await.unwrap();
+        std::future::pending::<()>().await;
+    });
+    let keep_alive = KeepAlive {
+        idle: Duration::from_secs(1),
+        interval: Duration::from_secs(1),
+        probes: 2,
+        user_timeout: Duration::from_millis(500),
+    };
+    let mut connection = Connection::open(address, TIMEOUT, keep_alive).await.unwrap();
+    let body = Bytes::from(vec![0; BODY_BYTES]);
+    let head = encode_head(&Method::POST, "/", &HeaderMap::new(), body.len());
+    connection.send(&Method::POST, &head, &body).await.unwrap();
+    assert_eq!(connection.head().await.unwrap().status, 200);
+}
+
+/// A peer may answer before it has read the request's body, and read it later.
+#[tokio::test]
+async fn chunk_peer_answers_before_reading() {
+    const BODY_BYTES: usize = 256 << 10;
+    const EVENTS: usize = 8;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buffer = [0; 4096];
+        assert!(stream.read(&mut buffer).await.unwrap() > 0);
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 16\r\n\r\n").await.unwrap();
+        for _ in 0..EVENTS {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            stream.write_all(b"x\n").await.unwrap();
+        }
+        std::future::pending::<()>().await;
+    });
+    let keep_alive = KeepAlive {
+        idle: Duration::from_secs(1),
+        interval: Duration::from_secs(1),
+        probes: 2,
+        user_timeout: Duration::from_millis(500),
+    };
+    let mut connection = Connection::open(address, TIMEOUT, keep_alive).await.unwrap();
+    let body = Bytes::from(vec![0; BODY_BYTES]);
+    let head = encode_head(&Method::POST, "/", &HeaderMap::new(), body.len());
+    connection.send(&Method::POST, &head, &body).await.unwrap();
+    assert_eq!(connection.head().await.unwrap().status, 200);
+    assert_eq!(connection.body(100).await.unwrap().len(), 2 * EVENTS);
+}
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -4,6 +4,7 @@
 #![expect(clippy::unwrap_used, reason = "an error in a helper fails the test")]
 
 mod answer;
+mod body;
 mod fixture;
 mod raw;
 
--- a/crates/daemon/tests/platform/raw.rs
+++ b/crates/daemon/tests/platform/raw.rs
@@ -52,6 +52,8 @@
     Silence,
     /// Nothing for some time, then these bytes; then the connection is closed.
     Pause(Duration, &'static str),
+    /// Each of these texts after this pause; then the connection is closed.
+    Drip(Duration, &'static [&'static str]),
     /// These bytes, again and again until the caller closes the connection.
     Repeat(&'static str),
 }
@@ -149,6 +151,14 @@
             // Fails if the caller has closed the connection.
             let _ = stream.write_all(rest.as_bytes()).await;
         }
+        End::Drip(pause, texts) => {
+            for text in texts {
+                tokio::time::sleep(pause).await;
+                if stream.write_all(text.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        }
         End::Repeat(text) => {
             let bytes = text.repeat(REPEATED_BYTES / text.len());
             while stream.write_all(bytes.as_bytes()).await.is_ok() {
