Let an upstream read a long body late

What callers saw: an attempt at a sound upstream that did not read the rest of a long body for about 0.7 s ended as `lost`, even while the upstream sent events. A stream on a route that can't be repeated broke off (LOST).

Cause: TCP_USER_TIMEOUT, 500 ms here, limits not only how long sent bytes may stay unacknowledged. The kernel also counts the time for which the peer's window is closed, although the peer's host acknowledges each probe of it. Unread bytes were taken for an unreachable host: the class of the earlier fault, silence taken for failure.

Change: the user timeout holds for a request of up to 16 KiB, with its head, which a peer's receive window takes even while the peer reads nothing. For a longer one it is lifted (the system's default), and the caller's own limit bounds the wait: the request's deadline in the gateway (`Hedge::race`, also for second attempts), the call's timeout in the control thread's client. Each `Connection::send` sets or lifts it, so a short request after a long one has it again.

What changes for unreachable hosts: nothing for short requests. While bytes of a long one are unacknowledged, its attempt ends at the deadline, or when a second attempt has answered. Once all are acknowledged, keep-alive probes go on; by the kernel's rules they need 3 s instead of 2 s, as without a user timeout both probes count, also for an idle connection whose last request was long. These times were not measured: an unreachable host can't be had on loopback.

Ruled out: the time left to the deadline as the user timeout, which would end keep-alive detection during the exchange and compete with the gateway's own timer; TCP_INFO, for which neither socket2 nor tokio has a safe call; a longer fixed timeout, as no time to read a long body is wrong before the deadline.

--- a/crates/connection/src/connection.rs
+++ b/crates/connection/src/connection.rs
@@ -21,6 +21,8 @@
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum number of interim responses before a response.
 const MAX_INTERIM_RESPONSES: usize = 16;
+/// Size of a request that a peer's receive window takes even while the peer reads nothing.
+const WINDOW_BYTES: usize = 16 << 10;
 
 /// Why an exchange failed.
 #[derive(Clone, Copy, Debug, Display, Eq, Error, IntoStaticStr, PartialEq)]
@@ -58,7 +60,8 @@
     pub interval: Duration,
     /// Unanswered probes after which the connection fails.
     pub probes: u32,
-    /// Longest time that sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`).
+    /// Longest time that the bytes of a short request may stay unacknowledged (`TCP_USER_TIMEOUT`).
+    /// A request that may not fit into the peer's receive window has no such limit.
     pub user_timeout: Duration,
 }
 
@@ -80,6 +83,9 @@
     buffer: BytesMut,
     method: Method,
     body: Decoder,
+    user_timeout: Duration,
+    /// Whether the user timeout is in force.
+    is_limited: bool,
     /// Whether the request was fully written and the peer keeps the connection open.
     can_reuse: bool,
 }
@@ -109,6 +115,8 @@
             buffer: BytesMut::new(),
             method: Method::GET,
             body: Decoder::Done,
+            user_timeout: keep_alive.user_timeout,
+            is_limited: true,
             can_reuse: true,
         })
     }
@@ -116,13 +124,14 @@
     /// Writes a request.
     ///
     /// Returns early if the peer responds before it has read the entire request; the connection is
-    /// then not reusable.
+    /// then not reusable. How long the peer may take to read a long request is up to the caller.
     ///
     /// # Errors
     /// If the connection breaks before the peer sends anything.
     pub async fn send(&mut self, method: &Method, head: &Bytes, body: &Bytes) -> Result<(), Fault> {
         self.method = method.clone();
         self.can_reuse = false;
+        self.limit(head.len() + body.len())?;
         let mut bytes;
         let bytes: &[u8] = if body.is_empty() {
             head
@@ -266,6 +275,19 @@
         }
     }
 
+    /// Applies the user timeout to a request of this size, or lifts it.
+    fn limit(&mut self, request_bytes: usize) -> io::Result<()> {
+        // The kernel counts the time for which the peer's window is closed, too, even if the peer
+        // acknowledges each probe.
+        let is_limited = request_bytes <= WINDOW_BYTES;
+        if is_limited != self.is_limited {
+            let timeout = is_limited.then_some(self.user_timeout);
+            SockRef::from(&self.stream).set_tcp_user_timeout(timeout)?;
+            self.is_limited = is_limited;
+        }
+        Ok(())
+    }
+
     async fn read_more(&mut self) -> Result<usize, Fault> {
         if self.buffer.capacity() - self.buffer.len() < READ_BYTES / 4 {
             self.buffer.reserve(READ_BYTES);
--- a/crates/connection/tests/exchange.rs
+++ b/crates/connection/tests/exchange.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, Method};
 use quickcheck::{TestResult, quickcheck};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 
 const TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -313,3 +313,44 @@
     assert_eq!(connection.head().await.unwrap().status, 200);
     assert_eq!(connection.body(100).await.unwrap().len(), 2 * EVENTS);
 }
+
+/// The user timeout of a short request holds after a long one, too. The peer's window takes less
+/// than the short request and so stands for a host that acknowledges nothing.
+#[tokio::test]
+async fn send_short_request_after_long_one() {
+    const LONG_BYTES: usize = 256 << 10;
+    const SHORT_BYTES: usize = 12 << 10;
+    const WINDOW_BYTES: u32 = 2 << 10;
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(WINDOW_BYTES).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut request = vec![0; encode_post(LONG_BYTES).len() + LONG_BYTES];
+        stream.read_exact(&mut request).await.unwrap();
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await.unwrap();
+        std::future::pending::<()>().await;
+    });
+    let keep_alive = KeepAlive {
+        idle: TIMEOUT,
+        interval: TIMEOUT,
+        probes: 2,
+        user_timeout: Duration::from_millis(500),
+    };
+    let mut connection = Connection::open(address, TIMEOUT, keep_alive).await.unwrap();
+    let long = Bytes::from(vec![0; LONG_BYTES]);
+    connection.send(&Method::POST, &encode_post(LONG_BYTES), &long).await.unwrap();
+    assert_eq!(connection.head().await.unwrap().status, 200);
+    assert_eq!(connection.body(100).await.unwrap(), "ok");
+    assert!(connection.is_reusable());
+    let short = Bytes::from(vec![0; SHORT_BYTES]);
+    connection.send(&Method::POST, &encode_post(SHORT_BYTES), &short).await.unwrap();
+    let head = tokio::time::timeout(TIMEOUT, connection.head()).await.unwrap();
+    assert_eq!(head.unwrap_err(), Fault::Unacknowledged);
+}
+
+fn encode_post(body_bytes: usize) -> Bytes {
+    encode_head(&Method::POST, "/", &HeaderMap::new(), body_bytes)
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,7 +16,8 @@
 
 /// Connect timeout. A reachable server accepts within a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Detects a silent upstream soon enough that few requests wait for it.
+/// Detects an upstream whose host is unreachable soon enough that few requests wait for it. While a
+/// request's body is too long for the upstream's receive window, its deadline is the only limit.
 const KEEP_ALIVE: KeepAlive = KeepAlive {
     idle: Duration::from_secs(1),
     interval: Duration::from_secs(1),
