Log whether an answer had begun when its attempt ended, and the parts of prompts that broke

When engines end one after the other, the log has to tell two hypotheses apart: the engines end on something that the requests have in common, or for a cause of their own. The line 'attempt ended' named the engine but neither the parts of the prompt nor whether the answer had begun. It now has 'began', and for a broken exchange 'shared_parts': the ids of all parts but the last. The lines of several instances, grouped by part, show which part each ended engine had in common and which parts were answered since.

--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -84,10 +84,13 @@
             _ => Kind::Failure,
         };
         if self.log_budget.admits(now, kind) {
+            let shared_parts = (ending == Ending::Broken).then(|| shared_parts(plan)).flatten();
             tracing::info!(
                 id = plan.id,
                 server = &*attempt.server.id,
                 ending = outcome,
+                began = attempt.began.is_some(),
+                shared_parts,
                 answered_by = instance,
                 framing = progress.framing.map(<&'static str>::from),
                 incomplete_bytes = progress.incomplete_bytes,
@@ -100,6 +103,13 @@
     }
 }
 
+/// Ids of the parts of a prompt that other requests may contain, for the log.
+fn shared_parts(plan: &Plan) -> Option<String> {
+    let shared = plan.prompt.as_ref()?.shared();
+    let ids: Vec<&str> = shared.iter().map(|part| &*part.id).collect();
+    Some(ids.join(" "))
+}
+
 /// Milliseconds of a time, for the log.
 pub fn millis(time: Time) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
