Hold back a part of prompts that crashes engines, on all instances

The cause: no decision depended on what an engine was running when it ended. The crashes of one part were spread over nine instances, each of which took the next engine for each repeat and each new request.

'quarantine' now counts, for each shared part of a prompt, the incarnations of engines that broke off before they began to answer on it, and clears the part when an answer begins. Instances exchange crashes, claims to a trial and answers with their digests, without a call of the metadata store. From the second crash on, requests with the part are tried one at a time by all instances together; from the third on, they are refused as not run (reason part_held) until a trial after the hold. Only the part counts, and a part whose crashes another suspect accounts for is tried rather than held.

Considered and left out: cancelling attempts with the part that are queued at engines when it becomes held; a hold that only doubles, with which the fourth trial follows about 300 s after the third crash.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use acacia_policy::Time;
-use acacia_policy::gateway::gossip::{Digest, Message};
+use acacia_policy::gateway::gossip::{Digest, Message, Note};
 use acacia_policy::gateway::mesh::{Mesh, Recipients};
 use tokio::net::UdpSocket;
 
@@ -21,7 +21,9 @@
 /// Interval between full digests, which make up for lost messages.
 const FULL_INTERVAL: Duration = Duration::from_millis(700);
 /// Size limit of a datagram, below the size that networks commonly carry unfragmented.
-const DATAGRAM_BYTES: usize = 1_400;
+pub const DATAGRAM_BYTES: usize = 1_400;
+/// Size limit of an empty digest in bytes.
+const DIGEST_BYTES: usize = 32;
 /// Prefills in one digest, so that it fits a datagram.
 const PREFILLS_PER_DIGEST: usize = 16;
 /// Digests from peers that may wait for forwarding. More arrive only while the process is
@@ -83,6 +85,7 @@
 
     /// Sends this instance's changes, and forwards digests from peers.
     fn flush(&mut self) {
+        self.traffic.report_findings();
         let (view, zone) = {
             let gateway = self.traffic.gateway.borrow();
             (gateway.view().cloned(), gateway.terms().zone.clone())
@@ -94,7 +97,7 @@
             let mut gateway = self.traffic.gateway.borrow_mut();
             if now >= self.full_sent + FULL_INTERVAL {
                 self.full_sent = now;
-                gateway.full_digest(mesh.detail())
+                gateway.full_digest(now, mesh.detail())
             } else {
                 gateway.digest(mesh.detail())
             }
@@ -139,7 +142,33 @@
 }
 
 /// Splits a digest into several that each fit a datagram.
-fn split(digest: Digest) -> Vec<Digest> {
+pub fn split(mut digest: Digest) -> Vec<Digest> {
+    let mut on_parts = digest.notes.extract_if(.., |note| note.is_on_part()).collect::<Vec<_>>();
+    let incarnation = digest.incarnation;
+    let is_empty = !digest.is_full
+        && digest.loads.is_empty()
+        && digest.prefills.is_empty()
+        && digest.notes.is_empty();
+    let mut digests = if is_empty { Vec::new() } else { split_prefills(digest) };
+    while !on_parts.is_empty() {
+        let notes = on_parts.drain(..fitting(&on_parts)).collect();
+        // Without a sequence number, it leaves the sender's load as it is.
+        digests.push(Digest { incarnation, notes, ..Digest::default() });
+    }
+    digests
+}
+
+/// Number of notes that fit a datagram; at least one.
+fn fitting(notes: &[Note]) -> usize {
+    let mut size = DIGEST_BYTES;
+    let is_within = |note: &&Note| {
+        size += note.size_limit();
+        size <= DATAGRAM_BYTES
+    };
+    notes.iter().take_while(is_within).count().max(1)
+}
+
+fn split_prefills(digest: Digest) -> Vec<Digest> {
     if digest.prefills.len() <= PREFILLS_PER_DIGEST {
         return vec![digest];
     }
@@ -157,12 +186,14 @@
 }
 
 /// Groups consecutive digests so that each group fits a datagram.
-fn datagrams(digests: &[Digest]) -> Vec<&[Digest]> {
+pub fn datagrams(digests: &[Digest]) -> Vec<&[Digest]> {
     let mut runs = Vec::new();
     let (mut start, mut size) = (0, 0);
     for (at, digest) in digests.iter().enumerate() {
         let next = bytes(digest);
-        if at > start && size + next > DATAGRAM_BYTES {
+        // Instances of an earlier version can't read notes on parts.
+        let is_other_kind = at > start && is_on_parts(digest) != is_on_parts(&digests[at - 1]);
+        if is_other_kind || (at > start && size + next > DATAGRAM_BYTES) {
             runs.push(&digests[start..at]);
             (start, size) = (at, 0);
         }
@@ -172,10 +203,14 @@
     runs
 }
 
+fn is_on_parts(digest: &Digest) -> bool {
+    digest.notes.iter().any(Note::is_on_part)
+}
+
 /// Upper bound of a digest's encoded size in bytes: nine for each number of 64 bits, five for one
 /// of 32.
-fn bytes(digest: &Digest) -> usize {
+pub fn bytes(digest: &Digest) -> usize {
     let parts: usize = digest.prefills.iter().map(|read| read.parts.len()).sum();
-    let notes = digest.notes.len() * 42;
-    24 + digest.loads.len() * 34 + digest.prefills.len() * 17 + parts * 15 + notes
+    let notes: usize = digest.notes.iter().map(Note::size_limit).sum();
+    DIGEST_BYTES + digest.loads.len() * 34 + digest.prefills.len() * 17 + parts * 15 + notes
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,7 +16,7 @@
 mod clock;
 mod control;
 mod event;
-mod gossip;
+pub mod gossip;
 mod holder;
 mod instance;
 mod inventory;
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -19,6 +19,7 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     attempts: Counter<u64>,
+    parts: Counter<u64>,
     connections: Counter<u64>,
     store_calls: Counter<u64>,
     lines_dropped: Counter<u64>,
@@ -45,6 +46,7 @@
         Ok(Self {
             requests: counter("acacia_gateway_requests"),
             attempts: counter("acacia_gateway_attempts"),
+            parts: counter("acacia_gateway_part_states"),
             connections: counter("acacia_gateway_connections"),
             store_calls: counter("acacia_gateway_store_calls"),
             values_skipped: counter("acacia_gateway_store_values_skipped"),
@@ -68,6 +70,11 @@
         self.attempts.add(1, &[KeyValue::new("ending", ending)]);
     }
 
+    /// Counts a change in the restrictions on a part of prompts.
+    pub fn part(&self, state: &'static str) {
+        self.parts.add(1, &[KeyValue::new("state", state)]);
+    }
+
     /// Records the time to the first event or to a whole plain answer.
     pub fn first_byte(&self, route: &str, took: Duration) {
         self.first_byte_seconds
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -257,7 +257,14 @@
     if let (StatusCode::SERVICE_UNAVAILABLE, Some(after)) = (status, refusal.retry_after) {
         ingress::set_retry_after(&mut headers, after);
     }
-    plain(status, headers, &format!("{}; {}\n", refusal.reason, refusal.verdict))
+    let hint = match refusal.reason {
+        Reason::PartHeld(position) => format!(
+            "; engines crashed under part {position} of the prompt: send the request without that \
+             part, or again after the time in Retry-After"
+        ),
+        _ => String::new(),
+    };
+    plain(status, headers, &format!("{}; {}{hint}\n", refusal.reason, refusal.verdict))
 }
 
 fn answer_stream(
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -100,6 +100,30 @@
                 "attempt ended"
             );
         }
+        self.report_findings();
+    }
+
+    /// Logs and counts changes in the restrictions on parts of prompts.
+    pub fn report_findings(&self) {
+        let findings = self.gateway.borrow_mut().take_findings();
+        for finding in findings {
+            let state: &'static str = finding.state.into();
+            self.metrics.part(state);
+            if !self.log_budget.admits(self.now(), Kind::Failure) {
+                continue;
+            }
+            let crashes = finding.crashes.iter();
+            let crashes: Vec<String> =
+                crashes.map(|(server, age)| format!("{server} {} ms ago", millis(*age))).collect();
+            tracing::warn!(
+                part = finding.id,
+                part_key = format!("{:016x}", finding.part),
+                state,
+                crashes = crashes.join(", "),
+                hold_ms = finding.hold.map(millis),
+                "part restricted or cleared"
+            );
+        }
     }
 }
 
--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -119,6 +119,8 @@
     pub inventories_as_of: Time,
     /// Source of jitter and samples.
     pub rng: &'a mut ChaCha12Rng,
+    /// Whether the request may crash the engine, so that the one with the fewest requests is best.
+    pub is_trial: bool,
     /// The prompt on each version of the weights considered so far.
     pub variants: Vec<Variant<'a>>,
 }
@@ -271,6 +273,11 @@
         let offer = self.full_cost(service, key, expired, is_primary)?;
         let access = offer.access.as_ref().map_or(0.0, |access| access.cost);
         let cost = match self.terms.placement {
+            _ if self.is_trial => {
+                let member = &self.roster[key];
+                let load = member.own_load.plus(self.digests.load(member.key));
+                f64::from(load.running) + offer.cost.min(1.0)
+            }
             Placement::LoadAndCache => offer.cost,
             Placement::LeastLoaded => offer.cost - access,
             Placement::Random => self.rng.random(),
--- a/crates/policy/src/gateway/exchange.rs
+++ b/crates/policy/src/gateway/exchange.rs
@@ -30,6 +30,17 @@
                         self.confirmed.receive(view, confirmation);
                     }
                 }
+                Note::Suspected(suspicion) => {
+                    let roster = &self.roster;
+                    self.quarantine.receive(now, suspicion, |key| {
+                        Some(roster[roster.by_server_key(key)?].server.id.clone())
+                    });
+                }
+                Note::Tried(part) => {
+                    let is_first = self.incarnation < digest.incarnation;
+                    self.quarantine.receive_trial(now, *part, is_first);
+                }
+                Note::Cleared(clearance) => self.quarantine.receive_clearance(now, *clearance),
             }
         }
         for prefill in self.digests.receive(now, digest) {
@@ -53,7 +64,8 @@
         let changed: BTreeMap<_, _> = changed.collect();
         let prefills = self.take_prefills(detail);
         let departures = std::mem::take(&mut self.departures);
-        let notes: Vec<Note> = departures.into_iter().map(Note::Departed).collect();
+        let mut notes: Vec<Note> = departures.into_iter().map(Note::Departed).collect();
+        notes.extend(self.quarantine.take_notes());
         if changed.is_empty() && prefills.is_empty() && notes.is_empty() {
             return None;
         }
@@ -64,13 +76,15 @@
 
     /// The full state, which makes up for lost digests; none if there is no load now and there was
     /// none in the last digest.
-    pub fn full_digest(&mut self, detail: Detail) -> Option<Digest> {
+    pub fn full_digest(&mut self, now: Time, detail: Detail) -> Option<Digest> {
         let loads = self.loads();
         let prefills = self.take_prefills(detail);
         self.departures.clear();
         let leaving = self.roster.values().filter(|member| member.standing.is_leaving);
         let departed = leaving.map(|member| Note::Departed(Departure::of(&member.server)));
         let mut notes: Vec<Note> = departed.collect();
+        notes.extend(self.quarantine.take_notes());
+        notes.extend(self.quarantine.suspicions(now));
         let has_load = !loads.is_empty() || !self.sent_loads.is_empty();
         if prefills.is_empty() && notes.is_empty() && !has_load {
             return None;
--- a/crates/policy/src/gateway/gossip.rs
+++ b/crates/policy/src/gateway/gossip.rs
@@ -15,6 +15,7 @@
 use super::call::Prompt;
 use super::confirmation::Confirmation;
 use super::notice::Departure;
+use super::quarantine::{Clearance, SuspectKey, Suspicion};
 use crate::Time;
 
 /// Age from which another instance's digest is ignored. Full digests are sent more often, so that
@@ -57,6 +58,27 @@
     Departed(Departure),
     /// The inventories of KV cache stores were current at a time.
     Confirmed(Confirmation),
+    /// Engines crashed under a part.
+    Suspected(Suspicion),
+    /// The sender tries a part that is suspected.
+    Tried(SuspectKey),
+    /// An engine has answered on a part that was suspected.
+    Cleared(Clearance),
+}
+
+impl Note {
+    /// Whether it is about a part of prompts.
+    pub fn is_on_part(&self) -> bool {
+        matches!(self, Self::Suspected(_) | Self::Tried(_) | Self::Cleared(_))
+    }
+
+    /// Upper bound of its encoded size in bytes.
+    pub fn size_limit(&self) -> usize {
+        match self {
+            Self::Suspected(suspicion) => 42 + suspicion.crashes.len() * 24,
+            _ => 42,
+        }
+    }
 }
 
 /// The contents of one datagram.
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -19,6 +19,7 @@
 use super::notice::{Departure, Notice};
 use super::pace::{Mean, Pace};
 use super::plan::{Attempt, Ending, Plan, Reason, Refusal, Step};
+use super::quarantine::{Finding, Gate, Quarantine};
 use super::roster::Roster;
 use super::save::Saves;
 use super::view::{Server, View, Weights};
@@ -100,6 +101,7 @@
     saves: Saves,
     links: Links,
     pub(super) confirmed: Confirmed,
+    pub(super) quarantine: Quarantine,
 }
 
 impl Gateway {
@@ -123,6 +125,7 @@
             saves: Saves::default(),
             links: Links::default(),
             confirmed: Confirmed::default(),
+            quarantine: Quarantine::default(),
             rng,
         }
     }
@@ -193,6 +196,7 @@
             deadline: now + limit,
             tried: Vec::new(),
             runs: 0,
+            crashed: false,
             sends: 0,
             verdict: Verdict::NotRun,
             route,
@@ -209,7 +213,26 @@
         if !plan.may_run_again() {
             return self.refuse(now, plan, Reason::Broken, None);
         }
-        match self.chooser(now, &view, plan).choose() {
+        let gate = match &plan.prompt {
+            Some(prompt) if plan.crashed && self.quarantine.is_suspected(prompt) => {
+                return self.refuse(now, plan, Reason::Broken, None);
+            }
+            Some(prompt) => self.quarantine.gate(now, prompt),
+            None => Gate::Open,
+        };
+        let is_trial = match gate {
+            Gate::Open => false,
+            Gate::Trial => true,
+            Gate::Claimed(at) => return Step::Wait(at),
+            Gate::Busy { at, .. } if at < plan.arrived + wait_limit(&plan.route) => {
+                return Step::Wait(at);
+            }
+            Gate::Busy { position, until, .. } | Gate::Held { position, until } => {
+                return self.refuse(now, plan, Reason::PartHeld(position), Some(until));
+            }
+        };
+        let chooser = Chooser { is_trial, ..self.chooser(now, &view, plan) };
+        match chooser.choose() {
             Candidate::Best(attempt) => self.send(now, plan, *attempt),
             Candidate::Full(after) => self.refuse(now, plan, Reason::QueueFull, Some(now + after)),
             Candidate::Later(at) if at < plan.arrived + wait_limit(&plan.route) => Step::Wait(at),
@@ -232,6 +255,7 @@
             inventories_as_of: self.confirmed.as_of(view),
             pace: self.paces.get(&plan.service).copied().unwrap_or_default(),
             rng: &mut self.rng,
+            is_trial: false,
             variants: Vec::new(),
         }
     }
@@ -248,6 +272,9 @@
             }
         }
         plan.sends += 1;
+        if let Some(prompt) = &plan.prompt {
+            self.quarantine.sent(now, prompt);
+        }
         if let Some(member) = self.roster.get_mut(&attempt.server.id) {
             member.sent(now);
             let memory_tokens = plan.prompt.as_ref().map_or(0, Prompt::memory_tokens);
@@ -293,6 +320,9 @@
     /// stays where it is, as a missing response is no failure.
     pub fn has_alternative(&mut self, now: Time, plan: &Plan, attempt: &Attempt) -> bool {
         let Some(view) = self.view.clone() else { return false };
+        if plan.prompt.as_ref().is_some_and(|prompt| self.quarantine.is_suspected(prompt)) {
+            return false;
+        }
         let mut plan = plan.clone();
         plan.runs += 1;
         plan.tried.push(attempt.server.id.clone());
@@ -311,6 +341,9 @@
 
     /// Records that an attempt's first event, or its whole plain answer, was received.
     pub fn began(&mut self, now: Time, plan: &Plan, attempt: &mut Attempt) {
+        if let (Some(prompt), Some(_)) = (&plan.prompt, &attempt.engine) {
+            self.quarantine.answered(now, prompt);
+        }
         let Some(member) = self.roster.get_mut(&attempt.server.id) else { return };
         let took = now.saturating_sub(attempt.sent);
         let expected = match attempt.engine {
@@ -351,6 +384,7 @@
         if !(ending == Ending::Misdirected && is_same) {
             plan.tried.push(attempt.server.id.clone());
         }
+        self.record_crash(now, plan, attempt, ending);
         let view = self.view.clone();
         let Some(member) = self.roster.get_mut(&attempt.server.id) else { return };
         let memory_tokens = plan.prompt.as_ref().map_or(0, Prompt::memory_tokens);
@@ -390,6 +424,24 @@
         }
     }
 
+    /// Records an attempt that ended before an engine began to answer.
+    fn record_crash(&mut self, now: Time, plan: &mut Plan, attempt: &Attempt, ending: Ending) {
+        let (Some(prompt), Some(_), None) = (&plan.prompt, &attempt.engine, attempt.began) else {
+            return;
+        };
+        if ending == Ending::Broken {
+            plan.crashed = true;
+            self.quarantine.crashed(now, prompt, &attempt.server);
+        } else {
+            self.quarantine.given_up(attempt.sent, prompt);
+        }
+    }
+
+    /// Changes in the restrictions on parts of prompts since the last call.
+    pub fn take_findings(&mut self) -> Vec<Finding> {
+        self.quarantine.take_findings()
+    }
+
     /// Refuses a request.
     fn refuse(&mut self, now: Time, plan: &Plan, reason: Reason, free: Option<Time>) -> Step {
         let retry_after = (plan.verdict == Verdict::NotRun).then(|| {
--- a/crates/policy/src/gateway/plan.rs
+++ b/crates/policy/src/gateway/plan.rs
@@ -37,6 +37,8 @@
     pub tried: Vec<ServerId>,
     /// Number of upstreams that may have run it.
     pub runs: u32,
+    /// Whether an engine crashed under it before it began to answer.
+    pub crashed: bool,
     /// Number of times that it was sent.
     pub sends: u32,
     /// Whether it may have run, from all attempts so far.
@@ -217,6 +219,8 @@
     Overloaded,
     /// No engine could begin the prompt in time.
     QueueFull,
+    /// A shared part of the prompt crashed several engines; the part's position, from one.
+    PartHeld(usize),
     /// The retry budget is exhausted.
     RetryBudget,
     /// The exchange with the upstream broke.
--- a/crates/policy/tests/gateway_crash/mod.rs
+++ b/crates/policy/tests/gateway_crash/mod.rs
@@ -410,7 +410,7 @@
         let at = self.now + GOSSIP_DELAY;
         for from in 0..self.gateways.len() {
             let digest = if is_full {
-                self.gateways[from].full_digest(Detail::All)
+                self.gateways[from].full_digest(self.now, Detail::All)
             } else {
                 self.gateways[from].digest(Detail::All)
             };
--- a/crates/policy/tests/gateway_fleet/mod.rs
+++ b/crates/policy/tests/gateway_fleet/mod.rs
@@ -391,7 +391,7 @@
         let is_full = (self.ticks / GOSSIP_TICKS).is_multiple_of(FULL_DIGEST);
         for at in 0..self.gateways.len() {
             let digest = if is_full {
-                self.gateways[at].full_digest(Detail::All)
+                self.gateways[at].full_digest(self.now, Detail::All)
             } else {
                 self.gateways[at].digest(Detail::All)
             };
