Count no crash of an engine that answers later requests

A broken exchange shows a crash only if the engine's incarnation answers nothing any more. 'quarantine' now keeps when the last request was sent that an incarnation began to answer, and counts none of its earlier breaks, its own and those that others report. An entry without the time of its start can't be told from its successor, so nothing is refuted for it.

With it, the tests of gateway_quarantine pass: no part is held after the loss of a zone, of all engines at once, engines killed in turn, or resets; a part that no longer crashes engines is served after a trial, a rare sound part beside the culprit is cleared, two culprits are held at once; three of ten digests may be lost; an instance that starts later learns the restrictions; memory is bounded.

--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -342,7 +342,7 @@
     /// Records that an attempt's first event, or its whole plain answer, was received.
     pub fn began(&mut self, now: Time, plan: &Plan, attempt: &mut Attempt) {
         if let (Some(prompt), Some(_)) = (&plan.prompt, &attempt.engine) {
-            self.quarantine.answered(now, prompt);
+            self.quarantine.answered(now, prompt, &attempt.server, attempt.sent);
         }
         let Some(member) = self.roster.get_mut(&attempt.server.id) else { return };
         let took = now.saturating_sub(attempt.sent);
--- a/crates/policy/src/gateway/quarantine.rs
+++ b/crates/policy/src/gateway/quarantine.rs
@@ -3,7 +3,8 @@
 //! When an exchange with an engine breaks before its answer began, each shared part of the prompt
 //! becomes a suspect of that crash, unless an engine has just answered on it. Instances tell each
 //! other the crashes of each suspect, so all count the same ones; an incarnation of an engine counts
-//! once for a part, and crashes at the same moment count as one, as they have a common cause.
+//! once for a part, and crashes at the same moment count as one, as they have a common cause. An
+//! incarnation that answers a later request has not crashed.
 //!
 //! One crash restricts nothing. From [`TRIAL_COUNT`] crashes on, requests with the part are tried
 //! one at a time by all instances together: an instance announces its claim to the next trial and
@@ -54,7 +55,7 @@
 const SUSPECT_LIMIT: usize = 512;
 /// Maximum number of crashes kept of a suspect.
 const CRASH_LIMIT: usize = 12;
-/// Maximum number of parts of which the last answer is known.
+/// Maximum number of parts, and of engines, of which the last answer is known.
 const ANSWER_LIMIT: usize = 4_096;
 /// Maximum number of notes and findings that wait to be taken.
 const PENDING_LIMIT: usize = 512;
@@ -70,12 +71,14 @@
     suspects: FxHashMap<SuspectKey, Suspect>,
     /// When an answer last began on a part, as known here.
     answered: FxHashMap<SuspectKey, Time>,
+    /// When the last request was sent that an incarnation of an engine began to answer.
+    alive: FxHashMap<(ServerKey, u64), Time>,
     notes: Vec<Note>,
     findings: Vec<Finding>,
 }
 
 /// A part under which engines crashed.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Suspect {
     id: Option<PartId>,
     /// In order of time.
@@ -188,7 +191,7 @@
     Suspected,
     /// Requests with it are refused for a while.
     Held,
-    /// An engine has answered on it.
+    /// An engine has answered on it, or too few of the engines have crashed.
     Cleared,
     /// Its crashes are too old to count.
     Expired,
@@ -260,7 +263,7 @@
         let (key, born) = (server_key(&server.id), server.born);
         for (part, id) in keys(prompt).zip(prompt.shared().iter().map(|part| &part.id)) {
             let crash = Crash { server: key, born, at: now, id: Some(server.id.clone()) };
-            if self.is_refuted(part, crash.at) || !self.add(now, part, crash) {
+            if self.is_refuted(part, now) || self.is_alive(&crash) || !self.add(now, part, crash) {
                 continue;
             }
             if let Some(suspect) = self.suspects.get_mut(&part) {
@@ -272,8 +275,9 @@
         }
     }
 
-    /// Records that an engine began to answer a prompt.
-    pub fn answered(&mut self, now: Time, prompt: &Prompt) {
+    /// Records that an engine began to answer a prompt that was sent at `sent`.
+    pub fn answered(&mut self, now: Time, prompt: &Prompt, server: &Server, sent: Time) {
+        self.survived(now, server, sent);
         for key in keys(prompt) {
             if self.clear(now, now, key) {
                 self.note_clearance(now, key);
@@ -292,10 +296,11 @@
         for sighting in suspicion.crashes.iter().take(CRASH_LIMIT) {
             let Sighting { server, born, age_ms } = *sighting;
             let at = now.saturating_sub(Duration::from_millis(age_ms.into()));
+            let crash = Crash { server, born, at, id: id(server) };
             if self.is_refuted(part, at) {
                 self.note_clearance(now, part);
-            } else if now < at + RETENTION {
-                self.add(now, part, Crash { server, born, at, id: id(server) });
+            } else if now < at + RETENTION && !self.is_alive(&crash) {
+                self.add(now, part, crash);
             }
         }
         self.report(now, part);
@@ -392,6 +397,46 @@
         self.answered.get(&part).is_some_and(|answered| crashed < *answered + ANSWER_VALIDITY)
     }
 
+    /// Whether an incarnation has answered a request that was sent after it seemed to crash.
+    fn is_alive(&self, crash: &Crash) -> bool {
+        let answered = crash.born.and_then(|born| self.alive.get(&(crash.server, born)));
+        answered.is_some_and(|sent| *sent > crash.at)
+    }
+
+    /// Records that an incarnation answers a request sent at `sent`, so has not crashed before.
+    fn survived(&mut self, now: Time, server: &Server, sent: Time) {
+        let Some(born) = server.born else { return };
+        let key = (server_key(&server.id), born);
+        limit(&mut self.alive);
+        let known = self.alive.entry(key).or_insert(sent);
+        *known = sent.max(*known);
+        let is_refuted =
+            |crash: &Crash| (crash.server, crash.born) == (key.0, Some(key.1)) && crash.at < sent;
+        let affected: Vec<SuspectKey> = self
+            .suspects
+            .iter()
+            .filter(|(_, suspect)| suspect.crashes.iter().any(is_refuted))
+            .map(|(part, _)| *part)
+            .collect();
+        for part in affected {
+            self.retract(now, part, is_refuted);
+        }
+    }
+
+    /// Removes crashes from a part.
+    fn retract(&mut self, now: Time, part: SuspectKey, is_refuted: impl Fn(&Crash) -> bool) {
+        let Some(mut suspect) = self.suspects.remove(&part) else { return };
+        let before = suspect.clone();
+        suspect.crashes.retain(|crash| !is_refuted(crash));
+        if suspect.count() < TRIAL_COUNT {
+            self.find(now, State::Cleared, part, &before);
+            (suspect.reported, suspect.trial) = (0, None);
+        }
+        if !suspect.crashes.is_empty() {
+            self.suspects.insert(part, suspect);
+        }
+    }
+
     /// Adds a crash to a part; true if it is news.
     fn add(&mut self, now: Time, part: SuspectKey, crash: Crash) -> bool {
         if !self.suspects.contains_key(&part) && self.suspects.len() >= SUSPECT_LIMIT {
@@ -408,31 +453,17 @@
 
     /// Records an answer on a part at `at`; true if it refutes known crashes.
     fn clear(&mut self, now: Time, at: Time, key: SuspectKey) -> bool {
-        if !self.answered.contains_key(&key) && self.answered.len() >= ANSWER_LIMIT {
-            self.forget_answers();
-        }
+        limit(&mut self.answered);
         let answered = self.answered.entry(key).or_insert(at);
         *answered = at.max(*answered);
         let refuted = *answered + ANSWER_VALIDITY;
-        let Some(suspect) = self.suspects.get_mut(&key) else { return false };
-        if suspect.crashes.iter().all(|crash| crash.at >= refuted) {
-            return false;
-        }
-        let later = suspect.crashes.iter().filter(|crash| crash.at >= refuted).cloned().collect();
-        let rest = Suspect { crashes: later, ..Suspect::default() };
-        let suspect = std::mem::replace(suspect, rest);
-        self.find(now, State::Cleared, key, &suspect);
-        if self.suspects[&key].crashes.is_empty() {
-            self.suspects.remove(&key);
+        let is_refuted = |crash: &Crash| crash.at < refuted;
+        let suspect = self.suspects.get(&key);
+        let is_news = suspect.is_some_and(|suspect| suspect.crashes.iter().any(is_refuted));
+        if is_news {
+            self.retract(now, key, is_refuted);
         }
-        true
-    }
-
-    /// Drops the older half of the answers.
-    fn forget_answers(&mut self) {
-        let mut times: Vec<Time> = self.answered.values().copied().collect();
-        let (_, median, _) = times.select_nth_unstable(ANSWER_LIMIT / 2);
-        self.answered.retain(|_, at| *at > *median);
+        is_news
     }
 
     /// Tells the other instances the last answer on a part.
@@ -595,6 +626,15 @@
     prompt.shared().iter().map(|part| stable_hash(&(&prompt.model, &part.id)))
 }
 
+/// Drops the older half of a map of answers that is full.
+fn limit<K>(answers: &mut FxHashMap<K, Time>) {
+    if answers.len() >= ANSWER_LIMIT {
+        let mut times: Vec<Time> = answers.values().copied().collect();
+        let (_, median, _) = times.select_nth_unstable(ANSWER_LIMIT / 2);
+        answers.retain(|_, at| *at > *median);
+    }
+}
+
 fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/policy/tests/gateway_quarantine.rs
+++ b/crates/policy/tests/gateway_quarantine.rs
@@ -3,9 +3,17 @@
 mod gateway_crash;
 mod gateway_simulation;
 
+use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
-use gateway_crash::Site;
+use acacia_policy::Verdict;
+use acacia_policy::gateway::gossip::Note;
+use acacia_policy::gateway::quarantine::{Gate, Quarantine, State};
+use acacia_policy::gateway::{Prompt, Reason, Server};
+
+use gateway_crash::{Outcome, Site};
+use gateway_simulation::{MODEL, part, view};
 
 /// Time after the fifth crash from which few requests with the part may reach engines.
 const SETTLED: Duration = Duration::from_secs(3);
@@ -51,3 +59,373 @@
         assert!(share > 0.97, "seed {seed}: {share} of the sound requests are served");
     }
 }
+
+/// A site with sound requests only.
+fn calm(seed: u64) -> Site {
+    let mut site = Site::new(seed, 9, 9);
+    site.run_load(seconds(5), 160.0, 0.0);
+    site
+}
+
+/// Share of the sound requests served from some time after `from` on.
+fn share_since(site: &mut Site, from: Duration) -> f64 {
+    site.pass(seconds(2));
+    site.sound_share(from, site.elapsed() - seconds(2))
+}
+
+/// Names of the parts that were reported in a state by any instance.
+fn reported(site: &mut Site, state: State) -> BTreeSet<String> {
+    let findings = site.gateways.iter_mut().flat_map(|gateway| gateway.take_findings());
+    findings.filter(|finding| finding.state == state).filter_map(|finding| finding.id).collect()
+}
+
+#[test]
+fn next_holds_nothing_after_zone_loss() {
+    for seed in 0..4 {
+        let mut site = calm(seed);
+        site.engines_of("z0").iter().for_each(|id| site.crash(id));
+        let lost = site.elapsed();
+        site.run_load(seconds(10), 160.0, 0.0);
+        assert_eq!(reported(&mut site, State::Held), BTreeSet::new(), "seed {seed}");
+        assert_eq!(site.sound_held(), 0, "seed {seed}");
+        let share = share_since(&mut site, lost + seconds(2));
+        assert!(share > 0.99, "seed {seed}: {share}");
+    }
+}
+
+#[test]
+fn next_holds_nothing_after_loss_of_all_engines() {
+    for seed in 0..4 {
+        let mut site = calm(seed);
+        site.engines().iter().for_each(|id| site.crash(id));
+        let lost = site.elapsed();
+        site.run_load(seconds(10), 160.0, 0.0);
+        assert_eq!(reported(&mut site, State::Held), BTreeSet::new(), "seed {seed}");
+        let share = share_since(&mut site, lost + seconds(4));
+        assert!(share > 0.99, "seed {seed}: {share}");
+    }
+}
+
+/// Engines that are killed one after the other end many requests that have not begun.
+#[test]
+fn next_holds_nothing_while_engines_are_killed_in_turn() {
+    for seed in 0..4 {
+        let mut site = calm(seed);
+        for id in site.engines() {
+            site.crash(&id);
+            site.run_load(Duration::from_millis(700), 160.0, 0.0);
+        }
+        let last = site.elapsed();
+        site.run_load(seconds(10), 160.0, 0.0);
+        assert_eq!(reported(&mut site, State::Held), BTreeSet::new(), "seed {seed}");
+        let share = share_since(&mut site, last + seconds(4));
+        assert!(share > 0.99, "seed {seed}: {share}");
+    }
+}
+
+/// Healthy engines that reset a tenth of the answers before they begin.
+#[test]
+fn next_repeats_requests_that_healthy_engines_reset() {
+    for seed in 0..4 {
+        let mut site = calm(seed);
+        site.reset_share = 0.1;
+        let from = site.elapsed();
+        site.run_load(seconds(20), 160.0, 0.0);
+        let held = reported(&mut site, State::Held);
+        assert_eq!(held, BTreeSet::new(), "seed {seed}");
+        let refused = site.sound_held();
+        let share = share_since(&mut site, from);
+        assert!(share > 0.97, "seed {seed}: {share}, {refused} refused for a part");
+    }
+}
+
+/// A part that no longer crashes engines is served after one trial, and all instances know.
+#[test]
+fn next_serves_part_again_that_no_longer_crashes_engines() {
+    for seed in 0..4 {
+        let mut site = incident(seed);
+        site.run_load(seconds(5), 160.0, 10.0);
+        assert!(reported(&mut site, State::Held).contains(POISON), "seed {seed}");
+        site.poison.clear();
+        // The hold after few more crashes than three lasts for up to three minutes.
+        let mut served = None;
+        while served.is_none() && site.elapsed() < seconds(240) {
+            let request = site.call(&["subject-1", POISON], None);
+            site.pass(seconds(1));
+            let is_served = site.requests[request].outcome == Some(Outcome::Served);
+            served = is_served.then(|| site.elapsed());
+        }
+        assert!(served.is_some(), "seed {seed}: {} crashes", site.crashes.len());
+        for gateway in 0..site.gateways.len() {
+            let request = site.call(&["subject-2", POISON], Some(gateway));
+            site.pass(seconds(1));
+            assert_eq!(site.requests[request].outcome, Some(Outcome::Served), "seed {seed}");
+        }
+        assert!(reported(&mut site, State::Cleared).contains(POISON), "seed {seed}");
+    }
+}
+
+/// A rare sound part that all culprits contain too is tried without them, and cleared.
+#[test]
+fn next_serves_rare_part_beside_culprit() {
+    for seed in 0..4 {
+        let mut site = incident(seed);
+        for number in 0..40 {
+            let subject = format!("subject-{number}");
+            site.call(&[&subject, "rare", POISON], None);
+            site.run_load(Duration::from_millis(100), 160.0, 0.0);
+        }
+        assert!(reported(&mut site, State::Held).contains(POISON), "seed {seed}");
+        site.run_load(seconds(3), 160.0, 0.0);
+        let request = site.call(&["subject-1", "rare"], None);
+        site.run_load(seconds(1), 160.0, 0.0);
+        assert_eq!(site.requests[request].outcome, Some(Outcome::Served), "seed {seed}");
+        let request = site.call(&["subject-1", "rare", POISON], None);
+        site.run_load(seconds(1), 160.0, 0.0);
+        let refused = Outcome::Refused(Reason::PartHeld(4), Verdict::NotRun);
+        assert_eq!(site.requests[request].outcome, Some(refused), "seed {seed}");
+    }
+}
+
+#[test]
+fn next_holds_two_parts_at_once() {
+    for seed in 0..4 {
+        let mut site = incident(seed);
+        for other in ["other", POISON] {
+            site.poison.insert(other.to_owned());
+        }
+        for number in 0..300 {
+            let subject = format!("subject-{}", number % 60);
+            site.call(&[&subject, [POISON, "other"][number % 2]], None);
+            site.run_load(Duration::from_millis(100), 160.0, 0.0);
+        }
+        let late = site.late_culprit_sends(SETTLED);
+        assert!(late <= LATE_SENDS * 2, "seed {seed}: {late}, {} crashes", site.crashes.len());
+        let share = share_since(&mut site, seconds(25) + seconds(10));
+        assert!(share > 0.97, "seed {seed}: {share}");
+    }
+}
+
+/// Three of ten digests are lost.
+#[test]
+fn next_holds_part_despite_lost_digests() {
+    for seed in 0..4 {
+        let mut site = incident(seed);
+        site.loss = 0.3;
+        site.run_load(seconds(40), 160.0, 10.0);
+        let late = site.late_culprit_sends(SETTLED);
+        assert!(late <= LATE_SENDS, "seed {seed}: {late}, {} crashes", site.crashes.len());
+    }
+}
+
+/// An instance that starts later learns the restrictions from the others, also while it is idle.
+#[test]
+fn receive_informs_instance_that_starts_later() {
+    let mut site = incident(1);
+    site.run_load(seconds(6), 160.0, 10.0);
+    site.add_gateway();
+    let newest = site.gateways.len() - 1;
+    site.pass(seconds(2));
+    let request = site.call(&["subject-1", POISON], Some(newest));
+    site.pass(seconds(1));
+    let Some(Outcome::Refused(Reason::PartHeld(3), Verdict::NotRun)) =
+        site.requests[request].outcome
+    else {
+        panic!("{:?}", site.requests[request]);
+    };
+    assert!(site.requests[request].sends.is_empty());
+    let request = site.call(&["subject-1"], Some(newest));
+    site.pass(seconds(1));
+    assert_eq!(site.requests[request].outcome, Some(Outcome::Served));
+}
+
+fn prompt(parts: &[String]) -> Prompt {
+    let parts = parts.iter().map(|id| part(id, 100)).collect();
+    Prompt { model: MODEL.into(), input_tokens: 100, output_tokens: 10, parts }
+}
+
+/// An engine in its `born`th incarnation.
+fn engine(born: u64) -> Server {
+    let listed = view(1).servers["es0"].clone();
+    Server { born: Some(born), ..Arc::unwrap_or_clone(listed) }
+}
+
+fn at(millis: u64) -> Duration {
+    seconds(3_600) + Duration::from_millis(millis)
+}
+
+fn poisoned() -> Prompt {
+    prompt(&[POISON.to_owned(), "own".to_owned()])
+}
+
+/// A quarantine with a number of crashes of a part, one a second.
+fn crashed(count: u64) -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    for born in 1..=count {
+        quarantine.crashed(at(born * 1_000), &poisoned(), &engine(born));
+    }
+    quarantine
+}
+
+/// Another engine begins to answer on the part.
+fn answer(quarantine: &mut Quarantine, now: Duration) {
+    quarantine.answered(now, &poisoned(), &engine(1_000_000), now);
+}
+
+#[test]
+fn crashed_counts_incarnation_once() {
+    let mut quarantine = Quarantine::default();
+    for second in 0..10 {
+        quarantine.crashed(at(second * 1_000), &poisoned(), &engine(1));
+    }
+    assert_eq!(quarantine.gate(at(10_000), &poisoned()), Gate::Open);
+}
+
+#[test]
+fn crashed_counts_same_moment_once() {
+    let mut quarantine = Quarantine::default();
+    for born in 0..10 {
+        quarantine.crashed(at(born * 9), &poisoned(), &engine(born));
+    }
+    assert_eq!(quarantine.gate(at(100), &poisoned()), Gate::Open);
+}
+
+#[test]
+fn crashed_never_suspects_last_part() {
+    let mut quarantine = crashed(9);
+    let last = prompt(&["first".to_owned(), POISON.to_owned()]);
+    assert_eq!(quarantine.gate(at(10_000), &last), Gate::Open);
+}
+
+#[test]
+fn crashed_ignores_part_just_answered() {
+    let mut quarantine = Quarantine::default();
+    for born in 1..9 {
+        answer(&mut quarantine, at(born * 1_000 - 400));
+        quarantine.crashed(at(born * 1_000), &poisoned(), &engine(born));
+    }
+    assert!(quarantine.is_empty());
+}
+
+/// Exchanges that broke at engines which answer later requests are no crashes, also if another
+/// instance reports them.
+#[test]
+fn answered_refutes_crash_of_same_incarnation() {
+    let mut quarantine = crashed(3);
+    let reports = quarantine.suspicions(at(4_000));
+    let other = prompt(&["first".to_owned(), "own".to_owned()]);
+    quarantine.answered(at(4_100), &other, &engine(2), at(1_900));
+    assert!(matches!(quarantine.gate(at(4_100), &poisoned()), Gate::Held { .. }));
+    quarantine.answered(at(4_100), &other, &engine(2), at(4_000));
+    assert!(matches!(quarantine.gate(at(4_100), &poisoned()), Gate::Claimed(_)));
+    quarantine.answered(at(4_200), &other, &engine(3), at(4_100));
+    for note in reports {
+        let Note::Suspected(suspicion) = note else { panic!("{note:?}") };
+        quarantine.receive(at(4_200), &suspicion, |_| None);
+    }
+    assert_eq!(quarantine.gate(at(4_200), &poisoned()), Gate::Open);
+}
+
+#[test]
+fn gate_tries_one_request_at_a_time_after_two_crashes() {
+    let mut quarantine = crashed(2);
+    let Gate::Claimed(start) = quarantine.gate(at(3_000), &poisoned()) else { panic!("no claim") };
+    assert_eq!(quarantine.gate(start, &poisoned()), Gate::Trial);
+    quarantine.sent(start, &poisoned());
+    assert!(matches!(quarantine.gate(start, &poisoned()), Gate::Busy { position: 1, .. }));
+    answer(&mut quarantine, start + Duration::from_millis(100));
+    assert_eq!(quarantine.gate(start + Duration::from_millis(100), &poisoned()), Gate::Open);
+}
+
+#[test]
+fn gate_allows_next_trial_after_one_given_up() {
+    let mut quarantine = crashed(2);
+    let Gate::Claimed(start) = quarantine.gate(at(3_000), &poisoned()) else { panic!("no claim") };
+    quarantine.sent(start, &poisoned());
+    quarantine.given_up(start, &poisoned());
+    assert!(matches!(quarantine.gate(start, &poisoned()), Gate::Claimed(_)));
+}
+
+/// The hold grows with each crash, but ends, and its trial is one request.
+#[test]
+fn gate_holds_longer_after_each_crash() {
+    let mut holds = Vec::new();
+    for count in 3..10 {
+        let mut quarantine = crashed(count);
+        let now = at(count * 1_000);
+        let Gate::Held { position: 1, until } = quarantine.gate(now, &poisoned()) else {
+            panic!("{count} crashes")
+        };
+        holds.push(until - now);
+        assert!(matches!(quarantine.gate(until, &poisoned()), Gate::Claimed(_)));
+        let start = until + Duration::from_millis(200);
+        assert_eq!(quarantine.gate(start, &poisoned()), Gate::Trial);
+        quarantine.sent(start, &poisoned());
+        assert!(matches!(quarantine.gate(start, &poisoned()), Gate::Held { position: 1, .. }));
+    }
+    assert!(holds.is_sorted(), "{holds:?}");
+    assert_eq!((holds[0], holds[6]), (seconds(20), seconds(600)));
+}
+
+/// Of two instances that claim a trial at the same time, one goes on.
+#[test]
+fn receive_trial_lets_one_instance_go_on() {
+    let (mut first, mut second) = (crashed(2), crashed(2));
+    for quarantine in [&mut first, &mut second] {
+        quarantine.take_notes();
+        assert!(matches!(quarantine.gate(at(3_000), &poisoned()), Gate::Claimed(_)));
+    }
+    let claim = |quarantine: &mut Quarantine| match quarantine.take_notes()[..] {
+        [Note::Tried(part)] => part,
+        ref other => panic!("{other:?}"),
+    };
+    let (from_first, from_second) = (claim(&mut first), claim(&mut second));
+    first.receive_trial(at(3_030), from_second, true);
+    second.receive_trial(at(3_030), from_first, false);
+    assert_eq!(first.gate(at(3_100), &poisoned()), Gate::Trial);
+    assert!(matches!(second.gate(at(3_100), &poisoned()), Gate::Busy { .. }));
+}
+
+/// A report of crashes before an answer is answered with the clearing, also if it is repeated.
+#[test]
+fn receive_repeats_clearance() {
+    let (mut informed, mut late) = (crashed(3), crashed(3));
+    answer(&mut informed, at(4_000));
+    informed.take_notes();
+    for note in late.suspicions(at(5_000)) {
+        let Note::Suspected(suspicion) = note else { panic!("{note:?}") };
+        informed.receive(at(5_000), &suspicion, |_| None);
+    }
+    assert!(informed.is_empty());
+    for note in informed.take_notes() {
+        let Note::Cleared(clearance) = note else { panic!("{note:?}") };
+        late.receive_clearance(at(5_000), clearance);
+    }
+    assert!(late.is_empty());
+}
+
+#[test]
+fn suspicions_expire() {
+    let mut quarantine = crashed(5);
+    assert_eq!(quarantine.suspicions(at(6_000)).len(), 1);
+    assert_eq!(quarantine.suspicions(at(6_000) + seconds(1_800)).len(), 0);
+    assert!(quarantine.is_empty());
+    assert!(quarantine.take_findings().iter().any(|finding| finding.state == State::Expired));
+}
+
+/// Whatever callers send, memory and messages are bounded, and the worst part is kept.
+#[test]
+fn crashed_bounds_memory() {
+    let mut quarantine = crashed(3);
+    for number in 0..20_000_u64 {
+        let parts: Vec<String> = (0..6).map(|at| format!("{number}-{at}")).collect();
+        quarantine.crashed(at(4_000 + number), &prompt(&parts), &engine(number + 10));
+        let (now, other) = (at(4_000 + number), prompt(&[format!("a{number}"), String::new()]));
+        quarantine.answered(now, &other, &engine(number + 100_000), now);
+        assert!(quarantine.len() <= 512);
+    }
+    assert!(quarantine.take_notes().len() <= 512);
+    assert!(quarantine.take_findings().len() <= 512);
+    assert!(quarantine.suspicions(at(20_000)).len() <= 64);
+    assert!(matches!(quarantine.gate(at(20_000), &poisoned()), Gate::Held { .. }));
+}
