Tests: datagrams with notes on parts are within the size limit

Also, no note is lost when a digest is split, and the datagrams leave the sender's load as it is in whatever order they arrive.

--- /dev/null
+++ b/crates/gateway/tests/gossip.rs
@@ -0,0 +1,77 @@
+//! Sizes of the datagrams that instances send each other.
+
+use acacia_gateway::gossip::{DATAGRAM_BYTES, datagrams, split};
+use acacia_policy::gateway::gossip::{Digest, Load, Message, Note};
+use acacia_policy::gateway::notice::Departure;
+use acacia_policy::gateway::quarantine::{Clearance, Sighting, Suspicion};
+use quickcheck::quickcheck;
+
+/// A digest of a busy instance with notes of each kind, and values of the greatest size.
+fn digest(counts: &[u8]) -> Digest {
+    let sighting = Sighting { server: u64::MAX, born: Some(u64::MAX), age_ms: u32::MAX };
+    let notes = counts.iter().flat_map(|count| {
+        let crashes = vec![sighting; usize::from(count % 13)];
+        [
+            Note::Departed(Departure { server: u64::MAX, born: Some(u64::MAX) }),
+            Note::Suspected(Suspicion { part: u64::MAX, crashes }),
+            Note::Tried(u64::MAX),
+            Note::Cleared(Clearance { part: u64::MAX, age_ms: u32::MAX }),
+        ]
+    });
+    let load = Load { running: u32::MAX, prefill_tokens: u64::MAX, memory_tokens: u64::MAX };
+    Digest {
+        incarnation: u64::MAX,
+        sequence: u64::MAX,
+        is_full: true,
+        loads: (0..9).map(|server| (u64::MAX - server, load)).collect(),
+        notes: notes.collect(),
+        ..Digest::default()
+    }
+}
+
+/// Each datagram with notes on parts is within the limit, and none of the notes is lost.
+#[test]
+fn split_bounds_datagrams() {
+    fn holds(counts: Vec<u8>) -> bool {
+        let whole = digest(&counts);
+        let parts = split(whole.clone());
+        let sent = parts.iter().flat_map(|digest| &digest.notes);
+        let is_complete = whole.notes.iter().all(|note| sent.clone().any(|known| known == note))
+            && sent.count() == whole.notes.len();
+        let loads = parts.iter().filter(|digest| digest.sequence > 0).count();
+        is_complete
+            && loads == 1
+            && datagrams(&parts).into_iter().all(|digests| {
+                let is_on_parts = digests.iter().all(|digest| digest.sequence == 0);
+                let message = Message { forward: true, digests: digests.to_vec() };
+                let bytes = rmp_serde::to_vec(&message).expect("a message can be encoded");
+                !is_on_parts || bytes.len() <= DATAGRAM_BYTES
+            })
+    }
+    quickcheck(holds as fn(Vec<u8>) -> bool);
+    assert!(holds(vec![12; 512]));
+}
+
+/// The limits by which notes are grouped hold for their encoded size.
+#[test]
+fn size_limit_bounds_encoded_note() {
+    for note in digest(&(0..13).collect::<Vec<_>>()).notes {
+        let bytes = rmp_serde::to_vec(&note).expect("a note can be encoded");
+        assert!(bytes.len() <= note.size_limit(), "{note:?}: {} bytes", bytes.len());
+    }
+}
+
+/// Notes on parts leave the load of their sender as it is, in whatever order datagrams arrive.
+#[test]
+fn split_leaves_load_to_one_digest() {
+    let whole = digest(&[3; 60]);
+    let parts = split(whole.clone());
+    assert!(parts.len() > 1);
+    let mut digests = acacia_policy::gateway::gossip::Digests::default();
+    for part in parts.into_iter().rev() {
+        digests.receive(acacia_policy::Time::from_secs(3_600), part);
+    }
+    for (server, load) in whole.loads {
+        assert_eq!(digests.load(server), load);
+    }
+}
