Test: two acaciad processes hold a part that crashes raw engines

Each raw engine closes the connection after the head of its answer and takes no more connections. The crashes are spread over two processes, both of which answer 503 with part_held in the end, after 3 to 6 requests reached engines; a prompt with the same first part is served.

--- a/crates/daemon/tests/platform/answer.rs
+++ b/crates/daemon/tests/platform/answer.rs
@@ -317,3 +317,55 @@
     fixture::eventually("the raw engine gets a request", ended).await;
     fixture.stop().await;
 }
+
+/// Regression, BUDGET on Actas Litoral: each engine that began to answer on one part of a prompt
+/// crashed, and requests with the part were sent to the next engine. The crashes are spread over
+/// two instances, both of which refuse the part in the end; other prompts are served.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_crashes_engines_part_held() {
+    let fixture = Fixture::start(2).await;
+    let prompt = |number: usize| {
+        let mut headers = fixture.prompt(&format!("crash-{number}"), number);
+        headers.retain(|(name, _)| *name != "x-prompt-prefix");
+        headers.push(("x-prompt-prefix", format!("aa:3000,bad:1000,{number:x}:1000")));
+        headers
+    };
+    fixture.unregister_engines();
+    let mut number = 0;
+    let mut reached = 0;
+    let is_held = async || {
+        let raw = raw::Server::start(|request| Answer {
+            bytes: raw::head(request, "transfer-encoding: chunked\r\n\r\n"),
+            end: End::Close,
+        })
+        .await;
+        fixture.register(&raw, "llm");
+        let mut refusals = Vec::new();
+        fixture::eventually("the engine crashes, or the part is refused", async || {
+            number += 1;
+            let address = fixture.address(number % 2);
+            let answer = fixture::call(address, "POST", "/long/", &prompt(number), b"x").await;
+            refusals.push(String::from_utf8_lossy(&answer.body).contains("part_held"));
+            !raw.requests().is_empty() || refusals.ends_with(&[true, true])
+        })
+        .await;
+        fixture.unregister(&raw);
+        reached += raw.requests().len();
+        // A crashed engine takes no more connections.
+        drop(raw);
+        refusals.ends_with(&[true, true])
+    };
+    fixture::eventually("both instances refuse the part", is_held).await;
+    assert!((3..=6).contains(&reached), "{reached} requests reached engines");
+    fixture.engines.iter().for_each(|engine| engine.register(&fixture.store));
+    for instance in 0..2 {
+        let is_served = async || fixture.send_prompt(instance, "sound").await.status == 200;
+        fixture::eventually("a prompt with the same first part is served", is_served).await;
+        let address = fixture.address(instance);
+        let answer = fixture::call(address, "POST", "/long/", &prompt(0), b"x").await;
+        let text = String::from_utf8_lossy(&answer.body);
+        assert!(answer.status == 503 && text.contains("part 2 of the prompt"), "{text}");
+        assert!(answer.retry_after.is_some_and(|after| after > 1.0), "{:?}", answer.retry_after);
+    }
+    fixture.stop().await;
+}
