Record the start of an answer from an engine that is no longer listed

The log of a test showed 'attempt ended' with 'answered' and 'began' false: 'began' returned before it noted the time if the engine was no longer listed. A stream that such an engine broke off later would have counted as broken before its first event, and its parts as suspects. The new test fails without the change (None instead of the time).

--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -344,6 +344,7 @@
         if let (Some(prompt), Some(_)) = (&plan.prompt, &attempt.engine) {
             self.quarantine.answered(now, prompt, &attempt.server, attempt.sent);
         }
+        attempt.began = Some(now);
         let Some(member) = self.roster.get_mut(&attempt.server.id) else { return };
         let took = now.saturating_sub(attempt.sent);
         let expected = match attempt.engine {
@@ -363,7 +364,6 @@
             let pace = self.paces.entry(plan.service.clone()).or_default();
             pace.observe_prefill(attempt.prefill_tokens, took);
         }
-        attempt.began = Some(now);
         let own_load = &mut member.own_load;
         own_load.prefill_tokens = own_load.prefill_tokens.saturating_sub(attempt.prefill_tokens);
         attempt.prefill_tokens = 0;
--- a/crates/policy/tests/gateway_machine.rs
+++ b/crates/policy/tests/gateway_machine.rs
@@ -402,6 +402,24 @@
     assert!(used(&mut other).iter().all(|id| id == "s1"));
 }
 
+/// Regression: the break of a stream counted as one before its first event if its engine was no
+/// longer listed when that event arrived.
+#[test]
+fn began_records_answer_of_unlisted_upstream() {
+    let mut simulation = Simulation::new(2);
+    let mut plan = simulation.admit_prompt("shared", 800);
+    let mut attempt = simulation.send(&mut plan);
+    let id = attempt.server.id.clone();
+    simulation.change(|view, _| {
+        view.servers.remove(&id);
+    });
+    simulation.begin(&plan, &mut attempt);
+    assert_eq!(attempt.began, Some(simulation.now()));
+    simulation.pass(Duration::from_secs(2));
+    simulation.end(&mut plan, &attempt, Ending::Broken);
+    assert!(!plan.crashed);
+}
+
 #[test]
 fn next_observes_pause_that_server_asked_for() {
     let mut simulation = Simulation::new(2);
