--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,7 +17,7 @@
 mod clock;
 mod control;
 mod event;
-mod gossip;
+pub mod gossip;
 mod hedge;
 mod holder;
 mod instance;
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -94,10 +94,13 @@
             _ => Kind::Failure,
         };
         if self.log_budget.admits(now, kind) {
+            let shared_parts = (ending == Ending::Broken).then(|| shared_parts(plan)).flatten();
             tracing::info!(
                 id = plan.id,
                 server = &*attempt.server.id,
                 ending = outcome,
+                began = attempt.began.is_some(),
+                shared_parts,
                 answered_by = instance,
                 framing = progress.framing.map(<&'static str>::from),
                 incomplete_bytes = progress.incomplete_bytes,
@@ -107,7 +110,38 @@
                 "attempt ended"
             );
         }
+        self.report_findings();
     }
+
+    /// Logs and counts changes in the restrictions on parts of prompts.
+    pub fn report_findings(&self) {
+        let findings = self.gateway.borrow_mut().take_findings();
+        for finding in findings {
+            let state: &'static str = finding.state.into();
+            self.metrics.part(state);
+            if !self.log_budget.admits(self.now(), Kind::Failure) {
+                continue;
+            }
+            let crashes = finding.crashes.iter();
+            let crashes: Vec<String> =
+                crashes.map(|(server, age)| format!("{server} {} ms ago", millis(*age))).collect();
+            tracing::warn!(
+                part = finding.id,
+                part_key = format!("{:016x}", finding.part),
+                state,
+                crashes = crashes.join(", "),
+                hold_ms = finding.hold.map(millis),
+                "part restricted or cleared"
+            );
+        }
+    }
+}
+
+/// Ids of the parts of a prompt that other requests may contain, for the log.
+fn shared_parts(plan: &Plan) -> Option<String> {
+    let shared = plan.prompt.as_ref()?.shared();
+    let ids: Vec<&str> = shared.iter().map(|part| &*part.id).collect();
+    Some(ids.join(" "))
 }
 
 /// Milliseconds of a time, for the log.
