Soak: silences of servers beside failures of the others

Neither the stand-ins nor the soak had such a silence.

A platform server can now fall silent and go on, before its first event, between events or before a plain answer, and can close connections instead of running. It keeps a ledger of its runs: what was sent when, whether the server is silent, how the run ended.

The check: a request that ends with a closed connection, 502 or 504, with time left before its deadline, may have no run that was cancelled during a silence that ends well before the deadline, unless another run of the request had sent something between the last event of the silent one and its cancel. A run that has taken the place of a silent one may break off by itself: the system has ended nothing then.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -1,16 +1,38 @@
 //! Schedules of faults and planned changes, generated from a seed.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use strum::{Display, EnumIter, IntoEnumIterator};
+use strum::{Display, EnumIter, EnumString, IntoEnumIterator};
 
+/// Stream of random numbers for [`Scenario::Silences`]; the other faults of a seed use the first.
+const SILENCE_STREAM: u64 = 1;
+/// Durations of a silence, in milliseconds: around a second.
+const SILENCE_MS: Range<u64> = 700..1_600;
+/// Time between two silences of a series, in lengths of the former: some of them overlap.
+const SILENCE_SPACING: Range<f64> = 0.2..1.4;
+/// Number of silences in a series.
+const SERIES: Range<u32> = 2..6;
+/// Time between two series, in milliseconds.
+const SERIES_SPACING_MS: Range<u64> = 200..1_500;
 /// Longest duration of a fault.
 const MAX_DURATION_MS: u64 = 2_500;
 /// Shortest duration of a fault.
 const MIN_DURATION_MS: u64 = 200;
 
+/// What the faults of a run have in common.
+#[derive(Clone, Copy, Debug, Default, Display, EnumString, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Scenario {
+    /// Faults of all kinds that have no scenario of their own.
+    #[default]
+    Mixed,
+    /// Servers fall silent while others fail and the configuration changes.
+    Silences,
+}
+
 /// Kinds of faults and planned changes.
 #[derive(Clone, Copy, Debug, Display, EnumIter, Eq, PartialEq)]
 #[strum(serialize_all = "snake_case")]
@@ -60,6 +82,14 @@
     ServerPaused,
     /// A model engine's streams end with their connection, and it interrupts them.
     StreamsBreakUntilClose,
+    /// A server sends nothing for a while and then goes on.
+    Silence,
+    /// The other servers of the same service refuse requests as not run.
+    OthersRefuse,
+    /// The other servers of the same service close connections instead of answering.
+    OthersClose,
+    /// The other servers of the same service interrupt streams.
+    OthersBreakOff,
 }
 
 /// Kinds that were added after seeds had been recorded; they are drawn separately, so that the
@@ -67,6 +97,10 @@
 const LATER_KINDS: [Kind; 4] =
     [Kind::StoreRestored, Kind::ServerLeaving, Kind::ServerPaused, Kind::StreamsBreakUntilClose];
 
+/// Kinds that only [`Scenario::Silences`] has.
+const SILENCE_KINDS: [Kind; 4] =
+    [Kind::Silence, Kind::OthersRefuse, Kind::OthersClose, Kind::OthersBreakOff];
+
 impl Kind {
     /// Whether it is a planned change by operators, which must not lose requests.
     pub fn is_planned(self) -> bool {
@@ -101,8 +135,8 @@
     pub fn draw(seed: u64, length: Duration) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let is_planned = seed.is_multiple_of(3);
-        let is_drawn =
-            |kind: &Kind| !LATER_KINDS.contains(kind) && (!is_planned || kind.is_planned());
+        let is_excluded = |kind: &Kind| LATER_KINDS.contains(kind) || SILENCE_KINDS.contains(kind);
+        let is_drawn = |kind: &Kind| !is_excluded(kind) && (!is_planned || kind.is_planned());
         let kinds: Vec<Kind> = Kind::iter().filter(is_drawn).collect();
         // About one per second; as faults last up to 2.5 s, several overlap.
         let count = length.as_secs().max(1) + rng.random_range(0..4);
@@ -130,4 +164,37 @@
         }));
         self
     }
+
+    /// Generates series of silences that overlap with changes of the configuration and, except in
+    /// every third seed, with failures of the other servers.
+    pub fn silences(seed: u64, length: Duration) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        rng.set_stream(SILENCE_STREAM);
+        let failures = if seed.is_multiple_of(3) { &[] } else { &SILENCE_KINDS[1..] };
+        let mut faults = Vec::new();
+        let mut at = Duration::ZERO;
+        while at < length {
+            for _ in 0..rng.random_range(SERIES) {
+                let length = Duration::from_millis(rng.random_range(SILENCE_MS));
+                let target = rng.random_range(0..64);
+                let mut add = |kind, delay, length| {
+                    faults.push(Fault { at: at + delay, length, kind, target });
+                };
+                add(Kind::Silence, Duration::ZERO, length);
+                add(Kind::Configure, length.mul_f64(rng.random()), Duration::ZERO);
+                if !failures.is_empty() {
+                    let kind = failures[rng.random_range(0..failures.len())];
+                    let ms = rng.random_range(MIN_DURATION_MS..MAX_DURATION_MS);
+                    add(kind, length.mul_f64(rng.random()), Duration::from_millis(ms));
+                }
+                at += length.mul_f64(rng.random_range(SILENCE_SPACING));
+            }
+            at += Duration::from_millis(rng.random_range(SERIES_SPACING_MS));
+        }
+        for kind in [Kind::Replace, Kind::Reload, Kind::AnnounceWeights] {
+            let (at, target) = (length.mul_f64(rng.random()), rng.random_range(0..64));
+            faults.push(Fault { at, length: Duration::ZERO, kind, target });
+        }
+        Self { is_planned: false, faults }
+    }
 }
--- a/crates/soak/src/fixture.rs
+++ b/crates/soak/src/fixture.rs
@@ -17,6 +17,7 @@
 use tokio::sync::Mutex;
 use tokio::time::Instant;
 
+use crate::fault::Scenario;
 use crate::oracle::Evidence;
 use crate::proxy::Proxy;
 
@@ -28,6 +29,12 @@
 const SLOTS: usize = 16;
 /// Time between two events of a stream; latency of a plain call.
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
+/// The same with silences, which then occur within many streams.
+const LONG_EVENT_INTERVAL: Duration = Duration::from_millis(20);
+/// Target latency of requests and acceptable gap between two events, in milliseconds.
+const TARGET_MS: u64 = 1_000;
+/// The same with silences, which then outlast the timeouts of most attempts.
+const SHORT_TARGET_MS: u64 = 500;
 /// Tokens that fit in the managed cache store.
 const CACHE_TOKENS: u64 = 40_000;
 /// Time between two polls.
@@ -50,6 +57,7 @@
     /// Entry instances.
     pub instances: Vec<Instance>,
     folder: PathBuf,
+    target_ms: u64,
 }
 
 /// An entry instance; its process may be replaced.
@@ -77,7 +85,16 @@
     ///
     /// # Errors
     /// If something can't be started, or an instance is not ready in time.
-    pub async fn start(daemon: &Path, folder: PathBuf, count: usize) -> io::Result<Self> {
+    pub async fn start(
+        daemon: &Path,
+        folder: PathBuf,
+        count: usize,
+        scenario: Scenario,
+    ) -> io::Result<Self> {
+        let (interval, target_ms) = match scenario {
+            Scenario::Mixed => (EVENT_INTERVAL, TARGET_MS),
+            Scenario::Silences => (LONG_EVENT_INTERVAL, SHORT_TARGET_MS),
+        };
         fs::create_dir_all(&folder)?;
         let store = store::start().await?;
         let store_proxy = Proxy::start(store.address).await?;
@@ -86,15 +103,16 @@
         let (mut servers, mut proxies) = (Vec::new(), Vec::new());
         for number in 0..SERVERS_PER_KIND * 2 {
             let engine = (number >= SERVERS_PER_KIND).then(|| engine(&cache, &others));
-            let server = server::start(server_settings(number, engine), &store).await?;
+            let server = server::start(server_settings(number, engine, interval), &store).await?;
             let proxy = Proxy::start(server.address).await?;
             others.lock().insert(proxy.address, Arc::downgrade(&server.state()));
             server.register_at(&store, proxy.address);
             servers.push(server);
             proxies.push(proxy);
         }
+        let instances = Vec::new();
         let mut fixture =
-            Self { store, store_proxy, servers, proxies, cache, instances: Vec::new(), folder };
+            Self { store, store_proxy, servers, proxies, cache, instances, folder, target_ms };
         fixture.configure(1);
         for number in 0..count {
             let instance = fixture.instance(daemon, number)?;
@@ -129,8 +147,8 @@
     pub fn publish(&self, version: u64, organisations: &[(&str, &str)]) {
         let deployment = Deployment {
             timeout_ms: 10_000,
-            target_latency_ms: 1_000,
-            gap_target_ms: 1_000,
+            target_latency_ms: self.target_ms,
+            gap_target_ms: self.target_ms,
             engine_slots: SLOTS,
             engine_tokens: 20_000,
             token_bytes: 1_000,
@@ -156,6 +174,14 @@
         &self.servers[target % self.servers.len()]
     }
 
+    /// The other servers of the same service, modulo their count.
+    pub fn others(&self, target: usize) -> impl Iterator<Item = &server::Handle> {
+        let target = target % self.servers.len();
+        let is_same = move |at: usize| at / SERVERS_PER_KIND == target / SERVERS_PER_KIND;
+        let others = self.servers.iter().enumerate();
+        others.filter(move |(at, _)| *at != target && is_same(*at)).map(|(_, server)| server)
+    }
+
     /// Registers a server again, at the address of its proxy.
     pub fn register(&self, target: usize) {
         let address = self.proxies[target % self.proxies.len()].address;
@@ -167,6 +193,7 @@
         let wrong = self.engines().iter().map(|engine| engine.count(Counter::WrongPrefixRead));
         Evidence {
             seen: self.servers.iter().flat_map(|server| server.executions()).collect(),
+            runs: self.servers.iter().flat_map(|server| server.ledger()).collect(),
             wrong_parts: wrong.sum::<u64>() + self.cache.count(Counter::WrongBlockRead),
         }
     }
@@ -293,13 +320,13 @@
     }
 }
 
-fn server_settings(number: usize, engine: Option<Engine>) -> server::Settings {
+fn server_settings(number: usize, engine: Option<Engine>, latency: Duration) -> server::Settings {
     let service = if engine.is_some() { "llm" } else { "app" };
     server::Settings {
         id: format!("{service}-{number}"),
         service: service.to_owned(),
         zone: zone(number),
-        latency: EVENT_INTERVAL,
+        latency,
         slots: SLOTS,
         queue: SLOTS,
         engine,
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use acacia_soak::fault::Scenario;
 use acacia_soak::regression::REGRESSIONS;
 use acacia_soak::run::{Outcome, Plan, run};
 use bpaf::Bpaf;
@@ -21,6 +22,9 @@
     count: u64,
     /// Run the seeds of known regressions instead
     regressions: bool,
+    /// The faults: mixed, or silences
+    #[bpaf(argument("NAME"), fallback(Scenario::Mixed), display_fallback)]
+    scenario: Scenario,
     /// Seeds that run concurrently
     #[bpaf(argument("NUMBER"), fallback(2), display_fallback)]
     jobs: usize,
@@ -48,6 +52,7 @@
         instances: arguments.instances.max(1),
         length: Duration::from_secs(arguments.seconds),
         folder: arguments.logs.unwrap_or_else(|| std::env::temp_dir().join(folder)),
+        scenario: arguments.scenario,
         has_later_kinds: !arguments.regressions,
     };
     let seeds: Vec<u64> = if arguments.regressions {
@@ -72,7 +77,7 @@
         return Ok(());
     }
     Err(miette::miette!(
-        help = "reproduce one with --seed N; the folder of its logs is printed above",
+        help = "reproduce one with --seed N and the same --scenario; the folder of its logs is printed above",
         "guarantees were violated with the seeds {failed:?}"
     ))
 }
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -1,10 +1,18 @@
 //! Checks the guarantees against the observations of callers and servers.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use acacia_standin::platform::caller::{Answer, Ending};
+use acacia_standin::platform::run::{End, Run};
 use acacia_standin::platform::server::Execution;
 use strum::Display;
+use tokio::time::Instant;
+
+/// Time that a server needs for the rest of an answer after a silence.
+const REST_TIME: Duration = Duration::from_secs(1);
+/// Time before its deadline from which a request may end unanswered.
+const DEADLINE_SLACK: Duration = Duration::from_millis(250);
 
 /// One request and its result.
 #[derive(Clone, Debug)]
@@ -17,6 +25,10 @@
     pub is_at_most_once: bool,
     /// Whether it was sent after all faults and the recovery time.
     pub is_after_faults: bool,
+    /// Until when its caller waits.
+    pub deadline: Instant,
+    /// When its answer ended.
+    pub ended: Instant,
     /// The answer that its caller received.
     pub answer: Answer,
 }
@@ -26,6 +38,8 @@
 pub struct Evidence {
     /// Requests that ran, server by server, in order.
     pub seen: Vec<Execution>,
+    /// Times and ends of these runs, server by server, in order.
+    pub runs: Vec<Run>,
     /// Cached prompt parts that were used although incomplete or computed with other weights.
     pub wrong_parts: u64,
 }
@@ -54,6 +68,9 @@
     /// A request was lost during planned changes.
     #[strum(to_string = "{0} was lost during planned changes: {1}")]
     Lost(String, String),
+    /// A request failed early although its server was only silent.
+    #[strum(to_string = "{0} failed, its run was cancelled while the server was silent: {1}")]
+    Abandoned(String, String),
     /// A request was not served after all faults and the recovery time.
     #[strum(to_string = "{0} was not served after all faults ended: {1}")]
     Unrecovered(String, String),
@@ -83,6 +100,7 @@
         let runs = runs.get(&*record.id).copied().unwrap_or_default();
         violations.extend(judge_request(is_planned, record, runs));
     }
+    violations.extend(records.iter().filter_map(|record| judge_silence(record, &evidence.runs)));
     if evidence.wrong_parts > 0 {
         violations.insert(Violation::WrongParts(evidence.wrong_parts));
     }
@@ -111,3 +129,27 @@
     }
     violations
 }
+
+/// A request may not end without an answer, with time left, because a server was silent: its run
+/// is kept until another one has taken its place. A run that has taken it may break off.
+fn judge_silence(record: &Record, runs: &[Run]) -> Option<Violation> {
+    let how = match &record.answer.ending {
+        Ending::Complete | Ending::Wrong(_) | Ending::Refused { not_run: true, .. } => return None,
+        Ending::Refused { status, .. } => format!("status {status}"),
+        Ending::Broken(how) => how.clone(),
+    };
+    if record.ended + DEADLINE_SLACK > record.deadline {
+        return None;
+    }
+    let runs: Vec<&Run> = runs.iter().filter(|run| run.id == record.id).collect();
+    let is_abandoned = |run: &&Run| {
+        let (Some((at, End::Cancelled)), Some(until)) = (run.end, run.silent_until) else {
+            return false;
+        };
+        let since = run.sent.last().copied().unwrap_or(run.began);
+        let is_replaced =
+            runs.iter().flat_map(|other| &other.sent).any(|sent| since < *sent && *sent <= at);
+        until + REST_TIME < record.deadline && !is_replaced
+    };
+    runs.iter().any(is_abandoned).then(|| Violation::Abandoned(record.id.clone(), how))
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::io;
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -18,7 +19,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-use crate::fault::{Fault, Kind, Schedule};
+use crate::fault::{Fault, Kind, Scenario, Schedule};
 use crate::fixture::{Fixture, ORGANISATIONS};
 use crate::oracle::{Record, Violation, judge};
 use crate::proxy::Mode;
@@ -44,6 +45,11 @@
 /// Event before which streams are interrupted.
 const BREAK_EVENT: u32 = 4;
 
+/// Events before which other servers interrupt streams.
+const BREAK_EVENTS: Range<u32> = 1..ANSWER_EVENTS;
+/// Pause that refusing servers ask for, in milliseconds.
+const REFUSAL_PAUSE_MS: u64 = 1;
+
 /// Options of a run.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -55,6 +61,8 @@
     pub length: Duration,
     /// Folder for logs.
     pub folder: PathBuf,
+    /// What the faults have in common.
+    pub scenario: Scenario,
     /// Whether kinds of faults are added that recorded seeds do not have.
     pub has_later_kinds: bool,
 }
@@ -77,11 +85,16 @@
 /// # Errors
 /// If the deployment can't be started.
 pub async fn run(plan: &Plan, seed: u64) -> io::Result<Outcome> {
-    let schedule = Schedule::draw(seed, plan.length);
-    let schedule =
-        if plan.has_later_kinds { schedule.with_later_kinds(seed, plan.length) } else { schedule };
+    let schedule = match plan.scenario {
+        Scenario::Silences => Schedule::silences(seed, plan.length),
+        Scenario::Mixed if plan.has_later_kinds => {
+            Schedule::draw(seed, plan.length).with_later_kinds(seed, plan.length)
+        }
+        Scenario::Mixed => Schedule::draw(seed, plan.length),
+    };
     let folder = plan.folder.join(seed.to_string());
-    let fixture = Fixture::start(Path::new(&plan.daemon), folder.clone(), plan.instances).await?;
+    let (daemon, scenario) = (Path::new(&plan.daemon), plan.scenario);
+    let fixture = Fixture::start(daemon, folder.clone(), plan.instances, scenario).await?;
     let context = Arc::new(Context {
         fixture,
         configuration_version: AtomicU64::new(1),
@@ -149,6 +162,9 @@
             | Kind::LeasesLapse
             | Kind::StoreRestored
             | Kind::StoreSlow => self.store(fault).await.map_err(io::Error::other),
+            Kind::OthersRefuse | Kind::OthersClose | Kind::OthersBreakOff => {
+                self.others(fault).await.map_err(io::Error::other)
+            }
             _ => self.server(fault).await.map_err(io::Error::other),
         }
     }
@@ -231,6 +247,10 @@
                 server.restart();
                 self.fixture.register(fault.target);
             }
+            Kind::Silence => {
+                let millis = u64::try_from(fault.length.as_millis()).unwrap_or(u64::MAX);
+                self.fixture.server(fault.target).fault(StandinFault::Silent { millis })?;
+            }
             Kind::ServerPaused => {
                 let server = self.fixture.server(fault.target);
                 let millis = u64::try_from(fault.length.as_millis()).unwrap_or(u64::MAX);
@@ -243,6 +263,21 @@
         Ok(())
     }
 
+    /// Injects a fault into all servers of a service but one.
+    async fn others(&self, fault: Fault) -> Result<(), Unsupported> {
+        let token = BREAK_EVENTS.start + fault.target as u32 % (BREAK_EVENTS.end - 1);
+        let set = |on: bool| match fault.kind {
+            Kind::OthersRefuse => {
+                StandinFault::Paused { millis: if on { REFUSAL_PAUSE_MS } else { 0 } }
+            }
+            Kind::OthersClose => StandinFault::Closing { on },
+            _ => StandinFault::BrokenStream { token, times: (!on).then_some(0) },
+        };
+        self.fixture.others(fault.target).try_for_each(|server| server.fault(set(true)))?;
+        tokio::time::sleep(fault.length).await;
+        self.fixture.others(fault.target).try_for_each(|server| server.fault(set(false)))
+    }
+
     /// Makes an engine interrupt its streams.
     async fn break_streams(&self, fault: Fault) -> Result<(), Unsupported> {
         let engines = self.fixture.engines();
@@ -322,10 +357,20 @@
             let context = context.clone();
             running.spawn(async move {
                 let is_after_faults = context.is_after_faults.load(Ordering::Relaxed);
+                let deadline = Instant::now() + REQUEST_TIMEOUT;
                 let answer = context.fixture.instances[at].caller.send(&ask).await;
+                let ended = Instant::now();
                 let is_at_most_once = matches!(ask.operation, Operation::Charge);
                 let organisation = organisation.to_owned();
-                Record { id: ask.id, organisation, is_at_most_once, is_after_faults, answer }
+                Record {
+                    id: ask.id,
+                    organisation,
+                    is_at_most_once,
+                    is_after_faults,
+                    deadline,
+                    ended,
+                    answer,
+                }
             });
         }
         tokio::time::sleep(REQUEST_INTERVAL).await;
--- a/crates/soak/tests/oracle.rs
+++ b/crates/soak/tests/oracle.rs
@@ -1,18 +1,24 @@
 //! The oracle reports each violated guarantee, and only that.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use acacia_soak::oracle::{Evidence, Record, Violation, judge};
 use acacia_standin::platform::caller::{Answer, Ending};
+use acacia_standin::platform::run::{End, Run};
 use acacia_standin::platform::server::Execution;
+use tokio::time::Instant;
 
 fn record(end: Ending) -> Record {
     let answer = Answer { ending: end, first_event: None, attempts: 1 };
+    let ended = Instant::now();
     Record {
         id: "charge-1".to_owned(),
         organisation: "north".to_owned(),
         is_at_most_once: true,
         is_after_faults: false,
+        deadline: ended + Duration::from_secs(8),
+        ended,
         answer,
     }
 }
@@ -22,7 +28,7 @@
 }
 
 fn violations(records: &[Record], seen: Vec<Execution>) -> BTreeSet<Violation> {
-    judge(false, records, &Evidence { seen, wrong_parts: 0 })
+    judge(false, records, &Evidence { seen, ..Evidence::default() })
 }
 
 #[test]
@@ -69,7 +75,7 @@
 
 #[test]
 fn judge_wrong_parts() {
-    let evidence = Evidence { seen: Vec::new(), wrong_parts: 3 };
+    let evidence = Evidence { wrong_parts: 3, ..Evidence::default() };
     assert_eq!(judge(false, &[], &evidence), BTreeSet::from([Violation::WrongParts(3)]));
 }
 
@@ -81,3 +87,78 @@
     let unserved = Record { is_after_faults: true, ..record(refused) };
     assert_eq!(judge(false, &[unserved], &Evidence::default()).len(), 1);
 }
+
+/// A run that was cancelled in a silence of a second, 500 ms before the request ended.
+fn silenced(record: &Record) -> Run {
+    let cancelled = record.ended - Duration::from_millis(500);
+    Run {
+        id: record.id.clone(),
+        began: cancelled - Duration::from_secs(1),
+        sent: vec![cancelled - Duration::from_millis(600)],
+        silent_until: Some(cancelled + Duration::from_millis(400)),
+        end: Some((cancelled, End::Cancelled)),
+    }
+}
+
+fn is_abandoned(record: &Record, runs: Vec<Run>) -> bool {
+    let evidence = Evidence { runs, ..Evidence::default() };
+    let violations = judge(false, std::slice::from_ref(record), &evidence);
+    violations.iter().any(|violation| matches!(violation, Violation::Abandoned(..)))
+}
+
+#[test]
+fn judge_silence_cancelled() {
+    for ending in [
+        Ending::Broken("closed".to_owned()),
+        Ending::Refused { status: 502, not_run: false },
+        Ending::Refused { status: 504, not_run: false },
+    ] {
+        let failed = record(ending);
+        assert!(is_abandoned(&failed, vec![silenced(&failed)]));
+    }
+    let whole = record(Ending::Complete);
+    assert!(!is_abandoned(&whole, vec![silenced(&whole)]));
+}
+
+#[test]
+fn judge_silence_only_that_run() {
+    let failed = record(Ending::Broken("closed".to_owned()));
+    let run = silenced(&failed);
+    let broken_off = Run { end: Some((failed.ended, End::BrokenOff)), ..run.clone() };
+    let audible = Run { silent_until: None, ..run.clone() };
+    let other = Run { id: "charge-2".to_owned(), ..run };
+    for run in [broken_off, audible, other] {
+        assert!(!is_abandoned(&failed, vec![run]));
+    }
+}
+
+#[test]
+fn judge_silence_until_deadline() {
+    let failed = record(Ending::Broken("closed".to_owned()));
+    let run = silenced(&failed);
+    let expired = Record { deadline: failed.ended, ..failed.clone() };
+    assert!(!is_abandoned(&expired, vec![run.clone()]));
+    let endless = Run { silent_until: Some(failed.deadline), ..run };
+    assert!(!is_abandoned(&failed, vec![endless]));
+}
+
+/// A run that has taken the place of a silent one may break off; one that takes it after the cancel
+/// excuses nothing.
+#[test]
+fn judge_silence_replaced() {
+    let failed = record(Ending::Broken("closed".to_owned()));
+    let run = silenced(&failed);
+    let cancelled = failed.ended - Duration::from_millis(500);
+    let replacement = |sent| Run {
+        sent: vec![sent],
+        silent_until: None,
+        end: Some((failed.ended, End::BrokenOff)),
+        ..run.clone()
+    };
+    let before = replacement(cancelled - Duration::from_millis(1));
+    assert!(!is_abandoned(&failed, vec![run.clone(), before]));
+    let after = replacement(cancelled + Duration::from_millis(1));
+    assert!(is_abandoned(&failed, vec![run.clone(), after]));
+    let earlier = replacement(cancelled - Duration::from_millis(700));
+    assert!(is_abandoned(&failed, vec![earlier, run]));
+}
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -53,6 +53,17 @@
         /// Time in milliseconds.
         millis: u64,
     },
+    /// Nothing is sent for this time, then everything goes on: neither answers nor events; zero
+    /// clears the fault.
+    Silent {
+        /// Time in milliseconds.
+        millis: u64,
+    },
+    /// The connection of every request is closed before anything runs.
+    Closing {
+        /// Whether the fault is on.
+        on: bool,
+    },
     /// The instance is cold again, within the same incarnation.
     Cold,
     /// The process restarts: new incarnation, memory lost, cold.
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -12,8 +12,11 @@
 use parking_lot::Mutex;
 use serde::Deserialize;
 use serde_json::{Value, json};
+use tokio::sync::watch;
+use tokio::time::Instant;
 
 use super::memory::Memory;
+use super::run::{End, Entry, Ledger, Run};
 use super::{cache, store};
 use crate::counter::{Counter, Tally};
 use crate::exchange::{Answer, Call, Disconnect, Reply};
@@ -121,6 +124,9 @@
         born: AtomicU64::new(1),
         fence: AtomicU64::new(0),
         failures: AtomicU32::new(0),
+        closing: AtomicBool::new(false),
+        silent_until: watch::Sender::default(),
+        ledger: Arc::default(),
         broken: Mutex::default(),
         executions: Mutex::default(),
         run_counts: Mutex::default(),
@@ -151,6 +157,9 @@
     born: AtomicU64,
     fence: AtomicU64,
     failures: AtomicU32,
+    closing: AtomicBool,
+    silent_until: watch::Sender<Option<Instant>>,
+    ledger: Arc<Ledger>,
     broken: Mutex<Option<(u32, u32)>>,
     executions: Mutex<Vec<Execution>>,
     run_counts: Mutex<BTreeMap<String, u32>>,
@@ -188,6 +197,11 @@
         self.run_counts.lock().clone()
     }
 
+    /// Runs so far, with the times of what was sent and of their ends.
+    pub fn ledger(&self) -> Vec<Run> {
+        self.ledger.runs()
+    }
+
     /// Version of the loaded weights.
     pub fn weights(&self) -> u64 {
         self.weights.load(Ordering::Relaxed)
@@ -251,6 +265,7 @@
         let id = call.header("x-request-id").to_owned();
         *self.run_counts.lock().entry(id.clone()).or_default() += 1;
         self.tally.count(Counter::Started);
+        let entry = self.ledger.begin(id.clone());
         self.executions.lock().push(Execution {
             id,
             organisation: call.header("x-tenant").to_owned(),
@@ -266,7 +281,9 @@
             self.prefill(engine, call).await;
         }
         tokio::time::sleep(self.settings.latency).await;
+        self.wait_until_audible(&entry).await;
         if consume(&self.failures) {
+            entry.end(End::Answered);
             let body = "injected server failure";
             return Ok(
                 Answer::bytes(StatusCode::INTERNAL_SERVER_ERROR, body).with("x-response-seal", "s")
@@ -274,11 +291,13 @@
         }
         let answer = match &self.settings.engine {
             Some(_) => {
-                let answer = self.clone().stream(slot, call);
+                let answer = self.clone().stream(slot, call, entry);
                 answer.with("x-weight-versions", self.weights())
             }
             None => {
                 let body = format!("{} {} {}", call.method, call.path, call.body.len());
+                entry.sent();
+                entry.end(End::Answered);
                 Answer::bytes(StatusCode::OK, body)
             }
         };
@@ -356,8 +375,21 @@
         self.prefill_pace.occupy(engine.performance.prefill_per_token * uncached).await;
     }
 
+    /// Waits until the server is no longer silent.
+    async fn wait_until_audible(&self, entry: &Entry) {
+        let mut changes = self.silent_until.subscribe();
+        loop {
+            let until = *changes.borrow_and_update();
+            let until = until.filter(|until| Instant::now() < *until);
+            entry.silent(until);
+            let Some(until) = until else { return };
+            // Also returns when the silence is extended or cleared; the sender outlives the wait.
+            let _ = tokio::time::timeout_at(until, changes.changed()).await;
+        }
+    }
+
     /// The events of an answer, after the one in `last-event-id`.
-    fn stream(self: Arc<Self>, slot: Slot, call: &Call) -> Answer {
+    fn stream(self: Arc<Self>, slot: Slot, call: &Call, entry: Entry) -> Answer {
         let first = call.header("last-event-id").parse::<u32>().map_or(1, |last| last + 1);
         let usage = call.header("x-token-usage").split_once(',');
         let count = usage.and_then(|(_, output)| output.trim().parse().ok()).unwrap_or(1);
@@ -368,17 +400,28 @@
         });
         // The slot is held until the last event is sent or the caller disconnects.
         let slot = Arc::new(slot);
+        if first > count {
+            entry.end(End::Answered);
+        }
+        let entry = Arc::new(entry);
         let events = stream::iter(first..=count).then(move |number| {
-            let (id, slot) = (id.clone(), slot.clone());
+            let (id, slot, entry) = (id.clone(), slot.clone(), entry.clone());
+            let server = self.clone();
             async move {
                 tokio::time::sleep(latency).await;
+                server.wait_until_audible(&entry).await;
                 drop(slot);
                 let event = format!("id: {number}\ndata: {id} {number}\n\n");
                 if broken == Some(number) {
+                    entry.end(End::BrokenOff);
                     // Half of the event is sent before the connection drops.
                     return [Ok(Bytes::from(event[..event.len() / 2].to_owned())), Err(Disconnect)]
                         .to_vec();
                 }
+                entry.sent();
+                if number == count {
+                    entry.end(End::Answered);
+                }
                 vec![Ok(Bytes::from(event))]
             }
         });
@@ -452,6 +495,7 @@
         let answer = match (&call.method, &*call.path) {
             (&Method::GET, "/acaciaarch/report") => Ok(self.report()),
             (&Method::POST, "/acaciaarch/order") => self.order(&call),
+            _ if self.closing.load(Ordering::Relaxed) => return Answer::disconnect(),
             _ => self.run(&call).await,
         };
         let answer = answer.unwrap_or_else(|refusal| refusal);
@@ -465,6 +509,11 @@
                 *self.broken.lock() = Some((*token, times.unwrap_or(u32::MAX)));
             }
             Fault::Leaving { on } => self.leaving.store(*on, Ordering::Relaxed),
+            Fault::Closing { on } => self.closing.store(*on, Ordering::Relaxed),
+            Fault::Silent { millis } => {
+                let until = Instant::now() + Duration::from_millis(*millis);
+                self.silent_until.send_replace(Some(until));
+            }
             Fault::Paused { millis } => self.pause_ms.store(*millis, Ordering::Relaxed),
             _ => return false,
         }
