Soak: a prompt part that crashes engines

No stand-in crashed on what a request holds.

A platform server can now crash when it begins an answer on a prompt part, and counts the requests with the part that reach it. The soak's scenario `crashes` sends such prompts at all instances, about three per second, beside sound ones that share their first part; an engine that crashes resets its connections, loses its entry and is back after 2 s under a new id. Other scenarios have the faults that they had.

The checks: if there were five crashes, at most 3 requests with the part reach engines later than 3 s after the fifth; and from 6 s after it, while requests with the part come, sound prompts are served at least half as often as before the first crash (20 or more of each). All requests after the recovery must be served, as in every scenario.

--- a/crates/daemon/tests/platform/fixture.rs
+++ b/crates/daemon/tests/platform/fixture.rs
@@ -161,12 +161,12 @@
 
     /// Removes the engines.
     pub fn unregister_engines(&self) {
-        self.engines.iter().for_each(|engine| self.unregister_id(engine.id()));
+        self.engines.iter().for_each(|engine| self.unregister_id(&engine.id()));
     }
 
     /// Removes the plain services.
     pub fn unregister_services(&self) {
-        self.services.iter().for_each(|service| self.unregister_id(service.id()));
+        self.services.iter().for_each(|service| self.unregister_id(&service.id()));
     }
 
     fn unregister_id(&self, id: &str) {
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -9,6 +9,8 @@
 
 /// Stream of random numbers for [`Scenario::Silences`]; the other faults of a seed use the first.
 const SILENCE_STREAM: u64 = 1;
+/// The same for [`Scenario::Crashes`].
+const CRASH_STREAM: u64 = 2;
 /// Durations of a silence, in milliseconds: around a second.
 const SILENCE_MS: Range<u64> = 700..1_600;
 /// Time between two silences of a series, in lengths of the former: some of them overlap.
@@ -31,6 +33,8 @@
     Mixed,
     /// Servers fall silent while others fail and the configuration changes.
     Silences,
+    /// One part of prompts crashes each engine that begins to answer it.
+    Crashes,
 }
 
 /// Kinds of faults and planned changes.
@@ -165,6 +169,18 @@
         self
     }
 
+    /// Generates planned changes for the time in which engines crash.
+    pub fn beside_crashes(seed: u64, length: Duration) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        rng.set_stream(CRASH_STREAM);
+        let kinds = [Kind::Configure, Kind::Configure, Kind::Reload, Kind::AnnounceWeights];
+        let faults = kinds.map(|kind| {
+            let (at, target) = (length.mul_f64(rng.random()), rng.random_range(0..64));
+            Fault { at, length: Duration::ZERO, kind, target }
+        });
+        Self { is_planned: false, faults: faults.into() }
+    }
+
     /// Generates series of silences that overlap with changes of the configuration and, except in
     /// every third seed, with failures of the other servers.
     pub fn silences(seed: u64, length: Duration) -> Self {
--- a/crates/soak/src/fixture.rs
+++ b/crates/soak/src/fixture.rs
@@ -12,14 +12,15 @@
 use acacia_standin::platform::caller::Caller;
 use acacia_standin::platform::document::{self, Addresses, CONFIGURATION_KEY, Deployment, MODEL};
 use acacia_standin::platform::server::{self, Engine, Peers, Performance};
-use acacia_standin::platform::{cache, store};
+use acacia_standin::platform::{cache, crash, store};
+use futures::future::join_all;
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::sync::Mutex;
 use tokio::time::Instant;
 
 use crate::fault::Scenario;
 use crate::oracle::Evidence;
-use crate::proxy::Proxy;
+use crate::proxy::{Mode, Proxy};
 
 /// Organisations with their keys.
 pub const ORGANISATIONS: [(&str, &str); 2] = [("north", "key-north"), ("south", "key-south")];
@@ -35,6 +36,8 @@
 const TARGET_MS: u64 = 1_000;
 /// The same with silences, which then outlast the timeouts of most attempts.
 const SHORT_TARGET_MS: u64 = 500;
+/// Time until an engine that crashed is back.
+const CRASH_TIME: Duration = Duration::from_secs(2);
 /// Tokens that fit in the managed cache store.
 const CACHE_TOKENS: u64 = 40_000;
 /// Time between two polls.
@@ -92,7 +95,7 @@
         scenario: Scenario,
     ) -> io::Result<Self> {
         let (interval, target_ms) = match scenario {
-            Scenario::Mixed => (EVENT_INTERVAL, TARGET_MS),
+            Scenario::Mixed | Scenario::Crashes => (EVENT_INTERVAL, TARGET_MS),
             Scenario::Silences => (LONG_EVENT_INTERVAL, SHORT_TARGET_MS),
         };
         fs::create_dir_all(&folder)?;
@@ -188,12 +191,33 @@
         self.server(target).register_at(&self.store, address);
     }
 
+    /// Makes the engines crash on a part until dropped. One that crashes resets its connections,
+    /// loses its entry and is back after a while under a new id.
+    pub async fn crash_engines(&self, part: &Arc<crash::Part>) {
+        let engines = self.engines().iter().zip(self.engine_proxies());
+        let crashes = engines.map(|(engine, proxy)| async move {
+            engine.crash_on(part.clone());
+            loop {
+                engine.crashed().await;
+                proxy.set(Mode::Refuse);
+                proxy.reset();
+                engine.unregister(&self.store);
+                tokio::time::sleep(CRASH_TIME).await;
+                engine.restart_renamed();
+                proxy.set(Mode::Pass);
+                engine.register_at(&self.store, proxy.address);
+            }
+        });
+        join_all(crashes).await;
+    }
+
     /// Observations of the servers.
     pub fn evidence(&self) -> Evidence {
         let wrong = self.engines().iter().map(|engine| engine.count(Counter::WrongPrefixRead));
         Evidence {
             seen: self.servers.iter().flat_map(|server| server.executions()).collect(),
             runs: self.servers.iter().flat_map(|server| server.ledger()).collect(),
+            crashes: None,
             wrong_parts: wrong.sum::<u64>() + self.cache.count(Counter::WrongBlockRead),
         }
     }
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use acacia_standin::platform::caller::{Answer, Ending};
+use acacia_standin::platform::crash;
 use acacia_standin::platform::run::{End, Run};
 use acacia_standin::platform::server::Execution;
 use strum::Display;
@@ -14,6 +15,15 @@
 /// Time before its deadline from which a request may end unanswered.
 const DEADLINE_SLACK: Duration = Duration::from_millis(250);
 
+/// The crash on a part after which requests with it are to be held back.
+const LAST_CRASH: usize = 5;
+/// Time after that crash until they are held back.
+const HOLD_TIME: Duration = Duration::from_secs(3);
+/// Requests with the part that may reach engines later.
+const LATER_ARRIVALS: usize = 3;
+/// Fewest sound prompts of which a share is taken.
+const SHARE_PROMPTS: usize = 20;
+
 /// One request and its result.
 #[derive(Clone, Debug)]
 pub struct Record {
@@ -25,6 +35,10 @@
     pub is_at_most_once: bool,
     /// Whether it was sent after all faults and the recovery time.
     pub is_after_faults: bool,
+    /// Whether it is a prompt without a part that crashes engines.
+    pub is_sound_prompt: bool,
+    /// When it was sent.
+    pub sent: Instant,
     /// Until when its caller waits.
     pub deadline: Instant,
     /// When its answer ended.
@@ -40,6 +54,8 @@
     pub seen: Vec<Execution>,
     /// Times and ends of these runs, server by server, in order.
     pub runs: Vec<Run>,
+    /// A part that crashes engines, and until when requests with it were sent.
+    pub crashes: Option<(crash::Record, Instant)>,
     /// Cached prompt parts that were used although incomplete or computed with other weights.
     pub wrong_parts: u64,
 }
@@ -71,6 +87,14 @@
     /// A request failed early although its server was only silent.
     #[strum(to_string = "{0} failed, its run was cancelled while the server was silent: {1}")]
     Abandoned(String, String),
+    /// Requests with a part that crashes engines were still sent to engines.
+    #[strum(to_string = "{0} requests reached engines later than 3 s after the fifth crash on \
+                         their part, {1} crashes in all")]
+    CrashesOn(usize, usize),
+    /// Sound prompts were served less than half as often as before the crashes.
+    #[strum(to_string = "of {1} sound prompts {0} were served from 6 s after the fifth crash, \
+                         of {3} before the first one {2}")]
+    Starved(usize, usize, usize, usize),
     /// A request was not served after all faults and the recovery time.
     #[strum(to_string = "{0} was not served after all faults ended: {1}")]
     Unrecovered(String, String),
@@ -101,6 +125,9 @@
         violations.extend(judge_request(is_planned, record, runs));
     }
     violations.extend(records.iter().filter_map(|record| judge_silence(record, &evidence.runs)));
+    if let Some((crashes, until)) = &evidence.crashes {
+        violations.extend(judge_crashes(records, crashes, *until));
+    }
     if evidence.wrong_parts > 0 {
         violations.insert(Violation::WrongParts(evidence.wrong_parts));
     }
@@ -153,3 +180,31 @@
     };
     runs.iter().any(is_abandoned).then(|| Violation::Abandoned(record.id.clone(), how))
 }
+
+/// A part that has crashed engines is held back, and only that part.
+fn judge_crashes(records: &[Record], record: &crash::Record, until: Instant) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    let crashes = &record.crashes;
+    let Some((first, last)) = crashes.first().zip(crashes.get(LAST_CRASH - 1).or(crashes.last()))
+    else {
+        return violations;
+    };
+    let later = record.arrivals.iter().filter(|at| **at > *last + HOLD_TIME).count();
+    if crashes.len() >= LAST_CRASH && later > LATER_ARRIVALS {
+        violations.push(Violation::CrashesOn(later, crashes.len()));
+    }
+    let share = |is_in: &dyn Fn(&Record) -> bool| {
+        let sound = records.iter().filter(|record| record.is_sound_prompt && is_in(record));
+        let served: Vec<bool> =
+            sound.map(|record| record.answer.ending == Ending::Complete).collect();
+        (served.iter().filter(|is_served| **is_served).count(), served.len())
+    };
+    let (before, all_before) = share(&|record| record.ended < *first);
+    let (after, all_after) =
+        share(&|record| *last + 2 * HOLD_TIME < record.sent && record.sent < until);
+    let is_judged = all_before >= SHARE_PROMPTS && all_after >= SHARE_PROMPTS;
+    if is_judged && 2 * after * all_before < before * all_after {
+        violations.push(Violation::Starved(after, all_after, before, all_before));
+    }
+    violations
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use acacia_standin::platform::caller::{Ending, Operation, Request};
-use acacia_standin::platform::document;
+use acacia_standin::platform::{crash, document};
 use acacia_standin::{Fault as StandinFault, Unsupported};
 use futures::future::join_all;
 use parking_lot::Mutex;
@@ -50,6 +50,16 @@
 /// Pause that refusing servers ask for, in milliseconds.
 const REFUSAL_PAUSE_MS: u64 = 1;
 
+/// The prompt part that crashes engines.
+const CRASH_PART: &str = "c0ffee";
+/// Tokens of that part.
+const CRASH_PART_TOKENS: u32 = 300;
+/// Requests after which the first one with the part is sent, and between two of them.
+const CRASH_START: usize = 150;
+const CRASH_SPACING: usize = 20;
+/// Time after the period of planned changes in which requests with the part are still sent.
+const CRASH_TIME: Duration = Duration::from_secs(8);
+
 /// Options of a run.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -85,13 +95,7 @@
 /// # Errors
 /// If the deployment can't be started.
 pub async fn run(plan: &Plan, seed: u64) -> io::Result<Outcome> {
-    let schedule = match plan.scenario {
-        Scenario::Silences => Schedule::silences(seed, plan.length),
-        Scenario::Mixed if plan.has_later_kinds => {
-            Schedule::draw(seed, plan.length).with_later_kinds(seed, plan.length)
-        }
-        Scenario::Mixed => Schedule::draw(seed, plan.length),
-    };
+    let schedule = schedule(plan, seed);
     let folder = plan.folder.join(seed.to_string());
     let (daemon, scenario) = (Path::new(&plan.daemon), plan.scenario);
     let fixture = Fixture::start(daemon, folder.clone(), plan.instances, scenario).await?;
@@ -99,6 +103,8 @@
         fixture,
         configuration_version: AtomicU64::new(1),
         weights_version: AtomicU64::new(1),
+        crash_part: Arc::new(crash::Part::new(CRASH_PART)),
+        is_crashing: AtomicBool::new(plan.scenario == Scenario::Crashes),
         is_after_faults: AtomicBool::new(false),
         is_finished: AtomicBool::new(false),
         failures: Mutex::default(),
@@ -108,20 +114,42 @@
         async move { context.fixture.watch_ready().await }
     });
     let callers = tokio::spawn(send_requests(context.clone(), seed));
-    join_all(schedule.faults.iter().map(|fault| context.inject(*fault))).await;
+    let crashes = tokio::spawn({
+        let context = context.clone();
+        async move { context.crash_engines().await }
+    });
+    let faults = join_all(schedule.faults.iter().map(|fault| context.inject(*fault)));
+    let (_, crashing_until) = tokio::join!(faults, context.stop_crashes(plan));
     tokio::time::sleep(RECOVERY_TIME).await;
     context.is_after_faults.store(true, Ordering::Relaxed);
     tokio::time::sleep(OBSERVATION_TIME).await;
     context.is_finished.store(true, Ordering::Relaxed);
     let records = callers.await.map_err(io::Error::other)?;
-    let mut violations = judge(schedule.is_planned, &records, &context.fixture.evidence());
+    let mut evidence = context.fixture.evidence();
+    if plan.scenario == Scenario::Crashes {
+        evidence.crashes = Some((context.crash_part.record(), crashing_until));
+    }
+    let mut violations = judge(schedule.is_planned, &records, &evidence);
     violations.extend(context.check_convergence().await);
     violations.extend(context.failures.lock().drain(..).map(Violation::TimedOut));
+    crashes.abort();
     readiness.abort();
     let served = records.iter().filter(|record| record.answer.ending == Ending::Complete).count();
     Ok(Outcome { seed, requests: (records.len(), served), violations, folder })
 }
 
+/// The faults of a seed.
+fn schedule(plan: &Plan, seed: u64) -> Schedule {
+    match plan.scenario {
+        Scenario::Silences => Schedule::silences(seed, plan.length),
+        Scenario::Crashes => Schedule::beside_crashes(seed, plan.length),
+        Scenario::Mixed if plan.has_later_kinds => {
+            Schedule::draw(seed, plan.length).with_later_kinds(seed, plan.length)
+        }
+        Scenario::Mixed => Schedule::draw(seed, plan.length),
+    }
+}
+
 /// State shared by the tasks of a run.
 struct Context {
     fixture: Fixture,
@@ -129,6 +157,10 @@
     configuration_version: AtomicU64,
     /// Latest announced weights.
     weights_version: AtomicU64,
+    /// Crashes engines, if requests have it.
+    crash_part: Arc<crash::Part>,
+    /// Whether requests with [`CRASH_PART`] are sent.
+    is_crashing: AtomicBool,
     is_after_faults: AtomicBool,
     is_finished: AtomicBool,
     /// Injected faults that failed.
@@ -136,6 +168,20 @@
 }
 
 impl Context {
+    /// Makes engines crash on [`CRASH_PART`].
+    async fn crash_engines(&self) {
+        self.fixture.crash_engines(&self.crash_part).await;
+    }
+
+    /// Stops requests with [`CRASH_PART`]; returns when that was.
+    async fn stop_crashes(&self, plan: &Plan) -> Instant {
+        if plan.scenario == Scenario::Crashes {
+            tokio::time::sleep(plan.length + CRASH_TIME).await;
+        }
+        self.is_crashing.store(false, Ordering::Relaxed);
+        Instant::now()
+    }
+
     /// Injects a fault at its time; records a failure to do so.
     async fn inject(&self, fault: Fault) {
         tokio::time::sleep(fault.at).await;
@@ -353,13 +399,21 @@
             .collect();
         if let Some(at) = ready.get(number % ready.len().max(1)).copied() {
             let (organisation, key) = ORGANISATIONS[rng.random_range(0..ORGANISATIONS.len())];
-            let ask = draw(number, key, &mut rng);
+            let mut ask = draw(number, key, &mut rng);
+            let has_crash_part = number >= CRASH_START
+                && number.is_multiple_of(CRASH_SPACING)
+                && context.is_crashing.load(Ordering::Relaxed);
+            if has_crash_part {
+                ask = crash_request(number, key, &mut rng);
+            }
             let context = context.clone();
             running.spawn(async move {
                 let is_after_faults = context.is_after_faults.load(Ordering::Relaxed);
-                let deadline = Instant::now() + REQUEST_TIMEOUT;
+                let sent = Instant::now();
                 let answer = context.fixture.instances[at].caller.send(&ask).await;
                 let ended = Instant::now();
+                let is_sound_prompt =
+                    matches!(ask.operation, Operation::Prompt { .. }) && !has_crash_part;
                 let is_at_most_once = matches!(ask.operation, Operation::Charge);
                 let organisation = organisation.to_owned();
                 Record {
@@ -367,7 +421,9 @@
                     organisation,
                     is_at_most_once,
                     is_after_faults,
-                    deadline,
+                    is_sound_prompt,
+                    sent,
+                    deadline: sent + REQUEST_TIMEOUT,
                     ended,
                     answer,
                 }
@@ -392,6 +448,16 @@
     single_request(format!("{kind}-{number}"), key, subject)
 }
 
+/// A prompt that crashes engines and shares its first part with sound ones.
+fn crash_request(number: usize, key: &str, rng: &mut ChaCha8Rng) -> Request {
+    let (subjects, tokens) = SUBJECTS;
+    let shared = format!("a{:x}", rng.random_range(0..subjects));
+    let crash = (CRASH_PART.to_owned(), CRASH_PART_TOKENS);
+    let parts = vec![(shared, tokens), crash, (format!("f{number:x}"), 200)];
+    let operation = Operation::Prompt { parts, output: ANSWER_EVENTS };
+    single_request(format!("crash-{number}"), key, operation)
+}
+
 /// A request without retries. As ids are unique, servers' runs can be attributed to one request.
 fn single_request(id: String, key: &str, subject: Operation) -> Request {
     Request { id, key: key.to_owned(), operation: subject, timeout: REQUEST_TIMEOUT, retries: 0 }
--- a/crates/soak/tests/oracle.rs
+++ b/crates/soak/tests/oracle.rs
@@ -5,6 +5,7 @@
 
 use acacia_soak::oracle::{Evidence, Record, Violation, judge};
 use acacia_standin::platform::caller::{Answer, Ending};
+use acacia_standin::platform::crash;
 use acacia_standin::platform::run::{End, Run};
 use acacia_standin::platform::server::Execution;
 use tokio::time::Instant;
@@ -17,6 +18,8 @@
         organisation: "north".to_owned(),
         is_at_most_once: true,
         is_after_faults: false,
+        is_sound_prompt: false,
+        sent: ended,
         deadline: ended + Duration::from_secs(8),
         ended,
         answer,
@@ -162,3 +165,51 @@
     let earlier = replacement(cancelled - Duration::from_millis(700));
     assert!(is_abandoned(&failed, vec![earlier, run]));
 }
+
+/// Five crashes, a second apart, and arrivals in seconds after the fifth one.
+fn crashes(start: Instant, arrivals: &[u64]) -> crash::Record {
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let crashes = (0..5).map(at).collect();
+    crash::Record { arrivals: arrivals.iter().map(|after| at(4 + after)).collect(), crashes }
+}
+
+#[test]
+fn judge_crashes_held_back() {
+    let start = Instant::now();
+    let until = start + Duration::from_secs(60);
+    let judged = |record| {
+        judge(false, &[], &Evidence { crashes: Some((record, until)), ..Evidence::default() })
+    };
+    assert!(judged(crashes(start, &[0, 1, 2, 2, 3, 4, 5, 6])).is_empty());
+    let expected = BTreeSet::from([Violation::CrashesOn(4, 5)]);
+    assert_eq!(judged(crashes(start, &[1, 4, 5, 6, 7])), expected);
+    let mut fewer = crashes(start, &[4, 5, 6, 7]);
+    fewer.crashes.pop();
+    assert!(judged(fewer).is_empty());
+}
+
+#[test]
+fn judge_crashes_sound_prompts_served() {
+    let start = Instant::now() + Duration::from_secs(60);
+    let until = start + Duration::from_secs(60);
+    let prompts = |count: u64, served: u64, from: Instant| {
+        (0..count).map(move |number| {
+            let sent = from + Duration::from_millis(number);
+            let refused = Ending::Refused { status: 503, not_run: true };
+            let ending = if number < served { Ending::Complete } else { refused };
+            Record { is_sound_prompt: true, sent, ended: sent, ..record(ending) }
+        })
+    };
+    let starved = |served, sent_after| {
+        let before = prompts(20, 20, start - Duration::from_secs(5));
+        let after = prompts(20, served, start + Duration::from_secs(sent_after));
+        let records: Vec<Record> = before.chain(after).collect();
+        let crashes = Some((crashes(start, &[]), until));
+        judge(false, &records, &Evidence { crashes, ..Evidence::default() })
+    };
+    assert!(starved(10, 11).is_empty());
+    assert_eq!(starved(9, 11), BTreeSet::from([Violation::Starved(9, 20, 20, 20)]));
+    // Sent too early, or after the last request with the part.
+    assert!(starved(0, 9).is_empty());
+    assert!(starved(0, 61).is_empty());
+}
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -2,12 +2,14 @@
 //!
 //! [`document`] writes the settings and configuration, and [`caller`] sends requests. [`store`] is
 //! the metadata store, built on the keyspace of the etcd stand-in. [`server`] is a plain service or
-//! a model engine that registers itself in that store, and keeps a ledger of its [`run`]s. [`cache`] stores the KV cache that engines
-//! save and fetch, and counts reads of incomplete parts. The formats are deliberately defined here
-//! again instead of shared with the product: a stand-in that shared them would share mistakes too.
+//! a model engine that registers itself in that store and keeps a ledger of its [`run`]s; engines
+//! may [`crash`] on a prompt part. [`cache`] stores the KV cache that engines save and fetch, and
+//! counts reads of incomplete parts. The formats are deliberately defined here again instead of
+//! shared with the product: a stand-in that shared them would share mistakes too.
 
 pub mod cache;
 pub mod caller;
+pub mod crash;
 pub mod document;
 mod memory;
 pub mod run;
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -17,7 +17,7 @@
 
 use super::memory::Memory;
 use super::run::{End, Entry, Ledger, Run};
-use super::{cache, store};
+use super::{cache, crash, store};
 use crate::counter::{Counter, Tally};
 use crate::exchange::{Answer, Call, Disconnect, Reply};
 use crate::fault::Fault;
@@ -127,6 +127,9 @@
         closing: AtomicBool::new(false),
         silent_until: watch::Sender::default(),
         ledger: Arc::default(),
+        crash_part: Mutex::default(),
+        is_crashed: watch::Sender::default(),
+        renames: AtomicU32::new(0),
         broken: Mutex::default(),
         executions: Mutex::default(),
         run_counts: Mutex::default(),
@@ -160,6 +163,9 @@
     closing: AtomicBool,
     silent_until: watch::Sender<Option<Instant>>,
     ledger: Arc<Ledger>,
+    crash_part: Mutex<Option<Arc<crash::Part>>>,
+    is_crashed: watch::Sender<bool>,
+    renames: AtomicU32,
     broken: Mutex<Option<(u32, u32)>>,
     executions: Mutex<Vec<Execution>>,
     run_counts: Mutex<BTreeMap<String, u32>>,
@@ -175,16 +181,37 @@
         self.register_at(store, self.address);
     }
 
+    /// Removes the server from the metadata store.
+    pub fn unregister(&self, store: &store::Handle) {
+        store.remove(&format!("servers/{}", self.id()));
+    }
+
     /// Registers the server under another address, such as that of a proxy.
     pub fn register_at(&self, store: &store::Handle, address: SocketAddr) {
-        store.put(&format!("servers/{}", self.settings.id), &self.entry(address));
+        store.put(&format!("servers/{}", self.id()), &self.entry(address));
     }
 }
 
 impl State {
     /// The instance id.
-    pub fn id(&self) -> &str {
-        &self.settings.id
+    pub fn id(&self) -> String {
+        let id = &self.settings.id;
+        match self.renames.load(Ordering::Relaxed) {
+            0 => id.clone(),
+            count => format!("{id}-{count}"),
+        }
+    }
+
+    /// Crashes from now on when an answer to a prompt with this part begins.
+    pub fn crash_on(&self, part: Arc<crash::Part>) {
+        *self.crash_part.lock() = Some(part);
+    }
+
+    /// Waits until the server crashes. It sends nothing more; its connections are to be reset and
+    /// its entry removed.
+    pub async fn crashed(&self) {
+        // The sender lives as long as `self`.
+        let _ = self.is_crashed.subscribe().wait_for(|is_crashed| *is_crashed).await;
     }
 
     /// Requests executed so far.
@@ -217,6 +244,13 @@
         self.failures.store(times, Ordering::Relaxed);
     }
 
+    /// Begins a new incarnation as in [`Self::restart`], under a new id.
+    pub fn restart_renamed(&self) {
+        self.renames.fetch_add(1, Ordering::Relaxed);
+        self.restart();
+        self.is_crashed.send_replace(false);
+    }
+
     /// Begins a new incarnation, which is not leaving and knows nothing but its weights. The entry
     /// must be registered again.
     pub fn restart(&self) {
@@ -253,6 +287,11 @@
     }
 
     async fn run(self: Arc<Self>, call: &Call) -> Reply {
+        let crash_part = self.crash_part.lock().clone();
+        let crash_part = crash_part.filter(|part| part.is_in(call.header("x-prompt-prefix")));
+        if let Some(part) = &crash_part {
+            part.arrived();
+        }
         self.check(call)?;
         if self.slots.waiting() >= self.settings.queue {
             self.tally.count(Counter::Refused);
@@ -262,26 +301,16 @@
         let slot = self.slots.take(priority).await;
         // The weights may have changed while the request waited.
         self.check(call)?;
-        let id = call.header("x-request-id").to_owned();
-        *self.run_counts.lock().entry(id.clone()).or_default() += 1;
-        self.tally.count(Counter::Started);
-        let entry = self.ledger.begin(id.clone());
-        self.executions.lock().push(Execution {
-            id,
-            organisation: call.header("x-tenant").to_owned(),
-            key: call.header("authorization").to_owned(),
-            target: format!("{} {}", call.method, call.path),
-            body: call.body.clone(),
-            weights: call.header("x-expect-version").to_owned(),
-            salt: call.header("x-cache-salt").to_owned(),
-            fetch: call.header("x-kv-fetch").to_owned(),
-            last_event: call.header("last-event-id").to_owned(),
-        });
+        let entry = self.begin(call);
         if let Some(engine) = &self.settings.engine {
             self.prefill(engine, call).await;
         }
         tokio::time::sleep(self.settings.latency).await;
         self.wait_until_audible(&entry).await;
+        if let Some(part) = crash_part {
+            self.crash(&part);
+            std::future::pending::<()>().await;
+        }
         if consume(&self.failures) {
             entry.end(End::Answered);
             let body = "injected server failure";
@@ -304,11 +333,31 @@
         Ok(answer.with("x-response-seal", "s"))
     }
 
+    /// Records the begin of a run.
+    fn begin(&self, call: &Call) -> Entry {
+        let id = call.header("x-request-id").to_owned();
+        *self.run_counts.lock().entry(id.clone()).or_default() += 1;
+        self.tally.count(Counter::Started);
+        let entry = self.ledger.begin(id.clone());
+        self.executions.lock().push(Execution {
+            id,
+            organisation: call.header("x-tenant").to_owned(),
+            key: call.header("authorization").to_owned(),
+            target: format!("{} {}", call.method, call.path),
+            body: call.body.clone(),
+            weights: call.header("x-expect-version").to_owned(),
+            salt: call.header("x-cache-salt").to_owned(),
+            fetch: call.header("x-kv-fetch").to_owned(),
+            last_event: call.header("last-event-id").to_owned(),
+        });
+        entry
+    }
+
     /// Refuses requests for another server or weight version, and all requests while loading.
     fn check(&self, call: &Call) -> Result<(), Answer> {
         let other = |name, actual: &str| !["", actual].contains(&call.header(name));
         let weights = self.weights().to_string();
-        if other("x-expect-instance", &self.settings.id) || other("x-expect-version", &weights) {
+        if other("x-expect-instance", &self.id()) || other("x-expect-version", &weights) {
             return Err(Answer::bytes(StatusCode::MISDIRECTED_REQUEST, ""));
         }
         if self.loading.load(Ordering::Relaxed) {
@@ -375,6 +424,13 @@
         self.prefill_pace.occupy(engine.performance.prefill_per_token * uncached).await;
     }
 
+    /// Records a crash, unless the server has crashed already.
+    fn crash(&self, part: &crash::Part) {
+        if !self.is_crashed.send_replace(true) {
+            part.crashed();
+        }
+    }
+
     /// Waits until the server is no longer silent.
     async fn wait_until_audible(&self, entry: &Entry) {
         let mut changes = self.silent_until.subscribe();
@@ -490,7 +546,7 @@
 
     async fn respond(self: Arc<Self>, call: Call) -> Answer {
         let id = call.header("x-request-id").to_owned();
-        let instance = self.settings.id.clone();
+        let instance = self.id();
         let is_leaving = self.leaving.load(Ordering::Relaxed);
         let answer = match (&call.method, &*call.path) {
             (&Method::GET, "/acaciaarch/report") => Ok(self.report()),
--- a/crates/standin/tests/server.rs
+++ b/crates/standin/tests/server.rs
@@ -2,12 +2,13 @@
 
 #![expect(clippy::unwrap_used, reason = "a helper that fails fails its test")]
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use acacia_standin::Fault;
 use acacia_standin::platform::run::{End, Run};
 use acacia_standin::platform::server::{self, Engine, Handle, Peers, Performance, Settings};
-use acacia_standin::platform::store;
+use acacia_standin::platform::{crash, store};
 use reqwest::{Client, Response, Result};
 
 /// Longer than any test lasts.
@@ -38,11 +39,15 @@
 }
 
 async fn ask(server: &Handle) -> Result<Response> {
+    ask_prompt(server, "").await
+}
+
+async fn ask_prompt(server: &Handle, parts: &str) -> Result<Response> {
     // Fails if another test has installed a provider; plain HTTP never uses it.
     let _ = rustls::crypto::ring::default_provider().install_default();
     let client = Client::builder().no_proxy().build()?;
     let request = client.post(format!("http://{}/ask/x", server.address));
-    let request = request.header("x-request-id", "r");
+    let request = request.header("x-request-id", "r").header("x-prompt-prefix", parts);
     request.header("x-token-usage", format!("10,{EVENTS}")).body("x").send().await
 }
 
@@ -109,3 +114,22 @@
     server.fault(Fault::Closing { on: false }).unwrap();
     assert!(ask(&server).await.is_ok());
 }
+
+#[tokio::test]
+async fn crash_on_part() {
+    let (_store, server) = engine().await;
+    let part = Arc::new(crash::Part::new("c"));
+    server.crash_on(part.clone());
+    ask_prompt(&server, "a:1,b:1").await.unwrap();
+    assert!(part.record().arrivals.is_empty());
+    tokio::select! {
+        _ = ask_prompt(&server, "a:1,c:1,d:1") => unreachable!("the server crashes"),
+        () = server.crashed() => {}
+    }
+    let record = part.record();
+    assert_eq!((record.arrivals.len(), record.crashes.len()), (1, 1));
+    server.restart_renamed();
+    assert_eq!(server.id(), "llm-1-1");
+    ask_prompt(&server, "a:1,b:1").await.unwrap();
+    assert_eq!(part.record().crashes.len(), 1);
+}
