--- a/crates/soak/src/fixture.rs
+++ b/crates/soak/src/fixture.rs
@@ -12,13 +12,15 @@
 use acacia_standin::platform::caller::Caller;
 use acacia_standin::platform::document::{self, Addresses, CONFIGURATION_KEY, Deployment, MODEL};
 use acacia_standin::platform::server::{self, Engine, Peers, Performance};
-use acacia_standin::platform::{cache, store};
+use acacia_standin::platform::{cache, crash, store};
+use futures::future::join_all;
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::sync::Mutex;
 use tokio::time::Instant;
 
+use crate::fault::Scenario;
 use crate::oracle::Evidence;
-use crate::proxy::Proxy;
+use crate::proxy::{Mode, Proxy};
 
 /// Organisations with their keys.
 pub const ORGANISATIONS: [(&str, &str); 2] = [("north", "key-north"), ("south", "key-south")];
@@ -28,6 +30,14 @@
 const SLOTS: usize = 16;
 /// Time between two events of a stream; latency of a plain call.
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
+/// The same with silences, which then occur within many streams.
+const LONG_EVENT_INTERVAL: Duration = Duration::from_millis(20);
+/// Target latency of requests and acceptable gap between two events, in milliseconds.
+const TARGET_MS: u64 = 1_000;
+/// The same with silences, which then outlast the timeouts of most attempts.
+const SHORT_TARGET_MS: u64 = 500;
+/// Time until an engine that crashed is back.
+const CRASH_TIME: Duration = Duration::from_secs(2);
 /// Tokens that fit in the managed cache store.
 const CACHE_TOKENS: u64 = 40_000;
 /// Time between two polls.
@@ -50,6 +60,7 @@
     /// Entry instances.
     pub instances: Vec<Instance>,
     folder: PathBuf,
+    target_ms: u64,
 }
 
 /// An entry instance; its process may be replaced.
@@ -77,7 +88,16 @@
     ///
     /// # Errors
     /// If something can't be started, or an instance is not ready in time.
-    pub async fn start(daemon: &Path, folder: PathBuf, count: usize) -> io::Result<Self> {
+    pub async fn start(
+        daemon: &Path,
+        folder: PathBuf,
+        count: usize,
+        scenario: Scenario,
+    ) -> io::Result<Self> {
+        let (interval, target_ms) = match scenario {
+            Scenario::Mixed | Scenario::Crashes => (EVENT_INTERVAL, TARGET_MS),
+            Scenario::Silences => (LONG_EVENT_INTERVAL, SHORT_TARGET_MS),
+        };
         fs::create_dir_all(&folder)?;
         let store = store::start().await?;
         let store_proxy = Proxy::start(store.address).await?;
@@ -86,15 +106,16 @@
         let (mut servers, mut proxies) = (Vec::new(), Vec::new());
         for number in 0..SERVERS_PER_KIND * 2 {
             let engine = (number >= SERVERS_PER_KIND).then(|| engine(&cache, &others));
-            let server = server::start(server_settings(number, engine), &store).await?;
+            let server = server::start(server_settings(number, engine, interval), &store).await?;
             let proxy = Proxy::start(server.address).await?;
             others.lock().insert(proxy.address, Arc::downgrade(&server.state()));
             server.register_at(&store, proxy.address);
             servers.push(server);
             proxies.push(proxy);
         }
+        let instances = Vec::new();
         let mut fixture =
-            Self { store, store_proxy, servers, proxies, cache, instances: Vec::new(), folder };
+            Self { store, store_proxy, servers, proxies, cache, instances, folder, target_ms };
         fixture.configure(1);
         for number in 0..count {
             let instance = fixture.instance(daemon, number)?;
@@ -129,8 +150,8 @@
     pub fn publish(&self, version: u64, organisations: &[(&str, &str)]) {
         let deployment = Deployment {
             timeout_ms: 10_000,
-            target_latency_ms: 1_000,
-            gap_target_ms: 1_000,
+            target_latency_ms: self.target_ms,
+            gap_target_ms: self.target_ms,
             engine_slots: SLOTS,
             engine_tokens: 20_000,
             token_bytes: 1_000,
@@ -156,17 +177,47 @@
         &self.servers[target % self.servers.len()]
     }
 
+    /// The other servers of the same service, modulo their count.
+    pub fn others(&self, target: usize) -> impl Iterator<Item = &server::Handle> {
+        let target = target % self.servers.len();
+        let is_same = move |at: usize| at / SERVERS_PER_KIND == target / SERVERS_PER_KIND;
+        let others = self.servers.iter().enumerate();
+        others.filter(move |(at, _)| *at != target && is_same(*at)).map(|(_, server)| server)
+    }
+
     /// Registers a server again, at the address of its proxy.
     pub fn register(&self, target: usize) {
         let address = self.proxies[target % self.proxies.len()].address;
         self.server(target).register_at(&self.store, address);
     }
 
+    /// Makes the engines crash on a part until dropped. One that crashes resets its connections,
+    /// loses its entry and is back after a while under a new id.
+    pub async fn crash_engines(&self, part: &Arc<crash::Part>) {
+        let engines = self.engines().iter().zip(self.engine_proxies());
+        let crashes = engines.map(|(engine, proxy)| async move {
+            engine.crash_on(part.clone());
+            loop {
+                engine.crashed().await;
+                proxy.set(Mode::Refuse);
+                proxy.reset();
+                engine.unregister(&self.store);
+                tokio::time::sleep(CRASH_TIME).await;
+                engine.restart_renamed();
+                proxy.set(Mode::Pass);
+                engine.register_at(&self.store, proxy.address);
+            }
+        });
+        join_all(crashes).await;
+    }
+
     /// Observations of the servers.
     pub fn evidence(&self) -> Evidence {
         let wrong = self.engines().iter().map(|engine| engine.count(Counter::WrongPrefixRead));
         Evidence {
             seen: self.servers.iter().flat_map(|server| server.executions()).collect(),
+            runs: self.servers.iter().flat_map(|server| server.ledger()).collect(),
+            crashes: None,
             wrong_parts: wrong.sum::<u64>() + self.cache.count(Counter::WrongBlockRead),
         }
     }
@@ -293,13 +344,13 @@
     }
 }
 
-fn server_settings(number: usize, engine: Option<Engine>) -> server::Settings {
+fn server_settings(number: usize, engine: Option<Engine>, latency: Duration) -> server::Settings {
     let service = if engine.is_some() { "llm" } else { "app" };
     server::Settings {
         id: format!("{service}-{number}"),
         service: service.to_owned(),
         zone: zone(number),
-        latency: EVENT_INTERVAL,
+        latency,
         slots: SLOTS,
         queue: SLOTS,
         engine,
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -1,10 +1,28 @@
 //! Checks the guarantees against the observations of callers and servers.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use acacia_standin::platform::caller::{Answer, Ending};
+use acacia_standin::platform::crash;
+use acacia_standin::platform::run::{End, Run};
 use acacia_standin::platform::server::Execution;
 use strum::Display;
+use tokio::time::Instant;
+
+/// Time that a server needs for the rest of an answer after a silence.
+const REST_TIME: Duration = Duration::from_secs(1);
+/// Time before its deadline from which a request may end unanswered.
+const DEADLINE_SLACK: Duration = Duration::from_millis(250);
+
+/// The crash on a part after which requests with it are to be held back.
+const LAST_CRASH: usize = 5;
+/// Time after that crash until they are held back.
+const HOLD_TIME: Duration = Duration::from_secs(3);
+/// Requests with the part that may reach engines later.
+const LATER_ARRIVALS: usize = 3;
+/// Fewest sound prompts of which a share is taken.
+const SHARE_PROMPTS: usize = 20;
 
 /// One request and its result.
 #[derive(Clone, Debug)]
@@ -17,6 +35,14 @@
     pub is_at_most_once: bool,
     /// Whether it was sent after all faults and the recovery time.
     pub is_after_faults: bool,
+    /// Whether it is a prompt without a part that crashes engines.
+    pub is_sound_prompt: bool,
+    /// When it was sent.
+    pub sent: Instant,
+    /// Until when its caller waits.
+    pub deadline: Instant,
+    /// When its answer ended.
+    pub ended: Instant,
     /// The answer that its caller received.
     pub answer: Answer,
 }
@@ -26,6 +52,10 @@
 pub struct Evidence {
     /// Requests that ran, server by server, in order.
     pub seen: Vec<Execution>,
+    /// Times and ends of these runs, server by server, in order.
+    pub runs: Vec<Run>,
+    /// A part that crashes engines, and until when requests with it were sent.
+    pub crashes: Option<(crash::Record, Instant)>,
     /// Cached prompt parts that were used although incomplete or computed with other weights.
     pub wrong_parts: u64,
 }
@@ -54,6 +84,17 @@
     /// A request was lost during planned changes.
     #[strum(to_string = "{0} was lost during planned changes: {1}")]
     Lost(String, String),
+    /// A request failed early although its server was only silent.
+    #[strum(to_string = "{0} failed, its run was cancelled while the server was silent: {1}")]
+    Abandoned(String, String),
+    /// Requests with a part that crashes engines were still sent to engines.
+    #[strum(to_string = "{0} requests reached engines later than 3 s after the fifth crash on \
+                         their part, {1} crashes in all")]
+    CrashesOn(usize, usize),
+    /// Sound prompts were served less than half as often as before the crashes.
+    #[strum(to_string = "of {1} sound prompts {0} were served from 6 s after the fifth crash, \
+                         of {3} before the first one {2}")]
+    Starved(usize, usize, usize, usize),
     /// A request was not served after all faults and the recovery time.
     #[strum(to_string = "{0} was not served after all faults ended: {1}")]
     Unrecovered(String, String),
@@ -83,6 +124,10 @@
         let runs = runs.get(&*record.id).copied().unwrap_or_default();
         violations.extend(judge_request(is_planned, record, runs));
     }
+    violations.extend(records.iter().filter_map(|record| judge_silence(record, &evidence.runs)));
+    if let Some((crashes, until)) = &evidence.crashes {
+        violations.extend(judge_crashes(records, crashes, *until));
+    }
     if evidence.wrong_parts > 0 {
         violations.insert(Violation::WrongParts(evidence.wrong_parts));
     }
@@ -111,3 +156,55 @@
     }
     violations
 }
+
+/// A request may not end without an answer, with time left, because a server was silent: its run
+/// is kept until another one has taken its place. A run that has taken it may break off.
+fn judge_silence(record: &Record, runs: &[Run]) -> Option<Violation> {
+    let how = match &record.answer.ending {
+        Ending::Complete | Ending::Wrong(_) | Ending::Refused { not_run: true, .. } => return None,
+        Ending::Refused { status, .. } => format!("status {status}"),
+        Ending::Broken(how) => how.clone(),
+    };
+    if record.ended + DEADLINE_SLACK > record.deadline {
+        return None;
+    }
+    let runs: Vec<&Run> = runs.iter().filter(|run| run.id == record.id).collect();
+    let is_abandoned = |run: &&Run| {
+        let (Some((at, End::Cancelled)), Some(until)) = (run.end, run.silent_until) else {
+            return false;
+        };
+        let since = run.sent.last().copied().unwrap_or(run.began);
+        let is_replaced =
+            runs.iter().flat_map(|other| &other.sent).any(|sent| since < *sent && *sent <= at);
+        until + REST_TIME < record.deadline && !is_replaced
+    };
+    runs.iter().any(is_abandoned).then(|| Violation::Abandoned(record.id.clone(), how))
+}
+
+/// A part that has crashed engines is held back, and only that part.
+fn judge_crashes(records: &[Record], record: &crash::Record, until: Instant) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    let crashes = &record.crashes;
+    let Some((first, last)) = crashes.first().zip(crashes.get(LAST_CRASH - 1).or(crashes.last()))
+    else {
+        return violations;
+    };
+    let later = record.arrivals.iter().filter(|at| **at > *last + HOLD_TIME).count();
+    if crashes.len() >= LAST_CRASH && later > LATER_ARRIVALS {
+        violations.push(Violation::CrashesOn(later, crashes.len()));
+    }
+    let share = |is_in: &dyn Fn(&Record) -> bool| {
+        let sound = records.iter().filter(|record| record.is_sound_prompt && is_in(record));
+        let served: Vec<bool> =
+            sound.map(|record| record.answer.ending == Ending::Complete).collect();
+        (served.iter().filter(|is_served| **is_served).count(), served.len())
+    };
+    let (before, all_before) = share(&|record| record.ended < *first);
+    let (after, all_after) =
+        share(&|record| *last + 2 * HOLD_TIME < record.sent && record.sent < until);
+    let is_judged = all_before >= SHARE_PROMPTS && all_after >= SHARE_PROMPTS;
+    if is_judged && 2 * after * all_before < before * all_after {
+        violations.push(Violation::Starved(after, all_after, before, all_before));
+    }
+    violations
+}
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -12,9 +12,12 @@
 use parking_lot::Mutex;
 use serde::Deserialize;
 use serde_json::{Value, json};
+use tokio::sync::watch;
+use tokio::time::Instant;
 
 use super::memory::Memory;
-use super::{cache, store};
+use super::run::{End, Entry, Ledger, Run};
+use super::{cache, crash, store};
 use crate::counter::{Counter, Tally};
 use crate::exchange::{Answer, Call, Disconnect, Reply};
 use crate::fault::Fault;
@@ -121,6 +124,12 @@
         born: AtomicU64::new(1),
         fence: AtomicU64::new(0),
         failures: AtomicU32::new(0),
+        closing: AtomicBool::new(false),
+        silent_until: watch::Sender::default(),
+        ledger: Arc::default(),
+        crash_part: Mutex::default(),
+        is_crashed: watch::Sender::default(),
+        renames: AtomicU32::new(0),
         broken: Mutex::default(),
         executions: Mutex::default(),
         run_counts: Mutex::default(),
@@ -151,6 +160,12 @@
     born: AtomicU64,
     fence: AtomicU64,
     failures: AtomicU32,
+    closing: AtomicBool,
+    silent_until: watch::Sender<Option<Instant>>,
+    ledger: Arc<Ledger>,
+    crash_part: Mutex<Option<Arc<crash::Part>>>,
+    is_crashed: watch::Sender<bool>,
+    renames: AtomicU32,
     broken: Mutex<Option<(u32, u32)>>,
     executions: Mutex<Vec<Execution>>,
     run_counts: Mutex<BTreeMap<String, u32>>,
@@ -166,16 +181,37 @@
         self.register_at(store, self.address);
     }
 
+    /// Removes the server from the metadata store.
+    pub fn unregister(&self, store: &store::Handle) {
+        store.remove(&format!("servers/{}", self.id()));
+    }
+
     /// Registers the server under another address, such as that of a proxy.
     pub fn register_at(&self, store: &store::Handle, address: SocketAddr) {
-        store.put(&format!("servers/{}", self.settings.id), &self.entry(address));
+        store.put(&format!("servers/{}", self.id()), &self.entry(address));
     }
 }
 
 impl State {
     /// The instance id.
-    pub fn id(&self) -> &str {
-        &self.settings.id
+    pub fn id(&self) -> String {
+        let id = &self.settings.id;
+        match self.renames.load(Ordering::Relaxed) {
+            0 => id.clone(),
+            count => format!("{id}-{count}"),
+        }
+    }
+
+    /// Crashes from now on when an answer to a prompt with this part begins.
+    pub fn crash_on(&self, part: Arc<crash::Part>) {
+        *self.crash_part.lock() = Some(part);
+    }
+
+    /// Waits until the server crashes. It sends nothing more; its connections are to be reset and
+    /// its entry removed.
+    pub async fn crashed(&self) {
+        // The sender lives as long as `self`.
+        let _ = self.is_crashed.subscribe().wait_for(|is_crashed| *is_crashed).await;
     }
 
     /// Requests executed so far.
@@ -188,6 +224,11 @@
         self.run_counts.lock().clone()
     }
 
+    /// Runs so far, with the times of what was sent and of their ends.
+    pub fn ledger(&self) -> Vec<Run> {
+        self.ledger.runs()
+    }
+
     /// Version of the loaded weights.
     pub fn weights(&self) -> u64 {
         self.weights.load(Ordering::Relaxed)
@@ -203,6 +244,13 @@
         self.failures.store(times, Ordering::Relaxed);
     }
 
+    /// Begins a new incarnation as in [`Self::restart`], under a new id.
+    pub fn restart_renamed(&self) {
+        self.renames.fetch_add(1, Ordering::Relaxed);
+        self.restart();
+        self.is_crashed.send_replace(false);
+    }
+
     /// Begins a new incarnation, which is not leaving and knows nothing but its weights. The entry
     /// must be registered again.
     pub fn restart(&self) {
@@ -239,6 +287,11 @@
     }
 
     async fn run(self: Arc<Self>, call: &Call) -> Reply {
+        let crash_part = self.crash_part.lock().clone();
+        let crash_part = crash_part.filter(|part| part.is_in(call.header("x-prompt-prefix")));
+        if let Some(part) = &crash_part {
+            part.arrived();
+        }
         self.check(call)?;
         if self.slots.waiting() >= self.settings.queue {
             self.tally.count(Counter::Refused);
@@ -248,25 +301,18 @@
         let slot = self.slots.take(priority).await;
         // The weights may have changed while the request waited.
         self.check(call)?;
-        let id = call.header("x-request-id").to_owned();
-        *self.run_counts.lock().entry(id.clone()).or_default() += 1;
-        self.tally.count(Counter::Started);
-        self.executions.lock().push(Execution {
-            id,
-            organisation: call.header("x-tenant").to_owned(),
-            key: call.header("authorization").to_owned(),
-            target: format!("{} {}", call.method, call.path),
-            body: call.body.clone(),
-            weights: call.header("x-expect-version").to_owned(),
-            salt: call.header("x-cache-salt").to_owned(),
-            fetch: call.header("x-kv-fetch").to_owned(),
-            last_event: call.header("last-event-id").to_owned(),
-        });
+        let entry = self.begin(call);
         if let Some(engine) = &self.settings.engine {
             self.prefill(engine, call).await;
         }
         tokio::time::sleep(self.settings.latency).await;
+        self.wait_until_audible(&entry).await;
+        if let Some(part) = crash_part {
+            self.crash(&part);
+            std::future::pending::<()>().await;
+        }
         if consume(&self.failures) {
+            entry.end(End::Answered);
             let body = "injected server failure";
             return Ok(
                 Answer::bytes(StatusCode::INTERNAL_SERVER_ERROR, body).with("x-response-seal", "s")
@@ -274,22 +320,44 @@
         }
         let answer = match &self.settings.engine {
             Some(_) => {
-                let answer = self.clone().stream(slot, call);
+                let answer = self.clone().stream(slot, call, entry);
                 answer.with("x-weight-versions", self.weights())
             }
             None => {
                 let body = format!("{} {} {}", call.method, call.path, call.body.len());
+                entry.sent();
+                entry.end(End::Answered);
                 Answer::bytes(StatusCode::OK, body)
             }
         };
         Ok(answer.with("x-response-seal", "s"))
     }
 
+    /// Records the begin of a run.
+    fn begin(&self, call: &Call) -> Entry {
+        let id = call.header("x-request-id").to_owned();
+        *self.run_counts.lock().entry(id.clone()).or_default() += 1;
+        self.tally.count(Counter::Started);
+        let entry = self.ledger.begin(id.clone());
+        self.executions.lock().push(Execution {
+            id,
+            organisation: call.header("x-tenant").to_owned(),
+            key: call.header("authorization").to_owned(),
+            target: format!("{} {}", call.method, call.path),
+            body: call.body.clone(),
+            weights: call.header("x-expect-version").to_owned(),
+            salt: call.header("x-cache-salt").to_owned(),
+            fetch: call.header("x-kv-fetch").to_owned(),
+            last_event: call.header("last-event-id").to_owned(),
+        });
+        entry
+    }
+
     /// Refuses requests for another server or weight version, and all requests while loading.
     fn check(&self, call: &Call) -> Result<(), Answer> {
         let other = |name, actual: &str| !["", actual].contains(&call.header(name));
         let weights = self.weights().to_string();
-        if other("x-expect-instance", &self.settings.id) || other("x-expect-version", &weights) {
+        if other("x-expect-instance", &self.id()) || other("x-expect-version", &weights) {
             return Err(Answer::bytes(StatusCode::MISDIRECTED_REQUEST, ""));
         }
         if self.loading.load(Ordering::Relaxed) {
@@ -356,8 +424,28 @@
         self.prefill_pace.occupy(engine.performance.prefill_per_token * uncached).await;
     }
 
+    /// Records a crash, unless the server has crashed already.
+    fn crash(&self, part: &crash::Part) {
+        if !self.is_crashed.send_replace(true) {
+            part.crashed();
+        }
+    }
+
+    /// Waits until the server is no longer silent.
+    async fn wait_until_audible(&self, entry: &Entry) {
+        let mut changes = self.silent_until.subscribe();
+        loop {
+            let until = *changes.borrow_and_update();
+            let until = until.filter(|until| Instant::now() < *until);
+            entry.silent(until);
+            let Some(until) = until else { return };
+            // Also returns when the silence is extended or cleared; the sender outlives the wait.
+            let _ = tokio::time::timeout_at(until, changes.changed()).await;
+        }
+    }
+
     /// The events of an answer, after the one in `last-event-id`.
-    fn stream(self: Arc<Self>, slot: Slot, call: &Call) -> Answer {
+    fn stream(self: Arc<Self>, slot: Slot, call: &Call, entry: Entry) -> Answer {
         let first = call.header("last-event-id").parse::<u32>().map_or(1, |last| last + 1);
         let usage = call.header("x-token-usage").split_once(',');
         let count = usage.and_then(|(_, output)| output.trim().parse().ok()).unwrap_or(1);
@@ -368,17 +456,28 @@
         });
         // The slot is held until the last event is sent or the caller disconnects.
         let slot = Arc::new(slot);
+        if first > count {
+            entry.end(End::Answered);
+        }
+        let entry = Arc::new(entry);
         let events = stream::iter(first..=count).then(move |number| {
-            let (id, slot) = (id.clone(), slot.clone());
+            let (id, slot, entry) = (id.clone(), slot.clone(), entry.clone());
+            let server = self.clone();
             async move {
                 tokio::time::sleep(latency).await;
+                server.wait_until_audible(&entry).await;
                 drop(slot);
                 let event = format!("id: {number}\ndata: {id} {number}\n\n");
                 if broken == Some(number) {
+                    entry.end(End::BrokenOff);
                     // Half of the event is sent before the connection drops.
                     return [Ok(Bytes::from(event[..event.len() / 2].to_owned())), Err(Disconnect)]
                         .to_vec();
                 }
+                entry.sent();
+                if number == count {
+                    entry.end(End::Answered);
+                }
                 vec![Ok(Bytes::from(event))]
             }
         });
@@ -447,11 +546,12 @@
 
     async fn respond(self: Arc<Self>, call: Call) -> Answer {
         let id = call.header("x-request-id").to_owned();
-        let instance = self.settings.id.clone();
+        let instance = self.id();
         let is_leaving = self.leaving.load(Ordering::Relaxed);
         let answer = match (&call.method, &*call.path) {
             (&Method::GET, "/acaciaarch/report") => Ok(self.report()),
             (&Method::POST, "/acaciaarch/order") => self.order(&call),
+            _ if self.closing.load(Ordering::Relaxed) => return Answer::disconnect(),
             _ => self.run(&call).await,
         };
         let answer = answer.unwrap_or_else(|refusal| refusal);
@@ -465,6 +565,11 @@
                 *self.broken.lock() = Some((*token, times.unwrap_or(u32::MAX)));
             }
             Fault::Leaving { on } => self.leaving.store(*on, Ordering::Relaxed),
+            Fault::Closing { on } => self.closing.store(*on, Ordering::Relaxed),
+            Fault::Silent { millis } => {
+                let until = Instant::now() + Duration::from_millis(*millis);
+                self.silent_until.send_replace(Some(until));
+            }
             Fault::Paused { millis } => self.pause_ms.store(*millis, Ordering::Relaxed),
             _ => return false,
         }
