Keep the complete end of a resumed stream, and the timeout of a second attempt

Found by reading, not seen: a second attempt that had no event after the last one was discarded even if no stream could go on any more, and a second attempt on a route with two attempts got no timeout although the first might be refused.

--- a/crates/gateway/src/hedge.rs
+++ b/crates/gateway/src/hedge.rs
@@ -27,22 +27,24 @@
     payload: &Rc<Payload>,
     last_event: Option<Bytes>,
 ) -> Outcome {
-    let hedge = Hedge::new(traffic, plan, payload, last_event);
+    let hedge = Hedge { is_streaming: false, ..Hedge::new(traffic, plan, payload, last_event) };
     let first = hedge.start(attempt);
     hedge.finish(first).await
 }
 
-/// The attempts beside one that is awaited.
+/// The second attempt beside one that is awaited.
 pub struct Hedge {
     traffic: Rc<Traffic>,
     plan: SharedPlan,
     payload: Rc<Payload>,
     /// Id of the event after which another attempt resumes the stream.
     last_event: Option<Bytes>,
+    /// Whether the awaited attempt is a stream, which may go on.
+    is_streaming: bool,
     /// The second attempt, if it is in progress.
     second: Option<Pending>,
-    /// The failure with which an upstream answered.
-    failure: Option<Outcome>,
+    /// An upstream's answer that is returned if no attempt brings a better one.
+    fallback: Option<Outcome>,
 }
 
 /// What came first.
@@ -64,7 +66,7 @@
 }
 
 impl Hedge {
-    /// Prepares for the wait for an attempt.
+    /// Prepares for the wait for the next events of a stream.
     pub fn new(
         traffic: &Rc<Traffic>,
         plan: &SharedPlan,
@@ -72,7 +74,8 @@
         last_event: Option<Bytes>,
     ) -> Self {
         let (traffic, plan, payload) = (traffic.clone(), plan.clone(), payload.clone());
-        Self { traffic, plan, payload, last_event, second: None, failure: None }
+        let (is_streaming, second, fallback) = (true, None, None);
+        Self { traffic, plan, payload, last_event, is_streaming, second, fallback }
     }
 
     /// Waits for the response to an attempt until the request's deadline. Each time that `timeout`
@@ -106,18 +109,19 @@
             self.second = None;
             // While the stream may go on, a resumed one without an event is no proof of its end.
             let is_stream = matches!(outcome, Outcome::Stream(_));
-            if is_stream || (self.last_event.is_none() && self.is_answer(&outcome)) {
+            if is_stream || (!self.is_streaming && self.is_answer(&outcome)) {
                 return Response::Other(outcome);
             }
-            self.record_failure(outcome);
+            self.keep(outcome);
         }
     }
 
     /// After the awaited attempt has failed: waits for the second one, if it is in progress.
     pub async fn take_over(mut self) -> Outcome {
+        self.is_streaming = false;
         match self.second.take() {
             Some(second) => self.finish(second).await,
-            None => Outcome::None,
+            None => self.fallback.unwrap_or(Outcome::None),
         }
     }
 
@@ -128,7 +132,7 @@
             match self.race(&first.attempt, timeout, &mut first.outcome).await {
                 Response::Own(outcome) if self.is_answer(&outcome) => return outcome,
                 Response::Own(outcome) => {
-                    self.record_failure(outcome);
+                    self.keep(outcome);
                     match self.second.take() {
                         Some(second) => first = second,
                         None => break,
@@ -146,8 +150,7 @@
                 }
             }
         }
-        // An upstream's own failure is more specific than none.
-        self.failure.unwrap_or(Outcome::None)
+        self.fallback.unwrap_or(Outcome::None)
     }
 
     /// Starts an attempt.
@@ -177,9 +180,11 @@
         }
     }
 
-    fn record_failure(&mut self, outcome: Outcome) {
-        if self.last_event.is_none() && matches!(outcome, Outcome::Whole(..)) {
-            self.failure = Some(outcome);
+    /// Keeps an upstream's own answer, which is more specific than none.
+    fn keep(&mut self, outcome: Outcome) {
+        let is_of_use = self.last_event.is_none() || self.is_answer(&outcome);
+        if is_of_use && matches!(outcome, Outcome::Whole(..)) {
+            self.fallback = Some(outcome);
         }
     }
 }
--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -416,7 +416,7 @@
     fn attempt(&self, offer: &Offer) -> Attempt {
         let member = &self.roster[offer.key];
         let route = &self.plan.route;
-        let runs_left = route.attempts.saturating_sub(self.plan.possible_runs() + 1);
+        let runs_left = route.attempts.saturating_sub(self.plan.runs + 1);
         let is_last = !route.repeat.is_repeatable() || runs_left == 0;
         let targets =
             if route.repeat.is_stream() { STREAM_TIMEOUT_TARGETS } else { PLAIN_TIMEOUT_TARGETS };
