--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -16,7 +16,7 @@
 use tokio::sync::watch;
 
 use crate::log::Kind;
-use crate::request::{Body, handle, plain};
+use crate::request::{Body, discard, handle, plain};
 use crate::socket::{Closing, Socket};
 use crate::timer::{Received, Timer};
 use crate::traffic::{Phase, Traffic};
@@ -80,6 +80,7 @@
         }
         let limit = traffic.limits.borrow().head_bytes.max(MIN_HEAD_BYTES);
         if head_bytes(&request) > limit {
+            discard(request.into_body());
             return Ok(head_too_long(traffic, limit));
         }
         handle(traffic.clone(), request).await
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -100,7 +100,7 @@
 
 /// Skips the rest of a refused request's body. If the connection were closed before, the caller
 /// would get a reset instead of the refusal.
-fn discard(mut body: Incoming) {
+pub fn discard(mut body: Incoming) {
     let rest = async move {
         let mut bytes = 0;
         while let Some(Ok(frame)) = body.frame().await {
