--- a/crates/daemon/tests/platform/answer.rs
+++ b/crates/daemon/tests/platform/answer.rs
@@ -570,7 +570,8 @@
     .await;
     let (answer, sends) = pair.answer("/read/").await;
     let text = String::from_utf8_lossy(&answer.body).into_owned();
-    assert_ne!(answer.status, 503, "sent {sends} times beside the first attempt: {text}");
+    assert!(sends > 0, "the second upstream was not asked");
+    assert!(matches!(answer.status, 502 | 504), "{}: {text}", answer.status);
     pair.fixture.stop().await;
 }
 
