--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -15,7 +15,7 @@
 /// Time before its deadline from which a request may end unanswered.
 const DEADLINE_SLACK: Duration = Duration::from_millis(250);
 
-/// The crash on a part after which requests with it are to be held back.
+/// The crash on a part from which the times count; the last one if there are fewer.
 const LAST_CRASH: usize = 5;
 /// Time after that crash until they are held back.
 const HOLD_TIME: Duration = Duration::from_secs(3);
@@ -87,6 +87,9 @@
     /// A request failed early although its server was only silent.
     #[strum(to_string = "{0} failed, its run was cancelled while the server was silent: {1}")]
     Abandoned(String, String),
+    /// No engine crashed, so nothing was checked.
+    #[strum(to_string = "no engine crashed")]
+    NotCrashed,
     /// Requests with a part that crashes engines were still sent to engines.
     #[strum(to_string = "{0} requests reached engines later than 3 s after the fifth crash on \
                          their part, {1} crashes in all")]
@@ -187,7 +190,7 @@
     let crashes = &record.crashes;
     let Some((first, last)) = crashes.first().zip(crashes.get(LAST_CRASH - 1).or(crashes.last()))
     else {
-        return violations;
+        return vec![Violation::NotCrashed];
     };
     let later = record.arrivals.iter().filter(|at| **at > *last + HOLD_TIME).count();
     if crashes.len() >= LAST_CRASH && later > LATER_ARRIVALS {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -311,7 +311,8 @@
 
     /// Injects a fault into all servers of a service but one.
     async fn others(&self, fault: Fault) -> Result<(), Unsupported> {
-        let token = BREAK_EVENTS.start + fault.target as u32 % (BREAK_EVENTS.end - 1);
+        let token =
+            BREAK_EVENTS.start + fault.target as u32 % (BREAK_EVENTS.end - BREAK_EVENTS.start);
         let set = |on: bool| match fault.kind {
             Kind::OthersRefuse => {
                 StandinFault::Paused { millis: if on { REFUSAL_PAUSE_MS } else { 0 } }
