--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,8 +16,8 @@
 
 /// Connect timeout. A reachable server accepts within a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Detects an upstream whose host is unreachable soon enough that few requests wait for it. While a
-/// request's body is too long for the upstream's receive window, its deadline is the only limit.
+/// Detects an unreachable host. The user timeout does not apply to long requests, which only their
+/// deadline limits.
 const KEEP_ALIVE: KeepAlive = KeepAlive {
     idle: Duration::from_secs(1),
     interval: Duration::from_secs(1),
@@ -197,9 +197,8 @@
     }
 }
 
-/// Sends a request and waits for a whole plain answer or for a stream's first event, without a
-/// limit on the time.
-pub async fn exchange_alone(
+/// Runs an attempt until a whole plain answer or a stream's first event. The caller limits the time.
+pub async fn run(
     mut inflight: Inflight,
     payload: Rc<Payload>,
     last_event: Option<Bytes>,
--- a/crates/gateway/src/hedge.rs
+++ b/crates/gateway/src/hedge.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use futures::future::{FutureExt, LocalBoxFuture};
 
-use crate::attempt::{Inflight, Outcome, Payload, SharedPlan, exchange_alone};
+use crate::attempt::{Inflight, Outcome, Payload, SharedPlan, run};
 use crate::request::log_sent;
 use crate::traffic::Traffic;
 
@@ -158,7 +158,7 @@
         log_sent(&self.traffic, &self.plan.borrow(), &attempt);
         let inflight = Inflight::new(self.traffic.clone(), self.plan.clone(), attempt.clone());
         let on_drop = inflight.on_drop.clone();
-        let outcome = exchange_alone(inflight, self.payload.clone(), self.last_event.clone());
+        let outcome = run(inflight, self.payload.clone(), self.last_event.clone());
         Pending { attempt, on_drop, outcome: outcome.boxed_local() }
     }
 
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -18,7 +18,7 @@
 use crate::log::Kind;
 use crate::request::{Body, discard, handle, plain};
 use crate::socket::{Closing, Socket};
-use crate::timer::{Received, Timer};
+use crate::timer::{HasReceived, Timer};
 use crate::traffic::{Phase, Traffic};
 
 /// Pause after a failed accept, so that a lack of file descriptors causes no busy loop.
@@ -27,7 +27,7 @@
 const BACKLOG: u32 = 1_024;
 /// Smallest limit on a head that is applied, in bytes.
 const MIN_HEAD_BYTES: usize = 8 << 10;
-/// Size of a head, in bytes, that a connection can hold even if the limit was shorter when it began.
+/// Size of the longest head, in bytes, for which each connection has a buffer, as the limit may grow.
 const HEAD_BUFFER: usize = 64 << 10;
 
 /// Listens on an address.
@@ -72,8 +72,8 @@
     }
     let buffer = traffic.limits.borrow().head_bytes.max(HEAD_BUFFER);
     let closing = Rc::new(Cell::new(Closing::Plain));
-    let received = Received::default();
-    let socket = Socket::new(stream, closing.clone(), received.clone());
+    let has_received = HasReceived::default();
+    let socket = Socket::new(stream, closing.clone(), has_received.clone());
     let service = service_fn(async |request| {
         if request.version() < Version::HTTP_11 {
             closing.set(Closing::Requested);
@@ -86,7 +86,7 @@
         handle(traffic.clone(), request).await
     });
     let connection = http1::Builder::new()
-        .timer(Timer::new(traffic.limits.subscribe(), received))
+        .timer(Timer::new(traffic.limits.subscribe(), has_received))
         // The timer adds the limits in force.
         .header_read_timeout(Duration::ZERO)
         .max_buf_size(buffer)
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -16,7 +16,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use crate::timer::Received;
+use crate::timer::HasReceived;
 
 /// Size limit of one read, in bytes. hyper enlarges its buffer, up to the longest head, after each
 /// read that fills it.
@@ -26,7 +26,7 @@
 pub struct Socket {
     stream: TcpStream,
     closing: Rc<Cell<Closing>>,
-    received: Received,
+    has_received: HasReceived,
 }
 
 /// What the end of the connection means to the caller.
@@ -42,9 +42,9 @@
 
 impl Socket {
     /// Wraps a connection; `closing` is changed to [`Closing::Requested`] by its owner, and
-    /// `received` is set when bytes arrive.
-    pub fn new(stream: TcpStream, closing: Rc<Cell<Closing>>, received: Received) -> Self {
-        Self { stream, closing, received }
+    /// `has_received` is set when bytes arrive.
+    pub fn new(stream: TcpStream, closing: Rc<Cell<Closing>>, has_received: HasReceived) -> Self {
+        Self { stream, closing, has_received }
     }
 
     /// Makes the operating system reset the connection when it is closed, if that was requested.
@@ -66,10 +66,10 @@
         let limit = buffer.remaining().min(READ_BYTES);
         let mut part = ReadBuf::new(buffer.initialize_unfilled_to(limit));
         let polled = Pin::new(&mut self.stream).poll_read(context, &mut part);
-        let received = part.filled().len();
-        buffer.advance(received);
-        if received > 0 {
-            self.received.store(true, Ordering::Relaxed);
+        let has_received = part.filled().len();
+        buffer.advance(has_received);
+        if has_received > 0 {
+            self.has_received.store(true, Ordering::Relaxed);
         }
         polled
     }
--- a/crates/gateway/src/timer.rs
+++ b/crates/gateway/src/timer.rs
@@ -21,16 +21,16 @@
 #[derive(Clone, Debug)]
 pub struct Timer {
     limits: watch::Receiver<Limits>,
-    received: Received,
+    has_received: HasReceived,
 }
 
 /// Whether a connection has received bytes since its wait began.
-pub type Received = Arc<AtomicBool>;
+pub type HasReceived = Arc<AtomicBool>;
 
 impl Timer {
-    /// A timer that follows `limits`; the connection sets `received`.
-    pub fn new(limits: watch::Receiver<Limits>, received: Received) -> Self {
-        Self { limits, received }
+    /// A timer that follows `limits`; the connection sets `has_received`.
+    pub fn new(limits: watch::Receiver<Limits>, has_received: HasReceived) -> Self {
+        Self { limits, has_received }
     }
 }
 
@@ -39,8 +39,9 @@
         self.sleep_until(Instant::now() + duration)
     }
 
+    /// The deadline is the start, as hyper's own limit is zero.
     fn sleep_until(&self, start: Instant) -> Pin<Box<dyn Sleep>> {
-        self.received.store(false, Ordering::Relaxed);
+        self.has_received.store(false, Ordering::Relaxed);
         Box::pin(Wait::new(start, self.clone()))
     }
 }
@@ -67,7 +68,7 @@
 
     /// Polled by hyper after it has received bytes that don't complete a head, too.
     fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
-        if self.timer.received.load(Ordering::Relaxed) {
+        if self.timer.has_received.load(Ordering::Relaxed) {
             self.head.get_or_insert_with(Instant::now);
         }
         loop {
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -215,7 +215,7 @@
             return self.refuse(now, plan, Reason::Broken, None);
         }
         let gate = match &plan.prompt {
-            Some(prompt) if plan.crashed && self.quarantine.is_suspected(prompt) => {
+            Some(prompt) if plan.crashed && self.quarantine.is_restricted(prompt) => {
                 return self.refuse(now, plan, Reason::Broken, None);
             }
             Some(prompt) => self.quarantine.gate(now, prompt),
@@ -334,7 +334,7 @@
     /// An attempt that is likely to answer in time, within the request's limits on repeats.
     fn alternative(&mut self, now: Time, plan: &Plan) -> Option<Attempt> {
         let view = self.view.clone()?;
-        if plan.prompt.as_ref().is_some_and(|prompt| self.quarantine.is_suspected(prompt)) {
+        if plan.prompt.as_ref().is_some_and(|prompt| self.quarantine.is_restricted(prompt)) {
             return None;
         }
         let terms = self.terms.retries;
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -5,9 +5,9 @@
 //! [`choice`], which [`pace`] gives the expected wait at an engine, and [`admission`] refuses what
 //! can't be served in time; [`Gateway::ended`] records how an [`Attempt`] ended. [`rollout`] brings
 //! announced weights to the engines, and [`inventory`] tracks the contents of KV cache stores.
-//! Instances report by [`gossip`] what they sent where, and [`mesh`] selects the recipients. [`quarantine`]
-//! holds back parts of prompts that crash engines. Limits on all instances together are divided into shares by [`window`], so that no request waits for
-//! another instance.
+//! Instances report by [`gossip`] what they sent where, and [`mesh`] selects the recipients.
+//! [`quarantine`] holds back parts of prompts that crash engines. Limits on all instances together
+//! are divided into shares by [`window`], so that no request waits for another instance.
 
 mod access;
 pub mod admission;
--- a/crates/policy/src/gateway/quarantine.rs
+++ b/crates/policy/src/gateway/quarantine.rs
@@ -35,6 +35,8 @@
 const HOLD: Duration = Duration::from_secs(20);
 /// Growth of that time with each further crash.
 const HOLD_FACTOR: u32 = 3;
+/// Maximum number of growths, against overflow.
+const GROWTH_LIMIT: u32 = 8;
 /// Maximum time for which a part is held.
 const HOLD_MAX: Duration = Duration::from_secs(600);
 /// Crashes within this time of each other count as one.
@@ -230,11 +232,11 @@
 
     /// Whether engines crashed so often under one of a prompt's shared parts that a request is not
     /// sent to several.
-    pub fn is_suspected(&self, prompt: &Prompt) -> bool {
-        let is_suspected = |key: SuspectKey| {
+    pub fn is_restricted(&self, prompt: &Prompt) -> bool {
+        let is_restricted = |key: SuspectKey| {
             self.suspects.get(&key).is_some_and(|suspect| suspect.count() >= TRIAL_COUNT)
         };
-        !self.suspects.is_empty() && keys(prompt).any(is_suspected)
+        !self.suspects.is_empty() && keys(prompt).any(is_restricted)
     }
 
     /// Records that a trial is sent.
@@ -442,11 +444,11 @@
     fn add(&mut self, now: Time, part: SuspectKey, crash: Crash) -> bool {
         if !self.suspects.contains_key(&part) && self.suspects.len() >= SUSPECT_LIMIT {
             self.expire(now);
+        }
+        if !self.suspects.contains_key(&part) && self.suspects.len() >= SUSPECT_LIMIT {
             let weakest = self.suspects.iter().min_by_key(|(key, suspect)| (suspect.rank(), **key));
-            if let (SUSPECT_LIMIT.., Some(weakest)) =
-                (self.suspects.len(), weakest.map(|(key, _)| *key))
-            {
-                self.suspects.remove(&weakest);
+            if let Some(key) = weakest.map(|(key, _)| *key) {
+                self.suspects.remove(&key);
             }
         }
         self.suspects.entry(part).or_default().add(crash)
@@ -555,7 +557,7 @@
     }
 
     fn held_until(&self) -> Time {
-        let further = self.count().saturating_sub(HOLD_COUNT).min(8);
+        let further = self.count().saturating_sub(HOLD_COUNT).min(GROWTH_LIMIT);
         self.newest() + (HOLD * HOLD_FACTOR.pow(further)).min(HOLD_MAX)
     }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -54,8 +54,9 @@
 const CRASH_PART: &str = "c0ffee";
 /// Tokens of that part.
 const CRASH_PART_TOKENS: u32 = 300;
-/// Requests after which the first one with the part is sent, and between two of them.
+/// Number of requests before the first one with the part.
 const CRASH_START: usize = 150;
+/// Every how many requests one has the part.
 const CRASH_SPACING: usize = 20;
 /// Time after the period of planned changes in which requests with the part are still sent.
 const CRASH_TIME: Duration = Duration::from_secs(8);
--- a/crates/soak/tests/oracle.rs
+++ b/crates/soak/tests/oracle.rs
@@ -128,9 +128,9 @@
     let failed = record(Ending::Broken("closed".to_owned()));
     let run = silenced(&failed);
     let broken_off = Run { end: Some((failed.ended, End::BrokenOff)), ..run.clone() };
-    let audible = Run { silent_until: None, ..run.clone() };
+    let not_silent = Run { silent_until: None, ..run.clone() };
     let other = Run { id: "charge-2".to_owned(), ..run };
-    for run in [broken_off, audible, other] {
+    for run in [broken_off, not_silent, other] {
         assert!(!is_abandoned(&failed, vec![run]));
     }
 }
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -207,8 +207,7 @@
         *self.crash_part.lock() = Some(part);
     }
 
-    /// Waits until the server crashes. It sends nothing more; its connections are to be reset and
-    /// its entry removed.
+    /// Waits until the server crashes. Its connections are then to be reset and its entry removed.
     pub async fn crashed(&self) {
         // The sender lives as long as `self`.
         let _ = self.is_crashed.subscribe().wait_for(|is_crashed| *is_crashed).await;
@@ -306,7 +305,7 @@
             self.prefill(engine, call).await;
         }
         tokio::time::sleep(self.settings.latency).await;
-        self.wait_until_audible(&entry).await;
+        self.wait_for_end_of_silence(&entry).await;
         if let Some(part) = crash_part {
             self.crash(&part);
             std::future::pending::<()>().await;
@@ -432,7 +431,7 @@
     }
 
     /// Waits until the server is no longer silent.
-    async fn wait_until_audible(&self, entry: &Entry) {
+    async fn wait_for_end_of_silence(&self, entry: &Entry) {
         let mut changes = self.silent_until.subscribe();
         loop {
             let until = *changes.borrow_and_update();
@@ -465,7 +464,7 @@
             let server = self.clone();
             async move {
                 tokio::time::sleep(latency).await;
-                server.wait_until_audible(&entry).await;
+                server.wait_for_end_of_silence(&entry).await;
                 drop(slot);
                 let event = format!("id: {number}\ndata: {id} {number}\n\n");
                 if broken == Some(number) {
