--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -66,9 +66,9 @@
         let limit = buffer.remaining().min(READ_BYTES);
         let mut part = ReadBuf::new(buffer.initialize_unfilled_to(limit));
         let polled = Pin::new(&mut self.stream).poll_read(context, &mut part);
-        let has_received = part.filled().len();
-        buffer.advance(has_received);
-        if has_received > 0 {
+        let received = part.filled().len();
+        buffer.advance(received);
+        if received > 0 {
             self.has_received.store(true, Ordering::Relaxed);
         }
         polled
