Contradict a report of a crash from a quarter of the instances only

Cause: the exchange about parts. Each of 80 instances that knew an answer on a part contradicted each report of a crash under it, to all others, and full digests repeated every suspect, also those with one crash, which restricts nothing.

Change: one in four instances answers a report of a single crash; reports list all crashes of the part, and one with two or more is answered by all; full digests repeat only parts that are restricted.

--- a/crates/policy/src/gateway/exchange.rs
+++ b/crates/policy/src/gateway/exchange.rs
@@ -3,12 +3,15 @@
 use std::collections::BTreeMap;
 
 use super::confirmation::Confirmation;
-use super::gossip::{Digest, Load, Note, Prefill, ServerKey};
+use super::gossip::{Digest, Load, Note, Prefill, ServerKey, stable_hash};
 use super::machine::Gateway;
 use super::mesh::Detail;
 use super::notice::Departure;
 use crate::Time;
 
+/// One in this number of instances answers a report of a single crash under a part.
+const RESPONDING_SHARE: u64 = 4;
+
 impl Gateway {
     /// Records another instance's digest.
     pub fn receive(&mut self, now: Time, digest: Digest) {
@@ -32,7 +35,9 @@
                 }
                 Note::Suspected(suspicion) => {
                     let roster = &self.roster;
-                    self.quarantine.receive(now, suspicion, |key| {
+                    let point = stable_hash(&(self.incarnation, suspicion.part));
+                    let responds = point.is_multiple_of(RESPONDING_SHARE);
+                    self.quarantine.receive(now, suspicion, responds, |key| {
                         Some(roster[roster.by_server_key(key)?].server.id.clone())
                     });
                 }
--- a/crates/policy/src/gateway/quarantine.rs
+++ b/crates/policy/src/gateway/quarantine.rs
@@ -270,9 +270,9 @@
             }
             if let Some(suspect) = self.suspects.get_mut(&part) {
                 suspect.id.get_or_insert_with(|| id.clone());
+                let crashes = suspect.sightings(now);
+                self.note(Note::Suspected(Suspicion { part, crashes }));
             }
-            let crashes = vec![Sighting { server: key, born, age_ms: 0 }];
-            self.note(Note::Suspected(Suspicion { part, crashes }));
             self.report(now, part);
         }
     }
@@ -287,11 +287,13 @@
         }
     }
 
-    /// Records what another instance tells of a part's crashes.
+    /// Records what another instance tells of a part's crashes; `responds` tells whether this
+    /// instance is one of those that answer a report of a single crash.
     pub fn receive(
         &mut self,
         now: Time,
         suspicion: &Suspicion,
+        responds: bool,
         id: impl Fn(ServerKey) -> Option<ServerId>,
     ) {
         let part = suspicion.part;
@@ -300,7 +302,10 @@
             let at = now.saturating_sub(Duration::from_millis(age_ms.into()));
             let crash = Crash { server, born, at, id: id(server) };
             if self.is_refuted(part, at) {
-                self.note_clearance(now, part);
+                // Many instances know an answer on a frequent part, and one crash restricts nothing.
+                if responds || suspicion.crashes.len() >= TRIAL_COUNT as usize {
+                    self.note_clearance(now, part);
+                }
             } else if now < at + RETENTION && !self.is_alive(&crash) {
                 self.add(now, part, crash);
             }
@@ -333,18 +338,14 @@
         std::mem::take(&mut self.notes)
     }
 
-    /// The suspects with the most crashes, which make up for lost notes.
+    /// The suspects with the most crashes that restrict requests, which make up for lost notes.
     pub fn suspicions(&mut self, now: Time) -> Vec<Note> {
         self.expire(now);
-        let mut suspects: Vec<_> = self.suspects.iter().collect();
+        let is_restricted = |(_, suspect): &(_, &Suspect)| suspect.count() >= TRIAL_COUNT;
+        let mut suspects: Vec<_> = self.suspects.iter().filter(is_restricted).collect();
         suspects.sort_by_key(|(part, suspect)| (std::cmp::Reverse(suspect.rank()), **part));
         let notes = suspects.into_iter().take(REPEATED_SUSPECTS).map(|(part, suspect)| {
-            let sightings = suspect.crashes.iter().map(|crash| Sighting {
-                server: crash.server,
-                born: crash.born,
-                age_ms: millis(now.saturating_sub(crash.at)),
-            });
-            Note::Suspected(Suspicion { part: *part, crashes: sightings.collect() })
+            Note::Suspected(Suspicion { part: *part, crashes: suspect.sightings(now) })
         });
         notes.collect()
     }
@@ -541,6 +542,16 @@
         true
     }
 
+    /// Its crashes, as instances tell each other.
+    fn sightings(&self, now: Time) -> Vec<Sighting> {
+        let sighting = |crash: &Crash| Sighting {
+            server: crash.server,
+            born: crash.born,
+            age_ms: millis(now.saturating_sub(crash.at)),
+        };
+        self.crashes.iter().map(sighting).collect()
+    }
+
     /// Number of crashes that count.
     fn count(&self) -> u32 {
         let (mut count, mut last) = (0, None);
--- a/crates/policy/tests/gateway_quarantine.rs
+++ b/crates/policy/tests/gateway_quarantine.rs
@@ -323,11 +323,29 @@
     quarantine.answered(at(4_200), &other, &engine(3), at(4_100));
     for note in reports {
         let Note::Suspected(suspicion) = note else { panic!("{note:?}") };
-        quarantine.receive(at(4_200), &suspicion, |_| None);
+        quarantine.receive(at(4_200), &suspicion, true, |_| None);
     }
     assert_eq!(quarantine.gate(at(4_200), &poisoned()), Gate::Open);
 }
 
+/// Regression, GONE on Actas grown: every instance that knew an answer contradicted each report, and
+/// requests were forwarded half a second late.
+#[test]
+fn receive_answers_report_of_one_crash_only_if_responsible() {
+    for (count, responds, answers) in [(1, false, 0), (1, true, 1), (2, false, 1)] {
+        let mut reporter = crashed(count);
+        let mut informed = Quarantine::default();
+        informed.answered(at(4_000), &poisoned(), &engine(9), at(3_900));
+        let reports = reporter.take_notes();
+        let Some(Note::Suspected(report)) = reports.last() else { panic!("{reports:?}") };
+        informed.receive(at(4_000), report, responds, |_| None);
+        let is_answer = |note: &&Note| matches!(note, Note::Cleared(_));
+        let notes = informed.take_notes();
+        assert_eq!(notes.iter().filter(is_answer).count(), answers, "{count} {responds}");
+        assert_eq!(reporter.suspicions(at(4_000)).len(), usize::from(count > 1));
+    }
+}
+
 #[test]
 fn gate_tries_one_request_at_a_time_after_two_crashes() {
     let mut quarantine = crashed(2);
@@ -398,7 +416,7 @@
     informed.take_notes();
     for note in late.suspicions(at(5_000)) {
         let Note::Suspected(suspicion) = note else { panic!("{note:?}") };
-        informed.receive(at(5_000), &suspicion, |_| None);
+        informed.receive(at(5_000), &suspicion, true, |_| None);
     }
     assert!(informed.is_empty());
     for note in informed.take_notes() {
