--- a/crates/policy/src/gateway/quarantine.rs
+++ b/crates/policy/src/gateway/quarantine.rs
@@ -4,7 +4,8 @@
 //! becomes a suspect of that crash, unless an engine has just answered on it. Instances tell each
 //! other the crashes of each suspect, so all count the same ones; an incarnation of an engine counts
 //! once for a part, and crashes at the same moment count as one, as they have a common cause. An
-//! incarnation that answers a later request has not crashed.
+//! incarnation that answers a later request has not crashed. An instance that knows an answer
+//! contradicts a report of crashes; a report of one crash is contradicted by a share of them only.
 //!
 //! One crash restricts nothing. From [`TRIAL_COUNT`] crashes on, requests with the part are tried
 //! one at a time by all instances together: an instance announces its claim to the next trial and
