--- a/crates/daemon/tests/platform/raw.rs
+++ b/crates/daemon/tests/platform/raw.rs
@@ -9,11 +9,17 @@
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 
 /// Size of one write of an answer that repeats.
 const REPEATED_BYTES: usize = 16 << 10;
+/// Receive window of a silent upstream, in bytes.
+const WINDOW_BYTES: u32 = 2 << 10;
+/// Size of a body that a silent upstream's window does not take, in bytes.
+pub const SILENT_BODY_BYTES: usize = 12 << 10;
+/// Length of the accept queue.
+const BACKLOG: u32 = 1_024;
 
 /// A running upstream.
 pub struct Server {
@@ -60,9 +66,30 @@
 impl Server {
     /// Starts an upstream that calls `respond` for each request.
     pub async fn start(respond: impl Fn(&Request) -> Answer + Send + Sync + 'static) -> Self {
+        Self::start_on(TcpSocket::new_v4().unwrap(), Duration::ZERO, respond).await
+    }
+
+    /// Starts an upstream that reads nothing for a while after it accepted a connection. Its
+    /// receive window takes less than a request with a body of [`SILENT_BODY_BYTES`], so most of
+    /// the request stays unacknowledged, as with a silent host.
+    pub async fn start_silent(
+        silence: Duration,
+        respond: impl Fn(&Request) -> Answer + Send + Sync + 'static,
+    ) -> Self {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(WINDOW_BYTES).unwrap();
+        Self::start_on(socket, silence, respond).await
+    }
+
+    async fn start_on(
+        socket: TcpSocket,
+        silence: Duration,
+        respond: impl Fn(&Request) -> Answer + Send + Sync + 'static,
+    ) -> Self {
         static COUNT: AtomicU32 = AtomicU32::new(0);
         let id = format!("raw-{}", COUNT.fetch_add(1, Ordering::Relaxed));
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(BACKLOG).unwrap();
         let address = listener.local_addr().unwrap();
         let requests = Arc::<Mutex<Vec<Request>>>::default();
         let sent_bytes = Arc::<AtomicU64>::default();
@@ -71,7 +98,11 @@
         let task = tokio::spawn(async move {
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
-                tokio::spawn(serve(stream, respond.clone(), seen.clone(), sent.clone()));
+                let served = serve(stream, respond.clone(), seen.clone(), sent.clone());
+                tokio::spawn(async move {
+                    tokio::time::sleep(silence).await;
+                    served.await;
+                });
             }
         });
         Self { id, address, requests, sent_bytes, task }
@@ -167,7 +198,8 @@
     }
 }
 
-/// Reads a request; its body is at most one byte long. `None` if the caller closes first.
+/// Reads a request, and at least the first byte of its body; the whole body if it is short.
+/// `None` if the caller closes first.
 async fn read_request(stream: &mut TcpStream) -> Option<Request> {
     let mut bytes = Vec::new();
     let head = loop {
@@ -175,15 +207,21 @@
             return None;
         }
         let text = String::from_utf8_lossy(&bytes).into_owned();
-        if let Some((head, body)) = text.split_once("\r\n\r\n")
-            && (!head.contains("content-length: 1") || !body.is_empty())
-        {
+        let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
+        let length = field(head, "content-length: ").map_or(0, |text| text.parse().unwrap());
+        let is_short = length <= SILENT_BODY_BYTES;
+        if body.len() >= if is_short { length } else { 1 } {
             break head.to_owned();
         }
     };
-    let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
+    let field = |name: &str| field(&head, name);
     Some(Request {
         id: field("x-request-id: ").unwrap_or_default().to_owned(),
         last_event: field("last-event-id: ").and_then(|id| id.parse().ok()),
     })
 }
+
+/// The value of a header field.
+fn field<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines().find_map(|line| line.strip_prefix(name))
+}
