Let a host be silent for a while before its exchange is ended

What callers saw: 502 for a request whose upstream went on and would have answered, or a stream that is cut, after the upstream's host had acknowledged nothing for 0.76 s (user timeout of 500 ms), or had been silent for two seconds in the middle of a stream (keep-alive probes).

Cause: a missing acknowledgement was taken for the loss of the upstream, although a sound one may be silent for about a second.

Change: the user timeout is 4 s, which leaves time for TCP's retransmission after 3 s, and so are the keep-alive probes. Where the request may be repeated, a second attempt starts as before; where not, an earlier 502 is of no use to the caller, who may not repeat it either.

Evidence: the three tests silent_host_* failed before (502, `lost` after 0.76 s) and pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,14 +16,15 @@
 
 /// Connect timeout. A reachable server accepts within a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Detects an unreachable host. The user timeout does not apply to long requests, which only their
-/// deadline limits.
+/// Ends the exchange with a host that stays unreachable. Before that, a second attempt or the
+/// deadline limits the wait, as the host of a sound upstream may be silent for a while. Long requests
+/// have no user timeout; only their deadline limits them.
 const KEEP_ALIVE: KeepAlive = KeepAlive {
     idle: Duration::from_secs(1),
     interval: Duration::from_secs(1),
-    probes: 2,
-    // Leaves time for two retransmissions; after more lost packets the upstream counts as lost.
-    user_timeout: Duration::from_millis(500),
+    probes: 4,
+    // Leaves time for the retransmission 3 s after the request, which follows a silence of 1.4 s.
+    user_timeout: Duration::from_secs(4),
 };
 /// Size limit of a skipped body, in bytes. A connection is closed instead of reading more.
 const DISCARD_LIMIT: usize = 256 << 10;
