Test: a request that crashes its upstreams is sent to the next ones (failing)

Callers got 502 for the request, and other requests of the service were lost with each upstream: the request, with a new id each time, reaches upstream after upstream by retries and by its repeats. Two instances and six upstreams that reset all connections, lose their entry and are back after 2 s; beside the request others that differ from it in the query, in the body or in a part of the prompt only, and one popular page.

Cases: an idempotent route, an at-most-once route, and a prompt each part of which is answered in other prompts. At most 3 may reach upstreams in the 6 s that begin 3 s after the third crash.

The raw upstream reads bodies of any length, runs a request for some time, and can crash.

--- a/crates/daemon/tests/platform/answer.rs
+++ b/crates/daemon/tests/platform/answer.rs
@@ -10,7 +10,7 @@
 
 /// A stream that ends with its connection, after the event `last` and the bytes `rest`. It is whole
 /// if `rest` is empty.
-fn until_close(request: &Request, last: u32, rest: &str) -> Answer {
+pub fn until_close(request: &Request, last: u32, rest: &str) -> Answer {
     let mut bytes = raw::head(request, "\r\n");
     for number in request.last_event.unwrap_or(0) + 1..=last {
         bytes.extend(format!("id: {number}\ndata: {} {number}\n\n", request.id).into_bytes());
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod body;
 mod change;
+mod crash;
 mod fixture;
 mod raw;
 
--- a/crates/daemon/tests/platform/raw.rs
+++ b/crates/daemon/tests/platform/raw.rs
@@ -6,10 +6,12 @@
 use std::time::Duration;
 
 use acacia_standin::platform::document::MODEL;
+use bytes::Bytes;
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 /// Size of one write of an answer that repeats.
@@ -21,6 +23,7 @@
     address: SocketAddr,
     requests: Arc<Mutex<Vec<Request>>>,
     sent_bytes: Arc<AtomicU64>,
+    resets: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
 
@@ -28,6 +31,11 @@
 #[derive(Clone, Debug)]
 pub struct Request {
     pub id: String,
+    /// Method and path, with the query.
+    pub target: String,
+    /// Parts of the prompt; empty if there is none.
+    pub prompt: String,
+    pub body: Bytes,
     /// Id of the event after which the stream is to resume.
     pub last_event: Option<u32>,
 }
@@ -60,6 +68,14 @@
 impl Server {
     /// Starts an upstream that calls `respond` for each request.
     pub async fn start(respond: impl Fn(&Request) -> Answer + Send + Sync + 'static) -> Self {
+        Self::start_slow(Duration::ZERO, respond).await
+    }
+
+    /// Starts an upstream that runs each request for some time before it answers.
+    pub async fn start_slow(
+        run_time: Duration,
+        respond: impl Fn(&Request) -> Answer + Send + Sync + 'static,
+    ) -> Self {
         static COUNT: AtomicU32 = AtomicU32::new(0);
         let id = format!("raw-{}", COUNT.fetch_add(1, Ordering::Relaxed));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -67,14 +83,29 @@
         let requests = Arc::<Mutex<Vec<Request>>>::default();
         let sent_bytes = Arc::<AtomicU64>::default();
         let (seen, sent) = (requests.clone(), sent_bytes.clone());
+        let (resets, reset) = watch::channel(false);
         let respond = Arc::new(respond);
         let task = tokio::spawn(async move {
             loop {
-                let (stream, _) = listener.accept().await.unwrap();
-                tokio::spawn(serve(stream, respond.clone(), seen.clone(), sent.clone()));
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let (respond, seen, sent) = (respond.clone(), seen.clone(), sent.clone());
+                let mut reset = reset.clone();
+                tokio::spawn(async move {
+                    tokio::select! {
+                        () = serve(&mut stream, run_time, respond, seen, sent) => {}
+                        // Fails if the upstream is dropped, after which answers go on.
+                        Ok(_) = reset.wait_for(|is_reset| *is_reset) => set_reset(&stream),
+                    }
+                });
             }
         });
-        Self { id, address, requests, sent_bytes, task }
+        Self { id, address, requests, sent_bytes, resets, task }
+    }
+
+    /// Resets all connections and takes no more of them.
+    pub fn crash(self) {
+        self.task.abort();
+        self.resets.send_replace(true);
     }
 
     /// Requests received so far.
@@ -118,12 +149,13 @@
 }
 
 async fn serve(
-    mut stream: TcpStream,
+    stream: &mut TcpStream,
+    run_time: Duration,
     respond: Arc<impl Fn(&Request) -> Answer>,
     seen: Arc<Mutex<Vec<Request>>>,
     sent: Arc<AtomicU64>,
 ) {
-    let Some(request) = read_request(&mut stream).await else { return };
+    let Some(request) = read_request(stream).await else { return };
     // Calls of the instance itself, such as for a report.
     if request.id.is_empty() {
         let _ = stream.write_all(b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n").await;
@@ -131,6 +163,7 @@
     }
     let Answer { bytes, end } = respond(&request);
     seen.lock().push(request);
+    tokio::time::sleep(run_time).await;
     // Writes fail once the caller has closed the connection.
     if stream.write_all(&bytes).await.is_err() {
         return;
@@ -140,7 +173,7 @@
         End::Reset => {
             // A reset discards what the caller has not read yet.
             tokio::time::sleep(Duration::from_millis(50)).await;
-            socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+            set_reset(stream);
         }
         End::Silence => {
             let _ = stream.read(&mut [0]).await;
@@ -167,23 +200,33 @@
     }
 }
 
-/// Reads a request; its body is at most one byte long. `None` if the caller closes first.
+/// Makes the connection close with a reset.
+fn set_reset(stream: &TcpStream) {
+    socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)).unwrap();
+}
+
+/// Reads a request. `None` if the caller closes first.
 async fn read_request(stream: &mut TcpStream) -> Option<Request> {
     let mut bytes = Vec::new();
-    let head = loop {
+    loop {
         if stream.read_buf(&mut bytes).await.ok()? == 0 {
             return None;
         }
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        if let Some((head, body)) = text.split_once("\r\n\r\n")
-            && (!head.contains("content-length: 1") || !body.is_empty())
-        {
-            break head.to_owned();
+        let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") else { continue };
+        let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+        let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
+        let length = field("content-length: ").map_or(0, |length| length.parse().unwrap());
+        let body = &bytes[end + 4..];
+        if body.len() < length {
+            continue;
         }
-    };
-    let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
-    Some(Request {
-        id: field("x-request-id: ").unwrap_or_default().to_owned(),
-        last_event: field("last-event-id: ").and_then(|id| id.parse().ok()),
-    })
+        let line = head.lines().next().unwrap_or_default();
+        return Some(Request {
+            id: field("x-request-id: ").unwrap_or_default().to_owned(),
+            target: line.trim_end_matches(" HTTP/1.1").to_owned(),
+            prompt: field("x-prompt-prefix: ").unwrap_or_default().to_owned(),
+            body: Bytes::copy_from_slice(&body[..length]),
+            last_event: field("last-event-id: ").and_then(|id| id.parse().ok()),
+        });
+    }
 }
