--- a/crates/daemon/tests/platform/body.rs
+++ b/crates/daemon/tests/platform/body.rs
@@ -33,7 +33,7 @@
 
 /// Checks that a request that an upstream does not acknowledge for a while is answered.
 async fn silent_host_answers(service: &str, path: &str, respond: fn(&Request) -> Answer) {
-    const BODY: &[u8] = &[b'x'; raw::SILENT_BODY_BYTES];
+    const BODY: &[u8] = &[b'x'; raw::SHORT_BODY_BYTES];
     const SILENCE: Duration = Duration::from_millis(1_300);
     let fixture = Fixture::start(1).await;
     fixture.unregister_engines();
--- a/crates/daemon/tests/platform/raw.rs
+++ b/crates/daemon/tests/platform/raw.rs
@@ -6,18 +6,20 @@
 use std::time::Duration;
 
 use acacia_standin::platform::document::MODEL;
+use bytes::Bytes;
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 /// Size of one write of an answer that repeats.
 const REPEATED_BYTES: usize = 16 << 10;
 /// Receive window of a silent upstream, in bytes.
 const WINDOW_BYTES: u32 = 2 << 10;
-/// Size of a body that a silent upstream's window does not take, in bytes.
-pub const SILENT_BODY_BYTES: usize = 12 << 10;
+/// Size of the longest body that is read as a whole, in bytes; more than the window takes.
+pub const SHORT_BODY_BYTES: usize = 12 << 10;
 /// Length of the accept queue.
 const BACKLOG: u32 = 1_024;
 
@@ -27,6 +29,7 @@
     address: SocketAddr,
     requests: Arc<Mutex<Vec<Request>>>,
     sent_bytes: Arc<AtomicU64>,
+    resets: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
 
@@ -34,6 +37,11 @@
 #[derive(Clone, Debug)]
 pub struct Request {
     pub id: String,
+    /// Method and path, with the query.
+    pub target: String,
+    /// Parts of the prompt; empty if there is none.
+    pub prompt: String,
+    pub body: Bytes,
     /// Id of the event after which the stream is to resume.
     pub last_event: Option<u32>,
 }
@@ -66,11 +74,19 @@
 impl Server {
     /// Starts an upstream that calls `respond` for each request.
     pub async fn start(respond: impl Fn(&Request) -> Answer + Send + Sync + 'static) -> Self {
-        Self::start_on(TcpSocket::new_v4().unwrap(), Duration::ZERO, respond).await
+        Self::start_slow(Duration::ZERO, respond).await
+    }
+
+    /// Starts an upstream that runs each request for some time before it answers.
+    pub async fn start_slow(
+        run_time: Duration,
+        respond: impl Fn(&Request) -> Answer + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_on(TcpSocket::new_v4().unwrap(), Duration::ZERO, run_time, respond).await
     }
 
     /// Starts an upstream that reads nothing for a while after it accepted a connection. Its
-    /// receive window takes less than a request with a body of [`SILENT_BODY_BYTES`], so most of
+    /// receive window takes less than a request with a body of [`SHORT_BODY_BYTES`], so most of
     /// the request stays unacknowledged, as with a silent host.
     pub async fn start_silent(
         silence: Duration,
@@ -78,12 +94,13 @@
     ) -> Self {
         let socket = TcpSocket::new_v4().unwrap();
         socket.set_recv_buffer_size(WINDOW_BYTES).unwrap();
-        Self::start_on(socket, silence, respond).await
+        Self::start_on(socket, silence, Duration::ZERO, respond).await
     }
 
     async fn start_on(
         socket: TcpSocket,
         silence: Duration,
+        run_time: Duration,
         respond: impl Fn(&Request) -> Answer + Send + Sync + 'static,
     ) -> Self {
         static COUNT: AtomicU32 = AtomicU32::new(0);
@@ -94,18 +111,30 @@
         let requests = Arc::<Mutex<Vec<Request>>>::default();
         let sent_bytes = Arc::<AtomicU64>::default();
         let (seen, sent) = (requests.clone(), sent_bytes.clone());
+        let (resets, reset) = watch::channel(false);
         let respond = Arc::new(respond);
         let task = tokio::spawn(async move {
             loop {
-                let (stream, _) = listener.accept().await.unwrap();
-                let served = serve(stream, respond.clone(), seen.clone(), sent.clone());
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let (respond, seen, sent) = (respond.clone(), seen.clone(), sent.clone());
+                let mut reset = reset.clone();
                 tokio::spawn(async move {
                     tokio::time::sleep(silence).await;
-                    served.await;
+                    tokio::select! {
+                        () = serve(&mut stream, run_time, respond, seen, sent) => {}
+                        // Fails if the upstream is dropped, after which answers go on.
+                        Ok(_) = reset.wait_for(|is_reset| *is_reset) => set_reset(&stream),
+                    }
                 });
             }
         });
-        Self { id, address, requests, sent_bytes, task }
+        Self { id, address, requests, sent_bytes, resets, task }
+    }
+
+    /// Resets all connections and takes no more of them.
+    pub fn crash(self) {
+        self.task.abort();
+        self.resets.send_replace(true);
     }
 
     /// Requests received so far.
@@ -149,12 +178,13 @@
 }
 
 async fn serve(
-    mut stream: TcpStream,
+    stream: &mut TcpStream,
+    run_time: Duration,
     respond: Arc<impl Fn(&Request) -> Answer>,
     seen: Arc<Mutex<Vec<Request>>>,
     sent: Arc<AtomicU64>,
 ) {
-    let Some(request) = read_request(&mut stream).await else { return };
+    let Some(request) = read_request(stream).await else { return };
     // Calls of the instance itself, such as for a report.
     if request.id.is_empty() {
         let _ = stream.write_all(b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n").await;
@@ -162,6 +192,7 @@
     }
     let Answer { bytes, end } = respond(&request);
     seen.lock().push(request);
+    tokio::time::sleep(run_time).await;
     // Writes fail once the caller has closed the connection.
     if stream.write_all(&bytes).await.is_err() {
         return;
@@ -171,7 +202,7 @@
         End::Reset => {
             // A reset discards what the caller has not read yet.
             tokio::time::sleep(Duration::from_millis(50)).await;
-            socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+            set_reset(stream);
         }
         End::Silence => {
             let _ = stream.read(&mut [0]).await;
@@ -198,30 +229,34 @@
     }
 }
 
-/// Reads a request, and at least the first byte of its body; the whole body if it is short.
-/// `None` if the caller closes first.
+/// Makes the connection close with a reset.
+fn set_reset(stream: &TcpStream) {
+    socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)).unwrap();
+}
+
+/// Reads a request with its body; of a long body, only what arrives first. `None` if the caller
+/// closes first.
 async fn read_request(stream: &mut TcpStream) -> Option<Request> {
     let mut bytes = Vec::new();
-    let head = loop {
+    loop {
         if stream.read_buf(&mut bytes).await.ok()? == 0 {
             return None;
         }
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
-        let length = field(head, "content-length: ").map_or(0, |text| text.parse().unwrap());
-        let is_short = length <= SILENT_BODY_BYTES;
-        if body.len() >= if is_short { length } else { 1 } {
-            break head.to_owned();
+        let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") else { continue };
+        let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+        let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
+        let length = field("content-length: ").map_or(0, |length| length.parse().unwrap());
+        let body = &bytes[end + 4..];
+        if body.len() < if length <= SHORT_BODY_BYTES { length } else { 1 } {
+            continue;
         }
-    };
-    let field = |name: &str| field(&head, name);
-    Some(Request {
-        id: field("x-request-id: ").unwrap_or_default().to_owned(),
-        last_event: field("last-event-id: ").and_then(|id| id.parse().ok()),
-    })
-}
-
-/// The value of a header field.
-fn field<'a>(head: &'a str, name: &str) -> Option<&'a str> {
-    head.lines().find_map(|line| line.strip_prefix(name))
+        let line = head.lines().next().unwrap_or_default();
+        return Some(Request {
+            id: field("x-request-id: ").unwrap_or_default().to_owned(),
+            target: line.trim_end_matches(" HTTP/1.1").to_owned(),
+            prompt: field("x-prompt-prefix: ").unwrap_or_default().to_owned(),
+            body: Bytes::copy_from_slice(&body[..length.min(body.len())]),
+            last_event: field("last-event-id: ").and_then(|id| id.parse().ok()),
+        });
+    }
 }
