Tests of silences near a request's whole time, alone and beside changes

28 requests at a time fall silent before the head, after it, inside a body with a length or in chunks, or between events, for 250 or 1,300 ms, once or at both attempts. Beside them the timeout, attempts, service, split, access, limits, entries, evacuation or weights change, once or ten times in a row. Each caller gets a whole answer, or one that is cut after its time; its connection serves a next request. Kept connections get heads in pieces and two requests in one packet while limits become shorter.

--- a/crates/daemon/tests/platform/fixture.rs
+++ b/crates/daemon/tests/platform/fixture.rs
@@ -274,8 +274,17 @@
 
     /// Sends SIGTERM to an instance.
     pub fn terminate(&self, instance: usize) {
+        self.signal(instance, "-TERM");
+    }
+
+    /// Makes an instance read its settings again.
+    pub fn reload(&self, instance: usize) {
+        self.signal(instance, "-HUP");
+    }
+
+    fn signal(&self, instance: usize, signal: &str) {
         let id = self.instances[instance].process.lock().id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
     }
 
     /// Peak of the memory that an instance's process has used.
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod change;
 mod fixture;
 mod raw;
+mod silence;
 
 use std::time::Duration;
 
