Failing test: head begun before limits become shorter

What callers saw: on a connection that was idle for 1.3 of 2 s, half a head is sent, then the limits change from 2 s to 300 ms, and the rest follows 1.2 s later, within the 2 s that were in force when the head began. The connection is closed without an answer.

--- a/crates/daemon/tests/platform/change.rs
+++ b/crates/daemon/tests/platform/change.rs
@@ -479,6 +479,23 @@
     scene.fixture.stop().await;
 }
 
+/// Regression: a head that had begun got no more time than a later, shorter limit allows.
+#[tokio::test(flavor = "multi_thread")]
+async fn kept_connection_head_begun_before_shorter_limits() {
+    let mut scene = Scene::start().await;
+    scene.change(|c| c["limits"] = limits(16 << 10, 4 << 20, 2_000, 2_000)).await;
+    let mut kept = scene.kept_connection().await;
+    tokio::time::sleep(Duration::from_millis(1_300)).await;
+    let request = [&*scene.head("/charge/", "begun-head"), b"x"].concat();
+    let (start, rest) = request.split_at(request.len() / 2);
+    kept.send(start).await.expect("an open connection");
+    scene.change(|c| c["limits"] = limits(16 << 10, 4 << 20, 300, 300)).await;
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    kept.send(rest).await.expect("an open connection");
+    assert_eq!(scene.check("begun head", "begun-head", kept.answer().await), 200);
+    scene.fixture.stop().await;
+}
+
 /// A caller that sends all of a body over a shorter limit gets the refusal, not a reset.
 #[tokio::test(flavor = "multi_thread")]
 async fn body_over_shorter_limit() {
