A head that has begun keeps the limit in force then

What callers saw: half a head on a kept connection, then shorter limits; the connection was closed without an answer although the rest came within the time that the head had when it began.

Cause: when the sleep of `Wait::poll` (gateway/src/timer.rs) ended, the end was computed anew from the limits in force. A limit that became shorter since then left less time than the caller had been promised. The rule "a shorter limit holds from the next wait on" was kept for the idle time only.

Change: the wait keeps the limit in force when the head's first bytes arrived; a later, longer one still counts.

--- a/crates/gateway/src/timer.rs
+++ b/crates/gateway/src/timer.rs
@@ -3,7 +3,7 @@
 //! hyper runs one timer from the end of an exchange to the end of the next request's head. A
 //! connection may outlast the configuration that it began with, so [`Timer`] applies the limits
 //! that are in force when the timer would end. A head that begins before that end has the time for
-//! heads from its first bytes on.
+//! heads from its first bytes on, by the limits in force then or by later, longer ones.
 
 use std::pin::Pin;
 use std::sync::Arc;
@@ -50,12 +50,21 @@
 #[derive(Debug)]
 struct Wait {
     start: Instant,
-    /// When the head began.
-    head: Option<Instant>,
+    /// The head that has begun.
+    head: Option<Head>,
     timer: Timer,
     sleep: Pin<Box<tokio::time::Sleep>>,
 }
 
+/// A head of which bytes have arrived.
+#[derive(Clone, Copy, Debug)]
+struct Head {
+    /// When the first ones arrived.
+    start: Instant,
+    /// The limit in force then.
+    time: Duration,
+}
+
 impl Wait {
     fn new(start: Instant, timer: Timer) -> Self {
         let end = end(start, None, &timer.limits.borrow());
@@ -68,8 +77,9 @@
 
     /// Polled by hyper after it has received bytes that don't complete a head, too.
     fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
-        if self.timer.has_received.load(Ordering::Relaxed) {
-            self.head.get_or_insert_with(Instant::now);
+        if self.head.is_none() && self.timer.has_received.load(Ordering::Relaxed) {
+            let time = self.timer.limits.borrow().head_time;
+            self.head = Some(Head { start: Instant::now(), time });
         }
         loop {
             ready!(self.sleep.as_mut().poll(context));
@@ -85,8 +95,8 @@
 
 impl Sleep for Wait {}
 
-/// When a wait ends that began at `start`, for a head that began at `head`.
-fn end(start: Instant, head: Option<Instant>, limits: &Limits) -> TokioInstant {
+/// When a wait that began at `start` ends.
+fn end(start: Instant, head: Option<Head>, limits: &Limits) -> TokioInstant {
     let idle = start + limits.idle_time.max(limits.head_time);
-    head.map_or(idle, |head| idle.max(head + limits.head_time)).into()
+    head.map_or(idle, |head| idle.max(head.start + head.time.max(limits.head_time))).into()
 }
