--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod crash;
 mod fixture;
 mod raw;
+mod silence;
 
 use std::time::Duration;
 
