Reset the connection of an attempt that ends before the answer's head

What callers saw: nothing; upstreams got the request long after its caller had left or its deadline had passed, and ran it for nobody (GONE).

Cause: a closed socket goes on sending what the peer has not acknowledged. With the user timeout of 4 s a silent host can get a request up to 4 s after its attempt ended; with 500 ms it was given up before.

Change: an attempt that ends before the head of an answer resets its connection, which discards the rest of the request. After the head, the connection is closed as before.

Evidence: silent_host_caller_gone (8 of 8 requests arrived 1.1 s or more after their callers had left) and silent_host_expired (the request arrived after its 504) failed before this change and pass with it.

--- a/crates/connection/src/connection.rs
+++ b/crates/connection/src/connection.rs
@@ -265,6 +265,15 @@
         self.can_reuse && self.body == Decoder::Done && self.buffer.is_empty()
     }
 
+    /// Makes the connection close with a reset, so that the operating system sends nothing of the
+    /// request any more.
+    ///
+    /// # Errors
+    /// If the connection has failed.
+    pub fn abort(&self) -> io::Result<()> {
+        SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+    }
+
     /// What the peer has done since the last response.
     pub fn idle_state(&self) -> IdleState {
         let mut byte = [std::mem::MaybeUninit::uninit()];
--- a/crates/daemon/tests/platform/body.rs
+++ b/crates/daemon/tests/platform/body.rs
@@ -2,13 +2,18 @@
 
 use std::time::Duration;
 
-use crate::fixture::{self, Fixture};
+use crate::fixture::{self, Caller, Fixture};
 use crate::raw::{self, Answer, End, Request};
 
+/// Time for which a host is silent.
+const SILENCE: Duration = Duration::from_millis(1_300);
+/// A body that a silent host acknowledges in part.
+const BODY: &[u8] = &[b'x'; raw::SHORT_BODY_BYTES];
+
 /// Regression, LOST: an engine that read a long body late counted as lost.
 #[tokio::test(flavor = "multi_thread")]
 async fn engine_reads_long_body_late() {
-    const BODY: &[u8] = &[b'x'; 256 << 10];
+    const LONG_BODY: &[u8] = &[b'x'; 256 << 10];
     const REST: [&str; 3] = ["id: 2\ndata: x\n\n", "id: 3\ndata: x\n\n", ""];
     let fixture = Fixture::start(1).await;
     fixture.unregister_engines();
@@ -23,7 +28,7 @@
     let mut answer = None;
     fixture::eventually("the engine is asked", async || {
         let address = fixture.address(0);
-        answer = Some(fixture::call(address, "POST", "/long/", &headers, BODY).await);
+        answer = Some(fixture::call(address, "POST", "/long/", &headers, LONG_BODY).await);
         !raw.requests().is_empty()
     })
     .await;
@@ -33,8 +38,6 @@
 
 /// Checks that a request that an upstream does not acknowledge for a while is answered.
 async fn silent_host_answers(service: &str, path: &str, respond: fn(&Request) -> Answer) {
-    const BODY: &[u8] = &[b'x'; raw::SHORT_BODY_BYTES];
-    const SILENCE: Duration = Duration::from_millis(1_300);
     let fixture = Fixture::start(1).await;
     fixture.unregister_engines();
     fixture.unregister_services();
@@ -74,3 +77,53 @@
     };
     silent_host_answers("llm", "/long/", stream).await;
 }
+
+/// Regression, GONE: the kernel went on sending a request that its host had not acknowledged, long
+/// after the caller had left.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_host_caller_gone() {
+    let (fixture, raw) = silent_host().await;
+    let mut callers = Vec::new();
+    for number in 0..8 {
+        let headers = fixture.headers(&format!("gone-{number}"));
+        let head = fixture::request_head("POST", "/read/", &headers, BODY.len());
+        let mut caller = Caller::connect(fixture.address(0)).await.unwrap();
+        caller.send(&[&*head, BODY].concat()).await.unwrap();
+        callers.push(caller);
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    drop(callers);
+    check_arrivals(&raw, "gone").await;
+    fixture.stop().await;
+}
+
+/// Regression, GONE: the same after the deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_host_expired() {
+    let (fixture, raw) = silent_host().await;
+    let mut headers = fixture.headers("expired");
+    headers.retain(|(name, _)| *name != "x-deadline-ms");
+    headers.push(("x-deadline-ms", "600".to_owned()));
+    let answer = fixture::call(fixture.address(0), "POST", "/charge/", &headers, BODY).await;
+    assert_eq!(answer.status, 504);
+    check_arrivals(&raw, "expired").await;
+    fixture.stop().await;
+}
+
+/// A plain upstream whose host is silent after it accepted a connection.
+async fn silent_host() -> (Fixture, raw::Server) {
+    let fixture = Fixture::start(1).await;
+    fixture.unregister_services();
+    let raw = raw::Server::start_silent(SILENCE, plain).await;
+    fixture.register(&raw, "app");
+    fixture.answer_of(&raw, "/read/").await;
+    (fixture, raw)
+}
+
+/// Checks that requests whose attempts have ended don't arrive once the host goes on.
+async fn check_arrivals(raw: &raw::Server, name: &str) {
+    tokio::time::sleep(SILENCE * 2).await;
+    let requests = raw.requests();
+    let late = requests.iter().filter(|request| request.id.starts_with(name)).count();
+    assert_eq!(late, 0, "requests that arrived after their attempts had ended");
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,7 +18,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Ends the exchange with a host that stays unreachable. Before that, a second attempt or the
 /// deadline limits the wait, as the host of a sound upstream may be silent for a while. Long requests
-/// have no user timeout; only their deadline limits them.
+/// have no user timeout; the probes apply to them once they are sent.
 const KEEP_ALIVE: KeepAlive = KeepAlive {
     idle: Duration::from_secs(1),
     interval: Duration::from_secs(1),
@@ -194,6 +194,12 @@
 
 impl Drop for Inflight {
     fn drop(&mut self) {
+        // Without a head of an answer, the upstream may not have received the whole request yet.
+        if let (Some(connection), None) = (&self.connection, self.progress.framing)
+            && let Err(error) = connection.abort()
+        {
+            tracing::debug!(%error, "failed to abort a connection");
+        }
         self.finish(self.on_drop.get(), None);
     }
 }
