Avoid a plain upstream at which a request expired without an answer

What callers saw: 504 for one request after the other that can't be repeated, each sent to the same silent upstream beside a sound one.

Cause: a silence is recorded when a second attempt starts, which these requests don't have; their attempts ended as `expired`, which recorded nothing. Before the user timeout ended some of them as `lost`.

Change: a plain attempt that expires before its answer counts against its upstream. Engines are left out, as they may only be busy.

Evidence: next_avoids_upstream_under_which_request_expired failed before (16 of 20 requests at the same upstream) and passes.

--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -434,6 +434,10 @@
                     member.suspect_restart(now, service);
                 }
             }
+            // There may have been no second attempt. An engine may only be busy.
+            Ending::Expired if attempt.began.is_none() && attempt.engine.is_none() => {
+                member.broke(now);
+            }
             // A silence is recorded when the second attempt starts.
             Ending::Silent | Ending::Cancelled | Ending::Expired => {}
         }
--- a/crates/policy/tests/gateway_machine.rs
+++ b/crates/policy/tests/gateway_machine.rs
@@ -244,6 +244,28 @@
     }
 }
 
+/// Regression: requests that can't be repeated went on to a silent upstream, one after the other.
+#[test]
+fn next_avoids_upstream_under_which_request_expired() {
+    let mut simulation = Simulation::new(2);
+    let mut silent = None;
+    let mut expired = 0;
+    for _ in 0..20 {
+        let mut plan = simulation.admit("/once/", "key").unwrap();
+        let mut attempt = simulation.send(&mut plan);
+        let id = attempt.server.id.clone();
+        if silent.get_or_insert_with(|| id.clone()) == &id {
+            expired += 1;
+            simulation.pass(Duration::from_millis(800));
+            simulation.end(&mut plan, &attempt, Ending::Expired);
+        } else {
+            simulation.begin(&plan, &mut attempt);
+            simulation.end(&mut plan, &attempt, Ending::Answered);
+        }
+    }
+    assert!(expired <= 3, "{expired} of 20 requests expired at the same upstream");
+}
+
 #[test]
 fn next_finds_holder_among_thousands() {
     let mut simulation = Simulation::new(2_000);
