Log what a broken request has in common with its repeats

The log could not tie them together: an attempt's line has the id of one request, and the shared parts of a prompt, which plain requests lack.

`Call::content` is a hash of method, path with query, and body. Together with the caller's organisation (or its key), the host, and for prompts the model and all parts, it makes the `request_key`, equal on all instances and for all repeats. `attempt ended` has it for an exchange that broke before its answer began. No decision uses it.

So each request is hashed when its body was read.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -7,6 +7,7 @@
 
 use acacia_connection::Head;
 use acacia_platform::{ingress, upstream};
+use acacia_policy::gateway::call::content_hash;
 use acacia_policy::gateway::{Attempt, Call, Plan, Reason, Refusal, Step};
 use acacia_policy::{Time, Verdict};
 use bytes::Bytes;
@@ -37,7 +38,7 @@
 ) -> Result<Response<Body>, Infallible> {
     let arrived = traffic.now();
     let (head, incoming) = request.into_parts();
-    let call = match ingress::call(&head) {
+    let mut call = match ingress::call(&head) {
         Ok(call) => call,
         Err(problem) => {
             discard(incoming);
@@ -54,6 +55,7 @@
                 method: head.method,
                 body,
             };
+            call.content = content_hash(payload.method.as_str(), &payload.target, &payload.body);
             let admitted = traffic.gateway.borrow_mut().admit(arrived, call);
             match admitted {
                 Ok(plan) => serve(&traffic, plan, payload, completion).await,
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -98,12 +98,15 @@
         };
         if self.log_budget.admits(now, kind) {
             let shared_parts = (ending == Ending::Broken).then(|| shared_parts(plan)).flatten();
+            let is_crash = ending == Ending::Broken && attempt.began.is_none();
+            let request_key = is_crash.then(|| format!("{:016x}", plan.request_key));
             tracing::info!(
                 id = plan.id,
                 server = &*attempt.server.id,
                 ending = outcome,
                 began = attempt.began.is_some(),
                 shared_parts,
+                request_key,
                 answered_by = instance,
                 framing = progress.framing.map(<&'static str>::from),
                 incomplete_bytes = progress.incomplete_bytes,
--- a/crates/policy/benches/gateway.rs
+++ b/crates/policy/benches/gateway.rs
@@ -4,7 +4,8 @@
 mod gateway_simulation;
 
 use acacia_policy::gateway::Ending;
-use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use acacia_policy::gateway::call::content_hash;
+use criterion::{BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
 use gateway_simulation::Simulation;
 
 fn decide(criterion: &mut Criterion) {
@@ -29,5 +30,18 @@
     group.finish();
 }
 
-criterion_group!(benches, decide);
+/// Hash of what a request asks for, by the size of its body.
+fn content(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("content");
+    for bytes in [0_usize, 1 << 10, 64 << 10, 1 << 20] {
+        let body = vec![b'x'; bytes];
+        group.throughput(Throughput::Bytes(bytes as u64));
+        group.bench_function(BenchmarkId::from_parameter(bytes), |bencher| {
+            bencher.iter(|| content_hash("POST", "/read/item?page=1", &body));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decide, content);
 criterion_main!(benches);
--- a/crates/policy/src/gateway/call.rs
+++ b/crates/policy/src/gateway/call.rs
@@ -3,11 +3,14 @@
 use std::time::Duration;
 
 use super::configuration::ModelName;
+use super::gossip::stable_hash;
 
 /// Request id assigned by the caller.
 pub type CallId = String;
 /// Name of one part of a prompt.
 pub type PartId = String;
+/// Hash of what a request asks for, equal on all instances.
+pub type ContentHash = u64;
 
 /// A caller's request.
 #[derive(Clone, Debug, PartialEq)]
@@ -24,6 +27,8 @@
     pub timeout: Option<Duration>,
     /// The prompt, for a model engine.
     pub prompt: Option<Prompt>,
+    /// Hash of its method, path with query, and body; zero until the body was read.
+    pub content: ContentHash,
 }
 
 /// A prompt, divided into parts that are cached separately.
@@ -64,3 +69,8 @@
         u64::from(self.input_tokens) + u64::from(self.output_tokens)
     }
 }
+
+/// The hash of what a request asks for.
+pub fn content_hash(method: &str, target: &str, body: &[u8]) -> ContentHash {
+    stable_hash(&(method, target, body))
+}
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -19,7 +19,7 @@
 use super::notice::{Departure, Notice};
 use super::pace::{Mean, Pace};
 use super::plan::{Attempt, Ending, Plan, Reason, Refusal, Step};
-use super::quarantine::{Finding, Gate, Quarantine};
+use super::quarantine::{Finding, Gate, Quarantine, request_key};
 use super::roster::Roster;
 use super::save::Saves;
 use super::view::{Server, View, Weights};
@@ -185,11 +185,14 @@
         let (terms, started) = (self.terms.retries, self.started.unwrap_or(now));
         let budget = self.budgets.entry(service.clone());
         budget.or_insert_with(|| RetryBudget::new(terms, started)).record_first(now);
+        let name = organisation.as_ref().map(|organisation| &*organisation.name);
+        let request_key = request_key(name.or(call.key.as_deref()), &call);
         Ok(Plan {
             id: call.id,
             service,
             organisation,
             prompt: call.prompt,
+            request_key,
             version: configuration.version,
             arrived: now,
             waited,
--- a/crates/policy/src/gateway/plan.rs
+++ b/crates/policy/src/gateway/plan.rs
@@ -8,6 +8,7 @@
 
 use super::call::{CallId, Prompt};
 use super::configuration::{ModelName, Organisation, Route, ServiceName, Version};
+use super::quarantine::SuspectKey;
 use super::view::{Server, ServerId, WeightVersion};
 use crate::{Time, Verdict};
 
@@ -24,6 +25,8 @@
     pub organisation: Option<Arc<Organisation>>,
     /// Its prompt.
     pub prompt: Option<Prompt>,
+    /// What it has in common with repeats of it by its caller.
+    pub request_key: SuspectKey,
     /// The configuration that it was admitted by.
     pub version: Version,
     /// When it was received.
--- a/crates/policy/src/gateway/quarantine.rs
+++ b/crates/policy/src/gateway/quarantine.rs
@@ -23,7 +23,7 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
-use super::call::{PartId, Prompt};
+use super::call::{Call, PartId, Prompt};
 use super::gossip::{Note, ServerKey, server_key, stable_hash};
 use super::view::{Server, ServerId};
 use crate::Time;
@@ -641,6 +641,14 @@
     prompt.shared().iter().map(|part| stable_hash(&(&prompt.model, &part.id)))
 }
 
+/// The key that a caller's repeats of a request have in common.
+pub fn request_key(caller: Option<&str>, call: &Call) -> SuspectKey {
+    let model = call.prompt.as_ref().map(|prompt| &prompt.model);
+    let parts = call.prompt.iter().flat_map(|prompt| &prompt.parts);
+    let parts: Vec<&PartId> = parts.map(|part| &part.id).collect();
+    stable_hash(&(caller, &call.host, call.content, model, parts))
+}
+
 /// Drops the older half of a map of answers that is full.
 fn limit<K>(answers: &mut FxHashMap<K, Time>) {
     if answers.len() >= ANSWER_LIMIT {
--- a/crates/policy/tests/gateway_crash/mod.rs
+++ b/crates/policy/tests/gateway_crash/mod.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use acacia_policy::gateway::call::content_hash;
 use acacia_policy::gateway::configuration::{EngineSpec, Limits, Repeat, Role, Route, Service};
 use acacia_policy::gateway::gossip::Digest;
 use acacia_policy::gateway::mesh::Detail;
@@ -177,6 +178,7 @@
                 output_tokens: 100,
                 parts: parts_with_own,
             }),
+            content: content_hash("POST", "/ask/", b""),
         };
         let plan = self.gateways[gateway].admit(self.now, call).expect("the route is public");
         self.requests.push(Request {
--- a/crates/policy/tests/gateway_fleet/mod.rs
+++ b/crates/policy/tests/gateway_fleet/mod.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use acacia_policy::Time;
+use acacia_policy::gateway::call::content_hash;
 use acacia_policy::gateway::configuration::{EngineSpec, Limits, Repeat, Role, Route, Service};
 use acacia_policy::gateway::mesh::Detail;
 use acacia_policy::gateway::{
@@ -286,6 +287,7 @@
                 output_tokens: class.output_tokens,
                 parts,
             }),
+            content: content_hash("POST", class.path, b""),
         };
         match self.gateways[gateway].admit(self.now, call) {
             Ok(plan) => self.go_on(gateway, caller, plan, self.now),
--- a/crates/policy/tests/gateway_fuzz.rs
+++ b/crates/policy/tests/gateway_fuzz.rs
@@ -17,6 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use acacia_policy::gateway::call::content_hash;
 use acacia_policy::gateway::configuration::Repeat;
 use acacia_policy::gateway::gossip::Digest;
 use acacia_policy::gateway::mesh::{Detail, Peer};
@@ -155,6 +156,7 @@
             key: Some("key".to_owned()),
             timeout: Some(Duration::from_secs(2)),
             prompt,
+            content: content_hash("POST", path, b""),
         };
         self.first_sends.push_back(self.now);
         let admitted = self.instances[at].gateway.admit(self.now, call);
--- a/crates/policy/tests/gateway_quarantine.rs
+++ b/crates/policy/tests/gateway_quarantine.rs
@@ -8,9 +8,10 @@
 use std::time::Duration;
 
 use acacia_policy::Verdict;
+use acacia_policy::gateway::call::content_hash;
 use acacia_policy::gateway::gossip::Note;
-use acacia_policy::gateway::quarantine::{Gate, Quarantine, State};
-use acacia_policy::gateway::{Prompt, Reason, Server};
+use acacia_policy::gateway::quarantine::{Gate, Quarantine, State, request_key};
+use acacia_policy::gateway::{Call, Prompt, Reason, Server};
 
 use gateway_crash::{Outcome, Site};
 use gateway_simulation::{MODEL, part, view};
@@ -274,6 +275,46 @@
     quarantine.answered(now, &poisoned(), &engine(1_000_000), now);
 }
 
+/// A request for a page, under an id of its own.
+fn call(id: &str, host: &str, method: &str, target: &str, body: &[u8]) -> Call {
+    Call {
+        id: id.to_owned(),
+        host: host.to_owned(),
+        path: target.split('?').next().unwrap_or_default().to_owned(),
+        key: Some("key".to_owned()),
+        timeout: None,
+        prompt: None,
+        content: content_hash(method, target, body),
+    }
+}
+
+#[test]
+fn request_key_is_equal_for_repeats_only() {
+    let key = |caller, host, method, target, body: &str| {
+        request_key(caller, &call("1", host, method, target, body.as_bytes()))
+    };
+    let known = key(Some("acme"), "a", "POST", "/page?n=1", "x");
+    let repeat = call("2", "a", "POST", "/page?n=1", b"x");
+    assert_eq!(request_key(Some("acme"), &repeat), known);
+    let mut others = vec![
+        key(Some("other"), "a", "POST", "/page?n=1", "x"),
+        key(None, "a", "POST", "/page?n=1", "x"),
+        key(Some("acme"), "b", "POST", "/page?n=1", "x"),
+        key(Some("acme"), "a", "PUT", "/page?n=1", "x"),
+        key(Some("acme"), "a", "POST", "/page?n=2", "x"),
+        key(Some("acme"), "a", "POST", "/page?n=1", "y"),
+        key(Some("acme"), "a", "POST", "/page?n=1", ""),
+    ];
+    for own in ["a", "b"] {
+        let prompt = prompt(&["shared".to_owned(), own.to_owned()]);
+        let with_prompt = Call { prompt: Some(prompt), ..repeat.clone() };
+        others.push(request_key(Some("acme"), &with_prompt));
+    }
+    others.push(known);
+    let distinct: BTreeSet<_> = others.iter().collect();
+    assert_eq!(distinct.len(), others.len());
+}
+
 #[test]
 fn crashed_counts_incarnation_once() {
     let mut quarantine = Quarantine::default();
--- a/crates/policy/tests/gateway_simulation/mod.rs
+++ b/crates/policy/tests/gateway_simulation/mod.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use acacia_policy::Time;
+use acacia_policy::gateway::call::content_hash;
 use acacia_policy::gateway::configuration::{
     EngineSpec, Limits, Organisation, Repeat, Role, Route, Service,
 };
@@ -114,6 +115,7 @@
             key: Some(key.to_owned()),
             timeout: Some(Duration::from_secs(5)),
             prompt,
+            content: content_hash("POST", path, b""),
         };
         self.gateway.admit(self.now, call)
     }
