--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -5,7 +5,7 @@
 use acacia_policy::Time;
 use rustix::time::{ClockId, clock_gettime};
 
-/// Counts the time since one hour before the process started, so that earlier events have a time
+/// Counts the time since two days before the process started, so that earlier events have a time
 /// too.
 ///
 /// Unlike the standard library's clock, it includes the time for which the machine was suspended,
@@ -31,8 +31,9 @@
     }
 }
 
-/// How far back before the process's start the clock can express a time.
-const HISTORY: Duration = Duration::from_secs(3_600);
+/// How far back before the process's start the clock can express a time: longer than other
+/// instances hold back a request.
+const HISTORY: Duration = Duration::from_secs(172_800);
 
 fn boot_time() -> Duration {
     let time = clock_gettime(ClockId::Boottime);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -141,18 +141,19 @@
     }
 }
 
-/// Splits a digest by its prefills and its notes on parts, so that these fit datagrams. The loads
+/// Splits a digest by its prefills and its notes on suspects, so that these fit datagrams. The loads
 /// stay together.
 pub fn split(mut digest: Digest) -> Vec<Digest> {
-    let mut on_parts = digest.notes.extract_if(.., |note| note.is_on_part()).collect::<Vec<_>>();
+    let mut on_suspects =
+        digest.notes.extract_if(.., |note| note.is_on_suspect()).collect::<Vec<_>>();
     let incarnation = digest.incarnation;
     let is_empty = !digest.is_full
         && digest.loads.is_empty()
         && digest.prefills.is_empty()
         && digest.notes.is_empty();
     let mut digests = if is_empty { Vec::new() } else { split_prefills(digest) };
-    while !on_parts.is_empty() {
-        let notes = on_parts.drain(..fitting(&on_parts)).collect();
+    while !on_suspects.is_empty() {
+        let notes = on_suspects.drain(..fitting(&on_suspects)).collect();
         // Without a sequence number, it leaves the sender's load as it is.
         digests.push(Digest { incarnation, notes, ..Digest::default() });
     }
@@ -192,8 +193,9 @@
     let (mut start, mut size) = (0, 0);
     for (at, digest) in digests.iter().enumerate() {
         let next = bytes(digest);
-        // Instances of an earlier version can't read notes on parts.
-        let is_other_kind = at > start && is_on_parts(digest) != is_on_parts(&digests[at - 1]);
+        // Instances of an earlier version can't read notes on suspects.
+        let is_other_kind =
+            at > start && is_on_suspects(digest) != is_on_suspects(&digests[at - 1]);
         if is_other_kind || (at > start && size + next > DATAGRAM_BYTES) {
             runs.push(&digests[start..at]);
             (start, size) = (at, 0);
@@ -204,8 +206,8 @@
     runs
 }
 
-fn is_on_parts(digest: &Digest) -> bool {
-    digest.notes.iter().any(Note::is_on_part)
+fn is_on_suspects(digest: &Digest) -> bool {
+    digest.notes.iter().any(Note::is_on_suspect)
 }
 
 /// Upper bound of a digest's encoded size in bytes: nine for each number of 64 bits, five for one
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -19,7 +19,7 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     attempts: Counter<u64>,
-    parts: Counter<u64>,
+    suspects: Counter<u64>,
     connections: Counter<u64>,
     store_calls: Counter<u64>,
     lines_dropped: Counter<u64>,
@@ -46,7 +46,7 @@
         Ok(Self {
             requests: counter("acacia_gateway_requests"),
             attempts: counter("acacia_gateway_attempts"),
-            parts: counter("acacia_gateway_part_states"),
+            suspects: counter("acacia_gateway_suspect_states"),
             connections: counter("acacia_gateway_connections"),
             store_calls: counter("acacia_gateway_store_calls"),
             values_skipped: counter("acacia_gateway_store_values_skipped"),
@@ -70,9 +70,10 @@
         self.attempts.add(1, &[KeyValue::new("ending", ending)]);
     }
 
-    /// Counts a change in the restrictions on a part of prompts.
-    pub fn part(&self, state: &'static str) {
-        self.parts.add(1, &[KeyValue::new("state", state)]);
+    /// Counts a change in the restrictions on a part of prompts or on a request.
+    pub fn suspect(&self, kind: &'static str, state: &'static str) {
+        let labels = [KeyValue::new("kind", kind), KeyValue::new("state", state)];
+        self.suspects.add(1, &labels);
     }
 
     /// Records the time to the first event or to a whole plain answer.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -299,6 +299,11 @@
             "; engines crashed under part {position} of the prompt: send the request without that \
              part, or again after the time in Retry-After"
         ),
+        Reason::RequestHeld => {
+            "; several upstreams crashed under this request: send it changed, or \
+             again after the time in Retry-After"
+                .to_owned()
+        }
         _ => String::new(),
     };
     plain(status, headers, &format!("{}; {}{hint}\n", refusal.reason, refusal.verdict))
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -5,6 +5,7 @@
 
 use acacia_policy::Time;
 use acacia_policy::gateway::configuration::Limits;
+use acacia_policy::gateway::quarantine::Kind as SuspectKind;
 use acacia_policy::gateway::{Attempt, Ending, Gateway, Plan, View};
 use tokio::sync::watch;
 
@@ -99,7 +100,7 @@
         if self.log_budget.admits(now, kind) {
             let shared_parts = (ending == Ending::Broken).then(|| shared_parts(plan)).flatten();
             let is_crash = ending == Ending::Broken && attempt.began.is_none();
-            let request_key = is_crash.then(|| format!("{:016x}", plan.request_key));
+            let request_key = is_crash.then(|| format!("{:016x}", plan.subjects.request()));
             tracing::info!(
                 id = plan.id,
                 server = &*attempt.server.id,
@@ -119,26 +120,37 @@
         self.report_findings();
     }
 
-    /// Logs and counts changes in the restrictions on parts of prompts.
+    /// Logs and counts changes in the restrictions on parts of prompts and on requests.
     pub fn report_findings(&self) {
         let findings = self.gateway.borrow_mut().take_findings();
         for finding in findings {
             let state: &'static str = finding.state.into();
-            self.metrics.part(state);
+            self.metrics.suspect(finding.kind.into(), state);
             if !self.log_budget.admits(self.now(), Kind::Failure) {
                 continue;
             }
             let crashes = finding.crashes.iter();
             let crashes: Vec<String> =
                 crashes.map(|(server, age)| format!("{server} {} ms ago", millis(*age))).collect();
-            tracing::warn!(
-                part = finding.id,
-                part_key = format!("{:016x}", finding.part),
-                state,
-                crashes = crashes.join(", "),
-                hold_ms = finding.hold.map(millis),
-                "part restricted or cleared"
-            );
+            let key = format!("{:016x}", finding.key);
+            let (crashes, hold_ms) = (crashes.join(", "), finding.hold.map(millis));
+            match finding.kind {
+                SuspectKind::Part => tracing::warn!(
+                    part = finding.id,
+                    part_key = key,
+                    state,
+                    crashes,
+                    hold_ms,
+                    "part restricted or cleared"
+                ),
+                SuspectKind::Request => tracing::warn!(
+                    request_key = key,
+                    state,
+                    crashes,
+                    hold_ms,
+                    "request restricted or cleared"
+                ),
+            }
         }
     }
 }
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -8,14 +8,19 @@
 
 /// A digest of a busy instance with notes of each kind, and values of the greatest size.
 fn digest(counts: &[u8]) -> Digest {
-    let sighting = Sighting { server: u64::MAX, born: Some(u64::MAX), age_ms: u32::MAX };
+    let sighting = Sighting {
+        server: u64::MAX,
+        born: Some(u64::MAX),
+        age_ms: u32::MAX,
+        ran_ms: Some(u32::MAX),
+    };
     let notes = counts.iter().flat_map(|count| {
         let crashes = vec![sighting; usize::from(count % 13)];
         [
             Note::Departed(Departure { server: u64::MAX, born: Some(u64::MAX) }),
-            Note::Suspected(Suspicion { part: u64::MAX, crashes }),
+            Note::Suspected(Suspicion { key: u64::MAX, crashes, is_request: true }),
             Note::Tried(u64::MAX),
-            Note::Cleared(Clearance { part: u64::MAX, age_ms: u32::MAX }),
+            Note::Cleared(Clearance { key: u64::MAX, age_ms: u32::MAX }),
         ]
     });
     let load = Load { running: u32::MAX, prefill_tokens: u64::MAX, memory_tokens: u64::MAX };
@@ -29,7 +34,7 @@
     }
 }
 
-/// Each datagram with notes on parts is within the limit, and none of the notes is lost.
+/// Each datagram with notes on suspects is within the limit, and none of the notes is lost.
 #[test]
 fn split_bounds_datagrams() {
     fn holds(counts: Vec<u8>) -> bool {
@@ -42,10 +47,10 @@
         is_complete
             && loads == 1
             && datagrams(&parts).into_iter().all(|digests| {
-                let is_on_parts = digests.iter().all(|digest| digest.sequence == 0);
+                let is_on_suspects = digests.iter().all(|digest| digest.sequence == 0);
                 let message = Message { forward: true, digests: digests.to_vec() };
                 let bytes = rmp_serde::to_vec(&message).expect("a message can be encoded");
-                !is_on_parts || bytes.len() <= DATAGRAM_BYTES
+                !is_on_suspects || bytes.len() <= DATAGRAM_BYTES
             })
     }
     quickcheck(holds as fn(Vec<u8>) -> bool);
@@ -61,7 +66,7 @@
     }
 }
 
-/// Notes on parts leave the load of their sender as it is, in whatever order datagrams arrive.
+/// Notes on suspects leave the load of their sender as it is, in whatever order datagrams arrive.
 #[test]
 fn split_leaves_load_to_one_digest() {
     let whole = digest(&[3; 60]);
@@ -75,3 +80,13 @@
         assert_eq!(digests.load(server), load);
     }
 }
+
+/// A report of an instance of an earlier version has fewer fields.
+#[test]
+fn suspicion_of_earlier_version_is_read() {
+    let earlier = (7_u64, vec![(1_u64, Some(2_u64), 3_u32)]);
+    let bytes = rmp_serde::to_vec(&earlier).expect("a report can be encoded");
+    let suspicion: Suspicion = rmp_serde::from_slice(&bytes).expect("it can be decoded");
+    let sighting = Sighting { server: 1, born: Some(2), age_ms: 3, ran_ms: None };
+    assert_eq!(suspicion, Suspicion { key: 7, crashes: vec![sighting], is_request: false });
+}
--- a/crates/policy/src/gateway/exchange.rs
+++ b/crates/policy/src/gateway/exchange.rs
@@ -9,8 +9,10 @@
 use super::notice::Departure;
 use crate::Time;
 
-/// One in this number of instances answers a report of a single crash under a part.
+/// One in this number of instances answers a report of a single crash.
 const RESPONDING_SHARE: u64 = 4;
+/// Number of instances, on average, that repeat each suspect in the interval of full digests.
+const REPEATING_INSTANCES: u32 = 8;
 
 impl Gateway {
     /// Records another instance's digest.
@@ -35,15 +37,15 @@
                 }
                 Note::Suspected(suspicion) => {
                     let roster = &self.roster;
-                    let point = stable_hash(&(self.incarnation, suspicion.part));
+                    let point = stable_hash(&(self.incarnation, suspicion.key));
                     let responds = point.is_multiple_of(RESPONDING_SHARE);
                     self.quarantine.receive(now, suspicion, responds, |key| {
                         Some(roster[roster.by_server_key(key)?].server.id.clone())
                     });
                 }
-                Note::Tried(part) => {
+                Note::Tried(key) => {
                     let is_first = self.incarnation < digest.incarnation;
-                    self.quarantine.receive_trial(now, *part, is_first);
+                    self.quarantine.receive_trial(now, *key, is_first);
                 }
                 Note::Cleared(clearance) => self.quarantine.receive_clearance(now, *clearance),
             }
@@ -89,7 +91,16 @@
         let departed = leaving.map(|member| Note::Departed(Departure::of(&member.server)));
         let mut notes: Vec<Note> = departed.collect();
         notes.extend(self.quarantine.take_notes());
-        notes.extend(self.quarantine.suspicions(now));
+        let share = u64::from(self.view.as_ref().map_or(1, |view| view.instances));
+        let share = share.div_ceil(REPEATING_INSTANCES.into()).max(1);
+        let (incarnation, sequence) = (self.incarnation, self.sequence);
+        let suspicions = self.quarantine.suspicions(now).into_iter();
+        notes.extend(suspicions.filter(|note| match note {
+            Note::Suspected(suspicion) => {
+                stable_hash(&(incarnation, sequence, suspicion.key)).is_multiple_of(share)
+            }
+            _ => true,
+        }));
         let has_load = !loads.is_empty() || !self.sent_loads.is_empty();
         if prefills.is_empty() && notes.is_empty() && !has_load {
             return None;
--- a/crates/policy/src/gateway/gossip.rs
+++ b/crates/policy/src/gateway/gossip.rs
@@ -58,24 +58,24 @@
     Departed(Departure),
     /// The inventories of KV cache stores were current at a time.
     Confirmed(Confirmation),
-    /// Engines crashed under a part.
+    /// Upstreams crashed under a part or a request.
     Suspected(Suspicion),
-    /// The sender tries a part that is suspected.
+    /// The sender tries a suspect.
     Tried(SuspectKey),
-    /// An engine has answered on a part that was suspected.
+    /// An upstream has answered on a suspect.
     Cleared(Clearance),
 }
 
 impl Note {
-    /// Whether it is about a part of prompts.
-    pub fn is_on_part(&self) -> bool {
+    /// Whether it is about a suspect.
+    pub fn is_on_suspect(&self) -> bool {
         matches!(self, Self::Suspected(_) | Self::Tried(_) | Self::Cleared(_))
     }
 
     /// Upper bound of its encoded size in bytes.
     pub fn size_limit(&self) -> usize {
         match self {
-            Self::Suspected(suspicion) => 42 + suspicion.crashes.len() * 24,
+            Self::Suspected(suspicion) => 42 + suspicion.crashes.len() * 29,
             _ => 42,
         }
     }
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -13,13 +13,14 @@
 use super::choice::{Candidate, Chooser};
 use super::configuration::{Role, Route, ServiceName, ZoneName};
 use super::confirmation::Confirmed;
+use super::evidence::held;
 use super::gossip::{Digests, Incarnation, Load, Prefill, ServerKey, part_keys};
 use super::link::{Blame, Links};
 use super::member::Member;
 use super::notice::{Departure, Notice};
 use super::pace::{Mean, Pace};
 use super::plan::{Attempt, Ending, Plan, Reason, Refusal, Step};
-use super::quarantine::{Finding, Gate, Quarantine, request_key};
+use super::quarantine::{Gate, Quarantine, Subjects};
 use super::roster::Roster;
 use super::save::Saves;
 use super::view::{Server, View, Weights};
@@ -186,13 +187,13 @@
         let budget = self.budgets.entry(service.clone());
         budget.or_insert_with(|| RetryBudget::new(terms, started)).record_first(now);
         let name = organisation.as_ref().map(|organisation| &*organisation.name);
-        let request_key = request_key(name.or(call.key.as_deref()), &call);
+        let subjects = Subjects::new(name.or(call.key.as_deref()), &call);
         Ok(Plan {
             id: call.id,
             service,
             organisation,
             prompt: call.prompt,
-            request_key,
+            subjects,
             version: configuration.version,
             arrived: now,
             waited,
@@ -217,22 +218,18 @@
         if !plan.may_run_again() {
             return self.refuse(now, plan, Reason::Broken, None);
         }
-        let gate = match &plan.prompt {
-            Some(prompt) if plan.crashed && self.quarantine.is_restricted(prompt) => {
-                return self.refuse(now, plan, Reason::Broken, None);
-            }
-            Some(prompt) => self.quarantine.gate(now, prompt),
-            None => Gate::Open,
-        };
-        let is_trial = match gate {
+        if plan.crashed && self.quarantine.is_restricted(&plan.subjects) {
+            return self.refuse(now, plan, Reason::Broken, None);
+        }
+        let is_trial = match self.quarantine.gate(now, &plan.subjects) {
             Gate::Open => false,
             Gate::Trial => true,
             Gate::Claimed(at) => return Step::Wait(at),
             Gate::Busy { at, .. } if at < plan.arrived + wait_limit(&plan.route) => {
                 return Step::Wait(at);
             }
-            Gate::Busy { position, until, .. } | Gate::Held { position, until } => {
-                return self.refuse(now, plan, Reason::PartHeld(position), Some(until));
+            Gate::Busy { cause, until, .. } | Gate::Held { cause, until } => {
+                return self.refuse(now, plan, held(cause), Some(until));
             }
         };
         let chooser = Chooser { is_trial, ..self.chooser(now, &view, plan) };
@@ -277,9 +274,7 @@
         }
         plan.sends += 1;
         plan.in_progress.push(attempt.server.id.clone());
-        if let Some(prompt) = &plan.prompt {
-            self.quarantine.sent(now, prompt);
-        }
+        self.quarantine.sent(now, &plan.subjects);
         if let Some(member) = self.roster.get_mut(&attempt.server.id) {
             member.sent(now);
             let memory_tokens = plan.prompt.as_ref().map_or(0, Prompt::memory_tokens);
@@ -337,7 +332,7 @@
     /// An attempt that is likely to answer in time, within the request's limits on repeats.
     fn alternative(&mut self, now: Time, plan: &Plan) -> Option<Attempt> {
         let view = self.view.clone()?;
-        if plan.prompt.as_ref().is_some_and(|prompt| self.quarantine.is_restricted(prompt)) {
+        if self.quarantine.is_restricted(&plan.subjects) {
             return None;
         }
         let terms = self.terms.retries;
@@ -355,8 +350,8 @@
 
     /// Records that an attempt's first event, or its whole plain answer, was received.
     pub fn began(&mut self, now: Time, plan: &Plan, attempt: &mut Attempt) {
-        if let (Some(prompt), Some(_)) = (&plan.prompt, &attempt.engine) {
-            self.quarantine.answered(now, prompt, &attempt.server, attempt.sent);
+        if attempt.engine.is_some() {
+            self.quarantine.answered(now, &plan.subjects, &attempt.server, attempt.sent);
         }
         attempt.began = Some(now);
         let Some(member) = self.roster.get_mut(&attempt.server.id) else { return };
@@ -401,7 +396,7 @@
         if !(ending == Ending::Misdirected && is_same) {
             plan.tried.push(attempt.server.id.clone());
         }
-        self.record_crash(now, plan, attempt, ending);
+        self.record_evidence(now, plan, attempt, ending);
         let view = self.view.clone();
         let Some(member) = self.roster.get_mut(&attempt.server.id) else { return };
         let memory_tokens = plan.prompt.as_ref().map_or(0, Prompt::memory_tokens);
@@ -442,23 +437,6 @@
         }
     }
 
-    /// Records an attempt that ended before an engine began to answer.
-    fn record_crash(&mut self, now: Time, plan: &mut Plan, attempt: &Attempt, ending: Ending) {
-        let (Some(prompt), Some(_), None) = (&plan.prompt, &attempt.engine, attempt.began) else {
-            return;
-        };
-        if ending == Ending::Broken {
-            plan.crashed = true;
-            self.quarantine.crashed(now, prompt, &attempt.server);
-        }
-        self.quarantine.given_up(attempt.sent, prompt);
-    }
-
-    /// Changes in the restrictions on parts of prompts since the last call.
-    pub fn take_findings(&mut self) -> Vec<Finding> {
-        self.quarantine.take_findings()
-    }
-
     /// Refuses a request.
     fn refuse(&mut self, now: Time, plan: &Plan, reason: Reason, free: Option<Time>) -> Step {
         let retry_after = (plan.verdict == Verdict::NotRun).then(|| {
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -6,8 +6,9 @@
 //! can't be served in time; [`Gateway::ended`] records how an [`Attempt`] ended. [`rollout`] brings
 //! announced weights to the engines, and [`inventory`] tracks the contents of KV cache stores.
 //! Instances report by [`gossip`] what they sent where, and [`mesh`] selects the recipients.
-//! [`quarantine`] holds back parts of prompts that crash engines. Limits on all instances together
-//! are divided into shares by [`window`], so that no request waits for another instance.
+//! [`quarantine`] holds back requests, and parts of prompts, that crash upstreams. Limits on all
+//! instances together are divided into shares by [`window`], so that no request waits for another
+//! instance.
 
 mod access;
 pub mod admission;
@@ -16,6 +17,7 @@
 mod choice;
 pub mod configuration;
 pub mod confirmation;
+mod evidence;
 mod exchange;
 pub mod gossip;
 pub mod inventory;
--- a/crates/policy/src/gateway/plan.rs
+++ b/crates/policy/src/gateway/plan.rs
@@ -8,7 +8,7 @@
 
 use super::call::{CallId, Prompt};
 use super::configuration::{ModelName, Organisation, Route, ServiceName, Version};
-use super::quarantine::SuspectKey;
+use super::quarantine::Subjects;
 use super::view::{Server, ServerId, WeightVersion};
 use crate::{Time, Verdict};
 
@@ -25,8 +25,8 @@
     pub organisation: Option<Arc<Organisation>>,
     /// Its prompt.
     pub prompt: Option<Prompt>,
-    /// What it has in common with repeats of it by its caller.
-    pub request_key: SuspectKey,
+    /// What may crash an upstream that begins to run it.
+    pub subjects: Subjects,
     /// The configuration that it was admitted by.
     pub version: Version,
     /// When it was received.
@@ -42,7 +42,7 @@
     pub in_progress: Vec<ServerId>,
     /// Number of upstreams that may have run it, without attempts in progress.
     pub runs: u32,
-    /// Whether an engine crashed under it before it began to answer.
+    /// Whether an upstream crashed under it before it began to answer.
     pub crashed: bool,
     /// Number of times that it was sent.
     pub sends: u32,
@@ -237,6 +237,8 @@
     QueueFull,
     /// A shared part of the prompt crashed several engines; the part's position, from one.
     PartHeld(usize),
+    /// Several upstreams crashed under the request.
+    RequestHeld,
     /// The retry budget is exhausted.
     RetryBudget,
     /// The exchange with the upstream broke.
--- a/crates/policy/tests/gateway_crash/mod.rs
+++ b/crates/policy/tests/gateway_crash/mod.rs
@@ -1,26 +1,27 @@
-//! Simulation of several gateways that share engines, under virtual time. Some parts of prompts
-//! crash each engine that begins to answer on them; a crashed engine is back after some seconds
-//! under a new id. Gateways exchange digests with a delay and losses.
+//! Simulation of several gateways that share engines and plain servers, under virtual time. Some
+//! parts of prompts crash each engine that begins to answer on them, and some requests each server
+//! that runs them; a crashed server is back after some seconds under a new id. Gateways exchange
+//! digests with a delay and losses.
 
 #![allow(dead_code)]
 
+pub mod load;
+
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_policy::gateway::call::content_hash;
 use acacia_policy::gateway::configuration::{EngineSpec, Limits, Repeat, Role, Route, Service};
 use acacia_policy::gateway::gossip::Digest;
 use acacia_policy::gateway::mesh::Detail;
 use acacia_policy::gateway::{
-    Attempt, Call, Configuration, Ending, Gateway, Plan, Prompt, Reason, Server, ServerId, Step,
-    View,
+    Attempt, Configuration, Ending, Gateway, Plan, Reason, Server, ServerId, Step, View,
 };
 use acacia_policy::{Time, Verdict};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha12Rng;
 
-use super::gateway_simulation::{MODEL, part, terms, view};
+use super::gateway_simulation::{MODEL, terms, view};
 
 /// Resolution of the simulation.
 const TICK: Duration = Duration::from_millis(5);
@@ -36,6 +37,12 @@
 const FIRST_EVENT: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(4));
 /// Time from the first event to the end of an answer.
 const ANSWER: Duration = Duration::from_millis(250);
+/// Time that a plain server runs a request, and the random addition to it.
+const RUN: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(60));
+/// Time from the start of a run to the crash of a plain server.
+const CRASH_AFTER: Duration = Duration::from_millis(55);
+/// Requests that a plain server runs at a time.
+const SLOTS: usize = 6;
 /// Start of the simulated time.
 const START: Time = Duration::from_secs(3_600);
 /// The first part of all prompts.
@@ -56,9 +63,11 @@
 #[derive(Clone, Debug)]
 pub struct Request {
     pub arrived: Duration,
+    /// What its caller's repeats of it have in common.
+    pub name: String,
     /// Shared parts of its prompt, without the first.
     pub parts: Vec<String>,
-    /// Time from the start of the simulation at which it reached each engine.
+    /// Time from the start of the simulation at which it reached each server.
     pub sends: Vec<Duration>,
     pub outcome: Option<Outcome>,
 }
@@ -73,11 +82,13 @@
     has_begun: bool,
 }
 
-/// Gateways, engines, and callers.
+/// Gateways, servers, and callers.
 pub struct Site {
     pub gateways: Vec<Gateway>,
     /// The parts that crash engines.
     pub poison: BTreeSet<String>,
+    /// Names of the requests that crash servers.
+    pub culprit: BTreeSet<String>,
     /// Share of digests that are lost.
     pub loss: f64,
     /// Share of attempts that a healthy engine resets before they begin.
@@ -86,8 +97,10 @@
     pub restart: Duration,
     /// All requests.
     pub requests: Vec<Request>,
-    /// When engines crashed, since the start.
+    /// When servers crashed, since the start.
     pub crashes: Vec<Duration>,
+    /// When they crashed under a culprit.
+    pub culprit_crashes: Vec<Duration>,
     now: Time,
     ticks: u64,
     view: View,
@@ -101,16 +114,28 @@
 }
 
 impl Site {
+    /// Gateways and engines.
     pub fn new(seed: u64, gateways: usize, engines: u32) -> Self {
+        Self::with(seed, gateways, "llm", engines)
+    }
+
+    /// Gateways and plain servers.
+    pub fn plain(seed: u64, gateways: usize, servers: u32) -> Self {
+        Self { restart: Duration::from_millis(2_500), ..Self::with(seed, gateways, "app", servers) }
+    }
+
+    fn with(seed: u64, gateways: usize, service: &str, servers: u32) -> Self {
         let mut rng = ChaCha12Rng::seed_from_u64(seed);
         let mut site = Self {
             gateways: Vec::new(),
             poison: BTreeSet::new(),
+            culprit: BTreeSet::new(),
             loss: 0.02,
             reset_share: 0.0,
             restart: Duration::from_secs(3),
             requests: Vec::new(),
             crashes: Vec::new(),
+            culprit_crashes: Vec::new(),
             now: START,
             ticks: 0,
             view: View { instances: gateways as u32, ..view(0) },
@@ -123,8 +148,8 @@
             rng: ChaCha12Rng::seed_from_u64(rng.random()),
         };
         site.view.configuration = Arc::new(configuration());
-        for number in 0..engines {
-            let server = site.server(number, &format!("z{}", number % 3));
+        for number in 0..servers {
+            let server = site.server(service, &format!("z{}", number % 3));
             site.view.servers.insert(server.id.clone(), Arc::new(server));
         }
         (0..gateways).for_each(|_| site.add_gateway());
@@ -147,70 +172,17 @@
         self.now - START
     }
 
-    /// Ids of the listed engines.
-    pub fn engines(&self) -> Vec<ServerId> {
+    /// Ids of the listed servers.
+    pub fn servers(&self) -> Vec<ServerId> {
         self.view.servers.keys().cloned().collect()
     }
 
-    /// Engines of an availability zone.
-    pub fn engines_of(&self, zone: &str) -> Vec<ServerId> {
+    /// Servers of an availability zone.
+    pub fn servers_of(&self, zone: &str) -> Vec<ServerId> {
         let servers = self.view.servers.values().filter(|server| &*server.zone == zone);
         servers.map(|server| server.id.clone()).collect()
     }
 
-    /// A caller sends a request with these shared parts after the first, through a random gateway
-    /// or the given one; returns its index.
-    pub fn call(&mut self, parts: &[&str], gateway: Option<usize>) -> usize {
-        let request = self.requests.len();
-        let gateway = gateway.unwrap_or_else(|| self.rng.random_range(0..self.gateways.len()));
-        let own = format!("own-{request}");
-        let shared = [FIRST].into_iter().chain(parts.iter().copied()).map(|id| part(id, 800));
-        let parts_with_own: Vec<_> = shared.chain([part(&own, 200)]).collect();
-        let call = Call {
-            id: format!("call-{request}"),
-            host: "svc.example".to_owned(),
-            path: "/ask/".to_owned(),
-            key: None,
-            timeout: Some(Duration::from_secs(5)),
-            prompt: Some(Prompt {
-                model: MODEL.into(),
-                input_tokens: parts_with_own.iter().map(|part| part.tokens).sum(),
-                output_tokens: 100,
-                parts: parts_with_own,
-            }),
-            content: content_hash("POST", "/ask/", b""),
-        };
-        let plan = self.gateways[gateway].admit(self.now, call).expect("the route is public");
-        self.requests.push(Request {
-            arrived: self.elapsed(),
-            parts: parts.iter().map(|part| (*part).to_owned()).collect(),
-            sends: Vec::new(),
-            outcome: None,
-        });
-        self.go_on(gateway, request, plan);
-        request
-    }
-
-    /// Calls at random times for a while: `sound` requests a second on random subjects, and
-    /// `culprits` a second that also have a part that crashes engines.
-    pub fn run_load(&mut self, time: Duration, sound: f64, culprits: f64) {
-        let end = self.now + time;
-        let poison: Vec<String> = self.poison.iter().cloned().collect();
-        while self.now < end {
-            for (rate, is_culprit) in [(sound, false), (culprits, true)] {
-                if self.rng.random::<f64>() >= rate * TICK.as_secs_f64() {
-                    continue;
-                }
-                let subject = format!("subject-{}", self.rng.random_range(0..60));
-                match poison.first().filter(|_| is_culprit) {
-                    Some(poison) => self.call(&[&subject, poison], None),
-                    None => self.call(&[&subject], None),
-                };
-            }
-            self.tick();
-        }
-    }
-
     /// Lets time pass without new requests.
     pub fn pass(&mut self, time: Duration) {
         self.run_load(time, 0.0, 0.0);
@@ -227,7 +199,8 @@
     }
 
     fn is_culprit(&self, request: &Request) -> bool {
-        request.parts.iter().any(|part| self.poison.contains(part))
+        self.culprit.contains(&request.name)
+            || request.parts.iter().any(|part| self.poison.contains(part))
     }
 
     /// Number of times that culprits reached engines later than `after` after the fifth crash.
@@ -237,6 +210,14 @@
         sends.filter(|at| **at > *fifth + after).count()
     }
 
+    /// Number of times that culprits reached servers later than `after` after the third crash under
+    /// them.
+    pub fn late_sends(&self, after: Duration) -> usize {
+        let Some(third) = self.culprit_crashes.get(2) else { return 0 };
+        let sends = self.culprits().flat_map(|request| &request.sends);
+        sends.filter(|at| **at > *third + after).count()
+    }
+
     /// Share of sound requests that were served among those that arrived in a period.
     pub fn sound_share(&self, from: Duration, to: Duration) -> f64 {
         let period = from..to;
@@ -249,22 +230,26 @@
         f64::from(served) / f64::from(all.max(1))
     }
 
-    /// Sound requests that were refused for a part.
+    /// Sound requests that were refused for a suspect.
     pub fn sound_held(&self) -> usize {
+        self.sound_held_since(Duration::ZERO)
+    }
+
+    /// Sound requests that arrived from `since` on and were refused for a suspect.
+    pub fn sound_held_since(&self, since: Duration) -> usize {
         let is_held = |request: &&Request| {
             matches!(request.outcome, Some(Outcome::Refused(reason, _))
-                if <&'static str>::from(reason) == "part_held")
+                if <&'static str>::from(reason).ends_with("_held"))
         };
-        self.sound().filter(is_held).count()
+        self.sound().filter(|request| request.arrived >= since).filter(is_held).count()
     }
 
-    /// Crashes an engine: everything on it ends, and it is back later under a new id.
+    /// Crashes a server: everything on it ends, and it is back later under a new id.
     pub fn crash(&mut self, id: &ServerId) {
         let Some(server) = self.view.servers.get(id).cloned() else { return };
         self.crashes.push(self.elapsed());
         self.unlisting.push((self.now + UNLISTED_AFTER, id.clone()));
-        let number = self.servers_started;
-        let next = self.server(number, &server.zone);
+        let next = self.server(&server.service, &server.zone);
         self.starting.push((self.now + self.restart, next));
         for flight in self
             .flights
@@ -275,18 +260,20 @@
         }
     }
 
-    fn server(&mut self, number: u32, zone: &str) -> Server {
-        self.servers_started = self.servers_started.max(number + 1);
-        let port = u16::try_from(number + 1).expect("few engines are started");
+    fn server(&mut self, service: &str, zone: &str) -> Server {
+        let number = self.servers_started;
+        self.servers_started += 1;
+        let port = u16::try_from(number + 1).expect("few servers are started");
+        let is_engine = service == "llm";
         Server {
-            id: format!("e{number}").into(),
-            service: "llm".into(),
+            id: format!("{}{number}", if is_engine { "e" } else { "s" }).into(),
+            service: service.into(),
             address: ([127, 0, 0, 1], port).into(),
             zone: zone.into(),
-            slots: 128,
+            slots: if is_engine { 128 } else { SLOTS as u32 },
             leaving: false,
             cold_left: Duration::ZERO,
-            models: vec![(MODEL.into(), 1)],
+            models: if is_engine { vec![(MODEL.into(), 1)] } else { Vec::new() },
             born: Some(u64::from(number)),
         }
     }
@@ -357,8 +344,15 @@
         let elapsed = self.elapsed();
         self.requests[request].sends.push(elapsed);
         let running = self.flights.iter().filter(|flight| flight.attempt.server.id == server);
-        let begins = self.now + FIRST_EVENT.0 + FIRST_EVENT.1 * running.count() as u32;
-        let ends = begins + ANSWER;
+        let (begins, ends) = if attempt.engine.is_some() {
+            let begins = self.now + FIRST_EVENT.0 + FIRST_EVENT.1 * running.count() as u32;
+            (begins, begins + ANSWER)
+        } else {
+            let mut busy: Vec<Time> = running.map(|flight| flight.ends).collect();
+            busy.sort_unstable();
+            let begins = busy.iter().rev().nth(SLOTS - 1).copied().unwrap_or(self.now);
+            (begins, begins + RUN.0 + RUN.1.mul_f64(self.rng.random()))
+        };
         let has_begun = false;
         self.flights.push(Flight { request, gateway, plan, attempt, begins, ends, has_begun });
     }
@@ -367,32 +361,49 @@
         let now = self.now;
         let mut at = 0;
         while at < self.flights.len() {
-            let flight = &mut self.flights[at];
-            if now >= flight.ends {
-                let flight = self.flights.swap_remove(at);
-                self.requests[flight.request].outcome.get_or_insert(Outcome::Served);
-                self.end(flight, Ending::Answered);
-                continue;
-            }
-            if flight.has_begun || now < flight.begins {
-                at += 1;
-                continue;
-            }
-            if self.requests[flight.request].parts.iter().any(|part| self.poison.contains(part)) {
+            let flight = &self.flights[at];
+            let is_engine = flight.attempt.engine.is_some();
+            let is_culprit = self.is_culprit(&self.requests[flight.request]);
+            let crashes_at = flight.begins + if is_engine { Duration::ZERO } else { CRASH_AFTER };
+            if is_culprit && now >= crashes_at && !flight.has_begun {
                 let server = flight.attempt.server.id.clone();
+                self.culprit_crashes.push(self.elapsed());
                 self.crash(&server);
                 at = 0;
-            } else if self.rng.random::<f64>() < self.reset_share {
+            } else if is_culprit && !is_engine {
+                at += 1;
+            } else if now >= flight.ends {
                 let flight = self.flights.swap_remove(at);
-                self.end(flight, Ending::Broken);
+                self.complete(flight);
+            } else if is_engine && !flight.has_begun && now >= flight.begins {
+                if self.rng.random::<f64>() < self.reset_share {
+                    let flight = self.flights.swap_remove(at);
+                    self.end(flight, Ending::Broken);
+                } else {
+                    let flight = &mut self.flights[at];
+                    flight.has_begun = true;
+                    self.gateways[flight.gateway].began(now, &flight.plan, &mut flight.attempt);
+                    at += 1;
+                }
             } else {
-                flight.has_begun = true;
-                self.gateways[flight.gateway].began(now, &flight.plan, &mut flight.attempt);
                 at += 1;
             }
         }
     }
 
+    /// Ends a flight with its whole answer, unless its plain server resets it.
+    fn complete(&mut self, mut flight: Flight) {
+        if flight.attempt.engine.is_none() {
+            if self.rng.random::<f64>() < self.reset_share {
+                return self.end(flight, Ending::Broken);
+            }
+            let gateway = &mut self.gateways[flight.gateway];
+            gateway.began(self.now, &flight.plan, &mut flight.attempt);
+        }
+        self.requests[flight.request].outcome.get_or_insert(Outcome::Served);
+        self.end(flight, Ending::Answered);
+    }
+
     fn end(&mut self, mut flight: Flight, ending: Ending) {
         let gateway = &mut self.gateways[flight.gateway];
         let id = flight.attempt.server.id.clone();
@@ -427,17 +438,17 @@
 }
 
 fn configuration() -> Configuration {
-    let route = Route {
-        name: "ask".to_owned(),
+    let route = |name: &str, repeat, service: &str, attempts| Route {
+        name: name.to_owned(),
         host: "svc.example".to_owned(),
-        prefix: "/ask/".to_owned(),
-        repeat: Repeat::ResumableStream,
+        prefix: format!("/{name}/"),
+        repeat,
         timeout: Duration::from_secs(5),
         latency_target: Duration::from_millis(400),
         gap_target: None,
-        attempts: 3,
+        attempts,
         priority: 1,
-        split: vec![("llm".into(), 1)],
+        split: vec![(service.into(), 1)],
         public: true,
     };
     let engine = Role::Engine(EngineSpec {
@@ -447,12 +458,18 @@
         link_bytes: 1e11,
         models: vec![MODEL.into()],
     });
-    let service = Service {
-        name: "llm".into(),
+    let service = |name: &str, role| Service {
+        name: name.into(),
         connections: None,
         cold_time: Duration::from_secs(3),
         cold_rate: None,
-        role: engine,
+        role,
     };
-    Configuration::new(1, [route], [service], None, Limits::default())
+    let routes = [
+        route("ask", Repeat::ResumableStream, "llm", 3),
+        route("read", Repeat::Idempotent, "app", 2),
+        route("once", Repeat::Once, "app", 2),
+    ];
+    let services = [service("llm", engine), service("app", Role::Plain)];
+    Configuration::new(1, routes, services, None, Limits::default())
 }
--- a/crates/policy/tests/gateway_quarantine.rs
+++ b/crates/policy/tests/gateway_quarantine.rs
@@ -1,4 +1,5 @@
-//! Tests of parts of prompts that crash the engines that begin to answer on them.
+//! Tests of parts of prompts that crash the engines that begin to answer on them, and of the
+//! evidence against parts and requests.
 
 mod gateway_crash;
 mod gateway_simulation;
@@ -10,7 +11,7 @@
 use acacia_policy::Verdict;
 use acacia_policy::gateway::call::content_hash;
 use acacia_policy::gateway::gossip::Note;
-use acacia_policy::gateway::quarantine::{Gate, Quarantine, State, request_key};
+use acacia_policy::gateway::quarantine::{Cause, Gate, Quarantine, State, Subjects};
 use acacia_policy::gateway::{Call, Prompt, Reason, Server};
 
 use gateway_crash::{Outcome, Site};
@@ -85,7 +86,7 @@
 fn next_holds_nothing_after_zone_loss() {
     for seed in 0..4 {
         let mut site = calm(seed);
-        site.engines_of("z0").iter().for_each(|id| site.crash(id));
+        site.servers_of("z0").iter().for_each(|id| site.crash(id));
         let lost = site.elapsed();
         site.run_load(seconds(10), 160.0, 0.0);
         assert_eq!(reported(&mut site, State::Held), BTreeSet::new(), "seed {seed}");
@@ -99,7 +100,7 @@
 fn next_holds_nothing_after_loss_of_all_engines() {
     for seed in 0..4 {
         let mut site = calm(seed);
-        site.engines().iter().for_each(|id| site.crash(id));
+        site.servers().iter().for_each(|id| site.crash(id));
         let lost = site.elapsed();
         site.run_load(seconds(10), 160.0, 0.0);
         assert_eq!(reported(&mut site, State::Held), BTreeSet::new(), "seed {seed}");
@@ -113,7 +114,7 @@
 fn next_holds_nothing_while_engines_are_killed_in_turn() {
     for seed in 0..4 {
         let mut site = calm(seed);
-        for id in site.engines() {
+        for id in site.servers() {
             site.crash(&id);
             site.run_load(Duration::from_millis(700), 160.0, 0.0);
         }
@@ -257,22 +258,39 @@
     seconds(3_600) + Duration::from_millis(millis)
 }
 
-fn poisoned() -> Prompt {
-    prompt(&[POISON.to_owned(), "own".to_owned()])
+/// The suspects of a request with this prompt.
+fn subjects(parts: &[String]) -> Subjects {
+    let call = call("1", "a", "POST", "/ask/", b"");
+    Subjects::new(Some("acme"), &Call { prompt: Some(prompt(parts)), ..call })
 }
 
-/// A quarantine with a number of crashes of a part, one a second.
+/// A request with the part and one of its own.
+fn poisoned(own: u64) -> Subjects {
+    subjects(&[POISON.to_owned(), format!("own-{own}")])
+}
+
+/// A quarantine with a number of crashes of a part under different requests, one a second.
 fn crashed(count: u64) -> Quarantine {
+    crashed_under(count, poisoned)
+}
+
+fn crashed_under(count: u64, request: impl Fn(u64) -> Subjects) -> Quarantine {
     let mut quarantine = Quarantine::default();
     for born in 1..=count {
-        quarantine.crashed(at(born * 1_000), &poisoned(), &engine(born));
+        crash(&mut quarantine, born * 1_000, &request(born), born);
     }
     quarantine
 }
 
+/// An engine crashes under a request that was sent 100 ms earlier.
+fn crash(quarantine: &mut Quarantine, millis: u64, request: &Subjects, born: u64) {
+    let sent = at(millis) - Duration::from_millis(100);
+    quarantine.crashed(at(millis), request, &engine(born), sent);
+}
+
 /// Another engine begins to answer on the part.
-fn answer(quarantine: &mut Quarantine, now: Duration) {
-    quarantine.answered(now, &poisoned(), &engine(1_000_000), now);
+fn answer(quarantine: &mut Quarantine, now: Duration, request: &Subjects) {
+    quarantine.answered(now, request, &engine(1_000_000), now);
 }
 
 /// A request for a page, under an id of its own.
@@ -291,11 +309,11 @@
 #[test]
 fn request_key_is_equal_for_repeats_only() {
     let key = |caller, host, method, target, body: &str| {
-        request_key(caller, &call("1", host, method, target, body.as_bytes()))
+        Subjects::new(caller, &call("1", host, method, target, body.as_bytes())).request()
     };
     let known = key(Some("acme"), "a", "POST", "/page?n=1", "x");
     let repeat = call("2", "a", "POST", "/page?n=1", b"x");
-    assert_eq!(request_key(Some("acme"), &repeat), known);
+    assert_eq!(Subjects::new(Some("acme"), &repeat).request(), known);
     let mut others = vec![
         key(Some("other"), "a", "POST", "/page?n=1", "x"),
         key(None, "a", "POST", "/page?n=1", "x"),
@@ -308,7 +326,7 @@
     for own in ["a", "b"] {
         let prompt = prompt(&["shared".to_owned(), own.to_owned()]);
         let with_prompt = Call { prompt: Some(prompt), ..repeat.clone() };
-        others.push(request_key(Some("acme"), &with_prompt));
+        others.push(Subjects::new(Some("acme"), &with_prompt).request());
     }
     others.push(known);
     let distinct: BTreeSet<_> = others.iter().collect();
@@ -319,24 +337,39 @@
 fn crashed_counts_incarnation_once() {
     let mut quarantine = Quarantine::default();
     for second in 0..10 {
-        quarantine.crashed(at(second * 1_000), &poisoned(), &engine(1));
+        crash(&mut quarantine, second * 1_000, &poisoned(0), 1);
     }
-    assert_eq!(quarantine.gate(at(10_000), &poisoned()), Gate::Open);
+    assert_eq!(quarantine.gate(at(10_000), &poisoned(0)), Gate::Open);
 }
 
 #[test]
 fn crashed_counts_same_moment_once() {
     let mut quarantine = Quarantine::default();
     for born in 0..10 {
-        quarantine.crashed(at(born * 9), &poisoned(), &engine(born));
+        quarantine.crashed(at(born * 9), &poisoned(born), &engine(born), at(0) - seconds(1));
     }
-    assert_eq!(quarantine.gate(at(100), &poisoned()), Gate::Open);
+    assert_eq!(quarantine.gate(at(100), &poisoned(0)), Gate::Open);
+}
+
+/// A repeat that is sent once its first attempt has crashed a server crashes another one for a cause
+/// of its own, however soon.
+#[test]
+fn crashed_counts_repeat_at_same_moment() {
+    let (mut quarantine, mut informed) = (Quarantine::default(), Quarantine::default());
+    quarantine.crashed(at(0), &page(), &engine(1), at(0) - seconds(1));
+    quarantine.crashed(at(40), &page(), &engine(2), at(0));
+    assert!(matches!(quarantine.gate(at(50), &page()), Gate::Claimed(_)));
+    for note in quarantine.suspicions(at(50)) {
+        let Note::Suspected(suspicion) = note else { panic!("{note:?}") };
+        informed.receive(at(65), &suspicion, true, |_| None);
+    }
+    assert!(matches!(informed.gate(at(65), &page()), Gate::Claimed(_)));
 }
 
 #[test]
 fn crashed_never_suspects_last_part() {
     let mut quarantine = crashed(9);
-    let last = prompt(&["first".to_owned(), POISON.to_owned()]);
+    let last = subjects(&["first".to_owned(), POISON.to_owned()]);
     assert_eq!(quarantine.gate(at(10_000), &last), Gate::Open);
 }
 
@@ -344,8 +377,8 @@
 fn crashed_ignores_part_just_answered() {
     let mut quarantine = Quarantine::default();
     for born in 1..9 {
-        answer(&mut quarantine, at(born * 1_000 - 400));
-        quarantine.crashed(at(born * 1_000), &poisoned(), &engine(born));
+        answer(&mut quarantine, at(born * 1_000 - 400), &poisoned(0));
+        crash(&mut quarantine, born * 1_000, &poisoned(0), born);
     }
     assert!(quarantine.is_empty());
 }
@@ -356,17 +389,17 @@
 fn answered_refutes_crash_of_same_incarnation() {
     let mut quarantine = crashed(3);
     let reports = quarantine.suspicions(at(4_000));
-    let other = prompt(&["first".to_owned(), "own".to_owned()]);
+    let other = subjects(&["first".to_owned(), "own".to_owned()]);
     quarantine.answered(at(4_100), &other, &engine(2), at(1_900));
-    assert!(matches!(quarantine.gate(at(4_100), &poisoned()), Gate::Held { .. }));
+    assert!(matches!(quarantine.gate(at(4_100), &poisoned(0)), Gate::Held { .. }));
     quarantine.answered(at(4_100), &other, &engine(2), at(4_000));
-    assert!(matches!(quarantine.gate(at(4_100), &poisoned()), Gate::Claimed(_)));
+    assert!(matches!(quarantine.gate(at(4_100), &poisoned(0)), Gate::Claimed(_)));
     quarantine.answered(at(4_200), &other, &engine(3), at(4_100));
     for note in reports {
         let Note::Suspected(suspicion) = note else { panic!("{note:?}") };
         quarantine.receive(at(4_200), &suspicion, true, |_| None);
     }
-    assert_eq!(quarantine.gate(at(4_200), &poisoned()), Gate::Open);
+    assert_eq!(quarantine.gate(at(4_200), &poisoned(0)), Gate::Open);
 }
 
 /// Regression, GONE on Actas grown: every instance that knew an answer contradicted each report, and
@@ -376,9 +409,13 @@
     for (count, responds, answers) in [(1, false, 0), (1, true, 1), (2, false, 1)] {
         let mut reporter = crashed(count);
         let mut informed = Quarantine::default();
-        informed.answered(at(4_000), &poisoned(), &engine(9), at(3_900));
-        let reports = reporter.take_notes();
-        let Some(Note::Suspected(report)) = reports.last() else { panic!("{reports:?}") };
+        informed.answered(at(4_000), &poisoned(0), &engine(9), at(3_900));
+        let notes = reporter.take_notes();
+        let mut reports = notes.iter().filter_map(|note| match note {
+            Note::Suspected(report) if !report.is_request => Some(report),
+            _ => None,
+        });
+        let report = reports.next_back().expect("the part is reported");
         informed.receive(at(4_000), report, responds, |_| None);
         let is_answer = |note: &&Note| matches!(note, Note::Cleared(_));
         let notes = informed.take_notes();
@@ -390,42 +427,133 @@
 #[test]
 fn gate_tries_one_request_at_a_time_after_two_crashes() {
     let mut quarantine = crashed(2);
-    let Gate::Claimed(start) = quarantine.gate(at(3_000), &poisoned()) else { panic!("no claim") };
-    assert_eq!(quarantine.gate(start, &poisoned()), Gate::Trial);
-    quarantine.sent(start, &poisoned());
-    assert!(matches!(quarantine.gate(start, &poisoned()), Gate::Busy { position: 1, .. }));
-    answer(&mut quarantine, start + Duration::from_millis(100));
-    assert_eq!(quarantine.gate(start + Duration::from_millis(100), &poisoned()), Gate::Open);
+    let Gate::Claimed(start) = quarantine.gate(at(3_000), &poisoned(0)) else { panic!("no claim") };
+    assert_eq!(quarantine.gate(start, &poisoned(0)), Gate::Trial);
+    quarantine.sent(start, &poisoned(0));
+    assert!(matches!(
+        quarantine.gate(start, &poisoned(0)),
+        Gate::Busy { cause: Cause::Part(1), .. }
+    ));
+    answer(&mut quarantine, start + Duration::from_millis(100), &poisoned(0));
+    assert_eq!(quarantine.gate(start + Duration::from_millis(100), &poisoned(0)), Gate::Open);
 }
 
 #[test]
 fn gate_allows_next_trial_after_one_given_up() {
     let mut quarantine = crashed(2);
-    let Gate::Claimed(start) = quarantine.gate(at(3_000), &poisoned()) else { panic!("no claim") };
-    quarantine.sent(start, &poisoned());
-    quarantine.given_up(start, &poisoned());
-    assert!(matches!(quarantine.gate(start, &poisoned()), Gate::Claimed(_)));
+    let Gate::Claimed(start) = quarantine.gate(at(3_000), &poisoned(0)) else { panic!("no claim") };
+    quarantine.sent(start, &poisoned(0));
+    quarantine.given_up(start, &poisoned(0));
+    assert!(matches!(quarantine.gate(start, &poisoned(0)), Gate::Claimed(_)));
+}
+
+/// The end of the hold of a request's part, and the next trial, which crashes an engine.
+fn fail_trial(quarantine: &mut Quarantine, now: Duration, born: u64) -> (Duration, Duration) {
+    let Gate::Held { cause: Cause::Part(1), until } = quarantine.gate(now, &poisoned(0)) else {
+        panic!("crash {born}")
+    };
+    assert!(matches!(quarantine.gate(until, &poisoned(0)), Gate::Claimed(_)));
+    let start = until + Duration::from_millis(200);
+    assert_eq!(quarantine.gate(start, &poisoned(0)), Gate::Trial);
+    quarantine.sent(start, &poisoned(0));
+    let held = quarantine.gate(start, &poisoned(0));
+    assert!(matches!(held, Gate::Held { cause: Cause::Part(1), .. }));
+    let crashed = start + Duration::from_millis(50);
+    quarantine.crashed(crashed, &poisoned(born), &engine(born), start);
+    (until, crashed)
+}
+
+/// The hold grows with each failed trial, and its trial is one request. Two trials fail within a
+/// day.
+#[test]
+fn gate_holds_longer_after_each_failed_trial() {
+    let mut quarantine = crashed(3);
+    let (mut now, mut holds) = (at(3_000), Vec::new());
+    for born in 4..8 {
+        let (until, crashed) = fail_trial(&mut quarantine, now, born);
+        holds.push((until - now).as_secs());
+        now = crashed;
+    }
+    assert_eq!(holds, [20, 60, 86_400, 86_400]);
+}
+
+/// Requests that are in progress at the third crash may crash further engines. After so many
+/// crashes, one trial is enough.
+#[test]
+fn gate_holds_no_longer_after_crashes_during_hold() {
+    let mut quarantine = crashed(3);
+    let until = at(23_000);
+    for born in 4..100 {
+        crash(&mut quarantine, 3_000 + born * 200, &poisoned(born), born);
+        let gate = quarantine.gate(at(3_000 + born * 200), &poisoned(0));
+        assert_eq!(gate, Gate::Held { cause: Cause::Part(1), until }, "crash {born}");
+    }
+    let (_, crashed) = fail_trial(&mut quarantine, at(22_900), 100);
+    let (until, _) = fail_trial(&mut quarantine, crashed, 101);
+    assert_eq!(until - crashed, seconds(86_400));
 }
 
-/// The hold grows with each crash, but ends, and its trial is one request.
+/// A restriction for a day outlasts the evidence of other suspects, and an instance that starts
+/// hours later learns it.
 #[test]
-fn gate_holds_longer_after_each_crash() {
-    let mut holds = Vec::new();
-    for count in 3..10 {
-        let mut quarantine = crashed(count);
-        let now = at(count * 1_000);
-        let Gate::Held { position: 1, until } = quarantine.gate(now, &poisoned()) else {
-            panic!("{count} crashes")
+fn receive_learns_hold_of_a_day() {
+    let mut quarantine = crashed(3);
+    let (_, crashed) = fail_trial(&mut quarantine, at(3_000), 4);
+    let (_, crashed) = fail_trial(&mut quarantine, crashed, 5);
+    let now = crashed + seconds(36_000);
+    let (mut later, reports) = (Quarantine::default(), quarantine.suspicions(now));
+    assert_eq!(reports.len(), 1);
+    for note in reports {
+        let Note::Suspected(suspicion) = note else { panic!("{note:?}") };
+        later.receive(now, &suspicion, true, |_| None);
+    }
+    for quarantine in [&mut quarantine, &mut later] {
+        let Gate::Held { until, .. } = quarantine.gate(now, &poisoned(0)) else {
+            panic!("the part is held")
         };
-        holds.push(until - now);
-        assert!(matches!(quarantine.gate(until, &poisoned()), Gate::Claimed(_)));
-        let start = until + Duration::from_millis(200);
-        assert_eq!(quarantine.gate(start, &poisoned()), Gate::Trial);
-        quarantine.sent(start, &poisoned());
-        assert!(matches!(quarantine.gate(start, &poisoned()), Gate::Held { position: 1, .. }));
+        assert!(until >= crashed + seconds(86_399), "{until:?}");
+    }
+}
+
+/// A request to a plain server.
+fn page() -> Subjects {
+    Subjects::new(Some("acme"), &call("1", "a", "POST", "/page", b"x"))
+}
+
+#[test]
+fn gate_holds_request_after_three_crashes() {
+    let mut quarantine = crashed_under(3, |_| page());
+    let held = Gate::Held { cause: Cause::Request, until: at(23_000) };
+    assert_eq!(quarantine.gate(at(3_100), &page()), held);
+    for (target, body) in [("/page", "y"), ("/page2", "x"), ("/page?n=1", "x")] {
+        let other = call("1", "a", "POST", target, body.as_bytes());
+        let gate = quarantine.gate(at(3_100), &Subjects::new(Some("acme"), &other));
+        assert_eq!(gate, Gate::Open, "{target} {body}");
+    }
+    answer(&mut quarantine, at(3_200), &page());
+    assert_eq!(quarantine.gate(at(3_200), &page()), Gate::Open);
+}
+
+/// A sound request that was at three servers when the culprit crashed them is tried, and its first
+/// answer clears it; the culprit crashed one more.
+#[test]
+fn gate_tries_request_whose_crashes_culprit_explains() {
+    let sound = Subjects::new(Some("acme"), &call("1", "a", "GET", "/sound", b""));
+    let mut quarantine = Quarantine::default();
+    for born in 1..=4 {
+        crash(&mut quarantine, born * 1_000, &page(), born);
+        if born < 4 {
+            crash(&mut quarantine, born * 1_000, &sound, born);
+        }
     }
-    assert!(holds.is_sorted(), "{holds:?}");
-    assert_eq!((holds[0], holds[6]), (seconds(20), seconds(600)));
+    let held = Gate::Held { cause: Cause::Request, until: at(23_000) };
+    assert_eq!(quarantine.gate(at(5_000), &page()), held);
+    let Gate::Claimed(start) = quarantine.gate(at(5_000), &sound) else { panic!("no trial") };
+    assert_eq!(quarantine.gate(start, &sound), Gate::Trial);
+    quarantine.sent(start, &sound);
+    answer(&mut quarantine, start, &sound);
+    assert_eq!(quarantine.gate(start, &sound), Gate::Open);
+    assert_eq!(quarantine.gate(start, &page()), held);
 }
 
 /// Of two instances that claim a trial at the same time, one goes on.
@@ -434,9 +562,9 @@
     let (mut first, mut second) = (crashed(2), crashed(2));
     for quarantine in [&mut first, &mut second] {
         quarantine.take_notes();
-        assert!(matches!(quarantine.gate(at(3_000), &poisoned()), Gate::Claimed(_)));
+        assert!(matches!(quarantine.gate(at(3_000), &poisoned(0)), Gate::Claimed(_)));
         // The other's claim may arrive so late.
-        assert!(matches!(quarantine.gate(at(3_040), &poisoned()), Gate::Claimed(_)));
+        assert!(matches!(quarantine.gate(at(3_040), &poisoned(0)), Gate::Claimed(_)));
     }
     let claim = |quarantine: &mut Quarantine| match quarantine.take_notes()[..] {
         [Note::Tried(part)] => part,
@@ -445,15 +573,16 @@
     let (from_first, from_second) = (claim(&mut first), claim(&mut second));
     first.receive_trial(at(3_030), from_second, true);
     second.receive_trial(at(3_030), from_first, false);
-    assert_eq!(first.gate(at(3_100), &poisoned()), Gate::Trial);
-    assert!(matches!(second.gate(at(3_100), &poisoned()), Gate::Busy { .. }));
+    assert_eq!(first.gate(at(3_100), &poisoned(0)), Gate::Trial);
+    assert!(matches!(second.gate(at(3_100), &poisoned(0)), Gate::Busy { .. }));
 }
 
 /// A report of crashes before an answer is answered with the clearing, also if it is repeated.
 #[test]
 fn receive_repeats_clearance() {
-    let (mut informed, mut late) = (crashed(3), crashed(3));
-    answer(&mut informed, at(4_000));
+    let same = |_| poisoned(0);
+    let (mut informed, mut late) = (crashed_under(3, same), crashed_under(3, same));
+    answer(&mut informed, at(4_000), &poisoned(0));
     informed.take_notes();
     for note in late.suspicions(at(5_000)) {
         let Note::Suspected(suspicion) = note else { panic!("{note:?}") };
@@ -482,13 +611,13 @@
     let mut quarantine = crashed(3);
     for number in 0..20_000_u64 {
         let parts: Vec<String> = (0..6).map(|at| format!("{number}-{at}")).collect();
-        quarantine.crashed(at(4_000 + number), &prompt(&parts), &engine(number + 10));
-        let (now, other) = (at(4_000 + number), prompt(&[format!("a{number}"), String::new()]));
+        crash(&mut quarantine, 4_000 + number, &subjects(&parts), number + 10);
+        let (now, other) = (at(4_000 + number), subjects(&[format!("a{number}"), String::new()]));
         quarantine.answered(now, &other, &engine(number + 100_000), now);
         assert!(quarantine.len() <= 512);
     }
     assert!(quarantine.take_notes().len() <= 512);
     assert!(quarantine.take_findings().len() <= 512);
     assert!(quarantine.suspicions(at(20_000)).len() <= 64);
-    assert!(matches!(quarantine.gate(at(20_000), &poisoned()), Gate::Held { .. }));
+    assert!(matches!(quarantine.gate(at(20_000), &poisoned(0)), Gate::Held { .. }));
 }
