--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -7,6 +7,7 @@
 
 use acacia_connection::Head;
 use acacia_platform::{ingress, upstream};
+use acacia_policy::gateway::call::content_hash;
 use acacia_policy::gateway::{Attempt, Call, Plan, Reason, Refusal, Step};
 use acacia_policy::{Time, Verdict};
 use bytes::Bytes;
@@ -37,7 +38,7 @@
 ) -> Result<Response<Body>, Infallible> {
     let arrived = traffic.now();
     let (head, incoming) = request.into_parts();
-    let call = match ingress::call(&head) {
+    let mut call = match ingress::call(&head) {
         Ok(call) => call,
         Err(problem) => {
             discard(incoming);
@@ -54,6 +55,7 @@
                 method: head.method,
                 body,
             };
+            call.content = content_hash(payload.method.as_str(), &payload.target, &payload.body);
             let admitted = traffic.gateway.borrow_mut().admit(arrived, call);
             match admitted {
                 Ok(plan) => serve(&traffic, plan, payload, completion).await,
@@ -297,6 +299,11 @@
             "; engines crashed under part {position} of the prompt: send the request without that \
              part, or again after the time in Retry-After"
         ),
+        Reason::RequestHeld => {
+            "; several upstreams crashed under this request: send it changed, or \
+             again after the time in Retry-After"
+                .to_owned()
+        }
         _ => String::new(),
     };
     plain(status, headers, &format!("{}; {}{hint}\n", refusal.reason, refusal.verdict))
