Stand-in: a request as a whole can crash servers of any kind

Until now only a part of a prompt crashed engines. A crash::Cause is a part or a request, which a server recognises by its method, path with query, and body; servers can have several. Callers can state a path and a body in place of those that all requests of an operation share.

--- a/crates/cli/src/platform/workload.rs
+++ b/crates/cli/src/platform/workload.rs
@@ -104,6 +104,7 @@
     Request {
         id,
         key: key.to_owned(),
+        resource: subject.resource(),
         operation: subject,
         timeout: class.timeout,
         retries: RETRIES,
--- a/crates/daemon/benches/platform.rs
+++ b/crates/daemon/benches/platform.rs
@@ -99,6 +99,7 @@
         id: format!("r{number}"),
         key: KEY.to_owned(),
         operation: subject.clone(),
+        resource: subject.resource(),
         timeout: TIMEOUT,
         retries: 0,
     });
--- a/crates/soak/src/fixture.rs
+++ b/crates/soak/src/fixture.rs
@@ -193,7 +193,7 @@
 
     /// Makes the engines crash on a part until dropped. One that crashes resets its connections,
     /// loses its entry and is back after a while under a new id.
-    pub async fn crash_engines(&self, part: &Arc<crash::Part>) {
+    pub async fn crash_engines(&self, part: &Arc<crash::Cause>) {
         let engines = self.engines().iter().zip(self.engine_proxies());
         let crashes = engines.map(|(engine, proxy)| async move {
             engine.crash_on(part.clone());
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -104,7 +104,7 @@
         fixture,
         configuration_version: AtomicU64::new(1),
         weights_version: AtomicU64::new(1),
-        crash_part: Arc::new(crash::Part::new(CRASH_PART)),
+        crash_part: Arc::new(crash::Cause::new(crash::Trigger::Part(CRASH_PART.to_owned()))),
         is_crashing: AtomicBool::new(plan.scenario == Scenario::Crashes),
         is_after_faults: AtomicBool::new(false),
         is_finished: AtomicBool::new(false),
@@ -159,7 +159,7 @@
     /// Latest announced weights.
     weights_version: AtomicU64,
     /// Crashes engines, if requests have it.
-    crash_part: Arc<crash::Part>,
+    crash_part: Arc<crash::Cause>,
     /// Whether requests with [`CRASH_PART`] are sent.
     is_crashing: AtomicBool,
     is_after_faults: AtomicBool,
@@ -462,5 +462,13 @@
 
 /// A request without retries. As ids are unique, servers' runs can be attributed to one request.
 fn single_request(id: String, key: &str, subject: Operation) -> Request {
-    Request { id, key: key.to_owned(), operation: subject, timeout: REQUEST_TIMEOUT, retries: 0 }
+    let resource = subject.resource();
+    Request {
+        id,
+        key: key.to_owned(),
+        operation: subject,
+        resource,
+        timeout: REQUEST_TIMEOUT,
+        retries: 0,
+    }
 }
--- a/crates/standin/src/platform/caller.rs
+++ b/crates/standin/src/platform/caller.rs
@@ -26,6 +26,8 @@
     pub key: String,
     /// Requested operation.
     pub operation: Operation,
+    /// What it is about; by default [`Operation::resource`].
+    pub resource: Resource,
     /// Total time that the caller waits, including retries.
     pub timeout: Duration,
     /// Maximum number of retries after an answer that promises that nothing ran.
@@ -48,6 +50,34 @@
     },
 }
 
+/// Path with the query, and body of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Resource {
+    /// Path with the query.
+    pub path: &'static str,
+    /// Body.
+    pub body: &'static str,
+}
+
+impl Operation {
+    /// The resource that all its requests share unless they state another one.
+    pub fn resource(&self) -> Resource {
+        match self {
+            Self::Read => Resource { path: "/read/x", body: "" },
+            Self::Charge => Resource { path: "/charge/x", body: "" },
+            Self::Prompt { .. } => Resource { path: "/ask/x", body: "x" },
+        }
+    }
+
+    /// HTTP method of its requests.
+    pub fn method(&self) -> Method {
+        match self {
+            Self::Read => Method::GET,
+            Self::Charge | Self::Prompt { .. } => Method::POST,
+        }
+    }
+}
+
 /// Answer as received by the caller.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -151,18 +181,15 @@
     fn build(&self, request: &Request, left: Duration) -> RequestBuilder {
         let turn = self.next.fetch_add(1, Ordering::Relaxed);
         let entry = self.entries[turn % self.entries.len()];
-        let (method, path) = match request.operation {
-            Operation::Read => (Method::GET, "/read/x"),
-            Operation::Charge => (Method::POST, "/charge/x"),
-            Operation::Prompt { .. } => (Method::POST, "/ask/x"),
-        };
+        let Resource { path, body } = request.resource;
         let builder = self
             .client
-            .request(method, format!("http://{entry}{path}"))
+            .request(request.operation.method(), format!("http://{entry}{path}"))
             .header("host", HOST)
             .header("x-request-id", &request.id)
             .header("x-deadline-ms", left.as_millis().to_string())
             .bearer_auth(&request.key);
+        let builder = if body.is_empty() { builder } else { builder.body(body) };
         let Operation::Prompt { parts, output } = &request.operation else { return builder };
         let tokens: u32 = parts.iter().map(|(_, tokens)| tokens).sum();
         let names: Vec<String> =
@@ -171,7 +198,6 @@
             .header("x-model", MODEL)
             .header("x-token-usage", format!("{tokens},{output}"))
             .header("x-prompt-prefix", names.join(","))
-            .body("x")
     }
 }
 
@@ -197,8 +223,12 @@
     let ending = match request.operation {
         Operation::Prompt { output, .. } => check_events(&text, request, output),
         // The server names the request and the length of its body.
-        Operation::Read => check_body(&text, "GET /read/x 0"),
-        Operation::Charge => check_body(&text, "POST /charge/x 0"),
+        Operation::Read | Operation::Charge => {
+            let Resource { path, body } = request.resource;
+            let path = path.split_once('?').map_or(path, |(path, _)| path);
+            let method = request.operation.method();
+            check_body(&text, &format!("{method} {path} {}", body.len()))
+        }
     };
     match request.operation {
         Operation::Prompt { .. } => (ending, first),
--- a/crates/standin/src/platform/crash.rs
+++ b/crates/standin/src/platform/crash.rs
@@ -1,39 +1,70 @@
-//! A prompt part that crashes each engine that begins to write an answer on it.
+//! What crashes each server that begins to run a request with it.
 
+use bytes::Bytes;
+use http::Method;
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
-/// The part, with the times of what it caused at all engines.
+use crate::exchange::Call;
+
+/// A cause of crashes, with the times of what it did at all servers.
 #[derive(Debug)]
-pub struct Part {
-    id: String,
+pub struct Cause {
+    trigger: Trigger,
     record: Mutex<Record>,
 }
 
-/// Requests with the part that reached engines, and crashes.
+/// By what a request is recognised.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Trigger {
+    /// A part of its prompt with this id.
+    Part(String),
+    /// The request as a whole, under any id.
+    Request {
+        /// HTTP method.
+        method: Method,
+        /// Path with the query.
+        path: String,
+        /// Complete body.
+        body: Bytes,
+    },
+}
+
+/// Requests with the cause that reached servers, and crashes.
 #[derive(Clone, Debug, Default)]
 pub struct Record {
-    /// When requests reached an engine, repeats included.
+    /// When requests reached a server, repeats included.
     pub arrivals: Vec<Instant>,
-    /// When an engine crashed.
+    /// When a server crashed.
     pub crashes: Vec<Instant>,
 }
 
-impl Part {
-    /// The part with this id.
-    pub fn new(id: impl Into<String>) -> Self {
-        Self { id: id.into(), record: Mutex::default() }
+impl Cause {
+    /// A cause that no server has met.
+    pub fn new(trigger: Trigger) -> Self {
+        Self { trigger, record: Mutex::default() }
     }
 
-    /// What it caused so far.
+    /// What it did so far.
     pub fn record(&self) -> Record {
         self.record.lock().clone()
     }
 
-    /// Whether it is one of the parts in the prompt header of a request.
-    pub(super) fn is_in(&self, prompt: &str) -> bool {
-        let ids = prompt.split(',').filter_map(|part| part.split_once(':'));
-        ids.into_iter().any(|(id, _)| id == self.id)
+    /// Whether a request has it.
+    pub(super) fn is_in(&self, call: &Call) -> bool {
+        match &self.trigger {
+            Trigger::Part(part) => {
+                let mut parts = call.header("x-prompt-prefix").split(',');
+                parts.any(|other| other.split_once(':').is_some_and(|(id, _)| id == part))
+            }
+            Trigger::Request { method, path, body } => {
+                let (target, query) = path.split_once('?').unwrap_or((path, ""));
+                call.method == *method
+                    && call.path == target
+                    && call.query == query
+                    && call.body == *body
+            }
+        }
     }
 
     pub(super) fn arrived(&self) {
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -127,7 +127,7 @@
         closing: AtomicBool::new(false),
         silent_until: watch::Sender::default(),
         ledger: Arc::default(),
-        crash_part: Mutex::default(),
+        crash_causes: Mutex::default(),
         is_crashed: watch::Sender::default(),
         renames: AtomicU32::new(0),
         broken: Mutex::default(),
@@ -163,7 +163,7 @@
     closing: AtomicBool,
     silent_until: watch::Sender<Option<Instant>>,
     ledger: Arc<Ledger>,
-    crash_part: Mutex<Option<Arc<crash::Part>>>,
+    crash_causes: Mutex<Vec<Arc<crash::Cause>>>,
     is_crashed: watch::Sender<bool>,
     renames: AtomicU32,
     broken: Mutex<Option<(u32, u32)>>,
@@ -202,9 +202,9 @@
         }
     }
 
-    /// Crashes from now on when an answer to a prompt with this part begins.
-    pub fn crash_on(&self, part: Arc<crash::Part>) {
-        *self.crash_part.lock() = Some(part);
+    /// Crashes from now on before it answers a request with this cause.
+    pub fn crash_on(&self, cause: Arc<crash::Cause>) {
+        self.crash_causes.lock().push(cause);
     }
 
     /// Waits until the server crashes. Its connections are then to be reset and its entry removed.
@@ -286,11 +286,9 @@
     }
 
     async fn run(self: Arc<Self>, call: &Call) -> Reply {
-        let crash_part = self.crash_part.lock().clone();
-        let crash_part = crash_part.filter(|part| part.is_in(call.header("x-prompt-prefix")));
-        if let Some(part) = &crash_part {
-            part.arrived();
-        }
+        let mut causes = self.crash_causes.lock().clone();
+        causes.retain(|cause| cause.is_in(call));
+        causes.iter().for_each(|cause| cause.arrived());
         self.check(call)?;
         if self.slots.waiting() >= self.settings.queue {
             self.tally.count(Counter::Refused);
@@ -306,8 +304,8 @@
         }
         tokio::time::sleep(self.settings.latency).await;
         self.wait_for_end_of_silence(&entry).await;
-        if let Some(part) = crash_part {
-            self.crash(&part);
+        if !causes.is_empty() {
+            self.crash(&causes);
             std::future::pending::<()>().await;
         }
         if consume(&self.failures) {
@@ -424,9 +422,9 @@
     }
 
     /// Records a crash, unless the server has crashed already.
-    fn crash(&self, part: &crash::Part) {
+    fn crash(&self, causes: &[Arc<crash::Cause>]) {
         if !self.is_crashed.send_replace(true) {
-            part.crashed();
+            causes.iter().for_each(|cause| cause.crashed());
         }
     }
 
--- a/crates/standin/tests/caller.rs
+++ b/crates/standin/tests/caller.rs
@@ -21,8 +21,9 @@
         stream.write_all(answer.as_bytes()).await.unwrap();
     });
     let timeout = Duration::from_secs(20);
-    let request =
-        Request { id: "r".to_owned(), key: "k".to_owned(), operation, timeout, retries: 0 };
+    let resource = operation.resource();
+    let (id, key) = ("r".to_owned(), "k".to_owned());
+    let request = Request { id, key, operation, resource, timeout, retries: 0 };
     caller.send(&request).await.ending
 }
 
--- a/crates/standin/tests/server.rs
+++ b/crates/standin/tests/server.rs
@@ -9,7 +9,7 @@
 use acacia_standin::platform::run::{End, Run};
 use acacia_standin::platform::server::{self, Engine, Handle, Peers, Performance, Settings};
 use acacia_standin::platform::{crash, store};
-use reqwest::{Client, Response, Result};
+use reqwest::{Client, Method, Response, Result};
 
 /// Longer than any test lasts.
 const FOREVER_MS: u64 = 3_600_000;
@@ -118,7 +118,7 @@
 #[tokio::test]
 async fn crash_on_part() {
     let (_store, server) = engine().await;
-    let part = Arc::new(crash::Part::new("c"));
+    let part = Arc::new(crash::Cause::new(crash::Trigger::Part("c".to_owned())));
     server.crash_on(part.clone());
     ask_prompt(&server, "a:1,b:1").await.unwrap();
     assert!(part.record().arrivals.is_empty());
@@ -133,3 +133,28 @@
     ask_prompt(&server, "a:1,b:1").await.unwrap();
     assert_eq!(part.record().crashes.len(), 1);
 }
+
+#[tokio::test]
+async fn crash_on_request() {
+    let (_store, server) = engine().await;
+    let request = |method: Method, path: &str, body: &str| {
+        let (path, body) = (path.to_owned(), body.to_owned().into());
+        Arc::new(crash::Cause::new(crash::Trigger::Request { method, path, body }))
+    };
+    let others = [
+        request(Method::GET, "/ask/x", "x"),
+        request(Method::POST, "/ask/x?page=1", "x"),
+        request(Method::POST, "/ask/y", "x"),
+        request(Method::POST, "/ask/x", ""),
+    ];
+    others.iter().for_each(|other| server.crash_on(other.clone()));
+    assert!(ask(&server).await.is_ok());
+    let culprit = request(Method::POST, "/ask/x", "x");
+    server.crash_on(culprit.clone());
+    tokio::select! {
+        _ = ask(&server) => unreachable!("the server crashes"),
+        () = server.crashed() => {}
+    }
+    assert_eq!((culprit.record().arrivals.len(), culprit.record().crashes.len()), (1, 1));
+    assert!(others.iter().all(|other| other.record().arrivals.is_empty()));
+}
