Soak: requests that crash servers of any kind

The scenario `crashes` had one culprit, a part of prompts. A seed now draws one or two of four: the part, an idempotent request, one that must run at most once, and a prompt as a whole, from a random stream of its own; the seeds of the other scenarios are as before. Beside them come sound requests that differ from a culprit in path or body only.

At most 3 requests may reach servers later than 3 s after the third crash; five crashes for a part, as before. From 6 s after it, sound requests at the service must be served half as often as before the crashes, and so must those that resemble the culprit. A run without a crash under each culprit fails.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -33,7 +33,7 @@
     Mixed,
     /// Servers fall silent while others fail and the configuration changes.
     Silences,
-    /// One part of prompts crashes each engine that begins to answer it.
+    /// Culprits crash each server that begins to run them.
     Crashes,
 }
 
@@ -169,7 +169,7 @@
         self
     }
 
-    /// Generates planned changes for the time in which engines crash.
+    /// Generates planned changes for the time in which servers crash.
     pub fn beside_crashes(seed: u64, length: Duration) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         rng.set_stream(CRASH_STREAM);
--- a/crates/soak/src/fixture.rs
+++ b/crates/soak/src/fixture.rs
@@ -36,7 +36,7 @@
 const TARGET_MS: u64 = 1_000;
 /// The same with silences, which then outlast the timeouts of most attempts.
 const SHORT_TARGET_MS: u64 = 500;
-/// Time until an engine that crashed is back.
+/// Time until a server that crashed is back.
 const CRASH_TIME: Duration = Duration::from_secs(2);
 /// Tokens that fit in the managed cache store.
 const CACHE_TOKENS: u64 = 40_000;
@@ -191,21 +191,21 @@
         self.server(target).register_at(&self.store, address);
     }
 
-    /// Makes the engines crash on a part until dropped. One that crashes resets its connections,
-    /// loses its entry and is back after a while under a new id.
-    pub async fn crash_engines(&self, part: &Arc<crash::Cause>) {
-        let engines = self.engines().iter().zip(self.engine_proxies());
-        let crashes = engines.map(|(engine, proxy)| async move {
-            engine.crash_on(part.clone());
+    /// Makes the servers crash on these causes until dropped. One that crashes resets its
+    /// connections, loses its entry and is back after a while under a new id.
+    pub async fn crash_servers(&self, causes: impl Iterator<Item = Arc<crash::Cause>> + Clone) {
+        let servers = self.servers.iter().zip(&self.proxies);
+        let crashes = servers.map(async |(server, proxy)| {
+            causes.clone().for_each(|cause| server.crash_on(cause));
             loop {
-                engine.crashed().await;
+                server.crashed().await;
                 proxy.set(Mode::Refuse);
                 proxy.reset();
-                engine.unregister(&self.store);
+                server.unregister(&self.store);
                 tokio::time::sleep(CRASH_TIME).await;
-                engine.restart_renamed();
+                server.restart_renamed();
                 proxy.set(Mode::Pass);
-                engine.register_at(&self.store, proxy.address);
+                server.register_at(&self.store, proxy.address);
             }
         });
         join_all(crashes).await;
@@ -217,7 +217,7 @@
         Evidence {
             seen: self.servers.iter().flat_map(|server| server.executions()).collect(),
             runs: self.servers.iter().flat_map(|server| server.ledger()).collect(),
-            crashes: None,
+            crashes: Vec::new(),
             wrong_parts: wrong.sum::<u64>() + self.cache.count(Counter::WrongBlockRead),
         }
     }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -85,7 +85,9 @@
 fn print(outcome: &Outcome) {
     let (all, served) = outcome.requests;
     let verdict = if outcome.violations.is_empty() { "kept" } else { "BROKEN" };
-    println!("seed {}: {verdict}, {served} of {all} requests served", outcome.seed);
+    let culprits: String =
+        outcome.culprits.iter().map(|culprit| format!(", culprit {culprit}")).collect();
+    println!("seed {}: {verdict}, {served} of {all} requests served{culprits}", outcome.seed);
     for violation in &outcome.violations {
         println!("  {violation}");
     }
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -10,19 +10,19 @@
 use strum::Display;
 use tokio::time::Instant;
 
+use crate::culprit::{Culprit, Role, Service};
+
 /// Time that a server needs for the rest of an answer after a silence.
 const REST_TIME: Duration = Duration::from_secs(1);
 /// Time before its deadline from which a request may end unanswered.
 const DEADLINE_SLACK: Duration = Duration::from_millis(250);
 
-/// The crash on a part from which the times count; the last one if there are fewer.
-const LAST_CRASH: usize = 5;
-/// Time after that crash until they are held back.
+/// Time after the last crash that a culprit may cause until it is held.
 const HOLD_TIME: Duration = Duration::from_secs(3);
-/// Requests with the part that may reach engines later.
+/// Requests with a culprit that may reach servers later.
 const LATER_ARRIVALS: usize = 3;
-/// Fewest sound prompts of which a share is taken.
-const SHARE_PROMPTS: usize = 20;
+/// Fewest sound requests of which a share is taken.
+const SHARE_REQUESTS: usize = 20;
 
 /// One request and its result.
 #[derive(Clone, Debug)]
@@ -35,8 +35,10 @@
     pub is_at_most_once: bool,
     /// Whether it was sent after all faults and the recovery time.
     pub is_after_faults: bool,
-    /// Whether it is a prompt without a part that crashes engines.
-    pub is_sound_prompt: bool,
+    /// The service that it was sent to.
+    pub service: Service,
+    /// What it has to do with culprits.
+    pub role: Role,
     /// When it was sent.
     pub sent: Instant,
     /// Until when its caller waits.
@@ -54,12 +56,23 @@
     pub seen: Vec<Execution>,
     /// Times and ends of these runs, server by server, in order.
     pub runs: Vec<Run>,
-    /// A part that crashes engines, and until when requests with it were sent.
-    pub crashes: Option<(crash::Record, Instant)>,
+    /// What each culprit caused.
+    pub crashes: Vec<Crashes>,
     /// Cached prompt parts that were used although incomplete or computed with other weights.
     pub wrong_parts: u64,
 }
 
+/// What a culprit caused.
+#[derive(Clone, Debug)]
+pub struct Crashes {
+    /// The culprit.
+    pub culprit: Culprit,
+    /// Its arrivals at servers and their crashes.
+    pub record: crash::Record,
+    /// Until when it was sent.
+    pub until: Instant,
+}
+
 /// A violated guarantee.
 #[derive(Clone, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Violation {
@@ -87,17 +100,39 @@
     /// A request failed early although its server was only silent.
     #[strum(to_string = "{0} failed, its run was cancelled while the server was silent: {1}")]
     Abandoned(String, String),
-    /// No engine crashed, so nothing was checked.
-    #[strum(to_string = "no engine crashed")]
-    NotCrashed,
-    /// Requests with a part that crashes engines were still sent to engines.
-    #[strum(to_string = "{0} requests reached engines later than 3 s after the fifth crash on \
-                         their part, {1} crashes in all")]
-    CrashesOn(usize, usize),
-    /// Sound prompts were served less than half as often as before the crashes.
-    #[strum(to_string = "of {1} sound prompts {0} were served from 6 s after the fifth crash, \
-                         of {3} before the first one {2}")]
-    Starved(usize, usize, usize, usize),
+    /// No server crashed, so nothing was checked.
+    #[strum(to_string = "no server crashed under the culprit {0}")]
+    NotCrashed(Culprit),
+    /// A culprit was still sent to servers.
+    #[strum(to_string = "culprit {culprit} reached servers {later} times later than 3 s after \
+                         crash {last}, {crashes} crashes in all")]
+    CrashesOn {
+        /// The culprit.
+        culprit: Culprit,
+        /// Arrivals that were too late.
+        later: usize,
+        /// Number of the crash after which it was to be held.
+        last: usize,
+        /// Crashes in all.
+        crashes: usize,
+    },
+    /// Sound requests were served less than half as often as before the crashes.
+    #[strum(
+        to_string = "{group}: {after} of {all_after} sound requests were served from 6 s after \
+                         the crashes, {before} of {all_before} before them"
+    )]
+    Starved {
+        /// What the requests have in common.
+        group: Group,
+        /// Requests served after the crashes.
+        after: usize,
+        /// Requests sent after the crashes.
+        all_after: usize,
+        /// Requests served before the crashes.
+        before: usize,
+        /// Requests sent before the crashes.
+        all_before: usize,
+    },
     /// A request was not served after all faults and the recovery time.
     #[strum(to_string = "{0} was not served after all faults ended: {1}")]
     Unrecovered(String, String),
@@ -106,6 +141,28 @@
     TimedOut(String),
 }
 
+/// Sound requests of which a share is to be served.
+#[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Group {
+    /// All at a service.
+    #[strum(to_string = "service {0}")]
+    Service(Service),
+    /// Those that resemble a culprit.
+    #[strum(to_string = "resembling culprit {0}")]
+    Resembling(Culprit),
+}
+
+impl Group {
+    fn contains(self, record: &Record) -> bool {
+        match self {
+            Self::Service(service) => {
+                record.service == service && !matches!(record.role, Role::Culprit(_))
+            }
+            Self::Resembling(culprit) => record.role == Role::Resembling(culprit),
+        }
+    }
+}
+
 /// Returns the guarantees that a run violated.
 pub fn judge(is_planned: bool, records: &[Record], evidence: &Evidence) -> BTreeSet<Violation> {
     let mut violations = BTreeSet::new();
@@ -128,8 +185,9 @@
         violations.extend(judge_request(is_planned, record, runs));
     }
     violations.extend(records.iter().filter_map(|record| judge_silence(record, &evidence.runs)));
-    if let Some((crashes, until)) = &evidence.crashes {
-        violations.extend(judge_crashes(records, crashes, *until));
+    violations.extend(evidence.crashes.iter().filter_map(judge_crashes));
+    for service in [Service::Plain, Service::Engine] {
+        violations.extend(judge_service(records, &evidence.crashes, service));
     }
     if evidence.wrong_parts > 0 {
         violations.insert(Violation::WrongParts(evidence.wrong_parts));
@@ -184,30 +242,47 @@
     runs.iter().any(is_abandoned).then(|| Violation::Abandoned(record.id.clone(), how))
 }
 
-/// A part that has crashed engines is held back, and only that part.
-fn judge_crashes(records: &[Record], record: &crash::Record, until: Instant) -> Vec<Violation> {
-    let mut violations = Vec::new();
-    let crashes = &record.crashes;
-    let Some((first, last)) = crashes.first().zip(crashes.get(LAST_CRASH - 1).or(crashes.last()))
-    else {
-        return vec![Violation::NotCrashed];
-    };
-    let later = record.arrivals.iter().filter(|at| **at > *last + HOLD_TIME).count();
-    if crashes.len() >= LAST_CRASH && later > LATER_ARRIVALS {
-        violations.push(Violation::CrashesOn(later, crashes.len()));
+impl Crashes {
+    /// The crash after which the culprit is to be held; the last one if there are fewer.
+    fn last(&self) -> Option<Instant> {
+        let crashes = &self.record.crashes;
+        crashes.get(self.culprit.max_crashes() - 1).or(crashes.last()).copied()
     }
-    let share = |is_in: &dyn Fn(&Record) -> bool| {
-        let sound = records.iter().filter(|record| record.is_sound_prompt && is_in(record));
+}
+
+/// A culprit that has crashed servers is held.
+fn judge_crashes(crashes: &Crashes) -> Option<Violation> {
+    let culprit = crashes.culprit;
+    let (count, last) = (crashes.record.crashes.len(), culprit.max_crashes());
+    let Some(held) = crashes.last() else { return Some(Violation::NotCrashed(culprit)) };
+    let later = crashes.record.arrivals.iter().filter(|at| **at > held + HOLD_TIME).count();
+    let is_violated = count >= last && later > LATER_ARRIVALS;
+    is_violated.then_some(Violation::CrashesOn { culprit, later, last, crashes: count })
+}
+
+/// Only culprits are held: sound requests at their service are served again, also those that
+/// resemble one.
+fn judge_service(records: &[Record], crashes: &[Crashes], service: Service) -> Vec<Violation> {
+    let crashes = crashes.iter().filter(|crashes| crashes.culprit.service() == service);
+    let first = crashes.clone().filter_map(|crashes| crashes.record.crashes.first()).min();
+    let last = crashes.clone().filter_map(Crashes::last).max();
+    let until = crashes.clone().map(|crashes| crashes.until).min();
+    let (Some(first), Some(last), Some(until)) = (first, last, until) else { return Vec::new() };
+    let share = |group: Group, is_in: &dyn Fn(&Record) -> bool| {
+        let sound = records.iter().filter(|record| group.contains(record) && is_in(record));
         let served: Vec<bool> =
             sound.map(|record| record.answer.ending == Ending::Complete).collect();
         (served.iter().filter(|is_served| **is_served).count(), served.len())
     };
-    let (before, all_before) = share(&|record| record.ended < *first);
-    let (after, all_after) =
-        share(&|record| *last + 2 * HOLD_TIME < record.sent && record.sent < until);
-    let is_judged = all_before >= SHARE_PROMPTS && all_after >= SHARE_PROMPTS;
-    if is_judged && 2 * after * all_before < before * all_after {
-        violations.push(Violation::Starved(after, all_after, before, all_before));
-    }
-    violations
+    let (before, all_before) = share(Group::Service(service), &|record| record.ended < *first);
+    let resembling = crashes.map(|crashes| Group::Resembling(crashes.culprit));
+    let groups = [Group::Service(service)].into_iter().chain(resembling);
+    let starved = groups.filter_map(|group| {
+        let is_after = |record: &Record| last + 2 * HOLD_TIME < record.sent && record.sent < until;
+        let (after, all_after) = share(group, &is_after);
+        let is_judged = all_before >= SHARE_REQUESTS && all_after >= SHARE_REQUESTS;
+        let is_violated = is_judged && 2 * after * all_before < before * all_after;
+        is_violated.then_some(Violation::Starved { group, after, all_after, before, all_before })
+    });
+    starved.collect()
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -19,9 +19,10 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+use crate::culprit::{Culprit, Role, Service};
 use crate::fault::{Fault, Kind, Scenario, Schedule};
 use crate::fixture::{Fixture, ORGANISATIONS};
-use crate::oracle::{Record, Violation, judge};
+use crate::oracle::{Crashes, Record, Violation, judge};
 use crate::proxy::Mode;
 
 /// Time between two requests.
@@ -50,15 +51,7 @@
 /// Pause that refusing servers ask for, in milliseconds.
 const REFUSAL_PAUSE_MS: u64 = 1;
 
-/// The prompt part that crashes engines.
-const CRASH_PART: &str = "c0ffee";
-/// Tokens of that part.
-const CRASH_PART_TOKENS: u32 = 300;
-/// Number of requests before the first one with the part.
-const CRASH_START: usize = 150;
-/// Every how many requests one has the part.
-const CRASH_SPACING: usize = 20;
-/// Time after the period of planned changes in which requests with the part are still sent.
+/// Time after the period of planned changes in which culprits are still sent.
 const CRASH_TIME: Duration = Duration::from_secs(8);
 
 /// Options of a run.
@@ -83,6 +76,8 @@
 pub struct Outcome {
     /// The seed.
     pub seed: u64,
+    /// What crashed servers.
+    pub culprits: Vec<Culprit>,
     /// Number of requests, and of those that were served.
     pub requests: (usize, usize),
     /// Violated guarantees.
@@ -97,6 +92,10 @@
 /// If the deployment can't be started.
 pub async fn run(plan: &Plan, seed: u64) -> io::Result<Outcome> {
     let schedule = schedule(plan, seed);
+    let culprits = match plan.scenario {
+        Scenario::Crashes => Culprit::draw(seed),
+        Scenario::Mixed | Scenario::Silences => Vec::new(),
+    };
     let folder = plan.folder.join(seed.to_string());
     let (daemon, scenario) = (Path::new(&plan.daemon), plan.scenario);
     let fixture = Fixture::start(daemon, folder.clone(), plan.instances, scenario).await?;
@@ -104,7 +103,8 @@
         fixture,
         configuration_version: AtomicU64::new(1),
         weights_version: AtomicU64::new(1),
-        crash_part: Arc::new(crash::Cause::new(crash::Trigger::Part(CRASH_PART.to_owned()))),
+        causes: culprits.iter().map(|culprit| Arc::new(culprit.cause())).collect(),
+        culprits,
         is_crashing: AtomicBool::new(plan.scenario == Scenario::Crashes),
         is_after_faults: AtomicBool::new(false),
         is_finished: AtomicBool::new(false),
@@ -117,7 +117,7 @@
     let callers = tokio::spawn(send_requests(context.clone(), seed));
     let crashes = tokio::spawn({
         let context = context.clone();
-        async move { context.crash_engines().await }
+        async move { context.fixture.crash_servers(context.causes.iter().cloned()).await }
     });
     let faults = join_all(schedule.faults.iter().map(|fault| context.inject(*fault)));
     let (_, crashing_until) = tokio::join!(faults, context.stop_crashes(plan));
@@ -127,16 +127,15 @@
     context.is_finished.store(true, Ordering::Relaxed);
     let records = callers.await.map_err(io::Error::other)?;
     let mut evidence = context.fixture.evidence();
-    if plan.scenario == Scenario::Crashes {
-        evidence.crashes = Some((context.crash_part.record(), crashing_until));
-    }
+    evidence.crashes = context.crashes(crashing_until);
     let mut violations = judge(schedule.is_planned, &records, &evidence);
     violations.extend(context.check_convergence().await);
     violations.extend(context.failures.lock().drain(..).map(Violation::TimedOut));
     crashes.abort();
     readiness.abort();
     let served = records.iter().filter(|record| record.answer.ending == Ending::Complete).count();
-    Ok(Outcome { seed, requests: (records.len(), served), violations, folder })
+    let culprits = context.culprits.clone();
+    Ok(Outcome { seed, culprits, requests: (records.len(), served), violations, folder })
 }
 
 /// The faults of a seed.
@@ -158,9 +157,10 @@
     configuration_version: AtomicU64,
     /// Latest announced weights.
     weights_version: AtomicU64,
-    /// Crashes engines, if requests have it.
-    crash_part: Arc<crash::Cause>,
-    /// Whether requests with [`CRASH_PART`] are sent.
+    culprits: Vec<Culprit>,
+    /// What servers crash on, culprit by culprit.
+    causes: Vec<Arc<crash::Cause>>,
+    /// Whether culprits are sent.
     is_crashing: AtomicBool,
     is_after_faults: AtomicBool,
     is_finished: AtomicBool,
@@ -169,12 +169,15 @@
 }
 
 impl Context {
-    /// Makes engines crash on [`CRASH_PART`].
-    async fn crash_engines(&self) {
-        self.fixture.crash_engines(&self.crash_part).await;
+    /// What the culprits caused; they were sent until then.
+    fn crashes(&self, until: Instant) -> Vec<Crashes> {
+        let causes = self.culprits.iter().zip(&self.causes);
+        causes
+            .map(|(culprit, cause)| Crashes { culprit: *culprit, record: cause.record(), until })
+            .collect()
     }
 
-    /// Stops requests with [`CRASH_PART`]; returns when that was.
+    /// Stops culprits; returns when that was.
     async fn stop_crashes(&self, plan: &Plan) -> Instant {
         if plan.scenario == Scenario::Crashes {
             tokio::time::sleep(plan.length + CRASH_TIME).await;
@@ -401,21 +404,18 @@
             .collect();
         if let Some(at) = ready.get(number % ready.len().max(1)).copied() {
             let (organisation, key) = ORGANISATIONS[rng.random_range(0..ORGANISATIONS.len())];
-            let mut ask = draw(number, key, &mut rng);
-            let has_crash_part = number >= CRASH_START
-                && number.is_multiple_of(CRASH_SPACING)
-                && context.is_crashing.load(Ordering::Relaxed);
-            if has_crash_part {
-                ask = crash_request(number, key, &mut rng);
-            }
+            let ask = draw(number, key, &mut rng);
+            let role = match Role::new(&context.culprits, number) {
+                Role::Culprit(_) if !context.is_crashing.load(Ordering::Relaxed) => Role::Other,
+                role => role,
+            };
+            let (organisation, ask) = role.request(number, (organisation, ask), &mut rng);
             let context = context.clone();
             running.spawn(async move {
                 let is_after_faults = context.is_after_faults.load(Ordering::Relaxed);
                 let sent = Instant::now();
                 let answer = context.fixture.instances[at].caller.send(&ask).await;
                 let ended = Instant::now();
-                let is_sound_prompt =
-                    matches!(ask.operation, Operation::Prompt { .. }) && !has_crash_part;
                 let is_at_most_once = matches!(ask.operation, Operation::Charge);
                 let organisation = organisation.to_owned();
                 Record {
@@ -423,7 +423,8 @@
                     organisation,
                     is_at_most_once,
                     is_after_faults,
-                    is_sound_prompt,
+                    service: Service::of(&ask.operation),
+                    role,
                     sent,
                     deadline: sent + REQUEST_TIMEOUT,
                     ended,
@@ -441,33 +442,31 @@
         0..3 => ("read", Operation::Read),
         3..5 => ("charge", Operation::Charge),
         _ => {
-            let (subjects, tokens) = SUBJECTS;
-            let shared = format!("a{:x}", rng.random_range(0..subjects));
-            let parts = vec![(shared, tokens), (format!("f{number:x}"), 200)];
-            ("prompt", Operation::Prompt { parts, output: ANSWER_EVENTS })
+            let parts = vec![shared_part(rng), (format!("f{number:x}"), 200)];
+            ("prompt", prompt(parts))
         }
     };
     single_request(format!("{kind}-{number}"), key, subject)
 }
 
-/// A prompt that crashes engines and shares its first part with sound ones.
-fn crash_request(number: usize, key: &str, rng: &mut ChaCha8Rng) -> Request {
+/// A prompt with these parts.
+pub(crate) fn prompt(parts: Vec<(String, u32)>) -> Operation {
+    Operation::Prompt { parts, output: ANSWER_EVENTS }
+}
+
+/// A prompt part that other prompts share.
+pub(crate) fn shared_part(rng: &mut ChaCha8Rng) -> (String, u32) {
     let (subjects, tokens) = SUBJECTS;
-    let shared = format!("a{:x}", rng.random_range(0..subjects));
-    let crash = (CRASH_PART.to_owned(), CRASH_PART_TOKENS);
-    let parts = vec![(shared, tokens), crash, (format!("f{number:x}"), 200)];
-    let operation = Operation::Prompt { parts, output: ANSWER_EVENTS };
-    single_request(format!("crash-{number}"), key, operation)
+    (format!("a{:x}", rng.random_range(0..subjects)), tokens)
 }
 
 /// A request without retries. As ids are unique, servers' runs can be attributed to one request.
-fn single_request(id: String, key: &str, subject: Operation) -> Request {
-    let resource = subject.resource();
+pub(crate) fn single_request(id: String, key: &str, operation: Operation) -> Request {
     Request {
         id,
         key: key.to_owned(),
-        operation: subject,
-        resource,
+        resource: operation.resource(),
+        operation,
         timeout: REQUEST_TIMEOUT,
         retries: 0,
     }
--- a/crates/soak/tests/oracle.rs
+++ b/crates/soak/tests/oracle.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use acacia_soak::oracle::{Evidence, Record, Violation, judge};
+use acacia_soak::culprit::{Culprit, Role, Service};
+use acacia_soak::oracle::{Crashes, Evidence, Group, Record, Violation, judge};
 use acacia_standin::platform::caller::{Answer, Ending};
 use acacia_standin::platform::crash;
 use acacia_standin::platform::run::{End, Run};
@@ -18,7 +19,8 @@
         organisation: "north".to_owned(),
         is_at_most_once: true,
         is_after_faults: false,
-        is_sound_prompt: false,
+        service: Service::Plain,
+        role: Role::Other,
         sent: ended,
         deadline: ended + Duration::from_secs(8),
         ended,
@@ -166,50 +168,113 @@
     assert!(is_abandoned(&failed, vec![earlier, run]));
 }
 
-/// Five crashes, a second apart, and arrivals in seconds after the fifth one.
-fn crashes(start: Instant, arrivals: &[u64]) -> crash::Record {
-    let at = |seconds| start + Duration::from_secs(seconds);
-    let crashes = (0..5).map(at).collect();
-    crash::Record { arrivals: arrivals.iter().map(|after| at(4 + after)).collect(), crashes }
+/// Crashes a second apart, the last of them 60 s after `start`, and arrivals in seconds after it.
+fn crashes(culprit: Culprit, start: Instant, count: u64, arrivals: &[u64]) -> Crashes {
+    let last = start + Duration::from_secs(60);
+    let crashes = (0..count).rev().map(|before| last - Duration::from_secs(before)).collect();
+    let arrivals = arrivals.iter().map(|after| last + Duration::from_secs(*after)).collect();
+    let until = last + Duration::from_secs(56);
+    Crashes { culprit, record: crash::Record { arrivals, crashes }, until }
+}
+
+fn judge_culprits(records: &[Record], crashes: Vec<Crashes>) -> BTreeSet<Violation> {
+    judge(false, records, &Evidence { crashes, ..Evidence::default() })
 }
 
 #[test]
-fn judge_crashes_held_back() {
+fn judge_crashes_held() {
     let start = Instant::now();
-    let until = start + Duration::from_secs(60);
-    let judged = |record| {
-        judge(false, &[], &Evidence { crashes: Some((record, until)), ..Evidence::default() })
-    };
-    assert!(judged(crashes(start, &[0, 1, 2, 2, 3, 4, 5, 6])).is_empty());
-    let expected = BTreeSet::from([Violation::CrashesOn(4, 5)]);
-    assert_eq!(judged(crashes(start, &[1, 4, 5, 6, 7])), expected);
-    let mut fewer = crashes(start, &[4, 5, 6, 7]);
-    fewer.crashes.pop();
-    assert!(judged(fewer).is_empty());
+    let culprits =
+        [(Culprit::Part, 5), (Culprit::Read, 3), (Culprit::Charge, 3), (Culprit::Prompt, 3)];
+    for (culprit, last) in culprits {
+        let judged = |count, arrivals: &[u64]| {
+            judge_culprits(&[], vec![crashes(culprit, start, count, arrivals)])
+        };
+        let last_crash = last as u64;
+        assert!(judged(last_crash, &[0, 1, 2, 2, 3, 4, 5, 6]).is_empty());
+        let expected = Violation::CrashesOn { culprit, later: 4, last, crashes: last };
+        assert_eq!(judged(last_crash, &[1, 4, 5, 6, 7]), BTreeSet::from([expected]));
+        // Later crashes don't extend the time.
+        let expected = Violation::CrashesOn { culprit, later: 4, last, crashes: last + 4 };
+        assert_eq!(judged(last_crash + 4, &[0, 1, 2, 3]), BTreeSet::from([expected]));
+        assert!(judged(last_crash - 1, &[4, 5, 6, 7]).is_empty());
+        assert_eq!(judged(0, &[0]), BTreeSet::from([Violation::NotCrashed(culprit)]));
+    }
+}
+
+/// Sound requests in the milliseconds after `from`, the first of which are served.
+fn sound(service: Service, count: u64, served: u64, from: Instant) -> Vec<Record> {
+    let requests = (0..count).map(|number| {
+        let sent = from + Duration::from_millis(number);
+        let refused = Ending::Refused { status: 503, not_run: true };
+        let ending = if number < served { Ending::Complete } else { refused };
+        Record { service, sent, ended: sent, ..record(ending) }
+    });
+    requests.collect()
 }
 
 #[test]
-fn judge_crashes_sound_prompts_served() {
-    let start = Instant::now() + Duration::from_secs(60);
-    let until = start + Duration::from_secs(60);
-    let prompts = |count: u64, served: u64, from: Instant| {
-        (0..count).map(move |number| {
-            let sent = from + Duration::from_millis(number);
-            let refused = Ending::Refused { status: 503, not_run: true };
-            let ending = if number < served { Ending::Complete } else { refused };
-            Record { is_sound_prompt: true, sent, ended: sent, ..record(ending) }
-        })
-    };
-    let starved = |served, sent_after| {
-        let before = prompts(20, 20, start - Duration::from_secs(5));
-        let after = prompts(20, served, start + Duration::from_secs(sent_after));
-        let records: Vec<Record> = before.chain(after).collect();
-        let crashes = Some((crashes(start, &[]), until));
-        judge(false, &records, &Evidence { crashes, ..Evidence::default() })
+fn judge_crashes_sound_requests_served() {
+    let start = Instant::now();
+    let culprits = [
+        (Culprit::Part, Service::Engine, Service::Plain),
+        (Culprit::Read, Service::Plain, Service::Engine),
+        (Culprit::Charge, Service::Plain, Service::Engine),
+        (Culprit::Prompt, Service::Engine, Service::Plain),
+    ];
+    for (culprit, service, other) in culprits {
+        let starved = |service, served, sent_after: u64| {
+            let mut records = sound(service, 20, 20, start);
+            let after = start + Duration::from_secs(60 + sent_after);
+            records.extend(sound(service, 20, served, after));
+            judge_culprits(&records, vec![crashes(culprit, start, 5, &[])])
+        };
+        assert!(starved(service, 10, 7).is_empty());
+        let group = Group::Service(service);
+        let expected =
+            Violation::Starved { group, after: 9, all_after: 20, before: 20, all_before: 20 };
+        assert_eq!(starved(service, 9, 7), BTreeSet::from([expected]));
+        // Sent too early, after the last culprit, or to another service.
+        let early = if culprit == Culprit::Part { 5 } else { 3 };
+        assert!(starved(service, 0, early).is_empty());
+        assert!(starved(service, 0, 57).is_empty());
+        assert!(starved(other, 0, 7).is_empty());
+    }
+}
+
+#[test]
+fn judge_crashes_resembling_requests_served() {
+    let start = Instant::now();
+    let after = start + Duration::from_secs(67);
+    let culprit = Culprit::Read;
+    let starved = |served, resembled| {
+        let mut records = sound(Service::Plain, 20, 20, start);
+        records.extend(sound(Service::Plain, 100, 100, after));
+        let role = Role::Resembling(resembled);
+        let resembling = sound(Service::Plain, 20, served, after);
+        records.extend(resembling.into_iter().map(|record| Record { role, ..record }));
+        judge_culprits(&records, vec![crashes(culprit, start, 3, &[])])
     };
-    assert!(starved(10, 11).is_empty());
-    assert_eq!(starved(9, 11), BTreeSet::from([Violation::Starved(9, 20, 20, 20)]));
-    // Sent too early, or after the last request with the part.
-    assert!(starved(0, 9).is_empty());
-    assert!(starved(0, 61).is_empty());
+    assert!(starved(10, culprit).is_empty());
+    let group = Group::Resembling(culprit);
+    let expected =
+        Violation::Starved { group, after: 9, all_after: 20, before: 20, all_before: 20 };
+    assert_eq!(starved(9, culprit), BTreeSet::from([expected]));
+    assert!(starved(9, Culprit::Charge).is_empty());
+}
+
+/// Culprits themselves need not be served, and those of one service are held separately.
+#[test]
+fn judge_crashes_two_culprits() {
+    let start = Instant::now();
+    let role = Role::Culprit(Culprit::Charge);
+    let refused = sound(Service::Plain, 40, 0, start + Duration::from_secs(67));
+    let mut records: Vec<Record> =
+        refused.into_iter().map(|record| Record { role, ..record }).collect();
+    records.extend(sound(Service::Plain, 20, 20, start));
+    records.extend(sound(Service::Plain, 20, 20, start + Duration::from_secs(67)));
+    let held = crashes(Culprit::Read, start, 3, &[0, 1]);
+    let late = crashes(Culprit::Charge, start, 3, &[4, 5, 6, 7]);
+    let expected = Violation::CrashesOn { culprit: Culprit::Charge, later: 4, last: 3, crashes: 3 };
+    assert_eq!(judge_culprits(&records, vec![held, late]), BTreeSet::from([expected]));
 }
