--- a/crates/policy/src/gateway/quarantine/mod.rs
+++ b/crates/policy/src/gateway/quarantine/mod.rs
@@ -2,10 +2,10 @@
 //!
 //! When an exchange breaks before its answer began, the request as a whole and each shared part of
 //! its prompt become suspects of that crash, unless an upstream has just answered on them. Instances
-//! tell each other the crashes of each suspect, so all count the same ones; an incarnation of an
-//! upstream counts once for a suspect, and crashes at the same moment count as one, as they have a
-//! common cause, unless they are under one request that was sent again in between. An incarnation that answers a
-//! later request has not crashed. An instance that knows an answer contradicts a report of crashes;
+//! tell each other the crashes of each suspect, so all count the same ones. An incarnation of an
+//! upstream counts once for a suspect, and one that answers a later request has not crashed. Crashes
+//! at the same moment count as one, as they have a common cause, unless they are under one request
+//! that was sent again in between. An instance that knows an answer contradicts a report of crashes;
 //! a report of one crash is contradicted by a share of them only.
 //!
 //! One crash restricts nothing. From [`TRIAL_COUNT`] crashes on, requests with the suspect are tried
