--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use acacia_standin::platform::caller::{Ending, Operation, Request};
+use acacia_standin::platform::document::Variation;
 use acacia_standin::platform::{crash, document};
 use acacia_standin::{Fault as StandinFault, Unsupported};
 use futures::future::join_all;
@@ -21,24 +22,20 @@
 
 use crate::culprit::{Culprit, Role, Service};
 use crate::fault::{Fault, Kind, Scenario, Schedule};
-use crate::fixture::{Fixture, ORGANISATIONS};
-use crate::oracle::{Crashes, Record, Violation, judge};
+use crate::fixture::{Fixture, Instance, ORGANISATIONS};
+use crate::oracle::{Crashes, Evidence, Record, Violation, judge};
 use crate::proxy::Mode;
+use crate::request::{self, ANSWER_EVENTS};
+use crate::terms;
 
 /// Time between two requests.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
-/// Time after which a caller abandons a request.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(8);
 /// Time after the last fault until every request must be served: half of the required limit.
 const RECOVERY_TIME: Duration = Duration::from_secs(7);
 /// Time after the recovery in which every request must be served.
 const OBSERVATION_TIME: Duration = Duration::from_secs(3);
 /// Longest wait for the last weights and the revoked key to be in force: required limit of both.
 const CONVERGENCE_TIMEOUT: Duration = Duration::from_secs(14);
-/// Events in an answer.
-const ANSWER_EVENTS: u32 = 12;
-/// Number of shared prompt parts and tokens in each: more in total than the engines' caches hold.
-const SUBJECTS: (usize, u32) = (12, 4_000);
 /// Delay of a slow connection.
 const SLOW_DELAY: Duration = Duration::from_millis(120);
 /// Calls to the metadata store whose answers one fault loses.
@@ -94,7 +91,7 @@
     let schedule = schedule(plan, seed);
     let culprits = match plan.scenario {
         Scenario::Crashes => Culprit::draw(seed),
-        Scenario::Mixed | Scenario::Silences => Vec::new(),
+        Scenario::Mixed | Scenario::Silences | Scenario::ShortBudgets => Vec::new(),
     };
     let folder = plan.folder.join(seed.to_string());
     let (daemon, scenario) = (Path::new(&plan.daemon), plan.scenario);
@@ -108,6 +105,8 @@
         is_crashing: AtomicBool::new(plan.scenario == Scenario::Crashes),
         is_after_faults: AtomicBool::new(false),
         is_finished: AtomicBool::new(false),
+        scenario: plan.scenario,
+        history: terms::History::new(plan.scenario == Scenario::ShortBudgets),
         failures: Mutex::default(),
     });
     let readiness = tokio::spawn({
@@ -121,13 +120,9 @@
     });
     let faults = join_all(schedule.faults.iter().map(|fault| context.inject(*fault)));
     let (_, crashing_until) = tokio::join!(faults, context.stop_crashes(plan));
-    tokio::time::sleep(RECOVERY_TIME).await;
-    context.is_after_faults.store(true, Ordering::Relaxed);
-    tokio::time::sleep(OBSERVATION_TIME).await;
-    context.is_finished.store(true, Ordering::Relaxed);
+    context.observe_recovery().await;
     let records = callers.await.map_err(io::Error::other)?;
-    let mut evidence = context.fixture.evidence();
-    evidence.crashes = context.crashes(crashing_until);
+    let evidence = context.evidence(seed, crashing_until);
     let mut violations = judge(schedule.is_planned, &records, &evidence);
     violations.extend(context.check_convergence().await);
     violations.extend(context.failures.lock().drain(..).map(Violation::TimedOut));
@@ -143,6 +138,7 @@
     match plan.scenario {
         Scenario::Silences => Schedule::silences(seed, plan.length),
         Scenario::Crashes => Schedule::beside_crashes(seed, plan.length),
+        Scenario::ShortBudgets => Schedule::short_budgets(seed, plan.length),
         Scenario::Mixed if plan.has_later_kinds => {
             Schedule::draw(seed, plan.length).with_later_kinds(seed, plan.length)
         }
@@ -164,6 +160,9 @@
     is_crashing: AtomicBool,
     is_after_faults: AtomicBool,
     is_finished: AtomicBool,
+    scenario: Scenario,
+    /// Settings of the routes in [`Scenario::ShortBudgets`].
+    history: terms::History,
     /// Injected faults that failed.
     failures: Mutex<Vec<String>>,
 }
@@ -186,6 +185,27 @@
         Instant::now()
     }
 
+    /// Waits for the recovery and observes the requests after it.
+    async fn observe_recovery(&self) {
+        if self.scenario == Scenario::ShortBudgets {
+            self.vary(terms::relaxed());
+        }
+        tokio::time::sleep(RECOVERY_TIME).await;
+        self.is_after_faults.store(true, Ordering::Relaxed);
+        tokio::time::sleep(OBSERVATION_TIME).await;
+        self.is_finished.store(true, Ordering::Relaxed);
+    }
+
+    fn evidence(&self, seed: u64, crashing_until: Instant) -> Evidence {
+        let is_short = self.scenario == Scenario::ShortBudgets;
+        Evidence {
+            crashes: self.crashes(crashing_until),
+            has_steady_instances: is_short,
+            has_sound_servers: is_short && Schedule::has_sound_servers(seed),
+            ..self.fixture.evidence()
+        }
+    }
+
     /// Injects a fault at its time; records a failure to do so.
     async fn inject(&self, fault: Fault) {
         tokio::time::sleep(fault.at).await;
@@ -198,8 +218,17 @@
         match fault.kind {
             Kind::Replace | Kind::Reload | Kind::Kill | Kind::Pause => self.instance(fault).await,
             Kind::Configure => {
-                self.fixture
-                    .configure(self.configuration_version.fetch_add(1, Ordering::Relaxed) + 1);
+                self.configure();
+                Ok(())
+            }
+            Kind::Vary => {
+                self.vary(terms::changed(fault.target));
+                Ok(())
+            }
+            Kind::EntryRemoved => {
+                self.fixture.server(fault.target).unregister(&self.fixture.store);
+                tokio::time::sleep(fault.length).await;
+                self.fixture.register(fault.target);
                 Ok(())
             }
             Kind::AnnounceWeights => {
@@ -338,6 +367,21 @@
         engine.fault(StandinFault::BrokenStream { token: BREAK_EVENT, times: Some(0) })
     }
 
+    fn next_version(&self) -> u64 {
+        self.configuration_version.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Publishes a configuration with the same routes.
+    fn configure(&self) {
+        self.fixture.configure(self.next_version());
+    }
+
+    /// Publishes a configuration with other settings of the routes.
+    fn vary(&self, variation: Variation) {
+        self.history.push(Instant::now(), variation.clone());
+        self.fixture.vary(self.next_version(), &variation);
+    }
+
     /// Announces newer weights.
     fn announce_weights(&self) {
         let version = self.weights_version.fetch_add(1, Ordering::Relaxed) + 1;
@@ -354,14 +398,14 @@
         if !eventually(is_updated).await {
             violations.push(Violation::TimedOut(format!("all engines have weights {newest}")));
         }
-        let version = self.configuration_version.fetch_add(1, Ordering::Relaxed) + 1;
+        let version = self.next_version();
         self.fixture.publish(version, &ORGANISATIONS[..1]);
         let (_, revoked) = ORGANISATIONS[1];
         for (number, instance) in self.fixture.instances.iter().enumerate() {
             let is_denied = async || {
                 let id = format!("revoked-{number}");
                 let answer =
-                    instance.caller.send(&single_request(id, revoked, Operation::Read)).await;
+                    instance.caller.send(&request::single(id, revoked, Operation::Read)).await;
                 answer.ending == Ending::Refused { status: 401, not_run: true }
             };
             if !eventually(is_denied).await {
@@ -404,7 +448,11 @@
             .collect();
         if let Some(at) = ready.get(number % ready.len().max(1)).copied() {
             let (organisation, key) = ORGANISATIONS[rng.random_range(0..ORGANISATIONS.len())];
-            let ask = draw(number, key, &mut rng);
+            let is_after_faults = context.is_after_faults.load(Ordering::Relaxed);
+            let ask = match context.scenario {
+                Scenario::ShortBudgets => request::short(number, key, !is_after_faults, &mut rng),
+                _ => request::draw(number, key, &mut rng),
+            };
             let role = match Role::new(&context.culprits, number) {
                 Role::Culprit(_) if !context.is_crashing.load(Ordering::Relaxed) => Role::Other,
                 role => role,
@@ -412,24 +460,9 @@
             let (organisation, ask) = role.request(number, (organisation, ask), &mut rng);
             let context = context.clone();
             running.spawn(async move {
-                let is_after_faults = context.is_after_faults.load(Ordering::Relaxed);
-                let sent = Instant::now();
-                let answer = context.fixture.instances[at].caller.send(&ask).await;
-                let ended = Instant::now();
-                let is_at_most_once = matches!(ask.operation, Operation::Charge);
-                let organisation = organisation.to_owned();
-                Record {
-                    id: ask.id,
-                    organisation,
-                    is_at_most_once,
-                    is_after_faults,
-                    service: Service::of(&ask.operation),
-                    role,
-                    sent,
-                    deadline: sent + REQUEST_TIMEOUT,
-                    ended,
-                    answer,
-                }
+                let instance = &context.fixture.instances[at];
+                let record = observe(instance, &context.history, organisation, ask).await;
+                Record { is_after_faults, role, ..record }
             });
         }
         tokio::time::sleep(REQUEST_INTERVAL).await;
@@ -437,37 +470,30 @@
     running.join_all().await
 }
 
-fn draw(number: usize, key: &str, rng: &mut ChaCha8Rng) -> Request {
-    let (kind, subject) = match rng.random_range(0..10) {
-        0..3 => ("read", Operation::Read),
-        3..5 => ("charge", Operation::Charge),
-        _ => {
-            let parts = vec![shared_part(rng), (format!("f{number:x}"), 200)];
-            ("prompt", prompt(parts))
-        }
-    };
-    single_request(format!("{kind}-{number}"), key, subject)
-}
-
-/// A prompt with these parts.
-pub(crate) fn prompt(parts: Vec<(String, u32)>) -> Operation {
-    Operation::Prompt { parts, output: ANSWER_EVENTS }
-}
-
-/// A prompt part that other prompts share.
-pub(crate) fn shared_part(rng: &mut ChaCha8Rng) -> (String, u32) {
-    let (subjects, tokens) = SUBJECTS;
-    (format!("a{:x}", rng.random_range(0..subjects)), tokens)
-}
-
-/// A request without retries. As ids are unique, servers' runs can be attributed to one request.
-pub(crate) fn single_request(id: String, key: &str, operation: Operation) -> Request {
-    Request {
-        id,
-        key: key.to_owned(),
-        resource: operation.resource(),
-        operation,
-        timeout: REQUEST_TIMEOUT,
-        retries: 0,
+/// Sends a request to an instance and records its result.
+async fn observe(
+    instance: &Instance,
+    history: &terms::History,
+    organisation: &str,
+    ask: Request,
+) -> Record {
+    let sent = Instant::now();
+    let answer = instance.caller.send(&ask).await;
+    let ended = Instant::now();
+    let timeouts = history.timeouts(&ask.operation, sent);
+    let (shortest, longest) = timeouts.unwrap_or((ask.timeout, ask.timeout));
+    Record {
+        id: ask.id,
+        organisation: organisation.to_owned(),
+        is_at_most_once: ask.operation.is_at_most_once(),
+        is_after_faults: false,
+        service: Service::of(&ask.operation),
+        role: Role::Other,
+        sent,
+        leaving: sent + ask.timeout,
+        deadline: sent + shortest.min(ask.timeout),
+        latest_timeout: sent + longest,
+        ended,
+        answer,
     }
 }
