--- a/crates/soak/src/culprit.rs
+++ b/crates/soak/src/culprit.rs
@@ -8,7 +8,7 @@
 use strum::{Display, EnumIter, IntoEnumIterator};
 
 use crate::fixture::ORGANISATIONS;
-use crate::run::{prompt, shared_part, single_request};
+use crate::request::{self, own_part, prompt, shared_part};
 
 /// Stream of random numbers that draws the culprits of a seed.
 const CULPRIT_STREAM: u64 = 3;
@@ -146,11 +146,11 @@
         if self == Self::Part {
             let crash = (PART.to_owned(), PART_TOKENS);
             // The first part is one of sound prompts, too.
-            let parts = vec![shared_part(rng), crash, (format!("f{number:x}"), 200)];
-            return (organisation, single_request(id, key, prompt(parts)));
+            let parts = vec![shared_part(rng), crash, own_part(number)];
+            return (organisation, request::single(id, key, prompt(parts)));
         }
         let (organisation, key) = ORGANISATIONS[0];
-        let request = single_request(id, key, self.operation());
+        let request = request::single(id, key, self.operation());
         (organisation, Request { resource: self.resource(), ..request })
     }
 
@@ -163,7 +163,7 @@
             Resource { path: self.other_path(), body }
         };
         let (organisation, key) = ORGANISATIONS[0];
-        let request = single_request(format!("resembling-{number}"), key, self.operation());
+        let request = request::single(format!("resembling-{number}"), key, self.operation());
         (organisation, Request { resource, ..request })
     }
 }
@@ -173,7 +173,7 @@
     pub fn of(operation: &Operation) -> Self {
         match operation {
             Operation::Read | Operation::Charge => Self::Plain,
-            Operation::Prompt { .. } => Self::Engine,
+            Operation::Prompt { .. } | Operation::LongPrompt { .. } => Self::Engine,
         }
     }
 }
