Try a request whose crashes several held suspects explain

Cause: a sound suspect is tried rather than held if one other suspect accounts for all of its crashes. With two culprits each accounts for some.

Change: several suspects that are held may account for them together. One that is not held can't, as any crash has some that were there by chance.

--- a/crates/policy/src/gateway/quarantine/mod.rs
+++ b/crates/policy/src/gateway/quarantine/mod.rs
@@ -10,14 +10,14 @@
 //!
 //! One crash restricts nothing. From [`TRIAL_COUNT`] crashes on, requests with the suspect are tried
 //! one at a time by all instances together: an instance announces its claim to the next trial and
-//! sends the request once no other has claimed it first. From `HOLD_COUNT` on, requests with the
+//! sends the request once no other has claimed it first. From [`HOLD_COUNT`] on, requests with the
 //! suspect are refused for a while, longer after each failed trial, and then tried in the same way;
 //! crashes during a hold change nothing, so the number of trials in a day is bounded. An answer
 //! clears the suspect: the first event of an engine, or a plain upstream's whole answer.
 //!
 //! A sound suspect that came along with the cause shares its crashes. If another suspect accounts
-//! for all of them, requests without that suspect are not refused but tried, so that an answer
-//! clears the sound one.
+//! for all of them, or several that are held do, requests without these are not refused but tried, so
+//! that an answer clears the sound one.
 
 mod gate;
 mod report;
@@ -33,7 +33,7 @@
 pub use self::subject::{Cause, Kind, Subjects};
 
 use self::gate::{Restriction, TRIAL_SPAN};
-use self::suspect::{CRASH_LIMIT, Crash, Stage, Suspect, TRIAL_COUNT, Trial, millis};
+use self::suspect::{CRASH_LIMIT, Crash, HOLD_COUNT, Stage, Suspect, TRIAL_COUNT, Trial, millis};
 use super::gossip::{Note, ServerKey, server_key};
 use super::view::{Server, ServerId};
 use crate::Time;
@@ -266,12 +266,18 @@
         }
     }
 
-    /// Whether a suspect that the request does not have accounts for all crashes of one.
+    /// Whether suspects that the request does not have account for all crashes of one: one of them
+    /// for all, or several that are held.
     fn is_explained(&self, suspect: &Suspect, present: &Subjects) -> bool {
-        self.suspects.iter().any(|(key, other)| {
-            let explains = |crash: &Crash| other.crashes.iter().any(|known| known.is_same(crash));
-            suspect.crashes.iter().all(explains) && !present.contains(*key)
-        })
+        let explains =
+            |other: &Suspect, crash: &Crash| other.crashes.iter().any(|known| known.is_same(crash));
+        let absent = self.suspects.iter().filter(|(key, _)| !present.contains(**key));
+        let others: Vec<&Suspect> = absent.map(|(_, other)| other).collect();
+        let by_one = |other: &&Suspect| suspect.crashes.iter().all(|crash| explains(other, crash));
+        let by_held = |crash: &Crash| {
+            others.iter().any(|other| other.count() >= HOLD_COUNT && explains(other, crash))
+        };
+        others.iter().any(by_one) || suspect.crashes.iter().all(by_held)
     }
 
     fn claim(&mut self, now: Time, key: SuspectKey, restriction: Restriction) {
--- a/crates/policy/tests/gateway_quarantine.rs
+++ b/crates/policy/tests/gateway_quarantine.rs
@@ -556,6 +556,26 @@
     assert_eq!(quarantine.gate(start, &page()), held);
 }
 
+/// Regression (soak, scenario crashes, seed 11): a sound request that was at three servers, which
+/// two culprits crashed, was held.
+#[test]
+fn gate_tries_request_whose_crashes_two_culprits_explain() {
+    let request = |target| Subjects::new(Some("acme"), &call("1", "a", "GET", target, b""));
+    let (sound, other) = (request("/sound"), request("/other"));
+    let mut quarantine = Quarantine::default();
+    for born in 1..=7 {
+        let culprit = if born < 5 { &page() } else { &other };
+        crash(&mut quarantine, born * 1_000, culprit, born);
+        if (3..6).contains(&born) {
+            crash(&mut quarantine, born * 1_000, &sound, born);
+        }
+    }
+    assert!(matches!(quarantine.gate(at(8_000), &page()), Gate::Held { .. }));
+    assert!(matches!(quarantine.gate(at(8_000), &other), Gate::Held { .. }));
+    let Gate::Claimed(start) = quarantine.gate(at(8_000), &sound) else { panic!("no trial") };
+    assert_eq!(quarantine.gate(start, &sound), Gate::Trial);
+}
+
 /// Of two instances that claim a trial at the same time, one goes on.
 #[test]
 fn receive_trial_lets_one_instance_go_on() {
