--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,12 +18,12 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Ends the exchange with a host that stays unreachable. Before that, a second attempt or the
 /// deadline limits the wait, as the host of a sound upstream may be silent for a while. Long requests
-/// have no user timeout; the probes apply to them once they are sent.
+/// have no user timeout while they are sent; the probes apply to them afterwards.
 const KEEP_ALIVE: KeepAlive = KeepAlive {
     idle: Duration::from_secs(1),
     interval: Duration::from_secs(1),
     probes: 4,
-    // Leaves time for the retransmission 3 s after the request, which follows a silence of 1.4 s.
+    // TCP doubles the time between retransmissions, so the one that ends a silence may be late.
     user_timeout: Duration::from_secs(4),
 };
 /// Size limit of a skipped body, in bytes. A connection is closed instead of reading more.
--- a/crates/policy/src/gateway/quarantine/subject.rs
+++ b/crates/policy/src/gateway/quarantine/subject.rs
@@ -1,4 +1,5 @@
-//! What may be the cause of a crash under a request.
+//! What may be the cause of a crash under a request: its subjects. A subject under which an upstream
+//! has crashed is a suspect.
 
 use strum::{Display, IntoStaticStr};
 
