Log and count the rate limits that upstreams state

Answers' statements are decoded, kept by incarnation, logged as 'rate limit changed' with the requests sent before, and counted.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,6 +12,7 @@
 use http::{HeaderMap, Method};
 
 use crate::event::{End, Oversized, Splitter};
+use crate::log::Kind;
 use crate::traffic::Traffic;
 
 /// Connect timeout. A reachable server accepts within a few milliseconds.
@@ -283,7 +284,12 @@
     let (traffic, server) = (inflight.traffic.clone(), inflight.attempt.server.clone());
     let reply = Reply::read(head.status, &head.headers);
     if reply.is_from(&server.id) {
-        traffic.gateway.borrow_mut().heard(traffic.now(), &server, reply.notice);
+        let (now, sent) = (traffic.now(), inflight.attempt.sent);
+        traffic.gateway.borrow_mut().heard(now, sent, &server, reply.notice);
+        traffic.report_limits();
+        if reply.is_limit_malformed && traffic.log_budget.admits(now, Kind::Failure) {
+            tracing::warn!(server = &*server.id, "ignored a malformed rate limit");
+        }
     }
     let instance = reply.instance.map(str::to_owned);
     let is_stream = inflight.plan.borrow().route.repeat.is_stream();
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -20,6 +20,7 @@
     requests: Counter<u64>,
     attempts: Counter<u64>,
     suspects: Counter<u64>,
+    limits: Counter<u64>,
     connections: Counter<u64>,
     store_calls: Counter<u64>,
     lines_dropped: Counter<u64>,
@@ -47,6 +48,7 @@
             requests: counter("acacia_gateway_requests"),
             attempts: counter("acacia_gateway_attempts"),
             suspects: counter("acacia_gateway_suspect_states"),
+            limits: counter("acacia_gateway_rate_limit_changes"),
             connections: counter("acacia_gateway_connections"),
             store_calls: counter("acacia_gateway_store_calls"),
             values_skipped: counter("acacia_gateway_store_values_skipped"),
@@ -76,6 +78,11 @@
         self.suspects.add(1, &labels);
     }
 
+    /// Counts a change of an upstream's rate limit.
+    pub fn limit(&self, state: &'static str) {
+        self.limits.add(1, &[KeyValue::new("state", state)]);
+    }
+
     /// Records the time to the first event or to a whole plain answer.
     pub fn first_byte(&self, route: &str, took: Duration) {
         self.first_byte_seconds
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -120,6 +120,22 @@
         self.report_findings();
     }
 
+    /// Logs and counts changes of upstreams' rate limits.
+    pub fn report_limits(&self) {
+        let changes = self.gateway.borrow_mut().take_limit_changes();
+        for change in changes {
+            self.metrics.limit(if change.rate.is_some() { "limited" } else { "unlimited" });
+            if self.log_budget.admits(self.now(), Kind::Failure) {
+                tracing::warn!(
+                    server = &*change.server,
+                    requests_per_s = change.rate,
+                    recent_sends = change.recent_sends,
+                    "rate limit changed"
+                );
+            }
+        }
+    }
+
     /// Logs and counts changes in the restrictions on parts of prompts and on requests.
     pub fn report_findings(&self) {
         let findings = self.gateway.borrow_mut().take_findings();
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -15,6 +15,7 @@
 use super::confirmation::Confirmed;
 use super::evidence::held;
 use super::gossip::{Digests, Incarnation, Load, Prefill, ServerKey, part_keys};
+use super::limit;
 use super::link::{Blame, Links};
 use super::member::Member;
 use super::notice::{Departure, Notice};
@@ -99,6 +100,7 @@
     /// Upstreams that told this instance that they are leaving, and of which the others were not
     /// informed yet.
     pub(super) departures: Vec<Departure>,
+    limit_changes: Vec<limit::Change>,
     saves: Saves,
     links: Links,
     pub(super) confirmed: Confirmed,
@@ -123,6 +125,7 @@
             sent_loads: BTreeMap::new(),
             prefills: Vec::new(),
             departures: Vec::new(),
+            limit_changes: Vec::new(),
             saves: Saves::default(),
             links: Links::default(),
             confirmed: Confirmed::default(),
@@ -308,12 +311,22 @@
         self.roster.record_prefill(now, key, &prefill.parts, residence, free);
     }
 
-    /// Records what an upstream stated about itself in the head of an answer. `server` is its entry
-    /// when the request was sent; a newer incarnation at the same id is another upstream.
-    pub fn heard(&mut self, now: Time, server: &Arc<Server>, notice: Notice) {
-        if self.roster.hear(now, server, notice) {
+    /// Records what an upstream stated about itself in the head of the answer to a request of
+    /// `sent`. `server` is its entry when the request was sent; a newer incarnation at the same id
+    /// is another upstream.
+    pub fn heard(&mut self, now: Time, sent: Time, server: &Arc<Server>, notice: Notice) {
+        let news = self.roster.hear(now, sent, server, notice);
+        if news.is_leaving {
             self.departures.push(Departure::of(server));
         }
+        if news.is_limit_changed {
+            self.limit_changes.extend(self.roster.limit_change(now, &server.id));
+        }
+    }
+
+    /// Changes of upstreams' rate limits since the last call.
+    pub fn take_limit_changes(&mut self) -> Vec<limit::Change> {
+        std::mem::take(&mut self.limit_changes)
     }
 
     /// Starts a second attempt beside one whose upstream does not respond, if another upstream is
--- a/crates/policy/src/gateway/member.rs
+++ b/crates/policy/src/gateway/member.rs
@@ -8,6 +8,7 @@
 use super::configuration::{ModelName, Service};
 use super::gossip::{Load, ServerKey, server_key};
 use super::lateness::Lateness;
+use super::limit;
 use super::notice::Standing;
 use super::roster::own_rank;
 use super::view::{Server, View, WeightVersion};
@@ -76,7 +77,7 @@
             standing: Standing::default(),
             cache: Cache::default(),
             status: Status::default(),
-            sends: Window::new(COLD_SPAN),
+            sends: Window::new(limit::SPAN),
             failures: 0.0,
             failures_at: now,
             delay: Lateness::default(),
@@ -137,7 +138,12 @@
 
     /// When the next request may be sent under a limit of `share` per second.
     pub fn cold_slot(&mut self, now: Time, share: usize) -> Option<Time> {
-        self.sends.free_at(now, share)
+        self.sends.free_at(now, COLD_SPAN, share)
+    }
+
+    /// Number of requests that this instance sent to it within [`limit::SPAN`].
+    pub fn recent_sends(&mut self, now: Time) -> usize {
+        self.sends.count(now)
     }
 
     /// Whether it is cold.
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -6,8 +6,9 @@
 //! can't be served in time; [`Gateway::ended`] records how an [`Attempt`] ended. [`rollout`] brings
 //! announced weights to the engines, and [`inventory`] tracks the contents of KV cache stores.
 //! Instances report by [`gossip`] what they sent where, and [`mesh`] selects the recipients.
-//! [`quarantine`] holds back requests, and parts of prompts, that crash upstreams. Limits on all
-//! instances together are divided into shares by [`window`], so that no request waits for another
+//! [`quarantine`] holds back requests, and parts of prompts, that crash upstreams; [`limit`] tracks
+//! the rates of requests that upstreams take. Limits on all instances together are divided into
+//! shares by [`window`], so that no request waits for another
 //! instance.
 
 mod access;
@@ -22,6 +23,7 @@
 pub mod gossip;
 pub mod inventory;
 mod lateness;
+pub mod limit;
 pub mod link;
 mod machine;
 mod member;
--- a/crates/policy/src/gateway/notice.rs
+++ b/crates/policy/src/gateway/notice.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::gossip::{ServerKey, server_key};
+use super::limit;
 use super::view::{Server, ServerId};
 use crate::Time;
 
@@ -20,12 +21,14 @@
 const NOTICE_RETENTION: Duration = Duration::from_secs(600);
 
 /// What the head of one answer states about its sender.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Notice {
     /// Whether it is leaving.
     pub is_leaving: bool,
     /// Time for which it wants no request from this instance.
     pub pause: Option<Duration>,
+    /// The rate of requests that it takes.
+    pub limit: limit::Statement,
 }
 
 /// The incarnation of an upstream that stated that it is leaving, as instances tell each other.
@@ -45,29 +48,43 @@
 }
 
 /// Statements that are in force for one incarnation of an upstream.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Standing {
     /// Whether it is leaving.
     pub is_leaving: bool,
     /// Until when it wants no request from this instance.
     pub paused_until: Time,
+    /// Its rate limit.
+    pub limit: limit::State,
 }
 
 impl Standing {
-    /// Adds what an answer received at `now` states.
-    pub fn add(&mut self, now: Time, notice: Notice) {
+    /// Adds what an answer states that was received at `now`, to a request of `sent`; tells what of
+    /// it is news.
+    pub fn add(&mut self, now: Time, sent: Time, notice: Notice) -> News {
+        let is_leaving = notice.is_leaving && !self.is_leaving;
         self.is_leaving |= notice.is_leaving;
         if let Some(pause) = notice.pause {
             self.paused_until = self.paused_until.max(now.saturating_add(pause));
         }
+        News { is_leaving, is_limit_changed: self.limit.hear(now, sent, notice.limit) }
     }
 
     /// Whether it restricts requests at `now`.
     pub fn is_in_force(&self, now: Time) -> bool {
-        self.is_leaving || now < self.paused_until
+        self.is_leaving || now < self.paused_until || self.limit.rate.is_some()
     }
 }
 
+/// What was not known before about an upstream.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct News {
+    /// Whether it is news that it is leaving.
+    pub is_leaving: bool,
+    /// Whether its rate limit has changed.
+    pub is_limit_changed: bool,
+}
+
 /// Statements of upstreams that are not listed now.
 #[derive(Debug, Default)]
 pub struct Notices {
--- a/crates/policy/src/gateway/roster.rs
+++ b/crates/policy/src/gateway/roster.rs
@@ -14,8 +14,9 @@
 
 use super::configuration::ServiceName;
 use super::gossip::{PartKey, ServerKey, stable_hash};
+use super::limit;
 use super::member::Member;
-use super::notice::{Notice, Notices};
+use super::notice::{News, Notice, Notices};
 use super::view::{Server, ServerId, View};
 use crate::Time;
 
@@ -98,20 +99,25 @@
         }
     }
 
-    /// Records what an upstream stated about itself; true if it is news that it is leaving.
-    pub fn hear(&mut self, now: Time, server: &Arc<Server>, notice: Notice) -> bool {
+    /// Records what an upstream stated about itself in the answer to a request of `sent`.
+    pub fn hear(&mut self, now: Time, sent: Time, server: &Arc<Server>, notice: Notice) -> News {
         let Some(member) = self.get_mut(&server.id) else {
             let mut standing = self.notices.take(server);
-            standing.add(now, notice);
+            let news = standing.add(now, sent, notice);
             self.notices.keep(now, server.clone(), standing);
-            return notice.is_leaving;
+            return News { is_leaving: notice.is_leaving, ..news };
         };
         if !member.server.is_same_incarnation(server) {
-            return false;
+            return News::default();
         }
-        let is_news = notice.is_leaving && !member.standing.is_leaving;
-        member.standing.add(now, notice);
-        is_news
+        member.standing.add(now, sent, notice)
+    }
+
+    /// The rate limit of a listed upstream, for the log.
+    pub fn limit_change(&mut self, now: Time, id: &ServerId) -> Option<limit::Change> {
+        let member = self.get_mut(id)?;
+        let (rate, recent_sends) = (member.standing.limit.rate, member.recent_sends(now));
+        Some(limit::Change { server: id.clone(), rate, recent_sends })
     }
 
     /// Rebuilds the indexes after members were added, removed or moved to another service.
--- a/crates/policy/src/gateway/window.rs
+++ b/crates/policy/src/gateway/window.rs
@@ -33,14 +33,12 @@
         self.events.len()
     }
 
-    /// When fewer than `limit` events remain within the window; none if never.
-    pub fn free_at(&mut self, now: Time, limit: usize) -> Option<Time> {
+    /// When fewer than `limit` events remain within the last `span`, which is at most the length of
+    /// the window; none if never.
+    pub fn free_at(&mut self, now: Time, span: Duration, limit: usize) -> Option<Time> {
         self.expire(now);
-        if self.events.len() < limit {
-            return Some(now);
-        }
-        let at = self.events.len().checked_sub(limit)?;
-        self.events.get(at).map(|event| *event + self.span)
+        let Some(at) = self.events.len().checked_sub(limit) else { return Some(now) };
+        self.events.get(at).map(|event| now.max(*event + span))
     }
 
     fn expire(&mut self, now: Time) {
--- a/crates/policy/tests/gateway_fuzz.rs
+++ b/crates/policy/tests/gateway_fuzz.rs
@@ -301,13 +301,13 @@
             let pause = Duration::from_millis(self.rng.random_range(100..4_000));
             let end = instance.paused.entry(incarnation).or_default();
             *end = (*end).max(self.now + pause);
-            Notice { is_leaving: false, pause: Some(pause) }
+            Notice { pause: Some(pause), ..Notice::default() }
         } else {
             instance.left.insert(incarnation);
-            Notice { is_leaving: true, pause: None }
+            Notice { is_leaving: true, ..Notice::default() }
         };
         if self.mutation != Mutation::MissNotices {
-            instance.gateway.heard(self.now, &attempt.server, notice);
+            instance.gateway.heard(self.now, attempt.sent, &attempt.server, notice);
         }
     }
 
--- a/crates/policy/tests/gateway_gossip.rs
+++ b/crates/policy/tests/gateway_gossip.rs
@@ -106,10 +106,10 @@
         window.add(at(millis));
     }
     assert_eq!(window.count(at(900)), 3);
-    assert_eq!(window.free_at(at(900), 4), Some(at(900)));
-    assert_eq!(window.free_at(at(900), 3), Some(at(1_000)));
-    assert_eq!(window.free_at(at(900), 2), Some(at(1_400)));
-    assert_eq!(window.free_at(at(900), 0), None);
+    assert_eq!(window.free_at(at(900), at(1_000), 4), Some(at(900)));
+    assert_eq!(window.free_at(at(900), at(1_000), 3), Some(at(1_000)));
+    assert_eq!(window.free_at(at(900), at(1_000), 2), Some(at(1_400)));
+    assert_eq!(window.free_at(at(900), at(1_000), 0), None);
     assert_eq!(window.count(at(1_500)), 1);
 }
 
--- a/crates/policy/tests/gateway_machine.rs
+++ b/crates/policy/tests/gateway_machine.rs
@@ -8,6 +8,7 @@
 use acacia_policy::Verdict;
 use acacia_policy::gateway::configuration::Repeat;
 use acacia_policy::gateway::inventory::{Inventory, Store};
+use acacia_policy::gateway::limit::Statement;
 use acacia_policy::gateway::mesh::Detail;
 use acacia_policy::gateway::{Ending, Fetch, Notice, Reason, Step};
 
@@ -393,10 +394,10 @@
     assert_eq!(saved(&mut simulation, "b"), 0, "the engine still has the older weights");
 }
 
-const LEAVING: Notice = Notice { is_leaving: true, pause: None };
+const LEAVING: Notice = Notice { is_leaving: true, pause: None, limit: Statement::Unknown };
 
 fn pause(seconds: u64) -> Notice {
-    Notice { is_leaving: false, pause: Some(Duration::from_secs(seconds)) }
+    Notice { pause: Some(Duration::from_secs(seconds)), ..Notice::default() }
 }
 
 /// The servers that get ten requests.
--- a/crates/policy/tests/gateway_simulation/mod.rs
+++ b/crates/policy/tests/gateway_simulation/mod.rs
@@ -151,7 +151,7 @@
     /// Passes on what a server states about itself in an answer.
     pub fn hear(&mut self, server: &str, notice: Notice) {
         let server = self.view.servers[server].clone();
-        self.gateway.heard(self.now, &server, notice);
+        self.gateway.heard(self.now, self.now, &server, notice);
     }
 
     /// Passes on another instance's digest.
