--- a/crates/policy/tests/gateway_crash/mod.rs
+++ b/crates/policy/tests/gateway_crash/mod.rs
@@ -7,15 +7,16 @@
 
 pub mod load;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use acacia_policy::gateway::configuration::{EngineSpec, Limits, Repeat, Role, Route, Service};
 use acacia_policy::gateway::gossip::Digest;
-use acacia_policy::gateway::mesh::Detail;
+use acacia_policy::gateway::limit::{SPAN, Statement};
+use acacia_policy::gateway::mesh::{Detail, Peer};
 use acacia_policy::gateway::{
-    Attempt, Configuration, Ending, Gateway, Plan, Reason, Server, ServerId, Step, View,
+    Attempt, Configuration, Ending, Gateway, Notice, Plan, Reason, Server, ServerId, Step, View,
 };
 use acacia_policy::{Time, Verdict};
 use rand::{RngExt, SeedableRng};
@@ -95,6 +96,10 @@
     pub reset_share: f64,
     /// Time after which a crashed engine is back.
     pub restart: Duration,
+    /// Rate limits that servers state in their answers, in requests per second.
+    pub limits: BTreeMap<ServerId, f64>,
+    /// When requests arrived at servers, since the start.
+    pub arrivals: Vec<(Duration, ServerId)>,
     /// All requests.
     pub requests: Vec<Request>,
     /// When servers crashed, since the start.
@@ -133,6 +138,8 @@
             loss: 0.02,
             reset_share: 0.0,
             restart: Duration::from_secs(3),
+            limits: BTreeMap::new(),
+            arrivals: Vec::new(),
             requests: Vec::new(),
             crashes: Vec::new(),
             culprit_crashes: Vec::new(),
@@ -163,10 +170,18 @@
         let mut terms = terms(20.0);
         terms.retries.ratio = 0.2;
         let mut gateway = Gateway::new(terms, self.rng.random());
-        gateway.observe(self.now, Arc::new(self.view.clone()));
+        gateway.observe(self.now, Arc::new(self.view_of(self.gateways.len())));
         self.gateways.push(gateway);
     }
 
+    /// The view of one gateway, in which it has an address of its own.
+    fn view_of(&self, gateway: usize) -> View {
+        let address = |number: usize| ([127, 0, 1, 1], number as u16 + 1).into();
+        let others = (0..self.view.instances as usize).filter(|other| *other != gateway);
+        let peers = others.map(|other| Peer { address: address(other), zone: "z1".into() });
+        View { own_address: Some(address(gateway)), peers: peers.collect(), ..self.view.clone() }
+    }
+
     /// Time since the start.
     pub fn elapsed(&self) -> Duration {
         self.now - START
@@ -317,8 +332,10 @@
         for (_, server) in started {
             self.view.servers.insert(server.id.clone(), Arc::new(server));
         }
-        let view = Arc::new(self.view.clone());
-        self.gateways.iter_mut().for_each(|gateway| gateway.observe(now, view.clone()));
+        let views: Vec<View> = (0..self.gateways.len()).map(|at| self.view_of(at)).collect();
+        for (gateway, view) in self.gateways.iter_mut().zip(views) {
+            gateway.observe(now, Arc::new(view));
+        }
     }
 
     fn go_on(&mut self, gateway: usize, request: usize, mut plan: Plan) {
@@ -343,6 +360,7 @@
         }
         let elapsed = self.elapsed();
         self.requests[request].sends.push(elapsed);
+        self.arrivals.push((elapsed, server.clone()));
         let running = self.flights.iter().filter(|flight| flight.attempt.server.id == server);
         let (begins, ends) = if attempt.engine.is_some() {
             let begins = self.now + FIRST_EVENT.0 + FIRST_EVENT.1 * running.count() as u32;
@@ -383,6 +401,8 @@
                     let flight = &mut self.flights[at];
                     flight.has_begun = true;
                     self.gateways[flight.gateway].began(now, &flight.plan, &mut flight.attempt);
+                    let (gateway, attempt) = (flight.gateway, flight.attempt.clone());
+                    self.state_limit(gateway, &attempt);
                     at += 1;
                 }
             } else {
@@ -399,11 +419,31 @@
             }
             let gateway = &mut self.gateways[flight.gateway];
             gateway.began(self.now, &flight.plan, &mut flight.attempt);
+            self.state_limit(flight.gateway, &flight.attempt);
         }
         self.requests[flight.request].outcome.get_or_insert(Outcome::Served);
         self.end(flight, Ending::Answered);
     }
 
+    /// Passes on what an answer states about its server's rate limit.
+    fn state_limit(&mut self, gateway: usize, attempt: &Attempt) {
+        let rate = self.limits.get(&attempt.server.id).copied();
+        let limit = rate.map_or(Statement::Unlimited, Statement::Limited);
+        let notice = Notice { limit, ..Notice::default() };
+        self.gateways[gateway].heard(self.now, attempt.sent, &attempt.server, notice);
+    }
+
+    /// Most requests that a server got in any [`SPAN`] between two times.
+    pub fn peak(&self, server: &ServerId, from: Duration, to: Duration) -> usize {
+        let arrivals =
+            self.arrivals.iter().filter(|(at, id)| id == server && (from..to).contains(at));
+        let times: Vec<Duration> = arrivals.map(|(at, _)| *at).collect();
+        let within = |start: &Duration| {
+            times.iter().filter(|at| (*start..*start + SPAN).contains(at)).count()
+        };
+        times.iter().map(within).max().unwrap_or(0)
+    }
+
     fn end(&mut self, mut flight: Flight, ending: Ending) {
         let gateway = &mut self.gateways[flight.gateway];
         let id = flight.attempt.server.id.clone();
