Keep to the rate limits that upstreams state

Ruled out: repeats (one of 189 sends).

Change: policy/gateway/limit. Each instance keeps to its share of the limit over any 4 s, counted from before it learnt the limit; the shares of all instances add up to the limit, the remainder goes to the first instances by rank. Limited upstreams are not the first choice for parts that no engine holds. Notes on limits travel in messages of their own, which earlier versions drop whole.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use acacia_policy::Time;
-use acacia_policy::gateway::gossip::{Digest, Message, Note};
+use acacia_policy::gateway::gossip::{Digest, Message, Note, Subject};
 use acacia_policy::gateway::mesh::{Mesh, Recipients};
 use tokio::net::UdpSocket;
 
@@ -86,6 +86,7 @@
     /// Sends this instance's changes, and forwards digests from peers.
     fn flush(&mut self) {
         self.traffic.report_findings();
+        self.traffic.report_limits();
         let (view, zone) = {
             let gateway = self.traffic.gateway.borrow();
             (gateway.view().cloned(), gateway.terms().zone.clone())
@@ -141,21 +142,25 @@
     }
 }
 
-/// Splits a digest by its prefills and its notes on suspects, so that these fit datagrams. The loads
-/// stay together.
+/// Splits a digest by its prefills and by the subjects of its notes, so that these fit datagrams. The
+/// loads stay together.
 pub fn split(mut digest: Digest) -> Vec<Digest> {
-    let mut on_suspects =
-        digest.notes.extract_if(.., |note| note.is_on_suspect()).collect::<Vec<_>>();
+    let is_apart = |note: &mut Note| note.subject() != Subject::General;
+    let apart = digest.notes.extract_if(.., is_apart).collect::<Vec<_>>();
+    let is_on_suspect = |note: &Note| note.subject() == Subject::Suspect;
+    let (on_suspects, on_limits): (Vec<_>, Vec<_>) = apart.into_iter().partition(is_on_suspect);
     let incarnation = digest.incarnation;
     let is_empty = !digest.is_full
         && digest.loads.is_empty()
         && digest.prefills.is_empty()
         && digest.notes.is_empty();
     let mut digests = if is_empty { Vec::new() } else { split_prefills(digest) };
-    while !on_suspects.is_empty() {
-        let notes = on_suspects.drain(..fitting(&on_suspects)).collect();
-        // Without a sequence number, it leaves the sender's load as it is.
-        digests.push(Digest { incarnation, notes, ..Digest::default() });
+    for mut notes in [on_suspects, on_limits] {
+        while !notes.is_empty() {
+            let notes = notes.drain(..fitting(&notes)).collect();
+            // Without a sequence number, it leaves the sender's load as it is.
+            digests.push(Digest { incarnation, notes, ..Digest::default() });
+        }
     }
     digests
 }
@@ -193,10 +198,8 @@
     let (mut start, mut size) = (0, 0);
     for (at, digest) in digests.iter().enumerate() {
         let next = bytes(digest);
-        // Instances of an earlier version can't read notes on suspects.
-        let is_other_kind =
-            at > start && is_on_suspects(digest) != is_on_suspects(&digests[at - 1]);
-        if is_other_kind || (at > start && size + next > DATAGRAM_BYTES) {
+        let is_other_subject = at > start && subject(digest) != subject(&digests[at - 1]);
+        if is_other_subject || (at > start && size + next > DATAGRAM_BYTES) {
             runs.push(&digests[start..at]);
             (start, size) = (at, 0);
         }
@@ -206,8 +209,9 @@
     runs
 }
 
-fn is_on_suspects(digest: &Digest) -> bool {
-    digest.notes.iter().any(Note::is_on_suspect)
+/// What the notes of a digest are about, after [`split`].
+fn subject(digest: &Digest) -> Subject {
+    digest.notes.first().map_or(Subject::General, Note::subject)
 }
 
 /// Upper bound of a digest's encoded size in bytes: nine for each number of 64 bits, five for one
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -2,6 +2,7 @@
 
 use acacia_gateway::gossip::{DATAGRAM_BYTES, datagrams, split};
 use acacia_policy::gateway::gossip::{Digest, Load, Message, Note};
+use acacia_policy::gateway::limit::Report;
 use acacia_policy::gateway::notice::Departure;
 use acacia_policy::gateway::quarantine::{Clearance, Sighting, Suspicion};
 use quickcheck::quickcheck;
@@ -21,6 +22,12 @@
             Note::Suspected(Suspicion { key: u64::MAX, crashes, is_request: true }),
             Note::Tried(u64::MAX),
             Note::Cleared(Clearance { key: u64::MAX, age_ms: u32::MAX }),
+            Note::Limited(Report {
+                server: u64::MAX,
+                born: Some(u64::MAX),
+                rate: Some(f64::MAX),
+                age_ms: u32::MAX,
+            }),
         ]
     });
     let load = Load { running: u32::MAX, prefill_tokens: u64::MAX, memory_tokens: u64::MAX };
--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -71,6 +71,8 @@
 const GAP_TARGET_FACTOR: f64 = 1.7;
 /// Time after which an upstream that is unavailable for an unknown time is considered again.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(25);
+/// Time after which an upstream is considered again of whose rate limit this instance has no share.
+const NO_SHARE_PAUSE: Duration = Duration::from_secs(1);
 /// Time within which a running upstream restores an entry that expired while the metadata store was
 /// unavailable.
 const EXPIRY_LIMIT: Duration = Duration::from_millis(1_900);
@@ -256,6 +258,13 @@
                 None => return Eligibility::Never,
             }
         }
+        if let Some(rate) = member.standing.limit.in_force(now) {
+            match member.limited_slot(now, rate, view) {
+                Some(at) if at <= now => {}
+                Some(at) => return Eligibility::At(at),
+                None => return Eligibility::At(now + NO_SHARE_PAUSE),
+            }
+        }
         match status.expired {
             Some(since) if now >= since + EXPIRY_LIMIT => Eligibility::Never,
             expired => Eligibility::Now { expired: expired.is_some() },
@@ -382,7 +391,7 @@
     fn primary(&self) -> Option<MemberKey> {
         let part = self.plan.prompt.as_ref()?.longest_shared()?;
         self.roster.primary(&self.plan.service, &part.id, |member| {
-            !member.is_leaving() && !member.status.evacuated
+            !member.is_leaving() && !member.status.evacuated && !member.is_limited(self.now)
         })
     }
 
--- a/crates/policy/src/gateway/exchange.rs
+++ b/crates/policy/src/gateway/exchange.rs
@@ -11,7 +11,7 @@
 
 /// One in this number of instances answers a report of a single crash.
 const RESPONDING_SHARE: u64 = 4;
-/// Number of instances, on average, that repeat each suspect in the interval of full digests.
+/// Number of instances, on average, that repeat each suspect and each rate limit in the interval of full digests.
 const REPEATING_INSTANCES: u32 = 8;
 
 impl Gateway {
@@ -48,6 +48,10 @@
                     self.quarantine.receive_trial(now, *key, is_first);
                 }
                 Note::Cleared(clearance) => self.quarantine.receive_clearance(now, *clearance),
+                Note::Limited(report) => {
+                    let change = self.roster.receive_limit(now, report);
+                    self.limit_changes.extend(change);
+                }
             }
         }
         for prefill in self.digests.receive(now, digest) {
@@ -72,6 +76,7 @@
         let prefills = self.take_prefills(detail);
         let departures = std::mem::take(&mut self.departures);
         let mut notes: Vec<Note> = departures.into_iter().map(Note::Departed).collect();
+        notes.extend(std::mem::take(&mut self.limit_reports).into_iter().map(Note::Limited));
         notes.extend(self.quarantine.take_notes());
         if changed.is_empty() && prefills.is_empty() && notes.is_empty() {
             return None;
@@ -87,9 +92,11 @@
         let loads = self.loads();
         let prefills = self.take_prefills(detail);
         self.departures.clear();
+        let reports = std::mem::take(&mut self.limit_reports);
         let leaving = self.roster.values().filter(|member| member.standing.is_leaving);
         let departed = leaving.map(|member| Note::Departed(Departure::of(&member.server)));
         let mut notes: Vec<Note> = departed.collect();
+        notes.extend(reports.into_iter().map(Note::Limited));
         notes.extend(self.quarantine.take_notes());
         let share = u64::from(self.view.as_ref().map_or(1, |view| view.instances));
         let share = share.div_ceil(REPEATING_INSTANCES.into()).max(1);
@@ -101,6 +108,14 @@
             }
             _ => true,
         }));
+        let limits = self.roster.values().filter_map(|m| m.standing.limit.report(now, &m.server));
+        notes.extend(
+            limits
+                .filter(|report| {
+                    stable_hash(&(incarnation, sequence, report.server)).is_multiple_of(share)
+                })
+                .map(Note::Limited),
+        );
         let has_load = !loads.is_empty() || !self.sent_loads.is_empty();
         if prefills.is_empty() && notes.is_empty() && !has_load {
             return None;
--- a/crates/policy/src/gateway/gossip.rs
+++ b/crates/policy/src/gateway/gossip.rs
@@ -14,6 +14,7 @@
 
 use super::call::Prompt;
 use super::confirmation::Confirmation;
+use super::limit;
 use super::notice::Departure;
 use super::quarantine::{Clearance, SuspectKey, Suspicion};
 use crate::Time;
@@ -64,12 +65,30 @@
     Tried(SuspectKey),
     /// An upstream has answered on a suspect.
     Cleared(Clearance),
+    /// An upstream's rate limit.
+    Limited(limit::Report),
+}
+
+/// What a note is about. Instances of an earlier version can't read a message with notes that they
+/// don't know, so each kind but the first is sent in messages of its own.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Subject {
+    /// Departures and confirmations.
+    General,
+    /// Suspects.
+    Suspect,
+    /// Rate limits.
+    Limit,
 }
 
 impl Note {
-    /// Whether it is about a suspect.
-    pub fn is_on_suspect(&self) -> bool {
-        matches!(self, Self::Suspected(_) | Self::Tried(_) | Self::Cleared(_))
+    /// What it is about.
+    pub fn subject(&self) -> Subject {
+        match self {
+            Self::Departed(_) | Self::Confirmed(_) => Subject::General,
+            Self::Suspected(_) | Self::Tried(_) | Self::Cleared(_) => Subject::Suspect,
+            Self::Limited(_) => Subject::Limit,
+        }
     }
 
     /// Upper bound of its encoded size in bytes.
--- a/crates/policy/src/gateway/limit.rs
+++ b/crates/policy/src/gateway/limit.rs
@@ -2,12 +2,32 @@
 //!
 //! An upstream in need states how many requests a second it takes from all instances together, for
 //! as long as its answers say so. [`State`] is what this instance knows of one incarnation of an
-//! upstream.
+//! upstream, from answers to its own requests and from [`Report`]s of other instances.
+//!
+//! Load pattern: an upstream's prompts or pages are asked for through all instances at once, at
+//! several times its limit. Each instance keeps to a [`Share`], so that no request waits for
+//! another instance. The shares of all instances add up to the limit; with more instances than
+//! requests, only the first instances by a rank that is equal on all of them have one. An instance
+//! without a share learns from the others when the limit ends.
 
 use std::time::Duration;
 
-use super::view::ServerId;
+use serde::{Deserialize, Serialize};
+
+use super::gossip::{ServerKey, server_key};
+use super::view::{Server, ServerId};
+use super::window::Window;
 use crate::Time;
+/// Window in which requests to a limited upstream are counted.
+pub const SPAN: Duration = Duration::from_secs(4);
+/// Window in which a share is spread evenly, so that the instances don't spend theirs at once.
+const BURST_SPAN: Duration = Duration::from_secs(1);
+/// Requests in [`SPAN`] that any upstream gets, as only an answer shows that its limit has ended.
+const MIN_REQUESTS: f64 = 1.0;
+/// Time after which a limit that no answer has confirmed ends.
+const TTL: Duration = Duration::from_secs(30);
+/// Time for which instances tell each other that a limit has ended.
+const END_RETENTION: Duration = Duration::from_secs(10);
 
 /// What an answer states about its sender's rate limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -25,7 +45,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct State {
     /// Requests per second; none if there is no limit.
-    pub rate: Option<f64>,
+    rate: Option<f64>,
     /// When the statement was received.
     stated_at: Time,
     /// When the request was sent that it answers.
@@ -52,6 +72,77 @@
         *self = Self { rate, stated_at: now, asked_at: self.asked_at.max(sent) };
         is_changed
     }
+
+    /// Adds what another instance reports; true if the limit changes. The newer statement counts.
+    pub fn receive(&mut self, now: Time, report: &Report) -> bool {
+        let stated_at = now.saturating_sub(Duration::from_millis(report.age_ms.into()));
+        let rate = report.rate.filter(|rate| rate.is_finite() && *rate >= 0.0);
+        if stated_at <= self.stated_at || (rate.is_none() && self.rate.is_none()) {
+            return false;
+        }
+        let is_changed = rate != self.rate;
+        *self = Self { rate, stated_at, asked_at: self.asked_at };
+        is_changed
+    }
+
+    /// The limit in force at `now`, in requests per second.
+    pub fn in_force(&self, now: Time) -> Option<f64> {
+        self.rate.filter(|_| now < self.stated_at + TTL)
+    }
+
+    /// What other instances are told; none if they need not know.
+    pub fn report(&self, now: Time, server: &Server) -> Option<Report> {
+        let has_ended = self.rate.is_none() && self.stated_at > Time::ZERO;
+        let is_told =
+            self.in_force(now).is_some() || (has_ended && now < self.stated_at + END_RETENTION);
+        let age_ms = now.saturating_sub(self.stated_at).as_millis().try_into().unwrap_or(u32::MAX);
+        is_told.then(|| Report {
+            server: server_key(&server.id),
+            born: server.born,
+            rate: self.rate,
+            age_ms,
+        })
+    }
+}
+
+/// An upstream's rate limit, as instances tell each other.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Report {
+    /// The upstream.
+    pub server: ServerKey,
+    /// Start of its incarnation, in milliseconds of Unix time.
+    pub born: Option<u64>,
+    /// Its limit in requests per second; none if it has ended.
+    pub rate: Option<f64>,
+    /// Time since the answer that states it, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// Limit of one instance on requests to an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Share {
+    /// Requests in [`SPAN`].
+    pub requests: usize,
+}
+
+impl Share {
+    /// The share of one of `instances` that ranks after `rank` others for the upstream. The shares
+    /// of all instances add up to the requests that a limit of `rate` per second allows.
+    pub fn new(rate: f64, instances: u32, rank: usize) -> Self {
+        let all = (rate * SPAN.as_secs_f64()).max(MIN_REQUESTS) as usize;
+        let instances = instances.max(1) as usize;
+        let requests = all / instances + usize::from(rank < all % instances);
+        Self { requests }
+    }
+
+    /// When the instance may send the next request, after those in `sends`; none if it has no
+    /// share.
+    pub fn free_at(self, now: Time, sends: &mut Window) -> Option<Time> {
+        let burst = self.requests.div_ceil((SPAN.as_secs() / BURST_SPAN.as_secs()) as usize);
+        let by_span = sends.free_at(now, SPAN, self.requests)?;
+        let by_burst = sends.free_at(now, BURST_SPAN, burst)?;
+        Some(by_span.max(by_burst))
+    }
 }
 
 /// A change of an upstream's rate limit, for the log.
@@ -64,6 +155,3 @@
     /// Requests that this instance has sent to it within [`SPAN`].
     pub recent_sends: usize,
 }
-
-/// Window in which requests to a limited upstream are counted.
-pub const SPAN: Duration = Duration::from_secs(4);
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -100,7 +100,11 @@
     /// Upstreams that told this instance that they are leaving, and of which the others were not
     /// informed yet.
     pub(super) departures: Vec<Departure>,
-    limit_changes: Vec<limit::Change>,
+    /// Changes of rate limits that were not logged yet.
+    pub(super) limit_changes: Vec<limit::Change>,
+    /// Rate limits that upstreams stated to this instance, and of which the others were not informed
+    /// yet.
+    pub(super) limit_reports: Vec<limit::Report>,
     saves: Saves,
     links: Links,
     pub(super) confirmed: Confirmed,
@@ -126,6 +130,7 @@
             prefills: Vec::new(),
             departures: Vec::new(),
             limit_changes: Vec::new(),
+            limit_reports: Vec::new(),
             saves: Saves::default(),
             links: Links::default(),
             confirmed: Confirmed::default(),
@@ -321,6 +326,9 @@
         }
         if news.is_limit_changed {
             self.limit_changes.extend(self.roster.limit_change(now, &server.id));
+            let member = self.roster.get(&server.id);
+            let report = member.and_then(|member| member.standing.limit.report(now, server));
+            self.limit_reports.extend(report);
         }
     }
 
--- a/crates/policy/src/gateway/member.rs
+++ b/crates/policy/src/gateway/member.rs
@@ -141,6 +141,18 @@
         self.sends.free_at(now, COLD_SPAN, share)
     }
 
+    /// When the next request may be sent under its rate limit of `rate` per second; none if this
+    /// instance has no share of it.
+    pub fn limited_slot(&mut self, now: Time, rate: f64, view: &View) -> Option<Time> {
+        let rank = self.rank(view);
+        limit::Share::new(rate, view.instances, rank).free_at(now, &mut self.sends)
+    }
+
+    /// Whether it states a rate limit.
+    pub fn is_limited(&self, now: Time) -> bool {
+        self.standing.limit.in_force(now).is_some()
+    }
+
     /// Number of requests that this instance sent to it within [`limit::SPAN`].
     pub fn recent_sends(&mut self, now: Time) -> usize {
         self.sends.count(now)
--- a/crates/policy/src/gateway/notice.rs
+++ b/crates/policy/src/gateway/notice.rs
@@ -72,7 +72,7 @@
 
     /// Whether it restricts requests at `now`.
     pub fn is_in_force(&self, now: Time) -> bool {
-        self.is_leaving || now < self.paused_until || self.limit.rate.is_some()
+        self.is_leaving || now < self.paused_until || self.limit.in_force(now).is_some()
     }
 }
 
--- a/crates/policy/src/gateway/roster.rs
+++ b/crates/policy/src/gateway/roster.rs
@@ -113,10 +113,20 @@
         member.standing.add(now, sent, notice)
     }
 
+    /// Records another instance's report on a rate limit; what it changes.
+    pub fn receive_limit(&mut self, now: Time, report: &limit::Report) -> Option<limit::Change> {
+        let key = self.by_server_key(report.server)?;
+        let member = &mut self.members[key];
+        let is_changed =
+            member.server.born == report.born && member.standing.limit.receive(now, report);
+        let id = member.server.id.clone();
+        is_changed.then(|| self.limit_change(now, &id)).flatten()
+    }
+
     /// The rate limit of a listed upstream, for the log.
     pub fn limit_change(&mut self, now: Time, id: &ServerId) -> Option<limit::Change> {
         let member = self.get_mut(id)?;
-        let (rate, recent_sends) = (member.standing.limit.rate, member.recent_sends(now));
+        let (rate, recent_sends) = (member.standing.limit.in_force(now), member.recent_sends(now));
         Some(limit::Change { server: id.clone(), rate, recent_sends })
     }
 
--- a/crates/policy/tests/gateway_crash/mod.rs
+++ b/crates/policy/tests/gateway_crash/mod.rs
@@ -187,6 +187,11 @@
         self.now - START
     }
 
+    /// The current time.
+    pub fn now(&self) -> Time {
+        self.now
+    }
+
     /// Ids of the listed servers.
     pub fn servers(&self) -> Vec<ServerId> {
         self.view.servers.keys().cloned().collect()
--- a/crates/policy/tests/gateway_simulation/mod.rs
+++ b/crates/policy/tests/gateway_simulation/mod.rs
@@ -55,6 +55,10 @@
         self.now
     }
 
+    pub fn gateway(&self) -> &Gateway {
+        &self.gateway
+    }
+
     pub fn view(&self) -> &View {
         &self.view
     }
