Soak of rate limits that servers state

Scenario 'limits': one to three stand-in servers state 0 to 3.2 requests a second for 6 to 12 s, beside planned changes and a silence.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -13,6 +13,12 @@
 const CRASH_STREAM: u64 = 2;
 /// The same for [`Scenario::ShortBudgets`].
 const SHORT_BUDGET_STREAM: u64 = 3;
+/// The same for [`Scenario::Limits`].
+const LIMIT_STREAM: u64 = 4;
+/// Durations of a rate limit, in milliseconds: some windows in which it is checked.
+const LIMIT_MS: Range<u64> = 6_000..12_000;
+/// Number of servers with a rate limit.
+const LIMITED: Range<u32> = 1..4;
 /// Durations of a silence, in milliseconds: around a second.
 const SILENCE_MS: Range<u64> = 700..1_600;
 /// Time between two silences of a series, in lengths of the former: some of them overlap.
@@ -47,6 +53,8 @@
     Silences,
     /// Culprits crash each server that begins to run them.
     Crashes,
+    /// Servers state rate limits in their answers.
+    Limits,
     /// Silences, at routes with time budgets shorter than a silence, beside failures of other
     /// servers and changes of the routes' settings in quick succession.
     ShortBudgets,
@@ -114,6 +122,8 @@
     Vary,
     /// A server's entry is removed and written again; the server runs on.
     EntryRemoved,
+    /// A server states a rate limit in its answers.
+    ServerLimited,
 }
 
 /// Kinds that were added after seeds had been recorded; they are drawn separately, so that the
@@ -128,6 +138,9 @@
 /// Kinds that only [`Scenario::ShortBudgets`] has.
 const SHORT_BUDGET_KINDS: [Kind; 2] = [Kind::Vary, Kind::EntryRemoved];
 
+/// Kinds that only [`Scenario::Limits`] has.
+const LIMIT_KINDS: [Kind; 1] = [Kind::ServerLimited];
+
 impl Kind {
     /// Whether it is a planned change by operators, which must not lose requests.
     pub fn is_planned(self) -> bool {
@@ -163,7 +176,8 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let is_planned = seed.is_multiple_of(3);
         let is_excluded = |kind: &Kind| {
-            let excluded: [&[Kind]; 3] = [&LATER_KINDS, &SILENCE_KINDS, &SHORT_BUDGET_KINDS];
+            let excluded: [&[Kind]; 4] =
+                [&LATER_KINDS, &SILENCE_KINDS, &SHORT_BUDGET_KINDS, &LIMIT_KINDS];
             excluded.iter().any(|kinds| kinds.contains(kind))
         };
         let is_drawn = |kind: &Kind| !is_excluded(kind) && (!is_planned || kind.is_planned());
@@ -207,6 +221,26 @@
         Self { is_planned: false, faults: faults.into() }
     }
 
+    /// Generates rate limits of some servers, beside planned changes and silences.
+    pub fn limits(seed: u64, length: Duration) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        rng.set_stream(LIMIT_STREAM);
+        let mut faults = Vec::new();
+        for _ in 0..rng.random_range(LIMITED) {
+            let limited = Duration::from_millis(rng.random_range(LIMIT_MS));
+            let (at, target) = (length.mul_f64(rng.random()), rng.random_range(0..VARIATIONS));
+            faults.push(Fault { at, length: limited, kind: Kind::ServerLimited, target });
+        }
+        let others = [Kind::Configure, Kind::Replace, Kind::Reload, Kind::AnnounceWeights];
+        for kind in others.into_iter().chain([Kind::Silence, Kind::EntryRemoved]) {
+            let at = length.mul_f64(rng.random());
+            let ms = rng.random_range(MIN_DURATION_MS..MAX_DURATION_MS);
+            let target = rng.random_range(0..VARIATIONS);
+            faults.push(Fault { at, length: Duration::from_millis(ms), kind, target });
+        }
+        Self { is_planned: false, faults }
+    }
+
     /// Generates series of silences that overlap with changes of the configuration and, except in
     /// every third seed, with failures of the other servers.
     pub fn silences(seed: u64, length: Duration) -> Self {
--- a/crates/soak/src/fixture.rs
+++ b/crates/soak/src/fixture.rs
@@ -31,6 +31,8 @@
 const CHANGING_ORGANISATION: (&str, &str) = ("east", "key-east");
 /// Number of plain servers, and of model engines.
 const SERVERS_PER_KIND: usize = 4;
+/// Number of servers.
+pub const SERVERS: usize = SERVERS_PER_KIND * 2;
 /// Requests that a server runs concurrently.
 const SLOTS: usize = 16;
 /// Time between two events of a stream; latency of a plain call.
@@ -101,7 +103,7 @@
         scenario: Scenario,
     ) -> io::Result<Self> {
         let (interval, target_ms) = match scenario {
-            Scenario::Mixed | Scenario::Crashes => (EVENT_INTERVAL, TARGET_MS),
+            Scenario::Mixed | Scenario::Crashes | Scenario::Limits => (EVENT_INTERVAL, TARGET_MS),
             Scenario::Silences | Scenario::ShortBudgets => (LONG_EVENT_INTERVAL, SHORT_TARGET_MS),
         };
         fs::create_dir_all(&folder)?;
@@ -110,7 +112,7 @@
         let cache = cache::start(CACHE_TOKENS).await?;
         let others = Peers::default();
         let (mut servers, mut proxies) = (Vec::new(), Vec::new());
-        for number in 0..SERVERS_PER_KIND * 2 {
+        for number in 0..SERVERS {
             let engine = (number >= SERVERS_PER_KIND).then(|| engine(&cache, &others));
             let mut settings = server_settings(number, engine, interval);
             if scenario == Scenario::ShortBudgets {
@@ -259,6 +261,7 @@
             seen: self.servers.iter().flat_map(|server| server.executions()).collect(),
             runs: self.servers.iter().flat_map(|server| server.ledger()).collect(),
             crashes: Vec::new(),
+            limits: self.servers.iter().flat_map(|server| server.limits()).collect(),
             has_steady_instances: false,
             has_sound_servers: false,
             wrong_parts: wrong.sum::<u64>() + self.cache.count(Counter::WrongBlockRead),
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -22,7 +22,7 @@
     count: u64,
     /// Run the seeds of known regressions instead
     regressions: bool,
-    /// The faults: mixed, silences, crashes, or short_budgets
+    /// The faults: mixed, silences, crashes, short_budgets, or limits
     #[bpaf(argument("NAME"), fallback(Scenario::Mixed), display_fallback)]
     scenario: Scenario,
     /// Seeds that run concurrently
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -5,6 +5,7 @@
 
 use acacia_standin::platform::caller::{Answer, Ending};
 use acacia_standin::platform::crash;
+use acacia_standin::platform::limit::Limit;
 use acacia_standin::platform::run::{End, Run};
 use acacia_standin::platform::server::Execution;
 use strum::Display;
@@ -25,6 +26,13 @@
 const HOLD_TIME: Duration = Duration::from_secs(3);
 /// Requests with a culprit that may reach servers later.
 const LATER_ARRIVALS: usize = 3;
+/// Time from the first statement of a rate limit until all instances keep to it.
+const LIMIT_SETTLE_TIME: Duration = Duration::from_secs(3);
+/// Window in which requests to a limited server are counted.
+const LIMIT_SPAN: Duration = Duration::from_secs(4);
+/// Requests allowed in a window, as a factor on the limit, and in addition.
+const LIMIT_FACTOR: f64 = 1.5;
+const LIMIT_SLACK: f64 = 5.0;
 /// Fewest sound requests of which a share is taken.
 const SHARE_REQUESTS: usize = 20;
 
@@ -66,6 +74,8 @@
     pub runs: Vec<Run>,
     /// What each culprit caused.
     pub crashes: Vec<Crashes>,
+    /// Rate limits that servers stated, and the requests that arrived meanwhile.
+    pub limits: Vec<Limit>,
     /// Cached prompt parts that were used although incomplete or computed with other weights.
     pub wrong_parts: u64,
     /// Whether no instance was stopped, killed or suspended.
@@ -152,6 +162,14 @@
         /// Requests sent before the crashes.
         all_before: usize,
     },
+    /// A server with a rate limit got too many requests.
+    #[strum(to_string = "a server with a limit of {rate} requests per second got {peak} in 4 s")]
+    Exceeded {
+        /// The limit, in requests per second.
+        rate: String,
+        /// The requests.
+        peak: usize,
+    },
     /// A request was not served after all faults and the recovery time.
     #[strum(to_string = "{0} was not served after all faults ended: {1}")]
     Unrecovered(String, String),
@@ -211,6 +229,7 @@
     for service in [Service::Plain, Service::Engine] {
         violations.extend(judge_service(records, &evidence.crashes, service));
     }
+    violations.extend(evidence.limits.iter().filter_map(judge_limit));
     if evidence.wrong_parts > 0 {
         violations.insert(Violation::WrongParts(evidence.wrong_parts));
     }
@@ -316,6 +335,14 @@
     is_violated.then_some(Violation::CrashesOn { culprit, later, last, crashes: count })
 }
 
+/// From some time after a server first stated a limit, it gets at most one and a half times as many
+/// requests, and a few more, from all instances together.
+fn judge_limit(limit: &Limit) -> Option<Violation> {
+    let peak = limit.peak(LIMIT_SETTLE_TIME, LIMIT_SPAN);
+    let allowed = limit.rate * LIMIT_SPAN.as_secs_f64() * LIMIT_FACTOR + LIMIT_SLACK;
+    (peak as f64 > allowed).then(|| Violation::Exceeded { rate: limit.rate.to_string(), peak })
+}
+
 /// Only culprits are held: sound requests at their service are served again, also those that
 /// resemble one.
 fn judge_service(records: &[Record], crashes: &[Crashes], service: Service) -> Vec<Violation> {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -22,7 +22,7 @@
 
 use crate::culprit::{Culprit, Role, Service};
 use crate::fault::{Fault, Kind, Scenario, Schedule};
-use crate::fixture::{Fixture, Instance, ORGANISATIONS};
+use crate::fixture::{Fixture, Instance, ORGANISATIONS, SERVERS};
 use crate::oracle::{Crashes, Evidence, Record, Violation, judge};
 use crate::proxy::Mode;
 use crate::request::{self, ANSWER_EVENTS};
@@ -45,6 +45,8 @@
 
 /// Events before which other servers interrupt streams.
 const BREAK_EVENTS: Range<u32> = 1..ANSWER_EVENTS;
+/// Rate limits of servers, in requests per 1,000 s.
+const RATES_PER_1000_S: [u32; 4] = [0, 500, 1_500, 3_200];
 /// Pause that refusing servers ask for, in milliseconds.
 const REFUSAL_PAUSE_MS: u64 = 1;
 
@@ -91,7 +93,7 @@
     let schedule = schedule(plan, seed);
     let culprits = match plan.scenario {
         Scenario::Crashes => Culprit::draw(seed),
-        Scenario::Mixed | Scenario::Silences | Scenario::ShortBudgets => Vec::new(),
+        _ => Vec::new(),
     };
     let folder = plan.folder.join(seed.to_string());
     let (daemon, scenario) = (Path::new(&plan.daemon), plan.scenario);
@@ -138,6 +140,7 @@
     match plan.scenario {
         Scenario::Silences => Schedule::silences(seed, plan.length),
         Scenario::Crashes => Schedule::beside_crashes(seed, plan.length),
+        Scenario::Limits => Schedule::limits(seed, plan.length),
         Scenario::ShortBudgets => Schedule::short_budgets(seed, plan.length),
         Scenario::Mixed if plan.has_later_kinds => {
             Schedule::draw(seed, plan.length).with_later_kinds(seed, plan.length)
@@ -330,6 +333,13 @@
                 let millis = u64::try_from(fault.length.as_millis()).unwrap_or(u64::MAX);
                 self.fixture.server(fault.target).fault(StandinFault::Silent { millis })?;
             }
+            Kind::ServerLimited => {
+                let server = self.fixture.server(fault.target);
+                let rate = RATES_PER_1000_S[fault.target / SERVERS % RATES_PER_1000_S.len()];
+                server.fault(StandinFault::Limited { per_1000_s: Some(rate) })?;
+                tokio::time::sleep(fault.length).await;
+                server.fault(StandinFault::Limited { per_1000_s: None })?;
+            }
             Kind::ServerPaused => {
                 let server = self.fixture.server(fault.target);
                 let millis = u64::try_from(fault.length.as_millis()).unwrap_or(u64::MAX);
--- a/crates/soak/tests/oracle.rs
+++ b/crates/soak/tests/oracle.rs
@@ -7,6 +7,7 @@
 use acacia_soak::oracle::{Crashes, Evidence, Group, Record, Violation, judge};
 use acacia_standin::platform::caller::{Answer, Ending};
 use acacia_standin::platform::crash;
+use acacia_standin::platform::limit::Limit;
 use acacia_standin::platform::run::{End, Run};
 use acacia_standin::platform::server::Execution;
 use tokio::time::Instant;
@@ -49,6 +50,24 @@
     );
 }
 
+/// A server gets 11 requests in 4 s at a limit of one a second; ten more before all instances keep
+/// to it are no violation.
+#[test]
+fn judge_limit() {
+    let since = Instant::now();
+    let at = |seconds: f64| since + Duration::from_secs_f64(seconds);
+    let early = (0..10).map(|number| at(f64::from(number) * 0.2));
+    let late = |count: u32| (0..count).map(move |number| at(4.0 + f64::from(number) * 0.3));
+    let violations = |count| {
+        let arrivals = early.clone().chain(late(count)).collect();
+        let limit = Limit { rate: 1.0, since, until: None, arrivals };
+        judge(false, &[], &Evidence { limits: vec![limit], ..Evidence::default() })
+    };
+    assert!(violations(11).is_empty());
+    let exceeded = Violation::Exceeded { rate: "1".to_owned(), peak: 12 };
+    assert_eq!(violations(12), BTreeSet::from([exceeded]));
+}
+
 #[test]
 fn judge_second_run() {
     let runs = vec![seen("charge-1"), seen("charge-1")];
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -53,6 +53,11 @@
         /// Time in milliseconds.
         millis: u64,
     },
+    /// Every answer states a rate limit; none clears the fault.
+    Limited {
+        /// Requests in 1,000 s that the server takes from all instances together.
+        per_1000_s: Option<u32>,
+    },
     /// Nothing is sent for this time, then everything goes on: neither answers nor events; zero
     /// clears the fault.
     Silent {
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use super::limit::Limit;
 use super::memory::Memory;
 use super::run::{End, Entry, Ledger, Run};
 use super::{cache, crash, store};
@@ -128,6 +129,7 @@
         silent_until: watch::Sender::default(),
         ledger: Arc::default(),
         crash_causes: Mutex::default(),
+        limits: Mutex::default(),
         is_crashed: watch::Sender::default(),
         renames: AtomicU32::new(0),
         broken: Mutex::default(),
@@ -164,6 +166,7 @@
     silent_until: watch::Sender<Option<Instant>>,
     ledger: Arc<Ledger>,
     crash_causes: Mutex<Vec<Arc<crash::Cause>>>,
+    limits: Mutex<Vec<Limit>>,
     is_crashed: watch::Sender<bool>,
     renames: AtomicU32,
     broken: Mutex<Option<(u32, u32)>>,
@@ -213,6 +216,28 @@
         let _ = self.is_crashed.subscribe().wait_for(|is_crashed| *is_crashed).await;
     }
 
+    /// The rate limits that it has stated, with the requests that arrived meanwhile.
+    pub fn limits(&self) -> Vec<Limit> {
+        self.limits.lock().clone()
+    }
+
+    /// States a rate limit from now on, or none.
+    fn set_limit(&self, rate: Option<f64>) {
+        let mut limits = self.limits.lock();
+        if let Some(last) = limits.last_mut() {
+            last.until.get_or_insert_with(Instant::now);
+        }
+        limits.extend(rate.map(Limit::new));
+    }
+
+    /// Records the arrival of a request; the rate limit that its answer states.
+    fn count_arrival(&self) -> Option<f64> {
+        let mut limits = self.limits.lock();
+        let limit = limits.last_mut().filter(|limit| limit.until.is_none())?;
+        limit.arrivals.push(Instant::now());
+        Some(limit.rate)
+    }
+
     /// Requests executed so far.
     pub fn executions(&self) -> Vec<Execution> {
         self.executions.lock().clone()
@@ -545,15 +570,23 @@
         let id = call.header("x-request-id").to_owned();
         let instance = self.id();
         let is_leaving = self.leaving.load(Ordering::Relaxed);
+        let mut limit = None;
         let answer = match (&call.method, &*call.path) {
             (&Method::GET, "/acaciaarch/report") => Ok(self.report()),
             (&Method::POST, "/acaciaarch/order") => self.order(&call),
             _ if self.closing.load(Ordering::Relaxed) => return Answer::disconnect(),
-            _ => self.run(&call).await,
+            _ => {
+                limit = self.count_arrival();
+                self.run(&call).await
+            }
         };
         let answer = answer.unwrap_or_else(|refusal| refusal);
         let answer = answer.with("x-request-id", id).with("x-instance-id", instance);
-        if is_leaving { answer.with("server-leaving", 1) } else { answer }
+        let answer = if is_leaving { answer.with("server-leaving", 1) } else { answer };
+        match limit {
+            Some(rate) => answer.with("server-limit", rate),
+            None => answer,
+        }
     }
 
     fn fault(&self, fault: &Fault) -> bool {
@@ -567,6 +600,9 @@
                 let until = Instant::now() + Duration::from_millis(*millis);
                 self.silent_until.send_replace(Some(until));
             }
+            Fault::Limited { per_1000_s } => {
+                self.set_limit(per_1000_s.map(|count| f64::from(count) / 1_000.0));
+            }
             Fault::Paused { millis } => self.pause_ms.store(*millis, Ordering::Relaxed),
             _ => return false,
         }
