--- a/crates/daemon/tests/platform/fixture.rs
+++ b/crates/daemon/tests/platform/fixture.rs
@@ -135,6 +135,17 @@
         }
     }
 
+    /// Kills all instances at the same time, and starts as many new ones.
+    pub async fn kill_instances(&mut self) {
+        let count = self.instances.len();
+        self.instances.clear();
+        self.instances
+            .extend((0..count).map(|number| self.start_instance(number)).collect::<Vec<_>>());
+        for number in 0..count {
+            eventually("the instance is ready", async || self.is_ready(number).await).await;
+        }
+    }
+
     /// An instance's address for callers.
     pub fn address(&self, instance: usize) -> SocketAddr {
         self.instances[instance].address
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -11,6 +11,7 @@
 mod limit;
 mod raw;
 mod silence;
+mod software;
 
 use std::time::Duration;
 
--- a/crates/daemon/tests/platform/raw.rs
+++ b/crates/daemon/tests/platform/raw.rs
@@ -26,6 +26,8 @@
 /// A running upstream.
 pub struct Server {
     pub id: String,
+    /// Version of its software, for its entry.
+    pub software: &'static str,
     address: SocketAddr,
     requests: Arc<Mutex<Vec<Request>>>,
     sent_bytes: Arc<AtomicU64>,
@@ -44,6 +46,8 @@
     pub body: Bytes,
     /// Id of the event after which the stream is to resume.
     pub last_event: Option<u32>,
+    /// Id of the request that brought the first event of the stream.
+    pub origin: String,
 }
 
 /// Bytes that answer a request.
@@ -128,7 +132,7 @@
                 });
             }
         });
-        Self { id, address, requests, sent_bytes, resets, task }
+        Self { id, software: "v1", address, requests, sent_bytes, resets, task }
     }
 
     /// Resets all connections and takes no more of them.
@@ -150,7 +154,7 @@
     /// The entry of the upstream in the metadata store, as an engine or a plain service.
     pub fn entry(&self, service: &str) -> Value {
         let mut entry = json!({
-            "service": service, "address": self.address, "zone": "z1", "version": "v1",
+            "service": service, "address": self.address, "zone": "z1", "version": self.software,
             "slots": 8, "state": "ready", "cold_left_ms": 0, "sequence": 1, "born": 1,
         });
         if service == "llm" {
@@ -257,6 +261,7 @@
             prompt: field("x-prompt-prefix: ").unwrap_or_default().to_owned(),
             body: Bytes::copy_from_slice(&body[..length.min(body.len())]),
             last_event: field("last-event-id: ").and_then(|id| id.parse().ok()),
+            origin: field("resumes: ").unwrap_or_default().to_owned(),
         });
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -254,6 +254,8 @@
         send = plan.sends,
         cold = attempt.cold,
         weights = run.map(|run| run.weights),
+        software = &*attempt.server.software,
+        takes_up = plan.resumption.as_ref().map(|r| r.origin.as_deref().unwrap_or_default()),
         shared_part = shared.map(|part| &*part.id),
         shared_tokens = shared.map(|part| part.tokens),
         unread_tokens = attempt.prefill_tokens,
--- a/crates/policy/src/gateway/call.rs
+++ b/crates/policy/src/gateway/call.rs
@@ -29,6 +29,15 @@
     pub prompt: Option<Prompt>,
     /// Hash of its method, path with query, and body; zero until the body was read.
     pub content: ContentHash,
+    /// The stream that it takes up, if it does.
+    pub resumption: Option<Resumption>,
+}
+
+/// A stream that was broken off and that its caller takes up after the last event it has.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Resumption {
+    /// Id of the request that brought the stream's first event; none if the caller doesn't say.
+    pub origin: Option<CallId>,
 }
 
 /// A prompt, divided into parts that are cached separately.
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -201,6 +201,7 @@
             service,
             organisation,
             prompt: call.prompt,
+            resumption: call.resumption,
             subjects,
             version: configuration.version,
             arrived: now,
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -44,4 +44,4 @@
 pub use member::Member;
 pub use notice::Notice;
 pub use plan::{Attempt, Ending, EngineRun, Fetch, Plan, Reason, Refusal, Step};
-pub use view::{Server, ServerId, View, WeightVersion, Weights};
+pub use view::{Server, ServerId, SoftwareVersion, View, WeightVersion, Weights};
--- a/crates/policy/src/gateway/plan.rs
+++ b/crates/policy/src/gateway/plan.rs
@@ -6,7 +6,7 @@
 
 use strum::{Display, IntoStaticStr};
 
-use super::call::{CallId, Prompt};
+use super::call::{CallId, Prompt, Resumption};
 use super::configuration::{ModelName, Organisation, Route, ServiceName, Version};
 use super::quarantine::Subjects;
 use super::view::{Server, ServerId, WeightVersion};
@@ -25,6 +25,8 @@
     pub organisation: Option<Arc<Organisation>>,
     /// Its prompt.
     pub prompt: Option<Prompt>,
+    /// The stream that it takes up, if it does.
+    pub resumption: Option<Resumption>,
     /// What may crash an upstream that begins to run it.
     pub subjects: Subjects,
     /// The configuration that it was admitted by.
--- a/crates/policy/src/gateway/view.rs
+++ b/crates/policy/src/gateway/view.rs
@@ -17,6 +17,8 @@
 pub type ServerId = Arc<str>;
 /// Version of a model's weights.
 pub type WeightVersion = u64;
+/// Version of an upstream's software; versions have no order.
+pub type SoftwareVersion = Arc<str>;
 
 /// A snapshot of the metadata store.
 #[derive(Clone, Debug)]
@@ -154,6 +156,8 @@
     pub models: Vec<(ModelName, WeightVersion)>,
     /// Start of this incarnation, in milliseconds of Unix time.
     pub born: Option<u64>,
+    /// The version of its software. Events of two versions don't fit into one stream.
+    pub software: SoftwareVersion,
 }
 
 impl Server {
--- a/crates/policy/tests/gateway_crash/load.rs
+++ b/crates/policy/tests/gateway_crash/load.rs
@@ -69,6 +69,7 @@
             timeout: Some(Duration::from_secs(5)),
             prompt,
             content: content_hash("POST", path, body.as_bytes()),
+            resumption: None,
         };
         let plan = self.gateways[gateway].admit(self.now, call).expect("the route is public");
         self.requests.push(Request {
--- a/crates/policy/tests/gateway_crash/mod.rs
+++ b/crates/policy/tests/gateway_crash/mod.rs
@@ -295,6 +295,7 @@
             cold_left: Duration::ZERO,
             models: if is_engine { vec![(MODEL.into(), 1)] } else { Vec::new() },
             born: Some(u64::from(number)),
+            software: "v1".into(),
         }
     }
 
--- a/crates/policy/tests/gateway_fleet/mod.rs
+++ b/crates/policy/tests/gateway_fleet/mod.rs
@@ -288,6 +288,7 @@
                 parts,
             }),
             content: content_hash("POST", class.path, b""),
+            resumption: None,
         };
         match self.gateways[gateway].admit(self.now, call) {
             Ok(plan) => self.go_on(gateway, caller, plan, self.now),
@@ -489,6 +490,7 @@
         cold_left: Duration::ZERO,
         models: vec![(super::gateway_simulation::MODEL.into(), 1)],
         born: None,
+        software: "v1".into(),
     });
     View {
         configuration: Arc::new(configuration(classes)),
--- a/crates/policy/tests/gateway_fuzz.rs
+++ b/crates/policy/tests/gateway_fuzz.rs
@@ -157,6 +157,7 @@
             timeout: Some(Duration::from_secs(2)),
             prompt,
             content: content_hash("POST", path, b""),
+            resumption: None,
         };
         self.first_sends.push_back(self.now);
         let admitted = self.instances[at].gateway.admit(self.now, call);
--- a/crates/policy/tests/gateway_quarantine.rs
+++ b/crates/policy/tests/gateway_quarantine.rs
@@ -303,6 +303,7 @@
         timeout: None,
         prompt: None,
         content: content_hash(method, target, body),
+        resumption: None,
     }
 }
 
--- a/crates/policy/tests/gateway_rollout.rs
+++ b/crates/policy/tests/gateway_rollout.rs
@@ -145,6 +145,7 @@
         cold_left: Duration::ZERO,
         models: vec![(MODEL.into(), weights)],
         born: None,
+        software: "v1".into(),
     }
 }
 
--- a/crates/policy/tests/gateway_simulation/mod.rs
+++ b/crates/policy/tests/gateway_simulation/mod.rs
@@ -120,6 +120,7 @@
             timeout: Some(Duration::from_secs(5)),
             prompt,
             content: content_hash("POST", path, b""),
+            resumption: None,
         };
         self.gateway.admit(self.now, call)
     }
@@ -236,6 +237,7 @@
         cold_left: Duration::ZERO,
         models: if is_engine { vec![(MODEL.into(), 1)] } else { Vec::new() },
         born: None,
+        software: "v1".into(),
     }
 }
 
