Resume a stream only at the software version that began it

Change: the first event binds the request to its server's version; repeats and second attempts have no other choice, and the stream ends at once if no such server is left.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -161,8 +161,11 @@
     /// Records the arrival of the first event or of a whole plain answer.
     fn record_first_byte(&mut self) {
         let now = self.traffic.now();
-        let plan = self.plan.borrow();
+        let mut plan = self.plan.borrow_mut();
         self.traffic.gateway.borrow_mut().began(now, &plan, &mut self.attempt);
+        if plan.route.repeat.is_stream() {
+            plan.begin_stream(&self.attempt);
+        }
         let took = now.saturating_sub(plan.arrived);
         self.traffic.metrics.first_byte(&plan.route.name, took);
     }
--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -229,6 +229,9 @@
         if member.is_leaving() || status.evacuated || plan.is_taken(&member.server.id) {
             return Eligibility::Never;
         }
+        if !plan.accepts_software(&member.server) {
+            return Eligibility::Never;
+        }
         if status.loading || now < member.available_at() {
             return Eligibility::At(member.available_at().max(now + RECHECK_INTERVAL));
         }
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -202,6 +202,7 @@
             organisation,
             prompt: call.prompt,
             resumption: call.resumption,
+            software: None,
             subjects,
             version: configuration.version,
             arrived: now,
--- a/crates/policy/src/gateway/plan.rs
+++ b/crates/policy/src/gateway/plan.rs
@@ -9,7 +9,7 @@
 use super::call::{CallId, Prompt, Resumption};
 use super::configuration::{ModelName, Organisation, Route, ServiceName, Version};
 use super::quarantine::Subjects;
-use super::view::{Server, ServerId, WeightVersion};
+use super::view::{Server, ServerId, SoftwareVersion, WeightVersion};
 use crate::{Time, Verdict};
 
 /// A request that was admitted.
@@ -27,6 +27,8 @@
     pub prompt: Option<Prompt>,
     /// The stream that it takes up, if it does.
     pub resumption: Option<Resumption>,
+    /// The only software version that may go on with its stream; none before the first event.
+    pub software: Option<SoftwareVersion>,
     /// What may crash an upstream that begins to run it.
     pub subjects: Subjects,
     /// The configuration that it was admitted by.
@@ -58,6 +60,16 @@
         self.deadline.saturating_sub(now)
     }
 
+    /// Records that the caller gets the first events of a stream from this attempt.
+    pub fn begin_stream(&mut self, attempt: &Attempt) {
+        self.software.get_or_insert_with(|| attempt.server.software.clone());
+    }
+
+    /// Whether a server's software may answer the rest of the request.
+    pub fn accepts_software(&self, server: &Server) -> bool {
+        self.software.as_ref().is_none_or(|software| *software == server.software)
+    }
+
     /// Priority; zero is the highest.
     pub fn priority(&self) -> u32 {
         let organisation = self.organisation.as_ref().and_then(|o| o.priority);
--- a/crates/policy/tests/gateway_machine.rs
+++ b/crates/policy/tests/gateway_machine.rs
@@ -507,3 +507,29 @@
     let mut plan = simulation.admit_prompt("long-0", 15_000);
     assert!(matches!(simulation.next(&mut plan), Step::Send(_)));
 }
+
+/// A stream that broke off goes on at the software version that began it, or not at all.
+#[test]
+fn next_resumes_stream_at_same_software() {
+    let mut simulation = Simulation::new(6);
+    simulation.change(|view, _| {
+        for (id, server) in &mut view.servers {
+            let software = if id.ends_with(['0', '1']) { "v1" } else { "v2" };
+            let server = Arc::make_mut(server);
+            server.software = software.into();
+        }
+    });
+    let mut plan = simulation.admit("/ask/", "key").expect("a valid request");
+    let mut first = simulation.send(&mut plan);
+    simulation.begin(&plan, &mut first);
+    plan.begin_stream(&first);
+    simulation.end(&mut plan, &first, Ending::Broken);
+    let second = simulation.send(&mut plan);
+    assert_eq!(second.server.software, first.server.software);
+    assert_ne!(second.server.id, first.server.id);
+    let software = first.server.software.clone();
+    simulation.change(|view, _| view.servers.retain(|_, server| server.software != software));
+    simulation.end(&mut plan, &second, Ending::Unreachable);
+    let Step::Refuse(refusal) = simulation.next(&mut plan) else { panic!("it goes on") };
+    assert_eq!(refusal.reason, Reason::NoUpstream);
+}
