Take a stream up only at the software version that began it

Cause: the instance that gets the next request never knew which version began the stream; 'Resumes' was read nowhere.

Change: policy/gateway/software. While one version alone serves, there is nothing to know. A new instance learns from a record in the metadata store which versions serve or did in the last 30 s; the holder of the order lease writes it when a version comes or has gone, two writes a version.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -11,6 +11,7 @@
 use acacia_policy::Time;
 use acacia_policy::gateway::gossip::{Digest, Message, Note, Subject};
 use acacia_policy::gateway::mesh::{Mesh, Recipients};
+use strum::IntoEnumIterator;
 use tokio::net::UdpSocket;
 
 use crate::traffic::Traffic;
@@ -146,16 +147,16 @@
 /// loads stay together.
 pub fn split(mut digest: Digest) -> Vec<Digest> {
     let is_apart = |note: &mut Note| note.subject() != Subject::General;
-    let apart = digest.notes.extract_if(.., is_apart).collect::<Vec<_>>();
-    let is_on_suspect = |note: &Note| note.subject() == Subject::Suspect;
-    let (on_suspects, on_limits): (Vec<_>, Vec<_>) = apart.into_iter().partition(is_on_suspect);
+    let mut apart = digest.notes.extract_if(.., is_apart).collect::<Vec<_>>();
     let incarnation = digest.incarnation;
     let is_empty = !digest.is_full
         && digest.loads.is_empty()
         && digest.prefills.is_empty()
         && digest.notes.is_empty();
     let mut digests = if is_empty { Vec::new() } else { split_prefills(digest) };
-    for mut notes in [on_suspects, on_limits] {
+    for subject in Subject::iter() {
+        let is_on_subject = |note: &mut Note| note.subject() == subject;
+        let mut notes = apart.extract_if(.., is_on_subject).collect::<Vec<_>>();
         while !notes.is_empty() {
             let notes = notes.drain(..fitting(&notes)).collect();
             // Without a sequence number, it leaves the sender's load as it is.
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use acacia_connection::Fault;
-use acacia_platform::document::{announcement_times_key, holder_key};
+use acacia_platform::document::{announcement_times_key, holder_key, software_key};
 use acacia_platform::instance::OrderLease;
 use acacia_platform::store::{Client as StoreClient, Written};
 use acacia_platform::upstream::{self, Request};
@@ -38,7 +38,7 @@
 const PROPAGATION_MARGIN: Duration = Duration::from_millis(60);
 /// Limit of the number of delay steps.
 const MAX_DELAY_STEPS: u32 = 16;
-/// Time after which announcement times are written again if the watch has not shown them.
+/// Time after which announcement times and software versions are written again if the watch has not shown them.
 const ANNOUNCEMENT_RETRY: Duration = Duration::from_secs(1);
 /// Longest time that an order may take to reach an engine; then the call is abandoned.
 const ORDER_TRANSIT: Duration = ANSWER_TIMEOUT;
@@ -51,6 +51,7 @@
     published: RefCell<OrderLease>,
     fenced: Cell<bool>,
     announcements_written: Cell<Time>,
+    software_written: Cell<Time>,
     http: Rc<Client>,
     inventory: Rc<Manager>,
 }
@@ -76,6 +77,7 @@
             published: RefCell::default(),
             fenced: Cell::default(),
             announcements_written: Cell::default(),
+            software_written: Cell::default(),
         })
     }
 
@@ -217,6 +219,7 @@
         let Some(term) = self.term() else { return };
         self.inventory.reconcile();
         self.write_announcements(client).await;
+        self.write_software(client).await;
         let now = self.control.clock.now();
         if !term.allows_orders(now) {
             return;
@@ -271,6 +274,27 @@
         }
     }
 
+    /// Writes the software versions that serve to the metadata store.
+    async fn write_software(&self, client: &mut StoreClient) {
+        let now = self.control.clock.now();
+        let update = self.control.replica.borrow_mut().unwritten_software(now);
+        let (Some((software, revision)), true) =
+            (update, now >= self.software_written.get() + ANNOUNCEMENT_RETRY)
+        else {
+            return;
+        };
+        self.software_written.set(now);
+        self.control.metrics.store_call("write");
+        match client.write(&software_key(), &software.encode(), Some(revision), None).await {
+            Ok(Written::Done(_)) => {
+                tracing::info!(versions = ?software.0, "recorded software versions");
+            }
+            // The watch will show what another instance has written.
+            Ok(Written::Conflict | Written::LeaseEnded) => {}
+            Err(failure) => tracing::info!(%failure, "software versions not recorded"),
+        }
+    }
+
     async fn perform(self: Rc<Self>, act: Action, term: LeaseTerm) {
         match act {
             Action::Poll(server) => {
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -9,12 +9,15 @@
 use std::time::Duration;
 
 use acacia_platform::document::{self, Announcement, Subject};
-use acacia_platform::instance::{AnnouncementTimes, OrderLease, Presence};
+use acacia_platform::instance::{AnnouncementTimes, OrderLease, Presence, Software};
 use acacia_platform::{Document, store};
 use acacia_policy::Time;
-use acacia_policy::gateway::configuration::{ModelName, ZoneName};
+use acacia_policy::gateway::configuration::{ModelName, ServiceName, ZoneName};
 use acacia_policy::gateway::inventory::{Inventory, Progress};
-use acacia_policy::gateway::{Configuration, Server, ServerId, WeightVersion, Weights};
+use acacia_policy::gateway::software;
+use acacia_policy::gateway::{
+    Configuration, Server, ServerId, SoftwareVersion, WeightVersion, Weights,
+};
 use acacia_policy::kv::{Era, Revision};
 
 use crate::carryover::{Carryover, Departures};
@@ -40,6 +43,11 @@
     announcements_revision: Revision,
     /// Those times, and times of earlier eras that the store may have lost.
     known_announcements: AnnouncementTimes,
+    /// Software versions that the metadata store holds, and the revision of that entry.
+    software: Software,
+    software_revision: Revision,
+    /// When each version of a service was last seen.
+    software_seen: BTreeMap<(ServiceName, SoftwareVersion), Time>,
     instances: BTreeMap<String, Presence>,
     holder: Option<Holder>,
     inventories: BTreeMap<String, (Arc<Inventory>, Revision)>,
@@ -135,6 +143,34 @@
             .then_some((announcements, self.announcements_revision))
     }
 
+    /// The software versions that serve now or did within [`software::RETENTION`], if the metadata
+    /// store holds others.
+    pub fn unwritten_software(&mut self, now: Time) -> Option<(Software, Revision)> {
+        let listed = self.servers.values().map(|server| (&server.service, &server.software));
+        for (service, version) in listed {
+            self.software_seen.insert((service.clone(), version.clone()), now);
+        }
+        // What was recorded before this instance started counts as seen then.
+        for (service, versions) in &self.software.0 {
+            for version in versions {
+                self.software_seen.entry((service.clone(), version.clone())).or_insert(now);
+            }
+        }
+        self.software_seen.retain(|_, seen| now < *seen + software::RETENTION);
+        let mut software = Software::default();
+        for (service, version) in self.software_seen.keys() {
+            software.0.entry(service.clone()).or_default().insert(version.clone());
+        }
+        (software != self.software)
+            .then(|| (software, self.revision_in_era(self.software_revision)))
+    }
+
+    /// The revision of an entry as far as the current era has it: an entry of an earlier one that
+    /// was not written again is absent.
+    fn revision_in_era(&self, revision: Revision) -> Revision {
+        if revision.era == self.era { revision } else { Revision::absent(self.era) }
+    }
+
     /// The configuration in force.
     pub fn configuration(&self) -> Option<&Arc<Configuration>> {
         self.configuration.as_ref()
@@ -326,6 +362,13 @@
                 Err(problem) => Some(malformed(key, value, &problem)),
             },
             Subject::AnnouncementTimes => self.set_announcement_times(key, value, revision),
+            Subject::Software => match Software::decode("", value) {
+                Ok(software) => {
+                    (self.software, self.software_revision) = (software, revision);
+                    None
+                }
+                Err(problem) => Some(malformed(key, value, &problem)),
+            },
             Subject::Inventory(service) => self.set_inventory(key, service, value, revision),
             Subject::Holder => self.set_holder(now, change, value),
             Subject::Other => None,
@@ -462,6 +505,7 @@
             Subject::Configuration
             | Subject::Weights(_)
             | Subject::AnnouncementTimes
+            | Subject::Software
             | Subject::Other => None,
         }
     }
--- a/crates/gateway/src/replica/view.rs
+++ b/crates/gateway/src/replica/view.rs
@@ -36,6 +36,7 @@
             configuration: self.configuration.clone()?,
             servers: self.listed_servers(),
             expired: self.expired.clone(),
+            software: self.software.0.clone(),
             evacuated: evacuated.cloned().collect(),
             weights: self.announced_weights(),
             loading: holding.map(|h| h.loading.iter().cloned().collect()).unwrap_or_default(),
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -5,6 +5,7 @@
 use acacia_policy::gateway::limit::Report;
 use acacia_policy::gateway::notice::Departure;
 use acacia_policy::gateway::quarantine::{Clearance, Sighting, Suspicion};
+use acacia_policy::gateway::software::Beginnings;
 use quickcheck::quickcheck;
 
 /// A digest of a busy instance with notes of each kind, and values of the greatest size.
@@ -22,6 +23,7 @@
             Note::Suspected(Suspicion { key: u64::MAX, crashes, is_request: true }),
             Note::Tried(u64::MAX),
             Note::Cleared(Clearance { key: u64::MAX, age_ms: u32::MAX }),
+            Note::Began(Beginnings(vec![(u64::MAX, u64::MAX); usize::from(count % 33)])),
             Note::Limited(Report {
                 server: u64::MAX,
                 born: Some(u64::MAX),
--- a/crates/policy/src/gateway/exchange.rs
+++ b/crates/policy/src/gateway/exchange.rs
@@ -48,6 +48,7 @@
                     self.quarantine.receive_trial(now, *key, is_first);
                 }
                 Note::Cleared(clearance) => self.quarantine.receive_clearance(now, *clearance),
+                Note::Began(beginnings) => self.streams.receive(now, beginnings),
                 Note::Limited(report) => {
                     let change = self.roster.receive_limit(now, report);
                     self.limit_changes.extend(change);
@@ -78,6 +79,7 @@
         let mut notes: Vec<Note> = departures.into_iter().map(Note::Departed).collect();
         notes.extend(std::mem::take(&mut self.limit_reports).into_iter().map(Note::Limited));
         notes.extend(self.quarantine.take_notes());
+        notes.extend(self.streams.take_untold().into_iter().map(Note::Began));
         if changed.is_empty() && prefills.is_empty() && notes.is_empty() {
             return None;
         }
@@ -98,6 +100,7 @@
         let mut notes: Vec<Note> = departed.collect();
         notes.extend(reports.into_iter().map(Note::Limited));
         notes.extend(self.quarantine.take_notes());
+        notes.extend(self.streams.take_untold().into_iter().map(Note::Began));
         let share = u64::from(self.view.as_ref().map_or(1, |view| view.instances));
         let share = share.div_ceil(REPEATING_INSTANCES.into()).max(1);
         let (incarnation, sequence) = (self.incarnation, self.sequence);
--- a/crates/policy/src/gateway/gossip.rs
+++ b/crates/policy/src/gateway/gossip.rs
@@ -11,12 +11,14 @@
 
 use rustc_hash::{FxHashMap, FxHasher};
 use serde::{Deserialize, Serialize};
+use strum::EnumIter;
 
 use super::call::Prompt;
 use super::confirmation::Confirmation;
 use super::limit;
 use super::notice::Departure;
 use super::quarantine::{Clearance, SuspectKey, Suspicion};
+use super::software::Beginnings;
 use crate::Time;
 
 /// Age from which another instance's digest is ignored. Full digests are sent more often, so that
@@ -67,11 +69,13 @@
     Cleared(Clearance),
     /// An upstream's rate limit.
     Limited(limit::Report),
+    /// Streams began.
+    Began(Beginnings),
 }
 
 /// What a note is about. Instances of an earlier version can't read a message with notes that they
 /// don't know, so each kind but the first is sent in messages of its own.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, EnumIter, Eq, PartialEq)]
 pub enum Subject {
     /// Departures and confirmations.
     General,
@@ -79,6 +83,8 @@
     Suspect,
     /// Rate limits.
     Limit,
+    /// Streams.
+    Stream,
 }
 
 impl Note {
@@ -88,6 +94,7 @@
             Self::Departed(_) | Self::Confirmed(_) => Subject::General,
             Self::Suspected(_) | Self::Tried(_) | Self::Cleared(_) => Subject::Suspect,
             Self::Limited(_) => Subject::Limit,
+            Self::Began(_) => Subject::Stream,
         }
     }
 
@@ -95,6 +102,7 @@
     pub fn size_limit(&self) -> usize {
         match self {
             Self::Suspected(suspicion) => 42 + suspicion.crashes.len() * 29,
+            Self::Began(Beginnings(streams)) => 42 + streams.len() * 19,
             _ => 42,
         }
     }
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -11,7 +11,7 @@
 
 use super::call::{Call, Prompt};
 use super::choice::{Candidate, Chooser};
-use super::configuration::{Role, Route, ServiceName, ZoneName};
+use super::configuration::{Repeat, Role, Route, ServiceName, ZoneName};
 use super::confirmation::Confirmed;
 use super::evidence::held;
 use super::gossip::{Digests, Incarnation, Load, Prefill, ServerKey, part_keys};
@@ -24,6 +24,7 @@
 use super::quarantine::{Gate, Quarantine, Subjects};
 use super::roster::Roster;
 use super::save::Saves;
+use super::software::{Origin, Streams, stream_key};
 use super::view::{Server, View, Weights};
 use super::window::{ColdTerms, RetryBudget, RetryTerms};
 use crate::{Time, Verdict};
@@ -109,6 +110,8 @@
     links: Links,
     pub(super) confirmed: Confirmed,
     pub(super) quarantine: Quarantine,
+    /// Software versions of streams.
+    pub(super) streams: Streams,
 }
 
 impl Gateway {
@@ -135,6 +138,7 @@
             links: Links::default(),
             confirmed: Confirmed::default(),
             quarantine: Quarantine::default(),
+            streams: Streams::default(),
             rng,
         }
     }
@@ -153,6 +157,7 @@
     pub fn observe(&mut self, now: Time, view: Arc<View>) {
         self.started.get_or_insert(now);
         self.roster.observe(now, &view);
+        self.streams.observe(now, &view);
         self.links.retain(|address| view.stores.iter().any(|store| store.address == address));
         self.view = Some(view);
     }
@@ -169,8 +174,8 @@
 
     /// Finds the request's route, service and organisation.
     ///
-    /// # Errors If the gateway has no view, no route matches, no organisation has the key, or the
-    /// route has no service.
+    /// # Errors If the gateway has no view, no route matches, no organisation has the key, the route has
+    /// no service, or the request takes up a stream whose software version is unknown.
     pub fn admit(&mut self, now: Time, call: Call) -> Result<Plan, Refusal> {
         let Some(view) = self.view.clone() else { return Err(not_run(Reason::NotReady)) };
         let configuration = &view.configuration;
@@ -189,12 +194,24 @@
         }
         let point = self.rng.random::<f64>();
         let service = route.service(point).ok_or(not_run(Reason::NoUpstream))?.clone();
+        let name = organisation.as_ref().map(|organisation| &*organisation.name);
+        let origin = call.resumption.as_ref().and_then(|resumption| resumption.origin.as_ref());
+        let stream = stream_key(name, origin.unwrap_or(&call.id));
+        let software = match (route.repeat, &call.resumption) {
+            (Repeat::ResumableStream, Some(_)) => {
+                match self.streams.origin(&service, origin.map(|_| stream)) {
+                    Origin::Version(version) => Some(version),
+                    Origin::Gone => return Err(not_run(Reason::NoUpstream)),
+                    Origin::Unknown => return Err(not_run(Reason::UnknownStream)),
+                }
+            }
+            _ => None,
+        };
         let limit = call.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let waited = route.timeout.saturating_sub(limit);
         let (terms, started) = (self.terms.retries, self.started.unwrap_or(now));
         let budget = self.budgets.entry(service.clone());
         budget.or_insert_with(|| RetryBudget::new(terms, started)).record_first(now);
-        let name = organisation.as_ref().map(|organisation| &*organisation.name);
         let subjects = Subjects::new(name.or(call.key.as_deref()), &call);
         Ok(Plan {
             id: call.id,
@@ -202,7 +219,8 @@
             organisation,
             prompt: call.prompt,
             resumption: call.resumption,
-            software: None,
+            stream,
+            software,
             subjects,
             version: configuration.version,
             arrived: now,
@@ -376,6 +394,9 @@
         if attempt.engine.is_some() {
             self.quarantine.answered(now, &plan.subjects, &attempt.server, attempt.sent);
         }
+        if plan.route.repeat == Repeat::ResumableStream {
+            self.streams.begin(now, plan.stream, &attempt.server.software);
+        }
         attempt.began = Some(now);
         let Some(member) = self.roster.get_mut(&attempt.server.id) else { return };
         let took = now.saturating_sub(attempt.sent);
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -7,7 +7,7 @@
 //! announced weights to the engines, and [`inventory`] tracks the contents of KV cache stores.
 //! Instances report by [`gossip`] what they sent where, and [`mesh`] selects the recipients.
 //! [`quarantine`] holds back requests, and parts of prompts, that crash upstreams; [`limit`] tracks
-//! the rates of requests that upstreams take. Limits on all instances together are divided into
+//! the rates of requests that upstreams take, and [`software`] which version began a stream. Limits on all instances together are divided into
 //! shares by [`window`], so that no request waits for another
 //! instance.
 
@@ -35,6 +35,7 @@
 pub mod rollout;
 mod roster;
 mod save;
+pub mod software;
 mod view;
 pub mod window;
 
--- a/crates/policy/src/gateway/plan.rs
+++ b/crates/policy/src/gateway/plan.rs
@@ -9,6 +9,7 @@
 use super::call::{CallId, Prompt, Resumption};
 use super::configuration::{ModelName, Organisation, Route, ServiceName, Version};
 use super::quarantine::Subjects;
+use super::software::StreamKey;
 use super::view::{Server, ServerId, SoftwareVersion, WeightVersion};
 use crate::{Time, Verdict};
 
@@ -25,6 +26,8 @@
     pub organisation: Option<Arc<Organisation>>,
     /// Its prompt.
     pub prompt: Option<Prompt>,
+    /// Key of its stream; of the stream that it takes up, if it does.
+    pub stream: StreamKey,
     /// The stream that it takes up, if it does.
     pub resumption: Option<Resumption>,
     /// The only software version that may go on with its stream; none before the first event.
@@ -253,6 +256,8 @@
     PartHeld(usize),
     /// Several upstreams crashed under the request.
     RequestHeld,
+    /// The request takes up a stream, and it isn't known which software version began it.
+    UnknownStream,
     /// The retry budget is exhausted.
     RetryBudget,
     /// The exchange with the upstream broke.
--- /dev/null
+++ b/crates/policy/src/gateway/software.rs
@@ -0,0 +1,140 @@
+//! Which software version began a stream that its caller takes up.
+//!
+//! Events of two software versions don't fit into one stream, and servers don't check this. While
+//! one version alone serves a service, there is nothing to know. Otherwise instances tell each other
+//! the version of each stream that begins. A stream whose version is unknown, as after all instances
+//! were killed, is not taken up: nothing in its answer would show that it is mixed.
+//!
+//! An instance that has just started can't know which versions were listed before. So the versions
+//! that serve are recorded in the metadata store, and stay there for a while after the last server
+//! of a version has gone.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
+
+use super::call::CallId;
+use super::configuration::ServiceName;
+use super::gossip::stable_hash;
+use super::view::{SoftwareVersion, View};
+use crate::Time;
+
+/// Time for which a stream can be taken up; longer than callers wait.
+pub const RETENTION: Duration = Duration::from_secs(30);
+/// Maximum number of streams that are remembered.
+const MAX_STREAMS: usize = 1 << 16;
+/// Streams in one note.
+const NOTE_STREAMS: usize = 32;
+
+/// Hash of a stream's organisation and of the id of the request that began it.
+pub type StreamKey = u64;
+/// Hash of a software version, equal on all instances.
+pub type SoftwareKey = u64;
+/// Software versions by service.
+pub type Versions = BTreeMap<ServiceName, BTreeSet<SoftwareVersion>>;
+
+/// The key of a stream. Another organisation's stream with the same id has another key.
+pub fn stream_key(organisation: Option<&str>, origin: &CallId) -> StreamKey {
+    stable_hash(&(organisation, origin))
+}
+
+/// Streams that began, as instances tell each other, with their versions.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Beginnings(pub Vec<(StreamKey, SoftwareKey)>);
+
+/// What is known of a stream that its caller takes up.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Origin {
+    /// This version began it.
+    Version(SoftwareVersion),
+    /// Some version that no longer serves began it.
+    Gone,
+    /// Any of several versions may have begun it.
+    Unknown,
+}
+
+/// The versions that serve, and the versions of streams.
+#[derive(Debug, Default)]
+pub struct Streams {
+    versions: Versions,
+    known: FxHashMap<StreamKey, Known>,
+    /// Streams of which the other instances were not told yet.
+    untold: Vec<(StreamKey, SoftwareKey)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    software: SoftwareKey,
+    since: Time,
+}
+
+impl Streams {
+    /// Updates the versions that serve from a newer view.
+    pub fn observe(&mut self, now: Time, view: &View) {
+        let mut versions = view.software.clone();
+        for server in view.servers.values().chain(view.expired.values().map(|(server, _)| server)) {
+            let known = versions.entry(server.service.clone()).or_default();
+            if !known.contains(&server.software) {
+                known.insert(server.software.clone());
+            }
+        }
+        let was_mixed = self.is_mixed();
+        self.versions = versions;
+        if self.is_mixed() && !was_mixed {
+            self.expire(now);
+            self.untold = self.known.iter().map(|(key, known)| (*key, known.software)).collect();
+        }
+    }
+
+    /// Whether several versions of a service serve.
+    fn is_mixed(&self) -> bool {
+        self.versions.values().any(|versions| versions.len() > 1)
+    }
+
+    /// Records that a version began a stream.
+    pub fn begin(&mut self, now: Time, key: StreamKey, software: &SoftwareVersion) {
+        let software = stable_hash(software);
+        self.remember(now, key, software);
+        if self.is_mixed() {
+            self.untold.push((key, software));
+        }
+    }
+
+    /// Records another instance's streams.
+    pub fn receive(&mut self, now: Time, beginnings: &Beginnings) {
+        beginnings.0.iter().for_each(|(key, software)| self.remember(now, *key, *software));
+    }
+
+    /// The version that began a stream of a service.
+    pub fn origin(&self, service: &ServiceName, key: Option<StreamKey>) -> Origin {
+        let Some(versions) = self.versions.get(service) else { return Origin::Unknown };
+        if let (1, Some(version)) = (versions.len(), versions.first()) {
+            return Origin::Version(version.clone());
+        }
+        let Some(known) = key.and_then(|key| self.known.get(&key)) else { return Origin::Unknown };
+        let version = versions.iter().find(|version| stable_hash(version) == known.software);
+        version.map_or(Origin::Gone, |version| Origin::Version(version.clone()))
+    }
+
+    /// The streams of which the other instances were not told yet.
+    pub fn take_untold(&mut self) -> Vec<Beginnings> {
+        let untold = std::mem::take(&mut self.untold);
+        untold.chunks(NOTE_STREAMS).map(|streams| Beginnings(streams.to_vec())).collect()
+    }
+
+    fn remember(&mut self, now: Time, key: StreamKey, software: SoftwareKey) {
+        if self.known.len() >= MAX_STREAMS {
+            self.expire(now);
+        }
+        // The first version counts: the stream is bound to it.
+        if self.known.len() < MAX_STREAMS {
+            self.known.entry(key).or_insert(Known { software, since: now });
+        }
+    }
+
+    fn expire(&mut self, now: Time) {
+        self.known.retain(|_, known| now < known.since + RETENTION);
+    }
+}
--- a/crates/policy/src/gateway/view.rs
+++ b/crates/policy/src/gateway/view.rs
@@ -10,6 +10,7 @@
 use super::configuration::{Configuration, ModelName, ServiceName, ZoneName};
 use super::inventory::Store;
 use super::mesh::Peer;
+use super::software::Versions;
 use crate::Time;
 use crate::kv::Revision;
 
@@ -30,6 +31,8 @@
     /// Upstreams whose entries expired while the metadata store was failing, and when that was
     /// noticed.
     pub expired: BTreeMap<ServerId, (Arc<Server>, Time)>,
+    /// Software versions that serve or served recently, as recorded in the metadata store.
+    pub software: Versions,
     /// Availability zones that get no new requests.
     pub evacuated: BTreeSet<ZoneName>,
     /// The announced weights of each model.
--- a/crates/policy/tests/gateway_simulation/mod.rs
+++ b/crates/policy/tests/gateway_simulation/mod.rs
@@ -210,6 +210,7 @@
         configuration: Arc::new(configuration()),
         servers: servers.map(|server| (server.id.clone(), Arc::new(server))).collect(),
         expired: BTreeMap::new(),
+        software: BTreeMap::new(),
         evacuated: BTreeSet::new(),
         weights: BTreeMap::new(),
         loading: BTreeSet::new(),
