--- a/crates/daemon/tests/platform/raw.rs
+++ b/crates/daemon/tests/platform/raw.rs
@@ -46,8 +46,6 @@
     pub body: Bytes,
     /// Id of the event after which the stream is to resume.
     pub last_event: Option<u32>,
-    /// Id of the request that brought the first event of the stream.
-    pub origin: String,
 }
 
 /// Bytes that answer a request.
@@ -261,7 +259,6 @@
             prompt: field("x-prompt-prefix: ").unwrap_or_default().to_owned(),
             body: Bytes::copy_from_slice(&body[..length.min(body.len())]),
             last_event: field("last-event-id: ").and_then(|id| id.parse().ok()),
-            origin: field("resumes: ").unwrap_or_default().to_owned(),
         });
     }
 }
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -9,7 +9,7 @@
 use rustc_hash::FxHashMap;
 use strum::{Display, EnumString};
 
-use super::call::{Call, Prompt};
+use super::call::{Call, Prompt, Resumption};
 use super::choice::{Candidate, Chooser};
 use super::configuration::{Repeat, Role, Route, ServiceName, ZoneName};
 use super::confirmation::Confirmed;
@@ -24,8 +24,8 @@
 use super::quarantine::{Gate, Quarantine, Subjects};
 use super::roster::Roster;
 use super::save::Saves;
-use super::software::{Origin, Streams, stream_key};
-use super::view::{Server, View, Weights};
+use super::software::{Origin, StreamKey, Streams, stream_key};
+use super::view::{Server, SoftwareVersion, View, Weights};
 use super::window::{ColdTerms, RetryBudget, RetryTerms};
 use crate::{Time, Verdict};
 
@@ -195,18 +195,11 @@
         let point = self.rng.random::<f64>();
         let service = route.service(point).ok_or(not_run(Reason::NoUpstream))?.clone();
         let name = organisation.as_ref().map(|organisation| &*organisation.name);
-        let origin = call.resumption.as_ref().and_then(|resumption| resumption.origin.as_ref());
-        let stream = stream_key(name, origin.unwrap_or(&call.id));
-        let software = match (route.repeat, &call.resumption) {
-            (Repeat::ResumableStream, Some(_)) => {
-                match self.streams.origin(&service, origin.map(|_| stream)) {
-                    Origin::Version(version) => Some(version),
-                    Origin::Gone => return Err(not_run(Reason::NoUpstream)),
-                    Origin::Unknown => return Err(not_run(Reason::UnknownStream)),
-                }
-            }
-            _ => None,
-        };
+        let stream = stream_key(
+            name,
+            call.resumption.as_ref().and_then(Resumption::origin).unwrap_or(&call.id),
+        );
+        let software = self.required_software(&service, route.repeat, &call, stream)?;
         let limit = call.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let waited = route.timeout.saturating_sub(limit);
         let (terms, started) = (self.terms.retries, self.started.unwrap_or(now));
@@ -236,6 +229,25 @@
         })
     }
 
+    /// The software version that a request requires, as it began the stream that is taken up.
+    fn required_software(
+        &self,
+        service: &ServiceName,
+        repeat: Repeat,
+        call: &Call,
+        stream: StreamKey,
+    ) -> Result<Option<SoftwareVersion>, Refusal> {
+        let Some(resumption) = call.resumption.as_ref() else { return Ok(None) };
+        if repeat != Repeat::ResumableStream {
+            return Ok(None);
+        }
+        match self.streams.origin(service, resumption.origin().map(|_| stream)) {
+            Origin::Version(version) => Ok(Some(version)),
+            Origin::Gone => Err(not_run(Reason::NoUpstream)),
+            Origin::Unknown => Err(not_run(Reason::UnknownStream)),
+        }
+    }
+
     /// Decides where a request goes next.
     pub fn next(&mut self, now: Time, plan: &mut Plan) -> Step {
         let Some(view) = self.view.clone() else { return Step::Refuse(not_run(Reason::NotReady)) };
--- a/crates/policy/tests/gateway_software.rs
+++ b/crates/policy/tests/gateway_software.rs
@@ -22,7 +22,8 @@
 fn mixed(newer: usize) -> View {
     let mut view = view(6);
     for (id, server) in &mut view.servers {
-        let is_newer = id.strip_prefix("es").is_some_and(|n| n.parse::<usize>().unwrap() < newer);
+        let is_newer =
+            id.strip_prefix("es").is_some_and(|n| n.parse::<usize>().is_ok_and(|n| n < newer));
         Arc::make_mut(server).software = if is_newer { "v2" } else { "v1" }.into();
     }
     view
