--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -300,8 +300,10 @@
         match act {
             Action::Poll(server) => {
                 let answer = self.call(&server, &upstream::report_request(&server)).await;
+                let fault: Option<&'static str> =
+                    answer.as_ref().err().map(|fault| (*fault).into());
                 let report = answer.ok().and_then(|(status, body)| upstream::report(status, &body));
-                tracing::info!(server = &*server.id, report = ?report, "polled an engine");
+                tracing::info!(server = &*server.id, report = ?report, fault, "polled an engine");
                 self.rollout.borrow_mut().polled(self.control.clock.now(), &server.id, report);
             }
             Action::Order { server, model, version, expected } => {
@@ -317,10 +319,11 @@
                 let order =
                     upstream::order_request(&server, &model, version, expected, holder, fence);
                 let sent = self.control.clock.now();
-                let receipt = match self.call(&server, &order).await {
-                    Ok((status, _)) => upstream::receipt(status),
-                    Err(_) => Receipt::Unknown,
-                };
+                let answer = self.call(&server, &order).await;
+                let fault: Option<&'static str> =
+                    answer.as_ref().err().map(|fault| (*fault).into());
+                let receipt =
+                    answer.map_or(Receipt::Unknown, |(status, _)| upstream::receipt(status));
                 let now = self.control.clock.now();
                 tracing::info!(
                     server = &*server.id,
@@ -329,6 +332,7 @@
                     expected,
                     fence,
                     receipt = %receipt,
+                    fault,
                     took_ms = millis(now.saturating_sub(sent)),
                     "ordered weights"
                 );
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -101,11 +101,16 @@
             let shared_parts = (ending == Ending::Broken).then(|| shared_parts(plan)).flatten();
             let is_crash = ending == Ending::Broken && attempt.began.is_none();
             let request_key = is_crash.then(|| format!("{:016x}", plan.subjects.request()));
+            let started = attempt.began.unwrap_or(now);
+            let outdated = self.gateway.borrow().outdated_for(started, attempt);
             tracing::info!(
                 id = plan.id,
                 server = &*attempt.server.id,
                 ending = outcome,
                 began = attempt.began.is_some(),
+                started_after_ms = millis(started.saturating_sub(attempt.sent)),
+                weights = attempt.engine.as_ref().map(|run| run.weights),
+                outdated_ms = outdated.map(millis),
                 shared_parts,
                 request_key,
                 answered_by = instance,
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -37,10 +37,6 @@
 /// A request waits for a free upstream for at most its latency target divided by this. A refusal
 /// within an eighth of the target costs a caller no more time than its own retry would.
 const WAIT_DIVISOR: u32 = 4;
-/// Time before the limit on older weights from which an engine gets no more requests, in addition
-/// to the expected wait in its queue: a request may begin up to a second later than expected, and
-/// an announcement may arrive late by the pause between two watches.
-const WEIGHTS_MARGIN: Duration = Duration::from_millis(1_400);
 /// A plain upstream's answer is expected within the latency target divided by this; any time beyond
 /// counts as delay.
 const PLAIN_EXPECTED_DIVISOR: u32 = 2;
@@ -529,8 +525,3 @@
 fn not_run(reason: Reason) -> Refusal {
     Refusal { reason, verdict: Verdict::NotRun, retry_after: Some(MIN_RETRY_AFTER) }
 }
-
-/// When engines with older weights get no more requests.
-pub fn weights_end(announced_at: Time, terms: &Terms) -> Time {
-    announced_at + terms.weights_limit.saturating_sub(WEIGHTS_MARGIN)
-}
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 mod member;
 pub mod mesh;
 pub mod notice;
+pub mod outdated;
 pub mod pace;
 mod plan;
 pub mod quarantine;
