Cut single processes off servers behind proxies

The reported incident is one of instances that lost the path to all upstreams, while callers, the metadata store and other instances reached them. No test could do that: a proxy treated all connections alike.

The proxy moves from the soak to the stand-ins, so that the tests of the daemon can use it.

Not run yet with this change: the soak and the other tests of the daemon.

--- a/crates/daemon/tests/platform/fixture.rs
+++ b/crates/daemon/tests/platform/fixture.rs
@@ -5,13 +5,16 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use acacia_connection::{Connection, IdleState, KeepAlive, encode_head};
+use acacia_standin::cut::{Cut, Cuts};
 use acacia_standin::platform::document::{self, Addresses, CONFIGURATION_KEY, Deployment, MODEL};
 use acacia_standin::platform::server::{self, Engine, Execution, Peers, Performance, Settings};
 use acacia_standin::platform::{cache, store};
+use acacia_standin::proxy::Proxy;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use parking_lot::Mutex;
@@ -43,6 +46,10 @@
     pub engines: Vec<server::Handle>,
     pub cache: cache::Handle,
     instances: Vec<Instance>,
+    /// Cuts between instances and the upstreams behind proxies.
+    cuts: Cuts,
+    proxies: Vec<Proxy>,
+    peers: Peers,
 }
 
 struct Instance {
@@ -73,9 +80,30 @@
 impl Fixture {
     /// Starts the stand-in services and `count` instances, and waits until the instances are ready.
     pub async fn start(count: usize) -> Self {
+        let mut fixture = Self::upstreams().await;
+        fixture.start_instances(count).await;
+        fixture
+    }
+
+    /// Starts as [`Self::start`] does, with a proxy in front of each server and engine, so that
+    /// instances can be cut off.
+    pub async fn start_behind_proxies(count: usize) -> Self {
+        let mut fixture = Self::upstreams().await;
+        for server in fixture.services.iter().chain(&fixture.engines) {
+            let proxy = Proxy::start_with(server.address, fixture.cuts.clone()).await.unwrap();
+            server.register_at(&fixture.store, proxy.address);
+            fixture.peers.lock().insert(proxy.address, Arc::downgrade(&server.state()));
+            fixture.proxies.push(proxy);
+        }
+        fixture.start_instances(count).await;
+        fixture
+    }
+
+    /// Starts the stand-in services.
+    async fn upstreams() -> Self {
         let store = store::start().await.unwrap();
         let cache = cache::start(100_000).await.unwrap();
-        let others = Peers::default();
+        let peers = Peers::default();
         let mut services = Vec::new();
         let mut engines = Vec::new();
         for number in 0..3 {
@@ -85,7 +113,7 @@
                 model: MODEL.to_owned(),
                 load_time: Duration::from_millis(50),
                 caches: vec![(cache.address, cache.state())],
-                peers: others.clone(),
+                peers: peers.clone(),
                 performance: Performance::default(),
             };
             let settings = engine_settings(&format!("llm-{number}"), engine);
@@ -94,16 +122,29 @@
         // Malformed entries must be ignored.
         store.put("servers/forged-1", &json!("no object"));
         store.put("servers/forged-2", &json!({"service": "app", "state": "ready"}));
-        let mut fixture = Self { store, services, engines, cache, instances: Vec::new() };
+        let (cuts, proxies, instances) = (Cuts::default(), Vec::new(), Vec::new());
+        let fixture = Self { store, services, engines, cache, instances, cuts, proxies, peers };
         fixture.store.put(CONFIGURATION_KEY, &fixture.configuration(1, "key-1"));
+        fixture
+    }
+
+    /// Starts instances and waits until they are ready.
+    async fn start_instances(&mut self, count: usize) {
+        let started: Vec<_> = (0..count).map(|number| self.start_instance(number)).collect();
+        self.instances = started;
         for number in 0..count {
-            let instance = fixture.start_instance(number);
-            fixture.instances.push(instance);
-        }
-        for number in 0..count {
-            eventually("the instance is ready", async || fixture.is_ready(number).await).await;
+            eventually("the instance is ready", async || self.is_ready(number).await).await;
         }
-        fixture
+    }
+
+    /// Cuts an instance off all upstreams behind proxies.
+    pub fn cut(&self, instance: usize, cut: Cut) {
+        self.cuts.set(self.instances[instance].process.lock().id(), cut);
+    }
+
+    /// Ends the cut of an instance.
+    pub fn heal(&self, instance: usize) {
+        self.cuts.heal(self.instances[instance].process.lock().id());
     }
 
     fn start_instance(&self, number: usize) -> Instance {
@@ -127,6 +168,7 @@
             .stderr(Stdio::inherit())
             .spawn()
             .unwrap();
+        self.cuts.register(process.id());
         Instance {
             process: Mutex::new(process),
             address: addresses.callers,
@@ -138,12 +180,10 @@
     /// Kills all instances at the same time, and starts as many new ones.
     pub async fn kill_instances(&mut self) {
         let count = self.instances.len();
-        self.instances.clear();
-        self.instances
-            .extend((0..count).map(|number| self.start_instance(number)).collect::<Vec<_>>());
-        for number in 0..count {
-            eventually("the instance is ready", async || self.is_ready(number).await).await;
+        for instance in self.instances.drain(..) {
+            self.cuts.remove(instance.process.lock().id());
         }
+        self.start_instances(count).await;
     }
 
     /// An instance's address for callers.
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod body;
 mod change;
 mod crash;
+mod cut;
 mod fixture;
 mod limit;
 mod raw;
--- a/crates/soak/src/fixture.rs
+++ b/crates/soak/src/fixture.rs
@@ -15,6 +15,7 @@
 };
 use acacia_standin::platform::server::{self, Engine, Peers, Performance};
 use acacia_standin::platform::{cache, crash, store};
+use acacia_standin::proxy::{Mode, Proxy};
 use futures::future::join_all;
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::sync::Mutex;
@@ -22,7 +23,6 @@
 
 use crate::fault::Scenario;
 use crate::oracle::Evidence;
-use crate::proxy::{Mode, Proxy};
 use crate::terms::{self, CALLER_IDLE_LIMIT, SPLIT_SERVICES};
 
 /// Organisations with their keys.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -11,6 +11,7 @@
 use acacia_standin::platform::caller::{Ending, Operation, Request};
 use acacia_standin::platform::document::Variation;
 use acacia_standin::platform::{crash, document};
+use acacia_standin::proxy::{Mode, Proxy};
 use acacia_standin::{Fault as StandinFault, Unsupported};
 use futures::future::join_all;
 use parking_lot::Mutex;
@@ -24,7 +25,6 @@
 use crate::fault::{Fault, Kind, Scenario, Schedule};
 use crate::fixture::{Fixture, Instance, ORGANISATIONS, SERVERS};
 use crate::oracle::{Crashes, Evidence, Record, Violation, judge};
-use crate::proxy::Mode;
 use crate::request::{self, ANSWER_EVENTS};
 use crate::terms;
 
@@ -428,7 +428,7 @@
 }
 
 /// Sets a proxy's mode for the duration of a fault.
-async fn set_during(proxy: &crate::proxy::Proxy, mode: Mode, fault: Fault) {
+async fn set_during(proxy: &Proxy, mode: Mode, fault: Fault) {
     proxy.set(mode);
     tokio::time::sleep(fault.length).await;
     proxy.set(Mode::Pass);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,11 +4,13 @@
 //! serves its protocol (`docs/PROTOCOLS.md`) on loopback and returns a [`Handle`] with the
 //! addresses, [`Counters`] for a test oracle, and [`Fault`] switches. The control port offers
 //! counters and faults over HTTP. [`platform`] has stand-ins for the platform that Acacia runs
-//! on. Only [`host`] depends on the HTTP server; [`warmth`], [`slots`] and [`pace`] are the shared
-//! parts of the timing model.
+//! on. A [`proxy`] stands in front of a server, and a [`cut`] separates one process from all
+//! servers behind proxies. Only [`host`] depends on the HTTP server; [`warmth`], [`slots`] and
+//! [`pace`] are the shared parts of the timing model.
 
 pub mod command;
 pub mod counter;
+pub mod cut;
 pub mod engine;
 pub mod exchange;
 pub mod fault;
@@ -17,6 +19,7 @@
 pub mod list;
 pub mod pace;
 pub mod platform;
+pub mod proxy;
 pub mod service;
 pub mod slots;
 pub mod store;
