--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -13,6 +13,7 @@
 mod raw;
 mod silence;
 mod software;
+mod weights;
 
 use std::time::Duration;
 
