Give up prompts that have not begun when their weights may no longer be used

Callers' prompts began on weights that newer ones had replaced longer than the bound ago. Cause: the bound was kept when an engine was chosen, with a margin for its queue, and nothing watched the request afterwards. One that waits in a connection whose path is lost, or at a silent or slow engine, begins whenever it arrives; `X-Expect-Version` rejects it only at engines that have newer weights already. Class: a limit that is checked at the decision and not for as long as the decision has effects.

An attempt at an engine that has not begun to answer 0.7 s before the bound is given up, with a reset, so that nothing of its request is delivered later. What may be repeated goes on at an engine with newer weights. Each newer announcement moves the limit, also for attempts that are already waiting.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -214,7 +214,18 @@
     payload: Rc<Payload>,
     last_event: Option<Bytes>,
 ) -> Outcome {
-    match exchange(&mut inflight, &payload, last_event).await {
+    let traffic = inflight.traffic.clone();
+    let run = inflight.attempt.engine.as_ref().map(|run| (run.model.clone(), run.weights));
+    let exchange = exchange(&mut inflight, &payload, last_event);
+    let received = match run {
+        Some((model, weights)) => tokio::select! {
+            biased;
+            received = exchange => received,
+            () = traffic.start_ended(&model, weights) => Err(Ending::Outdated.into()),
+        },
+        None => exchange.await,
+    };
+    match received {
         Ok(Received::Whole(head, body)) => {
             inflight.finish_whole(&head);
             Outcome::Whole(head, body)
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -115,6 +115,7 @@
         memory: Memory::default(),
         phase: Cell::new(Phase::Serving),
         limits: watch::Sender::default(),
+        weights: watch::Sender::default(),
         open_connections: Cell::new(0),
     });
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -1,12 +1,13 @@
 //! State that the requests of the traffic thread share.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use acacia_policy::Time;
-use acacia_policy::gateway::configuration::Limits;
+use acacia_policy::gateway::configuration::{Limits, ModelName};
 use acacia_policy::gateway::quarantine::Kind as SuspectKind;
-use acacia_policy::gateway::{Attempt, Ending, Gateway, Plan, View};
+use acacia_policy::gateway::{Attempt, Ending, Gateway, Plan, View, WeightVersion, Weights};
 use tokio::sync::watch;
 
 use crate::attempt::Progress;
@@ -37,6 +38,8 @@
     pub phase: Cell<Phase>,
     /// Limits on callers' requests and connections, by the latest view.
     pub limits: watch::Sender<Limits>,
+    /// The announced weights, by the latest view.
+    pub weights: watch::Sender<BTreeMap<ModelName, Weights>>,
     /// Open connections of callers.
     pub open_connections: Cell<u32>,
 }
@@ -74,7 +77,31 @@
         });
         let mut pool = self.pool.borrow_mut();
         pool.sweep(now, |id| view.servers.contains_key(id) || view.expired.contains_key(id));
-        self.gateway.borrow_mut().observe(now, view);
+        self.gateway.borrow_mut().observe(now, view.clone());
+        self.weights.send_if_modified(|weights| {
+            let is_changed = *weights != view.weights;
+            weights.clone_from(&view.weights);
+            is_changed
+        });
+    }
+
+    /// Waits until prompts that were sent for these weights are given up if they have not begun.
+    pub async fn start_ended(&self, model: &ModelName, version: WeightVersion) {
+        let mut announced = self.weights.subscribe();
+        loop {
+            let end = self.gateway.borrow().start_end(model, version);
+            let now = self.now();
+            let changed = announced.changed();
+            match end {
+                Some(end) if now >= end => return,
+                Some(end) => {
+                    // A newer announcement, or its earlier time, moves the end.
+                    let _ = tokio::time::timeout(end.saturating_sub(now), changed).await;
+                }
+                None if changed.await.is_err() => return std::future::pending().await,
+                None => {}
+            }
+        }
     }
 
     /// Records how an attempt ended.
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -488,7 +488,7 @@
                 member.broke(now);
             }
             // A silence is recorded when the second attempt starts.
-            Ending::Silent | Ending::Cancelled | Ending::Expired => {}
+            Ending::Silent | Ending::Cancelled | Ending::Expired | Ending::Outdated => {}
         }
     }
 
--- a/crates/policy/src/gateway/outdated.rs
+++ b/crates/policy/src/gateway/outdated.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use super::configuration::ModelName;
 use super::machine::{Gateway, Terms};
 use super::plan::Attempt;
+use super::view::WeightVersion;
 use crate::Time;
 
 /// Time before the limit on older weights from which an engine gets no more requests, in addition
@@ -11,6 +13,10 @@
 /// an announcement may arrive late by the pause between two watches.
 const WEIGHTS_MARGIN: Duration = Duration::from_millis(1_400);
 
+/// Time before the limit on older weights from which an attempt that has not begun is given up: an
+/// announcement may arrive late by the pause between two watches, and the reset takes a moment.
+const START_MARGIN: Duration = Duration::from_millis(700);
+
 /// When engines with older weights get no more requests.
 pub fn weights_end(announced_at: Time, terms: &Terms) -> Time {
     announced_at + terms.weights_limit.saturating_sub(WEIGHTS_MARGIN)
@@ -19,12 +25,20 @@
 impl Gateway {
     /// For how long the weights of an attempt had been replaced by newer ones at `now`.
     pub fn outdated_for(&self, now: Time, attempt: &Attempt) -> Option<Duration> {
-        Some(now.saturating_sub(self.outdated_since(attempt)?))
+        let run = attempt.engine.as_ref()?;
+        Some(now.saturating_sub(self.outdated_since(&run.model, run.weights)?))
     }
 
-    /// Since when newer weights than those of an attempt have been announced.
-    fn outdated_since(&self, attempt: &Attempt) -> Option<Time> {
-        let run = attempt.engine.as_ref()?;
-        self.view()?.weights.get(&run.model)?.outdated_since(run.weights)
+    /// When prompts that were sent for these weights are given up if they have not begun; none as long
+    /// as these are the newest ones. Such a request may still be on the way, to an engine that this
+    /// instance doesn't reach or that is silent.
+    pub fn start_end(&self, model: &ModelName, version: WeightVersion) -> Option<Time> {
+        let outdated_since = self.outdated_since(model, version)?;
+        Some(outdated_since + self.terms().weights_limit.saturating_sub(START_MARGIN))
+    }
+
+    /// Since when newer weights have been announced.
+    fn outdated_since(&self, model: &ModelName, version: WeightVersion) -> Option<Time> {
+        self.view()?.weights.get(model)?.outdated_since(version)
     }
 }
--- a/crates/policy/src/gateway/plan.rs
+++ b/crates/policy/src/gateway/plan.rs
@@ -204,6 +204,8 @@
     Cancelled,
     /// The deadline passed.
     Expired,
+    /// It had not begun when its weights could no longer be used.
+    Outdated,
 }
 
 impl Ending {
@@ -211,9 +213,12 @@
     pub fn verdict(self) -> Verdict {
         match self {
             Self::Unreachable | Self::Refused | Self::Misdirected => Verdict::NotRun,
-            Self::Silent | Self::Broken | Self::Lost | Self::Cancelled | Self::Expired => {
-                Verdict::MayHaveRun
-            }
+            Self::Silent
+            | Self::Broken
+            | Self::Lost
+            | Self::Cancelled
+            | Self::Expired
+            | Self::Outdated => Verdict::MayHaveRun,
             Self::Failed | Self::Answered => Verdict::Ran,
         }
     }
