Leave the order lease to instances that reach the engines

Cause: the lease is renewed at the metadata store, and its duties are done at engines and KV cache stores; nothing compared the two. Class: being alive for one peer is taken for being able to serve another.

- The holder notes which calls to engines and KV cache stores got no answer.
From two such peers on it asks eight engines for their reports and releases the lease if most don't answer within 0.4 s.
- An instance acquires the lease only after most of four engines answered it.
If no instance does for 5 s, the engines are taken to be gone, and one acquires it regardless, as announcement times and software versions need a holder too; it keeps it for 5 s.
- A call that is given up resets its connection.
An order that waits in a lost path is not delivered after orders of the next holder.

Ruled out: sending orders through another instance, as orders from two instances count as those of two holders. A holder that has published orders delays its successor by 4 s as before (the lease time after its last write); one that only polled does not.

Evidence: weights_loaded_while_connections_of_holder_hang and ..._are_reset timed out after 30 s before, pass now; each engine gets one order. gateway_duty tests the decisions.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -3,12 +3,15 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use acacia_connection::{Connection, Fault, IdleState, KeepAlive, encode_head};
 use acacia_platform::upstream::Request;
+use acacia_policy::gateway::duty::Duty;
 use bytes::Bytes;
 use http::StatusCode;
+use tokio::time::Instant;
 
 /// Connect timeout. A reachable server accepts within a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -28,40 +31,81 @@
 #[derive(Debug, Default)]
 pub struct Client {
     idle: RefCell<HashMap<SocketAddr, Connection>>,
+    /// Which peers answer.
+    duty: Rc<RefCell<Duty>>,
 }
 
 impl Client {
+    /// A client that records in `duty` which peers answer.
+    pub fn new(duty: Rc<RefCell<Duty>>) -> Self {
+        Self { duty, ..Self::default() }
+    }
+
     /// Makes one call, which may wait at the peer for up to `wait`.
     ///
     /// # Errors
-    /// If no whole answer arrived in time. The peer may have carried out the call.
+    /// If no whole answer arrived in time. The peer may have carried out the call, but gets no more
+    /// of it.
     pub async fn call(
         &self,
         address: SocketAddr,
         prepared: &Request,
         wait: Duration,
     ) -> Result<(StatusCode, Bytes), Fault> {
+        self.call_within(address, prepared, wait + ANSWER_TIMEOUT).await
+    }
+
+    /// Makes one call that must be answered within `timeout`.
+    ///
+    /// # Errors
+    /// As [`Self::call`].
+    pub async fn call_within(
+        &self,
+        address: SocketAddr,
+        prepared: &Request,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), Fault> {
+        let answer = self.exchange(address, prepared, timeout).await;
+        match answer {
+            Ok(_) => self.duty.borrow_mut().answered(address),
+            Err(_) => self.duty.borrow_mut().failed(address),
+        }
+        answer
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        prepared: &Request,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), Fault> {
+        let end = Instant::now() + timeout;
         let kept = self.idle.borrow_mut().remove(&address);
-        let exchange = async {
-            let mut connection = match kept.filter(|kept| kept.idle_state() == IdleState::Quiet) {
-                Some(connection) => connection,
-                None => Connection::open(address, CONNECT_TIMEOUT, KEEP_ALIVE).await?,
-            };
-            let head = encode_head(
-                &prepared.method,
-                &prepared.path,
-                &prepared.headers,
-                prepared.body.len(),
-            );
-            connection.send(&prepared.method, &head, &prepared.body).await?;
-            let head = connection.head().await?;
-            let body = connection.body(ANSWER_LIMIT).await?;
-            if connection.is_reusable() {
-                self.idle.borrow_mut().insert(address, connection);
-            }
-            Ok((head.status, body))
+        let mut connection = match kept.filter(|kept| kept.idle_state() == IdleState::Quiet) {
+            Some(connection) => connection,
+            None => Connection::open(address, CONNECT_TIMEOUT.min(timeout), KEEP_ALIVE).await?,
         };
-        let timeout = tokio::time::timeout(wait + ANSWER_TIMEOUT, exchange);
-        timeout.await.unwrap_or(Err(Fault::Closed))
+        let exchanged = tokio::time::timeout_at(end, exchange(&mut connection, prepared)).await;
+        let answer = exchanged.unwrap_or(Err(Fault::Closed));
+        if answer.is_err()
+            && let Err(error) = connection.abort()
+        {
+            tracing::debug!(%error, "failed to abort a connection");
+        }
+        if answer.is_ok() && connection.is_reusable() {
+            self.idle.borrow_mut().insert(address, connection);
+        }
+        answer
     }
 }
+
+async fn exchange(
+    connection: &mut Connection,
+    prepared: &Request,
+) -> Result<(StatusCode, Bytes), Fault> {
+    let Request { method, path, headers, body } = prepared;
+    connection.send(method, &encode_head(method, path, headers, body.len()), body).await?;
+    let head = connection.head().await?;
+    let body = connection.body(ANSWER_LIMIT).await?;
+    Ok((head.status, body))
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -11,8 +11,8 @@
 use acacia_platform::store::{Client as StoreClient, Eras, WatchFailure, Written};
 use acacia_platform::{Settings, cache};
 use acacia_policy::Time;
-use acacia_policy::gateway::View;
 use acacia_policy::gateway::configuration::Role;
+use acacia_policy::gateway::{Server, View};
 use acacia_policy::kv::{Failure, Lease, Revision};
 use rand::RngExt;
 use tokio::sync::watch;
@@ -284,8 +284,15 @@
         }
     }
 
+    /// The listed engines that are not leaving.
+    pub fn engines(&self) -> Vec<Arc<Server>> {
+        let replica = self.replica.borrow();
+        let engines = replica.servers().values();
+        engines.filter(|server| !server.models.is_empty() && !server.leaving).cloned().collect()
+    }
+
     /// Addresses of the managed KV cache stores, those of this zone first.
-    fn store_addresses(&self) -> Vec<SocketAddr> {
+    pub fn store_addresses(&self) -> Vec<SocketAddr> {
         let replica = self.replica.borrow();
         let services = replica.configuration().into_iter().flat_map(|c| c.services.values());
         let mut stores: Vec<_> = services
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -12,10 +12,13 @@
 use acacia_platform::upstream::{self, Request};
 use acacia_policy::Time;
 use acacia_policy::gateway::Server;
+use acacia_policy::gateway::duty::{self, Duty};
 use acacia_policy::gateway::rollout::{Action, LEASE_MARGIN, LeaseTerm, Receipt, Rollout};
 use acacia_policy::kv::{Failure, Lease, Revision};
 use bytes::Bytes;
+use futures::future::join_all;
 use http::StatusCode;
+use rand::seq::SliceRandom;
 
 use crate::client::{ANSWER_TIMEOUT, Client};
 use crate::control::Control;
@@ -36,6 +39,12 @@
 /// Time for a change to travel from the metadata store to the other instances, in addition to the
 /// pause between two watches.
 const PROPAGATION_MARGIN: Duration = Duration::from_millis(60);
+/// Number of engines that the holder asks after calls got no answer.
+const HOLDER_SAMPLE: usize = 8;
+/// Number of engines that an instance asks before it acquires the lease.
+const ACQUIRE_SAMPLE: usize = 4;
+/// Time within which an engine of a sample answers. Reports need no slot.
+const SAMPLE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Limit of the number of delay steps.
 const MAX_DELAY_STEPS: u32 = 16;
 /// Time after which announcement times and software versions are written again if the watch has not
@@ -54,6 +63,8 @@
     announcements_written: Cell<Time>,
     software_written: Cell<Time>,
     http: Rc<Client>,
+    /// Whether this instance may hold the lease.
+    duty: Rc<RefCell<Duty>>,
     inventory: Rc<Manager>,
 }
 
@@ -67,11 +78,13 @@
 impl Holder {
     /// A holder that has not acquired the lease yet.
     pub fn new(control: Rc<Control>) -> Rc<Self> {
-        let http = Rc::new(Client::default());
+        let duty = Rc::<RefCell<Duty>>::default();
+        let http = Rc::new(Client::new(duty.clone()));
         let inventory = Manager::new(control.clone(), http.clone());
         Rc::new(Self {
             control,
             http,
+            duty,
             inventory,
             grant: Cell::default(),
             rollout: RefCell::default(),
@@ -98,6 +111,7 @@
                     self.release().await;
                     self.lose("an engine has seen a higher fencing token");
                 }
+                Some(_) if self.is_sample_due(now) => self.check_path().await,
                 Some(grant) if now >= renewed + RENEWAL_INTERVAL => {
                     renewed = now;
                     self.renew(&mut client, grant).await;
@@ -105,17 +119,73 @@
                 Some(_) => self.order(&mut client).await,
                 None if self.is_vacant() => {
                     tokio::time::sleep(self.acquire_delay()).await;
-                    if self.is_vacant() {
+                    if self.is_vacant() && self.may_acquire().await {
                         renewed = self.control.clock.now();
                         self.acquire(&mut client).await;
                     }
                 }
-                None => {}
+                None => self.note_holder(),
             }
             tokio::time::sleep(ROUND_INTERVAL).await;
         }
     }
 
+    /// Whether calls suggest that this holder has lost the path to engines and KV cache stores.
+    fn is_sample_due(&self, now: Time) -> bool {
+        let mut duty = self.duty.borrow_mut();
+        if duty.has_answers() {
+            return false;
+        }
+        let engines = self.control.engines().into_iter().map(|engine| engine.address);
+        duty.next(now, engines.chain(self.control.store_addresses())) == duty::Next::Sample
+    }
+
+    /// Releases the lease if most engines of a sample don't answer.
+    async fn check_path(&self) {
+        let sample = self.sample(HOLDER_SAMPLE).await;
+        let verdict = self.duty.borrow_mut().hold(self.control.clock.now(), sample);
+        let duty::Sample { asked, answered } = sample;
+        tracing::warn!(asked, answered, verdict = ?verdict, "asked engines as calls got no answer");
+        if verdict == duty::Verdict::Leave {
+            self.release().await;
+            self.lose("most engines don't answer this instance");
+        }
+    }
+
+    /// Whether this instance may acquire the free lease: an instance without a path to the engines
+    /// leaves it to one that has one.
+    async fn may_acquire(&self) -> bool {
+        let sample = self.sample(ACQUIRE_SAMPLE).await;
+        let verdict = self.duty.borrow_mut().acquire(self.control.clock.now(), sample);
+        if verdict == duty::Verdict::Leave {
+            let duty::Sample { asked, answered } = sample;
+            tracing::info!(asked, answered, "left the order lease to other instances");
+        }
+        // It may have been acquired meanwhile.
+        verdict == duty::Verdict::Hold && self.is_vacant()
+    }
+
+    /// Records whether another instance holds the lease.
+    fn note_holder(&self) {
+        if self.control.replica.borrow().holder().is_some() {
+            self.duty.borrow_mut().taken();
+        }
+    }
+
+    /// Asks some random engines for their reports.
+    async fn sample(&self, size: usize) -> duty::Sample {
+        let mut engines = self.control.engines();
+        let size = size.min(engines.len());
+        let (engines, _) = engines.partial_shuffle(&mut rand::rng(), size);
+        let answers = engines.iter().map(async |engine| {
+            let report = upstream::report_request(engine);
+            self.http.call_within(engine.address, &report, SAMPLE_TIMEOUT).await.is_ok()
+        });
+        let answers = join_all(answers).await;
+        let answered = answers.into_iter().filter(|is_answered| *is_answered).count();
+        duty::Sample { asked: size, answered }
+    }
+
     /// Stops the inventory tasks and releases the lease.
     pub async fn stop(&self) {
         self.inventory.stop_all();
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -4,7 +4,8 @@
 //! creates a [`Plan`]; [`Gateway::next`] decides each [`Step`] of it, with an upstream from
 //! [`choice`], which [`pace`] gives the expected wait at an engine, and [`admission`] refuses what
 //! can't be served in time; [`Gateway::ended`] records how an [`Attempt`] ended. [`rollout`] brings
-//! announced weights to the engines, and [`inventory`] tracks the contents of KV cache stores.
+//! announced weights to the engines, and [`inventory`] tracks the contents of KV cache stores, on the
+//! instance that [`duty`] lets hold the order lease; [`outdated`] ends the use of older weights.
 //! Instances report by [`gossip`] what they sent where, and [`mesh`] selects the recipients.
 //! [`quarantine`] holds back requests, and parts of prompts, that crash upstreams; [`limit`] tracks
 //! the rates of requests that upstreams take, and [`software`] which version began a stream. Limits on all instances together are divided into
@@ -18,6 +19,7 @@
 mod choice;
 pub mod configuration;
 pub mod confirmation;
+pub mod duty;
 mod evidence;
 mod exchange;
 pub mod gossip;
