Stop listing an engine as loading whose order is never answered

An order without an answer left its engine `Ordered`, which is published, so that all instances avoided an engine that only the holder did not reach, for as long as the holder held the lease: only an answered poll could end it. The engine is polled again.

Evidence: loading_ends_for_engine_that_never_answers failed before and passes now.

--- a/crates/policy/src/gateway/rollout.rs
+++ b/crates/policy/src/gateway/rollout.rs
@@ -165,6 +165,11 @@
         engine.waiting = false;
         let Some(report) = report else {
             engine.next = now + ORDER_RETRY_DELAY;
+            // Whether the order arrived isn't known. The other instances may reach the engine.
+            if matches!(engine.stage, Stage::Ordered(since) if now >= since + RELOAD_LIMIT) {
+                engine.stage = Stage::Idle;
+                engine.report = None;
+            }
             return;
         };
         engine.next = now;
--- a/crates/policy/tests/gateway_rollout.rs
+++ b/crates/policy/tests/gateway_rollout.rs
@@ -259,3 +259,30 @@
     }
     assert_eq!(ordered.first().map(String::as_str), Some("e1"));
 }
+
+#[test]
+fn loading_ends_for_engine_that_never_answers() {
+    let fleet = Fleet::new(3);
+    let weights = BTreeMap::from([(MODEL.into(), Weights::new(2, fleet.now))]);
+    let mut rollout = Rollout::default();
+    let (mut now, mut was_loading) = (fleet.now, false);
+    for _ in 0..200 {
+        now += STEP;
+        for action in rollout.step(now, &fleet.servers, &weights, LIMIT) {
+            match action {
+                // The first report is answered, nothing after it is.
+                Action::Poll(server) => {
+                    let models = vec![(MODEL.into(), 1)];
+                    let report = Report { models, ..Report::default() };
+                    rollout.polled(now, &server.id, (!was_loading).then_some(report));
+                }
+                Action::Order { server, .. } => {
+                    rollout.received(now, &server.id, Receipt::Unknown);
+                }
+            }
+            was_loading |= !rollout.loading().is_empty();
+        }
+    }
+    assert!(was_loading);
+    assert!(rollout.loading().is_empty(), "instances that reach the engines leave them out");
+}
