Release the order lease only if hardly any engine answers

With half of the engines silent to all instances, the lease was passed around: an instance acquired it when half of a sample of four answered and released it when less than half of eight did. Now at most one of eight may answer before it is released. Two unanswered calls to one peer in a row count as a suspicion, as calls to two peers do: with one engine reloading at a time there is no other peer to call. A sample that answers clears the suspicion; before, peers that were never called again kept it up.

--- a/crates/policy/src/gateway/duty.rs
+++ b/crates/policy/src/gateway/duty.rs
@@ -8,15 +8,17 @@
 //! passed around for them, an instance also acquires it if nobody has for [`ABSTENTION_LIMIT`], and
 //! then holds it for at least as long.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::Time;
 
-/// Number of peers without an answer from which the holder asks a sample of engines. One may be silent
-/// by itself.
+/// Number of peers without an answer, or of calls in a row to one peer, from which the holder asks a
+/// sample of engines. One peer may be silent for a moment by itself.
 const SUSPECTED: usize = 2;
+/// A path is lost if at most one in this number of a sample answers.
+const LOST_DIVISOR: usize = 8;
 /// Time between two samples of the holder.
 const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which a free lease is left to instances that reach engines.
@@ -25,8 +27,8 @@
 /// What an instance knows about its path to engines and KV cache stores.
 #[derive(Debug, Default)]
 pub struct Duty {
-    /// Peers that did not answer the last call.
-    unanswered: BTreeSet<SocketAddr>,
+    /// Number of unanswered calls since the last answer of each peer.
+    unanswered: BTreeMap<SocketAddr, usize>,
     /// When the last sample was asked.
     sampled_at: Option<Time>,
     /// Since when the lease has been left to other instances.
@@ -63,10 +65,15 @@
 }
 
 impl Sample {
-    /// Whether most of it answered; also if there was none to ask.
+    /// Whether half of it answered; also if there was none to ask.
     fn has_path(self) -> bool {
         self.answered * 2 >= self.asked
     }
+
+    /// Whether hardly any answered.
+    fn has_lost_path(self) -> bool {
+        self.answered < self.asked && self.answered <= self.asked / LOST_DIVISOR
+    }
 }
 
 impl Duty {
@@ -77,7 +84,7 @@
 
     /// Records that a call to a peer got no answer.
     pub fn failed(&mut self, address: SocketAddr) {
-        self.unanswered.insert(address);
+        *self.unanswered.entry(address).or_default() += 1;
     }
 
     /// Whether all peers have answered the last call.
@@ -88,9 +95,9 @@
     /// What the holder does next; `peers` are all engines and KV cache stores.
     pub fn next(&mut self, now: Time, peers: impl IntoIterator<Item = SocketAddr>) -> Next {
         let peers: BTreeSet<SocketAddr> = peers.into_iter().collect();
-        self.unanswered.retain(|address| peers.contains(address));
-        let suspected = SUSPECTED.min(peers.len()).max(1);
-        let is_suspected = self.unanswered.len() >= suspected;
+        self.unanswered.retain(|address, _| peers.contains(address));
+        let is_repeated = self.unanswered.values().any(|calls| *calls >= SUSPECTED);
+        let is_suspected = is_repeated || self.unanswered.len() >= SUSPECTED;
         if !is_suspected || self.sampled_at.is_some_and(|at| now < at + SAMPLE_INTERVAL) {
             return Next::Hold;
         }
@@ -100,7 +107,9 @@
     /// Whether the holder keeps the lease after a sample.
     pub fn hold(&mut self, now: Time, sample: Sample) -> Verdict {
         self.sampled_at = Some(now);
-        if sample.has_path() {
+        if !sample.has_lost_path() {
+            // The peers that did not answer have failed by themselves.
+            self.unanswered.clear();
             self.acquired_without_path = None;
             return Verdict::Hold;
         }
@@ -115,6 +124,9 @@
         self.sampled_at = Some(now);
         let since = *self.abstains_since.get_or_insert(now);
         let has_path = sample.has_path();
+        if has_path {
+            self.unanswered.clear();
+        }
         if !has_path && now < since + ABSTENTION_LIMIT {
             return Verdict::Leave;
         }
