Order weights from engines that answer before silent ones

Engines that did not answer the last call now come after those that did or were not called.

step_reaches_sound_engine_beside_silent_ones fails without the change and passes with it.

--- a/crates/policy/src/gateway/rollout.rs
+++ b/crates/policy/src/gateway/rollout.rs
@@ -104,6 +104,8 @@
     stage: Stage,
     next: Time,
     waiting: bool,
+    /// Whether it did not answer the last call.
+    is_silent: bool,
 }
 
 /// Stage of an engine's update.
@@ -138,6 +140,7 @@
     pub fn received(&mut self, now: Time, id: &str, receipt: Receipt) {
         let Some(engine) = self.engines.get_mut(id) else { return };
         engine.waiting = false;
+        engine.is_silent = receipt == Receipt::Unknown;
         match receipt {
             Receipt::Accepted => {
                 engine.stage = Stage::Ordered(now);
@@ -163,6 +166,7 @@
     pub fn polled(&mut self, now: Time, id: &str, report: Option<Report>) {
         let Some(engine) = self.engines.get_mut(id) else { return };
         engine.waiting = false;
+        engine.is_silent = report.is_none();
         let Some(report) = report else {
             engine.next = now + ORDER_RETRY_DELAY;
             // Whether the order arrived isn't known. The other instances may reach the engine.
@@ -227,6 +231,7 @@
                 stage: Stage::Idle,
                 next: Time::ZERO,
                 waiting: false,
+                is_silent: false,
             });
             engine.server = server.clone();
         }
@@ -288,8 +293,8 @@
         actions
     }
 
-    /// The engine to handle next: polled ones first, then leaving ones last, then those with the
-    /// oldest weights, then those in the zone with the fewest reloads.
+    /// The engine to handle next: polled ones first, leaving ones and then silent ones last, then those
+    /// with the oldest weights, then those in the zone with the fewest reloads.
     fn next_engine(
         &self,
         now: Time,
@@ -310,7 +315,8 @@
         open.min_by_key(|(_, engine)| {
             let begun = u8::from(engine.stage != Stage::Polled);
             let known = engine.known(model);
-            (begun, engine.server.leaving, known, by_zone(engine.server.zone.clone()))
+            let is_last = (engine.server.leaving, engine.is_silent);
+            (begun, is_last, known, by_zone(engine.server.zone.clone()))
         })
         .map(|(id, _)| id.clone())
     }
--- a/crates/policy/tests/gateway_rollout.rs
+++ b/crates/policy/tests/gateway_rollout.rs
@@ -286,3 +286,33 @@
     assert!(was_loading);
     assert!(rollout.loading().is_empty(), "instances that reach the engines leave them out");
 }
+
+#[test]
+fn step_reaches_sound_engine_beside_silent_ones() {
+    let fleet = Fleet::new(3);
+    let weights = BTreeMap::from([(MODEL.into(), Weights::new(2, fleet.now))]);
+    let mut rollout = Rollout::default();
+    let mut calls: Vec<(Time, ServerId)> = Vec::new();
+    let mut now = fleet.now;
+    for _ in 0..200 {
+        now += STEP;
+        // Calls to silent engines take their whole timeout.
+        for (_, id) in calls.extract_if(.., |(end, _)| *end <= now) {
+            rollout.polled(now, &id, None);
+        }
+        for action in rollout.step(now, &fleet.servers, &weights, LIMIT) {
+            match action {
+                Action::Poll(server) if &*server.id == "e2" => {
+                    let models = vec![(MODEL.into(), 1)];
+                    rollout.polled(now, &server.id, Some(Report { models, ..Report::default() }));
+                }
+                Action::Poll(server) => calls.push((now + 16 * STEP, server.id.clone())),
+                Action::Order { server, .. } => {
+                    assert_eq!(&*server.id, "e2");
+                    return;
+                }
+            }
+        }
+    }
+    panic!("the engine that answers got no order");
+}
