Count the prefill when a prompt is sent on weights that are replaced

A prompt begins with its first token, and only its wait counted towards the bound on older weights. One with a second of prefill, sent just before instances stop using these weights, began late; now that such prompts are given up, it would cost an engine a prefill in vain. next_counts_prefill_on_older_weights fails without the change and passes with it.

--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -23,7 +23,7 @@
 use super::link::Links;
 use super::machine::{Placement, Terms};
 use super::member::{COLD_SPAN, Member};
-use super::outdated::weights_end;
+use super::outdated::{start_end, weights_end};
 use super::pace::{FIRST_TOKEN_S, Pace};
 use super::plan::{Attempt, EngineRun, Fetch, Plan};
 use super::roster::{MemberKey, Roster};
@@ -331,6 +331,9 @@
         let variant = self.variant(weights, prompt);
         let access = self.access(key, variant, spec, is_primary);
         let expected = FIRST_TOKEN_S + access.time;
+        if self.begins_too_late(prompt, weights, wait + expected) {
+            return None;
+        }
         let (cost, access) = (cost + access.cost, Some(access));
         let turned_away = self.turned_away(prompt, spec, wait, expected);
         Some(Offer { key, cost, expected, wait, turned_away, access })
@@ -373,6 +376,15 @@
         Some((known, self.now >= outdated_since + OLD_WEIGHTS_AGE))
     }
 
+    /// Whether a prompt that begins after `seconds` would be given up before, as newer weights replace
+    /// those of the engine.
+    fn begins_too_late(&self, prompt: &Prompt, weights: WeightVersion, seconds: f64) -> bool {
+        let newest = self.view.weights.get(&prompt.model);
+        let outdated_since = newest.and_then(|newest| newest.outdated_since(weights));
+        let begins = self.now + Duration::from_secs_f64(seconds);
+        outdated_since.is_some_and(|since| begins >= start_end(since, self.terms))
+    }
+
     /// The store that the engine saves each of the prompt's shared parts to. Parts on older weights
     /// are not saved, as they would take the space of parts on the newest ones.
     fn save_targets(&self, prompt: &Prompt, variant: &Variant<'_>) -> Vec<Option<SocketAddr>> {
--- a/crates/policy/src/gateway/outdated.rs
+++ b/crates/policy/src/gateway/outdated.rs
@@ -22,6 +22,12 @@
     announced_at + terms.weights_limit.saturating_sub(WEIGHTS_MARGIN)
 }
 
+/// When prompts that were sent for weights that newer ones replace are given up if they have not
+/// begun.
+pub fn start_end(announced_at: Time, terms: &Terms) -> Time {
+    announced_at + terms.weights_limit.saturating_sub(START_MARGIN)
+}
+
 impl Gateway {
     /// For how long the weights of an attempt had been replaced by newer ones at `now`.
     pub fn outdated_for(&self, now: Time, attempt: &Attempt) -> Option<Duration> {
@@ -33,8 +39,7 @@
     /// as these are the newest ones. Such a request may still be on the way, to an engine that this
     /// instance doesn't reach or that is silent.
     pub fn start_end(&self, model: &ModelName, version: WeightVersion) -> Option<Time> {
-        let outdated_since = self.outdated_since(model, version)?;
-        Some(outdated_since + self.terms().weights_limit.saturating_sub(START_MARGIN))
+        Some(start_end(self.outdated_since(model, version)?, self.terms()))
     }
 
     /// Since when newer weights have been announced.
--- a/crates/policy/tests/gateway_machine.rs
+++ b/crates/policy/tests/gateway_machine.rs
@@ -173,6 +173,21 @@
     assert!(matches!(simulation.next(&mut plan), Step::Refuse(r) if r.verdict == Verdict::NotRun));
 }
 
+/// A prompt begins with its first token, after its prefill.
+#[test]
+fn next_counts_prefill_on_older_weights() {
+    let mut simulation = Simulation::new(1);
+    let mut early = simulation.admit_prompt("early", 60_000);
+    assert!(matches!(simulation.next(&mut early), Step::Send(_)), "there is memory for it");
+    let mut simulation = Simulation::new(1);
+    simulation.announce_weights(2);
+    simulation.pass(Duration::from_millis(6_500));
+    let mut long = simulation.admit_prompt("late", 60_000);
+    assert!(matches!(simulation.next(&mut long), Step::Refuse(r) if r.verdict == Verdict::NotRun));
+    let mut short = simulation.admit("/ask/", "key").unwrap();
+    assert!(matches!(simulation.next(&mut short), Step::Send(_)));
+}
+
 /// Regression, trouble-2 --seed 85652722708 of Ferreira: an announcement arrived 0.28 s late, and a
 /// prompt sent 7 s after its arrival waited 0.83 s longer than expected.
 #[test]
