--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -44,8 +44,7 @@
     /// Makes one call, which may wait at the peer for up to `wait`.
     ///
     /// # Errors
-    /// If no whole answer arrived in time. The peer may have carried out the call, but gets no more
-    /// of it.
+    /// If no whole answer arrived in time. The peer may have carried out the call.
     pub async fn call(
         &self,
         address: SocketAddr,
@@ -81,21 +80,38 @@
     ) -> Result<(StatusCode, Bytes), Fault> {
         let end = Instant::now() + timeout;
         let kept = self.idle.borrow_mut().remove(&address);
-        let mut connection = match kept.filter(|kept| kept.idle_state() == IdleState::Quiet) {
+        let connection = match kept.filter(|kept| kept.idle_state() == IdleState::Quiet) {
             Some(connection) => connection,
             None => Connection::open(address, CONNECT_TIMEOUT.min(timeout), KEEP_ALIVE).await?,
         };
-        let exchanged = tokio::time::timeout_at(end, exchange(&mut connection, prepared)).await;
-        let answer = exchanged.unwrap_or(Err(Fault::Closed));
-        if answer.is_err()
+        let mut call = Call(Some(connection));
+        let exchanged = tokio::time::timeout_at(end, call.exchange(prepared)).await;
+        let answer = exchanged.unwrap_or(Err(Fault::Unacknowledged))?;
+        if let Some(connection) = call.0.take().filter(Connection::is_reusable) {
+            self.idle.borrow_mut().insert(address, connection);
+        }
+        Ok(answer)
+    }
+}
+
+/// A call in progress. One that is given up or dropped resets its connection, so that nothing of it
+/// is delivered later.
+struct Call(Option<Connection>);
+
+impl Call {
+    async fn exchange(&mut self, prepared: &Request) -> Result<(StatusCode, Bytes), Fault> {
+        let Some(connection) = &mut self.0 else { return Err(Fault::Closed) };
+        exchange(connection, prepared).await
+    }
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        if let Some(connection) = &self.0
             && let Err(error) = connection.abort()
         {
             tracing::debug!(%error, "failed to abort a connection");
         }
-        if answer.is_ok() && connection.is_reusable() {
-            self.idle.borrow_mut().insert(address, connection);
-        }
-        answer
     }
 }
 
