--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod change;
 mod crash;
 mod cut;
+mod entry;
 mod fixture;
 mod limit;
 mod raw;
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -131,7 +131,12 @@
 
     /// Writes a key as operators and servers do, without a lease; returns the revision.
     pub fn put(&self, key: &str, value: &Value) -> i64 {
-        let put = Put { key: key.into(), value: value.to_string().into_bytes(), lease: 0 };
+        self.put_bytes(key, value.to_string().into_bytes())
+    }
+
+    /// Writes a key with any bytes, as another writer may.
+    pub fn put_bytes(&self, key: &str, value: Vec<u8>) -> i64 {
+        let put = Put { key: key.into(), value, lease: 0 };
         self.write(Operation::RequestPut(put))
     }
 
