--- a/crates/daemon/tests/platform/entry.rs
+++ b/crates/daemon/tests/platform/entry.rs
@@ -183,3 +183,27 @@
     follows_changes(&fixture).await;
     fixture.stop().await;
 }
+/// Ids that can't be named in a request: the upstream could not check whom it is meant for.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_id_not_sendable() {
+    let fixture = Fixture::start(1).await;
+    fixture.unregister_services();
+    let raw = raw::Server::start(|request| Answer {
+        bytes: raw::head(request, "content-length: 5\r\n\r\nhello"),
+        end: End::Close,
+    })
+    .await;
+    for id in ["", "\u{e9}", "a\r\nx-tenant: b", "a\u{0}"] {
+        fixture.store.put(&format!("servers/{id}"), &raw.entry("app"));
+    }
+    tokio::time::sleep(READ_TIME).await;
+    for number in 0..20 {
+        let headers = fixture.headers(&format!("unnamed-{number}"));
+        let address = fixture.address(0);
+        let answer = fixture::call(address, "POST", "/charge/", &headers, b"x").await;
+        assert_eq!(answer.status, 503, "no upstream is listed");
+    }
+    assert!(raw.requests().is_empty());
+    follows_changes(&fixture).await;
+    fixture.stop().await;
+}
