End a resumed stream only by an answer that is its rest

After a stream had begun and broken off, the next upstream's answer decided how it ended, if only its status was 2xx. Callers saw: - a stream that ended as complete after three of eight events, since the next upstream answered 202, 204, 205 or 200 without a body (without a content type, or of type text/plain); - foreign text in the middle of the stream, which then ended as complete: a 200 of type text/plain or application/json whose body ends with an empty line, as such a body looks like an event; and the body of a 206.

Cause: the relay knew of the answer only that it was a success. Now the rest of a stream must have the status and the media type of the answer that the caller receives (parameters of the type aside); any other answer is a failure of its upstream, and the stream goes on elsewhere or ends incomplete. The type is compared with the first answer's and not with a fixed one, as an upstream may state none. An answer of the right type that is framed, sealed and without an event still ends the stream as complete: the caller has the last event then.

Ruled out by cases of the same test that held before: 302, 304, 400, 404, 500 (with a length, chunked, with a second head as its body), 503 "not run", 200 without a seal, 200 that ends with its connection without an event, an interim head before another answer. A resumed stream that starts at an earlier event repeats none.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,7 +9,8 @@
 use acacia_platform::upstream::{self, Meaning, Reply};
 use acacia_policy::gateway::{Attempt, Ending, Plan};
 use bytes::Bytes;
-use http::{HeaderMap, Method};
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, Method, StatusCode};
 
 use crate::event::{End, Oversized, Splitter};
 use crate::log::Kind;
@@ -47,6 +48,35 @@
     pub body: Bytes,
 }
 
+/// A stream that an attempt is to go on with.
+#[derive(Clone, Debug)]
+pub struct Continuation {
+    /// Id of the last event that the caller received.
+    pub last_event: Bytes,
+    /// Status of the answer that the caller receives.
+    status: StatusCode,
+    /// Its media type.
+    media_type: Option<String>,
+}
+
+impl Continuation {
+    /// The rest of an answer after the event with the id `last_event`.
+    pub fn new(head: &Head, last_event: Bytes) -> Self {
+        Self { last_event, status: head.status, media_type: media_type(head) }
+    }
+
+    /// Whether an answer with this head can be the rest of the stream.
+    fn is_continued_by(&self, head: &Head) -> bool {
+        head.status == self.status && media_type(head) == self.media_type
+    }
+}
+
+/// Media type of an answer, without its parameters.
+fn media_type(head: &Head) -> Option<String> {
+    let value = head.headers.get(CONTENT_TYPE)?.to_str().ok()?;
+    value.split(';').next().map(|name| name.trim().to_ascii_lowercase())
+}
+
 /// The outcome of an attempt.
 pub enum Outcome {
     /// The upstream's whole answer, a success or an error.
@@ -212,11 +242,11 @@
 pub async fn run(
     mut inflight: Inflight,
     payload: Rc<Payload>,
-    last_event: Option<Bytes>,
+    continuation: Option<Continuation>,
 ) -> Outcome {
     let traffic = inflight.traffic.clone();
     let run = inflight.attempt.engine.as_ref().map(|run| (run.model.clone(), run.weights));
-    let exchange = exchange(&mut inflight, &payload, last_event);
+    let exchange = exchange(&mut inflight, &payload, continuation);
     let received = match run {
         Some((model, weights)) => tokio::select! {
             biased;
@@ -291,9 +321,10 @@
 async fn exchange(
     inflight: &mut Inflight,
     payload: &Payload,
-    last_event: Option<Bytes>,
+    continuation: Option<Continuation>,
 ) -> Result<Received, Failure> {
-    let head = request_head(inflight, payload, last_event.as_ref()).await?;
+    let last_event = continuation.as_ref().map(|continuation| &continuation.last_event);
+    let head = request_head(inflight, payload, last_event).await?;
     inflight.progress.framing = Some(head.framing);
     let (traffic, server) = (inflight.traffic.clone(), inflight.attempt.server.clone());
     let reply = Reply::read(head.status, &head.headers);
@@ -323,7 +354,12 @@
             Err(Failure::new(ending, instance))
         }
         Meaning::Unverified => Err(Failure::new(Ending::Broken, instance)),
+        Meaning::Success if continuation.as_ref().is_some_and(|c| !c.is_continued_by(&head)) => {
+            let fault = Some("the answer to a resumed stream is of another kind");
+            Err(Failure { fault, ..Failure::new(Ending::Failed, instance) })
+        }
         Meaning::Success if is_stream && head.status.is_success() => {
+            let last_event = continuation.map(|continuation| continuation.last_event);
             first_event(inflight, head, last_event).await
         }
         Meaning::Success | Meaning::Failure => {
--- a/crates/gateway/src/hedge.rs
+++ b/crates/gateway/src/hedge.rs
@@ -11,10 +11,9 @@
 use std::time::Duration;
 
 use acacia_policy::gateway::{Attempt, Ending};
-use bytes::Bytes;
 use futures::future::{FutureExt, LocalBoxFuture};
 
-use crate::attempt::{Inflight, Outcome, Payload, SharedPlan, run};
+use crate::attempt::{Continuation, Inflight, Outcome, Payload, SharedPlan, run};
 use crate::request::log_sent;
 use crate::traffic::Traffic;
 
@@ -25,9 +24,9 @@
     plan: &SharedPlan,
     attempt: Attempt,
     payload: &Rc<Payload>,
-    last_event: Option<Bytes>,
+    continuation: Option<Continuation>,
 ) -> Outcome {
-    let hedge = Hedge { is_streaming: false, ..Hedge::new(traffic, plan, payload, last_event) };
+    let hedge = Hedge { is_streaming: false, ..Hedge::new(traffic, plan, payload, continuation) };
     let first = hedge.start(attempt);
     hedge.finish(first).await
 }
@@ -37,8 +36,8 @@
     traffic: Rc<Traffic>,
     plan: SharedPlan,
     payload: Rc<Payload>,
-    /// Id of the event after which another attempt resumes the stream.
-    last_event: Option<Bytes>,
+    /// The stream that another attempt resumes.
+    continuation: Option<Continuation>,
     /// Whether the awaited attempt is a stream, which may go on.
     is_streaming: bool,
     /// The second attempt, if it is in progress.
@@ -71,11 +70,11 @@
         traffic: &Rc<Traffic>,
         plan: &SharedPlan,
         payload: &Rc<Payload>,
-        last_event: Option<Bytes>,
+        continuation: Option<Continuation>,
     ) -> Self {
         let (traffic, plan, payload) = (traffic.clone(), plan.clone(), payload.clone());
         let (is_streaming, second, fallback) = (true, None, None);
-        Self { traffic, plan, payload, last_event, is_streaming, second, fallback }
+        Self { traffic, plan, payload, continuation, is_streaming, second, fallback }
     }
 
     /// Waits for the response to an attempt until the request's deadline. Each time that `timeout`
@@ -158,7 +157,7 @@
         log_sent(&self.traffic, &self.plan.borrow(), &attempt);
         let inflight = Inflight::new(self.traffic.clone(), self.plan.clone(), attempt.clone());
         let on_drop = inflight.on_drop.clone();
-        let outcome = run(inflight, self.payload.clone(), self.last_event.clone());
+        let outcome = run(inflight, self.payload.clone(), self.continuation.clone());
         Pending { attempt, on_drop, outcome: outcome.boxed_local() }
     }
 
@@ -174,7 +173,7 @@
     fn is_answer(&self, outcome: &Outcome) -> bool {
         match outcome {
             Outcome::Stream(_) => true,
-            Outcome::Whole(head, _) if self.last_event.is_some() => head.status.is_success(),
+            Outcome::Whole(head, _) if self.continuation.is_some() => head.status.is_success(),
             Outcome::Whole(head, _) => !head.status.is_server_error(),
             Outcome::None => false,
         }
@@ -182,7 +181,7 @@
 
     /// Keeps an upstream's own answer, which is more specific than none.
     fn keep(&mut self, outcome: Outcome) {
-        let is_of_use = self.last_event.is_none() || self.is_answer(&outcome);
+        let is_of_use = self.continuation.is_none() || self.is_answer(&outcome);
         if is_of_use && matches!(outcome, Outcome::Whole(..)) {
             self.fallback = Some(outcome);
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,12 +5,12 @@
 
 use acacia_connection::Head;
 use acacia_policy::gateway::configuration::Repeat;
-use acacia_policy::gateway::{Ending, Plan, Step};
+use acacia_policy::gateway::{Ending, Step};
 use bytes::Bytes;
 use futures::Stream as FutureStream;
 use futures::stream::unfold;
 
-use crate::attempt::{Failure, Inflight, Outcome, Payload, Stream};
+use crate::attempt::{Continuation, Failure, Inflight, Outcome, Payload, Stream};
 use crate::event::Splitter;
 use crate::hedge::{Hedge, Response, send};
 use crate::request::Completion;
@@ -125,7 +125,7 @@
                 (self.head, self.inflight, self.splitter) = (head, inflight, splitter);
                 Some(Ok(Some(first)))
             }
-            // If the caller already has the last event, the resumed stream is empty.
+            // If the caller already has the last event, the rest of the stream is empty.
             Outcome::Whole(head, _) if head.status.is_success() => {
                 self.complete();
                 Some(Ok(None))
@@ -150,10 +150,10 @@
 
     /// Reads until at least one event is whole. A second attempt may be in progress then.
     async fn read(&mut self) -> (Next, Hedge) {
-        let last_event = self.splitter.last_id().cloned();
+        let continuation = self.continuation();
         let plan = self.inflight.plan.clone();
-        let is_resumable = is_resumable(&plan.borrow(), last_event.as_ref());
-        let mut hedge = Hedge::new(&self.traffic, &plan, &self.payload, last_event);
+        let is_resumable = continuation.is_some();
+        let mut hedge = Hedge::new(&self.traffic, &plan, &self.payload, continuation);
         if self.late_bytes > LATE_BYTES {
             return (Next::Broken(Ending::Expired.into()), hedge);
         }
@@ -187,14 +187,20 @@
         (next, hedge)
     }
 
+    /// The rest of the stream, if another upstream can go on with it.
+    fn continuation(&self) -> Option<Continuation> {
+        let is_resumable = self.inflight.plan.borrow().route.repeat == Repeat::ResumableStream;
+        let last = self.splitter.last_id().filter(|_| is_resumable)?;
+        Some(Continuation::new(&self.head, last.clone()))
+    }
+
     /// Resumes the stream at another upstream, after the last event that the caller received.
     async fn resume(&mut self) -> Result<Option<Bytes>, Interrupted> {
-        let last = self.splitter.last_id().cloned();
         let plan = self.inflight.plan.clone();
-        if !is_resumable(&plan.borrow(), last.as_ref()) {
+        let Some(continuation) = self.continuation() else {
             self.completion.record_broken_off(&self.traffic, &plan.borrow(), "not_resumable");
             return Err(Interrupted);
-        }
+        };
         loop {
             let now = self.traffic.now();
             let step = self.traffic.gateway.borrow_mut().next(now, &mut plan.borrow_mut());
@@ -210,7 +216,8 @@
                     return Err(Interrupted);
                 }
             };
-            let outcome = send(&self.traffic, &plan, attempt, &self.payload, last.clone()).await;
+            let stream = Some(continuation.clone());
+            let outcome = send(&self.traffic, &plan, attempt, &self.payload, stream).await;
             if let Some(events) = self.go_on(outcome) {
                 return events;
             }
@@ -218,11 +225,6 @@
     }
 }
 
-/// Whether another upstream can go on with a stream after the event `last`.
-fn is_resumable(plan: &Plan, last: Option<&Bytes>) -> bool {
-    plan.route.repeat == Repeat::ResumableStream && last.is_some()
-}
-
 /// Waits until a time of [`Traffic::clock`].
 pub async fn wait_until(traffic: &Traffic, at: Duration) {
     tokio::time::sleep(at.saturating_sub(traffic.now())).await;
