Close connections on which a request was answered 421

An engine that answers 421 by itself, as its weights are others than those asked for, may get the same request again, and got it on the same kept connection. A faulty server that wrote the 421 once more there was believed, as the id that it echoes is the request's own: the request was sent a third time while it ran (TWICE; two runs of a request that may run once), and with no upstream left callers would be told "not run".

This is the only way in which one request comes back to the same upstream: all others that were tried are not tried again. So the connection is not kept after a 421. That costs a handshake for each 421, of which there is about one for each engine and change of weights.

Ruled out by refusal_repeated_for_next_request, which a refusal of another request can't break: written once more in the same packet, while the connection is idle, before the answer to the next request, without an id, before and after an interim head (503, 429, 421). If there are more such answers than are skipped, the caller gets 502, which promises nothing.

--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -12,6 +12,7 @@
 mod fixture;
 mod limit;
 mod raw;
+mod refusal;
 mod resumption;
 mod silence;
 mod software;
--- a/crates/daemon/tests/platform/raw.rs
+++ b/crates/daemon/tests/platform/raw.rs
@@ -46,6 +46,8 @@
     pub body: Bytes,
     /// Id of the event after which the stream is to resume.
     pub last_event: Option<u32>,
+    /// Number of the connection on which it arrived.
+    pub connection: u32,
 }
 
 /// Bytes that answer a request.
@@ -71,6 +73,10 @@
     Drip(Duration, &'static [&'static str]),
     /// These bytes, again and again until the caller closes the connection.
     Repeat(&'static str),
+    /// The next request on the connection.
+    Keep,
+    /// Nothing for some time, then these bytes and the next request on the connection.
+    Late(Duration, &'static str),
 }
 
 impl Server {
@@ -116,14 +122,14 @@
         let (resets, reset) = watch::channel(false);
         let respond = Arc::new(respond);
         let task = tokio::spawn(async move {
-            loop {
+            for connection in 0.. {
                 let (mut stream, _) = listener.accept().await.unwrap();
                 let (respond, seen, sent) = (respond.clone(), seen.clone(), sent.clone());
                 let mut reset = reset.clone();
                 tokio::spawn(async move {
                     tokio::time::sleep(silence).await;
                     tokio::select! {
-                        () = serve(&mut stream, run_time, respond, seen, sent) => {}
+                        () = serve(&mut stream, connection, run_time, respond, seen, sent) => {}
                         // Fails if the upstream is dropped, after which answers go on.
                         Ok(_) = reset.wait_for(|is_reset| *is_reset) => set_reset(&stream),
                     }
@@ -179,27 +185,45 @@
     .into_bytes()
 }
 
+/// Serves the requests of a connection.
 async fn serve(
     stream: &mut TcpStream,
+    connection: u32,
     run_time: Duration,
     respond: Arc<impl Fn(&Request) -> Answer>,
     seen: Arc<Mutex<Vec<Request>>>,
     sent: Arc<AtomicU64>,
 ) {
-    let Some(request) = read_request(stream).await else { return };
-    // Calls of the instance itself, such as for a report.
-    if request.id.is_empty() {
-        let _ = stream.write_all(b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n").await;
-        return;
-    }
-    let Answer { bytes, end } = respond(&request);
-    seen.lock().push(request);
-    tokio::time::sleep(run_time).await;
-    // Writes fail once the caller has closed the connection.
-    if stream.write_all(&bytes).await.is_err() {
-        return;
+    while let Some(request) = read_request(stream, connection).await {
+        // Calls of the instance itself, such as for a report.
+        if request.id.is_empty() {
+            let _ = stream.write_all(b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n").await;
+            return;
+        }
+        let Answer { bytes, end } = respond(&request);
+        seen.lock().push(request);
+        tokio::time::sleep(run_time).await;
+        // Writes fail once the caller has closed the connection.
+        if stream.write_all(&bytes).await.is_err() {
+            return;
+        }
+        match end {
+            End::Keep => {}
+            End::Late(pause, rest) => {
+                tokio::time::sleep(pause).await;
+                if stream.write_all(rest.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+            end => return finish(stream, end, &sent).await,
+        }
     }
+}
+
+/// Ends a connection after the first bytes of an answer.
+async fn finish(stream: &mut TcpStream, end: End, sent: &AtomicU64) {
     match end {
+        End::Keep | End::Late(..) => {}
         End::Close => {}
         End::Reset => {
             // A reset discards what the caller has not read yet.
@@ -238,7 +262,7 @@
 
 /// Reads a request with its body; of a long body, only what arrives first. `None` if the caller
 /// closes first.
-async fn read_request(stream: &mut TcpStream) -> Option<Request> {
+async fn read_request(stream: &mut TcpStream, connection: u32) -> Option<Request> {
     let mut bytes = Vec::new();
     loop {
         if stream.read_buf(&mut bytes).await.ok()? == 0 {
@@ -259,6 +283,7 @@
             prompt: field("x-prompt-prefix: ").unwrap_or_default().to_owned(),
             body: Bytes::copy_from_slice(&body[..length.min(body.len())]),
             last_event: field("last-event-id: ").and_then(|id| id.parse().ok()),
+            connection,
         });
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -342,16 +342,15 @@
         return Err(Ending::Cancelled.into());
     };
     match reply.meaning {
-        Meaning::NotRun | Meaning::Misdirected => {
-            let ending = match reply.meaning {
-                Meaning::NotRun => Ending::Refused,
-                _ => Ending::Misdirected,
-            };
+        // The request may go to the same upstream again, where the id could not tell this answer,
+        // written once more, from the next one. So the connection is not kept.
+        Meaning::Misdirected => Err(Failure::new(Ending::Misdirected, instance)),
+        Meaning::NotRun => {
             let rest = tokio::time::timeout(DISCARD_TIMEOUT, connection.discard(DISCARD_LIMIT));
             if matches!(rest.await, Ok(Ok(()))) {
                 inflight.release(&head);
             }
-            Err(Failure::new(ending, instance))
+            Err(Failure::new(Ending::Refused, instance))
         }
         Meaning::Unverified => Err(Failure::new(Ending::Broken, instance)),
         Meaning::Success if continuation.as_ref().is_some_and(|c| !c.is_continued_by(&head)) => {
