Write announcement times and software versions in every era

In a later era of the metadata store, announcement times of weights were never written: an absent entry was stated as revision zero of era zero, and a write that names a revision of another era is a conflict. An instance that starts then does not know the age of weights. And after a restore from a copy that lacks the entry, neither these times nor the software versions were written again, as the replica took what an earlier era had held for what the store holds.

Now an entry of an earlier era that was not written again counts as absent, for both: it is written with the revision "absent" of the current era, unless there is nothing to write.

Failed before, pass now: unwritten_announcements_later_era and unwritten_entries_lost_in_restore.

--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -139,8 +139,12 @@
             times.retain(|version, _| *version >= oldest);
         }
         announcements.0.retain(|_, times| !times.is_empty());
-        (announcements != self.announcements)
-            .then_some((announcements, self.announcements_revision))
+        let revision = self.revision_in_era(self.announcements_revision);
+        let is_held = match revision.number {
+            0 => announcements.0.is_empty(),
+            _ => announcements == self.announcements,
+        };
+        (!is_held).then_some((announcements, revision))
     }
 
     /// The software versions that serve now or did within [`software::RETENTION`], if the metadata
@@ -161,8 +165,12 @@
         for (service, version) in self.software_seen.keys() {
             software.0.entry(service.clone()).or_default().insert(version.clone());
         }
-        (software != self.software)
-            .then(|| (software, self.revision_in_era(self.software_revision)))
+        let revision = self.revision_in_era(self.software_revision);
+        let is_held = match revision.number {
+            0 => software.0.is_empty(),
+            _ => software == self.software,
+        };
+        (!is_held).then_some((software, revision))
     }
 
     /// The revision of an entry as far as the current era has it: an entry of an earlier one that
--- a/crates/gateway/tests/picture.rs
+++ b/crates/gateway/tests/picture.rs
@@ -151,6 +151,48 @@
     assert_eq!(announcements.0["m"][&3], 110_000);
 }
 
+/// Regression: in later eras, announcement times were never written, as the absent entry was taken
+/// for one of era zero.
+#[test]
+fn unwritten_announcements_later_era() {
+    let order = json!({"model": "m", "version": 3});
+    let mut replica = Replica::new(OWN);
+    let era = Revision { era: 2, number: 1 };
+    replica.replace(at(0), era, &[in_era(2, set("op/config", configuration(3), 1))]);
+    replica.apply(at(10), &in_era(2, set("op/version/m", order, 2)));
+    replica.set_server_clock(at(0), 100_000);
+    let (announcements, revision) = replica.unwritten_announcements().unwrap();
+    assert_eq!(announcements.0["m"][&3], 110_000);
+    assert_eq!(revision, Revision::absent(2));
+    let written = in_era(2, set("acacia/naming", json!({"m": {"3": 110_000}}), 3));
+    replica.apply(at(11), &written);
+    assert!(replica.unwritten_announcements().is_none());
+}
+
+/// What the metadata store held before it was restored from an older copy is written again.
+#[test]
+fn unwritten_entries_lost_in_restore() {
+    let order = set("op/version/m", json!({"model": "m", "version": 3}), 2);
+    let mut replica = replica();
+    replica.apply(at(10), &order);
+    replica.apply(at(10), &set("servers/i-1", server(), 3));
+    replica.set_server_clock(at(0), 100_000);
+    replica.apply(at(11), &set("acacia/naming", json!({"m": {"3": 110_000}}), 4));
+    replica.apply(at(11), &set("acacia/software", json!({"s": [""]}), 5));
+    assert!(replica.unwritten_announcements().is_none());
+    assert!(replica.unwritten_software(at(12)).is_none());
+
+    let copy = [
+        in_era(1, set("op/config", configuration(3), 1)),
+        in_era(1, set("servers/i-1", server(), 3)),
+    ];
+    replica.replace(at(13), Revision { era: 1, number: 3 }, &copy);
+    let (announcements, revision) = replica.unwritten_announcements().unwrap();
+    assert_eq!((announcements.0["m"][&3], revision), (110_000, Revision::absent(1)));
+    let (software, revision) = replica.unwritten_software(at(14)).unwrap();
+    assert_eq!((software.0.len(), revision), (1, Revision::absent(1)));
+}
+
 #[test]
 fn apply_own_write_before_watch() {
     let mut replica = replica();
