Keep another answer out of a stream that ends with its connection

A server that wrote another answer behind the events of a stream without a length or chunks had its head, and text that ends with an empty line, delivered in the caller's stream, which ended as complete: a head ends with an empty line, so it looks like an event.

An event never begins with `HTTP/1.`. Where one does, the stream is broken off after the events before it: a resumable one goes on at another upstream (which says that nothing follows, if the caller has the last event), any other ends incomplete. In a framed body such bytes follow its end and were never read.

Failed before, pass now: push_other_answer and stream_followed_by_other_answer (foreign text in the body).

--- a/crates/daemon/tests/platform/resumption.rs
+++ b/crates/daemon/tests/platform/resumption.rs
@@ -176,3 +176,37 @@
     }
     scene.fixture.stop().await;
 }
+
+/// Regression, ORDER: an upstream wrote another answer behind the events of a stream that ends with
+/// its connection, and the caller found its head and text in the stream.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_followed_by_other_answer() {
+    const OTHER: &str = "HTTP/1.1 500 Error\r\nx-request-id: r\r\n\r\nFOREIGN\n\n";
+    let fixture = Fixture::start(1).await;
+    fixture.unregister_engines();
+    let rest = "x-response-seal: s\r\ncontent-type: text/event-stream\r\ncontent-length: 0\r\n";
+    let rest = form("200 OK", rest, "");
+    let respond = move |request: &Request| match request.last_event {
+        Some(8) => rest.answer(request),
+        _ => until_close(request, 8, OTHER),
+    };
+    for path in ["/ask/", "/long/"] {
+        let servers = [raw::Server::start(respond).await, raw::Server::start(respond).await];
+        servers.iter().for_each(|server| fixture.register(server, "llm"));
+        let mut answer = None;
+        fixture::eventually("an upstream is asked", async || {
+            let headers = fixture.prompt("overrun", 1);
+            let address = fixture.address(0);
+            answer = Some(fixture::call(address, "POST", path, &headers, b"x").await);
+            servers.iter().any(|server| !server.requests().is_empty())
+        })
+        .await;
+        let answer = answer.unwrap();
+        assert_eq!(answer.event_ids(), fixture.all_events(), "{path}");
+        assert!(!String::from_utf8_lossy(&answer.body).contains(FOREIGN), "{path}");
+        // The other upstream knows that nothing follows, if the stream may be resumed.
+        assert_eq!(answer.is_complete, path == "/ask/", "{path}");
+        servers.iter().for_each(|server| fixture.unregister(server));
+    }
+    fixture.stop().await;
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -167,7 +167,9 @@
             End::Whole(rest) => Ok(rest),
             End::BrokenOff { incomplete_bytes } => {
                 self.progress.incomplete_bytes = Some(incomplete_bytes);
-                Err(Failure::broken("the stream ended inside an event or before its first one"))
+                Err(Failure::broken(
+                    "the stream ended inside or before an event, or with an answer",
+                ))
             }
         }
     }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -3,10 +3,13 @@
 //! A body without a length or chunks ends with its connection, which an upstream that fails closes
 //! like one that is done. The events then decide: a stream that ends inside an event, or before its
 //! first one, is broken off. A stream that ends inside an event is broken off with any framing.
+//! Another answer that follows the events is part of such a body, too, but not of the stream.
 
 use acacia_connection::Framing;
 use bytes::{Bytes, BytesMut};
 
+/// Start of another answer's head. No event begins so.
+const HEAD_START: &[u8] = b"HTTP/1.";
 /// Size limit of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
@@ -20,6 +23,8 @@
     line: usize,
     last: Option<Bytes>,
     has_event: bool,
+    /// Whether another answer followed the events.
+    is_overrun: bool,
 }
 
 /// An event exceeds the size limit.
@@ -32,7 +37,7 @@
 pub enum End {
     /// After a whole event; contains any line breaks after it.
     Whole(Bytes),
-    /// Inside an event, or possibly before its first event.
+    /// Inside an event, possibly before its first event, or with another answer.
     BrokenOff {
         /// Bytes of the incomplete event.
         incomplete_bytes: usize,
@@ -89,7 +94,7 @@
         let rest = std::mem::take(&mut self.buffer).freeze();
         let is_inside_event = rest.iter().any(|byte| !matches!(byte, b'\r' | b'\n'));
         let is_proven = self.has_event || framing != Framing::Close;
-        if is_inside_event || !is_proven {
+        if is_inside_event || self.is_overrun || !is_proven {
             return End::BrokenOff { incomplete_bytes: rest.len() };
         }
         End::Whole(rest)
@@ -100,7 +105,8 @@
         self.last.as_ref()
     }
 
-    /// Records the last id, and drops events up to the one after which the stream was resumed.
+    /// Records the last id, and drops events up to the one after which the stream was resumed, and
+    /// another answer that follows the events.
     fn take(&mut self, events: Bytes) -> Bytes {
         let mut kept = BytesMut::new();
         let mut start = 0;
@@ -109,6 +115,11 @@
             let end = start + first_end(&events[start..]).unwrap_or(events.len() - start);
             let event = events.slice(start..end);
             start = end;
+            self.is_overrun |= event.trim_ascii_start().starts_with(HEAD_START);
+            if self.is_overrun {
+                dropped = true;
+                break;
+            }
             self.has_event = true;
             let id = id(&event);
             if let (Some(id), Some(last)) = (&id, &self.last)
--- a/crates/gateway/tests/event.rs
+++ b/crates/gateway/tests/event.rs
@@ -48,6 +48,26 @@
     assert_eq!(push(&mut splitter, events), "id: 3\ndata: c\n\n");
 }
 
+/// Regression, ORDER: the head of another answer looks like an event.
+#[test]
+fn push_other_answer() {
+    let head = "HTTP/1.1 500 Error\r\nx-request-id: r\r\n\r\nfailed\n\n";
+    for (events, more) in [("id: 1\n\nid: 2\n\n", ""), ("id: 1\n\n", "id: 2\n\n"), ("", "\n")] {
+        let text = format!("{events}{head}{more}");
+        for size in 1..text.len() {
+            let mut splitter = Splitter::default();
+            let chunks = text.as_bytes().chunks(size).map(Bytes::copy_from_slice);
+            let pushed: Vec<u8> =
+                chunks.flat_map(|chunk| splitter.push(&chunk).unwrap().to_vec()).collect();
+            assert_eq!(pushed, events.as_bytes(), "chunks of {size} bytes");
+            assert!(matches!(splitter.end(Framing::Close), End::BrokenOff { .. }));
+        }
+    }
+    let mut splitter = Splitter::default();
+    let text = "id: 1\ndata: HTTP/1.1 200 OK\n\n";
+    assert_eq!(push(&mut splitter, text), text, "an event may be about an answer");
+}
+
 #[test]
 fn end_incomplete_event() {
     for framing in [Framing::Close, Framing::Chunked, Framing::Length(20)] {
