Soak instances that are cut off all servers

The soak had no fault that concerns one instance: servers failed for all.

The scenario `cuts` cuts one, most, all but one or all instances off all servers and the cache store for 4 to 12 s, in each of the three ways. Cuts of different instances overlap; new weights come within a second of each, and other instances are replaced and killed. The oracle checks the two rules, with their bounds: from 3 s after the begin of a cut until its end, instances that are cut off serve two thirds as many requests as the others, or fail at most 10 and one in 50 of all; and no request begins on older weights later than 8 s after an announcement. If all instances are cut off, there are no others, and the first isn't judged.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -15,6 +15,14 @@
 const SHORT_BUDGET_STREAM: u64 = 3;
 /// The same for [`Scenario::Limits`].
 const LIMIT_STREAM: u64 = 4;
+/// The same for [`Scenario::Cuts`].
+const CUT_STREAM: u64 = 5;
+/// Durations of a cut, in milliseconds.
+const CUT_MS: Range<u64> = 4_000..12_000;
+/// Time between two cuts, in lengths of the former: some of them overlap.
+const CUT_SPACING: Range<f64> = 0.2..1.4;
+/// Time from the begin of a cut to an announcement of weights, in milliseconds.
+const ANNOUNCEMENT_MS: Range<u64> = 0..1_000;
 /// Durations of a rate limit, in milliseconds: some windows in which it is checked.
 const LIMIT_MS: Range<u64> = 6_000..12_000;
 /// Number of servers with a rate limit.
@@ -55,6 +63,8 @@
     Crashes,
     /// Servers state rate limits in their answers.
     Limits,
+    /// Instances are cut off all servers, beside restarts of others and new weights.
+    Cuts,
     /// Silences, at routes with time budgets shorter than a silence, beside failures of other
     /// servers and changes of the routes' settings in quick succession.
     ShortBudgets,
@@ -124,6 +134,16 @@
     EntryRemoved,
     /// A server states a rate limit in its answers.
     ServerLimited,
+    /// Connections of some instances to all servers hang.
+    CutHang,
+    /// Connections of some instances to all servers are reset.
+    CutReset,
+    /// New connections of some instances to all servers are reset.
+    CutRefuseNew,
+    /// An instance that is not cut off is stopped gracefully and started again.
+    ReplaceOther,
+    /// An instance that is not cut off is killed and started again.
+    KillOther,
 }
 
 /// Kinds that were added after seeds had been recorded; they are drawn separately, so that the
@@ -141,6 +161,10 @@
 /// Kinds that only [`Scenario::Limits`] has.
 const LIMIT_KINDS: [Kind; 1] = [Kind::ServerLimited];
 
+/// Kinds that only [`Scenario::Cuts`] has.
+const CUT_KINDS: [Kind; 5] =
+    [Kind::CutHang, Kind::CutReset, Kind::CutRefuseNew, Kind::ReplaceOther, Kind::KillOther];
+
 impl Kind {
     /// Whether it is a planned change by operators, which must not lose requests.
     pub fn is_planned(self) -> bool {
@@ -176,8 +200,8 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let is_planned = seed.is_multiple_of(3);
         let is_excluded = |kind: &Kind| {
-            let excluded: [&[Kind]; 4] =
-                [&LATER_KINDS, &SILENCE_KINDS, &SHORT_BUDGET_KINDS, &LIMIT_KINDS];
+            let excluded: [&[Kind]; 5] =
+                [&LATER_KINDS, &SILENCE_KINDS, &SHORT_BUDGET_KINDS, &LIMIT_KINDS, &CUT_KINDS];
             excluded.iter().any(|kinds| kinds.contains(kind))
         };
         let is_drawn = |kind: &Kind| !is_excluded(kind) && (!is_planned || kind.is_planned());
@@ -241,6 +265,36 @@
         Self { is_planned: false, faults }
     }
 
+    /// Generates cuts of instances, some of which overlap, with an announcement of weights shortly
+    /// after the begin of each, beside restarts of other instances.
+    pub fn cuts(seed: u64, length: Duration) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        rng.set_stream(CUT_STREAM);
+        let mut faults = Vec::new();
+        let mut at = Duration::ZERO;
+        while at < length {
+            let cut = Duration::from_millis(rng.random_range(CUT_MS));
+            let kind = CUT_KINDS[rng.random_range(0..3)];
+            let target = rng.random_range(0..VARIATIONS);
+            faults.push(Fault { at, length: cut, kind, target });
+            let announced = at + Duration::from_millis(rng.random_range(ANNOUNCEMENT_MS));
+            let (length, kind) = (Duration::ZERO, Kind::AnnounceWeights);
+            faults.push(Fault { at: announced, length, kind, target: 0 });
+            for kind in [Kind::ReplaceOther, Kind::KillOther] {
+                let at = at + cut.mul_f64(rng.random());
+                let ms = rng.random_range(MIN_DURATION_MS..MAX_DURATION_MS);
+                let target = rng.random_range(0..VARIATIONS);
+                faults.push(Fault { at, length: Duration::from_millis(ms), kind, target });
+            }
+            at += cut.mul_f64(rng.random_range(CUT_SPACING));
+        }
+        for kind in [Kind::AnnounceWeights, Kind::Configure] {
+            let at = length.mul_f64(rng.random());
+            faults.push(Fault { at, length: Duration::ZERO, kind, target: 0 });
+        }
+        Self { is_planned: false, faults }
+    }
+
     /// Generates series of silences that overlap with changes of the configuration and, except in
     /// every third seed, with failures of the other servers.
     pub fn silences(seed: u64, length: Duration) -> Self {
--- a/crates/soak/src/fixture.rs
+++ b/crates/soak/src/fixture.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use acacia_standin::Counter;
+use acacia_standin::cut::{Cut, Cuts};
 use acacia_standin::platform::caller::Caller;
 use acacia_standin::platform::document::{
     self, Addresses, CONFIGURATION_KEY, Deployment, MODEL, Variation,
@@ -64,6 +65,8 @@
     pub proxies: Vec<Proxy>,
     /// The managed KV cache store.
     pub cache: cache::Handle,
+    cache_proxy: Proxy,
+    cuts: Cuts,
     /// Entry instances.
     pub instances: Vec<Instance>,
     folder: PathBuf,
@@ -88,6 +91,7 @@
     daemon: PathBuf,
     settings: PathBuf,
     log: PathBuf,
+    cuts: Cuts,
 }
 
 impl Fixture {
@@ -102,53 +106,65 @@
         count: usize,
         scenario: Scenario,
     ) -> io::Result<Self> {
+        fs::create_dir_all(&folder)?;
+        let mut fixture = Self::servers(folder, scenario).await?;
+        match scenario {
+            Scenario::ShortBudgets => fixture.vary(1, &terms::initial()),
+            _ => fixture.configure(1),
+        }
+        for number in 0..count {
+            let instance = fixture.instance(daemon, number)?;
+            fixture.instances.push(instance);
+        }
+        for instance in &fixture.instances {
+            instance.wait_ready().await?;
+        }
+        Ok(fixture)
+    }
+
+    /// Starts the stand-ins and their proxies.
+    async fn servers(folder: PathBuf, scenario: Scenario) -> io::Result<Self> {
         let (interval, target_ms) = match scenario {
-            Scenario::Mixed | Scenario::Crashes | Scenario::Limits => (EVENT_INTERVAL, TARGET_MS),
             Scenario::Silences | Scenario::ShortBudgets => (LONG_EVENT_INTERVAL, SHORT_TARGET_MS),
+            _ => (EVENT_INTERVAL, TARGET_MS),
         };
-        fs::create_dir_all(&folder)?;
+        let cuts = Cuts::default();
+        // Elsewhere the proxies need not search for the processes of connections.
+        let applied = if scenario == Scenario::Cuts { cuts.clone() } else { Cuts::default() };
         let store = store::start().await?;
         let store_proxy = Proxy::start(store.address).await?;
         let cache = cache::start(CACHE_TOKENS).await?;
+        let cache_proxy = Proxy::start_with(cache.address, applied.clone()).await?;
         let others = Peers::default();
         let (mut servers, mut proxies) = (Vec::new(), Vec::new());
         for number in 0..SERVERS {
-            let engine = (number >= SERVERS_PER_KIND).then(|| engine(&cache, &others));
+            let engine =
+                (number >= SERVERS_PER_KIND).then(|| engine(&cache, &cache_proxy, &others));
             let mut settings = server_settings(number, engine, interval);
             if scenario == Scenario::ShortBudgets {
                 settings.service = split_service(&settings.service, number);
             }
             let server = server::start(settings, &store).await?;
-            let proxy = Proxy::start(server.address).await?;
+            let proxy = Proxy::start_with(server.address, applied.clone()).await?;
             others.lock().insert(proxy.address, Arc::downgrade(&server.state()));
             server.register_at(&store, proxy.address);
             servers.push(server);
             proxies.push(proxy);
         }
         let instances = Vec::new();
-        let mut fixture = Self {
+        Ok(Self {
             store,
             store_proxy,
             servers,
             proxies,
             cache,
+            cache_proxy,
+            cuts,
             instances,
             folder,
             target_ms,
             scenario,
-        };
-        match scenario {
-            Scenario::ShortBudgets => fixture.vary(1, &terms::initial()),
-            _ => fixture.configure(1),
-        }
-        for number in 0..count {
-            let instance = fixture.instance(daemon, number)?;
-            fixture.instances.push(instance);
-        }
-        for instance in &fixture.instances {
-            instance.wait_ready().await?;
-        }
-        Ok(fixture)
+        })
     }
 
     fn instance(&self, daemon: &Path, number: usize) -> io::Result<Instance> {
@@ -158,8 +174,9 @@
         let text = document::settings(&name, &zone(number), &addresses, self.store_proxy.address);
         fs::write(&settings, text)?;
         let log = self.folder.join(format!("{number}.log"));
-        let child = spawn(daemon, &settings, &log)?;
-        let process = Process { child, daemon: daemon.to_owned(), settings, log };
+        let child = spawn(daemon, &settings, &log, &self.cuts)?;
+        let (daemon, cuts) = (daemon.to_owned(), self.cuts.clone());
+        let process = Process { child, daemon, settings, log, cuts };
         let callers = vec![addresses.callers];
         let caller = match self.scenario {
             Scenario::ShortBudgets => Caller::with_idle_limit(callers, CALLER_IDLE_LIMIT),
@@ -201,7 +218,7 @@
             engine_tokens: 20_000,
             token_bytes: 1_000,
             link_mbps: 100_000.0,
-            cache: Some((self.cache.address, CACHE_TOKENS)),
+            cache: Some((self.cache_proxy.address, CACHE_TOKENS)),
         }
     }
 
@@ -260,11 +277,9 @@
         Evidence {
             seen: self.servers.iter().flat_map(|server| server.executions()).collect(),
             runs: self.servers.iter().flat_map(|server| server.ledger()).collect(),
-            crashes: Vec::new(),
             limits: self.servers.iter().flat_map(|server| server.limits()).collect(),
-            has_steady_instances: false,
-            has_sound_servers: false,
             wrong_parts: wrong.sum::<u64>() + self.cache.count(Counter::WrongBlockRead),
+            ..Evidence::default()
         }
     }
 
@@ -312,6 +327,13 @@
         Ok(kill_process(Pid::from_child(&self.child), signal)?)
     }
 
+    /// Cuts the process off all servers for a while.
+    pub async fn cut(&self, cut: Cut, length: Duration) {
+        self.cuts.set(self.child.id(), cut);
+        tokio::time::sleep(length).await;
+        self.cuts.heal(self.child.id());
+    }
+
     /// Kills the process and starts it again after a pause.
     ///
     /// # Errors
@@ -320,8 +342,7 @@
         self.child.kill()?;
         self.child.wait()?;
         tokio::time::sleep(pause).await;
-        self.child = spawn(&self.daemon, &self.settings, &self.log)?;
-        Ok(())
+        self.restart()
     }
 
     /// Stops the process gracefully and starts it again.
@@ -343,7 +364,12 @@
         if !status.success() {
             return Err(io::Error::other(format!("an instance ended with {status}")));
         }
-        self.child = spawn(&self.daemon, &self.settings, &self.log)?;
+        self.restart()
+    }
+
+    fn restart(&mut self) -> io::Result<()> {
+        self.cuts.remove(self.child.id());
+        self.child = spawn(&self.daemon, &self.settings, &self.log, &self.cuts)?;
         Ok(())
     }
 
@@ -366,21 +392,23 @@
     }
 }
 
-fn spawn(daemon: &Path, settings: &Path, log: &Path) -> io::Result<Child> {
+fn spawn(daemon: &Path, settings: &Path, log: &Path, cuts: &Cuts) -> io::Result<Child> {
     let log = File::options().create(true).append(true).open(log)?;
-    Command::new(daemon)
+    let child = Command::new(daemon)
         .arg("--platform")
         .env("ACACIAARCH_SETTINGS", settings)
         .stdout(log)
         .stderr(Stdio::inherit())
-        .spawn()
+        .spawn()?;
+    cuts.register(child.id());
+    Ok(child)
 }
 
-fn engine(cache: &cache::Handle, others: &Peers) -> Engine {
+fn engine(cache: &cache::Handle, proxy: &Proxy, others: &Peers) -> Engine {
     Engine {
         model: MODEL.to_owned(),
         load_time: Duration::from_millis(300),
-        caches: vec![(cache.address, cache.state())],
+        caches: vec![(proxy.address, cache.state())],
         peers: others.clone(),
         performance: Performance {
             prefill_per_token: Duration::from_micros(20),
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,6 +7,7 @@
 //! of callers and servers. Seeds that failed are kept as [`regression`]s.
 
 pub mod culprit;
+pub mod cut;
 pub mod fault;
 pub mod fixture;
 pub mod oracle;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -22,7 +22,7 @@
     count: u64,
     /// Run the seeds of known regressions instead
     regressions: bool,
-    /// The faults: mixed, silences, crashes, short_budgets, or limits
+    /// The faults: mixed, silences, crashes, short_budgets, limits, or cuts
     #[bpaf(argument("NAME"), fallback(Scenario::Mixed), display_fallback)]
     scenario: Scenario,
     /// Seeds that run concurrently
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::culprit::{Culprit, Role, Service};
+use crate::cut::{self, Span};
 
 /// Time that a server needs for the rest of an answer after a silence.
 const REST_TIME: Duration = Duration::from_secs(1);
@@ -51,6 +52,8 @@
     pub service: Service,
     /// What it has to do with culprits.
     pub role: Role,
+    /// The number of the instance that it was sent to.
+    pub instance: usize,
     /// When it was sent.
     pub sent: Instant,
     /// Until when its caller waits.
@@ -76,6 +79,12 @@
     pub crashes: Vec<Crashes>,
     /// Rate limits that servers stated, and the requests that arrived meanwhile.
     pub limits: Vec<Limit>,
+    /// When instances were cut off all servers.
+    pub cuts: Vec<Span>,
+    /// When instances were stopped or killed, until they were ready again.
+    pub restarts: Vec<Span>,
+    /// When versions of the weights were announced, where requests must keep up with them.
+    pub announcements: Vec<(Instant, u64)>,
     /// Cached prompt parts that were used although incomplete or computed with other weights.
     pub wrong_parts: u64,
     /// Whether no instance was stopped, killed or suspended.
@@ -170,6 +179,33 @@
         /// The requests.
         peak: usize,
     },
+    /// Requests at instances that were cut off all servers were served less than at the others.
+    #[strum(
+        to_string = "instances that were cut off all servers served {served} of {all} requests, \
+                     the others {served_by_others} of {all_of_others}"
+    )]
+    CutOff {
+        /// Requests served at instances that were cut off.
+        served: usize,
+        /// Requests sent there.
+        all: usize,
+        /// Requests served at the others meanwhile.
+        served_by_others: usize,
+        /// Requests sent there.
+        all_of_others: usize,
+    },
+    /// A request began on older weights.
+    #[strum(to_string = "{id} began on weights {weights}, {ms} ms after {version} was announced")]
+    Outdated {
+        /// Id of the request.
+        id: String,
+        /// The weights that it began on.
+        weights: u64,
+        /// The first newer version.
+        version: u64,
+        /// Time since that was announced.
+        ms: u128,
+    },
     /// A request was not served after all faults and the recovery time.
     #[strum(to_string = "{0} was not served after all faults ended: {1}")]
     Unrecovered(String, String),
@@ -230,6 +266,9 @@
         violations.extend(judge_service(records, &evidence.crashes, service));
     }
     violations.extend(evidence.limits.iter().filter_map(judge_limit));
+    violations.extend(cut::judge_recovery(records, evidence));
+    let runs = evidence.runs.iter();
+    violations.extend(runs.filter_map(|run| cut::judge_weights(run, &evidence.announcements)));
     if evidence.wrong_parts > 0 {
         violations.insert(Violation::WrongParts(evidence.wrong_parts));
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
+use acacia_standin::cut::Cut;
 use acacia_standin::platform::caller::{Ending, Operation, Request};
 use acacia_standin::platform::document::Variation;
 use acacia_standin::platform::{crash, document};
@@ -22,6 +23,7 @@
 use tokio::time::Instant;
 
 use crate::culprit::{Culprit, Role, Service};
+use crate::cut::Span;
 use crate::fault::{Fault, Kind, Scenario, Schedule};
 use crate::fixture::{Fixture, Instance, ORGANISATIONS, SERVERS};
 use crate::oracle::{Crashes, Evidence, Record, Violation, judge};
@@ -109,6 +111,9 @@
         is_finished: AtomicBool::new(false),
         scenario: plan.scenario,
         history: terms::History::new(plan.scenario == Scenario::ShortBudgets),
+        cuts: Mutex::default(),
+        restarts: Mutex::default(),
+        announcements: Mutex::default(),
         failures: Mutex::default(),
     });
     let readiness = tokio::spawn({
@@ -142,6 +147,7 @@
         Scenario::Crashes => Schedule::beside_crashes(seed, plan.length),
         Scenario::Limits => Schedule::limits(seed, plan.length),
         Scenario::ShortBudgets => Schedule::short_budgets(seed, plan.length),
+        Scenario::Cuts => Schedule::cuts(seed, plan.length),
         Scenario::Mixed if plan.has_later_kinds => {
             Schedule::draw(seed, plan.length).with_later_kinds(seed, plan.length)
         }
@@ -166,6 +172,12 @@
     scenario: Scenario,
     /// Settings of the routes in [`Scenario::ShortBudgets`].
     history: terms::History,
+    /// When instances were cut off.
+    cuts: Mutex<Vec<Span>>,
+    /// When instances were restarted in [`Scenario::Cuts`].
+    restarts: Mutex<Vec<Span>>,
+    /// When weights were announced in [`Scenario::Cuts`].
+    announcements: Mutex<Vec<(Instant, u64)>>,
     /// Injected faults that failed.
     failures: Mutex<Vec<String>>,
 }
@@ -205,6 +217,9 @@
             crashes: self.crashes(crashing_until),
             has_steady_instances: is_short,
             has_sound_servers: is_short && Schedule::has_sound_servers(seed),
+            cuts: self.cuts.lock().clone(),
+            restarts: self.restarts.lock().clone(),
+            announcements: self.announcements.lock().clone(),
             ..self.fixture.evidence()
         }
     }
@@ -220,6 +235,10 @@
     async fn apply(&self, fault: Fault) -> io::Result<()> {
         match fault.kind {
             Kind::Replace | Kind::Reload | Kind::Kill | Kind::Pause => self.instance(fault).await,
+            Kind::ReplaceOther | Kind::KillOther => self.restart_other(fault).await,
+            Kind::CutHang => self.cut(fault, Cut::Hang).await,
+            Kind::CutReset => self.cut(fault, Cut::Reset).await,
+            Kind::CutRefuseNew => self.cut(fault, Cut::RefuseNew).await,
             Kind::Configure => {
                 self.configure();
                 Ok(())
@@ -276,6 +295,42 @@
         Ok(())
     }
 
+    /// Cuts one, most, all but one or all instances off all servers, but not those that are cut off
+    /// already or restarting.
+    async fn cut(&self, fault: Fault, cut: Cut) -> io::Result<()> {
+        let count = self.fixture.instances.len();
+        let sizes = [1, count / 2 + 1, count.saturating_sub(1).max(1), count];
+        let first = fault.target / sizes.len();
+        let chosen = (first..first + sizes[fault.target % sizes.len()]).map(|at| at % count);
+        let cuts = chosen.map(async |instance| {
+            let Ok(process) = self.fixture.instances[instance].process.try_lock() else { return };
+            let from = Instant::now();
+            process.cut(cut, fault.length).await;
+            self.cuts.lock().push(Span { instance, from, until: Instant::now() });
+        });
+        join_all(cuts).await;
+        Ok(())
+    }
+
+    /// Restarts an instance that is not cut off, if another one stays.
+    async fn restart_other(&self, fault: Fault) -> io::Result<()> {
+        let instances = &self.fixture.instances;
+        let first = fault.target % instances.len();
+        let order = (first..first + instances.len()).map(|at| at % instances.len());
+        let mut free = order.filter_map(|at| Some((at, instances[at].process.try_lock().ok()?)));
+        let (Some((instance, mut process)), Some(_)) = (free.next(), free.next()) else {
+            return Ok(());
+        };
+        let from = Instant::now();
+        match fault.kind {
+            Kind::ReplaceOther => process.replace().await?,
+            _ => process.kill(fault.length).await?,
+        }
+        instances[instance].wait_ready().await?;
+        self.restarts.lock().push(Span { instance, from, until: Instant::now() });
+        Ok(())
+    }
+
     /// Injects a fault into the metadata store or its proxy.
     async fn store(&self, fault: Fault) -> Result<(), Unsupported> {
         let Fixture { store, store_proxy, .. } = &self.fixture;
@@ -397,6 +452,9 @@
         let version = self.weights_version.fetch_add(1, Ordering::Relaxed) + 1;
         let (key, value) = document::announcement(version);
         self.fixture.store.put(&key, &value);
+        if self.scenario == Scenario::Cuts {
+            self.announcements.lock().push((Instant::now(), version));
+        }
     }
 
     /// Checks that all engines load the latest weights and all instances deny a revoked key in
@@ -472,7 +530,7 @@
             running.spawn(async move {
                 let instance = &context.fixture.instances[at];
                 let record = observe(instance, &context.history, organisation, ask).await;
-                Record { is_after_faults, role, ..record }
+                Record { is_after_faults, role, instance: at, ..record }
             });
         }
         tokio::time::sleep(REQUEST_INTERVAL).await;
@@ -499,6 +557,7 @@
         is_after_faults: false,
         service: Service::of(&ask.operation),
         role: Role::Other,
+        instance: 0,
         sent,
         leaving: sent + ask.timeout,
         deadline: sent + shortest.min(ask.timeout),
--- a/crates/soak/tests/oracle.rs
+++ b/crates/soak/tests/oracle.rs
@@ -22,6 +22,7 @@
         is_after_faults: false,
         service: Service::Plain,
         role: Role::Other,
+        instance: 0,
         sent: ended,
         leaving: ended + Duration::from_secs(8),
         deadline: ended + Duration::from_secs(8),
@@ -119,6 +120,7 @@
     let cancelled = record.ended - Duration::from_millis(500);
     Run {
         id: record.id.clone(),
+        weights: None,
         began: cancelled - Duration::from_secs(1),
         sent: vec![cancelled - Duration::from_millis(600)],
         silent_until: Some(cancelled + Duration::from_millis(400)),
@@ -266,6 +268,7 @@
     let at = cut.ended - Duration::from_millis(100);
     let working = Run {
         id: cut.id.clone(),
+        weights: None,
         began: at - Duration::from_secs(1),
         sent: vec![at - Duration::from_millis(600)],
         silent_until: None,
@@ -289,6 +292,7 @@
     let at = cut.ended - Duration::from_millis(100);
     let replaced = Run {
         id: cut.id.clone(),
+        weights: None,
         began: at - Duration::from_secs(1),
         sent: vec![at - Duration::from_millis(600)],
         silent_until: None,
--- a/crates/standin/src/platform/run.rs
+++ b/crates/standin/src/platform/run.rs
@@ -10,6 +10,8 @@
 pub struct Run {
     /// Id of the request.
     pub id: String,
+    /// Version of the weights that it began on; none at a plain service.
+    pub weights: Option<u64>,
     /// When it began.
     pub began: Instant,
     /// When events, or a whole plain answer, were sent.
@@ -42,10 +44,10 @@
     }
 
     /// Records the begin of a run.
-    pub fn begin(self: &Arc<Self>, id: String) -> Entry {
+    pub fn begin(self: &Arc<Self>, id: String, weights: Option<u64>) -> Entry {
         let mut runs = self.0.lock();
         let began = Instant::now();
-        runs.push(Run { id, began, sent: Vec::new(), silent_until: None, end: None });
+        runs.push(Run { id, weights, began, sent: Vec::new(), silent_until: None, end: None });
         Entry { ledger: self.clone(), index: runs.len() - 1 }
     }
 }
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -360,7 +360,8 @@
         let id = call.header("x-request-id").to_owned();
         *self.run_counts.lock().entry(id.clone()).or_default() += 1;
         self.tally.count(Counter::Started);
-        let entry = self.ledger.begin(id.clone());
+        let weights = self.settings.engine.as_ref().map(|_| self.weights());
+        let entry = self.ledger.begin(id.clone(), weights);
         self.executions.lock().push(Execution {
             id,
             organisation: call.header("x-tenant").to_owned(),
