Detect and log lost paths to the upstreams of a service

The log of an instance that can't reach any upstream gives overloaded, queue_full and retry_budget as reasons, as for upstreams without room. A new connection that fails, an exchange that breaks before its answer, or silence of several upstreams now raises a suspicion; up to three upstreams are then probed by a connection. The loss of a path and its return are logged with the evidence and counted. No decision depends on it yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -128,6 +128,8 @@
     pub incomplete_bytes: Option<usize>,
     /// Why the exchange failed.
     pub fault: Option<&'static str>,
+    /// Whether the connection was opened for this request.
+    pub is_new_connection: bool,
 }
 
 impl Inflight {
@@ -190,6 +192,13 @@
         self.traffic.pool.borrow_mut().put(now, &self.attempt.server.id, connection, advertised);
     }
 
+    /// Records the arrival of bytes.
+    pub fn record_bytes(&self) {
+        let (now, is_new) = (self.traffic.now(), self.progress.is_new_connection);
+        let mut gateway = self.traffic.gateway.borrow_mut();
+        gateway.path_heard(now, &self.plan.borrow(), &self.attempt, is_new);
+    }
+
     /// Records the arrival of the first event or of a whole plain answer.
     fn record_first_byte(&mut self) {
         let now = self.traffic.now();
@@ -221,6 +230,7 @@
             Some(connection) => connection,
             None => {
                 self.traffic.metrics.connected();
+                self.progress.is_new_connection = true;
                 Connection::open(server.address, CONNECT_TIMEOUT, KEEP_ALIVE).await?
             }
         };
@@ -328,6 +338,7 @@
     let last_event = continuation.as_ref().map(|continuation| &continuation.last_event);
     let head = request_head(inflight, payload, last_event).await?;
     inflight.progress.framing = Some(head.framing);
+    inflight.record_bytes();
     let (traffic, server) = (inflight.traffic.clone(), inflight.attempt.server.clone());
     let reply = Reply::read(head.status, &head.headers);
     if reply.is_from(&server.id) {
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -23,6 +23,7 @@
 use crate::log::Budget;
 use crate::memory::Memory;
 use crate::metric::Metrics;
+use crate::probe;
 use crate::traffic::{Phase, Traffic};
 
 /// Time after the stop command for which new connections are still accepted. The platform probes
@@ -168,6 +169,7 @@
     if let Some(address) = settings.peer_address {
         tokio::task::spawn_local(gossip::run(traffic.clone(), address));
     }
+    tokio::task::spawn_local(probe::run(traffic.clone()));
     tokio::task::spawn_local(follow_views(traffic.clone(), new_views));
     tracing::info!(
         instance = settings.instance,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,8 +8,8 @@
 //! The traffic thread serves callers: [`listener`] accepts connections, [`request`] takes one
 //! request through the decisions of [`acacia_policy::gateway`], [`attempt`] sends it to one
 //! upstream, [`hedge`] starts a second attempt beside one whose upstream does not respond, and
-//! [`relay`] forwards an event stream. [`gossip`] exchanges load digests with the
-//! other instances. Both threads write decisions to the [`log`] and count them in [`metric`].
+//! [`relay`] forwards an event stream. [`probe`] tests suspected paths to upstreams, and [`gossip`]
+//! exchanges load digests with the other instances. Both threads write decisions to the [`log`] and count them in [`metric`].
 
 mod attempt;
 mod carryover;
@@ -27,6 +27,7 @@
 mod memory;
 mod metric;
 mod pool;
+mod probe;
 mod process;
 mod relay;
 pub mod replica;
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -21,6 +21,7 @@
     attempts: Counter<u64>,
     suspects: Counter<u64>,
     limits: Counter<u64>,
+    paths: Counter<u64>,
     connections: Counter<u64>,
     store_calls: Counter<u64>,
     lines_dropped: Counter<u64>,
@@ -49,6 +50,7 @@
             attempts: counter("acacia_gateway_attempts"),
             suspects: counter("acacia_gateway_suspect_states"),
             limits: counter("acacia_gateway_rate_limit_changes"),
+            paths: counter("acacia_gateway_path_changes"),
             connections: counter("acacia_gateway_connections"),
             store_calls: counter("acacia_gateway_store_calls"),
             values_skipped: counter("acacia_gateway_store_values_skipped"),
@@ -83,6 +85,11 @@
         self.limits.add(1, &[KeyValue::new("state", state)]);
     }
 
+    /// Counts a path to upstreams that was lost or regained.
+    pub fn path(&self, state: &'static str) {
+        self.paths.add(1, &[KeyValue::new("state", state)]);
+    }
+
     /// Records the time to the first event or to a whole plain answer.
     pub fn first_byte(&self, route: &str, took: Duration) {
         self.first_byte_seconds
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -93,7 +93,10 @@
         }
         let (next, hedge) = self.read().await;
         match next {
-            Next::Events(events) => Ok(Some(events)),
+            Next::Events(events) => {
+                self.inflight.record_bytes();
+                Ok(Some(events))
+            }
             Next::End => match self.inflight.end_stream(&self.head, &mut self.splitter) {
                 Ok(rest) => {
                     self.inflight.release(&self.head);
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -114,6 +114,8 @@
         progress: Progress,
     ) {
         let now = self.now();
+        let (has_answer, is_new) = (progress.framing.is_some(), progress.is_new_connection);
+        self.gateway.borrow_mut().path_ended(now, plan, attempt, ending, has_answer, is_new);
         self.gateway.borrow_mut().ended(now, plan, attempt, ending, instance);
         if matches!(ending, Ending::Broken | Ending::Lost | Ending::Unreachable | Ending::Silent) {
             self.pool.borrow_mut().close_all(&attempt.server.id);
@@ -152,6 +154,23 @@
         self.report_findings();
     }
 
+    /// Logs and counts paths to upstreams that were lost or regained.
+    pub fn report_paths(&self) {
+        let changes = self.gateway.borrow_mut().take_path_changes();
+        for change in changes {
+            self.metrics.path(if change.lost.is_some() { "lost" } else { "regained" });
+            tracing::warn!(
+                service = &*change.service,
+                lost = change.lost.map(<&'static str>::from),
+                failed_upstreams = change.failed,
+                unanswered = change.pending,
+                silence_ms = change.silence.map(millis),
+                after_ms = millis(change.after),
+                "path to upstreams changed"
+            );
+        }
+    }
+
     /// Logs and counts changes of upstreams' rate limits.
     pub fn report_limits(&self) {
         let changes = self.gateway.borrow_mut().take_limit_changes();
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -22,6 +22,7 @@
 use super::pace::{Mean, Pace};
 use super::plan::{Attempt, Ending, Plan, Reason, Refusal, Step};
 use super::quarantine::{Gate, Quarantine, Subjects};
+use super::reach::Reach;
 use super::roster::Roster;
 use super::save::Saves;
 use super::software::{Origin, StreamKey, Streams, stream_key};
@@ -88,7 +89,7 @@
     paces: FxHashMap<ServiceName, Pace>,
     /// Time for which prompts of a route occupy an engine.
     residences: FxHashMap<String, Mean>,
-    rng: ChaCha12Rng,
+    pub(super) rng: ChaCha12Rng,
     pub(super) digests: Digests,
     pub(super) incarnation: Incarnation,
     pub(super) sequence: u64,
@@ -108,6 +109,8 @@
     pub(super) quarantine: Quarantine,
     /// Software versions of streams.
     pub(super) streams: Streams,
+    /// Paths to upstreams.
+    pub(super) reach: Reach,
 }
 
 impl Gateway {
@@ -135,6 +138,7 @@
             confirmed: Confirmed::default(),
             quarantine: Quarantine::default(),
             streams: Streams::default(),
+            reach: Reach::default(),
             rng,
         }
     }
@@ -312,6 +316,8 @@
         self.quarantine.sent(now, &plan.subjects);
         if let Some(member) = self.roster.get_mut(&attempt.server.id) {
             member.sent(now);
+            let target = plan.route.latency_target;
+            self.reach.sent(now, &plan.service, member.key, target);
             let memory_tokens = plan.prompt.as_ref().map_or(0, Prompt::memory_tokens);
             let prefill_tokens = attempt.prefill_tokens;
             member.own_load =
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -8,9 +8,9 @@
 //! instance that [`duty`] lets hold the order lease; [`outdated`] ends the use of older weights.
 //! Instances report by [`gossip`] what they sent where, and [`mesh`] selects the recipients.
 //! [`quarantine`] holds back requests, and parts of prompts, that crash upstreams; [`limit`] tracks
-//! the rates of requests that upstreams take, and [`software`] which version began a stream. Limits on all instances together are divided into
-//! shares by [`window`], so that no request waits for another
-//! instance.
+//! the rates of requests that upstreams take, [`software`] which version began a stream, and [`reach`]
+//! whether this instance has a path to the upstreams. Limits on all instances together are divided
+//! into shares by [`window`], so that no request waits for another instance.
 
 mod access;
 pub mod admission;
@@ -33,8 +33,10 @@
 pub mod notice;
 pub mod outdated;
 pub mod pace;
+mod path;
 mod plan;
 pub mod quarantine;
+pub mod reach;
 pub mod rollout;
 mod roster;
 mod save;
@@ -47,5 +49,6 @@
 pub use machine::{Gateway, Placement, Terms};
 pub use member::Member;
 pub use notice::Notice;
+pub use path::Probe;
 pub use plan::{Attempt, Ending, EngineRun, Fetch, Plan, Reason, Refusal, Step};
 pub use view::{Server, ServerId, SoftwareVersion, View, WeightVersion, Weights};
--- /dev/null
+++ b/crates/policy/src/gateway/path.rs
@@ -0,0 +1,81 @@
+//! What attempts and probes tell about the paths to upstreams.
+
+use std::net::SocketAddr;
+
+use super::configuration::ServiceName;
+use super::gossip::server_key;
+use super::machine::Gateway;
+use super::plan::{Attempt, Ending, Plan};
+use super::reach::Change;
+use crate::Time;
+
+/// Upstreams that are probed at a time: if some have failed, others still accept connections.
+const PROBED_UPSTREAMS: usize = 3;
+
+/// A service whose path is probed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Probe {
+    /// The service.
+    pub service: ServiceName,
+    /// Upstreams to connect to; the path is there if any accepts.
+    pub addresses: Vec<SocketAddr>,
+}
+
+impl Gateway {
+    /// Records that a byte of an answer arrived, on a connection that was opened for the request if
+    /// `is_new`.
+    pub fn path_heard(&mut self, now: Time, plan: &Plan, attempt: &Attempt, is_new: bool) {
+        let key = server_key(&attempt.server.id);
+        self.reach.heard(now, &plan.service, key, attempt.sent, is_new);
+    }
+
+    /// Records how an attempt ended, before [`Self::ended`]. `has_answer` if a byte of an answer
+    /// arrived; `is_new` if the connection was opened for the request.
+    pub fn path_ended(
+        &mut self,
+        now: Time,
+        plan: &Plan,
+        attempt: &Attempt,
+        ending: Ending,
+        has_answer: bool,
+        is_new: bool,
+    ) {
+        let key = server_key(&attempt.server.id);
+        self.reach.ended(&plan.service, key, attempt.sent);
+        match ending {
+            Ending::Unreachable => self.reach.failed(now, &plan.service, key),
+            Ending::Broken | Ending::Lost if !has_answer && is_new => {
+                self.reach.failed(now, &plan.service, key);
+            }
+            Ending::Broken | Ending::Lost if !has_answer => self.reach.broke(now, &plan.service),
+            _ => {}
+        }
+    }
+
+    /// The probes that are due. Without calls, no path is ever suspected.
+    pub fn probes(&mut self, now: Time) -> Vec<Probe> {
+        let roster = &self.roster;
+        let due = self.reach.due(now, |service| roster.of_service(service).len());
+        due.into_iter().map(|service| self.probe(service)).collect()
+    }
+
+    fn probe(&mut self, service: ServiceName) -> Probe {
+        let mut keys = self.roster.of_service(&service).to_vec();
+        if keys.len() > PROBED_UPSTREAMS {
+            keys = self.roster.sample(&service, PROBED_UPSTREAMS, &mut self.rng);
+            keys.dedup();
+        }
+        let addresses = keys.into_iter().map(|key| self.roster[key].server.address).collect();
+        Probe { service, addresses }
+    }
+
+    /// Records whether an upstream accepted the connection of a probe.
+    pub fn probed(&mut self, now: Time, service: &ServiceName, is_open: bool) {
+        self.reach.probed(now, service, is_open);
+    }
+
+    /// Paths that were lost or regained since the last call.
+    pub fn take_path_changes(&mut self) -> Vec<Change> {
+        self.reach.take_changes()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/gateway/reach.rs
@@ -0,0 +1,363 @@
+//! Whether this instance has a path to the upstreams of each service.
+//!
+//! An upstream that can't be reached may have failed, or this instance may have lost the network path
+//! to all of them. A new connection that fails, an exchange that breaks before its answer, or silence
+//! of several upstreams at once raises a suspicion: a few upstreams are then probed by a connection.
+//! If none accepts it, the path is lost, and probes go on until one does. Bytes on an older connection
+//! prove nothing about new ones, as these may be refused while older connections live on.
+//!
+//! Connections may also be accepted by something in between while nothing comes back. After a longer
+//! silence the path is lost in spite of accepted probes, until an upstream is heard again.
+
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+use strum::IntoStaticStr;
+
+use super::configuration::ServiceName;
+use super::gossip::ServerKey;
+use crate::Time;
+
+/// Interval between probes of a lost path.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// Minimum interval between probes of a suspected path.
+const SUSPICION_INTERVAL: Duration = Duration::from_millis(100);
+/// Minimum silence of several upstreams that raises a suspicion.
+const MIN_SILENCE: Duration = Duration::from_millis(400);
+/// Interval between probes after a silence whose probe succeeded.
+const SILENCE_PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Minimum silence after which a path is lost although connections are accepted; a sound upstream may
+/// be silent for a second.
+const LONG_SILENCE: Duration = Duration::from_millis(1_200);
+/// The same in latency targets.
+const LONG_SILENCE_TARGETS: u32 = 2;
+/// Interval between requests that are sent on a path that was lost by silence.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(300);
+/// Minimum wait for the answer to a request that was sent on a path that is lost.
+const MIN_PATIENCE: Duration = Duration::from_millis(500);
+/// The same in latency targets.
+const PATIENCE_TARGETS: u32 = 2;
+/// Number of different upstreams whose silence raises a suspicion, if the service has as many.
+const SILENT_UPSTREAMS: usize = 2;
+
+/// The paths to the upstreams of all services that were used.
+#[derive(Debug, Default)]
+pub struct Reach {
+    paths: FxHashMap<ServiceName, Path>,
+    changes: Vec<Change>,
+    /// Whether suspicions are probed.
+    is_probed: bool,
+}
+
+/// A path that was lost or regained.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    /// The service.
+    pub service: ServiceName,
+    /// Why it was lost; none if it was regained.
+    pub lost: Option<Cause>,
+    /// Upstreams with failed connections since the last proof of the path, without probes.
+    pub failed: usize,
+    /// Requests without a byte of an answer.
+    pub pending: usize,
+    /// Time since any upstream was heard.
+    pub silence: Option<Duration>,
+    /// Time since the suspicion, or since the loss if it was regained.
+    pub after: Duration,
+}
+
+/// Why a path is lost.
+#[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Cause {
+    /// No upstream accepts a connection.
+    Connect,
+    /// Several upstreams are silent, though connections are accepted.
+    Silence,
+}
+
+#[derive(Debug, Default)]
+struct Path {
+    state: State,
+    /// When an upstream was last heard.
+    heard: Option<Time>,
+    /// Upstreams to which new connections failed since the last proof of the path.
+    failed: Vec<ServerKey>,
+    /// Requests without a byte of an answer.
+    pending: Vec<Pending>,
+    /// When the last probe started.
+    probed: Option<Time>,
+    is_probing: bool,
+    /// When a probe last proved the path.
+    proven: Option<Time>,
+    /// When a request was last sent on the path though it was lost.
+    tried: Option<Time>,
+}
+
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum State {
+    #[default]
+    Open,
+    Suspect {
+        since: Time,
+    },
+    Lost {
+        since: Time,
+        cause: Cause,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    server: ServerKey,
+    sent: Time,
+    target: Duration,
+}
+
+impl Reach {
+    /// Records that a request with this latency target was sent to an upstream.
+    pub fn sent(&mut self, now: Time, service: &ServiceName, server: ServerKey, target: Duration) {
+        let path = match self.paths.get_mut(service) {
+            Some(path) => path,
+            None => self.paths.entry(service.clone()).or_default(),
+        };
+        path.pending.push(Pending { server, sent: now, target });
+    }
+
+    /// Records that a byte of an answer to a request of `sent` arrived; on a connection that was
+    /// opened for it if `is_new`.
+    pub fn heard(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        server: ServerKey,
+        sent: Time,
+        is_new: bool,
+    ) {
+        let Some(path) = self.paths.get_mut(service) else { return };
+        path.settle(server, sent);
+        path.heard = Some(now);
+        let is_proof = match path.state {
+            State::Lost { cause: Cause::Silence, .. } => true,
+            // The connection may have been made before.
+            State::Suspect { since } | State::Lost { since, .. } => is_new && sent >= since,
+            State::Open => false,
+        };
+        if is_new {
+            path.failed.clear();
+        }
+        if is_proof {
+            self.regain(now, service);
+        }
+    }
+
+    /// Records that a request of `sent` ended.
+    pub fn ended(&mut self, service: &ServiceName, server: ServerKey, sent: Time) {
+        if let Some(path) = self.paths.get_mut(service) {
+            path.settle(server, sent);
+        }
+    }
+
+    /// Records that no connection to an upstream could be made, or a new one broke before an answer.
+    pub fn failed(&mut self, now: Time, service: &ServiceName, server: ServerKey) {
+        if let Some(path) = self.paths.get_mut(service) {
+            if !path.failed.contains(&server) {
+                path.failed.push(server);
+            }
+            path.suspect(now);
+        }
+    }
+
+    /// Records that an exchange broke before its answer.
+    pub fn broke(&mut self, now: Time, service: &ServiceName) {
+        if let Some(path) = self.paths.get_mut(service) {
+            path.suspect(now);
+        }
+    }
+
+    /// The services to probe now. `size` is the number of upstreams of a service; one without
+    /// upstreams has no path to lose.
+    pub fn due(&mut self, now: Time, size: impl Fn(&ServiceName) -> usize) -> Vec<ServiceName> {
+        self.is_probed = true;
+        let mut silent = Vec::new();
+        let mut due = Vec::new();
+        for (service, path) in &mut self.paths {
+            let size = size(service);
+            if size == 0 {
+                path.state = State::Open;
+                continue;
+            }
+            let needed = SILENT_UPSTREAMS.min(size);
+            if path.is_silent(now, needed, |target| target.max(MIN_SILENCE)) {
+                let is_proven = path.proven.is_some_and(|at| now < at + SILENCE_PROBE_INTERVAL);
+                if path.state == State::Open && !is_proven {
+                    path.suspect(now);
+                }
+                let long = |target| LONG_SILENCE.max(target * LONG_SILENCE_TARGETS);
+                if !matches!(path.state, State::Lost { .. }) && path.is_silent(now, needed, long) {
+                    silent.push(service.clone());
+                }
+            }
+            let interval = match path.state {
+                State::Open => continue,
+                State::Suspect { .. } => SUSPICION_INTERVAL,
+                State::Lost { .. } => PROBE_INTERVAL,
+            };
+            let is_due = path.probed.is_none_or(|at| now >= at + interval);
+            if is_due && !path.is_probing {
+                path.is_probing = true;
+                path.probed = Some(now);
+                due.push(service.clone());
+            }
+        }
+        for service in silent {
+            self.lose(now, &service, Cause::Silence);
+        }
+        due
+    }
+
+    /// Records the result of a probe that [`Self::due`] asked for.
+    pub fn probed(&mut self, now: Time, service: &ServiceName, is_open: bool) {
+        let Some(path) = self.paths.get_mut(service) else { return };
+        path.is_probing = false;
+        let started = path.probed.unwrap_or_default();
+        match path.state {
+            State::Suspect { since } if started < since => {}
+            State::Suspect { .. } if is_open => {
+                path.state = State::Open;
+                path.failed.clear();
+                path.proven = Some(now);
+            }
+            State::Suspect { .. } => self.lose(now, service, Cause::Connect),
+            State::Lost { cause: Cause::Connect, .. } if is_open => self.regain(now, service),
+            // Nothing shows any more that connections are accepted.
+            State::Lost { since, cause: Cause::Silence } if !is_open => {
+                path.state = State::Lost { since, cause: Cause::Connect };
+            }
+            State::Lost { .. } | State::Open => {}
+        }
+    }
+
+    /// Whether the path to a service is lost.
+    pub fn is_lost(&self, service: &ServiceName) -> bool {
+        self.paths.get(service).is_some_and(|path| matches!(path.state, State::Lost { .. }))
+    }
+
+    /// Whether a probe will soon tell whether the path to a service is lost.
+    pub fn is_suspect(&self, service: &ServiceName) -> bool {
+        let path = self.paths.get(service);
+        self.is_probed && path.is_some_and(|path| matches!(path.state, State::Suspect { .. }))
+    }
+
+    /// Whether suspicions are probed.
+    pub fn is_probed(&self) -> bool {
+        self.is_probed
+    }
+
+    /// Services with a lost path.
+    pub fn lost(&self) -> impl Iterator<Item = &ServiceName> {
+        let lost = self.paths.iter().filter(|(_, path)| matches!(path.state, State::Lost { .. }));
+        lost.map(|(service, _)| service)
+    }
+
+    /// Whether a request may be sent on a lost path, as only an answer would show that it is back.
+    pub fn take_trial(&mut self, now: Time, service: &ServiceName) -> bool {
+        let Some(path) = self.paths.get_mut(service) else { return false };
+        let State::Lost { since, cause: Cause::Silence } = path.state else { return false };
+        let is_due = now >= path.tried.unwrap_or(since).max(since) + TRIAL_INTERVAL;
+        if is_due {
+            path.tried = Some(now);
+        }
+        is_due
+    }
+
+    /// When a request of `sent` without a byte of an answer is given up; none while its path isn't
+    /// known to be lost. After a silence alone, only a trial is given up, as other requests may run.
+    pub fn give_up_at(
+        &self,
+        service: &ServiceName,
+        sent: Time,
+        target: Duration,
+        is_trial: bool,
+    ) -> Option<Time> {
+        let path = self.paths.get(service)?;
+        let State::Lost { cause, .. } = path.state else { return None };
+        let patience = MIN_PATIENCE.max(target * PATIENCE_TARGETS);
+        match cause {
+            Cause::Silence if !is_trial => None,
+            Cause::Silence => Some(sent + MIN_PATIENCE),
+            Cause::Connect => Some(path.heard.map_or(sent, |heard| heard.max(sent)) + patience),
+        }
+    }
+
+    /// Paths that were lost or regained since the last call.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    fn lose(&mut self, now: Time, service: &ServiceName, cause: Cause) {
+        let Some(path) = self.paths.get_mut(service) else { return };
+        let since = match path.state {
+            State::Suspect { since } => since,
+            State::Open | State::Lost { .. } => now,
+        };
+        path.state = State::Lost { since: now, cause };
+        self.changes.push(path.change(now, service, Some(cause), since));
+        // The other services may be cut off by the same fault.
+        for path in self.paths.values_mut() {
+            path.suspect(now);
+        }
+    }
+
+    fn regain(&mut self, now: Time, service: &ServiceName) {
+        let Some(path) = self.paths.get_mut(service) else { return };
+        let before = std::mem::take(&mut path.state);
+        if let State::Lost { since, .. } = before {
+            self.changes.push(path.change(now, service, None, since));
+        }
+        path.failed.clear();
+        path.proven = Some(now);
+    }
+}
+
+impl Path {
+    fn suspect(&mut self, now: Time) {
+        if self.state == State::Open {
+            self.state = State::Suspect { since: now };
+        }
+    }
+
+    /// Removes a request from those without a byte of an answer.
+    fn settle(&mut self, server: ServerKey, sent: Time) {
+        let is_it = |pending: &Pending| pending.server == server && pending.sent == sent;
+        if let Some(at) = self.pending.iter().position(is_it) {
+            self.pending.swap_remove(at);
+        }
+    }
+
+    /// Whether `needed` upstreams have been silent for a time that depends on the latency target.
+    fn is_silent(&self, now: Time, needed: usize, limit: impl Fn(Duration) -> Duration) -> bool {
+        let mut silent: Vec<ServerKey> = Vec::new();
+        for Pending { server, sent, target } in &self.pending {
+            let since = self.heard.map_or(*sent, |heard| heard.max(*sent));
+            if now >= since + limit(*target) && !silent.contains(server) {
+                silent.push(*server);
+            }
+            if silent.len() >= needed {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn change(&self, now: Time, service: &ServiceName, lost: Option<Cause>, since: Time) -> Change {
+        Change {
+            service: service.clone(),
+            lost,
+            failed: self.failed.len(),
+            pending: self.pending.len(),
+            silence: self.heard.map(|heard| now.saturating_sub(heard)),
+            after: now.saturating_sub(since),
+        }
+    }
+}
