Test that instances without a path to the upstreams serve as often as others

Two of four instances lose the path to all upstreams for 9 s; requests that may be repeated, requests that may run once, and prompts are sent to all, each on a new connection.

--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -11,6 +11,7 @@
 mod entry;
 mod fixture;
 mod limit;
+mod path;
 mod raw;
 mod refusal;
 mod resumption;
