Pass requests on to another instance while the path to upstreams is lost

Cause: an instance took its own lost path for failures of single upstreams. It paused them, marked them cold, used up its retry budget, and refused; nothing compared its view with that of the others. Being unready does not help: it takes two probes, connections of callers stay, and a zone with few ready instances is used whole.

Change: while the path to a service is lost, its requests go to another instance on the TCP port of its gossip address, as the caller sent them, with a header that names the service. That instance handles them as any caller's but never passes them on; if it has lost the path too, or is stopping, it refuses with a header, and the next of up to three instances is asked. Instances tell each other in digests which services they have lost; if all have, nothing is passed on. Attempts without a byte of an answer are given up after two latency targets once no upstream accepts connections. What such failures said about upstreams is taken back, and crashes count only once the path is known to have been there. If connections are accepted but break or stay silent, requests are passed on too, but a crash still counts, and only an answer to a trial proves the path.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -44,6 +44,8 @@
     pub target: String,
     /// Headers that are forwarded to upstreams.
     pub headers: HeaderMap,
+    /// The caller's headers.
+    pub original: HeaderMap,
     /// The body.
     pub body: Bytes,
 }
@@ -225,7 +227,11 @@
     async fn connect(&mut self, is_unrepeatable: bool) -> io::Result<&mut Connection> {
         let server = &self.attempt.server;
         let now = self.traffic.now();
-        let kept = self.traffic.pool.borrow_mut().take(now, &server.id, is_unrepeatable);
+        // Only a new connection proves a path that was lost.
+        let is_trial = self.plan.borrow().is_path_trial;
+        let kept = (!is_trial)
+            .then(|| self.traffic.pool.borrow_mut().take(now, &server.id, is_unrepeatable))
+            .flatten();
         let connection = match kept {
             Some(connection) => connection,
             None => {
--- a/crates/gateway/src/hedge.rs
+++ b/crates/gateway/src/hedge.rs
@@ -10,10 +10,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use acacia_policy::Time;
 use acacia_policy::gateway::{Attempt, Ending};
 use futures::future::{FutureExt, LocalBoxFuture};
 
 use crate::attempt::{Continuation, Inflight, Outcome, Payload, SharedPlan, run};
+use crate::relay::wait_until;
 use crate::request::log_sent;
 use crate::traffic::Traffic;
 
@@ -128,7 +130,18 @@
     async fn finish(mut self, mut first: Pending) -> Outcome {
         loop {
             let timeout = first.attempt.response_timeout;
-            match self.race(&first.attempt, timeout, &mut first.outcome).await {
+            let given_up = given_up(self.traffic.clone(), self.plan.clone(), first.attempt.sent);
+            let response = tokio::select! {
+                biased;
+                response = self.race(&first.attempt, timeout, &mut first.outcome) => response,
+                () = given_up => {
+                    for pending in self.second.iter().chain([&first]) {
+                        pending.on_drop.set(Ending::Lost);
+                    }
+                    break;
+                }
+            };
+            match response {
                 Response::Own(outcome) if self.is_answer(&outcome) => return outcome,
                 Response::Own(outcome) => {
                     self.keep(outcome);
@@ -187,3 +200,18 @@
         }
     }
 }
+
+/// Waits until an attempt of `sent` is given up, as the path to its service is lost.
+async fn given_up(traffic: Rc<Traffic>, plan: SharedPlan, sent: Time) {
+    let mut changes = traffic.path_changes.subscribe();
+    loop {
+        let at = traffic.gateway.borrow().give_up_at(&plan.borrow(), sent);
+        match at {
+            Some(at) if at <= traffic.now() => return,
+            Some(at) => wait_until(&traffic, at).await,
+            // The sender lives as long as the thread.
+            None if changes.changed().await.is_ok() => {}
+            None => std::future::pending().await,
+        }
+    }
+}
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -24,6 +24,7 @@
 use crate::memory::Memory;
 use crate::metric::Metrics;
 use crate::probe;
+use crate::request::Origin;
 use crate::traffic::{Phase, Traffic};
 
 /// Time after the stop command for which new connections are still accepted. The platform probes
@@ -117,6 +118,7 @@
         phase: Cell::new(Phase::Serving),
         limits: watch::Sender::default(),
         weights: watch::Sender::default(),
+        path_changes: watch::Sender::default(),
         open_connections: Cell::new(0),
     });
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -161,13 +163,22 @@
     let ready = listen(settings.ready_address).into_diagnostic()?;
     let callers = listen(settings.traffic_address).into_diagnostic()?;
     tokio::task::spawn_local(serve_ready(traffic.clone(), ready));
-    tokio::task::spawn_local(serve(traffic.clone(), callers, phase));
+    tokio::task::spawn_local(serve(traffic.clone(), callers, phase.clone(), Origin::Caller));
     if let Some(address) = settings.metrics_address {
         let metrics = listen(address).into_diagnostic()?;
         tokio::task::spawn_local(serve_metrics(traffic.clone(), metrics));
     }
     if let Some(address) = settings.peer_address {
         tokio::task::spawn_local(gossip::run(traffic.clone(), address));
+        match listen(address) {
+            Ok(peers) => {
+                let served = serve(traffic.clone(), peers, phase, Origin::Instance);
+                tokio::task::spawn_local(served);
+            }
+            Err(error) => {
+                tracing::error!(%error, %address, "requests of other instances are not served");
+            }
+        }
     }
     tokio::task::spawn_local(probe::run(traffic.clone()));
     tokio::task::spawn_local(follow_views(traffic.clone(), new_views));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,8 @@
 //! The traffic thread serves callers: [`listener`] accepts connections, [`request`] takes one
 //! request through the decisions of [`acacia_policy::gateway`], [`attempt`] sends it to one
 //! upstream, [`hedge`] starts a second attempt beside one whose upstream does not respond, and
-//! [`relay`] forwards an event stream. [`probe`] tests suspected paths to upstreams, and [`gossip`]
+//! [`relay`] forwards an event stream. [`forward`] passes a request on to another instance while
+//! this one has no path to the upstreams. [`probe`] tests suspected paths to upstreams, and [`gossip`]
 //! exchanges load digests with the other instances. Both threads write decisions to the [`log`] and count them in [`metric`].
 
 mod attempt;
@@ -17,6 +18,7 @@
 mod clock;
 mod control;
 mod event;
+mod forward;
 pub mod gossip;
 mod hedge;
 mod holder;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -16,7 +16,7 @@
 use tokio::sync::watch;
 
 use crate::log::Kind;
-use crate::request::{Body, discard, handle, plain};
+use crate::request::{Body, Origin, discard, handle, plain};
 use crate::socket::{Closing, Socket};
 use crate::timer::{HasReceived, Timer};
 use crate::traffic::{Phase, Traffic};
@@ -41,8 +41,13 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts callers' connections until the phase is [`Phase::Closing`].
-pub async fn serve(traffic: Rc<Traffic>, listener: TcpListener, mut phase: watch::Receiver<Phase>) {
+/// Accepts connections of callers, or of other instances, until the phase is [`Phase::Closing`].
+pub async fn serve(
+    traffic: Rc<Traffic>,
+    listener: TcpListener,
+    mut phase: watch::Receiver<Phase>,
+    origin: Origin,
+) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -53,7 +58,7 @@
                 traffic.open_connections.set(traffic.open_connections.get() + 1);
                 let (traffic, phase) = (traffic.clone(), phase.clone());
                 tokio::task::spawn_local(async move {
-                    connection(&traffic, stream, phase).await;
+                    connection(&traffic, stream, phase, origin).await;
                     traffic.open_connections.set(traffic.open_connections.get() - 1);
                 });
             }
@@ -66,7 +71,12 @@
 }
 
 /// Serves one connection until it closes.
-async fn connection(traffic: &Rc<Traffic>, stream: TcpStream, mut phase: watch::Receiver<Phase>) {
+async fn connection(
+    traffic: &Rc<Traffic>,
+    stream: TcpStream,
+    mut phase: watch::Receiver<Phase>,
+    origin: Origin,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "failed to set TCP_NODELAY for a caller");
     }
@@ -83,7 +93,7 @@
             discard(request.into_body());
             return Ok(head_too_long(traffic, limit));
         }
-        handle(traffic.clone(), request).await
+        handle(traffic.clone(), origin, request).await
     });
     let connection = http1::Builder::new()
         .timer(Timer::new(traffic.limits.subscribe(), has_received))
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -22,6 +22,7 @@
     suspects: Counter<u64>,
     limits: Counter<u64>,
     paths: Counter<u64>,
+    passages: Counter<u64>,
     connections: Counter<u64>,
     store_calls: Counter<u64>,
     lines_dropped: Counter<u64>,
@@ -51,6 +52,7 @@
             suspects: counter("acacia_gateway_suspect_states"),
             limits: counter("acacia_gateway_rate_limit_changes"),
             paths: counter("acacia_gateway_path_changes"),
+            passages: counter("acacia_gateway_passed_on"),
             connections: counter("acacia_gateway_connections"),
             store_calls: counter("acacia_gateway_store_calls"),
             values_skipped: counter("acacia_gateway_store_values_skipped"),
@@ -90,6 +92,11 @@
         self.paths.add(1, &[KeyValue::new("state", state)]);
     }
 
+    /// Counts a request that was passed on to another instance.
+    pub fn passage(&self, ending: &'static str) {
+        self.passages.add(1, &[KeyValue::new("ending", ending)]);
+    }
+
     /// Records the time to the first event or to a whole plain answer.
     pub fn first_byte(&self, route: &str, took: Duration) {
         self.first_byte_seconds
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,7 +5,8 @@
 
 use acacia_connection::Head;
 use acacia_policy::gateway::configuration::Repeat;
-use acacia_policy::gateway::{Ending, Step};
+use acacia_policy::gateway::forward::Passage;
+use acacia_policy::gateway::{Ending, Reason, Step};
 use bytes::Bytes;
 use futures::Stream as FutureStream;
 use futures::stream::unfold;
@@ -213,6 +214,15 @@
                     wait_until(&self.traffic, at).await;
                     continue;
                 }
+                // Other instances don't know the events that the caller has.
+                Step::Forward(peer) => {
+                    let mut gateway = self.traffic.gateway.borrow_mut();
+                    gateway.forwarded(now, &mut plan.borrow_mut(), peer, Passage::TurnedAway);
+                    drop(gateway);
+                    let reason = Reason::NoUpstream.into();
+                    self.completion.record_broken_off(&self.traffic, &plan.borrow(), reason);
+                    return Err(Interrupted);
+                }
                 Step::Refuse(refusal) => {
                     let reason = refusal.reason.into();
                     self.completion.record_broken_off(&self.traffic, &plan.borrow(), reason);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -18,6 +18,7 @@
 use hyper::body::{Body as _, Frame, Incoming};
 
 use crate::attempt::{Outcome, Payload, Stream};
+use crate::forward::{Forwarded, Passed, forward};
 use crate::hedge::send;
 use crate::log::Kind;
 use crate::relay::{Interrupted, Relay, wait_until};
@@ -31,9 +32,23 @@
 /// Time limit for reading a request's body if the caller states no deadline.
 const BODY_TIMEOUT: Time = Time::from_secs(10);
 
+/// Refusal of a request that another instance passes on while this one stops.
+const LEAVING: Refusal =
+    Refusal { reason: Reason::NoPath, verdict: Verdict::NotRun, retry_after: None };
+
+/// Who a request comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// Another instance, which passes it on.
+    Instance,
+}
+
 /// Answers a request. The future is dropped when the caller disconnects.
 pub async fn handle(
     traffic: Rc<Traffic>,
+    origin: Origin,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     let arrived = traffic.now();
@@ -49,15 +64,26 @@
     let mut completion = Completion { arrived, id: id.clone() };
     let mut response = match read_body(&traffic, &call, incoming).await {
         Ok(body) => {
+            let service = match origin {
+                Origin::Caller => None,
+                Origin::Instance => ingress::forwarded_service(&head.headers).map(str::to_owned),
+            };
             let payload = Payload {
                 target: head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned(),
                 headers: upstream::forwarded(&head.headers),
+                original: head.headers,
                 method: head.method,
                 body,
             };
             call.content = content_hash(payload.method.as_str(), &payload.target, &payload.body);
-            let admitted = traffic.gateway.borrow_mut().admit(arrived, call);
+            let service = service.as_deref();
+            let admitted = traffic.gateway.borrow_mut().admit_for(arrived, call, service);
             match admitted {
+                // An instance that goes on running is asked instead.
+                Ok(plan) if plan.is_forwarded && traffic.phase.get() != Phase::Serving => {
+                    completion.record_refusal(&traffic, Some(&plan), &LEAVING);
+                    answer_refusal(&id, &LEAVING)
+                }
                 Ok(plan) => serve(&traffic, plan, payload, completion).await,
                 Err(refusal) => {
                     completion.record_refusal(&traffic, None, &refusal);
@@ -134,6 +160,14 @@
                 wait_until(traffic, at).await;
                 continue;
             }
+            Step::Forward(peer) => match forward(traffic, &plan, &payload, peer).await {
+                Forwarded::Whole(head, body) => {
+                    completion.record(traffic, Some(&plan.borrow()), "passed_on");
+                    return answer_whole(&head, body);
+                }
+                Forwarded::Stream(stream) => return answer_passed_on(*stream, completion),
+                Forwarded::None => continue,
+            },
             Step::Refuse(refusal) => {
                 let plan = plan.borrow();
                 // The upstream's own error is more specific than a refusal.
@@ -191,7 +225,8 @@
         let took = now.saturating_sub(self.arrived);
         let route = plan.map_or("", |plan| &*plan.route.name);
         traffic.metrics.request(route, outcome, took);
-        let kind = if outcome == "answered" { Kind::Usual } else { Kind::Failure };
+        let kind =
+            if matches!(outcome, "answered" | "passed_on") { Kind::Usual } else { Kind::Failure };
         if traffic.log_budget.admits(now, kind) {
             let gateway = traffic.gateway.borrow();
             tracing::info!(
@@ -296,6 +331,9 @@
     if let (StatusCode::SERVICE_UNAVAILABLE, Some(after)) = (status, refusal.retry_after) {
         ingress::set_retry_after(&mut headers, after);
     }
+    if refusal.reason == Reason::NoPath && refusal.verdict == Verdict::NotRun {
+        ingress::set_no_path(&mut headers);
+    }
     let hint = match refusal.reason {
         Reason::PartHeld(position) => format!(
             "; engines crashed under part {position} of the prompt: send the request without that \
@@ -324,6 +362,13 @@
     answer(status, headers, Box::pin(StreamBody::new(chunks)))
 }
 
+fn answer_passed_on(stream: Passed, completion: Completion) -> Response<Body> {
+    let headers = upstream::returned(&stream.head.headers);
+    let status = stream.head.status;
+    let chunks = stream.into_chunks(completion).map(|chunk| chunk.map(Frame::data));
+    answer(status, headers, Box::pin(StreamBody::new(chunks)))
+}
+
 fn answer_whole(head: &Head, body: Bytes) -> Response<Body> {
     let headers = upstream::returned(&head.headers);
     answer(head.status, headers, Box::pin(Full::new(body).map_err(never)))
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -40,6 +40,8 @@
     pub limits: watch::Sender<Limits>,
     /// The announced weights, by the latest view.
     pub weights: watch::Sender<BTreeMap<ModelName, Weights>>,
+    /// Counts paths to upstreams that were lost or regained.
+    pub path_changes: watch::Sender<u64>,
     /// Open connections of callers.
     pub open_connections: Cell<u32>,
 }
@@ -157,6 +159,9 @@
     /// Logs and counts paths to upstreams that were lost or regained.
     pub fn report_paths(&self) {
         let changes = self.gateway.borrow_mut().take_path_changes();
+        if !changes.is_empty() {
+            self.path_changes.send_modify(|count| *count += 1);
+        }
         for change in changes {
             self.metrics.path(if change.lost.is_some() { "lost" } else { "regained" });
             tracing::warn!(
--- a/crates/policy/src/gateway/exchange.rs
+++ b/crates/policy/src/gateway/exchange.rs
@@ -50,6 +50,7 @@
                 }
                 Note::Cleared(clearance) => self.quarantine.receive_clearance(now, *clearance),
                 Note::Began(beginnings) => self.streams.receive(now, beginnings),
+                Note::CutOff(outage) => self.helpers.receive(now, outage),
                 Note::Limited(report) => {
                     let change = self.roster.receive_limit(now, report);
                     self.limit_changes.extend(change);
@@ -81,6 +82,7 @@
         notes.extend(std::mem::take(&mut self.limit_reports).into_iter().map(Note::Limited));
         notes.extend(self.quarantine.take_notes());
         notes.extend(self.streams.take_batch(detail).into_iter().map(Note::Began));
+        notes.extend(self.take_outage(false).map(Note::CutOff));
         if changed.is_empty() && prefills.is_empty() && notes.is_empty() {
             return None;
         }
@@ -102,6 +104,7 @@
         notes.extend(reports.into_iter().map(Note::Limited));
         notes.extend(self.quarantine.take_notes());
         notes.extend(self.streams.take_untold().into_iter().map(Note::Began));
+        notes.extend(self.take_outage(true).map(Note::CutOff));
         let share = u64::from(self.view.as_ref().map_or(1, |view| view.instances));
         let share = share.div_ceil(REPEATING_INSTANCES.into()).max(1);
         let (incarnation, sequence) = (self.incarnation, self.sequence);
--- a/crates/policy/src/gateway/gossip.rs
+++ b/crates/policy/src/gateway/gossip.rs
@@ -15,6 +15,7 @@
 
 use super::call::Prompt;
 use super::confirmation::Confirmation;
+use super::forward::Outage;
 use super::limit;
 use super::notice::Departure;
 use super::quarantine::{Clearance, SuspectKey, Suspicion};
@@ -71,6 +72,8 @@
     Limited(limit::Report),
     /// Streams began.
     Began(Beginnings),
+    /// The sender has lost the path to services.
+    CutOff(Outage),
 }
 
 /// What a note is about. Instances of an earlier version can't read a message with notes that they
@@ -85,6 +88,8 @@
     Limit,
     /// Streams.
     Stream,
+    /// Paths to upstreams.
+    Path,
 }
 
 impl Note {
@@ -95,6 +100,7 @@
             Self::Suspected(_) | Self::Tried(_) | Self::Cleared(_) => Subject::Suspect,
             Self::Limited(_) => Subject::Limit,
             Self::Began(_) => Subject::Stream,
+            Self::CutOff(_) => Subject::Path,
         }
     }
 
@@ -103,6 +109,7 @@
         match self {
             Self::Suspected(suspicion) => 42 + suspicion.crashes.len() * 29,
             Self::Began(Beginnings(streams)) => 42 + streams.len() * 11,
+            Self::CutOff(outage) => 84 + outage.services.len() * 9,
             _ => 42,
         }
     }
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -14,6 +14,7 @@
 use super::configuration::{Repeat, Role, Route, ServiceName, ZoneName};
 use super::confirmation::Confirmed;
 use super::evidence::held;
+use super::forward::Helpers;
 use super::gossip::{Digests, Incarnation, Load, Prefill, ServerKey, part_keys};
 use super::limit;
 use super::link::{Blame, Links};
@@ -22,7 +23,7 @@
 use super::pace::{Mean, Pace};
 use super::plan::{Attempt, Ending, Plan, Reason, Refusal, Step};
 use super::quarantine::{Gate, Quarantine, Subjects};
-use super::reach::Reach;
+use super::reach::{self, Reach};
 use super::roster::Roster;
 use super::save::Saves;
 use super::software::{Origin, StreamKey, Streams, stream_key};
@@ -111,6 +112,10 @@
     pub(super) streams: Streams,
     /// Paths to upstreams.
     pub(super) reach: Reach,
+    /// Other instances that requests may be passed on to.
+    pub(super) helpers: Helpers,
+    /// Changes of paths that were not logged yet.
+    pub(super) path_changes: Vec<reach::Change>,
 }
 
 impl Gateway {
@@ -139,6 +144,8 @@
             quarantine: Quarantine::default(),
             streams: Streams::default(),
             reach: Reach::default(),
+            helpers: Helpers::default(),
+            path_changes: Vec::new(),
             rng,
         }
     }
@@ -178,6 +185,19 @@
     /// If the gateway has no view, no route matches, no organisation has the key, the route has no
     /// service, or the request takes up a stream whose software version is unknown.
     pub fn admit(&mut self, now: Time, call: Call) -> Result<Plan, Refusal> {
+        self.admit_for(now, call, None)
+    }
+
+    /// As [`Self::admit`]; `forwarded` is the service of a request that another instance passed on.
+    ///
+    /// # Errors
+    /// As [`Self::admit`].
+    pub fn admit_for(
+        &mut self,
+        now: Time,
+        call: Call,
+        forwarded: Option<&str>,
+    ) -> Result<Plan, Refusal> {
         let Some(view) = self.view.clone() else { return Err(not_run(Reason::NotReady)) };
         let configuration = &view.configuration;
         let outage =
@@ -193,17 +213,17 @@
         if organisation.is_none() && configuration.has_organisations() && !route.public {
             return Err(deny(Reason::UnknownKey));
         }
-        let point = self.rng.random::<f64>();
-        let service = route.service(point).ok_or(not_run(Reason::NoUpstream))?.clone();
+        let service = self.select_service(&route, forwarded)?;
         let name = organisation.as_ref().map(|organisation| &*organisation.name);
         let origin = call.resumption.as_ref().and_then(|resumption| resumption.origin.as_ref());
         let stream = stream_key(name, origin.unwrap_or(&call.id));
         let software = self.required_software(&service, route.repeat, &call, stream)?;
         let limit = call.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let waited = route.timeout.saturating_sub(limit);
-        let (terms, started) = (self.terms.retries, self.started.unwrap_or(now));
-        let budget = self.budgets.entry(service.clone());
-        budget.or_insert_with(|| RetryBudget::new(terms, started)).record_first(now);
+        // The instance that received the request has counted it.
+        if forwarded.is_none() {
+            self.budget(now, &service).record_first(now);
+        }
         let subjects = Subjects::new(name.or(call.key.as_deref()), &call);
         Ok(Plan {
             id: call.id,
@@ -224,10 +244,25 @@
             crashed: false,
             sends: 0,
             verdict: Verdict::NotRun,
+            is_forwarded: forwarded.is_some(),
+            peers: Vec::new(),
+            is_path_trial: false,
             route,
         })
     }
 
+    /// The service of a request: the one that another instance selected, or one by the route's split.
+    fn select_service(
+        &mut self,
+        route: &Route,
+        forwarded: Option<&str>,
+    ) -> Result<ServiceName, Refusal> {
+        let point = self.rng.random::<f64>();
+        let selected = forwarded.and_then(|name| route.split.iter().find(|(s, _)| **s == *name));
+        let service = selected.map(|(service, _)| service).or_else(|| route.service(point));
+        service.cloned().ok_or(not_run(Reason::NoUpstream))
+    }
+
     /// The software version that a request requires, as it began the stream that is taken up.
     fn required_software(
         &self,
@@ -260,6 +295,9 @@
         if plan.crashed && self.quarantine.is_restricted(&plan.subjects) {
             return self.refuse(now, plan, Reason::Broken, None);
         }
+        if let Some(step) = self.path_step(now, plan) {
+            return step;
+        }
         let is_trial = match self.quarantine.gate(now, &plan.subjects) {
             Gate::Open => false,
             Gate::Trial => true,
@@ -302,14 +340,8 @@
 
     /// Records an attempt that is sent; refuses the request if the retry budget is exhausted.
     fn send(&mut self, now: Time, plan: &mut Plan, attempt: Attempt) -> Step {
-        if plan.sends > 0 {
-            let (terms, started) = (self.terms.retries, self.started.unwrap_or(now));
-            let instances = self.view.as_ref().map_or(1, |view| view.instances);
-            let budget = self.budgets.entry(plan.service.clone());
-            let budget = budget.or_insert_with(|| RetryBudget::new(terms, started));
-            if !budget.take(now, terms, instances) {
-                return self.refuse(now, plan, Reason::RetryBudget, None);
-            }
+        if plan.sends > 0 && !self.take_repeat(now, &plan.service) {
+            return self.refuse(now, plan, Reason::RetryBudget, None);
         }
         plan.sends += 1;
         plan.in_progress.push(attempt.server.id.clone());
@@ -338,6 +370,19 @@
         Step::Send(Box::new(attempt))
     }
 
+    /// Takes a repeat from this instance's share of the retry budget, if one is left.
+    pub(super) fn take_repeat(&mut self, now: Time, service: &ServiceName) -> bool {
+        let instances = self.view.as_ref().map_or(1, |view| view.instances);
+        let terms = self.terms.retries;
+        self.budget(now, service).take(now, terms, instances)
+    }
+
+    fn budget(&mut self, now: Time, service: &ServiceName) -> &mut RetryBudget {
+        let (terms, started) = (self.terms.retries, self.started.unwrap_or(now));
+        let budget = self.budgets.entry(service.clone());
+        budget.or_insert_with(|| RetryBudget::new(terms, started))
+    }
+
     /// Records the parts that an engine holds after a prompt that this or another instance sent it.
     pub(super) fn record_prefill(&mut self, now: Time, prefill: &Prefill) {
         let Some(key) = self.roster.by_server_key(prefill.server) else { return };
@@ -379,7 +424,7 @@
         }
         match self.send(now, plan, other) {
             Step::Send(attempt) => Some(*attempt),
-            Step::Wait(_) | Step::Refuse(_) => None,
+            Step::Wait(_) | Step::Forward(_) | Step::Refuse(_) => None,
         }
     }
 
@@ -467,6 +512,7 @@
             residence.add(occupied, 1.0);
         }
         let service = view.as_ref().and_then(|view| view.configuration.services.get(&plan.service));
+        let is_unreachable = self.reach.is_unreachable(&plan.service);
         match ending {
             Ending::Answered => member.responded(now, false),
             Ending::Failed => member.responded(now, true),
@@ -477,17 +523,15 @@
                     member.correct_weights(&run.model, run.weights, newest);
                 }
             }
+            // Tells nothing about the upstream.
+            Ending::Unreachable | Ending::Lost | Ending::Broken if is_unreachable => {}
             Ending::Misdirected | Ending::Unreachable | Ending::Lost => {
                 member.unreachable(now);
-                if let Some(service) = service {
-                    member.suspect_restart(now, service);
-                }
+                member.suspect_restart(now, service);
             }
             Ending::Broken => {
                 member.broke(now);
-                if let Some(service) = service {
-                    member.suspect_restart(now, service);
-                }
+                member.suspect_restart(now, service);
             }
             // There may have been no second attempt. An engine may only be busy.
             Ending::Expired if attempt.began.is_none() && attempt.engine.is_none() => {
@@ -499,7 +543,13 @@
     }
 
     /// Refuses a request.
-    fn refuse(&mut self, now: Time, plan: &Plan, reason: Reason, free: Option<Time>) -> Step {
+    pub(super) fn refuse(
+        &mut self,
+        now: Time,
+        plan: &Plan,
+        reason: Reason,
+        free: Option<Time>,
+    ) -> Step {
         let retry_after = (plan.verdict == Verdict::NotRun).then(|| {
             let delay =
                 free.map_or(MIN_RETRY_AFTER, |at| at.saturating_sub(now)).max(MIN_RETRY_AFTER);
--- a/crates/policy/src/gateway/member.rs
+++ b/crates/policy/src/gateway/member.rs
@@ -31,6 +31,8 @@
 const REFUSAL_PAUSE_MAX: Duration = Duration::from_millis(320);
 /// Pause after a failed connection attempt, doubled with each further one.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(250);
+/// Time for which failures are attributed to a path that is then found to be lost.
+const BLAME_TIME: Duration = Duration::from_millis(1_500);
 /// Maximum pause after failed connection attempts.
 const UNREACHABLE_PAUSE_MAX: Duration = Duration::from_secs(2);
 
@@ -61,6 +63,19 @@
     refusals: u32,
     unreachable: u32,
     weights: BTreeMap<ModelName, WeightVersion>,
+    /// Its state before recent failures.
+    before: Option<Before>,
+}
+
+/// What failures change, as it was before the first of several.
+#[derive(Clone, Copy, Debug)]
+struct Before {
+    at: Time,
+    cold_until: Time,
+    paused_until: Time,
+    unreachable: u32,
+    failures: f64,
+    failures_at: Time,
 }
 
 impl Member {
@@ -85,6 +100,7 @@
             refusals: 0,
             unreachable: 0,
             weights,
+            before: None,
         }
     }
 
@@ -164,7 +180,9 @@
     }
 
     /// Marks it cold, as it may have restarted: a connection broke or could not be made.
-    pub fn suspect_restart(&mut self, now: Time, service: &Service) {
+    pub fn suspect_restart(&mut self, now: Time, service: Option<&Service>) {
+        let Some(service) = service else { return };
+        self.keep_before(now);
         self.cold_until = self.cold_until.max(now + service.cold_time);
     }
 
@@ -177,6 +195,7 @@
 
     /// Pauses it after no connection could be made, or an upstream acknowledged nothing.
     pub fn unreachable(&mut self, now: Time) {
+        self.keep_before(now);
         let pause = UNREACHABLE_PAUSE * 2_u32.pow(self.unreachable.min(4));
         self.unreachable += 1;
         self.paused_until = self.paused_until.max(now + pause.min(UNREACHABLE_PAUSE_MAX));
@@ -191,9 +210,34 @@
 
     /// Records an exchange that broke or timed out.
     pub fn broke(&mut self, now: Time) {
+        self.keep_before(now);
         self.count_failure(now, 1.0);
     }
 
+    /// Takes back what failures since [`BLAME_TIME`] ago changed, as the path to it was lost.
+    pub fn take_back(&mut self, now: Time) {
+        let Some(before) = self.before.take() else { return };
+        if now < before.at + BLAME_TIME {
+            self.cold_until = before.cold_until;
+            self.paused_until = before.paused_until;
+            self.unreachable = before.unreachable;
+            (self.failures, self.failures_at) = (before.failures, before.failures_at);
+        }
+    }
+
+    fn keep_before(&mut self, now: Time) {
+        if self.before.is_none_or(|before| now >= before.at + BLAME_TIME) {
+            self.before = Some(Before {
+                at: now,
+                cold_until: self.cold_until,
+                paused_until: self.paused_until,
+                unreachable: self.unreachable,
+                failures: self.failures,
+                failures_at: self.failures_at,
+            });
+        }
+    }
+
     /// Share of recent requests that failed, from zero to one, decaying with time.
     pub fn failure_share(&self, now: Time) -> f64 {
         if self.failures == 0.0 {
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -9,7 +9,8 @@
 //! Instances report by [`gossip`] what they sent where, and [`mesh`] selects the recipients.
 //! [`quarantine`] holds back requests, and parts of prompts, that crash upstreams; [`limit`] tracks
 //! the rates of requests that upstreams take, [`software`] which version began a stream, and [`reach`]
-//! whether this instance has a path to the upstreams. Limits on all instances together are divided
+//! whether this instance has a path to the upstreams; without one, [`forward`] selects another
+//! instance. Limits on all instances together are divided
 //! into shares by [`window`], so that no request waits for another instance.
 
 mod access;
@@ -22,6 +23,7 @@
 pub mod duty;
 mod evidence;
 mod exchange;
+pub mod forward;
 pub mod gossip;
 pub mod inventory;
 mod lateness;
--- a/crates/policy/src/gateway/path.rs
+++ b/crates/policy/src/gateway/path.rs
@@ -6,7 +6,7 @@
 use super::gossip::server_key;
 use super::machine::Gateway;
 use super::plan::{Attempt, Ending, Plan};
-use super::reach::Change;
+use super::reach::{Cause, Change};
 use crate::Time;
 
 /// Upstreams that are probed at a time: if some have failed, others still accept connections.
@@ -43,9 +43,9 @@
         let key = server_key(&attempt.server.id);
         self.reach.ended(&plan.service, key, attempt.sent);
         match ending {
-            Ending::Unreachable => self.reach.failed(now, &plan.service, key),
+            Ending::Unreachable => self.reach.failed(now, &plan.service, key, false),
             Ending::Broken | Ending::Lost if !has_answer && is_new => {
-                self.reach.failed(now, &plan.service, key);
+                self.reach.failed(now, &plan.service, key, true);
             }
             Ending::Broken | Ending::Lost if !has_answer => self.reach.broke(now, &plan.service),
             _ => {}
@@ -56,6 +56,7 @@
     pub fn probes(&mut self, now: Time) -> Vec<Probe> {
         let roster = &self.roster;
         let due = self.reach.due(now, |service| roster.of_service(service).len());
+        self.observe_losses(now);
         due.into_iter().map(|service| self.probe(service)).collect()
     }
 
@@ -72,10 +73,24 @@
     /// Records whether an upstream accepted the connection of a probe.
     pub fn probed(&mut self, now: Time, service: &ServiceName, is_open: bool) {
         self.reach.probed(now, service, is_open);
+        self.observe_losses(now);
+    }
+
+    /// Takes back what was concluded about upstreams from failures that a lost path caused.
+    fn observe_losses(&mut self, now: Time) {
+        for change in self.reach.take_changes() {
+            if change.lost == Some(Cause::Connect) {
+                for key in self.roster.of_service(&change.service).to_vec() {
+                    self.roster[key].take_back(now);
+                }
+            }
+            self.mark_outage_changed();
+            self.path_changes.push(change);
+        }
     }
 
     /// Paths that were lost or regained since the last call.
     pub fn take_path_changes(&mut self) -> Vec<Change> {
-        self.reach.take_changes()
+        std::mem::take(&mut self.path_changes)
     }
 }
--- a/crates/policy/src/gateway/plan.rs
+++ b/crates/policy/src/gateway/plan.rs
@@ -55,6 +55,12 @@
     pub sends: u32,
     /// Whether it may have run, from all attempts so far.
     pub verdict: Verdict,
+    /// Whether another instance passed it on.
+    pub is_forwarded: bool,
+    /// Instances that it was passed on to.
+    pub peers: Vec<SocketAddr>,
+    /// Whether its attempt tests a path that is lost.
+    pub is_path_trial: bool,
 }
 
 impl Plan {
@@ -176,6 +182,8 @@
     Send(Box<Attempt>),
     /// Decide again at this time, when an upstream may be free.
     Wait(Time),
+    /// Pass it on to another instance.
+    Forward(SocketAddr),
     /// Answer with a refusal.
     Refuse(Refusal),
 }
@@ -253,6 +261,8 @@
     StaleConfiguration,
     /// No upstream is eligible.
     NoUpstream,
+    /// Another instance passed the request on, and this one has no path to the service either.
+    NoPath,
     /// Every upstream refuses or would be free too late.
     Overloaded,
     /// No engine could begin the prompt in time.
--- a/crates/policy/src/gateway/reach.rs
+++ b/crates/policy/src/gateway/reach.rs
@@ -6,8 +6,10 @@
 //! If none accepts it, the path is lost, and probes go on until one does. Bytes on an older connection
 //! prove nothing about new ones, as these may be refused while older connections live on.
 //!
-//! Connections may also be accepted by something in between while nothing comes back. After a longer
-//! silence the path is lost in spite of accepted probes, until an upstream is heard again.
+//! Connections may also be accepted by something in between, which resets them or lets nothing
+//! through. So the path is also lost if several new connections break before an answer, or after a
+//! longer silence; then only an answer proves it again, and a request is tried from time to time. As
+//! upstreams may have crashed instead, what they did counts as usual then.
 
 use std::time::Duration;
 
@@ -31,14 +33,19 @@
 const LONG_SILENCE: Duration = Duration::from_millis(1_200);
 /// The same in latency targets.
 const LONG_SILENCE_TARGETS: u32 = 2;
-/// Interval between requests that are sent on a path that was lost by silence.
-const TRIAL_INTERVAL: Duration = Duration::from_millis(300);
+/// Interval between requests that are tried on a path that only an answer proves.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(500);
+/// Time within which new connections to several upstreams break.
+const BREAK_TIME: Duration = Duration::from_secs(1);
+/// Time for which they do so without an answer of any upstream. One request may crash several.
+const MIN_BREAK_TIME: Duration = Duration::from_millis(300);
 /// Minimum wait for the answer to a request that was sent on a path that is lost.
 const MIN_PATIENCE: Duration = Duration::from_millis(500);
 /// The same in latency targets.
 const PATIENCE_TARGETS: u32 = 2;
-/// Number of different upstreams whose silence raises a suspicion, if the service has as many.
-const SILENT_UPSTREAMS: usize = 2;
+/// Number of different upstreams that are silent, or whose new connections break, before the path is
+/// taken to be the cause.
+const SEVERAL_UPSTREAMS: usize = 2;
 
 /// The paths to the upstreams of all services that were used.
 #[derive(Debug, Default)]
@@ -72,7 +79,9 @@
 pub enum Cause {
     /// No upstream accepts a connection.
     Connect,
-    /// Several upstreams are silent, though connections are accepted.
+    /// Connections are accepted, but several broke before an answer.
+    Reset,
+    /// Connections are accepted, but several upstreams are silent.
     Silence,
 }
 
@@ -83,6 +92,10 @@
     heard: Option<Time>,
     /// Upstreams to which new connections failed since the last proof of the path.
     failed: Vec<ServerKey>,
+    /// The same for connections that had been accepted, and when they broke.
+    broken: Vec<(ServerKey, Time)>,
+    /// When the first of these connections broke.
+    breaking_since: Option<Time>,
     /// Requests without a byte of an answer.
     pending: Vec<Pending>,
     /// When the last probe started.
@@ -143,6 +156,8 @@
             State::Suspect { since } | State::Lost { since, .. } => is_new && sent >= since,
             State::Open => false,
         };
+        path.broken.clear();
+        path.breaking_since = None;
         if is_new {
             path.failed.clear();
         }
@@ -158,13 +173,32 @@
         }
     }
 
-    /// Records that no connection to an upstream could be made, or a new one broke before an answer.
-    pub fn failed(&mut self, now: Time, service: &ServiceName, server: ServerKey) {
-        if let Some(path) = self.paths.get_mut(service) {
-            if !path.failed.contains(&server) {
-                path.failed.push(server);
+    /// Records that no connection to an upstream could be made, or that a new one broke before an
+    /// answer if it `was_accepted`.
+    pub fn failed(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        server: ServerKey,
+        was_accepted: bool,
+    ) {
+        let Some(path) = self.paths.get_mut(service) else { return };
+        if !path.failed.contains(&server) {
+            path.failed.push(server);
+        }
+        path.suspect(now);
+        if was_accepted {
+            path.broken.retain(|(other, at)| *other != server && now < *at + BREAK_TIME);
+            path.broken.push((server, now));
+            if path.broken.len() == 1 {
+                path.breaking_since = Some(now);
+            }
+            let is_long = path.breaking_since.is_some_and(|since| now >= since + MIN_BREAK_TIME);
+            let is_lost = matches!(path.state, State::Lost { .. });
+            let are_several = path.broken.len() >= SEVERAL_UPSTREAMS;
+            if self.is_probed && !is_lost && are_several && is_long {
+                self.lose(now, service, Cause::Reset);
             }
-            path.suspect(now);
         }
     }
 
@@ -187,7 +221,7 @@
                 path.state = State::Open;
                 continue;
             }
-            let needed = SILENT_UPSTREAMS.min(size);
+            let needed = SEVERAL_UPSTREAMS.min(size);
             if path.is_silent(now, needed, |target| target.max(MIN_SILENCE)) {
                 let is_proven = path.proven.is_some_and(|at| now < at + SILENCE_PROBE_INTERVAL);
                 if path.state == State::Open && !is_proven {
@@ -231,7 +265,7 @@
             State::Suspect { .. } => self.lose(now, service, Cause::Connect),
             State::Lost { cause: Cause::Connect, .. } if is_open => self.regain(now, service),
             // Nothing shows any more that connections are accepted.
-            State::Lost { since, cause: Cause::Silence } if !is_open => {
+            State::Lost { since, .. } if !is_open => {
                 path.state = State::Lost { since, cause: Cause::Connect };
             }
             State::Lost { .. } | State::Open => {}
@@ -243,6 +277,13 @@
         self.paths.get(service).is_some_and(|path| matches!(path.state, State::Lost { .. }))
     }
 
+    /// Whether no upstream of a service accepts connections, so that failures tell nothing about single
+    /// upstreams.
+    pub fn is_unreachable(&self, service: &ServiceName) -> bool {
+        let path = self.paths.get(service);
+        path.is_some_and(|path| matches!(path.state, State::Lost { cause: Cause::Connect, .. }))
+    }
+
     /// Whether a probe will soon tell whether the path to a service is lost.
     pub fn is_suspect(&self, service: &ServiceName) -> bool {
         let path = self.paths.get(service);
@@ -263,7 +304,9 @@
     /// Whether a request may be sent on a lost path, as only an answer would show that it is back.
     pub fn take_trial(&mut self, now: Time, service: &ServiceName) -> bool {
         let Some(path) = self.paths.get_mut(service) else { return false };
-        let State::Lost { since, cause: Cause::Silence } = path.state else { return false };
+        let State::Lost { since, cause: Cause::Reset | Cause::Silence } = path.state else {
+            return false;
+        };
         let is_due = now >= path.tried.unwrap_or(since).max(since) + TRIAL_INTERVAL;
         if is_due {
             path.tried = Some(now);
@@ -272,7 +315,7 @@
     }
 
     /// When a request of `sent` without a byte of an answer is given up; none while its path isn't
-    /// known to be lost. After a silence alone, only a trial is given up, as other requests may run.
+    /// known to be lost. If connections are accepted, only a trial is given up, as others may run.
     pub fn give_up_at(
         &self,
         service: &ServiceName,
@@ -284,8 +327,7 @@
         let State::Lost { cause, .. } = path.state else { return None };
         let patience = MIN_PATIENCE.max(target * PATIENCE_TARGETS);
         match cause {
-            Cause::Silence if !is_trial => None,
-            Cause::Silence => Some(sent + MIN_PATIENCE),
+            Cause::Reset | Cause::Silence => is_trial.then_some(sent + target.max(MIN_PATIENCE)),
             Cause::Connect => Some(path.heard.map_or(sent, |heard| heard.max(sent)) + patience),
         }
     }
@@ -316,6 +358,7 @@
             self.changes.push(path.change(now, service, None, since));
         }
         path.failed.clear();
+        path.broken.clear();
         path.proven = Some(now);
     }
 }
--- a/crates/policy/tests/gateway_crash/mod.rs
+++ b/crates/policy/tests/gateway_crash/mod.rs
@@ -351,6 +351,7 @@
                 assert!(at > self.now, "a wait ends later");
                 self.waiting.push((at, gateway, request, plan));
             }
+            Step::Forward(_) => unreachable!("no path is probed"),
             Step::Refuse(refusal) => {
                 let outcome = Outcome::Refused(refusal.reason, refusal.verdict);
                 self.requests[request].outcome.get_or_insert(outcome);
--- a/crates/policy/tests/gateway_crashing_request.rs
+++ b/crates/policy/tests/gateway_crashing_request.rs
@@ -215,6 +215,7 @@
         match simulation.next(&mut plan) {
             Step::Send(attempt) => break *attempt,
             Step::Wait(at) => simulation.pass(at - simulation.now()),
+            Step::Forward(_) => unreachable!("no path is probed"),
             Step::Refuse(refusal) => return Some(refusal.reason),
         }
     };
--- a/crates/policy/tests/gateway_fleet/mod.rs
+++ b/crates/policy/tests/gateway_fleet/mod.rs
@@ -315,6 +315,7 @@
                 });
             }
             Step::Wait(at) => self.waiting.push((at, gateway, caller, plan, sent)),
+            Step::Forward(_) => unreachable!("no path is probed"),
             Step::Refuse(refusal) => self.refused(caller, refusal.retry_after),
         }
     }
--- a/crates/policy/tests/gateway_fuzz.rs
+++ b/crates/policy/tests/gateway_fuzz.rs
@@ -171,6 +171,7 @@
                 self.instances[at].running.push((plan, *attempt));
             }),
             Step::Wait(_) => Ok(()),
+            Step::Forward(_) => unreachable!("no path is probed"),
             Step::Refuse(refusal) => {
                 let ran = self.ran.get(&plan.id).copied().unwrap_or(0);
                 if refusal.verdict == Verdict::NotRun && ran > 0 {
--- a/crates/policy/tests/gateway_machine.rs
+++ b/crates/policy/tests/gateway_machine.rs
@@ -308,6 +308,7 @@
                 simulation.begin(&plan, &mut attempt);
                 running.push((plan, *attempt));
             }
+            Step::Forward(_) => unreachable!("no path is probed"),
             Step::Refuse(_) => break,
             Step::Wait(at) => panic!("no upstream is paused: {at:?}"),
         }
@@ -509,6 +510,7 @@
                 simulation.begin(&plan, &mut attempt);
                 running.push((plan, *attempt));
             }
+            Step::Forward(_) => unreachable!("no path is probed"),
             Step::Refuse(refusal) => break refusal,
             Step::Wait(at) => panic!("no upstream is paused: {at:?}"),
         }
--- a/crates/policy/tests/gateway_simulation/mod.rs
+++ b/crates/policy/tests/gateway_simulation/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use acacia_policy::gateway::configuration::{
     EngineSpec, Limits, Organisation, Repeat, Role, Route, Service,
 };
+use acacia_policy::gateway::forward::Passage;
 use acacia_policy::gateway::gossip::Digest;
 use acacia_policy::gateway::mesh::Detail;
 use acacia_policy::gateway::window::{ColdTerms, RetryTerms};
@@ -138,6 +140,7 @@
             match self.next(plan) {
                 Step::Send(attempt) => return *attempt,
                 Step::Wait(at) => self.now = at,
+                Step::Forward(_) => unreachable!("no path is probed"),
                 Step::Refuse(refusal) => panic!("{refusal:?}"),
             }
         }
@@ -153,6 +156,39 @@
         self.gateway.ended(self.now, plan, attempt, ending, instance);
     }
 
+    /// Records an attempt that failed without a byte of an answer, on a new connection.
+    pub fn fail(&mut self, plan: &mut Plan, attempt: &Attempt, ending: Ending) {
+        self.gateway.path_ended(self.now, plan, attempt, ending, false, true);
+        self.gateway.ended(self.now, plan, attempt, ending, None);
+    }
+
+    /// Makes the probes that are due.
+    pub fn probe(&mut self, is_open: bool) {
+        for probe in self.gateway.probes(self.now) {
+            self.gateway.probed(self.now, &probe.service, is_open);
+        }
+    }
+
+    /// Admits a request that another instance passed on.
+    pub fn admit_forwarded(&mut self, path: &str, service: &str) -> Plan {
+        let call = Call {
+            id: "forwarded".to_owned(),
+            host: "svc.example".to_owned(),
+            path: path.to_owned(),
+            key: Some("key".to_owned()),
+            timeout: Some(Duration::from_secs(5)),
+            prompt: None,
+            content: content_hash("POST", path, b""),
+            resumption: None,
+        };
+        self.gateway.admit_for(self.now, call, Some(service)).expect("a valid request")
+    }
+
+    /// Records how the passing on of a request ended.
+    pub fn forwarded(&mut self, plan: &mut Plan, peer: SocketAddr, passage: Passage) {
+        self.gateway.forwarded(self.now, plan, peer, passage);
+    }
+
     /// Passes on what a server states about itself in an answer.
     pub fn hear(&mut self, server: &str, notice: Notice) {
         let server = self.view.servers[server].clone();
