Log and count the limits on refusals that upstreams state

Nothing read the header. Answers' statements are now decoded, kept by incarnation like a rate limit, logged as 'limit on refusals changed', and counted. No decision depends on them yet.

A limit on refusals and a rate limit are stated, ordered and ended alike, so the state of a statement moves from 'limit' to 'statement' and serves both.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -354,6 +354,9 @@
         if reply.is_limit_malformed && traffic.log_budget.admits(now, Kind::Failure) {
             tracing::warn!(server = &*server.id, "ignored a malformed rate limit");
         }
+        if reply.is_tolerance_malformed && traffic.log_budget.admits(now, Kind::Failure) {
+            tracing::warn!(server = &*server.id, "ignored a malformed limit on refusals");
+        }
     }
     let instance = reply.instance.map(str::to_owned);
     let is_stream = inflight.plan.borrow().route.repeat.is_stream();
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -23,6 +23,7 @@
     limits: Counter<u64>,
     paths: Counter<u64>,
     passages: Counter<u64>,
+    tolerances: Counter<u64>,
     connections: Counter<u64>,
     store_calls: Counter<u64>,
     lines_dropped: Counter<u64>,
@@ -53,6 +54,7 @@
             limits: counter("acacia_gateway_rate_limit_changes"),
             paths: counter("acacia_gateway_path_changes"),
             passages: counter("acacia_gateway_passed_on"),
+            tolerances: counter("acacia_gateway_refusal_limit_changes"),
             connections: counter("acacia_gateway_connections"),
             store_calls: counter("acacia_gateway_store_calls"),
             values_skipped: counter("acacia_gateway_store_values_skipped"),
@@ -97,6 +99,11 @@
         self.passages.add(1, &[KeyValue::new("ending", ending)]);
     }
 
+    /// Counts a change of an upstream's limit on refusals.
+    pub fn tolerance(&self, state: &'static str) {
+        self.tolerances.add(1, &[KeyValue::new("state", state)]);
+    }
+
     /// Records the time to the first event or to a whole plain answer.
     pub fn first_byte(&self, route: &str, took: Duration) {
         self.first_byte_seconds
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -176,7 +176,7 @@
         }
     }
 
-    /// Logs and counts changes of upstreams' rate limits.
+    /// Logs and counts changes of upstreams' limits on requests and on refusals.
     pub fn report_limits(&self) {
         let changes = self.gateway.borrow_mut().take_limit_changes();
         for change in changes {
@@ -190,6 +190,21 @@
                 );
             }
         }
+        let changes = self.gateway.borrow_mut().take_tolerance_changes();
+        for change in changes {
+            self.metrics.tolerance(if change.tolerance.is_some() {
+                "limited"
+            } else {
+                "unlimited"
+            });
+            if self.log_budget.admits(self.now(), Kind::Failure) {
+                tracing::warn!(
+                    server = &*change.server,
+                    refusals_per_s = change.tolerance,
+                    "limit on refusals changed"
+                );
+            }
+        }
     }
 
     /// Logs and counts changes in the restrictions on parts of prompts and on requests.
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -9,6 +9,7 @@
 use rustc_hash::FxHashMap;
 use strum::{Display, EnumString};
 
+use super::brittle;
 use super::call::{Call, Prompt};
 use super::choice::{Candidate, Chooser};
 use super::configuration::{Repeat, Role, Route, ServiceName, ZoneName};
@@ -104,6 +105,8 @@
     /// Rate limits that upstreams stated to this instance, and of which the others were not informed
     /// yet.
     pub(super) limit_reports: Vec<limit::Report>,
+    /// News of brittle upstreams.
+    pub(super) brittle: brittle::Outbox,
     saves: Saves,
     links: Links,
     pub(super) confirmed: Confirmed,
@@ -138,6 +141,7 @@
             departures: Vec::new(),
             limit_changes: Vec::new(),
             limit_reports: Vec::new(),
+            brittle: brittle::Outbox::default(),
             saves: Saves::default(),
             links: Links::default(),
             confirmed: Confirmed::default(),
@@ -408,6 +412,9 @@
             let report = member.and_then(|member| member.standing.limit.report(now, server));
             self.limit_reports.extend(report);
         }
+        if news.is_tolerance_changed {
+            self.tolerance_changed(now, &server.id);
+        }
     }
 
     /// Changes of upstreams' rate limits since the last call.
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -8,13 +8,14 @@
 //! instance that [`duty`] lets hold the order lease; [`outdated`] ends the use of older weights.
 //! Instances report by [`gossip`] what they sent where, and [`mesh`] selects the recipients.
 //! [`quarantine`] holds back requests, and parts of prompts, that crash upstreams; [`limit`] tracks
-//! the rates of requests that upstreams take, [`software`] which version began a stream, and [`reach`]
-//! whether this instance has a path to the upstreams; without one, [`forward`] selects another
-//! instance. Limits on all instances together are divided
-//! into shares by [`window`], so that no request waits for another instance.
+//! the rates of requests that upstreams take, [`brittle`] the rates of refusals that they bear,
+//! [`software`] which version began a stream, and [`reach`] whether this instance has a path to the
+//! upstreams; without one, [`forward`] selects another instance. Limits on all instances together are
+//! divided into shares by [`window`], so that no request waits for another instance.
 
 mod access;
 pub mod admission;
+pub mod brittle;
 pub mod cache;
 pub mod call;
 mod choice;
@@ -43,6 +44,7 @@
 mod roster;
 mod save;
 pub mod software;
+pub mod statement;
 mod view;
 pub mod window;
 
--- a/crates/policy/src/gateway/notice.rs
+++ b/crates/policy/src/gateway/notice.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::gossip::{ServerKey, server_key};
-use super::limit;
+use super::statement::{State, Statement};
 use super::view::{Server, ServerId};
 use crate::Time;
 
@@ -28,7 +28,9 @@
     /// Time for which it wants no request from this instance.
     pub pause: Option<Duration>,
     /// The rate of requests that it takes.
-    pub limit: limit::Statement,
+    pub limit: Statement,
+    /// The rate of refusals that it bears.
+    pub tolerance: Statement,
 }
 
 /// The incarnation of an upstream that stated that it is leaving, as instances tell each other.
@@ -55,7 +57,9 @@
     /// Until when it wants no request from this instance.
     pub paused_until: Time,
     /// Its rate limit.
-    pub limit: limit::State,
+    pub limit: State,
+    /// Its limit on refusals.
+    pub tolerance: State,
 }
 
 impl Standing {
@@ -67,12 +71,19 @@
         if let Some(pause) = notice.pause {
             self.paused_until = self.paused_until.max(now.saturating_add(pause));
         }
-        News { is_leaving, is_limit_changed: self.limit.hear(now, sent, notice.limit) }
+        News {
+            is_leaving,
+            is_limit_changed: self.limit.hear(now, sent, notice.limit),
+            is_tolerance_changed: self.tolerance.hear(now, sent, notice.tolerance),
+        }
     }
 
     /// Whether it restricts requests at `now`.
     pub fn is_in_force(&self, now: Time) -> bool {
-        self.is_leaving || now < self.paused_until || self.limit.in_force(now).is_some()
+        let limits = [self.limit, self.tolerance];
+        self.is_leaving
+            || now < self.paused_until
+            || limits.iter().any(|limit| limit.in_force(now).is_some())
     }
 }
 
@@ -83,6 +94,8 @@
     pub is_leaving: bool,
     /// Whether its rate limit has changed.
     pub is_limit_changed: bool,
+    /// Whether its limit on refusals has changed.
+    pub is_tolerance_changed: bool,
 }
 
 /// Statements of upstreams that are not listed now.
--- a/crates/policy/src/gateway/roster.rs
+++ b/crates/policy/src/gateway/roster.rs
@@ -16,7 +16,8 @@
 use super::gossip::{PartKey, ServerKey, stable_hash};
 use super::limit;
 use super::member::Member;
-use super::notice::{News, Notice, Notices};
+use super::notice::{News, Notice, Notices, Standing};
+use super::statement::{Report, State};
 use super::view::{Server, ServerId, View};
 use crate::Time;
 
@@ -114,13 +115,24 @@
     }
 
     /// Records another instance's report on a rate limit; what it changes.
-    pub fn receive_limit(&mut self, now: Time, report: &limit::Report) -> Option<limit::Change> {
+    pub fn receive_limit(&mut self, now: Time, report: &Report) -> Option<limit::Change> {
+        let id = self.receive_report(now, report, |standing| &mut standing.limit)?;
+        self.limit_change(now, &id)
+    }
+
+    /// Records another instance's report on one of an upstream's limits; the upstream if the limit
+    /// changes.
+    pub fn receive_report(
+        &mut self,
+        now: Time,
+        report: &Report,
+        limit: impl Fn(&mut Standing) -> &mut State,
+    ) -> Option<ServerId> {
         let key = self.by_server_key(report.server)?;
         let member = &mut self.members[key];
         let is_changed =
-            member.server.born == report.born && member.standing.limit.receive(now, report);
-        let id = member.server.id.clone();
-        is_changed.then(|| self.limit_change(now, &id)).flatten()
+            member.server.born == report.born && limit(&mut member.standing).receive(now, report);
+        is_changed.then(|| member.server.id.clone())
     }
 
     /// The rate limit of a listed upstream, for the log.
--- a/crates/policy/tests/gateway_machine.rs
+++ b/crates/policy/tests/gateway_machine.rs
@@ -410,7 +410,12 @@
     assert_eq!(saved(&mut simulation, "b"), 0, "the engine still has the older weights");
 }
 
-const LEAVING: Notice = Notice { is_leaving: true, pause: None, limit: Statement::Unknown };
+const LEAVING: Notice = Notice {
+    is_leaving: true,
+    pause: None,
+    limit: Statement::Unknown,
+    tolerance: Statement::Unknown,
+};
 
 fn pause(seconds: u64) -> Notice {
     Notice { pause: Some(Duration::from_secs(seconds)), ..Notice::default() }
