Stand-in and failing tests: upstreams that are brittle

Nothing keeps the refusals of all instances together below that.

The platform's stand-in server gets the fault 'brittle'; the simulation of gateways that share servers gets servers with room for a number of requests that fall over above N refusals in a second, and loads above one request a tick.

--- /dev/null
+++ b/crates/daemon/tests/platform/brittle.rs
@@ -0,0 +1,111 @@
+//! Upstreams that state how many refusals a second they bear.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use acacia_standin::Fault;
+use acacia_standin::platform::brittle::WARNING;
+use acacia_standin::platform::server::{self, Settings};
+use futures::future::{join, join_all, select};
+
+use crate::fixture::{self, Fixture};
+
+/// Refusals in a second that the upstreams bear.
+const TOLERANCE: u32 = 5;
+/// Upstreams, all of which are brittle.
+const UPSTREAMS: usize = 2;
+/// Requests that each runs at a time.
+const SLOTS: usize = 3;
+/// Requests that each lets wait before it is brittle.
+const QUEUE: usize = 20;
+/// Time for which a request runs.
+const RUN_TIME: Duration = Duration::from_millis(250);
+/// Time after which an upstream that fell over is back.
+const RESTART_TIME: Duration = Duration::from_secs(2);
+/// Time for which the upstreams let no request wait.
+const FULL_TIME: Duration = Duration::from_secs(8);
+/// Instances.
+const INSTANCES: usize = 3;
+/// Requests a second from all callers: twice as many as the upstreams can run.
+const LOAD: f64 = 50.0;
+
+/// Upstreams that are brittle and let no request wait any more don't fall over more often than the
+/// rule allows, and their slots are used.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstreams_are_brittle_instances_keep_refusals_within_limit() {
+    let fixture = Fixture::start(INSTANCES).await;
+    fixture.unregister_services();
+    let upstreams = join_all((0..UPSTREAMS).map(|number| start(&fixture, number))).await;
+    let is_full = AtomicBool::new(false);
+    let served = AtomicUsize::new(0);
+    let phases = async {
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        for upstream in &upstreams {
+            upstream.fault(Fault::Brittle { refusals: Some(TOLERANCE), queue: 0 }).unwrap();
+        }
+        tokio::time::sleep(WARNING).await;
+        is_full.store(true, Ordering::Relaxed);
+        tokio::time::sleep(FULL_TIME).await;
+        is_full.store(false, Ordering::Relaxed);
+    };
+    let callers = send(&fixture, &is_full, &served);
+    let crashes = join_all(upstreams.iter().map(|upstream| run(&fixture, upstream)));
+    select(Box::pin(phases), Box::pin(join(callers, crashes))).await;
+    let periods: Vec<_> =
+        upstreams.iter().flat_map(|upstream| upstream.brittle_periods()).collect();
+    let falls: usize = periods.iter().map(|period| period.falls.len()).sum();
+    let peaks: Vec<usize> = periods.iter().map(|period| period.peak()).collect();
+    let (served, possible) = (
+        served.load(Ordering::Relaxed),
+        FULL_TIME.as_secs_f64() / RUN_TIME.as_secs_f64() * (UPSTREAMS * SLOTS) as f64,
+    );
+    let summary = format!(
+        "{falls} falls, at most {peaks:?} refusals in a second; {served} served, {possible} possible"
+    );
+    println!("{summary}");
+    assert!(falls <= 2 + UPSTREAMS / 10, "{summary}");
+    assert!(served as f64 > possible / 2.0, "{summary}");
+    fixture.stop().await;
+}
+
+/// Starts an upstream.
+async fn start(fixture: &Fixture, number: usize) -> server::Handle {
+    let settings = Settings {
+        id: format!("brittle-{number}"),
+        service: "app".to_owned(),
+        zone: "z1".to_owned(),
+        latency: RUN_TIME,
+        slots: SLOTS,
+        queue: QUEUE,
+        engine: None,
+    };
+    server::start(settings, &fixture.store).await.unwrap()
+}
+
+/// Resets an upstream's connections when it falls over, and brings it back later under a new id.
+async fn run(fixture: &Fixture, upstream: &server::Handle) {
+    loop {
+        upstream.crashed().await;
+        upstream.fault(Fault::Unreachable { on: true }).unwrap();
+        upstream.unregister(&fixture.store);
+        tokio::time::sleep(RESTART_TIME).await;
+        upstream.restart_renamed();
+        upstream.fault(Fault::Unreachable { on: false }).unwrap();
+        upstream.register(&fixture.store);
+    }
+}
+
+/// Sends requests at a steady rate; counts those that are served while the upstreams are full.
+async fn send(fixture: &Fixture, is_full: &AtomicBool, served: &AtomicUsize) {
+    let callers = (0..).map(async |number: usize| {
+        tokio::time::sleep(Duration::from_secs_f64(number as f64 / LOAD)).await;
+        let address = fixture.address(number % INSTANCES);
+        let headers = fixture.headers(&format!("brittle-{number}"));
+        let answer = fixture::call(address, "GET", "/read/page", &headers, b"").await;
+        if answer.status == 200 && is_full.load(Ordering::Relaxed) {
+            served.fetch_add(1, Ordering::Relaxed);
+        }
+    });
+    let count = (LOAD * 30.0) as usize;
+    join_all(callers.take(count)).await;
+}
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod body;
+mod brittle;
 mod change;
 mod crash;
 mod cut;
--- a/crates/policy/tests/gateway_crash/load.rs
+++ b/crates/policy/tests/gateway_crash/load.rs
@@ -83,6 +83,12 @@
         request
     }
 
+    /// Number of calls in one tick at a rate per second.
+    fn arrivals_in_tick(&mut self, rate: f64) -> u32 {
+        let expected = rate * TICK.as_secs_f64();
+        expected as u32 + u32::from(self.rng.random::<f64>() < expected.fract())
+    }
+
     /// Calls at random times for a while: `sound` requests a second on random subjects, and
     /// `culprits` a second that also have a part that crashes engines.
     pub fn run_load(&mut self, time: Duration, sound: f64, culprits: f64) {
@@ -90,14 +96,13 @@
         let poison: Vec<String> = self.poison.iter().cloned().collect();
         while self.now < end {
             for (rate, is_culprit) in [(sound, false), (culprits, true)] {
-                if self.rng.random::<f64>() >= rate * TICK.as_secs_f64() {
-                    continue;
+                for _ in 0..self.arrivals_in_tick(rate) {
+                    let subject = format!("subject-{}", self.rng.random_range(0..60));
+                    match poison.first().filter(|_| is_culprit) {
+                        Some(poison) => self.call(&[&subject, poison], None),
+                        None => self.call(&[&subject], None),
+                    };
                 }
-                let subject = format!("subject-{}", self.rng.random_range(0..60));
-                match poison.first().filter(|_| is_culprit) {
-                    Some(poison) => self.call(&[&subject, poison], None),
-                    None => self.call(&[&subject], None),
-                };
             }
             self.tick();
         }
@@ -108,7 +113,7 @@
     pub fn run_plain_load(&mut self, time: Duration, load: PlainLoad<'_>) {
         let end = self.now + time;
         while self.now < end {
-            if self.rng.random::<f64>() < load.sound * TICK.as_secs_f64() {
+            for _ in 0..self.arrivals_in_tick(load.sound) {
                 let number = self.rng.random_range(0..10_000);
                 match self.rng.random_range(0..4) {
                     0 => self.call_plain(POPULAR, "", None),
@@ -117,7 +122,7 @@
                     _ => self.call_plain(&format!("/once/{number}"), "x", None),
                 };
             }
-            if self.rng.random::<f64>() < load.culprits * TICK.as_secs_f64() {
+            for _ in 0..self.arrivals_in_tick(load.culprits) {
                 self.call_plain(load.culprit, "x", None);
             }
             self.tick();
--- a/crates/policy/tests/gateway_crash/mod.rs
+++ b/crates/policy/tests/gateway_crash/mod.rs
@@ -5,6 +5,7 @@
 
 #![allow(dead_code)]
 
+pub mod brittle;
 pub mod load;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -23,6 +24,7 @@
 use rand_chacha::ChaCha12Rng;
 
 use super::gateway_simulation::{MODEL, terms, view};
+use brittle::Brittleness;
 
 /// Resolution of the simulation.
 const TICK: Duration = Duration::from_millis(5);
@@ -81,6 +83,8 @@
     begins: Time,
     ends: Time,
     has_begun: bool,
+    /// Whether the server has no room for it.
+    is_refused: bool,
 }
 
 /// Gateways, servers, and callers.
@@ -98,6 +102,12 @@
     pub restart: Duration,
     /// Rate limits that servers state in their answers, in requests per second.
     pub limits: BTreeMap<ServerId, f64>,
+    /// What servers state about refusals in their answers, and how they bear them.
+    pub brittleness: Option<Brittleness>,
+    /// When servers refused requests for want of room, since the start.
+    pub refusals: Vec<(Duration, ServerId)>,
+    /// When servers fell over, since the start.
+    pub falls: Vec<(Duration, ServerId)>,
     /// When requests arrived at servers, since the start.
     pub arrivals: Vec<(Duration, ServerId)>,
     /// All requests.
@@ -139,6 +149,9 @@
             reset_share: 0.0,
             restart: Duration::from_secs(3),
             limits: BTreeMap::new(),
+            brittleness: None,
+            refusals: Vec::new(),
+            falls: Vec::new(),
             arrivals: Vec::new(),
             requests: Vec::new(),
             crashes: Vec::new(),
@@ -368,7 +381,19 @@
         let elapsed = self.elapsed();
         self.requests[request].sends.push(elapsed);
         self.arrivals.push((elapsed, server.clone()));
-        let running = self.flights.iter().filter(|flight| flight.attempt.server.id == server);
+        if !self.has_room(&server) {
+            return self.turn_away(Flight {
+                request,
+                gateway,
+                plan,
+                attempt,
+                begins: self.now,
+                ends: self.now + TICK,
+                has_begun: false,
+                is_refused: true,
+            });
+        }
+        let running = self.running(&server);
         let (begins, ends) = if attempt.engine.is_some() {
             let begins = self.now + FIRST_EVENT.0 + FIRST_EVENT.1 * running.count() as u32;
             (begins, begins + ANSWER)
@@ -378,8 +403,17 @@
             let begins = busy.iter().rev().nth(SLOTS - 1).copied().unwrap_or(self.now);
             (begins, begins + RUN.0 + RUN.1.mul_f64(self.rng.random()))
         };
-        let has_begun = false;
-        self.flights.push(Flight { request, gateway, plan, attempt, begins, ends, has_begun });
+        let (has_begun, is_refused) = (false, false);
+        self.flights.push(Flight {
+            request,
+            gateway,
+            plan,
+            attempt,
+            begins,
+            ends,
+            has_begun,
+            is_refused,
+        });
     }
 
     fn advance_flights(&mut self) {
@@ -390,7 +424,15 @@
             let is_engine = flight.attempt.engine.is_some();
             let is_culprit = self.is_culprit(&self.requests[flight.request]);
             let crashes_at = flight.begins + if is_engine { Duration::ZERO } else { CRASH_AFTER };
-            if is_culprit && now >= crashes_at && !flight.has_begun {
+            if flight.is_refused {
+                if now < flight.ends {
+                    at += 1;
+                    continue;
+                }
+                let flight = self.flights.swap_remove(at);
+                self.state_limit(flight.gateway, &flight.attempt);
+                self.end(flight, Ending::Refused);
+            } else if is_culprit && now >= crashes_at && !flight.has_begun {
                 let server = flight.attempt.server.id.clone();
                 self.culprit_crashes.push(self.elapsed());
                 self.crash(&server);
@@ -432,11 +474,11 @@
         self.end(flight, Ending::Answered);
     }
 
-    /// Passes on what an answer states about its server's rate limit.
+    /// Passes on what an answer states about its server's limits.
     fn state_limit(&mut self, gateway: usize, attempt: &Attempt) {
         let rate = self.limits.get(&attempt.server.id).copied();
         let limit = rate.map_or(Statement::Unlimited, Statement::Limited);
-        let notice = Notice { limit, ..Notice::default() };
+        let notice = Notice { limit, tolerance: self.tolerance(), ..Notice::default() };
         self.gateways[gateway].heard(self.now, attempt.sent, &attempt.server, notice);
     }
 
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -58,6 +58,14 @@
         /// Requests in 1,000 s that the server takes from all instances together.
         per_1000_s: Option<u32>,
     },
+    /// Every answer states how many refusals a second the server bears; from three seconds later,
+    /// it lets fewer requests wait and falls over above that. None clears the fault.
+    Brittle {
+        /// Refusals that it bears in a second.
+        refusals: Option<u32>,
+        /// Requests that it lets wait for a slot.
+        queue: u32,
+    },
     /// Nothing is sent for this time, then everything goes on: neither answers nor events; zero
     /// clears the fault.
     Silent {
--- /dev/null
+++ b/crates/standin/src/platform/brittle.rs
@@ -0,0 +1,63 @@
+//! A server that states how many refusals a second it bears, and falls over above that.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Time from the first statement until the server lets fewer requests wait.
+pub const WARNING: Duration = Duration::from_secs(3);
+/// Window in which refusals are counted.
+const SPAN: Duration = Duration::from_secs(1);
+
+/// A period in which a server is brittle.
+#[derive(Clone, Debug)]
+pub struct Period {
+    /// Refusals in a second above which it falls over.
+    pub tolerance: usize,
+    /// Requests that it lets wait after the warning.
+    pub queue: usize,
+    /// When it was first stated.
+    pub since: Instant,
+    /// When it was no longer stated.
+    pub until: Option<Instant>,
+    /// When requests were refused for want of room.
+    pub refusals: Vec<Instant>,
+    /// When the server fell over.
+    pub falls: Vec<Instant>,
+}
+
+impl Period {
+    /// A period that begins now.
+    pub fn new(tolerance: usize, queue: usize) -> Self {
+        let (refusals, falls) = Default::default();
+        Self { tolerance, queue, since: Instant::now(), until: None, refusals, falls }
+    }
+
+    /// Requests that the server lets wait now, if it would let `usual` wait otherwise.
+    pub fn queue(&self, usual: usize) -> usize {
+        if Instant::now() < self.since + WARNING { usual } else { self.queue.min(usual) }
+    }
+
+    /// Records a refusal for want of room; whether the server falls over.
+    pub fn refuse(&mut self) -> bool {
+        let now = Instant::now();
+        self.refusals.push(now);
+        let recent = self.refusals.iter().rev().take_while(|at| **at + SPAN > now).count();
+        let falls = now >= self.since + WARNING && recent > self.tolerance;
+        if falls {
+            self.falls.push(now);
+        }
+        falls
+    }
+
+    /// Most refusals in a second after the warning.
+    pub fn peak(&self) -> usize {
+        let from = self.since + WARNING;
+        let late: Vec<Instant> = self.refusals.iter().copied().filter(|at| *at >= from).collect();
+        let within = |start: &Instant| {
+            let window = *start..*start + SPAN;
+            late.iter().filter(|at| window.contains(*at)).count()
+        };
+        late.iter().map(within).max().unwrap_or(0)
+    }
+}
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -7,6 +7,7 @@
 //! counts reads of incomplete parts. The formats are deliberately defined here again instead of
 //! shared with the product: a stand-in that shared them would share mistakes too.
 
+pub mod brittle;
 pub mod cache;
 pub mod caller;
 pub mod crash;
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use super::brittle::Period;
 use super::limit::Limit;
 use super::memory::Memory;
 use super::run::{End, Entry, Ledger, Run};
@@ -130,6 +131,7 @@
         ledger: Arc::default(),
         crash_causes: Mutex::default(),
         limits: Mutex::default(),
+        brittle: Mutex::default(),
         is_crashed: watch::Sender::default(),
         renames: AtomicU32::new(0),
         broken: Mutex::default(),
@@ -167,6 +169,7 @@
     ledger: Arc<Ledger>,
     crash_causes: Mutex<Vec<Arc<crash::Cause>>>,
     limits: Mutex<Vec<Limit>>,
+    brittle: Mutex<Vec<Period>>,
     is_crashed: watch::Sender<bool>,
     renames: AtomicU32,
     broken: Mutex<Option<(u32, u32)>>,
@@ -238,6 +241,44 @@
         Some(limit.rate)
     }
 
+    /// The periods in which it was brittle.
+    pub fn brittle_periods(&self) -> Vec<Period> {
+        self.brittle.lock().clone()
+    }
+
+    /// States from now on how many refusals it bears in a second, or nothing of the kind.
+    fn set_brittle(&self, tolerance: Option<usize>, queue: usize) {
+        let mut periods = self.brittle.lock();
+        if let Some(last) = periods.last_mut() {
+            last.until.get_or_insert_with(Instant::now);
+        }
+        periods.extend(tolerance.map(|tolerance| Period::new(tolerance, queue)));
+    }
+
+    /// The refusals that it bears in a second, if it is brittle.
+    fn tolerance(&self) -> Option<usize> {
+        let periods = self.brittle.lock();
+        periods.last().filter(|period| period.until.is_none()).map(|period| period.tolerance)
+    }
+
+    /// Whether there is room for one more request.
+    fn has_room(&self) -> bool {
+        let periods = self.brittle.lock();
+        let period = periods.last().filter(|period| period.until.is_none());
+        let queue = period.map_or(self.settings.queue, |p| p.queue(self.settings.queue));
+        !self.slots.is_full() || self.slots.waiting() < queue
+    }
+
+    /// Records a refusal for want of room, under which a brittle server may fall over.
+    fn count_refusal(&self) {
+        self.tally.count(Counter::Refused);
+        let mut periods = self.brittle.lock();
+        let period = periods.last_mut().filter(|period| period.until.is_none());
+        if !*self.is_crashed.borrow() && period.is_some_and(Period::refuse) {
+            self.is_crashed.send_replace(true);
+        }
+    }
+
     /// Requests executed so far.
     pub fn executions(&self) -> Vec<Execution> {
         self.executions.lock().clone()
@@ -315,8 +356,8 @@
         causes.retain(|cause| cause.is_in(call));
         causes.iter().for_each(|cause| cause.arrived());
         self.check(call)?;
-        if self.slots.waiting() >= self.settings.queue {
-            self.tally.count(Counter::Refused);
+        if !self.has_room() {
+            self.count_refusal();
             return Err(not_run());
         }
         let priority = call.header("x-request-priority").parse().unwrap_or(0);
@@ -571,7 +612,7 @@
         let id = call.header("x-request-id").to_owned();
         let instance = self.id();
         let is_leaving = self.leaving.load(Ordering::Relaxed);
-        let mut limit = None;
+        let (mut limit, tolerance) = (None, self.tolerance());
         let answer = match (&call.method, &*call.path) {
             (&Method::GET, "/acaciaarch/report") => Ok(self.report()),
             (&Method::POST, "/acaciaarch/order") => self.order(&call),
@@ -584,9 +625,13 @@
         let answer = answer.unwrap_or_else(|refusal| refusal);
         let answer = answer.with("x-request-id", id).with("x-instance-id", instance);
         let answer = if is_leaving { answer.with("server-leaving", 1) } else { answer };
-        match limit {
+        let answer = match limit {
             Some(rate) => answer.with("server-limit", rate),
             None => answer,
+        };
+        match tolerance {
+            Some(tolerance) => answer.with("server-brittle", tolerance),
+            None => answer,
         }
     }
 
@@ -604,6 +649,10 @@
             Fault::Limited { per_1000_s } => {
                 self.set_limit(per_1000_s.map(|count| f64::from(count) / 1_000.0));
             }
+            Fault::Brittle { refusals, queue } => {
+                let number = |count: u32| count as usize;
+                self.set_brittle(refusals.map(number), number(*queue));
+            }
             Fault::Paused { millis } => self.pause_ms.store(*millis, Ordering::Relaxed),
             _ => return false,
         }
--- a/crates/standin/src/slots.rs
+++ b/crates/standin/src/slots.rs
@@ -50,6 +50,11 @@
         self.0.lock().waiting.len()
     }
 
+    /// Whether no slot is free.
+    pub fn is_full(&self) -> bool {
+        self.0.lock().free == 0
+    }
+
     fn release(self: Arc<Self>) {
         loop {
             let next = {
