Divide the slots of brittle upstreams among the instances

What callers and servers saw: servers that bear five refusals a second fell over again and again once they let fewer requests wait (8 falls of 2 servers in 8 s with three instances, 2 allowed; 1 of 192 possible requests served).

Cause: nothing read the statement. Pauses after a refusal are each instance's own and end within 320 ms; what is borne is a sum over all instances, and requests under way can't be taken back.

Change: policy/gateway/brittle, a sibling of 'limit'. While an upstream is brittle, all instances together send it no more requests at a time than it lists slots, less a spare one; each keeps to its share of the slots, and the shares add up. Each upstream of a service continues the division where the one before it ended; after a change of the lists an instance uses what it gained only after 2 s. While hardly any slots are in use by the digests, an instance may use more than its share, up to its share of the refusals. Refusals are told within 15 ms; after one, all instances assume the room that there was, and stop for the rest of a second once half of what is borne is used up. A server that restarts while its service is brittle is taken for brittle before its first answer. Notes on all this travel in messages of their own, which earlier versions drop whole.

--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -71,7 +71,7 @@
 /// target.
 const GAP_TARGET_FACTOR: f64 = 1.7;
 /// Time after which an upstream that is unavailable for an unknown time is considered again.
-const RECHECK_INTERVAL: Duration = Duration::from_millis(25);
+pub const RECHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Time after which an upstream is considered again of whose rate limit this instance has no share.
 const NO_SHARE_PAUSE: Duration = Duration::from_secs(1);
 /// Time within which a running upstream restores an entry that expired while the metadata store was
@@ -262,12 +262,9 @@
                 None => return Eligibility::Never,
             }
         }
-        if let Some(rate) = member.standing.limit.in_force(now) {
-            match member.limited_slot(now, rate, view) {
-                Some(at) if at <= now => {}
-                Some(at) => return Eligibility::At(at),
-                None => return Eligibility::At(now + NO_SHARE_PAUSE),
-            }
+        let at = self.stated_slot(service, key);
+        if at > now {
+            return Eligibility::At(at);
         }
         match status.expired {
             Some(since) if now >= since + EXPIRY_LIMIT => Eligibility::Never,
@@ -275,6 +272,20 @@
         }
     }
 
+    /// When an upstream may take the request by the limits that it states.
+    fn stated_slot(&mut self, service: &Service, key: MemberKey) -> Time {
+        let (now, view) = (self.now, self.view);
+        let member = &mut self.roster[key];
+        if let Some(rate) = member.standing.limit.in_force(now) {
+            let at = member.limited_slot(now, rate, view).unwrap_or(now + NO_SHARE_PAUSE);
+            if at > now {
+                return at;
+            }
+        }
+        let tolerance = self.roster.tolerance(now, key);
+        tolerance.map_or(now, |tolerance| self.brittle_slot(service, key, tolerance))
+    }
+
     /// The cost of an upstream by the configured placement; none if its weights can't be used.
     fn cost(
         &mut self,
--- a/crates/policy/src/gateway/exchange.rs
+++ b/crates/policy/src/gateway/exchange.rs
@@ -7,6 +7,7 @@
 use super::machine::Gateway;
 use super::mesh::Detail;
 use super::notice::Departure;
+use super::statement::Report;
 use crate::Time;
 
 /// One in this number of instances answers a report of a single crash.
@@ -55,6 +56,14 @@
                     let change = self.roster.receive_limit(now, report);
                     self.limit_changes.extend(change);
                 }
+                Note::Brittle(report) => {
+                    let id =
+                        self.roster.receive_report(now, report, |standing| &mut standing.tolerance);
+                    if let Some(id) = id {
+                        self.tolerance_changed(now, &id);
+                    }
+                }
+                Note::Refused(refusal) => self.receive_refusal(now, refusal),
             }
         }
         for prefill in self.digests.receive(now, digest) {
@@ -80,6 +89,7 @@
         let departures = std::mem::take(&mut self.departures);
         let mut notes: Vec<Note> = departures.into_iter().map(Note::Departed).collect();
         notes.extend(std::mem::take(&mut self.limit_reports).into_iter().map(Note::Limited));
+        notes.extend(self.take_brittle_notes());
         notes.extend(self.quarantine.take_notes());
         notes.extend(self.streams.take_batch(detail).into_iter().map(Note::Began));
         notes.extend(self.take_outage(false).map(Note::CutOff));
@@ -102,6 +112,7 @@
         let departed = leaving.map(|member| Note::Departed(Departure::of(&member.server)));
         let mut notes: Vec<Note> = departed.collect();
         notes.extend(reports.into_iter().map(Note::Limited));
+        notes.extend(self.take_brittle_notes());
         notes.extend(self.quarantine.take_notes());
         notes.extend(self.streams.take_untold().into_iter().map(Note::Began));
         notes.extend(self.take_outage(true).map(Note::CutOff));
@@ -115,14 +126,14 @@
             }
             _ => true,
         }));
+        let is_repeated = |report: &Report| {
+            stable_hash(&(incarnation, sequence, report.server)).is_multiple_of(share)
+        };
         let limits = self.roster.values().filter_map(|m| m.standing.limit.report(now, &m.server));
-        notes.extend(
-            limits
-                .filter(|report| {
-                    stable_hash(&(incarnation, sequence, report.server)).is_multiple_of(share)
-                })
-                .map(Note::Limited),
-        );
+        notes.extend(limits.filter(is_repeated).map(Note::Limited));
+        let tolerances = self.roster.values();
+        let tolerances = tolerances.filter_map(|m| m.standing.tolerance.report(now, &m.server));
+        notes.extend(tolerances.filter(is_repeated).map(Note::Brittle));
         let has_load = !loads.is_empty() || !self.sent_loads.is_empty();
         if prefills.is_empty() && notes.is_empty() && !has_load {
             return None;
--- a/crates/policy/src/gateway/gossip.rs
+++ b/crates/policy/src/gateway/gossip.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 use strum::EnumIter;
 
+use super::brittle::Refusal;
 use super::call::Prompt;
 use super::confirmation::Confirmation;
 use super::forward::Outage;
@@ -20,6 +21,7 @@
 use super::notice::Departure;
 use super::quarantine::{Clearance, SuspectKey, Suspicion};
 use super::software::Beginnings;
+use super::statement;
 use crate::Time;
 
 /// Age from which another instance's digest is ignored. Full digests are sent more often, so that
@@ -74,6 +76,10 @@
     Began(Beginnings),
     /// The sender has lost the path to services.
     CutOff(Outage),
+    /// An upstream's limit on refusals.
+    Brittle(statement::Report),
+    /// A brittle upstream refused a request of the sender.
+    Refused(Refusal),
 }
 
 /// What a note is about. Instances of an earlier version can't read a message with notes that they
@@ -90,6 +96,8 @@
     Stream,
     /// Paths to upstreams.
     Path,
+    /// Brittle upstreams.
+    Brittle,
 }
 
 impl Note {
@@ -101,6 +109,7 @@
             Self::Limited(_) => Subject::Limit,
             Self::Began(_) => Subject::Stream,
             Self::CutOff(_) => Subject::Path,
+            Self::Brittle(_) | Self::Refused(_) => Subject::Brittle,
         }
     }
 
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -354,6 +354,7 @@
             member.sent(now);
             let target = plan.route.latency_target;
             self.reach.sent(now, &plan.service, member.key, target);
+            member.room.sent(now, member.own_load.running);
             let memory_tokens = plan.prompt.as_ref().map_or(0, Prompt::memory_tokens);
             let prefill_tokens = attempt.prefill_tokens;
             member.own_load =
@@ -413,7 +414,7 @@
             self.limit_reports.extend(report);
         }
         if news.is_tolerance_changed {
-            self.tolerance_changed(now, &server.id);
+            self.tolerance_heard(now, server);
         }
     }
 
@@ -523,7 +524,7 @@
         match ending {
             Ending::Answered => member.responded(now, false),
             Ending::Failed => member.responded(now, true),
-            Ending::Refused => member.refused(now),
+            Ending::Refused => self.refused(now, attempt),
             Ending::Misdirected if is_same => {
                 if let (Some(run), Some(view)) = (&attempt.engine, &view) {
                     let newest = view.weights.get(&run.model).map_or(run.weights, Weights::version);
--- a/crates/policy/src/gateway/member.rs
+++ b/crates/policy/src/gateway/member.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::brittle::Room;
 use super::cache::Cache;
 use super::configuration::{ModelName, Service};
 use super::gossip::{Load, ServerKey, server_key};
@@ -51,6 +52,10 @@
     pub paused_until: Time,
     /// What it stated about itself in its answers.
     pub standing: Standing,
+    /// Whether an answer has stated whether it is brittle.
+    pub is_tolerance_known: bool,
+    /// Its room, if it is brittle.
+    pub room: Room,
     /// The parts that it probably holds.
     pub cache: Cache,
     /// Its status in the latest view.
@@ -90,6 +95,8 @@
             cold_until,
             paused_until: Time::ZERO,
             standing: Standing::default(),
+            is_tolerance_known: false,
+            room: Room::default(),
             cache: Cache::default(),
             status: Status::default(),
             sends: Window::new(limit::SPAN),
@@ -129,6 +136,7 @@
             evacuated: view.evacuated.contains(&self.server.zone),
             expired: view.expired.get(id).map(|(_, since)| *since),
             rank: None,
+            turn: None,
         };
     }
 
@@ -316,4 +324,7 @@
     pub expired: Option<Time>,
     /// Number of instances that rank before this one; computed on first use.
     rank: Option<usize>,
+    /// Number of instances that come before this one in the division of its slots; computed on first
+    /// use.
+    pub turn: Option<usize>,
 }
--- a/crates/policy/src/gateway/roster.rs
+++ b/crates/policy/src/gateway/roster.rs
@@ -17,7 +17,7 @@
 use super::limit;
 use super::member::Member;
 use super::notice::{News, Notice, Notices, Standing};
-use super::statement::{Report, State};
+use super::statement::{Report, State, Statement, TTL};
 use super::view::{Server, ServerId, View};
 use crate::Time;
 
@@ -50,6 +50,8 @@
     cleanup_size: usize,
     /// What upstreams stated that are not listed now.
     notices: Notices,
+    /// Until when an upstream may be brittle.
+    brittle_until: Time,
 }
 
 /// The upstreams of one service.
@@ -84,6 +86,9 @@
                 let standing = self.notices.take(server);
                 let mut member = Member::new(now, server.clone());
                 member.standing = standing;
+                if standing.tolerance.in_force(now).is_some() {
+                    self.brittle_until = now + TTL;
+                }
                 let key = self.members.insert(member);
                 self.ids.insert(id.clone(), key);
                 is_changed = true;
@@ -111,7 +116,28 @@
         if !member.server.is_same_incarnation(server) {
             return News::default();
         }
-        member.standing.add(now, sent, notice)
+        member.is_tolerance_known |= notice.tolerance != Statement::Unknown;
+        let news = member.standing.add(now, sent, notice);
+        if member.standing.tolerance.in_force(now).is_some() {
+            self.brittle_until = now + TTL;
+        }
+        news
+    }
+
+    /// The refusals per second that a brittle member bears. The servers of a service are brittle at
+    /// the same time, so one that has stated nothing yet bears as few as any of them.
+    pub fn tolerance(&self, now: Time, key: MemberKey) -> Option<f64> {
+        if now >= self.brittle_until {
+            return None;
+        }
+        let member = &self.members[key];
+        let own = member.standing.tolerance.in_force(now);
+        if own.is_some() || member.is_tolerance_known {
+            return own;
+        }
+        let others = self.of_service(&member.server.service).iter();
+        let stated = others.filter_map(|key| self.members[*key].standing.tolerance.in_force(now));
+        stated.min_by(f64::total_cmp)
     }
 
     /// Records another instance's report on a rate limit; what it changes.
@@ -132,6 +158,9 @@
         let member = &mut self.members[key];
         let is_changed =
             member.server.born == report.born && limit(&mut member.standing).receive(now, report);
+        if member.standing.tolerance.in_force(now).is_some() {
+            self.brittle_until = now + TTL;
+        }
         is_changed.then(|| member.server.id.clone())
     }
 
@@ -161,6 +190,11 @@
         self.members.get(*self.ids.get(id)?)
     }
 
+    /// The key of the member with an upstream's id.
+    pub fn key(&self, id: &str) -> Option<MemberKey> {
+        self.ids.get(id).copied()
+    }
+
     /// The member with an upstream's id, mutably.
     pub fn get_mut(&mut self, id: &str) -> Option<&mut Member> {
         self.members.get_mut(*self.ids.get(id)?)
--- a/crates/policy/src/gateway/statement.rs
+++ b/crates/policy/src/gateway/statement.rs
@@ -14,7 +14,7 @@
 use crate::Time;
 
 /// Time after which a limit that no answer has confirmed ends.
-const TTL: Duration = Duration::from_secs(30);
+pub const TTL: Duration = Duration::from_secs(30);
 /// Time for which instances tell each other that a limit has ended.
 const END_RETENTION: Duration = Duration::from_secs(10);
 
--- a/crates/policy/tests/gateway_crash/mod.rs
+++ b/crates/policy/tests/gateway_crash/mod.rs
@@ -102,6 +102,8 @@
     pub restart: Duration,
     /// Rate limits that servers state in their answers, in requests per second.
     pub limits: BTreeMap<ServerId, f64>,
+    /// Requests that a server takes at a time.
+    pub room: usize,
     /// What servers state about refusals in their answers, and how they bear them.
     pub brittleness: Option<Brittleness>,
     /// When servers refused requests for want of room, since the start.
@@ -149,6 +151,7 @@
             reset_share: 0.0,
             restart: Duration::from_secs(3),
             limits: BTreeMap::new(),
+            room: usize::MAX,
             brittleness: None,
             refusals: Vec::new(),
             falls: Vec::new(),
