--- a/crates/daemon/tests/platform/fixture.rs
+++ b/crates/daemon/tests/platform/fixture.rs
@@ -328,6 +328,11 @@
         self.signal(instance, "-TERM");
     }
 
+    /// Kills an instance.
+    pub fn kill(&self, instance: usize) {
+        self.signal(instance, "-KILL");
+    }
+
     /// Makes an instance read its settings again.
     pub fn reload(&self, instance: usize) {
         self.signal(instance, "-HUP");
--- a/crates/daemon/tests/platform/path.rs
+++ b/crates/daemon/tests/platform/path.rs
@@ -63,7 +63,7 @@
     let fixture = Arc::new(Fixture::start_behind_proxies(INSTANCES).await);
     fixture.shorten_targets();
     let started = Instant::now();
-    let load = tokio::spawn(load(fixture.clone(), OPEN_TIME * 2 + CUT_TIME));
+    let load = tokio::spawn(load(fixture.clone(), INSTANCES, OPEN_TIME * 2 + CUT_TIME));
     tokio::time::sleep(OPEN_TIME).await;
     (0..CUT).for_each(|instance| fixture.cut(instance, cut));
     let began = Instant::now();
@@ -100,6 +100,39 @@
     assert!(own * 3 * others_all >= others * 2 * own_all, "{summary}");
     let (healed, healed_all) = share(ended + Duration::from_secs(1), ended + OPEN_TIME, true);
     assert!(healed * 10 > healed_all * 9, "{summary}");
+    check_runs(&fixture);
+}
+
+/// The instance that a request is passed on to is stopped.
+#[tokio::test(flavor = "multi_thread")]
+async fn helper_is_stopped_cut_instance_serves_through_other() {
+    check_helper(Fixture::terminate).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn helper_is_killed_cut_instance_serves_through_other() {
+    check_helper(Fixture::kill).await;
+}
+
+/// Cuts one of three instances off and ends another one, while requests are sent to the first.
+async fn check_helper(end: fn(&Fixture, usize)) {
+    let fixture = Arc::new(Fixture::start_behind_proxies(3).await);
+    fixture.shorten_targets();
+    fixture.cut(0, Cut::Reset);
+    let began = Instant::now();
+    let load = tokio::spawn(load(fixture.clone(), 1, CUT_TIME));
+    tokio::time::sleep(SETTLE_TIME).await;
+    end(&fixture, 1);
+    let attempts = load.await.unwrap();
+    let late: Vec<&Attempt> = attempts.iter().filter(|a| a.sent >= began + SETTLE_TIME).collect();
+    let served = late.iter().filter(|attempt| attempt.is_served).count();
+    println!("{served} of {} served after the end of the other instance", late.len());
+    assert!(served * 3 >= late.len() * 2, "{served} of {} served", late.len());
+    check_runs(&fixture);
+}
+
+/// Checks that requests that may run once did not run twice.
+fn check_runs(fixture: &Fixture) {
     let mut runs = BTreeMap::<String, usize>::new();
     for execution in fixture.seen().into_iter().filter(|seen| seen.id.starts_with("Once")) {
         *runs.entry(execution.id).or_default() += 1;
@@ -107,13 +140,13 @@
     assert!(runs.values().all(|runs| *runs == 1), "a request that may run once ran twice");
 }
 
-/// Sends requests of all kinds to all instances for a while.
-async fn load(fixture: Arc<Fixture>, time: Duration) -> Vec<Attempt> {
+/// Sends requests of all kinds to the first instances for a while.
+async fn load(fixture: Arc<Fixture>, instances: usize, time: Duration) -> Vec<Attempt> {
     let started = Instant::now();
     let mut attempts = Vec::new();
     let mut number = 0;
     while started.elapsed() < time {
-        for instance in 0..INSTANCES {
+        for instance in 0..instances {
             for kind in [Kind::Plain, Kind::Once, Kind::Prompt] {
                 number += 1;
                 attempts.push(tokio::spawn(attempt(fixture.clone(), instance, kind, number)));
