--- a/crates/policy/src/gateway/evidence.rs
+++ b/crates/policy/src/gateway/evidence.rs
@@ -25,8 +25,6 @@
             Ending::Failed if attempt.engine.is_none() => {
                 self.quarantine.survived(now, server, sent);
             }
-            // No upstream can be reached.
-            Ending::Broken if self.reach.is_unreachable(&plan.service) => {}
             Ending::Broken if attempt.began.is_none() => {
                 plan.crashed = true;
                 self.quarantine.crashed(now, subjects, server, sent);
