Count older weights from their announcement also on instances that start later

An instance that was restarted after versions 2, 3 and 4 had been announced read only the newest one from the metadata store. The announcement times that the holder of the order lease keeps there had version 2, but only times of versions that the instance knew otherwise were used, so that it counted the bound for version 1 from the announcement of 4; the next holder even removed the others.

Now versions that only the announcement times mention count too, and the last eight times are kept.

view_announcement_of_version_before_start fails without the change and passes with it.

--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -27,6 +27,8 @@
 /// Time after a disruption of the metadata store in which an upstream's entry may be missing only
 /// because its lease expired. It covers noticing a silent connection and writing the entry again.
 const EXPIRY_WINDOW: Duration = Duration::from_millis(5_500);
+/// Versions of a model whose announcement times are kept.
+const ANNOUNCEMENTS: usize = 8;
 /// How long an expired entry is kept.
 const EXPIRED_RETENTION: Duration = Duration::from_secs(4);
 
@@ -134,9 +136,9 @@
                 let announced = clock.saturating_add(after as u64).saturating_sub(age as u64);
                 times.entry(version).or_insert(announced);
             }
-            // Versions that are no longer kept need no announcement time.
-            let oldest = weights.iter().next().map_or(0, |(version, _)| version);
-            times.retain(|version, _| *version >= oldest);
+            while times.len() > ANNOUNCEMENTS {
+                times.pop_first();
+            }
         }
         announcements.0.retain(|_, times| !times.is_empty());
         let revision = self.revision_in_era(self.announcements_revision);
--- a/crates/gateway/src/replica/view.rs
+++ b/crates/gateway/src/replica/view.rs
@@ -9,7 +9,7 @@
 use acacia_policy::gateway::configuration::{ModelName, Role};
 use acacia_policy::gateway::inventory::Store;
 use acacia_policy::gateway::mesh::Peer;
-use acacia_policy::gateway::{Server, ServerId, View, Weights};
+use acacia_policy::gateway::{Server, ServerId, View, WeightVersion, Weights};
 
 use super::Replica;
 
@@ -68,15 +68,19 @@
         servers.collect()
     }
 
-    /// The announced weights, each with the earliest known announcement time.
+    /// The announced weights, each with the earliest known announcement time. Versions that were
+    /// announced before this instance started are only among these times.
     pub fn announced_weights(&self) -> BTreeMap<ModelName, Weights> {
         let announced = self.weights.iter().map(|(model, weights)| {
-            let times = self.known_announcements.0.get(model);
-            let versions = weights.iter().map(|(version, received)| {
-                let announced = times.and_then(|times| times.get(&version));
-                (version, self.earliest(received, announced.copied()))
-            });
-            (model.clone(), versions.collect())
+            let mut versions: BTreeMap<WeightVersion, Time> = weights.iter().collect();
+            for (version, announced) in self.known_announcements.0.get(model).into_iter().flatten()
+            {
+                if *version <= weights.version() {
+                    let received = versions.get(version).copied().unwrap_or(Time::ZERO);
+                    versions.insert(*version, self.earliest(received, Some(*announced)));
+                }
+            }
+            (model.clone(), versions.into_iter().collect())
         });
         announced.collect()
     }
--- a/crates/gateway/tests/picture.rs
+++ b/crates/gateway/tests/picture.rs
@@ -151,6 +151,27 @@
     assert_eq!(announcements.0["m"][&3], 110_000);
 }
 
+/// Regression, soak cuts seed 3: an instance that started after a third version was announced counted
+/// the time of the first one from then, not from the announcement of the second one.
+#[test]
+fn view_announcement_of_version_before_start() {
+    let mut started = Replica::new(OWN);
+    let entries = [
+        set("op/config", configuration(1), 1),
+        set("op/version/m", json!({"model": "m", "version": 4}), 2),
+        set("acacia/naming", json!({"m": {"2": 94_000, "4": 99_000}}), 3),
+    ];
+    started.replace(at(0), revision(3), &entries);
+    started.set_server_clock(at(0), 100_000);
+    let weights = started.view("own").unwrap().weights["m"].clone();
+    assert_eq!(weights.version(), 4);
+    assert_eq!(weights.outdated_since(1), Some(at(0) - Duration::from_secs(6)));
+    assert_eq!(weights.outdated_since(3), Some(at(0) - Duration::from_secs(1)));
+    started.apply(at(10), &set("op/version/m", json!({"model": "m", "version": 5}), 4));
+    let (announcements, _) = started.unwritten_announcements().unwrap();
+    assert_eq!(announcements.0["m"][&2], 94_000, "others may still have the first version");
+}
+
 /// Regression: in later eras, announcement times were never written, as the absent entry was taken
 /// for one of era zero.
 #[test]
