Wait for the third crash in the test of a part that crashes engines

Traced: it sent prompts while sound engines were still known, whose answers refute crashes for half a second; and it took two refusals in a row for the hold, which may come before the third crash while a trial is in progress, all the more since a request that one instance passes on is refused by the other. The suspicion ended with the answer to the trial then, as it should.

The test now waits until the removal of the engines is in force, and until the third crash.

--- a/crates/daemon/tests/platform/answer.rs
+++ b/crates/daemon/tests/platform/answer.rs
@@ -615,6 +615,11 @@
         headers
     };
     fixture.unregister_engines();
+    // An answer of a sound engine would refute the first crashes.
+    for instance in 0..2 {
+        let is_removed = async || fixture.send_prompt(instance, "removed").await.status != 200;
+        fixture::eventually("the engines are removed", is_removed).await;
+    }
     let mut number = 0;
     let mut reached = 0;
     let is_held = async || {
@@ -637,7 +642,8 @@
         reached += raw.requests().len();
         // A crashed engine takes no more connections.
         drop(raw);
-        refusals.ends_with(&[true, true])
+        // While a trial is in progress, the part is refused before the crash that holds it.
+        reached >= 3 && refusals.ends_with(&[true, true])
     };
     fixture::eventually("both instances refuse the part", is_held).await;
     assert!((3..=6).contains(&reached), "{reached} requests reached engines");
