Accept a timeout of a request that was sent before a shorter timeout

Traced in the log of the first: the change to a timeout of 300 ms was in force as the request was 300 ms old; it was sent with less than a millisecond left, and ended with its timeout. That is allowed: a request whose time ends while an upstream has it is answered 504, as it may have run. Other runs pass as the change is in force earlier or later than that.

The test accepts 504 for this change, and demands that such a request was sent exactly once, as it demands that a refused one was not.

--- a/crates/daemon/tests/platform/change.rs
+++ b/crates/daemon/tests/platform/change.rs
@@ -150,16 +150,16 @@
         format!("version-{}.example", self.version)
     }
 
-    /// Checks that an answer is complete, or a refusal of a request that was not sent; returns its
-    /// status.
+    /// Checks that an answer is complete, a refusal of a request that was not sent, or a timeout of one
+    /// that was; returns its status.
     fn check(&self, name: &str, id: &str, answer: Option<Answer>) -> u16 {
         let Some(answer) = answer else {
             panic!("{name}: {id} got neither an answer nor a refusal");
         };
         assert!(answer.is_complete, "{name}: the answer to {id} was broken off");
-        let is_success = answer.status == 200;
-        assert_eq!(self.sends(id), usize::from(is_success), "{name}: {id} got {}", answer.status);
-        if is_success {
+        let is_sent = [200, 504].contains(&answer.status);
+        assert_eq!(self.sends(id), usize::from(is_sent), "{name}: {id} got {}", answer.status);
+        if answer.status == 200 {
             assert_eq!(answer.event_ids(), self.fixture.all_events(), "{name}: {id}");
         }
         answer.status
@@ -228,7 +228,8 @@
     ("longer timeout", |c| routes(c).for_each(|r| r["timeout_ms"] = json!(40_000)), &[200]),
     ("one attempt", |c| routes(c).for_each(|r| r["max_attempts"] = json!(1)), &[200]),
     ("other service", |c| routes(c).for_each(|r| r["service"] = swapped(&r["service"])), &[200]),
-    ("shorter timeout", |c| routes(c).for_each(|r| r["timeout_ms"] = json!(300)), &[200, 503]),
+    // A request may be sent before the timeout and end with it.
+    ("shorter timeout", |c| routes(c).for_each(|r| r["timeout_ms"] = json!(300)), &[200, 503, 504]),
     ("no routes", |c| c["routes"].as_array_mut().unwrap().retain(is_marker), &[404]),
 ];
 
