--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -140,7 +140,7 @@
         duty.next(now, engines.chain(self.control.store_addresses())) == duty::Next::Sample
     }
 
-    /// Releases the lease if most engines of a sample don't answer.
+    /// Releases the lease if hardly any engine of a sample answers.
     async fn check_path(&self) {
         let sample = self.sample(HOLDER_SAMPLE).await;
         let verdict = self.duty.borrow_mut().hold(self.control.clock.now(), sample);
