Wait longer for the answer to a trial on a path that may be lost

Traced: new connections to one server of a service of two were reset and the other was silent, so that the path counted as lost (reset); the request was the trial and was given up after 500 ms. A sound server may be silent for a second or so: a trial now waits 2 s at least.

gateway_reach passes (11), gateway_forward but for its known failure.

--- a/crates/policy/src/gateway/reach.rs
+++ b/crates/policy/src/gateway/reach.rs
@@ -43,6 +43,8 @@
 const MIN_PATIENCE: Duration = Duration::from_millis(500);
 /// The same in latency targets.
 const PATIENCE_TARGETS: u32 = 2;
+/// Minimum wait for the answer to such a request, as a sound upstream may be silent for a second or so.
+const TRIAL_PATIENCE: Duration = Duration::from_secs(2);
 /// Number of different upstreams that are silent, or whose new connections break, before the path is
 /// taken to be the cause.
 const SEVERAL_UPSTREAMS: usize = 2;
@@ -327,7 +329,9 @@
         let State::Lost { cause, .. } = path.state else { return None };
         let patience = MIN_PATIENCE.max(target * PATIENCE_TARGETS);
         match cause {
-            Cause::Reset | Cause::Silence => is_trial.then_some(sent + target.max(MIN_PATIENCE)),
+            Cause::Reset | Cause::Silence => {
+                is_trial.then_some(sent + patience.max(TRIAL_PATIENCE))
+            }
             Cause::Connect => Some(path.heard.map_or(sent, |heard| heard.max(sent)) + patience),
         }
     }
