--- a/crates/gateway/tests/picture.rs
+++ b/crates/gateway/tests/picture.rs
@@ -172,6 +172,99 @@
     assert_eq!(announcements.0["m"][&2], 94_000, "others may still have the first version");
 }
 
+/// An announcement that arrives while the process is suspended is not dated to its resumption.
+#[test]
+fn view_announcement_during_suspension() {
+    let order = set("op/version/m", json!({"model": "m", "version": 2}), 2);
+    let mut suspended = replica();
+    suspended.confirm(at(9));
+    suspended.confirm(at(10));
+    // The answer to the next watch is read 6 s later.
+    suspended.confirm(at(11));
+    suspended.apply(at(17), &order);
+    let outdated_since = suspended.view("own").unwrap().weights["m"].outdated_since(1);
+    assert!(outdated_since.is_some_and(|since| since <= at(11)), "{outdated_since:?}");
+    suspended.set_server_clock(at(0), 100_000);
+    let (announcements, _) = suspended.unwritten_announcements().unwrap();
+    assert!(announcements.0["m"][&2] <= 111_000, "other instances rely on it");
+
+    // The same, read anew as the history of the metadata store is lost.
+    let mut suspended = replica();
+    suspended.confirm(at(10));
+    suspended.confirm(at(17));
+    let entries = [set("op/config", configuration(3), 1), order.clone()];
+    suspended.replace(at(17), revision(2), &entries);
+    let outdated_since = suspended.view("own").unwrap().weights["m"].outdated_since(1);
+    assert!(outdated_since.is_some_and(|since| since <= at(11)), "{outdated_since:?}");
+}
+
+/// While the metadata store does not answer, nobody orders the weights, so that the time for which
+/// the older ones may be used begins when it answers again.
+#[test]
+fn view_announcement_during_outage() {
+    let mut replica = replica();
+    replica.confirm(at(10));
+    replica.fail(at(12));
+    replica.confirm(at(30));
+    replica.recover(at(31));
+    replica.apply(at(31), &set("op/version/m", json!({"model": "m", "version": 2}), 2));
+    assert_eq!(replica.view("own").unwrap().weights["m"].outdated_since(1), Some(at(31)));
+}
+
+/// An instance that started after a restore and saw the weights announced again must not put off the
+/// limit of those that know of the first announcement.
+#[test]
+fn view_keeps_earliest_announcement() {
+    let mut started = Replica::new(OWN);
+    let order = json!({"model": "m", "version": 2});
+    let entries = [
+        set("op/config", configuration(1), 1),
+        set("op/version/m", order.clone(), 2),
+        set("acacia/naming", json!({"m": {"2": 94_000}}), 3),
+    ];
+    started.replace(at(0), revision(3), &entries);
+    started.set_server_clock(at(0), 100_000);
+    let copy = [set("op/config", configuration(1), 1), set("op/version/m", order, 2)];
+    let copy = copy.map(|entry| in_era(1, entry));
+    started.replace(at(5), Revision { era: 1, number: 2 }, &copy);
+    let written = set("acacia/naming", json!({"m": {"2": 105_000}}), 3);
+    started.apply(at(6), &in_era(1, written));
+    let outdated_since = started.view("own").unwrap().weights["m"].outdated_since(1);
+    assert_eq!(outdated_since, Some(at(0) - Duration::from_secs(6)));
+    let (announcements, _) = started.unwritten_announcements().unwrap();
+    assert_eq!(announcements.0["m"][&2], 94_000);
+}
+
+/// Regression, by review: with more than eight announcements within the bound, the limit on the first
+/// weights moved with each further one.
+#[test]
+fn view_announcements_in_quick_succession() {
+    let outdated_since =
+        |replica: &Replica| replica.view("own").unwrap().weights["m"].outdated_since(1);
+    let mut running = replica();
+    running.set_server_clock(at(0), 100_000);
+    let (mut naming, mut number) = (json!({}), 10);
+    for version in 2_u64..14 {
+        number += 2;
+        let order = json!({"model": "m", "version": version});
+        running.apply(at(version), &set("op/version/m", order, number));
+        if let Some((announcements, _)) = running.unwritten_announcements() {
+            naming = serde_json::from_slice(&announcements.encode()).unwrap();
+            running.apply(at(version), &set("acacia/naming", naming.clone(), number + 1));
+        }
+    }
+    assert_eq!(outdated_since(&running), Some(at(2)));
+    let entries = [
+        set("op/config", configuration(3), 1),
+        set("op/version/m", json!({"model": "m", "version": 13}), number),
+        set("acacia/naming", naming, number + 1),
+    ];
+    let mut started = Replica::new(OWN);
+    started.replace(at(14), revision(number + 1), &entries);
+    started.set_server_clock(at(0), 100_000);
+    assert_eq!(outdated_since(&started), Some(at(2)));
+}
+
 /// Regression: in later eras, announcement times were never written, as the absent entry was taken
 /// for one of era zero.
 #[test]
--- a/crates/policy/tests/gateway_rollout.rs
+++ b/crates/policy/tests/gateway_rollout.rs
@@ -316,3 +316,37 @@
     }
     panic!("the engine that answers got no order");
 }
+
+/// Engines of one model that are silent must not keep those of another from their orders.
+#[test]
+fn step_reaches_engines_of_other_model_beside_silent_ones() {
+    let mut servers = Fleet::new(12).servers;
+    let other = Server { models: vec![("n".into(), 1)], ..server("n0", 1) };
+    servers.insert(other.id.clone(), Arc::new(other));
+    let mut now = Duration::from_secs(1);
+    let weights = ["m", "n"].map(|model| (model.into(), Weights::new(2, now)));
+    let weights = BTreeMap::from(weights);
+    let mut rollout = Rollout::default();
+    let mut calls: Vec<(Time, ServerId)> = Vec::new();
+    for _ in 0..200 {
+        now += STEP;
+        // Calls to silent engines take their whole timeout.
+        for (_, id) in calls.extract_if(.., |(end, _)| *end <= now) {
+            rollout.polled(now, &id, None);
+        }
+        for action in rollout.step(now, &servers, &weights, LIMIT) {
+            match action {
+                Action::Poll(server) if &*server.id == "n0" => {
+                    let models = vec![("n".into(), 1)];
+                    rollout.polled(now, &server.id, Some(Report { models, ..Report::default() }));
+                }
+                Action::Poll(server) => calls.push((now + 16 * STEP, server.id.clone())),
+                Action::Order { server, .. } => {
+                    assert_eq!(&*server.id, "n0");
+                    return;
+                }
+            }
+        }
+    }
+    panic!("the engine of the other model got no order");
+}
