Count reloads of each model by itself

Callers would see prompts of a model refused, and engines of it would keep replaced weights, for as long as engines of another model are silent. Cause: the number of engines in progress was counted over all models and compared with the limit of one. Silent engines take it up in turn: each call to one takes 0.8 s, and the next one is called at once.

Evidence: step_reaches_engines_of_other_model_beside_silent_ones failed before (no order in 10 s) and passes now, as do the other tests of the rollout (11).

--- a/crates/policy/src/gateway/rollout.rs
+++ b/crates/policy/src/gateway/rollout.rs
@@ -302,7 +302,11 @@
         version: WeightVersion,
         limit: usize,
     ) -> Option<ServerId> {
-        let active = |engine: &&Engine| engine.stage != Stage::Idle || engine.waiting;
+        // Engines of other models leave as many of this one in service.
+        let active = |engine: &&Engine| {
+            engine.server.weights(model).is_some()
+                && (engine.stage != Stage::Idle || engine.waiting)
+        };
         let begun = self.engines.values().filter(active).count();
         let open = self.engines.iter().filter(|(_, engine)| {
             let is_next = engine.stage == Stage::Polled || begun < limit;
