Keep the earliest announcement time of weights

After a restore of the metadata store from a copy without the announcement times, an instance that started since then dates weights that operators write again to that moment, and as the holder of the order lease writes that time for the others. They replaced the earlier time that they knew, so that the bound for older weights began anew.

The earlier time counts now, and is written again by the next holder that knows it.

--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -395,7 +395,11 @@
             Ok(announcements) => {
                 for (model, times) in &announcements.0 {
                     let known = self.known_announcements.0.entry(model.clone()).or_default();
-                    known.extend(times);
+                    for (version, announced) in times {
+                        // An instance that started later may have seen the version announced again.
+                        let earliest = known.entry(*version).or_insert(*announced);
+                        *earliest = (*earliest).min(*announced);
+                    }
                 }
                 self.announcements = announcements;
                 self.announcements_revision = revision;
--- a/crates/gateway/tests/picture.rs
+++ b/crates/gateway/tests/picture.rs
@@ -138,6 +138,10 @@
 
     // Weights announced after the last read of the servers' clock must not be dated to that read.
     // Regression test for quiet-1 of Actas.
+    let mut started = Replica::new(OWN);
+    let entries = [set("op/config", configuration(1), 1), set("op/version/m", order.clone(), 2)];
+    started.replace(at(0), revision(2), &entries);
+    started.set_server_clock(at(0), 100_000);
     started.apply(at(0), &set("acacia/naming", json!({"m": {"3": 107_000}}), 4));
     let announced_at = started.view("own").unwrap().weights["m"].announced_at();
     assert_eq!(announced_at, at(0) + Duration::from_secs(7));
