Keep the announcement times of more versions of weights

The last eight versions of a model's weights and their announcement times were kept. With more announcements within the bound, the earliest ones were forgotten, and the limit on older weights moved with each further one: at one a second, engines with the first weights were used for as long as the announcements went on. Now 32 are kept, by one constant for both.

Evidence: view_announcements_in_quick_succession (12 versions, a second apart) failed before and passes now, for an instance that saw all announcements and for one that started after them.

--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -27,8 +27,6 @@
 /// Time after a disruption of the metadata store in which an upstream's entry may be missing only
 /// because its lease expired. It covers noticing a silent connection and writing the entry again.
 const EXPIRY_WINDOW: Duration = Duration::from_millis(5_500);
-/// Versions of a model whose announcement times are kept.
-const ANNOUNCEMENTS: usize = 8;
 /// How long an expired entry is kept.
 const EXPIRED_RETENTION: Duration = Duration::from_secs(4);
 
@@ -136,7 +134,7 @@
                 let announced = clock.saturating_add(after as u64).saturating_sub(age as u64);
                 times.entry(version).or_insert(announced);
             }
-            while times.len() > ANNOUNCEMENTS {
+            while times.len() > Weights::VERSIONS {
                 times.pop_first();
             }
         }
--- a/crates/policy/src/gateway/view.rs
+++ b/crates/policy/src/gateway/view.rs
@@ -88,10 +88,11 @@
     announced: Vec<(WeightVersion, Time)>,
 }
 
-/// Number of versions kept of a model; engines are seldom more than two behind.
-const VERSIONS: usize = 8;
-
 impl Weights {
+    /// Number of versions kept of a model. All that are announced within the time for which replaced
+    /// weights may be used must be among them, or that time would begin anew with each.
+    pub const VERSIONS: usize = 32;
+
     /// Weights with one announced version.
     pub fn new(version: WeightVersion, announced_at: Time) -> Self {
         Self { announced: vec![(version, announced_at)] }
@@ -111,7 +112,7 @@
     pub fn announce(&mut self, version: WeightVersion, announced_at: Time) {
         if version > self.version() {
             self.announced.push((version, announced_at));
-            let surplus = self.announced.len().saturating_sub(VERSIONS);
+            let surplus = self.announced.len().saturating_sub(Self::VERSIONS);
             self.announced.drain(..surplus);
         }
     }
