Date announcements that arrive while the process is suspended to before it

An instance that was suspended for some seconds while weights were announced counted the bound for the older ones from its resumption: prompts could begin on them up to as much later. As the holder of the order lease it also wrote that time for instances that start later, and where no store has the servers' clock, no other instance's time corrects it.

An announcement now counts from the last answer of the metadata store before it, if more than 1.5 s passed since then without a failed call: the earliest time at which it can have been made. The same holds for an answer that takes as long. Time for which the store did not answer is not counted, as before, since nobody orders weights meanwhile.

Evidence: view_announcement_during_suspension failed before and passes now. It states answers as the control thread records them (when sent, when read) in place of the sending alone, and has more cases: between two watches, with an unread answer, with a connection that was lost, with a lost history. view_announcement_during_outage passes as before; view_announcement_after_slow_answer is new. A suspension of less than 1.5 s still delays the bound by as much.

--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -27,6 +27,11 @@
 /// Time after a disruption of the metadata store in which an upstream's entry may be missing only
 /// because its lease expired. It covers noticing a silent connection and writing the entry again.
 const EXPIRY_WINDOW: Duration = Duration::from_millis(5_500);
+/// Longest time from an answer to the next one while this process runs: the pause between two watches
+/// and the wait of one.
+const ANSWER_GAP: Duration = Duration::from_millis(1_500);
+/// Longest time from an answer to the first failure after it while this process runs.
+const FAILURE_GAP: Duration = Duration::from_secs(4);
 /// How long an expired entry is kept.
 const EXPIRED_RETENTION: Duration = Duration::from_secs(4);
 
@@ -61,6 +66,10 @@
     carryover: Carryover,
     departures: Departures,
     as_of: Time,
+    /// When the contents were last known to be complete; none while the metadata store fails.
+    complete_at: Option<Time>,
+    /// The changes of the latest answer were made after this time, if it is known.
+    changed_after: Option<Time>,
     server_clock: Option<(Time, u64)>,
     last_holder_write: Time,
     disrupted: Option<Time>,
@@ -280,6 +289,8 @@
     /// Records a failed call to the metadata store; true if it was the first after an answer.
     pub fn fail(&mut self, now: Time) -> bool {
         self.disrupted = Some(now);
+        // After a longer gap, this process was suspended before the failure.
+        self.complete_at = self.complete_at.filter(|at| now > *at + FAILURE_GAP);
         let was_available = self.unavailable_since.is_none();
         self.unavailable_since.get_or_insert(now);
         was_available
@@ -290,6 +301,10 @@
         if self.unavailable_since.is_some() {
             self.disrupted = Some(now);
         }
+        self.changed_after = self.complete_at;
+        // An answer that took longer may have been in transit for all the time.
+        let is_prompt = now <= self.as_of + ANSWER_GAP;
+        self.complete_at = Some(if is_prompt { now } else { self.as_of });
         self.unavailable_since.take()
     }
 
@@ -470,17 +485,24 @@
             Ok(order) => order,
             Err(problem) => return Some(malformed(key, value, &problem)),
         };
+        // Weights found by the first read were announced at an unknown time.
+        let announced = if self.is_current { self.changed_at(now) } else { Time::ZERO };
         let model: ModelName = model.into();
         let weights = self.weights.entry(model.clone()).or_default();
         if weights.version() >= order.version {
             return None;
         }
-        // Weights found by the first read were announced at an unknown time.
-        let announced = if self.is_current { now } else { Time::ZERO };
         weights.announce(order.version, announced);
         Some(Update::Weights(model, order.version))
     }
 
+    /// When a change that is received at `now` counts as made: if this process was suspended before, at
+    /// the earliest possible time, as the other instances went on. An outage of the metadata store does
+    /// not count, as nobody orders weights meanwhile.
+    fn changed_at(&self, now: Time) -> Time {
+        self.changed_after.filter(|after| now > *after + ANSWER_GAP).unwrap_or(now)
+    }
+
     fn set_server(&mut self, now: Time, key: &str, id: &str, value: &[u8]) -> Option<Update> {
         match Server::decode(id, value) {
             Ok(server) => {
--- a/crates/gateway/tests/picture.rs
+++ b/crates/gateway/tests/picture.rs
@@ -176,30 +176,72 @@
     assert_eq!(announcements.0["m"][&2], 94_000, "others may still have the first version");
 }
 
+/// Records the answer at `now` to a call sent at `sent`.
+fn answer(replica: &mut Replica, sent: Time, now: Time) {
+    replica.confirm(sent);
+    replica.recover(now);
+}
+
 /// An announcement that arrives while the process is suspended is not dated to its resumption.
 #[test]
 fn view_announcement_during_suspension() {
     let order = set("op/version/m", json!({"model": "m", "version": 2}), 2);
-    let mut suspended = replica();
-    suspended.confirm(at(9));
-    suspended.confirm(at(10));
-    // The answer to the next watch is read 6 s later.
-    suspended.confirm(at(11));
-    suspended.apply(at(17), &order);
-    let outdated_since = suspended.view("own").unwrap().weights["m"].outdated_since(1);
-    assert!(outdated_since.is_some_and(|since| since <= at(11)), "{outdated_since:?}");
-    suspended.set_server_clock(at(0), 100_000);
-    let (announcements, _) = suspended.unwritten_announcements().unwrap();
-    assert!(announcements.0["m"][&2] <= 111_000, "other instances rely on it");
-
-    // The same, read anew as the history of the metadata store is lost.
-    let mut suspended = replica();
-    suspended.confirm(at(10));
-    suspended.confirm(at(17));
-    let entries = [set("op/config", configuration(3), 1), order.clone()];
-    suspended.replace(at(17), revision(2), &entries);
-    let outdated_since = suspended.view("own").unwrap().weights["m"].outdated_since(1);
-    assert!(outdated_since.is_some_and(|since| since <= at(11)), "{outdated_since:?}");
+    let check = |suspended: &mut Replica, case: &str| {
+        let outdated_since = suspended.view("own").unwrap().weights["m"].outdated_since(1);
+        assert!(outdated_since.is_some_and(|since| since <= at(11)), "{case}: {outdated_since:?}");
+        suspended.set_server_clock(at(0), 100_000);
+        let (announcements, _) = suspended.unwritten_announcements().unwrap();
+        assert!(announcements.0["m"][&2] <= 111_000, "{case}: other instances rely on it");
+    };
+
+    let mut waiting = replica();
+    answer(&mut waiting, at(9), at(10));
+    answer(&mut waiting, at(10), at(11));
+    answer(&mut waiting, at(11), at(17));
+    waiting.apply(at(17), &order);
+    check(&mut waiting, "while a watch waits");
+
+    let mut pausing = replica();
+    answer(&mut pausing, at(10), at(11));
+    answer(&mut pausing, at(17), at(17));
+    pausing.apply(at(17), &order);
+    check(&mut pausing, "between two watches");
+
+    let mut reading = replica();
+    answer(&mut reading, at(10), at(11));
+    answer(&mut reading, at(11), at(17));
+    answer(&mut reading, at(17), at(17));
+    reading.apply(at(17), &order);
+    check(&mut reading, "with an unread answer");
+
+    let mut failing = replica();
+    answer(&mut failing, at(10), at(11));
+    failing.fail(at(17));
+    answer(&mut failing, at(17), at(17));
+    failing.apply(at(17), &order);
+    check(&mut failing, "with a connection that is lost meanwhile");
+
+    let mut listing = replica();
+    answer(&mut listing, at(10), at(11));
+    answer(&mut listing, at(17), at(17));
+    let entries = [set("op/config", configuration(3), 1), order];
+    listing.replace(at(17), revision(2), &entries);
+    check(&mut listing, "as the history of the metadata store is lost");
+}
+
+/// A slow answer is no suspension of more than its time.
+#[test]
+fn view_announcement_after_slow_answer() {
+    let mut replica = replica();
+    answer(&mut replica, at(10), at(11));
+    answer(&mut replica, at(11), at(14));
+    answer(&mut replica, at(14), at(15));
+    replica.apply(at(15), &set("op/version/m", json!({"model": "m", "version": 2}), 2));
+    let outdated_since = replica.view("own").unwrap().weights["m"].outdated_since(1);
+    assert_eq!(outdated_since, Some(at(11)));
+    answer(&mut replica, at(15), at(16));
+    replica.apply(at(16), &set("op/version/m", json!({"model": "m", "version": 3}), 3));
+    assert_eq!(replica.view("own").unwrap().weights["m"].outdated_since(2), Some(at(16)));
 }
 
 /// While the metadata store does not answer, nobody orders the weights, so that the time for which
