Pass requests on to instances with a slot at brittle upstreams

Callers saw: with more instances than slots at a service's brittle upstreams, an instance without a slot refused nearly all requests, while others had free slots.

Cause: the slots are divided among the instances, and a request could only use those of the instance it reached.

Change: such an instance passes a request on to one with a slot, as it does without a path; the ranks of the division tell which.

Ruled out: passing on to the least loaded instance, as with a lost path.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,4 +1,5 @@
-//! Passes requests on to another instance while this one has no path to the upstreams.
+//! Passes requests on to another instance while this one has no path to the upstreams, or no share
+//! of brittle ones.
 //!
 //! The other instance gets the caller's request as it is, on a connection of its own, and handles it
 //! like any caller's. Its answer is returned as it arrives. If the caller disconnects, the connection
--- a/crates/policy/src/gateway/brittle.rs
+++ b/crates/policy/src/gateway/brittle.rs
@@ -7,18 +7,24 @@
 //! slots are free, an instance may use more than its share, for as long as its share of the refusals
 //! allows for the case that it is mistaken.
 //!
+//! With more instances than slots, some have no share. Such an instance passes requests on to one
+//! that has, which is the same one each time and gets one at a time: few instances share a helper,
+//! so that it isn't overrun.
+//!
 //! [`Room`] is what refusals tell about the slots: after one, all instances assume no more room than
 //! there was, and more again as time passes.
 
+use std::cmp::Reverse;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::choice::{Chooser, RECHECK_INTERVAL};
-use super::configuration::{Role, Service};
-use super::gossip::{Note, ServerKey};
+use super::configuration::{Role, Service, ServiceName};
+use super::gossip::{Note, ServerKey, stable_hash};
 use super::machine::Gateway;
-use super::plan::Attempt;
+use super::plan::{Attempt, Plan, Step};
 use super::roster::{MemberKey, own_rank};
 use super::view::{Server, ServerId, View};
 use super::window::{Window, distributed};
@@ -37,6 +43,10 @@
 const BUSY_DIVISOR: u32 = 4;
 /// One in this number of slots is left free, and one more: new connections may hold slots briefly.
 const SPARE_DIVISOR: u32 = 16;
+/// Requests at a time that an instance without a share passes on to one that has.
+const MAX_PASSED: u32 = 1;
+/// Number of instances with a share that are considered.
+const MAX_HELPERS: usize = 3;
 
 /// Share of one instance of what a brittle upstream takes from all instances together.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -303,7 +313,46 @@
     }
 }
 
+/// The instances with a share of a service's brittle upstreams that one without a share passes
+/// requests on to, in order; none if this one has a share. `slots` is what the division continues
+/// over.
+fn helpers(view: &View, service: &ServiceName, slots: usize) -> Vec<SocketAddr> {
+    let rank = own_rank(view, service);
+    if slots == 0 || rank < slots {
+        return Vec::new();
+    }
+    let mut ranked: Vec<SocketAddr> = view.peers.iter().map(|peer| peer.address).collect();
+    ranked.sort_by_cached_key(|address| Reverse(stable_hash(&(*address, service))));
+    let turns = (0..MAX_HELPERS.min(slots)).map(|next| (rank % slots + next) % slots);
+    turns.filter_map(|turn| ranked.get(turn).copied()).collect()
+}
+
 impl Gateway {
+    /// Passes a request on to an instance with a share, if all upstreams of its service are brittle
+    /// and this one has a share of none.
+    pub(super) fn pass_to_slot(&mut self, now: Time, plan: &mut Plan) -> Option<Step> {
+        if plan.is_forwarded || plan.sends > 0 || plan.runs > 0 {
+            return None;
+        }
+        let slots = self.brittle_slots(now, &plan.service)?;
+        let view = self.view.clone()?;
+        let helpers = helpers(&view, &plan.service, slots as usize);
+        let is_able =
+            |helper: &SocketAddr| self.helpers.is_able(now, &plan.service, helper, &plan.peers);
+        let helper = helpers.into_iter().find(is_able)?;
+        let has_room = self.helpers.outstanding(&helper) < MAX_PASSED;
+        has_room.then(|| self.helpers.begin(plan, helper))
+    }
+
+    /// The slots of a service that are divided, if all its upstreams are brittle.
+    fn brittle_slots(&self, now: Time, service: &ServiceName) -> Option<u32> {
+        let slots = self.roster.of_service(service).iter().map(|key| {
+            let is_brittle = self.roster.tolerance(now, *key).is_some();
+            is_brittle.then(|| divisible(self.roster[*key].server.slots.max(1)))
+        });
+        slots.sum()
+    }
+
     /// Records a change of an upstream's limit on refusals that it stated to this instance.
     pub(super) fn tolerance_heard(&mut self, now: Time, server: &Server) {
         self.tolerance_changed(now, &server.id);
--- a/crates/policy/src/gateway/forward.rs
+++ b/crates/policy/src/gateway/forward.rs
@@ -3,6 +3,7 @@
 //! The other instance handles such a request as a caller's, but never passes it on again: if it has
 //! lost the path too, it refuses, and the next instance is asked. Instances tell each other which
 //! services they have lost; if all have, the upstreams have failed, and nothing is passed on.
+//! [`super::brittle`] passes requests on, too.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -93,17 +94,35 @@
         if asked.len() >= MAX_PEERS {
             return None;
         }
-        let key = service_key(service);
-        let is_able = |address: &SocketAddr| {
-            let lost = self.outages.get(address);
-            !asked.contains(address)
-                && lost.is_none_or(|(until, lost)| now >= *until || !lost.contains(&key))
-                && self.paused.get(address).is_none_or(|until| now >= *until)
-        };
+        let is_able = |address: &SocketAddr| self.is_able(now, service, address, asked);
         let able = peers.iter().map(|peer| peer.address).filter(is_able);
-        able.min_by_key(|address| {
-            (self.outstanding.get(address).copied().unwrap_or(0), rng.random::<u32>())
-        })
+        able.min_by_key(|address| (self.outstanding(address), rng.random::<u32>()))
+    }
+
+    /// Whether an instance may get a request that was passed on to those `asked` before.
+    pub(super) fn is_able(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        address: &SocketAddr,
+        asked: &[SocketAddr],
+    ) -> bool {
+        let (key, lost) = (service_key(service), self.outages.get(address));
+        !asked.contains(address)
+            && lost.is_none_or(|(until, lost)| now >= *until || !lost.contains(&key))
+            && self.paused.get(address).is_none_or(|until| now >= *until)
+    }
+
+    /// Number of requests that were passed on to an instance and have not ended.
+    pub(super) fn outstanding(&self, address: &SocketAddr) -> u32 {
+        self.outstanding.get(address).copied().unwrap_or(0)
+    }
+
+    /// Records that a request is passed on to an instance.
+    pub(super) fn begin(&mut self, plan: &mut Plan, peer: SocketAddr) -> Step {
+        plan.peers.push(peer);
+        *self.outstanding.entry(peer).or_default() += 1;
+        Step::Forward(peer)
     }
 
     fn end(&mut self, now: Time, peer: SocketAddr, passage: Passage) {
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -317,8 +317,11 @@
         match chooser.choose() {
             Candidate::Best(attempt) => self.send(now, plan, *attempt),
             Candidate::Full(after) => self.refuse(now, plan, Reason::QueueFull, Some(now + after)),
-            Candidate::Later(at) if at < plan.arrived + wait_limit(&plan.route) => Step::Wait(at),
-            Candidate::Later(at) => self.refuse(now, plan, Reason::Overloaded, Some(at)),
+            Candidate::Later(at) => match self.pass_to_slot(now, plan) {
+                Some(step) => step,
+                None if at < plan.arrived + wait_limit(&plan.route) => Step::Wait(at),
+                None => self.refuse(now, plan, Reason::Overloaded, Some(at)),
+            },
             Candidate::None => self.refuse(now, plan, Reason::NoUpstream, None),
         }
     }
--- a/crates/policy/tests/gateway_brittle.rs
+++ b/crates/policy/tests/gateway_brittle.rs
@@ -3,14 +3,21 @@
 mod gateway_crash;
 mod gateway_simulation;
 
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use acacia_policy::gateway::brittle::Share;
+use acacia_policy::gateway::forward::Passage;
+use acacia_policy::gateway::mesh::Peer;
+use acacia_policy::gateway::statement::Statement;
+use acacia_policy::gateway::{Notice, Step};
 use quickcheck::quickcheck;
 
 use gateway_crash::Site;
 use gateway_crash::brittle::{ROOM, WARNING};
 use gateway_crash::load::PlainLoad;
+use gateway_simulation::Simulation;
 
 /// Requests that a plain server runs at a time.
 const SLOTS: usize = 6;
@@ -24,6 +31,9 @@
 /// Time for which servers are brittle.
 const BRITTLE_TIME: Duration = Duration::from_secs(15);
 
+/// Instances of which most have no slot.
+const INSTANCES: u16 = 30;
+
 const fn seconds(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
 }
@@ -66,16 +76,20 @@
         let (falls, allowed) = (site.falls.len(), 2 + self.servers as usize / 10);
         let share = site.sound_share(since + WARNING, site.elapsed() - seconds(1));
         let refusals = site.refusals.iter().filter(|(at, _)| *at >= since + WARNING).count();
-        println!("{self:?}: {falls} falls, {refusals} refusals, {share:.3} served");
+        let passed = site.most_passed;
+        println!(
+            "{self:?}: {falls} falls, {refusals} refusals, {share:.3} served, {passed} passed"
+        );
         assert!(falls <= allowed, "{self:?}: {falls} falls, {allowed} allowed");
+        let slots = self.servers as usize * (SLOTS - 1);
+        let senders = self.gateways.saturating_sub(slots).div_ceil(slots);
+        assert!(falls > 0 || passed <= senders, "{self:?}: {passed} at a time at one helper");
         share
     }
 
-    /// The share of the requests that arrive at instances with a slot and that all slots can run.
+    /// The share of the requests that all slots can run.
     fn possible_share(self) -> f64 {
-        let slots = self.servers as usize * (SLOTS - 1);
-        let reached = (slots as f64 / self.gateways as f64).min(1.0);
-        reached.min(PLAIN_RATE * f64::from(self.servers) / self.load)
+        (PLAIN_RATE * f64::from(self.servers) / self.load).min(1.0)
     }
 
     fn pass(self, site: &mut Site, time: Duration) {
@@ -89,8 +103,7 @@
 }
 
 /// Plain servers that let hardly any request wait, under several times the requests that they can
-/// run; as many are served as half of their slots can run. With more instances than slots, some
-/// have none, and refuse what arrives there.
+/// run; as many are served as half of their slots can run, also with more instances than slots.
 #[test]
 fn next_keeps_refusals_of_all_instances_within_limit() {
     let few = [1, 3, 9].map(|gateways| (gateways, &[0, 1, 2, 5, 20][..], SLOTS));
@@ -106,6 +119,80 @@
     }
 }
 
+/// Regression: instances without a slot refused what arrived there, while others had free slots.
+#[test]
+fn next_passes_requests_on_to_instances_with_slots() {
+    for tolerance in [0, 5] {
+        let case = Case::plain(80, tolerance, SLOTS, LIGHT_LOAD);
+        let share = case.run();
+        assert!(share > 0.9, "{case:?}: {share} served");
+    }
+}
+
+/// One of several instances, at whose only plain server the slots are too few for all.
+fn instance(number: u16) -> Simulation {
+    let address = |number: u16| SocketAddr::from(([127, 0, 0, 1], 7_000 + number));
+    let mut simulation = Simulation::new(1);
+    simulation.change(|view, _| {
+        view.own_address = Some(address(number));
+        let others = (0..INSTANCES).filter(|other| *other != number);
+        let peer = |other| Peer { address: address(other), zone: "z1".into() };
+        view.peers = others.map(peer).collect();
+    });
+    let tolerance = Statement::Limited(0.0);
+    simulation.hear("s0", Notice { tolerance, ..Notice::default() });
+    simulation
+}
+
+/// The instances with a slot are those that the others pass requests on to, and each of these gets
+/// them from few.
+#[test]
+fn next_spreads_instances_without_slot_over_those_with_one() {
+    let (mut own, mut helpers) = (BTreeSet::new(), BTreeMap::<SocketAddr, u16>::new());
+    for number in 0..INSTANCES {
+        let mut simulation = instance(number);
+        let mut plan = simulation.admit("/read/", "key").unwrap();
+        match simulation.next(&mut plan) {
+            Step::Send(_) => {
+                own.extend(simulation.view().own_address);
+            }
+            Step::Forward(helper) => *helpers.entry(helper).or_default() += 1,
+            step => panic!("instance {number}: {step:?}"),
+        }
+    }
+    assert!(helpers.keys().all(|helper| own.contains(helper)), "{own:?} {helpers:?}");
+    let count = own.len() as u16;
+    let most = helpers.values().max().copied().unwrap();
+    assert!(most <= (INSTANCES - count).div_ceil(count), "{helpers:?}");
+}
+
+/// An instance that can't be reached is replaced; no other gets more than one request at a time, and
+/// none passes on what was passed on to it.
+#[test]
+fn next_passes_one_request_on_at_a_time() {
+    let forwards = |simulation: &mut Simulation| {
+        let mut plan = simulation.admit("/read/", "key").unwrap();
+        match simulation.next(&mut plan) {
+            Step::Forward(helper) => Some((plan, helper)),
+            _ => None,
+        }
+    };
+    let all = (0..INSTANCES).map(instance);
+    let mut without = all.filter_map(|mut simulation| {
+        let (plan, helper) = forwards(&mut simulation)?;
+        Some((simulation, plan, helper))
+    });
+    let (mut simulation, mut plan, first) = without.next().expect("some have no slot");
+    assert!(forwards(&mut simulation).is_none(), "one is on its way");
+    simulation.forwarded(&mut plan, first, Passage::Refused);
+    let Step::Forward(second) = simulation.next(&mut plan) else { panic!("there are others") };
+    assert_ne!(first, second);
+    simulation.forwarded(&mut plan, second, Passage::Answered);
+    assert!(forwards(&mut simulation).is_some_and(|(_, helper)| helper == second));
+    let mut forwarded = simulation.admit_forwarded("/read/", "app");
+    assert!(!matches!(simulation.next(&mut forwarded), Step::Forward(_) | Step::Send(_)));
+}
+
 /// A server with room is used.
 #[test]
 fn next_serves_requests_that_brittle_servers_have_room_for() {
@@ -140,6 +227,12 @@
     }
 }
 
+/// Helpers whose slots are not all there, under requests of their own and others'.
+#[test]
+fn next_learns_room_despite_requests_passed_on() {
+    Case::plain(80, 5, SLOTS / 2, OVERLOAD).run();
+}
+
 /// Servers that restart while their service is brittle are so from the start, before any answer says
 /// so.
 #[test]
--- a/crates/policy/tests/gateway_crash/mod.rs
+++ b/crates/policy/tests/gateway_crash/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod brittle;
 pub mod load;
+pub mod passage;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -25,6 +26,7 @@
 
 use super::gateway_simulation::{MODEL, terms, view};
 use brittle::Brittleness;
+use passage::Passed;
 
 /// Resolution of the simulation.
 const TICK: Duration = Duration::from_millis(5);
@@ -114,6 +116,8 @@
     pub arrivals: Vec<(Duration, ServerId)>,
     /// All requests.
     pub requests: Vec<Request>,
+    /// Most requests at a time that were passed on to one gateway.
+    pub most_passed: usize,
     /// When servers crashed, since the start.
     pub crashes: Vec<Duration>,
     /// When they crashed under a culprit.
@@ -122,6 +126,7 @@
     ticks: u64,
     view: View,
     flights: Vec<Flight>,
+    passed: Vec<Passed>,
     waiting: Vec<(Time, usize, usize, Plan)>,
     digests: Vec<(Time, usize, Digest)>,
     unlisting: Vec<(Time, ServerId)>,
@@ -157,12 +162,14 @@
             falls: Vec::new(),
             arrivals: Vec::new(),
             requests: Vec::new(),
+            most_passed: 0,
             crashes: Vec::new(),
             culprit_crashes: Vec::new(),
             now: START,
             ticks: 0,
             view: View { instances: gateways as u32, ..view(0) },
             flights: Vec::new(),
+            passed: Vec::new(),
             waiting: Vec::new(),
             digests: Vec::new(),
             unlisting: Vec::new(),
@@ -192,10 +199,10 @@
 
     /// The view of one gateway, in which it has an address of its own.
     fn view_of(&self, gateway: usize) -> View {
-        let address = |number: usize| ([127, 0, 1, 1], number as u16 + 1).into();
         let others = (0..self.view.instances as usize).filter(|other| *other != gateway);
-        let peers = others.map(|other| Peer { address: address(other), zone: "z1".into() });
-        View { own_address: Some(address(gateway)), peers: peers.collect(), ..self.view.clone() }
+        let peers = others.map(|other| Peer { address: Self::address(other), zone: "z1".into() });
+        let own_address = Some(Self::address(gateway));
+        View { own_address, peers: peers.collect(), ..self.view.clone() }
     }
 
     /// Time since the start.
@@ -367,10 +374,9 @@
                 assert!(at > self.now, "a wait ends later");
                 self.waiting.push((at, gateway, request, plan));
             }
-            Step::Forward(_) => unreachable!("no path is probed"),
+            Step::Forward(peer) => self.pass_on(gateway, request, plan, peer),
             Step::Refuse(refusal) => {
-                let outcome = Outcome::Refused(refusal.reason, refusal.verdict);
-                self.requests[request].outcome.get_or_insert(outcome);
+                self.finish(request, Outcome::Refused(refusal.reason, refusal.verdict));
             }
         }
     }
@@ -473,7 +479,7 @@
             gateway.began(self.now, &flight.plan, &mut flight.attempt);
             self.state_limit(flight.gateway, &flight.attempt);
         }
-        self.requests[flight.request].outcome.get_or_insert(Outcome::Served);
+        self.finish(flight.request, Outcome::Served);
         self.end(flight, Ending::Answered);
     }
 
@@ -504,7 +510,7 @@
             return;
         }
         if flight.has_begun {
-            self.requests[flight.request].outcome.get_or_insert(Outcome::BrokenOff);
+            self.finish(flight.request, Outcome::BrokenOff);
         } else {
             self.go_on(flight.gateway, flight.request, flight.plan);
         }
