Test that prompts after a suspension never begin on replaced weights

The only instance is suspended for 8 s in which newer weights are announced, and serves while it orders them.

--- a/crates/daemon/tests/platform/fixture.rs
+++ b/crates/daemon/tests/platform/fixture.rs
@@ -338,7 +338,8 @@
         self.signal(instance, "-HUP");
     }
 
-    fn signal(&self, instance: usize, signal: &str) {
+    /// Sends a signal to an instance.
+    pub fn signal(&self, instance: usize, signal: &str) {
         let id = self.instances[instance].process.lock().id().to_string();
         assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
     }
--- a/crates/daemon/tests/platform/weights.rs
+++ b/crates/daemon/tests/platform/weights.rs
@@ -75,3 +75,30 @@
     assert!(late.is_empty(), "{} prompts began on replaced weights", late.len());
     fixture.stop().await;
 }
+
+/// An instance is suspended while newer weights are announced, and serves on its own until it has
+/// ordered them.
+#[tokio::test(flavor = "multi_thread")]
+async fn prompt_after_suspension_never_begins_on_replaced_weights() {
+    let fixture = Fixture::start(1).await;
+    holder(&fixture).await;
+    fixture.send_prompt(0, "before").await;
+    fixture.signal(0, "-STOP");
+    let (key, value) = document::announcement(2);
+    fixture.store.put(&key, &value);
+    tokio::time::sleep(WEIGHTS_LIMIT).await;
+    fixture.signal(0, "-CONT");
+    // The answer of the metadata store is read.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let ids: Vec<String> = (0..30).map(|number| format!("late-{number}")).collect();
+    let prompts = ids.iter().enumerate().map(async |(number, id)| {
+        tokio::time::sleep(Duration::from_millis(100) * number as u32).await;
+        call(fixture.address(0), "POST", "/ask/", &fixture.prompt(id, number + 1), b"x").await
+    });
+    join_all(prompts).await;
+    eventually("all engines have the new weights", async || fixture.weights() == [2; 3]).await;
+    let seen = fixture.seen();
+    let late = seen.iter().filter(|seen| seen.id.starts_with("late") && seen.weights == "1");
+    assert_eq!(late.count(), 0, "prompts began on replaced weights");
+    fixture.stop().await;
+}
