Use the newer weights that an engine states when it rejects a prompt

While the metadata store does not answer one instance and another one orders newer weights, all prompts at the first are refused: engines answer 421 to the version that it knows, it takes them to have the weights of their entries still, and asks for these again until its retry budget is exhausted. Cause: the version that engines state with their answers was read and not used.

The version stated with a 421 is used now, if it is newer than the one asked for. A wrong one is corrected by the next 421, as before.

Evidence: prompt_uses_weights_that_engine_states failed before (503) and passes now, as does next_uses_newer_weights_that_engine_states; the tests of repeated refusals, limits and weights pass.

--- a/crates/daemon/tests/platform/raw.rs
+++ b/crates/daemon/tests/platform/raw.rs
@@ -46,6 +46,8 @@
     pub body: Bytes,
     /// Id of the event after which the stream is to resume.
     pub last_event: Option<u32>,
+    /// Version of the weights that it asks for; empty if it names none.
+    pub weights: String,
     /// Number of the connection on which it arrived.
     pub connection: u32,
 }
@@ -283,6 +285,7 @@
             prompt: field("x-prompt-prefix: ").unwrap_or_default().to_owned(),
             body: Bytes::copy_from_slice(&body[..length.min(body.len())]),
             last_event: field("last-event-id: ").and_then(|id| id.parse().ok()),
+            weights: field("x-expect-version: ").unwrap_or_default().to_owned(),
             connection,
         });
     }
--- a/crates/daemon/tests/platform/weights.rs
+++ b/crates/daemon/tests/platform/weights.rs
@@ -1,13 +1,16 @@
 //! Rollouts of weights while instances have lost the path to the upstreams.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use acacia_standin::cut::Cut;
 use acacia_standin::platform::document;
 use futures::future::join_all;
+use parking_lot::Mutex;
 use serde_json::Value;
 
 use crate::fixture::{Fixture, call, eventually};
+use crate::raw::{self, Answer, End};
 
 /// Bound on requests that begin on older weights, by the settings.
 const WEIGHTS_LIMIT: Duration = Duration::from_secs(8);
@@ -76,6 +79,41 @@
     fixture.stop().await;
 }
 
+/// An engine has weights that the instance does not know of, as if the metadata store did not answer
+/// this instance while another one ordered them.
+#[tokio::test(flavor = "multi_thread")]
+async fn prompt_uses_weights_that_engine_states() {
+    let fixture = Fixture::start(1).await;
+    fixture.unregister_engines();
+    let server_id = Arc::new(Mutex::new(String::new()));
+    let id = server_id.clone();
+    let raw = raw::Server::start(move |request| {
+        let bytes = if request.weights == "2" {
+            raw::head(request, "content-length: 15\r\n\r\nid: 1\ndata: x\n\n")
+        } else {
+            format!(
+                "HTTP/1.1 421 Misdirected Request\r\nx-request-id: {}\r\nx-instance-id: {}\r\n\
+                 x-not-executed: 1\r\nx-weight-versions: 2\r\ncontent-length: 0\r\n\r\n",
+                request.id,
+                id.lock()
+            )
+            .into_bytes()
+        };
+        Answer { bytes, end: End::Keep }
+    })
+    .await;
+    *server_id.lock() = raw.id.clone();
+    fixture.register(&raw, "llm");
+    let answer = fixture.answer_of(&raw, "/ask/").await;
+    assert_eq!(answer.status, 200);
+    for number in 0..PROMPTS {
+        assert_eq!(fixture.send_prompt(0, &format!("later-{number}")).await.status, 200);
+    }
+    let asked = raw.requests().iter().filter(|request| request.weights == "1").count();
+    assert_eq!(asked, 1, "it asks for the weights that the engine has");
+    fixture.stop().await;
+}
+
 /// An instance is suspended while newer weights are announced, and serves on its own until it has
 /// ordered them.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -348,15 +348,7 @@
     let (traffic, server) = (inflight.traffic.clone(), inflight.attempt.server.clone());
     let reply = Reply::read(head.status, &head.headers);
     if reply.is_from(&server.id) {
-        let (now, sent) = (traffic.now(), inflight.attempt.sent);
-        traffic.gateway.borrow_mut().heard(now, sent, &server, reply.notice);
-        traffic.report_limits();
-        if reply.is_limit_malformed && traffic.log_budget.admits(now, Kind::Failure) {
-            tracing::warn!(server = &*server.id, "ignored a malformed rate limit");
-        }
-        if reply.is_tolerance_malformed && traffic.log_budget.admits(now, Kind::Failure) {
-            tracing::warn!(server = &*server.id, "ignored a malformed limit on refusals");
-        }
+        record_statements(&traffic, &inflight.attempt, &reply);
     }
     let instance = reply.instance.map(str::to_owned);
     let is_stream = inflight.plan.borrow().route.repeat.is_stream();
@@ -391,6 +383,22 @@
     }
 }
 
+/// Records what an upstream states about itself in the head of its answer.
+fn record_statements(traffic: &Traffic, attempt: &Attempt, reply: &Reply<'_>) {
+    let (now, server) = (traffic.now(), &attempt.server);
+    traffic.gateway.borrow_mut().heard(now, attempt.sent, server, reply.notice);
+    traffic.report_limits();
+    if reply.is_limit_malformed && traffic.log_budget.admits(now, Kind::Failure) {
+        tracing::warn!(server = &*server.id, "ignored a malformed rate limit");
+    }
+    if reply.is_tolerance_malformed && traffic.log_budget.admits(now, Kind::Failure) {
+        tracing::warn!(server = &*server.id, "ignored a malformed limit on refusals");
+    }
+    if let (Meaning::Misdirected, Some(version)) = (reply.meaning, reply.weights) {
+        traffic.gateway.borrow_mut().weights_stated(attempt, version);
+    }
+}
+
 /// Sends the request and reads the head of its answer.
 async fn request_head(
     inflight: &mut Inflight,
--- a/crates/policy/src/gateway/outdated.rs
+++ b/crates/policy/src/gateway/outdated.rs
@@ -42,6 +42,15 @@
         Some(start_end(self.outdated_since(model, version)?, self.terms()))
     }
 
+    /// Records the weights that an engine stated when it rejected a request for others. An instance that
+    /// the metadata store does not answer learns of newer ones only so.
+    pub fn weights_stated(&mut self, attempt: &Attempt, version: WeightVersion) {
+        let Some(run) = attempt.engine.as_ref().filter(|run| run.weights < version) else { return };
+        if let Some(member) = self.roster.get_mut(&attempt.server.id) {
+            member.learn_weights(&run.model, version);
+        }
+    }
+
     /// Since when newer weights have been announced.
     fn outdated_since(&self, model: &ModelName, version: WeightVersion) -> Option<Time> {
         self.view()?.weights.get(model)?.outdated_since(version)
--- a/crates/policy/tests/gateway_machine.rs
+++ b/crates/policy/tests/gateway_machine.rs
@@ -244,6 +244,21 @@
     );
 }
 
+/// An instance that the metadata store does not answer does not know of an announcement, while another
+/// one orders the weights.
+#[test]
+fn next_uses_newer_weights_that_engine_states() {
+    let mut simulation = Simulation::new(1);
+    let mut plan = simulation.admit("/ask/", "key").unwrap();
+    for (asked, stated) in [(1, 3), (3, 2), (1, 2)] {
+        let attempt = simulation.send(&mut plan);
+        assert_eq!(attempt.engine.as_ref().unwrap().weights, asked);
+        simulation.misdirect(&mut plan, &attempt, stated);
+    }
+    let attempt = simulation.send(&mut plan);
+    assert_eq!(attempt.engine.as_ref().unwrap().weights, 2);
+}
+
 /// Regression, scale-1 of Actas: a quarter of the engines stopped responding, and each instance
 /// kept sending to them.
 #[test]
--- a/crates/policy/tests/gateway_simulation/mod.rs
+++ b/crates/policy/tests/gateway_simulation/mod.rs
@@ -18,7 +18,7 @@
 use acacia_policy::gateway::window::{ColdTerms, RetryTerms};
 use acacia_policy::gateway::{
     Attempt, Call, Configuration, Ending, Gateway, Notice, Part, Placement, Plan, Prompt, Refusal,
-    Server, Step, Terms, View,
+    Server, Step, Terms, View, WeightVersion,
 };
 use acacia_policy::kv::Revision;
 
@@ -156,6 +156,12 @@
         self.gateway.ended(self.now, plan, attempt, ending, instance);
     }
 
+    /// Ends an attempt at an engine that states other weights than those asked for.
+    pub fn misdirect(&mut self, plan: &mut Plan, attempt: &Attempt, stated: WeightVersion) {
+        self.gateway.weights_stated(attempt, stated);
+        self.end(plan, attempt, Ending::Misdirected);
+    }
+
     /// Records an attempt that failed without a byte of an answer, on a new connection.
     pub fn fail(&mut self, plan: &mut Plan, attempt: &Attempt, ending: Ending) {
         self.gateway.path_ended(self.now, plan, attempt, ending, false, true);
