Keep another answer out of an event that it cuts off

A server that cuts a stream without a length off inside an event, and writes another answer on the connection, had its head delivered to the caller: the cut line and the head form one event, which ends with the head's empty line. Callers found the head in their stream; one that could be resumed went on behind it, as the cut event had its id, and any other ended incomplete, or as complete if the other answer had no body. Only answers that begin an event were kept out.

A line with a protocol version and a status is part of another answer now, if that line or one behind it in the event is no field of an event. Answers of models that quote a head have it in `data` lines and pass. Not told apart: a head without any field behind a cut `data` line.

Evidence: push_other_answer_inside_event (a cut at each byte) and stream_followed_by_other_answer, which has a second form of the answer now, failed before and pass now; push_head_in_data passes with both.

--- a/crates/daemon/tests/platform/resumption.rs
+++ b/crates/daemon/tests/platform/resumption.rs
@@ -182,15 +182,16 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_followed_by_other_answer() {
     const OTHER: &str = "HTTP/1.1 500 Error\r\nx-request-id: r\r\n\r\nFOREIGN\n\n";
+    const CUT: &str = "id: 9\ndata: abcHTTP/1.1 500 Error\r\nx-request-id: r\r\n\r\nFOREIGN\n\n";
     let fixture = Fixture::start(1).await;
     fixture.unregister_engines();
     let rest = "x-response-seal: s\r\ncontent-type: text/event-stream\r\ncontent-length: 0\r\n";
     let rest = form("200 OK", rest, "");
-    let respond = move |request: &Request| match request.last_event {
-        Some(8) => rest.answer(request),
-        _ => until_close(request, 8, OTHER),
-    };
-    for path in ["/ask/", "/long/"] {
+    for (path, other) in [("/ask/", OTHER), ("/long/", OTHER), ("/ask/", CUT), ("/long/", CUT)] {
+        let respond = move |request: &Request| match request.last_event {
+            Some(8) => rest.answer(request),
+            _ => until_close(request, 8, other),
+        };
         let servers = [raw::Server::start(respond).await, raw::Server::start(respond).await];
         servers.iter().for_each(|server| fixture.register(server, "llm"));
         let mut answer = None;
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -3,13 +3,18 @@
 //! A body without a length or chunks ends with its connection, which an upstream that fails closes
 //! like one that is done. The events then decide: a stream that ends inside an event, or before its
 //! first one, is broken off. A stream that ends inside an event is broken off with any framing.
-//! Another answer that follows the events is part of such a body, too, but not of the stream.
+//! Another answer that follows the events, or the part of one that was cut off, belongs to such a body,
+//! too, but not to the stream.
 
 use acacia_connection::Framing;
 use bytes::{Bytes, BytesMut};
 
 /// Start of another answer's head. No event begins so.
 const HEAD_START: &[u8] = b"HTTP/1.";
+/// Bytes of the start of a head up to its status.
+const STATUS_BYTES: usize = 12;
+/// Names of the fields of an event; a comment has none.
+const FIELDS: [&[u8]; 5] = [b"", b"data", b"event", b"id", b"retry"];
 /// Size limit of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
@@ -115,7 +120,7 @@
             let end = start + first_end(&events[start..]).unwrap_or(events.len() - start);
             let event = events.slice(start..end);
             start = end;
-            self.is_overrun |= event.trim_ascii_start().starts_with(HEAD_START);
+            self.is_overrun |= has_head(&event);
             if self.is_overrun {
                 dropped = true;
                 break;
@@ -137,6 +142,28 @@
     }
 }
 
+/// Whether an event begins with the head of another answer, or is cut off by one. An event may be about
+/// a head, but then its lines are fields.
+fn has_head(event: &[u8]) -> bool {
+    if event.trim_ascii_start().starts_with(HEAD_START) {
+        return true;
+    }
+    let mut lines = event.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii);
+    let status = lines.by_ref().find(|line| line.windows(STATUS_BYTES).any(is_status));
+    let mut rest = lines.filter(|line| !line.is_empty());
+    status.is_some_and(|status| !is_field(status) || rest.any(|line| !is_field(line)))
+}
+
+/// Whether a line begins with the protocol's version and a status.
+fn is_status(line: &[u8]) -> bool {
+    let Some([minor, b' ', status @ ..]) = line.strip_prefix(HEAD_START) else { return false };
+    minor.is_ascii_digit() && status.iter().all(u8::is_ascii_digit)
+}
+
+fn is_field(line: &[u8]) -> bool {
+    line.split(|byte| *byte == b':').next().is_some_and(|name| FIELDS.contains(&name))
+}
+
 /// Whether an id follows another. Ids that aren't numbers are assumed to be in order.
 fn is_after(id: &[u8], last: &[u8]) -> bool {
     let number = |bytes| std::str::from_utf8(bytes).ok()?.parse::<u64>().ok();
--- a/crates/gateway/tests/event.rs
+++ b/crates/gateway/tests/event.rs
@@ -68,6 +68,39 @@
     assert_eq!(push(&mut splitter, text), text, "an event may be about an answer");
 }
 
+/// An upstream cuts its stream off inside an event, and writes another answer behind it.
+#[test]
+fn push_other_answer_inside_event() {
+    let head = "HTTP/1.1 500 Error\r\nx-request-id: r\r\ncontent-length: 0\r\n\r\n";
+    let event = "id: 2\ndata: abc\n";
+    for cut in 1..=event.len() {
+        for chunk in [1, 7, 100] {
+            let mut splitter = Splitter::default();
+            let text = format!("id: 1\ndata: x\n\n{}{head}", &event[..cut]);
+            let chunks = text.as_bytes().chunks(chunk);
+            let pushed: String = chunks
+                .map(|part| push(&mut splitter, std::str::from_utf8(part).unwrap()))
+                .collect();
+            assert_eq!(pushed, "id: 1\ndata: x\n\n", "{text:?}");
+            assert!(matches!(splitter.end(Framing::Close), End::BrokenOff { .. }), "{text:?}");
+        }
+    }
+}
+
+/// Answers of models contain heads, too.
+#[test]
+fn push_head_in_data() {
+    for text in [
+        "id: 1\ndata: HTTP/1.1 200 OK\ndata: content-length: 0\n\n",
+        "data: GET / HTTP/1.1 404 Not\nid: 1\n\n",
+        "x-weight-versions: 2\ndata: HTTP/1.0 200 OK\n:comment\nretry: 5\nevent: x\n\n",
+    ] {
+        let mut splitter = Splitter::default();
+        assert_eq!(push(&mut splitter, text), text);
+        assert_eq!(splitter.end(Framing::Close), End::Whole(Bytes::new()));
+    }
+}
+
 #[test]
 fn end_incomplete_event() {
     for framing in [Framing::Close, Framing::Chunked, Framing::Length(20)] {
