Ask for more probes before a path that was lost again counts as regained

What callers saw: at an instance whose connections are reset, 68 of 90 requests were served while its processes were short of processor time, at the others 90 of 90.

Cause: a probe proves a lost path if one connection stays open for 30 ms. A peer that resets connections late, here a busy proxy, lets some probes succeed. The path was regained and lost again up to eleven times in nine seconds; each time requests were sent on it and broke, which also marks these requests as suspected of crashes, at all instances.

Ruled out: a limit on descriptors (20,000; 620 in use), and a path that others lost (they logged no change of a path).

Change: if a path that probes have proven is lost again before a request was answered on a new connection, two probes in a row must succeed the next time, then four (one second). Meanwhile requests are passed on as before.

The test in gateway_reach fails before ([1, 1, 1, 1] probes). Soak not run yet.

--- a/crates/policy/src/gateway/reach.rs
+++ b/crates/policy/src/gateway/reach.rs
@@ -6,6 +6,9 @@
 //! If none accepts it, the path is lost, and probes go on until one does. Bytes on an older connection
 //! prove nothing about new ones, as these may be refused while older connections live on.
 //!
+//! What resets connections may be slow, so that the connection of a probe stays open for a while. If the
+//! path is lost again before a request was answered, more probes in a row must succeed.
+//!
 //! Connections may also be accepted by something in between, which resets them or lets nothing
 //! through. So the path is also lost if several new connections break before an answer, or after a
 //! longer silence; then only an answer proves it again, and a request is tried from time to time. As
@@ -47,6 +50,8 @@
 const PATIENCE_TARGETS: u32 = 2;
 /// Minimum wait for the answer to such a request, as a sound upstream may be silent for a second or so.
 const TRIAL_PATIENCE: Duration = Duration::from_secs(2);
+/// Limit on the relapses that are counted; each doubles the number of probes that prove the path.
+const MAX_RELAPSES: u32 = 2;
 /// Number of different upstreams that are silent, or whose new connections break, before the path is
 /// taken to be the cause.
 const SEVERAL_UPSTREAMS: usize = 2;
@@ -107,6 +112,12 @@
     is_probing: bool,
     /// When a probe last proved the path.
     proven: Option<Time>,
+    /// When probes last ended a loss, if no request has been answered since.
+    regained: Option<Time>,
+    /// Losses in a row that probes ended and that began again before an answer.
+    relapses: u32,
+    /// Probes of the lost path in a row that succeeded.
+    open_probes: u32,
     /// When a request was last sent on the path though it was lost.
     tried: Option<Time>,
 }
@@ -165,6 +176,10 @@
         if is_new {
             path.failed.clear();
         }
+        if is_proof || (is_new && path.regained.is_some_and(|at| sent >= at)) {
+            path.regained = None;
+            path.relapses = 0;
+        }
         if is_proof {
             self.regain(now, service);
         }
@@ -278,9 +293,16 @@
                 path.proven = Some(now);
             }
             State::Suspect { .. } => self.lose(now, service, Cause::Connect),
-            State::Lost { cause: Cause::Connect, .. } if is_open => self.regain(now, service),
+            State::Lost { cause: Cause::Connect, .. } if is_open => {
+                path.open_probes += 1;
+                if path.open_probes >= 1 << path.relapses {
+                    path.regained = Some(now);
+                    self.regain(now, service);
+                }
+            }
             // Nothing shows any more that connections are accepted.
             State::Lost { since, .. } if !is_open => {
+                path.open_probes = 0;
                 path.state = State::Lost { since, cause: Cause::Connect };
             }
             State::Lost { .. } | State::Open => {}
@@ -366,6 +388,10 @@
             State::Open | State::Lost { .. } => now,
         };
         path.state = State::Lost { since: now, cause };
+        path.open_probes = 0;
+        if path.regained.take().is_some() {
+            path.relapses = (path.relapses + 1).min(MAX_RELAPSES);
+        }
         self.changes.push(path.change(now, service, Some(cause), since));
         // The other services may be cut off by the same fault.
         for path in self.paths.values_mut() {
--- a/crates/policy/tests/gateway_reach.rs
+++ b/crates/policy/tests/gateway_reach.rs
@@ -207,6 +207,30 @@
     assert_eq!(states, [true, false]);
 }
 
+/// Regression: beside load, connections stayed open during a probe and were reset afterwards; the path
+/// was regained and lost again several times a second, and requests broke each time.
+#[test]
+fn probed_needs_more_proofs_after_relapse() {
+    let mut rig = Rig::new(false, millis(30));
+    // Loses the path and returns the number of probes after which it is regained.
+    let probes = |rig: &mut Rig| {
+        rig.accepts = false;
+        rig.fail(1);
+        rig.pass(millis(400));
+        assert!(rig.is_lost());
+        rig.accepts = true;
+        let begun = rig.probes - u32::from(rig.probe.is_some());
+        while rig.is_lost() {
+            rig.pass(TICK);
+        }
+        rig.probes - begun
+    };
+    assert_eq!([(); 4].map(|()| probes(&mut rig)), [1, 2, 4, 4]);
+    let sent = rig.send(2);
+    rig.reach.heard(rig.now, &rig.service, 2, sent, true);
+    assert_eq!(probes(&mut rig), 1, "an answer proved the path");
+}
+
 #[test]
 fn due_probes_other_services_after_loss() {
     let mut rig = Rig::new(false, millis(0));
