Tell a crash only once the path to the upstreams is known to be there

A crash that happens while the path is suspected, or no upstream accepts connections, now counts for this instance at once, but the others are told only when a probe has proved the path, when the upstream is listed no more, or as another incarnation. It is dropped when the upstream answers, or is still listed 5 s later while the metadata store answers. Losses where connections are accepted are told as before.

--- a/crates/policy/src/gateway/evidence.rs
+++ b/crates/policy/src/gateway/evidence.rs
@@ -1,10 +1,16 @@
 //! What attempts tell about the suspects and the streams of their requests.
 
+use std::time::Duration;
+
 use super::machine::Gateway;
 use super::plan::{Attempt, Ending, Plan, Reason};
-use super::quarantine::{Cause, Finding};
+use super::quarantine::{Cause, Finding, Settlement};
 use crate::Time;
 
+/// Time after a crash by which the upstream is no longer listed. Its entry lapses after some
+/// heartbeats, which are about a second apart.
+const LISTING_TIME: Duration = Duration::from_secs(5);
+
 impl Gateway {
     /// Records what the end of an attempt tells about the request's suspects and stream.
     pub(super) fn record_evidence(
@@ -27,7 +33,12 @@
             }
             Ending::Broken if attempt.began.is_none() => {
                 plan.crashed = true;
-                self.quarantine.crashed(now, subjects, server, sent);
+                if self.reach.is_suspect(&plan.service) || self.reach.is_unreachable(&plan.service)
+                {
+                    self.quarantine.maybe_crashed(now, subjects, server, sent);
+                } else {
+                    self.quarantine.crashed(now, subjects, server, sent);
+                }
             }
             _ => {}
         }
@@ -36,6 +47,22 @@
         }
     }
 
+    /// Decides on crashes that a lost path may explain.
+    pub(super) fn settle_evidence(&mut self, now: Time) {
+        let (reach, roster) = (&self.reach, &self.roster);
+        let is_current = self.view.as_ref().is_some_and(|view| view.unavailable_since.is_none());
+        self.quarantine.settle(now, |crash| {
+            let listed = roster.by_server_key(crash.server).map(|key| roster[key].server.born);
+            if listed != Some(crash.born) || !reach.explains_break(crash.service, crash.at) {
+                Settlement::Crashed
+            } else if is_current && now >= crash.at + LISTING_TIME {
+                Settlement::Alive
+            } else {
+                Settlement::Open
+            }
+        });
+    }
+
     /// Changes in the restrictions on parts of prompts and on requests since the last call.
     pub fn take_findings(&mut self) -> Vec<Finding> {
         self.quarantine.take_findings()
--- a/crates/policy/src/gateway/path.rs
+++ b/crates/policy/src/gateway/path.rs
@@ -86,7 +86,8 @@
         self.observe_losses(now);
     }
 
-    /// Takes back what was concluded about upstreams from failures that a lost path caused.
+    /// Takes back what was concluded about upstreams from failures that a lost path caused, and tells
+    /// what it did not cause.
     fn observe_losses(&mut self, now: Time) {
         for change in self.reach.take_changes() {
             if change.lost == Some(Cause::Connect) {
@@ -97,6 +98,7 @@
             self.mark_outage_changed();
             self.path_changes.push(change);
         }
+        self.settle_evidence(now);
     }
 
     /// Paths that were lost or regained since the last call.
--- a/crates/policy/src/gateway/quarantine/mod.rs
+++ b/crates/policy/src/gateway/quarantine/mod.rs
@@ -8,6 +8,10 @@
 //! that was sent again in between. An instance that knows an answer contradicts a report of crashes;
 //! a report of one crash is contradicted by a share of them only.
 //!
+//! An exchange may also break because this instance loses the path to all upstreams. While that is
+//! in doubt, a crash counts for this instance only. The others are told once the path turns out to be
+//! there, or the upstream is listed no more, or as another incarnation.
+//!
 //! One crash restricts nothing. From [`TRIAL_COUNT`] crashes on, requests with the suspect are tried
 //! one at a time by all instances together: an instance announces its claim to the next trial and
 //! sends the request once no other has claimed it first. From [`HOLD_COUNT`] on, requests with the
@@ -34,6 +38,7 @@
 
 use self::gate::{Restriction, TRIAL_SPAN};
 use self::suspect::{CRASH_LIMIT, Crash, HOLD_COUNT, Stage, Suspect, TRIAL_COUNT, Trial, millis};
+use super::configuration::ServiceName;
 use super::gossip::{Note, ServerKey, server_key};
 use super::view::{Server, ServerId};
 use crate::Time;
@@ -56,6 +61,30 @@
 /// Hash of a model and a part's name, or of a request, equal on all instances.
 pub type SuspectKey = u64;
 
+/// A crash of which the other instances aren't told yet.
+#[derive(Clone, Copy, Debug)]
+pub struct Withheld<'a> {
+    /// The service of the upstream.
+    pub service: &'a ServiceName,
+    /// The upstream.
+    pub server: ServerKey,
+    /// Start of its incarnation.
+    pub born: Option<u64>,
+    /// When the exchange broke.
+    pub at: Time,
+}
+
+/// What becomes of a crash that a lost path may explain.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Settlement {
+    /// It isn't known yet whether it was one.
+    Open,
+    /// It was a crash.
+    Crashed,
+    /// The upstream goes on running.
+    Alive,
+}
+
 /// Restrictions on parts of prompts and on requests.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -68,6 +97,8 @@
     alive: FxHashMap<(ServerKey, u64), Time>,
     notes: Vec<Note>,
     findings: Vec<Finding>,
+    /// Whether some crashes may be withheld.
+    withholds: bool,
 }
 
 impl Quarantine {
@@ -136,10 +167,28 @@
 
     /// Records that an upstream crashed before it began to answer a request sent at `sent`.
     pub fn crashed(&mut self, now: Time, subjects: &Subjects, server: &Server, sent: Time) {
+        self.record_crash(now, subjects, server, sent, false);
+    }
+
+    /// The same while the path to the upstream may be lost; [`Self::settle`] decides.
+    pub fn maybe_crashed(&mut self, now: Time, subjects: &Subjects, server: &Server, sent: Time) {
+        self.withholds = true;
+        self.record_crash(now, subjects, server, sent, true);
+    }
+
+    fn record_crash(
+        &mut self,
+        now: Time,
+        subjects: &Subjects,
+        server: &Server,
+        sent: Time,
+        is_withheld: bool,
+    ) {
         let (key, born) = (server_key(&server.id), server.born);
         for subject in subjects.iter() {
             let (id, ran) = (Some(server.id.clone()), Some(now.saturating_sub(sent)));
-            let crash = Crash { server: key, born, at: now, ran, id };
+            let withheld = is_withheld.then(|| server.service.clone());
+            let crash = Crash { server: key, born, at: now, ran, id, withheld };
             let kind = subject.cause.kind();
             if self.is_refuted(subject.key, now)
                 || self.is_alive(&crash)
@@ -152,12 +201,44 @@
                     suspect.id.get_or_insert_with(|| id.clone());
                 }
                 let suspicion = suspicion(subject.key, suspect, now);
-                self.note(Note::Suspected(suspicion));
+                if !is_withheld {
+                    self.note(Note::Suspected(suspicion));
+                }
             }
             self.report(now, subject.key);
         }
     }
 
+    /// Decides on the withheld crashes. The other instances are told those that were some.
+    pub fn settle(&mut self, now: Time, decide: impl Fn(Withheld<'_>) -> Settlement) {
+        if !std::mem::take(&mut self.withholds) {
+            return;
+        }
+        let (mut suspicions, mut refuted) = (Vec::new(), Vec::new());
+        for (key, suspect) in &mut self.suspects {
+            let mut is_news = false;
+            for crash in &mut suspect.crashes {
+                let Some(service) = &crash.withheld else { continue };
+                let &mut Crash { server, born, at, .. } = crash;
+                match decide(Withheld { service, server, born, at }) {
+                    Settlement::Open => self.withholds = true,
+                    Settlement::Alive => refuted.push((*key, crash.clone())),
+                    Settlement::Crashed => {
+                        crash.withheld = None;
+                        is_news = true;
+                    }
+                }
+            }
+            if is_news {
+                suspicions.push(suspicion(*key, suspect, now));
+            }
+        }
+        suspicions.into_iter().for_each(|suspicion| self.note(Note::Suspected(suspicion)));
+        for (key, crash) in refuted {
+            self.retract(now, key, |known| known.is_same(&crash));
+        }
+    }
+
     /// Records that an upstream answered a request that was sent at `sent`, or that an engine began
     /// to.
     pub fn answered(&mut self, now: Time, subjects: &Subjects, server: &Server, sent: Time) {
@@ -184,7 +265,7 @@
             let Sighting { server, born, age_ms, ran_ms } = *sighting;
             let at = now.saturating_sub(Duration::from_millis(age_ms.into()));
             let ran = ran_ms.map(|ran| Duration::from_millis(ran.into()));
-            let crash = Crash { server, born, at, ran, id: id(server) };
+            let crash = Crash { server, born, at, ran, id: id(server), withheld: None };
             if self.is_refuted(key, at) {
                 // Many instances know an answer on a frequent suspect, and one crash restricts nothing.
                 if responds || suspicion.crashes.len() >= TRIAL_COUNT as usize {
@@ -228,7 +309,9 @@
     /// The suspects that restrict requests, the worst ones first, which make up for lost notes.
     pub fn suspicions(&mut self, now: Time) -> Vec<Note> {
         self.expire(now);
-        let is_restricted = |(_, suspect): &(_, &Suspect)| suspect.count() >= TRIAL_COUNT;
+        let is_restricted = |(_, suspect): &(_, &Suspect)| {
+            suspect.count() >= TRIAL_COUNT && suspect.told().count() >= TRIAL_COUNT
+        };
         let mut suspects: Vec<_> = self.suspects.iter().filter(is_restricted).collect();
         suspects.sort_by_key(|(key, suspect)| (std::cmp::Reverse(suspect.rank()), **key));
         let notes = suspects
@@ -436,7 +519,7 @@
 /// The crashes of a suspect, as instances tell each other.
 fn suspicion(key: SuspectKey, suspect: &Suspect, now: Time) -> Suspicion {
     let is_request = suspect.kind == Kind::Request;
-    Suspicion { key, crashes: suspect.sightings(now), is_request }
+    Suspicion { key, crashes: suspect.told().sightings(now), is_request }
 }
 
 /// Drops the older half of a map of answers that is full.
--- a/crates/policy/src/gateway/quarantine/suspect.rs
+++ b/crates/policy/src/gateway/quarantine/suspect.rs
@@ -5,6 +5,7 @@
 use super::{Kind, Sighting};
 use crate::Time;
 use crate::gateway::call::PartId;
+use crate::gateway::configuration::ServiceName;
 use crate::gateway::gossip::ServerKey;
 use crate::gateway::view::ServerId;
 
@@ -52,6 +53,8 @@
     /// Time from the send of the request to the crash, if it is known.
     pub ran: Option<Duration>,
     pub id: Option<ServerId>,
+    /// The service of the upstream, if the other instances aren't told yet.
+    pub withheld: Option<ServiceName>,
 }
 
 /// A trial of a suspect, or the claim to it.
@@ -94,6 +97,7 @@
         if let Some(known) = self.crashes.iter_mut().find(|known| known.is_same(&crash)) {
             known.at = known.at.min(crash.at);
             known.ran = known.ran.into_iter().chain(crash.ran).min();
+            known.withheld = known.withheld.take().filter(|_| crash.withheld.is_some());
             self.crashes.sort_by_key(|crash| crash.at);
             return false;
         }
@@ -119,6 +123,13 @@
         self.crashes.remove(at);
     }
 
+    /// What the other instances are told: the suspect without the crashes that are withheld.
+    pub fn told(&self) -> Self {
+        let mut told = self.clone();
+        told.crashes.retain(|crash| crash.withheld.is_none());
+        told
+    }
+
     /// Its crashes, as instances tell each other.
     pub fn sightings(&self, now: Time) -> Vec<Sighting> {
         let sighting = |crash: &Crash| Sighting {
--- a/crates/policy/src/gateway/reach.rs
+++ b/crates/policy/src/gateway/reach.rs
@@ -118,6 +118,8 @@
     relapses: u32,
     /// Probes of the lost path in a row that succeeded.
     open_probes: u32,
+    /// Until when no upstream accepted connections.
+    unreachable_until: Option<Time>,
     /// When a request was last sent on the path though it was lost.
     tried: Option<Time>,
 }
@@ -326,6 +328,15 @@
         path.is_some_and(|path| matches!(path.state, State::Lost { cause: Cause::Connect, .. }))
     }
 
+    /// Whether an exchange may have broken at a time because the path to a service was lost, and not
+    /// because its upstream crashed.
+    pub fn explains_break(&self, service: &ServiceName, broke: Time) -> bool {
+        let until = self.paths.get(service).and_then(|path| path.unreachable_until);
+        self.is_suspect(service)
+            || self.is_unreachable(service)
+            || until.is_some_and(|until| broke <= until)
+    }
+
     /// Whether a probe will soon tell whether the path to a service is lost.
     pub fn is_suspect(&self, service: &ServiceName) -> bool {
         let path = self.paths.get(service);
@@ -402,8 +413,11 @@
     fn regain(&mut self, now: Time, service: &ServiceName) {
         let Some(path) = self.paths.get_mut(service) else { return };
         let before = std::mem::take(&mut path.state);
-        if let State::Lost { since, .. } = before {
+        if let State::Lost { since, cause } = before {
             self.changes.push(path.change(now, service, None, since));
+            if cause == Cause::Connect {
+                path.unreachable_until = Some(now);
+            }
         }
         path.failed.clear();
         path.broken.clear();
