Pass on a request whose crashes a lost path may explain

A request whose exchange broke as its instance lost the path was refused as broken (502) if another exchange of it had broken in the same way a moment before: crashes under it restricted it, although nobody knew whether they were crashes.

While only crashes that the others aren't told restrict such a request, it waits for the probe; if no upstream accepts connections, it is passed on, and the instance that reaches the upstreams decides by what all know. If the others know of several crashes, it is refused as before.

A request that was not sent yet was never refused as held here before it was passed on (by reading: the path comes before the gate).

next_passes_request_on_whose_crashes_are_in_doubt fails without the change.

--- a/crates/policy/src/gateway/evidence.rs
+++ b/crates/policy/src/gateway/evidence.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use super::forward::PROBE_WAIT;
 use super::machine::Gateway;
-use super::plan::{Attempt, Ending, Plan, Reason};
+use super::plan::{Attempt, Ending, Plan, Reason, Step};
 use super::quarantine::{Cause, Finding, Settlement};
 use crate::Time;
 
@@ -47,6 +48,25 @@
         }
     }
 
+    /// The step of a request under which an upstream crashed, if it isn't sent to another one.
+    pub(super) fn crash_step(&mut self, now: Time, plan: &mut Plan) -> Option<Step> {
+        if !plan.crashed || !self.quarantine.is_restricted(&plan.subjects) {
+            return None;
+        }
+        let is_certain = self.quarantine.is_restricted_for_all(&plan.subjects);
+        let step = if is_certain {
+            None
+        } else if self.reach.is_suspect(&plan.service) {
+            Some(Step::Wait(now + PROBE_WAIT))
+        } else if self.reach.is_unreachable(&plan.service) {
+            // The instance that reaches the upstreams decides.
+            self.path_step(now, plan)
+        } else {
+            None
+        };
+        Some(step.unwrap_or_else(|| self.refuse(now, plan, Reason::Broken, None)))
+    }
+
     /// Decides on crashes that a lost path may explain.
     pub(super) fn settle_evidence(&mut self, now: Time) {
         let (reach, roster) = (&self.reach, &self.roster);
--- a/crates/policy/src/gateway/forward.rs
+++ b/crates/policy/src/gateway/forward.rs
@@ -30,7 +30,7 @@
 /// Services in one statement, so that it fits a datagram.
 const MAX_SERVICES: usize = 64;
 /// Time after which a request is considered again whose path is being probed.
-const PROBE_WAIT: Duration = Duration::from_millis(20);
+pub(super) const PROBE_WAIT: Duration = Duration::from_millis(20);
 
 /// Hash of a service's name, equal on all instances.
 pub type ServiceKey = u64;
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -296,8 +296,8 @@
         if !plan.may_run_again() {
             return self.refuse(now, plan, Reason::Broken, None);
         }
-        if plan.crashed && self.quarantine.is_restricted(&plan.subjects) {
-            return self.refuse(now, plan, Reason::Broken, None);
+        if let Some(step) = self.crash_step(now, plan) {
+            return step;
         }
         if let Some(step) = self.path_step(now, plan) {
             return step;
--- a/crates/policy/src/gateway/quarantine/mod.rs
+++ b/crates/policy/src/gateway/quarantine/mod.rs
@@ -141,6 +141,14 @@
         !self.suspects.is_empty() && subjects.keys().any(is_restricted)
     }
 
+    /// The same by the crashes that the other instances were told.
+    pub fn is_restricted_for_all(&self, subjects: &Subjects) -> bool {
+        let is_restricted = |key: SuspectKey| {
+            self.suspects.get(&key).is_some_and(|suspect| suspect.told().count() >= TRIAL_COUNT)
+        };
+        subjects.keys().any(is_restricted)
+    }
+
     /// Records that a trial is sent.
     pub fn sent(&mut self, now: Time, subjects: &Subjects) {
         if self.suspects.is_empty() {
--- a/crates/policy/tests/gateway_evidence.rs
+++ b/crates/policy/tests/gateway_evidence.rs
@@ -215,3 +215,41 @@
     simulation.probe(false);
     assert_eq!(told(&mut simulation), 2);
 }
+
+/// Two exchanges of one request break; the second one's caller is served by the instance that
+/// reaches the upstreams.
+#[test]
+fn next_passes_request_on_whose_crashes_are_in_doubt() {
+    let mut simulation = simulation();
+    let mut plan = admit(&mut simulation, "/read/");
+    let attempt = simulation.send(&mut plan);
+    break_one(&mut simulation, "/read/");
+    simulation.pass(millis(200));
+    simulation.fail(&mut plan, &attempt, Ending::Broken);
+    let step = simulation.next(&mut plan);
+    assert!(matches!(step, Step::Wait(_)), "a probe will tell: {step:?}");
+    simulation.probe(false);
+    let step = simulation.next(&mut plan);
+    assert!(matches!(step, Step::Forward(_)), "{step:?}");
+}
+
+/// The same, but the upstreams did crash.
+#[test]
+fn next_refuses_request_that_crashed_several_upstreams() {
+    for is_restart_seen in [false, true] {
+        let mut simulation = simulation();
+        let mut plan = admit(&mut simulation, "/read/");
+        let attempt = simulation.send(&mut plan);
+        let (_, other) = break_one(&mut simulation, "/read/");
+        simulation.pass(millis(200));
+        simulation.fail(&mut plan, &attempt, Ending::Broken);
+        if is_restart_seen {
+            for id in [&attempt.server.id, &other.server.id] {
+                restart(&mut simulation, id);
+            }
+        }
+        simulation.probe(!is_restart_seen);
+        let Step::Refuse(refusal) = simulation.next(&mut plan) else { panic!("sent again") };
+        assert_eq!(refusal.reason, Reason::Broken);
+    }
+}
