Refuse requests at once that no instance can serve

While all instances had lost the path to a service, each of them went on trying its requests: callers waited for connections that fail (250 ms each) and were refused or failed late, and resets of such attempts counted as crashes under sound requests.

If no upstream accepts connections here and all other instances say that they have lost the path too, a request is now refused at once, with 250 to 500 ms in Retry-After if it has not run. Probes every 250 ms notice when upstreams accept connections again; an upstream that is newly listed is probed for at once. An instance without others goes on trying, as a probe asks three upstreams only, and so does one whose connections are accepted.

The new tests next_refuses_at_once_while_all_have_lost_path and observe_probes_lost_path_to_new_upstream fail without the change.

--- a/crates/policy/src/gateway/forward.rs
+++ b/crates/policy/src/gateway/forward.rs
@@ -2,7 +2,8 @@
 //!
 //! The other instance handles such a request as a caller's, but never passes it on again: if it has
 //! lost the path too, it refuses, and the next instance is asked. Instances tell each other which
-//! services they have lost; if all have, the upstreams have failed, and nothing is passed on.
+//! services they have lost; if all have, the upstreams have failed, and requests are refused until one
+//! accepts a connection.
 //! [`super::brittle`] passes requests on, too.
 
 use std::net::SocketAddr;
@@ -107,9 +108,8 @@
         address: &SocketAddr,
         asked: &[SocketAddr],
     ) -> bool {
-        let (key, lost) = (service_key(service), self.outages.get(address));
         !asked.contains(address)
-            && lost.is_none_or(|(until, lost)| now >= *until || !lost.contains(&key))
+            && !self.has_lost(now, service_key(service), address)
             && self.paused.get(address).is_none_or(|until| now >= *until)
     }
 
@@ -125,6 +125,18 @@
         Step::Forward(peer)
     }
 
+    /// Whether all other instances say that they have lost the path to a service. None says so if
+    /// there is none.
+    fn have_all_lost(&self, now: Time, service: &ServiceName, peers: &[Peer]) -> bool {
+        let key = service_key(service);
+        !peers.is_empty() && peers.iter().all(|peer| self.has_lost(now, key, &peer.address))
+    }
+
+    fn has_lost(&self, now: Time, service: ServiceKey, address: &SocketAddr) -> bool {
+        let outage = self.outages.get(address);
+        outage.is_some_and(|(until, lost)| now < *until && lost.contains(&service))
+    }
+
     fn end(&mut self, now: Time, peer: SocketAddr, passage: Passage) {
         if let Some(outstanding) = self.outstanding.get_mut(&peer) {
             *outstanding = outstanding.saturating_sub(1);
@@ -157,6 +169,13 @@
         }
         let view = self.view.clone()?;
         let peer = self.helpers.choose(now, &plan.service, &view.peers, &plan.peers, &mut self.rng);
+        if peer.is_none()
+            && self.reach.is_unreachable(&plan.service)
+            && self.helpers.have_all_lost(now, &plan.service, &view.peers)
+        {
+            // Probes notice within a moment when upstreams accept connections again.
+            return Some(self.refuse(now, plan, Reason::NoUpstream, None));
+        }
         let peer = peer?;
         // A request that no upstream can have got is no repeat.
         if plan.runs > 0 && !self.take_repeat(now, &plan.service) {
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -168,6 +168,7 @@
     pub fn observe(&mut self, now: Time, view: Arc<View>) {
         self.started.get_or_insert(now);
         self.roster.observe(now, &view);
+        self.probe_new_upstreams(&view);
         self.streams.observe(now, &view);
         self.links.retain(|address| view.stores.iter().any(|store| store.address == address));
         self.view = Some(view);
--- a/crates/policy/src/gateway/path.rs
+++ b/crates/policy/src/gateway/path.rs
@@ -7,6 +7,7 @@
 use super::machine::Gateway;
 use super::plan::{Attempt, Ending, Plan};
 use super::reach::{Cause, Change};
+use super::view::View;
 use crate::Time;
 
 /// Upstreams that are probed at a time: if some have failed, others still accept connections.
@@ -70,6 +71,18 @@
         !self.reach.is_open(service)
     }
 
+    /// Probes lost paths at once if they lead to upstreams that are new in this view.
+    pub(super) fn probe_new_upstreams(&mut self, view: &View) {
+        let Some(before) = &self.view else { return };
+        self.reach.hasten(|service| {
+            let mut servers = view.servers.values().filter(|server| server.service == *service);
+            servers.any(|server| {
+                let known = before.servers.get(&server.id);
+                known.is_none_or(|known| !known.is_same_incarnation(server))
+            })
+        });
+    }
+
     fn probe(&mut self, service: ServiceName) -> Probe {
         let mut keys = self.roster.of_service(&service).to_vec();
         if keys.len() > PROBED_UPSTREAMS {
--- a/crates/policy/src/gateway/reach.rs
+++ b/crates/policy/src/gateway/reach.rs
@@ -282,6 +282,15 @@
         next.min().unwrap_or(now + MIN_SILENCE).clamp(earliest, now + MIN_SILENCE)
     }
 
+    /// Makes the next probes of lost paths to some services due now.
+    pub fn hasten(&mut self, is_chosen: impl Fn(&ServiceName) -> bool) {
+        for (service, path) in &mut self.paths {
+            if matches!(path.state, State::Lost { .. }) && is_chosen(service) {
+                path.probed = None;
+            }
+        }
+    }
+
     /// Records the result of a probe that [`Self::due`] asked for.
     pub fn probed(&mut self, now: Time, service: &ServiceName, is_open: bool) {
         let Some(path) = self.paths.get_mut(service) else { return };
--- a/crates/policy/tests/gateway_forward.rs
+++ b/crates/policy/tests/gateway_forward.rs
@@ -3,13 +3,14 @@
 mod gateway_simulation;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use acacia_policy::Verdict;
 use acacia_policy::gateway::forward::{Outage, Passage, service_key};
 use acacia_policy::gateway::gossip::{Digest, Note};
 use acacia_policy::gateway::mesh::{Detail, Peer};
-use acacia_policy::gateway::{Ending, Plan, Reason, Step};
+use acacia_policy::gateway::{Ending, Plan, Reason, Server, Step};
 
 use gateway_simulation::Simulation;
 
@@ -166,6 +167,53 @@
     assert_eq!(forward(&mut simulation, &mut last), peer(3));
 }
 
+/// Regression, RECOVER on Actas Litoral: requests that no instance can serve were tried until they
+/// were late.
+#[test]
+fn next_refuses_at_once_while_all_have_lost_path() {
+    for path in ["/once/", "/read/", "/ask/"] {
+        let mut simulation = simulation();
+        let plan = lose_path(&mut simulation, path);
+        (1..4).for_each(|number| receive_outage(&mut simulation, peer(number), &plan, true));
+        for mut plan in [plan, simulation.admit(path, "key").unwrap()] {
+            let Step::Refuse(refusal) = simulation.next(&mut plan) else { panic!("{path} tried") };
+            assert_eq!((refusal.reason, refusal.verdict), (Reason::NoUpstream, Verdict::NotRun));
+            let after = refusal.retry_after.expect("it may be sent again");
+            assert!(after <= Duration::from_millis(500), "{after:?}");
+        }
+        simulation.pass(Duration::from_millis(300));
+        simulation.probe(true);
+        let mut plan = simulation.admit(path, "key").unwrap();
+        simulation.send(&mut plan);
+    }
+}
+
+/// Alone, an instance can't tell the loss of its path from that of a few upstreams.
+#[test]
+fn next_tries_request_if_no_other_instance_has_lost_path() {
+    let mut simulation = Simulation::new(SERVERS);
+    simulation.probe(true);
+    lose_path(&mut simulation, "/once/");
+    let mut plan = simulation.admit("/once/", "key").unwrap();
+    simulation.send(&mut plan);
+}
+
+/// Upstreams that are listed anew end the loss without the pause between probes.
+#[test]
+fn observe_probes_lost_path_to_new_upstream() {
+    let mut simulation = simulation();
+    let plan = lose_path(&mut simulation, "/once/");
+    simulation.probe(true);
+    assert!(matches!(simulation.next(&mut plan.clone()), Step::Forward(_)), "no probe is due");
+    simulation.change(|view, _| {
+        let server = Server { id: "s9".into(), ..(*view.servers["s0"]).clone() };
+        view.servers.insert(server.id.clone(), Arc::new(server));
+    });
+    simulation.probe(true);
+    let mut plan = simulation.admit("/once/", "key").unwrap();
+    simulation.send(&mut plan);
+}
+
 #[test]
 fn digest_tells_lost_and_regained_path() {
     let mut simulation = simulation();
