Remember that a service is brittle when all its upstreams are gone

Callers saw: once all brittle servers of a service had fallen over, those that came back were overrun within 50 ms, fell over again, and so on.

Cause: a server that has stated nothing yet counts as brittle if another listed one of its service is. With none listed, nothing is known of the service, and the first requests to the new ids are sent without limit.

Change: statements of upstreams that are not listed, which are kept for the case that they are listed again, count for others of their service until they expire. The first answer of a new one replaces them.

Test in virtual time: 9 instances, all four servers crash, none bears a refusal.

Not changed: an instance that has just started learns from its own answers or the others' next full digest that a service is brittle.

--- a/crates/policy/src/gateway/notice.rs
+++ b/crates/policy/src/gateway/notice.rs
@@ -11,6 +11,7 @@
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
+use super::configuration::ServiceName;
 use super::gossip::{ServerKey, server_key};
 use super::statement::{State, Statement};
 use super::view::{Server, ServerId};
@@ -120,6 +121,12 @@
         }
     }
 
+    /// The refusals per second that upstreams of a service bear which are not listed.
+    pub fn tolerances(&self, now: Time, service: &ServiceName) -> impl Iterator<Item = f64> {
+        let kept = self.kept.values().filter(move |kept| kept.server.service == *service);
+        kept.filter_map(move |kept| kept.standing.tolerance.in_force(now))
+    }
+
     /// Takes what an upstream stated that is listed again; nothing if it has restarted since.
     pub fn take(&mut self, server: &Server) -> Standing {
         let kept = self.kept.remove(&server.id);
--- a/crates/policy/src/gateway/roster.rs
+++ b/crates/policy/src/gateway/roster.rs
@@ -125,7 +125,8 @@
     }
 
     /// The refusals per second that a brittle member bears. The servers of a service are brittle at
-    /// the same time, so one that has stated nothing yet bears as few as any of them.
+    /// the same time, so one that has stated nothing yet bears as few as any of them, also of those
+    /// that are not listed now: all may have fallen over.
     pub fn tolerance(&self, now: Time, key: MemberKey) -> Option<f64> {
         if now >= self.brittle_until {
             return None;
@@ -135,9 +136,10 @@
         if own.is_some() || member.is_tolerance_known {
             return own;
         }
-        let others = self.of_service(&member.server.service).iter();
+        let service = &member.server.service;
+        let others = self.of_service(service).iter();
         let stated = others.filter_map(|key| self.members[*key].standing.tolerance.in_force(now));
-        stated.min_by(f64::total_cmp)
+        stated.chain(self.notices.tolerances(now, service)).min_by(f64::total_cmp)
     }
 
     /// Records another instance's report on a rate limit; what it changes.
--- a/crates/policy/tests/gateway_brittle.rs
+++ b/crates/policy/tests/gateway_brittle.rs
@@ -251,6 +251,23 @@
     assert!(site.falls.len() <= 2, "{:?}", site.falls);
 }
 
+/// Regression: once all servers of a service had fallen over, those that came back were overrun, as
+/// nobody had stated anything to go by.
+#[test]
+fn next_expects_upstreams_to_be_brittle_after_all_restarted() {
+    let case = Case::plain(9, 0, SLOTS, OVERLOAD);
+    let mut site = Site::plain(4, case.gateways, case.servers);
+    site.room = ROOM;
+    case.pass(&mut site, seconds(4));
+    site.embrittle(case.tolerance, case.room);
+    case.pass(&mut site, WARNING + seconds(2));
+    for server in site.servers() {
+        site.crash(&server);
+    }
+    case.pass(&mut site, seconds(8));
+    assert!(site.falls.len() <= 2, "{:?}", site.falls);
+}
+
 /// Once servers are no longer brittle, all that they have room for is served again.
 #[test]
 fn next_sends_as_before_once_servers_are_no_longer_brittle() {
