Release connections that are given up while a cut holds them

What was seen: with a limit of 1,024 descriptors, four of seven tests of path:: failed (callers got no answer). Cause: the proxy held each connection that an instance opened and gave up during a hanging cut until its end, probes and trials several times a second; four of these tests at a time had 1,682 descriptors open in one process. A reachable set-up is as before: none of them reached its server, as cut_hang_drops_new_connection_closed_meanwhile checks.

--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -18,6 +18,9 @@
 /// Most bytes forwarded at a time.
 const BUFFER_BYTES: usize = 16 << 10;
 
+/// Interval between checks whether a connection that is held has been closed.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// End of the first line of a request.
 const VERSION: &[u8] = b" HTTP/1.1\r\n";
 const LOWER_VERSION: &[u8] = b" HTTP/1.0\r\n";
@@ -151,8 +154,12 @@
     async fn admit(&mut self, caller: &TcpStream) -> Result<(), Reset> {
         let owner = self.owner;
         if self.cut() == Some(Cut::Hang) {
-            let ended = self.cuts.wait_for(|table| owner.cut(table) != Some(Cut::Hang)).await;
-            if ended.is_err() || is_closed(caller) {
+            let ended = tokio::select! {
+                ended = self.cuts.wait_for(|table| owner.cut(table) != Some(Cut::Hang)) => ended.is_ok(),
+                // Connections that are given up would use up the descriptors during a long cut.
+                () = closed(caller) => false,
+            };
+            if !ended || is_closed(caller) {
                 return Err(Reset);
             }
         }
@@ -250,6 +257,13 @@
     ready.is_some_and(|ready| ready.map_or(true, |ready| ready.is_read_closed()))
 }
 
+/// Waits until the peer has closed or reset the connection.
+async fn closed(stream: &TcpStream) {
+    while !is_closed(stream) {
+        tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
+    }
+}
+
 /// Whether the peer has reset the connection; bytes before that may still be unread.
 fn is_reset(stream: &TcpStream) -> bool {
     !matches!(stream.take_error(), Ok(None))
