Test requests that are passed on while callers leave, instances stop or paths are lost midway

Callers of the tests move into a file of their own, and plain services and engines have cuts of their own.

--- a/crates/daemon/tests/platform/fixture.rs
+++ b/crates/daemon/tests/platform/fixture.rs
@@ -9,19 +9,18 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use acacia_connection::{Connection, IdleState, KeepAlive, encode_head};
 use acacia_standin::cut::{Cut, Cuts};
 use acacia_standin::platform::document::{self, Addresses, CONFIGURATION_KEY, Deployment, MODEL};
 use acacia_standin::platform::server::{self, Engine, Execution, Peers, Performance, Settings};
 use acacia_standin::platform::{cache, store};
 use acacia_standin::proxy::Proxy;
-use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use crate::caller::try_call;
+pub use crate::caller::{Answer, Caller, call, request_head};
 use crate::raw;
 
 /// Timeout of waits in tests; not a bound on the system's behaviour.
@@ -46,8 +45,10 @@
     pub engines: Vec<server::Handle>,
     pub cache: cache::Handle,
     instances: Vec<Instance>,
-    /// Cuts between instances and the upstreams behind proxies.
-    cuts: Cuts,
+    /// Cuts between instances and the plain services behind proxies.
+    service_cuts: Cuts,
+    /// The same for engines.
+    engine_cuts: Cuts,
     proxies: Vec<Proxy>,
     peers: Peers,
 }
@@ -59,24 +60,6 @@
     folder: PathBuf,
 }
 
-/// A caller's answer.
-#[derive(Debug)]
-pub struct Answer {
-    pub status: u16,
-    pub body: Bytes,
-    pub is_complete: bool,
-    /// Seconds after which the caller may come back, if the answer states them.
-    pub retry_after: Option<f64>,
-}
-
-impl Answer {
-    /// Ids of the events, in order.
-    pub fn event_ids(&self) -> Vec<u32> {
-        let text = String::from_utf8_lossy(&self.body);
-        text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect()
-    }
-}
-
 impl Fixture {
     /// Starts the stand-in services and `count` instances, and waits until the instances are ready.
     pub async fn start(count: usize) -> Self {
@@ -89,8 +72,10 @@
     /// instances can be cut off.
     pub async fn start_behind_proxies(count: usize) -> Self {
         let mut fixture = Self::upstreams().await;
-        for server in fixture.services.iter().chain(&fixture.engines) {
-            let proxy = Proxy::start_with(server.address, fixture.cuts.clone()).await.unwrap();
+        let services = fixture.services.iter().map(|server| (server, &fixture.service_cuts));
+        let engines = fixture.engines.iter().map(|server| (server, &fixture.engine_cuts));
+        for (server, cuts) in services.chain(engines) {
+            let proxy = Proxy::start_with(server.address, cuts.clone()).await.unwrap();
             server.register_at(&fixture.store, proxy.address);
             fixture.peers.lock().insert(proxy.address, Arc::downgrade(&server.state()));
             fixture.proxies.push(proxy);
@@ -122,8 +107,17 @@
         // Malformed entries must be ignored.
         store.put("servers/forged-1", &json!("no object"));
         store.put("servers/forged-2", &json!({"service": "app", "state": "ready"}));
-        let (cuts, proxies, instances) = (Cuts::default(), Vec::new(), Vec::new());
-        let fixture = Self { store, services, engines, cache, instances, cuts, proxies, peers };
+        let fixture = Self {
+            store,
+            services,
+            engines,
+            cache,
+            instances: Vec::new(),
+            service_cuts: Cuts::default(),
+            engine_cuts: Cuts::default(),
+            proxies: Vec::new(),
+            peers,
+        };
         fixture.store.put(CONFIGURATION_KEY, &fixture.configuration(1, "key-1"));
         fixture
     }
@@ -139,12 +133,32 @@
 
     /// Cuts an instance off all upstreams behind proxies.
     pub fn cut(&self, instance: usize, cut: Cut) {
-        self.cuts.set(self.instances[instance].process.lock().id(), cut);
+        self.service_cuts.set(self.process_id(instance), cut);
+        self.cut_engines(instance, cut);
+    }
+
+    /// Cuts an instance off the engines behind proxies.
+    pub fn cut_engines(&self, instance: usize, cut: Cut) {
+        self.engine_cuts.set(self.process_id(instance), cut);
     }
 
     /// Ends the cut of an instance.
     pub fn heal(&self, instance: usize) {
-        self.cuts.heal(self.instances[instance].process.lock().id());
+        self.all_cuts().for_each(|cuts| cuts.heal(self.process_id(instance)));
+    }
+
+    fn all_cuts(&self) -> impl Iterator<Item = &Cuts> {
+        [&self.service_cuts, &self.engine_cuts].into_iter()
+    }
+
+    fn process_id(&self, instance: usize) -> u32 {
+        self.instances[instance].process.lock().id()
+    }
+
+    /// Lines of an instance's log that contain all these texts.
+    pub fn logged(&self, instance: usize, texts: &[&str]) -> usize {
+        let log = fs::read_to_string(self.instances[instance].folder.join("log")).unwrap();
+        log.lines().filter(|line| texts.iter().all(|text| line.contains(text))).count()
     }
 
     fn start_instance(&self, number: usize) -> Instance {
@@ -168,7 +182,7 @@
             .stderr(Stdio::inherit())
             .spawn()
             .unwrap();
-        self.cuts.register(process.id());
+        self.all_cuts().for_each(|cuts| cuts.register(process.id()));
         Instance {
             process: Mutex::new(process),
             address: addresses.callers,
@@ -180,8 +194,8 @@
     /// Kills all instances at the same time, and starts as many new ones.
     pub async fn kill_instances(&mut self) {
         let count = self.instances.len();
-        for instance in self.instances.drain(..) {
-            self.cuts.remove(instance.process.lock().id());
+        for instance in std::mem::take(&mut self.instances) {
+            self.all_cuts().for_each(|cuts| cuts.remove(instance.process.lock().id()));
         }
         self.start_instances(count).await;
     }
@@ -340,13 +354,13 @@
 
     /// Sends a signal to an instance.
     pub fn signal(&self, instance: usize, signal: &str) {
-        let id = self.instances[instance].process.lock().id().to_string();
+        let id = self.process_id(instance).to_string();
         assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
     }
 
     /// Peak of the memory that an instance's process has used.
     pub fn peak_memory_kib(&self, instance: usize) -> u64 {
-        let id = self.instances[instance].process.lock().id();
+        let id = self.process_id(instance);
         let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap();
         let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
         peak.trim().trim_end_matches(" kB").parse().unwrap()
@@ -421,81 +435,3 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
-
-/// Sends a request over a new connection.
-pub async fn call(
-    address: SocketAddr,
-    method: &str,
-    target: &str,
-    headers: &[(&'static str, String)],
-    body: &'static [u8],
-) -> Answer {
-    try_call(address, method, target, headers, body).await.expect("an answer")
-}
-
-async fn try_call(
-    address: SocketAddr,
-    method: &str,
-    target: &str,
-    headers: &[(&'static str, String)],
-    body: &'static [u8],
-) -> Option<Answer> {
-    let mut caller = Caller::connect(address).await?;
-    let head = request_head(method, target, headers, body.len());
-    caller.send(&[&*head, body].concat()).await?;
-    caller.answer().await
-}
-
-/// Head of a request.
-pub fn request_head(
-    method: &str,
-    target: &str,
-    headers: &[(&'static str, String)],
-    body_bytes: usize,
-) -> Bytes {
-    let mut fields = HeaderMap::new();
-    for (name, value) in headers {
-        fields.insert(HeaderName::from_static(name), HeaderValue::from_str(value).unwrap());
-    }
-    encode_head(&method.parse().unwrap(), target, &fields, body_bytes)
-}
-
-/// A caller's connection.
-pub struct Caller(Connection);
-
-impl Caller {
-    /// Connects to an instance.
-    pub async fn connect(address: SocketAddr) -> Option<Self> {
-        let keep_alive =
-            KeepAlive { idle: TIMEOUT, interval: TIMEOUT, probes: 2, user_timeout: TIMEOUT };
-        Connection::open(address, TIMEOUT, keep_alive).await.ok().map(Self)
-    }
-
-    /// Sends some bytes of a request; `None` if the connection is closed.
-    pub async fn send(&mut self, bytes: &[u8]) -> Option<()> {
-        let bytes = Bytes::copy_from_slice(bytes);
-        self.0.send(&Method::POST, &bytes, &Bytes::new()).await.ok()
-    }
-
-    /// Reads an answer; `None` if the connection ends before one begins.
-    pub async fn answer(&mut self) -> Option<Answer> {
-        let head = self.0.head().await.ok()?;
-        let mut received = Vec::new();
-        let is_complete = loop {
-            match self.0.chunk().await {
-                Ok(Some(chunk)) => received.extend_from_slice(&chunk),
-                Ok(None) => break true,
-                Err(_) => break false,
-            }
-        };
-        let retry_after =
-            head.headers.get("retry-after").and_then(|v| v.to_str().ok()?.parse().ok());
-        let status = head.status.as_u16();
-        Some(Answer { status, body: received.into(), is_complete, retry_after })
-    }
-
-    /// Whether the instance keeps the connection open.
-    pub fn is_open(&self) -> bool {
-        self.0.idle_state() == IdleState::Quiet
-    }
-}
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -6,12 +6,14 @@
 mod answer;
 mod body;
 mod brittle;
+mod caller;
 mod change;
 mod crash;
 mod cut;
 mod entry;
 mod fixture;
 mod limit;
+mod passage;
 mod path;
 mod raw;
 mod refusal;
--- a/crates/daemon/tests/platform/path.rs
+++ b/crates/daemon/tests/platform/path.rs
@@ -103,6 +103,49 @@
     check_runs(&fixture);
 }
 
+/// All instances are cut off at the same time.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_instances_cut_whose_connections_hang_refuse_and_recover() {
+    check_all(Cut::Hang).await;
+}
+
+/// The same if connections are reset.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_instances_cut_whose_connections_are_reset_refuse_and_recover() {
+    check_all(Cut::Reset).await;
+}
+
+/// Cuts all instances off for a while: requests end in good time, and are served again afterwards.
+async fn check_all(cut: Cut) {
+    let fixture = Arc::new(Fixture::start_behind_proxies(3).await);
+    fixture.shorten_targets();
+    let load = tokio::spawn(load(fixture.clone(), 3, OPEN_TIME + CUT_TIME + SETTLE_TIME * 2));
+    tokio::time::sleep(OPEN_TIME).await;
+    let began = Instant::now();
+    (0..3).for_each(|instance| fixture.cut(instance, cut));
+    tokio::time::sleep(CUT_TIME).await;
+    (0..3).for_each(|instance| fixture.heal(instance));
+    let ended = Instant::now();
+    let attempts = load.await.unwrap();
+    let late = attempts.iter().filter(|a| (began + SETTLE_TIME..ended).contains(&a.sent));
+    let mut held: Vec<Duration> = late.map(|attempt| attempt.took).collect();
+    held.sort_unstable();
+    let (median, slow) = (held[held.len() / 2], held[held.len() * 9 / 10]);
+    let healed: Vec<_> = attempts.iter().filter(|a| a.sent >= ended + SETTLE_TIME).collect();
+    let served = healed.iter().filter(|attempt| attempt.is_served).count();
+    println!(
+        "{cut:?}: {} requests held for {median:?}, a tenth for over {slow:?}, the longest for {:?}; \
+         served {served} of {} afterwards",
+        held.len(),
+        held[held.len() - 1],
+        healed.len()
+    );
+    // Some are tried on the lost path, as only an answer shows that it is back.
+    assert!(slow < DEADLINE / 2, "a tenth of the requests are held for over {slow:?}");
+    assert!(served * 10 > healed.len() * 9, "served {served} of {} afterwards", healed.len());
+    check_runs(&fixture);
+}
+
 /// The instance that a request is passed on to is stopped.
 #[tokio::test(flavor = "multi_thread")]
 async fn helper_is_stopped_cut_instance_serves_through_other() {
