Simulate instances that lose the path to upstreams and pass requests on

Several gateways in virtual time, some or all of which are cut off, with probes and passing on: after a cut, no sound request is held and 97 of 100 are served from 3 s on. And the other side of the same evidence: requests that crash all servers of a small service still reach few (1 to 2 later than 3 s after the third crash; at most 3 are allowed).

The simulations that exist do not probe paths. Requests that brittle upstreams have no slot for are passed on by the same code now: the other gateway admits them by itself, and a request that it refuses although it may have run is not told as one that did not.

--- a/crates/policy/tests/gateway_crash/load.rs
+++ b/crates/policy/tests/gateway_crash/load.rs
@@ -71,13 +71,15 @@
             content: content_hash("POST", path, body.as_bytes()),
             resumption: None,
         };
-        let plan = self.gateways[gateway].admit(self.now, call).expect("the route is public");
+        let plan =
+            self.gateways[gateway].admit(self.now, call.clone()).expect("the route is public");
         self.requests.push(Request {
             arrived: self.elapsed(),
             name,
             parts: parts.iter().map(|part| (*part).to_owned()).collect(),
             sends: Vec::new(),
             outcome: None,
+            call,
         });
         self.go_on(gateway, request, plan);
         request
--- a/crates/policy/tests/gateway_crash/mod.rs
+++ b/crates/policy/tests/gateway_crash/mod.rs
@@ -7,7 +7,7 @@
 
 pub mod brittle;
 pub mod load;
-pub mod passage;
+pub mod path;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -18,7 +18,8 @@
 use acacia_policy::gateway::limit::{SPAN, Statement};
 use acacia_policy::gateway::mesh::{Detail, Peer};
 use acacia_policy::gateway::{
-    Attempt, Configuration, Ending, Gateway, Notice, Plan, Reason, Server, ServerId, Step, View,
+    Attempt, Call, Configuration, Ending, Gateway, Notice, Plan, Reason, Server, ServerId, Step,
+    View,
 };
 use acacia_policy::{Time, Verdict};
 use rand::{RngExt, SeedableRng};
@@ -26,7 +27,7 @@
 
 use super::gateway_simulation::{MODEL, terms, view};
 use brittle::Brittleness;
-use passage::Passed;
+use path::Paths;
 
 /// Resolution of the simulation.
 const TICK: Duration = Duration::from_millis(5);
@@ -75,6 +76,7 @@
     /// Time from the start of the simulation at which it reached each server.
     pub sends: Vec<Duration>,
     pub outcome: Option<Outcome>,
+    call: Call,
 }
 
 struct Flight {
@@ -89,6 +91,13 @@
     is_refused: bool,
 }
 
+impl Flight {
+    /// Whether its connection was made for it.
+    fn has_new_connection(&self) -> bool {
+        self.request.is_multiple_of(2)
+    }
+}
+
 /// Gateways, servers, and callers.
 pub struct Site {
     pub gateways: Vec<Gateway>,
@@ -122,11 +131,11 @@
     pub crashes: Vec<Duration>,
     /// When they crashed under a culprit.
     pub culprit_crashes: Vec<Duration>,
+    pub paths: Paths,
     now: Time,
     ticks: u64,
     view: View,
     flights: Vec<Flight>,
-    passed: Vec<Passed>,
     waiting: Vec<(Time, usize, usize, Plan)>,
     digests: Vec<(Time, usize, Digest)>,
     unlisting: Vec<(Time, ServerId)>,
@@ -165,11 +174,11 @@
             most_passed: 0,
             crashes: Vec::new(),
             culprit_crashes: Vec::new(),
+            paths: Paths::default(),
             now: START,
             ticks: 0,
             view: View { instances: gateways as u32, ..view(0) },
             flights: Vec::new(),
-            passed: Vec::new(),
             waiting: Vec::new(),
             digests: Vec::new(),
             unlisting: Vec::new(),
@@ -200,8 +209,8 @@
     /// The view of one gateway, in which it has an address of its own.
     fn view_of(&self, gateway: usize) -> View {
         let others = (0..self.view.instances as usize).filter(|other| *other != gateway);
-        let peers = others.map(|other| Peer { address: Self::address(other), zone: "z1".into() });
-        let own_address = Some(Self::address(gateway));
+        let peers = others.map(|other| Peer { address: self.address(other), zone: "z1".into() });
+        let own_address = Some(self.address(gateway));
         View { own_address, peers: peers.collect(), ..self.view.clone() }
     }
 
@@ -332,6 +341,7 @@
         self.ticks += 1;
         let now = self.now;
         self.update_view();
+        self.probe_paths();
         for (_, to, digest) in
             self.digests.extract_if(.., |(at, ..)| *at <= now).collect::<Vec<_>>()
         {
@@ -376,15 +386,21 @@
             }
             Step::Forward(peer) => self.pass_on(gateway, request, plan, peer),
             Step::Refuse(refusal) => {
-                self.finish(request, Outcome::Refused(refusal.reason, refusal.verdict));
+                let outcome = Outcome::Refused(refusal.reason, refusal.verdict);
+                self.conclude(gateway, request, outcome);
             }
         }
     }
 
     fn send(&mut self, gateway: usize, request: usize, mut plan: Plan, attempt: Attempt) {
         let server = attempt.server.id.clone();
-        if !self.is_up(&server) {
-            self.gateways[gateway].ended(self.now, &mut plan, &attempt, Ending::Unreachable, None);
+        if !self.is_up(&server) || self.is_cut(gateway) {
+            // The connections of a gateway that is cut off are accepted and reset.
+            let is_reset = self.is_cut(gateway);
+            let ending = if is_reset { Ending::Broken } else { Ending::Unreachable };
+            let own = &mut self.gateways[gateway];
+            own.path_ended(self.now, &plan, &attempt, ending, false, true);
+            own.ended(self.now, &mut plan, &attempt, ending, None);
             return self.go_on(gateway, request, plan);
         }
         let elapsed = self.elapsed();
@@ -458,7 +474,9 @@
                 } else {
                     let flight = &mut self.flights[at];
                     flight.has_begun = true;
-                    self.gateways[flight.gateway].began(now, &flight.plan, &mut flight.attempt);
+                    let own = &mut self.gateways[flight.gateway];
+                    own.path_heard(now, &flight.plan, &flight.attempt, flight.has_new_connection());
+                    own.began(now, &flight.plan, &mut flight.attempt);
                     let (gateway, attempt) = (flight.gateway, flight.attempt.clone());
                     self.state_limit(gateway, &attempt);
                     at += 1;
@@ -476,10 +494,12 @@
                 return self.end(flight, Ending::Broken);
             }
             let gateway = &mut self.gateways[flight.gateway];
+            let is_new = flight.has_new_connection();
+            gateway.path_heard(self.now, &flight.plan, &flight.attempt, is_new);
             gateway.began(self.now, &flight.plan, &mut flight.attempt);
             self.state_limit(flight.gateway, &flight.attempt);
         }
-        self.finish(flight.request, Outcome::Served);
+        self.conclude(flight.gateway, flight.request, Outcome::Served);
         self.end(flight, Ending::Answered);
     }
 
@@ -505,12 +525,15 @@
     fn end(&mut self, mut flight: Flight, ending: Ending) {
         let gateway = &mut self.gateways[flight.gateway];
         let id = flight.attempt.server.id.clone();
+        let (has_answer, is_new) =
+            (flight.has_begun || ending == Ending::Answered, flight.has_new_connection());
+        gateway.path_ended(self.now, &flight.plan, &flight.attempt, ending, has_answer, is_new);
         gateway.ended(self.now, &mut flight.plan, &flight.attempt, ending, Some(&id));
         if ending == Ending::Answered {
             return;
         }
         if flight.has_begun {
-            self.finish(flight.request, Outcome::BrokenOff);
+            self.conclude(flight.gateway, flight.request, Outcome::BrokenOff);
         } else {
             self.go_on(flight.gateway, flight.request, flight.plan);
         }
