Add a scenario with brittle servers to the soak

The servers of a service state how many refusals they bear, for 5 to 9 s and several times, in part together with the other service. Instances are replaced, killed and reloaded meanwhile, the configuration changes, and more requests are sent than the servers have slots for. The stand-in records the ids of what it refuses, so that a fall can be attributed to the instances whose callers' requests were refused.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -17,6 +17,14 @@
 const LIMIT_STREAM: u64 = 4;
 /// The same for [`Scenario::Cuts`].
 const CUT_STREAM: u64 = 5;
+/// The same for [`Scenario::Brittle`].
+const BRITTLE_STREAM: u64 = 6;
+/// Durations for which a service's servers are brittle, in milliseconds: longer than the warning.
+const BRITTLE_MS: Range<u64> = 5_000..9_000;
+/// Time until the servers of a service are brittle, also again, in milliseconds.
+const BRITTLE_SPACING_MS: Range<u64> = 200..3_000;
+/// Time between two other faults meanwhile, in milliseconds.
+const OTHER_SPACING_MS: Range<u64> = 300..3_000;
 /// Durations of a cut, in milliseconds.
 const CUT_MS: Range<u64> = 4_000..12_000;
 /// Time between two cuts, in lengths of the former: some of them overlap.
@@ -65,6 +73,9 @@
     Limits,
     /// Instances are cut off all servers, beside restarts of others and new weights.
     Cuts,
+    /// Servers state how many refusals they bear, beside restarts of instances and changes of the
+    /// configuration.
+    Brittle,
     /// Silences, at routes with time budgets shorter than a silence, beside failures of other
     /// servers and changes of the routes' settings in quick succession.
     ShortBudgets,
@@ -140,6 +151,8 @@
     CutReset,
     /// New connections of some instances to all servers are reset.
     CutRefuseNew,
+    /// All servers of a service are brittle.
+    ServersBrittle,
     /// An instance that is not cut off is stopped gracefully and started again.
     ReplaceOther,
     /// An instance that is not cut off is killed and started again.
@@ -161,10 +174,24 @@
 /// Kinds that only [`Scenario::Limits`] has.
 const LIMIT_KINDS: [Kind; 1] = [Kind::ServerLimited];
 
-/// Kinds that only [`Scenario::Cuts`] has.
+/// Kinds that only [`Scenario::Cuts`] has, and some of them [`Scenario::Brittle`].
 const CUT_KINDS: [Kind; 5] =
     [Kind::CutHang, Kind::CutReset, Kind::CutRefuseNew, Kind::ReplaceOther, Kind::KillOther];
 
+/// Kinds that only [`Scenario::Brittle`] has.
+const BRITTLE_KINDS: [Kind; 1] = [Kind::ServersBrittle];
+
+/// Kinds beside which servers are brittle, in turn. Falls during restarts may not count, so that
+/// most are others.
+const BESIDE_BRITTLE_KINDS: [Kind; 6] = [
+    Kind::ReplaceOther,
+    Kind::Configure,
+    Kind::Reload,
+    Kind::KillOther,
+    Kind::Configure,
+    Kind::Reload,
+];
+
 impl Kind {
     /// Whether it is a planned change by operators, which must not lose requests.
     pub fn is_planned(self) -> bool {
@@ -200,8 +227,14 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let is_planned = seed.is_multiple_of(3);
         let is_excluded = |kind: &Kind| {
-            let excluded: [&[Kind]; 5] =
-                [&LATER_KINDS, &SILENCE_KINDS, &SHORT_BUDGET_KINDS, &LIMIT_KINDS, &CUT_KINDS];
+            let excluded: [&[Kind]; 6] = [
+                &LATER_KINDS,
+                &SILENCE_KINDS,
+                &SHORT_BUDGET_KINDS,
+                &LIMIT_KINDS,
+                &CUT_KINDS,
+                &BRITTLE_KINDS,
+            ];
             excluded.iter().any(|kinds| kinds.contains(kind))
         };
         let is_drawn = |kind: &Kind| !is_excluded(kind) && (!is_planned || kind.is_planned());
@@ -295,6 +328,37 @@
         Self { is_planned: false, faults }
     }
 
+    /// Generates times in which the servers of a service are brittle, some of which overlap with
+    /// those of the other service, beside restarts and changes.
+    pub fn brittle(seed: u64, length: Duration) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        rng.set_stream(BRITTLE_STREAM);
+        let mut faults = Vec::new();
+        // Even targets are plain servers, odd ones engines.
+        for service in 0..2 {
+            let mut at = draw_ms(BRITTLE_SPACING_MS, &mut rng);
+            while at < length {
+                let length = draw_ms(BRITTLE_MS, &mut rng);
+                let target = 2 * rng.random_range(0..VARIATIONS) + service;
+                faults.push(Fault { at, length, kind: Kind::ServersBrittle, target });
+                at += length + draw_ms(BRITTLE_SPACING_MS, &mut rng);
+            }
+        }
+        let end = faults.iter().map(|fault| fault.at + fault.length).max().unwrap_or(length);
+        let mut at = draw_ms(OTHER_SPACING_MS, &mut rng);
+        let first = rng.random_range(0..BESIDE_BRITTLE_KINDS.len());
+        let kinds = BESIDE_BRITTLE_KINDS.into_iter().cycle().skip(first);
+        for kind in kinds {
+            if at >= end {
+                break;
+            }
+            let length = draw_ms(MIN_DURATION_MS..MAX_DURATION_MS, &mut rng);
+            faults.push(Fault { at, length, kind, target: rng.random_range(0..VARIATIONS) });
+            at += draw_ms(OTHER_SPACING_MS, &mut rng);
+        }
+        Self { is_planned: false, faults }
+    }
+
     /// Generates series of silences that overlap with changes of the configuration and, except in
     /// every third seed, with failures of the other servers.
     pub fn silences(seed: u64, length: Duration) -> Self {
@@ -350,6 +414,10 @@
     }
 }
 
+fn draw_ms(range: Range<u64>, rng: &mut ChaCha8Rng) -> Duration {
+    Duration::from_millis(rng.random_range(range))
+}
+
 /// Series of silences; during each, the other servers of the same kind fail in one of the given
 /// ways.
 fn silences_beside(failures: &[Kind], length: Duration, rng: &mut ChaCha8Rng) -> Vec<Fault> {
--- a/crates/soak/src/fixture.rs
+++ b/crates/soak/src/fixture.rs
@@ -10,6 +10,7 @@
 
 use acacia_standin::Counter;
 use acacia_standin::cut::{Cut, Cuts};
+use acacia_standin::platform::brittle::Period;
 use acacia_standin::platform::caller::Caller;
 use acacia_standin::platform::document::{
     self, Addresses, CONFIGURATION_KEY, Deployment, MODEL, Variation,
@@ -36,9 +37,14 @@
 pub const SERVERS: usize = SERVERS_PER_KIND * 2;
 /// Requests that a server runs concurrently.
 const SLOTS: usize = 16;
+/// The same in [`Scenario::Brittle`], which sends more than these can run, and requests that wait.
+const FEW_SLOTS: usize = 4;
+const LONG_QUEUE: usize = 16;
+/// Latency of a plain call there.
+const LONG_LATENCY: Duration = Duration::from_millis(250);
 /// Time between two events of a stream; latency of a plain call.
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
-/// The same with silences, which then occur within many streams.
+/// The same with silences, which then occur within many streams, and with few slots.
 const LONG_EVENT_INTERVAL: Duration = Duration::from_millis(20);
 /// Target latency of requests and acceptable gap between two events, in milliseconds.
 const TARGET_MS: u64 = 1_000;
@@ -126,6 +132,7 @@
     async fn servers(folder: PathBuf, scenario: Scenario) -> io::Result<Self> {
         let (interval, target_ms) = match scenario {
             Scenario::Silences | Scenario::ShortBudgets => (LONG_EVENT_INTERVAL, SHORT_TARGET_MS),
+            Scenario::Brittle => (LONG_EVENT_INTERVAL, TARGET_MS),
             _ => (EVENT_INTERVAL, TARGET_MS),
         };
         let cuts = Cuts::default();
@@ -140,7 +147,7 @@
         for number in 0..SERVERS {
             let engine =
                 (number >= SERVERS_PER_KIND).then(|| engine(&cache, &cache_proxy, &others));
-            let mut settings = server_settings(number, engine, interval);
+            let mut settings = server_settings(number, engine, interval, scenario);
             if scenario == Scenario::ShortBudgets {
                 settings.service = split_service(&settings.service, number);
             }
@@ -214,7 +221,7 @@
             timeout_ms: 10_000,
             target_latency_ms: self.target_ms,
             gap_target_ms: self.target_ms,
-            engine_slots: SLOTS,
+            engine_slots: if self.scenario == Scenario::Brittle { FEW_SLOTS } else { SLOTS },
             engine_tokens: 20_000,
             token_bytes: 1_000,
             link_mbps: 100_000.0,
@@ -222,6 +229,27 @@
         }
     }
 
+    /// Servers of the same kind as a server.
+    pub fn of_kind(&self, target: usize) -> &[server::Handle] {
+        let first = target % self.servers.len() / SERVERS_PER_KIND * SERVERS_PER_KIND;
+        &self.servers[first..first + SERVERS_PER_KIND]
+    }
+
+    /// The periods of the servers of each kind, for each time in which they were brittle.
+    fn brittle_periods(&self) -> Vec<Vec<Period>> {
+        let kinds = self.servers.chunks(SERVERS_PER_KIND).map(|servers| {
+            servers.iter().map(|server| server.brittle_periods()).collect::<Vec<_>>()
+        });
+        let times = kinds.flat_map(|servers| {
+            let count = servers.iter().map(Vec::len).max().unwrap_or(0);
+            let time = move |number: usize| {
+                servers.iter().filter_map(|periods| periods.get(number).cloned()).collect()
+            };
+            (0..count).map(time)
+        });
+        times.collect()
+    }
+
     /// The model engines.
     pub fn engines(&self) -> &[server::Handle] {
         &self.servers[SERVERS_PER_KIND..]
@@ -277,6 +305,7 @@
         Evidence {
             seen: self.servers.iter().flat_map(|server| server.executions()).collect(),
             runs: self.servers.iter().flat_map(|server| server.ledger()).collect(),
+            brittle: self.brittle_periods(),
             limits: self.servers.iter().flat_map(|server| server.limits()).collect(),
             wrong_parts: wrong.sum::<u64>() + self.cache.count(Counter::WrongBlockRead),
             ..Evidence::default()
@@ -418,15 +447,25 @@
     }
 }
 
-fn server_settings(number: usize, engine: Option<Engine>, latency: Duration) -> server::Settings {
+fn server_settings(
+    number: usize,
+    engine: Option<Engine>,
+    interval: Duration,
+    scenario: Scenario,
+) -> server::Settings {
+    let (slots, queue, latency) = match scenario {
+        Scenario::Brittle => (FEW_SLOTS, LONG_QUEUE, LONG_LATENCY),
+        _ => (SLOTS, SLOTS, interval),
+    };
+    let latency = if engine.is_some() { interval } else { latency };
     let service = if engine.is_some() { "llm" } else { "app" };
     server::Settings {
         id: format!("{service}-{number}"),
         service: service.to_owned(),
         zone: zone(number),
         latency,
-        slots: SLOTS,
-        queue: SLOTS,
+        slots,
+        queue,
         engine,
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,6 +6,7 @@
 //! some of them at the same time, and for a while after them. The [`oracle`] checks the observations
 //! of callers and servers. Seeds that failed are kept as [`regression`]s.
 
+pub mod brittle;
 pub mod culprit;
 pub mod cut;
 pub mod fault;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -22,7 +22,7 @@
     count: u64,
     /// Run the seeds of known regressions instead
     regressions: bool,
-    /// The faults: mixed, silences, crashes, short_budgets, limits, or cuts
+    /// The faults: mixed, silences, crashes, short_budgets, limits, cuts, or brittle
     #[bpaf(argument("NAME"), fallback(Scenario::Mixed), display_fallback)]
     scenario: Scenario,
     /// Seeds that run concurrently
@@ -87,7 +87,14 @@
     let verdict = if outcome.violations.is_empty() { "kept" } else { "BROKEN" };
     let culprits: String =
         outcome.culprits.iter().map(|culprit| format!(", culprit {culprit}")).collect();
-    println!("seed {}: {verdict}, {served} of {all} requests served{culprits}", outcome.seed);
+    let falls = match &*outcome.falls {
+        [] => String::new(),
+        falls => format!(", falls while brittle {falls:?}"),
+    };
+    println!(
+        "seed {}: {verdict}, {served} of {all} requests served{culprits}{falls}",
+        outcome.seed
+    );
     for violation in &outcome.violations {
         println!("  {violation}");
     }
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use acacia_standin::platform::brittle::Period;
 use acacia_standin::platform::caller::{Answer, Ending};
 use acacia_standin::platform::crash;
 use acacia_standin::platform::limit::Limit;
@@ -11,6 +12,7 @@
 use strum::Display;
 use tokio::time::Instant;
 
+use crate::brittle::judge_falls;
 use crate::culprit::{Culprit, Role, Service};
 use crate::cut::{self, Span};
 
@@ -79,6 +81,8 @@
     pub crashes: Vec<Crashes>,
     /// Rate limits that servers stated, and the requests that arrived meanwhile.
     pub limits: Vec<Limit>,
+    /// Periods of a service's servers, for each time in which they were brittle.
+    pub brittle: Vec<Vec<Period>>,
     /// When instances were cut off all servers.
     pub cuts: Vec<Span>,
     /// When instances were stopped or killed, until they were ready again.
@@ -179,6 +183,14 @@
         /// The requests.
         peak: usize,
     },
+    /// The servers of a service fell over too often while they were brittle.
+    #[strum(to_string = "{falls} falls of {servers} servers while they were brittle")]
+    FellOver {
+        /// Falls that count.
+        falls: usize,
+        /// Servers of the service.
+        servers: usize,
+    },
     /// Requests at instances that were cut off all servers were served less than at the others.
     #[strum(
         to_string = "instances that were cut off all servers served {served} of {all} requests, \
@@ -266,6 +278,8 @@
         violations.extend(judge_service(records, &evidence.crashes, service));
     }
     violations.extend(evidence.limits.iter().filter_map(judge_limit));
+    let brittle = evidence.brittle.iter();
+    violations.extend(brittle.filter_map(|time| judge_falls(time, &by_id, &evidence.restarts)));
     violations.extend(cut::judge_recovery(records, evidence));
     let runs = evidence.runs.iter();
     violations.extend(runs.filter_map(|run| cut::judge_weights(run, &evidence.announcements)));
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -22,6 +22,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+use crate::brittle::falls;
 use crate::culprit::{Culprit, Role, Service};
 use crate::cut::Span;
 use crate::fault::{Fault, Kind, Scenario, Schedule};
@@ -30,10 +31,13 @@
 use crate::request::{self, ANSWER_EVENTS};
 use crate::terms;
 
+mod brittle;
 mod cuts;
 
 /// Time between two requests.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
+/// The same in [`Scenario::Brittle`] until the faults end: more than the servers can run.
+const OVERLOAD_INTERVAL: Duration = Duration::from_millis(4);
 /// Time after the last fault until every request must be served: half of the required limit.
 const RECOVERY_TIME: Duration = Duration::from_secs(7);
 /// Time after the recovery in which every request must be served.
@@ -83,6 +87,8 @@
     pub culprits: Vec<Culprit>,
     /// Number of requests, and of those that were served.
     pub requests: (usize, usize),
+    /// Falls of servers in each time in which they were brittle.
+    pub falls: Vec<usize>,
     /// Violated guarantees.
     pub violations: BTreeSet<Violation>,
     /// Folder with the logs.
@@ -109,6 +115,7 @@
         causes: culprits.iter().map(|culprit| Arc::new(culprit.cause())).collect(),
         culprits,
         is_crashing: AtomicBool::new(plan.scenario == Scenario::Crashes),
+        is_overloaded: AtomicBool::new(plan.scenario == Scenario::Brittle),
         is_after_faults: AtomicBool::new(false),
         is_finished: AtomicBool::new(false),
         scenario: plan.scenario,
@@ -139,7 +146,8 @@
     readiness.abort();
     let served = records.iter().filter(|record| record.answer.ending == Ending::Complete).count();
     let culprits = context.culprits.clone();
-    Ok(Outcome { seed, culprits, requests: (records.len(), served), violations, folder })
+    let falls = evidence.brittle.iter().map(|time| falls(time).count()).collect();
+    Ok(Outcome { seed, culprits, requests: (records.len(), served), falls, violations, folder })
 }
 
 /// The faults of a seed.
@@ -150,6 +158,7 @@
         Scenario::Limits => Schedule::limits(seed, plan.length),
         Scenario::ShortBudgets => Schedule::short_budgets(seed, plan.length),
         Scenario::Cuts => Schedule::cuts(seed, plan.length),
+        Scenario::Brittle => Schedule::brittle(seed, plan.length),
         Scenario::Mixed if plan.has_later_kinds => {
             Schedule::draw(seed, plan.length).with_later_kinds(seed, plan.length)
         }
@@ -169,6 +178,8 @@
     causes: Vec<Arc<crash::Cause>>,
     /// Whether culprits are sent.
     is_crashing: AtomicBool,
+    /// Whether more requests are sent than the servers can run.
+    is_overloaded: AtomicBool,
     is_after_faults: AtomicBool,
     is_finished: AtomicBool,
     scenario: Scenario,
@@ -176,7 +187,7 @@
     history: terms::History,
     /// When instances were cut off.
     cuts: Mutex<Vec<Span>>,
-    /// When instances were restarted in [`Scenario::Cuts`].
+    /// When instances were restarted by [`Kind::ReplaceOther`] or [`Kind::KillOther`].
     restarts: Mutex<Vec<Span>>,
     /// When weights were announced in [`Scenario::Cuts`].
     announcements: Mutex<Vec<(Instant, u64)>>,
@@ -204,6 +215,7 @@
 
     /// Waits for the recovery and observes the requests after it.
     async fn observe_recovery(&self) {
+        self.is_overloaded.store(false, Ordering::Relaxed);
         if self.scenario == Scenario::ShortBudgets {
             self.vary(terms::relaxed());
         }
@@ -241,6 +253,7 @@
             Kind::CutHang => self.cut(fault, Cut::Hang).await,
             Kind::CutReset => self.cut(fault, Cut::Reset).await,
             Kind::CutRefuseNew => self.cut(fault, Cut::RefuseNew).await,
+            Kind::ServersBrittle => self.embrittle(fault).await.map_err(io::Error::other),
             Kind::Configure => {
                 self.configure();
                 Ok(())
@@ -499,7 +512,8 @@
                 Record { is_after_faults, role, instance: at, ..record }
             });
         }
-        tokio::time::sleep(REQUEST_INTERVAL).await;
+        let is_overloaded = context.is_overloaded.load(Ordering::Relaxed);
+        tokio::time::sleep(if is_overloaded { OVERLOAD_INTERVAL } else { REQUEST_INTERVAL }).await;
     }
     running.join_all().await
 }
--- a/crates/standin/src/platform/brittle.rs
+++ b/crates/standin/src/platform/brittle.rs
@@ -9,6 +9,15 @@
 /// Window in which refusals are counted.
 const SPAN: Duration = Duration::from_secs(1);
 
+/// A request that was refused for want of room.
+#[derive(Clone, Debug)]
+pub struct Refusal {
+    /// When it was refused.
+    pub at: Instant,
+    /// Its id.
+    pub id: String,
+}
+
 /// A period in which a server is brittle.
 #[derive(Clone, Debug)]
 pub struct Period {
@@ -20,8 +29,8 @@
     pub since: Instant,
     /// When it was no longer stated.
     pub until: Option<Instant>,
-    /// When requests were refused for want of room.
-    pub refusals: Vec<Instant>,
+    /// Requests that were refused for want of room.
+    pub refusals: Vec<Refusal>,
     /// When the server fell over.
     pub falls: Vec<Instant>,
 }
@@ -39,10 +48,10 @@
     }
 
     /// Records a refusal for want of room; whether the server falls over.
-    pub fn refuse(&mut self) -> bool {
+    pub fn refuse(&mut self, id: &str) -> bool {
         let now = Instant::now();
-        self.refusals.push(now);
-        let recent = self.refusals.iter().rev().take_while(|at| **at + SPAN > now).count();
+        self.refusals.push(Refusal { at: now, id: id.to_owned() });
+        let recent = self.recent(now).count();
         let falls = now >= self.since + WARNING && recent > self.tolerance;
         if falls {
             self.falls.push(now);
@@ -50,10 +59,17 @@
         falls
     }
 
+    /// The refusals in the second before a time.
+    pub fn recent(&self, at: Instant) -> impl Iterator<Item = &Refusal> {
+        let is_recent = move |refusal: &&Refusal| refusal.at <= at && refusal.at + SPAN > at;
+        self.refusals.iter().filter(is_recent)
+    }
+
     /// Most refusals in a second after the warning.
     pub fn peak(&self) -> usize {
         let from = self.since + WARNING;
-        let late: Vec<Instant> = self.refusals.iter().copied().filter(|at| *at >= from).collect();
+        let times = self.refusals.iter().map(|refusal| refusal.at);
+        let late: Vec<Instant> = times.filter(|at| *at >= from).collect();
         let within = |start: &Instant| {
             let window = *start..*start + SPAN;
             late.iter().filter(|at| window.contains(*at)).count()
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -270,11 +270,11 @@
     }
 
     /// Records a refusal for want of room, under which a brittle server may fall over.
-    fn count_refusal(&self) {
+    fn count_refusal(&self, id: &str) {
         self.tally.count(Counter::Refused);
         let mut periods = self.brittle.lock();
         let period = periods.last_mut().filter(|period| period.until.is_none());
-        if !*self.is_crashed.borrow() && period.is_some_and(Period::refuse) {
+        if !*self.is_crashed.borrow() && period.is_some_and(|period| period.refuse(id)) {
             self.is_crashed.send_replace(true);
         }
     }
@@ -357,7 +357,7 @@
         causes.iter().for_each(|cause| cause.arrived());
         self.check(call)?;
         if !self.has_room() {
-            self.count_refusal();
+            self.count_refusal(call.header("x-request-id"));
             return Err(not_run());
         }
         let priority = call.header("x-request-priority").parse().unwrap_or(0);
