Measure what it costs to pass requests on

A bench for processor time and memory of two instances, per request that the first serves itself or passes on.

--- a/crates/daemon/benches/platform.rs
+++ b/crates/daemon/benches/platform.rs
@@ -1,18 +1,18 @@
 //! Resource use of one `acaciad` process on the platform: processor time per request and per event,
 //! and memory with 300 open streams. Prints one JSON line.
 
-use std::fs;
+mod process;
+
 use std::io;
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
 use acacia_standin::platform::caller::{Caller, Ending, Operation, Request};
-use acacia_standin::platform::document::{self, Addresses, CONFIGURATION_KEY, Deployment, MODEL};
+use acacia_standin::platform::document::{CONFIGURATION_KEY, Deployment, MODEL};
 use acacia_standin::platform::server::{self, Engine, Peers, Performance, Settings};
 use acacia_standin::platform::store;
 use futures::StreamExt;
 use futures::stream;
+use process::Process;
 use serde_json::json;
 
 /// Concurrent requests.
@@ -61,7 +61,7 @@
         cache: None,
     };
     store.put(CONFIGURATION_KEY, &deployment.configuration(1, &[("one", KEY)]));
-    let process = Process::start(&store)?;
+    let process = Process::start("one", &store)?;
     let caller = Caller::new(vec![process.addresses.callers]).map_err(io::Error::other)?;
     while !caller.is_ready(process.addresses.ready).await {
         tokio::time::sleep(Duration::from_millis(20)).await;
@@ -124,53 +124,3 @@
         engine,
     }
 }
-
-/// An `acaciad` process, killed when dropped.
-struct Process {
-    child: Child,
-    addresses: Addresses,
-    settings: PathBuf,
-}
-
-impl Process {
-    fn start(store: &store::Handle) -> io::Result<Self> {
-        let addresses = Addresses::free()?;
-        let name = format!("acacia-cost-{}.toml", std::process::id());
-        let settings = std::env::temp_dir().join(name);
-        fs::write(&settings, document::settings("one", "z1", &addresses, store.address))?;
-        let child = Command::new(env!("CARGO_BIN_EXE_acaciad"))
-            .arg("--platform")
-            .env("ACACIAARCH_SETTINGS", &settings)
-            .stdout(Stdio::null())
-            .spawn()?;
-        Ok(Self { child, addresses, settings })
-    }
-
-    /// Processor time used so far by all threads of the process.
-    fn cpu_time(&self) -> io::Result<Duration> {
-        let mut nanos = 0;
-        for thread in fs::read_dir(format!("/proc/{}/task", self.child.id()))? {
-            let text = fs::read_to_string(thread?.path().join("schedstat"))?;
-            let first = text.split_whitespace().next().and_then(|text| text.parse::<u64>().ok());
-            nanos += first.ok_or_else(|| io::Error::other("schedstat can't be read"))?;
-        }
-        Ok(Duration::from_nanos(nanos))
-    }
-
-    /// Peak resident memory so far, in megabytes.
-    fn peak_memory(&self) -> io::Result<f64> {
-        let text = fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
-        let peak = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let kilobytes = peak.and_then(|text| text.trim().split(' ').next()?.parse::<f64>().ok());
-        kilobytes.map(|kb| kb / 1_000.0).ok_or_else(|| io::Error::other("status can't be read"))
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        // Fails if the process has ended by itself.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = fs::remove_file(&self.settings);
-    }
-}
