Judge cut instances in the soak only while one of all is not cut off

A request doesn't count now if all instances were cut off at some moment of it. Requests at other moments of the same cuts do, as cut_off_instance_while_all_are checks: it fails without the change; the other ten tests of cuts pass as before.

--- a/crates/soak/src/cut.rs
+++ b/crates/soak/src/cut.rs
@@ -1,5 +1,6 @@
 //! Checks of instances that are cut off all servers, and of the weights that requests begin on.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use acacia_standin::platform::caller::Ending;
@@ -42,6 +43,11 @@
         self.from + SETTLE_TIME <= at && at < self.until
     }
 
+    /// Whether the instance is cut off at this time.
+    fn contains(&self, at: Instant) -> bool {
+        self.from <= at && at < self.until
+    }
+
     /// Whether the request was sent to the instance and underway in this time or shortly after.
     fn concerns(&self, record: &Record) -> bool {
         self.instance == record.instance
@@ -73,8 +79,12 @@
 }
 
 fn judge_episode(records: &[Record], evidence: &Evidence, cuts: &[Span]) -> Option<Violation> {
+    let instances: BTreeSet<usize> = records.iter().map(|record| record.instance).collect();
     let count = |wanted: Side| {
-        let records = records.iter().filter(|record| side(record, evidence, cuts) == Some(wanted));
+        let records = records
+            .iter()
+            .filter(|record| side(record, evidence, cuts) == Some(wanted))
+            .filter(|record| !are_all_cut(record, evidence, &instances));
         let served: Vec<bool> =
             records.map(|record| record.answer.ending == Ending::Complete).collect();
         (served.iter().filter(|is_served| **is_served).count(), served.len())
@@ -103,6 +113,17 @@
     (!is_near).then_some(Side::Other)
 }
 
+/// Whether all instances were cut off at some moment of a request, which none could serve then.
+fn are_all_cut(record: &Record, evidence: &Evidence, instances: &BTreeSet<usize>) -> bool {
+    let cuts = &evidence.cuts;
+    let begins = cuts.iter().map(|cut| cut.from).filter(|at| *at > record.sent);
+    let mut moments = begins.filter(|at| *at <= record.ended).chain([record.sent]);
+    let is_cut = |instance: &usize, at: Instant| {
+        cuts.iter().any(|cut| cut.instance == *instance && cut.contains(at))
+    };
+    moments.any(|at| instances.iter().all(|instance| is_cut(instance, at)))
+}
+
 /// No request begins on older weights some time after newer ones were announced.
 pub fn judge_weights(run: &Run, announcements: &[(Instant, u64)]) -> Option<Violation> {
     let weights = run.weights?;
--- a/crates/soak/tests/cut.rs
+++ b/crates/soak/tests/cut.rs
@@ -128,6 +128,19 @@
     assert_eq!(case.violations(), BTreeSet::new());
 }
 
+/// No instance can serve then; what fails at other times still counts.
+#[test]
+fn cut_off_instance_while_all_are() {
+    let mut case = Case::new();
+    case.evidence.cuts.push(span(OTHER, case.start + Duration::from_secs(6), 3));
+    case.send(CUT_OFF, 4, 100, 0);
+    case.send(OTHER, 4, 100, 0);
+    case.send(CUT_OFF, 7, 0, 1_000);
+    assert_eq!(case.violations(), BTreeSet::new());
+    case.send(CUT_OFF, 5, 0, 100);
+    assert_eq!(case.violations().len(), 1);
+}
+
 #[test]
 fn weights_older_than_announced() {
     let announced = Instant::now();
