Draw no port twice for the instances of one process

Cause, by a test: ports are drawn at random of 20,000 and released before their instances listen, so that two instances of one process can get the same one: free_addresses_are_distinct drew 1,906 different ports of 2,000 before, 2,000 now. A demo draws 36, the tests of the platform several hundred, the soak also ports of instances that are down. Ruled out as the only cause before: outgoing connections, as the port lay below theirs. Which instance had this one wasn't traced, and another process may still take a port.

The three tests of documents and the demo passed with the change.

--- a/crates/standin/src/platform/document.rs
+++ b/crates/standin/src/platform/document.rs
@@ -1,9 +1,11 @@
 //! Documents written by the platform and its operators: settings of an instance, configuration and
 //! weight announcements.
 
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
 use std::ops::Range;
 
+use parking_lot::Mutex;
 use rand::RngExt;
 use serde_json::{Value, json};
 
@@ -20,6 +22,9 @@
 /// Number of ports to try; the error of the last one is returned.
 const PORT_TRIES: u32 = 50;
 
+/// Ports that this process has drawn. An instance listens later, or not for a while as it restarts.
+static DRAWN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+
 /// Parameters of a small deployment.
 #[derive(Clone, Debug)]
 pub struct Deployment {
@@ -190,8 +195,9 @@
 }
 
 impl Addresses {
-    /// Loopback addresses that are currently free. Their ports lie below the ephemeral range, so
-    /// that no outgoing connection takes one before the instance listens.
+    /// Loopback addresses that are currently free and that this process has not drawn before. Their
+    /// ports lie below the ephemeral range, so that no outgoing connection takes one before the
+    /// instance listens.
     ///
     /// # Errors
     /// If no port can be bound.
@@ -206,9 +212,12 @@
 /// Listens on a random port outside the ephemeral range.
 fn free_listener() -> std::io::Result<TcpListener> {
     let any = || SocketAddr::from(([127, 0, 0, 1], rand::rng().random_range(PORTS)));
-    (1..PORT_TRIES)
-        .find_map(|_| TcpListener::bind(any()).ok())
-        .map_or_else(|| TcpListener::bind(any()), Ok)
+    let new = || {
+        let address = any();
+        let listener = TcpListener::bind(address).ok()?;
+        DRAWN.lock().insert(address.port()).then_some(listener)
+    };
+    (1..PORT_TRIES).find_map(|_| new()).map_or_else(|| TcpListener::bind(any()), Ok)
 }
 
 /// Settings file of an entry instance.
--- a/crates/standin/tests/document.rs
+++ b/crates/standin/tests/document.rs
@@ -1,8 +1,10 @@
-//! `docs/STANDINS.md` documents every fault in the form that the control port accepts.
+//! `docs/STANDINS.md` documents every fault in the form that the control port accepts; addresses of
+//! instances.
 
 use std::collections::BTreeSet;
 
 use acacia_standin::fault::FaultKind;
+use acacia_standin::platform::document::Addresses;
 use acacia_standin::{Fault, list};
 use strum::IntoEnumIterator;
 
@@ -27,3 +29,13 @@
     let instance: list::Instance = serde_json::from_str(body).expect("an instance");
     assert_eq!(&*instance.name, "engine-1");
 }
+
+/// Regression: two instances of a deployment drew the same port, as neither listened yet.
+#[test]
+fn free_addresses_are_distinct() {
+    let drawn: Vec<Addresses> = (0..500).map(|_| Addresses::free().unwrap()).collect();
+    let ports = drawn.iter().flat_map(|drawn| {
+        [drawn.callers, drawn.ready, drawn.metrics, drawn.peers].map(|address| address.port())
+    });
+    assert_eq!(ports.collect::<BTreeSet<u16>>().len(), 4 * drawn.len());
+}
