--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -152,6 +152,10 @@
             self.writers.discard(writer)
             self.tasks.discard(task)
             writer.close()
+            try:
+                await writer.wait_closed()
+            except (ConnectionError, asyncio.CancelledError):
+                pass
 
     async def respond(self, request, reader, writer):
         raise NotImplementedError
@@ -439,8 +443,7 @@
             return False
         watcher.cancel()
         await asyncio.gather(watcher, return_exceptions=True)
-        work.result()
-        return not self.is_leaving
+        return work.exception() is None and not self.is_leaving
 
     async def work(self, request, writer):
         try:
@@ -453,6 +456,8 @@
             self.runs.append(identity)
             self.fleet.record.write(f"server {self.name} ({self.service}, {self.software}) runs {identity}")
             await self.run(request, writer)
+        except ConnectionError:
+            self.fleet.record.write(f"server {self.name} has lost the connection of {identity}")
         finally:
             self.running -= 1
             self.free.release()
