--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -19,6 +19,7 @@
 import tempfile
 import time
 import traceback
+from urllib.parse import unquote
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 DAEMON = os.path.join(ROOT, "target", "release", "acaciad")
@@ -336,11 +337,6 @@
         return 404, {}
 
 
-def unquote(text):
-    from urllib.parse import unquote as decode
-    return decode(text)
-
-
 class Door(Listener):
     """The port of the metadata store for one instance."""
 
@@ -435,6 +431,7 @@
         self.waiting += 1
         # A server drops a request when its connection closes.
         watcher = asyncio.ensure_future(reader.read(1))
+        watcher.add_done_callback(lambda done: done.cancelled() or done.exception())
         work = asyncio.ensure_future(self.work(request, writer))
         await asyncio.wait({watcher, work}, return_when=asyncio.FIRST_COMPLETED)
         if not work.done():
@@ -662,20 +659,23 @@
     fields = {"host": HOST, "authorization": f"Bearer {KEY}", "content-length": len(body), **headers}
     head = f"{method} {path} HTTP/1.1\r\n" + "".join(f"{n}: {v}\r\n" for n, v in fields.items()) + "\r\n"
     writer = None
+
+    async def exchange(reader):
+        writer.write(head.encode() + body)
+        line, reply.headers = await read_head(reader)
+        reply.status = int(line.split(" ")[1])
+        if reply.headers.get("transfer-encoding", "") == "chunked":
+            async for chunk in read_chunks(reader):
+                reply.body += chunk
+                reply.events = parse_events(reply.body.decode())
+        else:
+            reply.body = await reader.readexactly(int(reply.headers.get("content-length", 0)))
+        reply.is_whole = True
+
     try:
-        async with asyncio.timeout(timeout):
-            reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 1.0)
-            writer.write(head.encode() + body)
-            line, reply.headers = await read_head(reader)
-            reply.status = int(line.split(" ")[1])
-            if reply.headers.get("transfer-encoding", "") == "chunked":
-                async for chunk in read_chunks(reader):
-                    reply.body += chunk
-                    reply.events = parse_events(reply.body.decode())
-            else:
-                reply.body = await reader.readexactly(int(reply.headers.get("content-length", 0)))
-            reply.is_whole = True
-    except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError, TimeoutError):
+        reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 1.0)
+        await asyncio.wait_for(exchange(reader), timeout)
+    except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
         pass
     finally:
         if writer is not None:
@@ -846,16 +846,17 @@
     record.write(f"TROUBLE={trouble}")
 
     async def run():
+        # The processes are ended also if the script is stopped.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         fleet = Fleet(record)
         try:
-            async with asyncio.timeout(110):
-                return await case(fleet, trouble)
+            return await asyncio.wait_for(case(fleet, trouble), 110)
         finally:
             fleet.stop()
 
     try:
         broken = asyncio.run(run())
-    except (CannotRun, TimeoutError) as problem:
+    except (CannotRun, asyncio.CancelledError, asyncio.TimeoutError) as problem:
         record.write(f"the case couldn't run: {problem!r}")
         print(f"the case couldn't run: {problem!r}", file=sys.stderr)
         sys.exit(2)
