--- a/review/5/case.py
+++ b/review/5/case.py
@@ -65,8 +65,7 @@
             await restart(fleet, second)
         else:
             await asyncio.sleep(SECOND_STOP_S)
-        if trouble != "0":
-            await restart(fleet, first)
+        await restart(fleet, first)
 
     rolling = asyncio.ensure_future(roll())
     await asyncio.sleep(BEGIN_S)
@@ -82,9 +81,9 @@
     gone_on = sum(taken_up) / max(1, len(taken_up))
     fleet.record.write(f"{len(taken_up)} streams were taken up at an instance in touch: {gone_on:.2f} went on; "
                        f"of new streams {begun:.2f} began")
-    if trouble == "1" and len(taken_up) < 12:
+    if len(taken_up) < 12:
         raise CannotRun("fewer than 12 streams were taken up")
-    return len(taken_up) >= 12 and gone_on < begun / 2
+    return gone_on < begun / 2
 
 
 main(HERE, case)
