Tell other instances of outstanding orders to save a part

Cause: an order to save has no deadline. Two instances ordered the same part saved, each knowing only its own order and for 3 s. The first save had the part listed; the second waited in an engine's queue until after the restart and wrote the part anew while a prompt that had been sent before fetched it.

Ruled out: that the holder opened the store too early (the inventory says closed from the restart on), and that the fetch outlived its view (it ends 2.4 s after it).

Change: instances tell each other orders when they are given and when they end, and repeat outstanding ones in full digests. A part with an outstanding order is neither saved again nor fetched. The order travels as a prefill at the store's key, which reads and ignores.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -101,7 +101,7 @@
                 self.full_sent = now;
                 gateway.full_digest(now, mesh.detail())
             } else {
-                gateway.digest(mesh.detail())
+                gateway.digest(now, mesh.detail())
             }
         };
         let own = digest.map(split).unwrap_or_default();
--- a/crates/policy/src/gateway/access.rs
+++ b/crates/policy/src/gateway/access.rs
@@ -81,8 +81,10 @@
                 && member.weights(&prompt.model) == Some(weights)
         });
         let stores = parts.iter().map(|(key, tokens)| {
+            let is_settled = self.saves.is_settled(self.now, *key);
             let stores = self.view.stores.iter().filter(|store| {
-                store.inventory.parts.get(key).is_some_and(|held| held >= tokens)
+                is_settled
+                    && store.inventory.parts.get(key).is_some_and(|held| held >= tokens)
                     && !self.view.evacuated.contains(&store.zone)
             });
             stores.collect()
--- a/crates/policy/src/gateway/exchange.rs
+++ b/crates/policy/src/gateway/exchange.rs
@@ -1,12 +1,14 @@
 //! Digests that an instance sends to the others, and what it learns from theirs.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use super::confirmation::Confirmation;
-use super::gossip::{Digest, Load, Note, Prefill, ServerKey, stable_hash};
+use super::gossip::{Digest, Incarnation, Load, Note, Prefill, ServerKey, stable_hash};
 use super::machine::Gateway;
 use super::mesh::Detail;
 use super::notice::Departure;
+use super::save::store_key;
 use super::statement::Report;
 use crate::Time;
 
@@ -66,13 +68,28 @@
                 Note::Refused(refusal) => self.receive_refusal(now, refusal),
             }
         }
+        let sender = digest.incarnation;
         for prefill in self.digests.receive(now, digest) {
-            self.record_prefill(now, &prefill);
+            self.receive_prefill(now, sender, &prefill);
         }
     }
 
+    /// Records a prompt that another instance sent to an engine, or its order to save a part.
+    fn receive_prefill(&mut self, now: Time, sender: Incarnation, prefill: &Prefill) {
+        match self.store_by_key(prefill.server) {
+            Some(store) => self.saves.receive(now, sender, store, prefill),
+            None => self.record_prefill(now, prefill),
+        }
+    }
+
+    /// The KV cache store with a key, if it is in the view.
+    fn store_by_key(&self, key: ServerKey) -> Option<SocketAddr> {
+        let stores = &self.view.as_ref()?.stores;
+        stores.iter().map(|store| store.address).find(|address| store_key(*address) == key)
+    }
+
     /// The changes since the last digest; none if nothing has changed.
-    pub fn digest(&mut self, detail: Detail) -> Option<Digest> {
+    pub fn digest(&mut self, now: Time, detail: Detail) -> Option<Digest> {
         let loads = self.loads();
         let servers = loads.keys().chain(self.sent_loads.keys());
         let changed = servers.filter_map(|server| {
@@ -85,7 +102,8 @@
             is_changed.then_some((*server, load))
         });
         let changed: BTreeMap<_, _> = changed.collect();
-        let prefills = self.take_prefills(detail);
+        let mut prefills = self.take_prefills(detail);
+        prefills.extend(self.saves.take_untold(now));
         let departures = std::mem::take(&mut self.departures);
         let mut notes: Vec<Note> = departures.into_iter().map(Note::Departed).collect();
         notes.extend(std::mem::take(&mut self.limit_reports).into_iter().map(Note::Limited));
@@ -105,7 +123,8 @@
     /// none in the last digest.
     pub fn full_digest(&mut self, now: Time, detail: Detail) -> Option<Digest> {
         let loads = self.loads();
-        let prefills = self.take_prefills(detail);
+        let mut prefills = self.take_prefills(detail);
+        prefills.extend(self.saves.take_all(now));
         self.departures.clear();
         let reports = std::mem::take(&mut self.limit_reports);
         let leaving = self.roster.values().filter(|member| member.standing.is_leaving);
--- a/crates/policy/src/gateway/gossip.rs
+++ b/crates/policy/src/gateway/gossip.rs
@@ -2,8 +2,8 @@
 //!
 //! Each instance sees only some of the callers, and engines report late. So instances send each
 //! other, within tens of milliseconds, what they have running where and which prompt parts they
-//! sent there. A lost or late [`Digest`] only worsens the choice of upstreams; no guarantee depends
-//! on it.
+//! sent there. A lost or late [`Digest`] only worsens the choice of upstreams, with one exception:
+//! outstanding orders to save a part, which are repeated until they have ended (see [`super::save`]).
 
 use std::collections::BTreeMap;
 use std::hash::{Hash, Hasher};
@@ -188,14 +188,15 @@
 /// Number of requests from which a change in an engine's running requests is large.
 const LARGE_RUNNING: u32 = 3;
 
-/// A prompt that was sent to an engine.
+/// A prompt that was sent to an engine, or an order to save parts to a KV cache store.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Prefill {
-    /// The engine.
+    /// The engine, or the store.
     pub server: ServerKey,
     /// Its parts in order, with their lengths in tokens.
     pub parts: Vec<(PartKey, u32)>,
-    /// Expected time for which it occupies the engine's memory, in milliseconds.
+    /// Expected time for which it occupies the engine's memory, or for which the order may be
+    /// outstanding, in milliseconds; zero if the order has ended.
     pub residence_ms: u32,
 }
 
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -107,7 +107,7 @@
     pub(super) limit_reports: Vec<limit::Report>,
     /// News of brittle upstreams.
     pub(super) brittle: brittle::Outbox,
-    saves: Saves,
+    pub(super) saves: Saves,
     links: Links,
     pub(super) confirmed: Confirmed,
     pub(super) quarantine: Quarantine,
@@ -371,7 +371,7 @@
                     parts: part_keys(prompt, &run.salt),
                     residence_ms: (residence * 1_000.0) as u32,
                 };
-                self.saves.begin(now, &prefill.parts, &run.save);
+                self.saves.begin(now, plan.deadline, &prefill.parts, &run.save);
                 self.record_prefill(now, &prefill);
                 self.prefills.push(prefill);
             }
@@ -403,6 +403,15 @@
         self.roster.record_prefill(now, key, &prefill.parts, residence, free);
     }
 
+    /// Records that an attempt's orders to save parts are no longer outstanding.
+    fn finish_saves(&mut self, plan: &Plan, attempt: &Attempt) {
+        if let (Some(prompt), Some(run), None) = (&plan.prompt, &attempt.engine, attempt.began)
+            && !run.save.is_empty()
+        {
+            self.saves.finish(&part_keys(prompt, &run.salt), &run.save);
+        }
+    }
+
     /// Records what an upstream stated about itself in the head of the answer to a request of
     /// `sent`. `server` is its entry when the request was sent; a newer incarnation at the same id
     /// is another upstream.
@@ -467,6 +476,7 @@
         if plan.route.repeat == Repeat::ResumableStream {
             self.streams.begin(now, plan.stream, &attempt.server.software);
         }
+        self.finish_saves(plan, attempt);
         attempt.began = Some(now);
         let Some(member) = self.roster.get_mut(&attempt.server.id) else { return };
         let took = now.saturating_sub(attempt.sent);
@@ -510,6 +520,7 @@
         if !(ending == Ending::Misdirected && is_same) {
             plan.tried.push(attempt.server.id.clone());
         }
+        self.finish_saves(plan, attempt);
         self.record_evidence(now, plan, attempt, ending);
         let view = self.view.clone();
         let Some(member) = self.roster.get_mut(&attempt.server.id) else { return };
--- a/crates/policy/src/gateway/save.rs
+++ b/crates/policy/src/gateway/save.rs
@@ -1,11 +1,20 @@
 //! Parts that are being saved to KV cache stores.
+//!
+//! An order to save a part has no deadline: an engine carries it out once it has read the part, after
+//! any time in its queue. If the store restarts meanwhile, the part is written anew, and an engine
+//! that was told before to fetch the part would read it while it is incomplete. So a part with an
+//! outstanding order is neither saved again nor fetched. Instances tell each other their outstanding
+//! orders at once and repeat them in each full digest.
+//!
+//! On the wire an order is a [`Prefill`] at the key of the store. Instances that don't know such
+//! orders ignore a prefill at an unknown upstream.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
 
-use super::gossip::PartKey;
+use super::gossip::{Incarnation, PartKey, Prefill, ServerKey, stable_hash};
 use super::inventory::Store;
 use crate::Time;
 
@@ -13,30 +22,121 @@
 /// part within a second, and the inventory lists it within another.
 const SAVE_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Requested saves that no inventory lists yet.
+/// Requested saves that no inventory lists yet, or that engines have not carried out.
 #[derive(Debug, Default)]
 pub struct Saves {
     pending: FxHashMap<PartKey, Save>,
+    /// Parts of which the other instances have to be told that this instance orders or has ended a
+    /// save.
+    untold: Vec<PartKey>,
 }
 
 #[derive(Debug)]
 struct Save {
+    /// When it was last requested.
     at: Time,
     store: SocketAddr,
     tokens: u32,
+    /// Outstanding orders of this instance.
+    own: u32,
+    /// When the last of them ends at the latest.
+    own_until: Time,
+    /// Other instances with outstanding orders, and when these end at the latest.
+    others: Vec<(Incarnation, Time)>,
+}
+
+impl Save {
+    fn new(at: Time, store: SocketAddr, tokens: u32) -> Self {
+        Self { at, store, tokens, own: 0, own_until: Time::ZERO, others: Vec::new() }
+    }
+
+    /// Whether an engine may carry out an order yet.
+    fn is_outstanding(&self, now: Time) -> bool {
+        self.own > 0 || self.others.iter().any(|(_, until)| now < *until)
+    }
+
+    fn is_pending(&self, now: Time) -> bool {
+        now < self.at + SAVE_TIMEOUT || self.is_outstanding(now)
+    }
+
+    /// What this instance tells the others of the part.
+    fn notice(&self, now: Time, key: PartKey) -> Prefill {
+        let left = if self.own > 0 { self.own_until.saturating_sub(now) } else { Duration::ZERO };
+        Prefill {
+            server: store_key(self.store),
+            parts: vec![(key, self.tokens)],
+            residence_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
 }
 
 impl Saves {
-    /// Records the saves that an attempt requests.
-    pub fn begin(&mut self, now: Time, parts: &[(PartKey, u32)], stores: &[Option<SocketAddr>]) {
-        self.pending.retain(|_, save| now < save.at + SAVE_TIMEOUT);
+    /// Records the saves that an attempt requests; its request ends by `until`.
+    pub fn begin(
+        &mut self,
+        now: Time,
+        until: Time,
+        parts: &[(PartKey, u32)],
+        stores: &[Option<SocketAddr>],
+    ) {
+        self.expire(now);
         for ((key, tokens), store) in parts.iter().zip(stores) {
-            if let Some(store) = *store {
-                self.pending.insert(*key, Save { at: now, store, tokens: *tokens });
+            let Some(store) = *store else { continue };
+            let save = self.pending.entry(*key).or_insert_with(|| Save::new(now, store, *tokens));
+            (save.at, save.store) = (now, store);
+            save.own += 1;
+            save.own_until = save.own_until.max(until);
+            self.untold.push(*key);
+        }
+    }
+
+    /// Records that an attempt has begun to answer, so that its parts are read, or has ended: most
+    /// upstreams drop a request whose connection closes.
+    pub fn finish(&mut self, parts: &[(PartKey, u32)], stores: &[Option<SocketAddr>]) {
+        for ((key, _), _) in parts.iter().zip(stores).filter(|(_, store)| store.is_some()) {
+            let Some(save) = self.pending.get_mut(key) else { continue };
+            save.own = save.own.saturating_sub(1);
+            if save.own == 0 {
+                self.untold.push(*key);
             }
         }
     }
 
+    /// Records what another instance tells of its orders at a store.
+    pub fn receive(&mut self, now: Time, sender: Incarnation, store: SocketAddr, told: &Prefill) {
+        let until = now + Duration::from_millis(told.residence_ms.into());
+        for (key, tokens) in &told.parts {
+            let save = self.pending.entry(*key).or_insert_with(|| Save::new(now, store, *tokens));
+            // A view that is still without the part must not cause another save.
+            save.at = now;
+            save.others.retain(|(other, until)| *other != sender && now < *until);
+            if now < until {
+                save.others.push((sender, until));
+            }
+        }
+    }
+
+    /// The orders that were given or ended since the last call, for the other instances.
+    pub fn take_untold(&mut self, now: Time) -> Vec<Prefill> {
+        let mut untold = std::mem::take(&mut self.untold);
+        untold.sort_unstable();
+        untold.dedup();
+        let notice = |key: PartKey| Some(self.pending.get(&key)?.notice(now, key));
+        untold.into_iter().filter_map(notice).collect()
+    }
+
+    /// All outstanding orders, and those that ended since the last call.
+    pub fn take_all(&mut self, now: Time) -> Vec<Prefill> {
+        let outstanding = self.pending.iter().filter(|(_, save)| save.own > 0);
+        self.untold.extend(outstanding.map(|(key, _)| *key));
+        self.take_untold(now)
+    }
+
+    /// Whether a listed part may be fetched: no engine may write it anew if its store restarts.
+    pub fn is_settled(&self, now: Time, key: PartKey) -> bool {
+        self.pending.get(&key).is_none_or(|save| !save.is_outstanding(now))
+    }
+
     /// The store that a part should be saved to; none if a store holds it, it is being saved, or no
     /// store has room. All instances prefer the same store, so that a part saved by two of them at
     /// the same time takes space once.
@@ -47,7 +147,7 @@
         stores: &[Store],
     ) -> Option<SocketAddr> {
         let is_held = stores.iter().any(|store| store.inventory.parts.contains_key(&key));
-        let is_begun = self.pending.get(&key).is_some_and(|save| now < save.at + SAVE_TIMEOUT);
+        let is_begun = self.pending.get(&key).is_some_and(|save| save.is_pending(now));
         if is_held || is_begun {
             return None;
         }
@@ -62,10 +162,19 @@
     fn in_flight_tokens(&self, now: Time, store: &Store) -> u64 {
         let saves = self.pending.iter().filter(|(key, save)| {
             let is_listed = store.inventory.parts.contains_key(*key);
-            save.store == store.address && now < save.at + SAVE_TIMEOUT && !is_listed
+            save.store == store.address && save.is_pending(now) && !is_listed
         });
         saves.map(|(_, save)| u64::from(save.tokens)).sum()
     }
+
+    fn expire(&mut self, now: Time) {
+        self.pending.retain(|_, save| save.is_pending(now));
+    }
+}
+
+/// The key of a store in messages between instances.
+pub fn store_key(store: SocketAddr) -> ServerKey {
+    stable_hash(&store)
 }
 
 /// Score of a store for a part, by rendezvous hashing weighted by capacity.
--- a/crates/policy/tests/gateway_crash/mod.rs
+++ b/crates/policy/tests/gateway_crash/mod.rs
@@ -546,7 +546,7 @@
             let digest = if is_full {
                 self.gateways[from].full_digest(self.now, Detail::All)
             } else {
-                self.gateways[from].digest(Detail::All)
+                self.gateways[from].digest(self.now, Detail::All)
             };
             let Some(digest) = digest else { continue };
             for to in (0..self.gateways.len()).filter(|to| *to != from) {
--- a/crates/policy/tests/gateway_fleet/mod.rs
+++ b/crates/policy/tests/gateway_fleet/mod.rs
@@ -466,7 +466,7 @@
             let digest = if is_full {
                 self.gateways[at].full_digest(self.now, Detail::All)
             } else {
-                self.gateways[at].digest(Detail::All)
+                self.gateways[at].digest(self.now, Detail::All)
             };
             let Some(digest) = digest else { continue };
             for other in (0..self.gateways.len()).filter(|other| *other != at) {
--- a/crates/policy/tests/gateway_fuzz.rs
+++ b/crates/policy/tests/gateway_fuzz.rs
@@ -316,9 +316,8 @@
     /// Delivers one instance's digest to some of the others.
     fn gossip(&mut self) {
         let at = self.rng.random_range(0..self.instances.len());
-        let Some(digest): Option<Digest> = self.instances[at].gateway.digest(Detail::All) else {
-            return;
-        };
+        let digest: Option<Digest> = self.instances[at].gateway.digest(self.now, Detail::All);
+        let Some(digest) = digest else { return };
         for other in 0..self.instances.len() {
             if other != at && self.rng.random::<f64>() < 0.8 {
                 self.instances[other].gateway.receive(self.now, digest.clone());
--- /dev/null
+++ b/crates/policy/tests/gateway_save.rs
@@ -0,0 +1,150 @@
+//! Tests of orders to save parts to KV cache stores, which engines may carry out late.
+
+mod gateway_simulation;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use acacia_policy::gateway::gossip::{Digest, part_key};
+use acacia_policy::gateway::inventory::{Inventory, Store, salt};
+use acacia_policy::gateway::mesh::Detail;
+use acacia_policy::gateway::{Attempt, Ending, Fetch, Plan};
+
+use gateway_simulation::Simulation;
+
+const TOKENS: u32 = 20_000;
+
+fn store_address() -> SocketAddr {
+    ([127, 0, 0, 1], 2).into()
+}
+
+/// An instance whose view has an open store that holds these parts.
+fn instance(seed: u64, parts: &[&str]) -> Simulation {
+    let mut simulation = Simulation::with_seed(3, seed);
+    list(&mut simulation, parts);
+    simulation
+}
+
+/// Lists parts in the store.
+fn list(simulation: &mut Simulation, parts: &[&str]) {
+    let parts = parts.iter().map(|part| (part_key(&salt(1, None), part), TOKENS));
+    let inventory =
+        Inventory { epoch: 1, is_open: true, parts: parts.collect(), ..Inventory::default() };
+    simulation.change(|view, now| {
+        view.as_of = now;
+        view.server_clock = Some((now, 1_000_000));
+        view.stores = vec![Store {
+            address: store_address(),
+            zone: "z0".into(),
+            capacity_tokens: 1_000_000,
+            link_bytes: 35e9,
+            first_byte: Duration::from_millis(1),
+            inventory: Arc::new(inventory),
+        }];
+    });
+}
+
+/// Sends a prompt with a shared part.
+fn send(simulation: &mut Simulation, part: &str) -> (Plan, Attempt) {
+    let mut plan = simulation.admit_prompt(part, TOKENS);
+    let attempt = simulation.send(&mut plan);
+    (plan, attempt)
+}
+
+fn saves(attempt: &Attempt) -> bool {
+    attempt.engine.as_ref().is_some_and(|run| run.save.iter().any(Option::is_some))
+}
+
+fn fetches(attempt: &Attempt) -> bool {
+    attempt.engine.as_ref().is_some_and(|run| matches!(run.fetch, Fetch::Stores { .. }))
+}
+
+/// Digests as the network delivers them.
+fn delivered(digest: Option<Digest>) -> Digest {
+    let bytes = rmp_serde::to_vec(&digest.expect("a digest")).expect("an encoded digest");
+    rmp_serde::from_slice(&bytes).expect("a decoded digest")
+}
+
+/// The loads and prefills of a digest draw prompts to engines; only its orders are of interest.
+fn orders(digest: Option<Digest>) -> Digest {
+    let digest = delivered(digest);
+    let engines: Vec<_> = digest.loads.keys().copied().collect();
+    let prefills = digest.prefills.into_iter();
+    let prefills = prefills.filter(|prefill| !engines.contains(&prefill.server)).collect();
+    Digest { loads: Default::default(), prefills, ..digest }
+}
+
+/// Regression, MIXED of review case 1: two instances had a part saved; the later save was written to
+/// the restarted store while a prompt fetched the part.
+#[test]
+fn next_saves_part_once_across_instances() {
+    let (mut first, mut second) = (instance(1, &[]), instance(2, &[]));
+    let (_, attempt) = send(&mut first, "p");
+    assert!(saves(&attempt));
+    second.receive(orders(first.digest(Detail::All)));
+    let (_, attempt) = send(&mut second, "p");
+    assert!(!saves(&attempt), "an engine may save the part already");
+    second.pass(Duration::from_secs(4));
+    list(&mut second, &[]);
+    let (_, attempt) = send(&mut second, "p");
+    assert!(!saves(&attempt), "the order is outstanding while its prompt waits");
+    let (_, attempt) = send(&mut second, "q");
+    assert!(saves(&attempt), "nobody saves the other part");
+}
+
+/// Regression, MIXED of review case 1: a part was fetched while an engine could still save it anew.
+#[test]
+fn next_fetches_part_once_saves_are_settled() {
+    let mut saver = instance(1, &[]);
+    let mut readers = [2, 3].map(|seed| instance(seed, &["p"]));
+    let (mut plan, attempt) = send(&mut saver, "p");
+    assert!(saves(&attempt));
+    let order = orders(saver.digest(Detail::All));
+    readers.iter_mut().for_each(|reader| reader.receive(order.clone()));
+    let (_, early) = send(&mut readers[0], "p");
+    assert!(!fetches(&early), "the engine may save the part anew");
+    saver.end(&mut plan, &attempt, Ending::Answered);
+    let end = orders(saver.digest(Detail::All));
+    readers.iter_mut().for_each(|reader| reader.receive(end.clone()));
+    let (_, late) = send(&mut readers[1], "p");
+    assert!(fetches(&late), "{late:?}");
+}
+
+/// An instance that was not told of an order, or not of its end, learns it from a full digest.
+#[test]
+fn full_digest_repeats_outstanding_orders() {
+    let mut saver = instance(1, &[]);
+    let (plan, mut attempt) = send(&mut saver, "p");
+    saver.digest(Detail::All);
+    let mut reader = instance(2, &["p"]);
+    reader.receive(orders(saver.full_digest(Detail::Large)));
+    assert!(!fetches(&send(&mut reader, "p").1));
+    saver.begin(&plan, &mut attempt);
+    let mut other = instance(3, &["p"]);
+    other.receive(orders(saver.full_digest(Detail::Large)));
+    assert!(fetches(&send(&mut other, "p").1), "the part is read");
+}
+
+/// An order whose end is not told ends with its request.
+#[test]
+fn receive_ends_order_with_its_request() {
+    let mut saver = instance(1, &[]);
+    send(&mut saver, "p");
+    let mut reader = instance(2, &["p"]);
+    reader.receive(orders(saver.digest(Detail::All)));
+    reader.pass(Duration::from_secs(6));
+    list(&mut reader, &["p"]);
+    assert!(fetches(&send(&mut reader, "p").1));
+}
+
+/// An instance that doesn't know a store ignores orders at it.
+#[test]
+fn receive_ignores_orders_at_unknown_store() {
+    let mut saver = instance(1, &[]);
+    send(&mut saver, "p");
+    let mut other = Simulation::with_seed(3, 2);
+    other.receive(orders(saver.digest(Detail::All)));
+    list(&mut other, &["p"]);
+    assert!(fetches(&send(&mut other, "p").1));
+}
--- a/crates/policy/tests/gateway_simulation/mod.rs
+++ b/crates/policy/tests/gateway_simulation/mod.rs
@@ -207,7 +207,12 @@
     }
 
     pub fn digest(&mut self, detail: Detail) -> Option<Digest> {
-        self.gateway.digest(detail)
+        self.gateway.digest(self.now, detail)
+    }
+
+    /// A digest of the full state.
+    pub fn full_digest(&mut self, detail: Detail) -> Option<Digest> {
+        self.gateway.full_digest(self.now, detail)
     }
 
     pub fn hedge(&mut self, plan: &mut Plan, attempt: &Attempt) -> Option<Attempt> {
--- a/crates/policy/tests/gateway_software.rs
+++ b/crates/policy/tests/gateway_software.rs
@@ -81,7 +81,7 @@
 }
 
 fn digests(gateway: &mut Gateway) -> Option<Digest> {
-    gateway.digest(Detail::All)
+    gateway.digest(NOW, Detail::All)
 }
 
 #[test]
@@ -147,7 +147,7 @@
         let mut attempt = send(&mut gateway, &mut plan);
         gateway.began(at, &plan, &mut attempt);
         gateway.ended(at, &mut plan, &attempt, Ending::Answered, Some(&attempt.server.id));
-        let digest = gateway.digest(Detail::Large);
+        let digest = gateway.digest(NOW, Detail::Large);
         let notes = digest.iter().flat_map(|digest| &digest.notes);
         notes.filter(|note| matches!(note, Note::Began(_))).count() > 0
     });
