Keep a restarted store closed across holders, from publication on

Cause: a ledger counted the time for which a restarted store stays closed from its own listing, and only if the published inventory had another epoch. The next holder finds the new epoch there and opened the store at once.

Ruled out: a lost write of the previous holder (the entry says closed), saves ordered before the restart.

Change: a store opens some time after its inventory was published in this epoch, or at once if the published inventory says that it is open. The tests that list a restarted store now publish it, and assert the same as before.

--- a/crates/policy/src/gateway/inventory.rs
+++ b/crates/policy/src/gateway/inventory.rs
@@ -6,8 +6,10 @@
 //! in the store's current epoch. An instance reads only listed parts, and sets the engine a
 //! deadline of [`READ_LIMIT`] after its own view was current. A part is therefore freed only after
 //! it has been unlisted for that long, even if instances were paused or partitioned meanwhile. A
-//! store that lost its parts is filled again only after the same time, so that no instance mistakes
-//! a part that is being written for one that was complete before.
+//! store that lost its parts is filled again only after the same time from the publication of its
+//! empty inventory, so that no instance mistakes a part that is being written for one that was
+//! complete before. A new holder of the lease doesn't know when that was, and waits anew, unless the
+//! store is open in the published inventory.
 //!
 //! If the metadata store is restored from an older copy, an older inventory comes back. Each
 //! inventory therefore states the era of the metadata store that it was written in, and is used
@@ -155,12 +157,22 @@
     }
 }
 
+/// When parts may be saved to a store.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Opening {
+    /// Some time after the inventory of its epoch is published, which is not the case yet.
+    #[default]
+    Unpublished,
+    /// From this time on.
+    At(Time),
+}
+
 /// Tracks the contents of one store.
 #[derive(Debug, Default)]
 pub struct Ledger {
     era: Era,
     epoch: EpochId,
-    opens_at: Time,
+    opening: Opening,
     held: BTreeMap<Name, (u32, ModelName)>,
     incomplete: Vec<(Name, u32)>,
     retired: Vec<(Name, u32)>,
@@ -179,10 +191,11 @@
     /// Replaces the contents by a complete listing. `before` is the inventory that instances may
     /// still use.
     pub fn list(&mut self, now: Time, listing: Listing, before: Option<&Inventory>) {
-        let is_new_life =
-            before.is_none_or(|before| before.epoch != listing.epoch || before.era != self.era);
-        if is_new_life {
-            self.opens_at = now + READ_LIMIT + FREE_MARGIN;
+        let is_same = before.is_some_and(|old| old.epoch == listing.epoch && old.era == self.era);
+        if is_same && before.is_some_and(|old| old.is_open) {
+            self.opening = Opening::At(now);
+        } else if !is_same || self.epoch != listing.epoch {
+            self.opening = Opening::Unpublished;
         }
         self.epoch = listing.epoch;
         self.held = listing.held.into_iter().map(|i| (i.name, (i.tokens, i.model))).collect();
@@ -250,6 +263,9 @@
     /// retired parts.
     pub fn published(&mut self, now: Time) {
         self.is_published = true;
+        if self.epoch != 0 && self.opening == Opening::Unpublished {
+            self.opening = Opening::At(now + READ_LIMIT + FREE_MARGIN);
+        }
         if !self.retired.is_empty() && self.due.is_none() {
             self.due = Some(now + READ_LIMIT + FREE_MARGIN);
         }
@@ -296,7 +312,7 @@
     }
 
     fn is_open(&self, now: Time) -> bool {
-        self.epoch != 0 && now >= self.opens_at
+        self.epoch != 0 && matches!(self.opening, Opening::At(at) if now >= at)
     }
 }
 
--- a/crates/policy/tests/gateway_stock.rs
+++ b/crates/policy/tests/gateway_stock.rs
@@ -86,6 +86,7 @@
     let mut ledger = Ledger::default();
     let before = Inventory { epoch: 6, ..Inventory::default() };
     ledger.list(at(0), listing(&[], &[]), Some(&before));
+    ledger.published(at(0));
     assert!(!ledger.inventory(READ_LIMIT).is_open);
     assert!(ledger.inventory(at(10_000)).is_open);
     ledger.list(at(0), listing(&[], &[]), Some(&known()));
@@ -96,6 +97,51 @@
     );
 }
 
+/// Regression, MIXED of review case 3: a holder of the order lease that took over while a restarted
+/// store was closed opened it at once.
+#[test]
+fn list_keeps_store_closed_after_takeover() {
+    let mut ledger = Ledger::default();
+    ledger.list(at(1_000), listing(&[], &[]), Some(&known()));
+    ledger.published(at(1_000));
+    assert!(!ledger.inventory(at(1_000)).is_open);
+    assert!(!ledger.inventory(at(1_000) + READ_LIMIT).is_open);
+    assert!(ledger.inventory(at(10_000)).is_open);
+}
+
+/// A holder that takes over doesn't close a store that was open.
+#[test]
+fn list_keeps_store_open_after_takeover() {
+    let mut ledger = Ledger::default();
+    let before = Inventory { is_open: true, ..known() };
+    ledger.list(at(1_000), listing(&[], &[]), Some(&before));
+    assert!(ledger.inventory(at(1_000)).is_open);
+}
+
+/// Regression, MIXED: while the empty inventory of a restarted store could not be published, the
+/// other instances still read by the one before; the store was open in the first one that they got.
+#[test]
+fn list_closes_restarted_store_until_published() {
+    let mut ledger = Ledger::default();
+    let before = Inventory { epoch: 6, is_open: true, ..Inventory::default() };
+    ledger.list(at(0), listing(&[], &[]), Some(&before));
+    assert!(!ledger.inventory(at(10_000)).is_open, "the inventory is not published");
+    ledger.published(at(10_000));
+    assert!(!ledger.inventory(at(10_000) + READ_LIMIT).is_open);
+    assert!(ledger.inventory(at(20_000)).is_open);
+}
+
+/// A store that its holder lists again in the same epoch opens when it would have opened.
+#[test]
+fn list_again_keeps_opening_time() {
+    let mut ledger = Ledger::default();
+    ledger.list(at(0), listing(&[], &[]), None);
+    ledger.published(at(0));
+    ledger.list(at(2_000), listing(&[("1", "a")], &[]), Some(&known()));
+    ledger.published(at(2_000));
+    assert!(ledger.inventory(at(3_100)).is_open);
+}
+
 #[test]
 fn has_room_counts_retired_and_in_flight_tokens() {
     let inventory =
