Believe what was told of a stream over an old view

Cause: an instance that lists one version took each stream up there, before it looked at what gossip had told it of the stream.

Ruled out: lost messages and differing keys, by a test with two gateways and one digest.

Change: the version that is known of a stream comes first; if it isn't listed, the stream is refused, not run. The log has the age of the view for streams that are taken up and for refusals.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -262,6 +262,7 @@
                 retry_after_ms = refusal.retry_after.map(millis),
                 sends = plan.map_or(0, |plan| plan.sends),
                 configuration = view.map(|view| view.configuration.version),
+                view_age_ms = view.map(|view| millis(now.saturating_sub(view.as_of))),
                 detached_ms = view.and_then(|v| v.unavailable_since).map(|at| millis(now.saturating_sub(at))),
                 took_ms = millis(took),
                 "request ended"
@@ -279,6 +280,8 @@
     }
     let run = attempt.engine.as_ref();
     let shared = plan.prompt.as_ref().and_then(|prompt| prompt.longest_shared());
+    let gateway = traffic.gateway.borrow();
+    let view = gateway.view().filter(|_| plan.resumption.is_some());
     tracing::info!(
         id = plan.id,
         route = plan.route.name,
@@ -291,6 +294,7 @@
         weights = run.map(|run| run.weights),
         software = &*attempt.server.software,
         takes_up = plan.resumption.as_ref().map(|r| r.origin.as_deref().unwrap_or_default()),
+        view_age_ms = view.map(|view| millis(now.saturating_sub(view.as_of))),
         shared_part = shared.map(|part| &*part.id),
         shared_tokens = shared.map(|part| part.tokens),
         unread_tokens = attempt.prefill_tokens,
--- a/crates/policy/src/gateway/software.rs
+++ b/crates/policy/src/gateway/software.rs
@@ -59,7 +59,7 @@
 pub enum Origin {
     /// This version began it.
     Version(SoftwareVersion),
-    /// Some version that no longer serves began it.
+    /// Some version that is not listed began it.
     Gone,
     /// Any of several versions may have begun it.
     Unknown,
@@ -140,12 +140,15 @@
     /// The version that began a stream of a service.
     pub fn origin(&self, service: &ServiceName, key: Option<StreamKey>) -> Origin {
         let Some(versions) = self.versions.get(service) else { return Origin::Unknown };
-        if let (1, Some(version)) = (versions.len(), versions.first()) {
-            return Origin::Version(version.clone());
+        // What is known of a stream comes first: the view may not have its version yet, or any more.
+        if let Some(known) = key.and_then(|key| self.known.get(&key)) {
+            let version = versions.iter().find(|version| short_hash(version) == known.software);
+            return version.map_or(Origin::Gone, |version| Origin::Version(version.clone()));
+        }
+        match (versions.len(), versions.first()) {
+            (1, Some(version)) => Origin::Version(version.clone()),
+            _ => Origin::Unknown,
         }
-        let Some(known) = key.and_then(|key| self.known.get(&key)) else { return Origin::Unknown };
-        let version = versions.iter().find(|version| short_hash(version) == known.software);
-        version.map_or(Origin::Gone, |version| Origin::Version(version.clone()))
     }
 
     /// The streams of which the other instances are to be told in a digest between full ones.
--- a/crates/policy/tests/gateway_software.rs
+++ b/crates/policy/tests/gateway_software.rs
@@ -164,6 +164,23 @@
     assert_eq!(take_up(&mut gateway(1, &view), "call-1"), Err(Reason::UnknownStream));
 }
 
+/// Regression, ORDER of review case 2: an instance that the metadata store turned away took streams up at
+/// the only version that it listed, although it had been told that another one began them.
+#[test]
+fn admit_believes_what_was_told_over_old_view() {
+    let (mut first, mut second) = (gateway(1, &mixed(3)), gateway(2, &mixed(0)));
+    let ids: Vec<String> = (0..24).map(|number| format!("call-{number}")).collect();
+    let begun: Vec<_> = ids.iter().map(|id| begin(&mut first, id)).collect();
+    second.receive(NOW, digests(&mut first).expect("streams began"));
+    for (id, software) in ids.iter().zip(&begun) {
+        let taken = match &**software {
+            "v1" => Ok(software.clone()),
+            _ => Err(Reason::NoUpstream),
+        };
+        assert_eq!(take_up(&mut second, id), taken, "{id}");
+    }
+}
+
 /// A stream does not go on if no server of its version is left.
 #[test]
 fn admit_refuses_stream_of_departed_software() {
