Count expired entries from the return of the metadata store

Cause: a removal within 5.5 s after any failed call, also a watch that was cut once, counted as an expired entry, and its server was used for 1.9 s from the time when the removal was noticed.

Ruled out: a removal that is noticed late, and requests that wait after the choice (0.4 s without the cut watch).

Change: an outage is two failed calls in a row or a longer silence; an entry that disappears within 2.3 s after its end may have expired, and its server is used until then at most.

--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -16,7 +16,7 @@
 use acacia_policy::gateway::inventory::{Inventory, Progress};
 use acacia_policy::gateway::software;
 use acacia_policy::gateway::{
-    Configuration, Server, ServerId, SoftwareVersion, WeightVersion, Weights,
+    Configuration, EXPIRY_LIMIT, Server, ServerId, SoftwareVersion, WeightVersion, Weights,
 };
 use acacia_policy::kv::{Era, Revision};
 
@@ -24,15 +24,12 @@
 
 mod view;
 
-/// Time after a disruption of the metadata store in which an upstream's entry may be missing only
-/// because its lease expired. It covers noticing a silent connection and writing the entry again.
-const EXPIRY_WINDOW: Duration = Duration::from_millis(5_500);
 /// Longest time from an answer to the next one while this process runs: the pause between two watches
 /// and the wait of one.
 const ANSWER_GAP: Duration = Duration::from_millis(1_500);
 /// Longest time from an answer to the first failure after it while this process runs.
 const FAILURE_GAP: Duration = Duration::from_secs(4);
-/// How long an expired entry is kept.
+/// How long an expired entry is kept from the return of the metadata store on.
 const EXPIRED_RETENTION: Duration = Duration::from_secs(4);
 
 /// A replica of the metadata store's contents.
@@ -40,6 +37,7 @@
 pub struct Replica {
     configuration: Option<Arc<Configuration>>,
     servers: BTreeMap<ServerId, Arc<Server>>,
+    /// Upstreams whose entries may have expired in an outage, and when the metadata store was back.
     expired: BTreeMap<ServerId, (Arc<Server>, Time)>,
     evacuated: BTreeSet<ZoneName>,
     weights: BTreeMap<ModelName, Weights>,
@@ -72,7 +70,12 @@
     changed_after: Option<Time>,
     server_clock: Option<(Time, u64)>,
     last_holder_write: Time,
-    disrupted: Option<Time>,
+    /// When the metadata store was last back after an outage.
+    returned: Option<Time>,
+    /// When the last answer was received.
+    answered: Time,
+    /// Calls that failed since.
+    failures: u32,
     unavailable_since: Option<Time>,
     is_current: bool,
     own_incarnation: u64,
@@ -288,7 +291,7 @@
 
     /// Records a failed call to the metadata store; true if it was the first after an answer.
     pub fn fail(&mut self, now: Time) -> bool {
-        self.disrupted = Some(now);
+        self.failures += 1;
         // After a longer gap, this process was suspended before the failure.
         self.complete_at = self.complete_at.filter(|at| now > *at + FAILURE_GAP);
         let was_available = self.unavailable_since.is_none();
@@ -298,9 +301,12 @@
 
     /// Records an answer; returns the time of the first failure before it.
     pub fn recover(&mut self, now: Time) -> Option<Time> {
-        if self.unavailable_since.is_some() {
-            self.disrupted = Some(now);
+        // A watch that is cut once is no outage: no lease expires meanwhile.
+        let is_outage = self.failures > 1 || now > self.answered + ANSWER_GAP;
+        if self.unavailable_since.is_some() && is_outage {
+            self.returned = Some(now);
         }
+        (self.failures, self.answered) = (0, now);
         self.changed_after = self.complete_at;
         // An answer that took longer may have been in transit for all the time.
         let is_prompt = now <= self.as_of + ANSWER_GAP;
@@ -359,7 +365,7 @@
     fn begin_era(&mut self, now: Time) {
         self.era_began = Some(now);
         // Servers may have to write their entries again.
-        self.disrupted = Some(now);
+        self.returned = Some(now);
         let closed = self.servers.values().filter(|server| server.leaving).cloned();
         let closed = closed.chain(self.departures.recent(now)).collect();
         self.carryover =
@@ -547,14 +553,15 @@
     fn remove_server(&mut self, now: Time, id: &str) -> Option<Update> {
         let server = self.servers.remove(id)?;
         self.departures.add(now, server.clone());
-        self.expired.retain(|_, (_, since)| now < *since + EXPIRED_RETENTION);
-        let is_disrupted = self.disrupted.is_some_and(|at| now < at + EXPIRY_WINDOW);
+        self.expired.retain(|_, (_, returned)| now < *returned + EXPIRED_RETENTION);
         let id = server.id.clone();
-        if is_disrupted && !server.leaving {
-            self.expired.insert(id.clone(), (server, now));
-            return Some(Update::ServerLapsed(id));
+        match self.returned.filter(|at| now < *at + EXPIRY_LIMIT) {
+            Some(returned) if !server.leaving => {
+                self.expired.insert(id.clone(), (server, returned));
+                Some(Update::ServerLapsed(id))
+            }
+            _ => Some(Update::ServerGone(id)),
         }
-        Some(Update::ServerGone(id))
     }
 
     /// Keys of the entries that disappear when they are no longer listed.
--- a/crates/gateway/tests/picture.rs
+++ b/crates/gateway/tests/picture.rs
@@ -102,6 +102,46 @@
     assert_eq!((view.servers.len(), view.expired.len()), (1, 0));
 }
 
+/// Receives answers of a metadata store without changes, one each second.
+fn follow(replica: &mut Replica, seconds: std::ops::RangeInclusive<u64>) {
+    seconds.for_each(|second| {
+        replica.confirm(at(second));
+        replica.recover(at(second));
+    });
+}
+
+/// Regression, DRAIN of review case 4: after a watch was cut, a server whose entry was removed got
+/// requests for as long as one whose entry may have expired.
+#[test]
+fn remove_server_after_cut_watch() {
+    let mut replica = replica();
+    replica.apply(at(1), &set("servers/i-1", server(), 2));
+    follow(&mut replica, 1..=59);
+    replica.fail(at(60));
+    follow(&mut replica, 60..=60);
+    replica.apply(at(60), &removed("servers/i-1", 3));
+    assert!(replica.view("own").unwrap().expired.is_empty(), "no lease expires meanwhile");
+}
+
+/// Regression, DRAIN of review case 4: the same, after an outage that had ended long before.
+#[test]
+fn remove_server_after_return() {
+    let mut replica = replica();
+    for (number, id) in (2..).zip(["servers/i-1", "servers/i-2"]) {
+        replica.apply(at(1), &set(id, server(), number));
+    }
+    follow(&mut replica, 1..=59);
+    replica.fail(at(60));
+    replica.fail(at(60));
+    follow(&mut replica, 61..=63);
+    replica.apply(at(63), &removed("servers/i-1", 4));
+    let view = replica.view("own").unwrap();
+    assert_eq!(view.expired["i-1"].1, at(61), "it may be used for some time from the return on");
+    follow(&mut replica, 64..=64);
+    replica.apply(at(64), &removed("servers/i-2", 5));
+    assert_eq!(replica.view("own").unwrap().expired.len(), 1, "a running server is back by then");
+}
+
 #[test]
 fn replace_unlisted_entries() {
     let mut replica = replica();
--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -28,7 +28,7 @@
 use super::plan::{Attempt, EngineRun, Fetch, Plan};
 use super::roster::{MemberKey, Roster};
 use super::save::Saves;
-use super::view::{View, WeightVersion};
+use super::view::{EXPIRY_LIMIT, View, WeightVersion};
 use super::window::{ColdShare, distributed};
 use crate::Time;
 
@@ -74,9 +74,6 @@
 pub const RECHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Time after which an upstream is considered again of whose rate limit this instance has no share.
 const NO_SHARE_PAUSE: Duration = Duration::from_secs(1);
-/// Time within which a running upstream restores an entry that expired while the metadata store was
-/// unavailable.
-const EXPIRY_LIMIT: Duration = Duration::from_millis(1_900);
 /// Size of a service up to which all upstreams are considered: twice the sample size, below which
 /// sampling costs more than it saves.
 const SCAN_LIMIT: usize = 64;
@@ -267,7 +264,7 @@
             return Eligibility::At(at);
         }
         match status.expired {
-            Some(since) if now >= since + EXPIRY_LIMIT => Eligibility::Never,
+            Some(returned) if now >= returned + EXPIRY_LIMIT => Eligibility::Never,
             expired => Eligibility::Now { expired: expired.is_some() },
         }
     }
--- a/crates/policy/src/gateway/member.rs
+++ b/crates/policy/src/gateway/member.rs
@@ -134,7 +134,7 @@
         self.status = Status {
             loading: view.loading.contains(id),
             evacuated: view.evacuated.contains(&self.server.zone),
-            expired: view.expired.get(id).map(|(_, since)| *since),
+            expired: view.expired.get(id).map(|(_, returned)| *returned),
             rank: None,
             turn: None,
         };
@@ -320,7 +320,7 @@
     pub loading: bool,
     /// Whether its availability zone is evacuated.
     pub evacuated: bool,
-    /// When its entry expired while the metadata store was failing.
+    /// When the metadata store was back, if the entry expired in its outage.
     pub expired: Option<Time>,
     /// Number of instances that rank before this one; computed on first use.
     rank: Option<usize>,
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -55,4 +55,4 @@
 pub use notice::Notice;
 pub use path::Probe;
 pub use plan::{Attempt, Ending, EngineRun, Fetch, Plan, Reason, Refusal, Step};
-pub use view::{Server, ServerId, SoftwareVersion, View, WeightVersion, Weights};
+pub use view::{EXPIRY_LIMIT, Server, ServerId, SoftwareVersion, View, WeightVersion, Weights};
--- a/crates/policy/src/gateway/view.rs
+++ b/crates/policy/src/gateway/view.rs
@@ -14,6 +14,11 @@
 use crate::Time;
 use crate::kv::Revision;
 
+/// Time after the return of the metadata store within which a running upstream restores an entry that
+/// expired in the outage, and its restoration is noticed. An entry that is missing for longer, or that
+/// disappears later, was removed.
+pub const EXPIRY_LIMIT: Duration = Duration::from_millis(2_300);
+
 /// Id of an upstream, usually new at each of its starts.
 pub type ServerId = Arc<str>;
 /// Version of a model's weights.
@@ -28,8 +33,8 @@
     pub configuration: Arc<Configuration>,
     /// Every listed upstream.
     pub servers: BTreeMap<ServerId, Arc<Server>>,
-    /// Upstreams whose entries expired while the metadata store was failing, and when that was
-    /// noticed.
+    /// Upstreams whose entries may have expired in an outage of the metadata store, and when it was
+    /// back.
     pub expired: BTreeMap<ServerId, (Arc<Server>, Time)>,
     /// Software versions that serve or served recently, as recorded in the metadata store.
     pub software: Versions,
