Take unknown streams up only by a view that is current

Cause: an instance that lists one version took each stream of which it knows nothing up there, however old its view was.

Change: such a request waits up to 0.5 s for a view that contains all changes up to its arrival, which the control thread reads at once, or is refused, not run. An instance without the metadata store tells the others its streams. A version that came and went between two views counts as one that has served.

--- a/crates/daemon/tests/platform/software.rs
+++ b/crates/daemon/tests/platform/software.rs
@@ -151,12 +151,18 @@
     tokio::time::sleep(RECORD_TIME).await;
     begin(fixture, 0, PATIENCE).await;
     breaks.store(false, Ordering::Relaxed);
+    let begun = origins(&engines);
+    (engines, begun)
+}
+
+/// The version that began each stream, by the id of its request.
+fn origins(engines: &[raw::Server]) -> BTreeMap<String, &'static str> {
     let seen = engines.iter().flat_map(|engine| {
         engine.requests().into_iter().map(|request| (request.id, engine.software))
     });
     let begun: BTreeMap<String, &str> = seen.collect();
     assert_eq!(begun.len(), STREAMS);
-    (engines, begun)
+    begun
 }
 
 /// Regression, ORDER: a stream that its caller took up at another instance went on at an engine of
@@ -190,6 +196,33 @@
     fixture.stop().await;
 }
 
+/// Regression, ORDER of the users' own runs: an instance that was suspended while servers of a newer
+/// version joined took streams up that these had begun, at servers of the older version.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_taken_up_after_suspension_is_not_mixed() {
+    let fixture = Fixture::start(2).await;
+    let breaks = Arc::new(AtomicBool::new(true));
+    let mut engines = start_engines(&fixture, &["v1"; 2], &breaks, End::Silence).await;
+    tokio::time::sleep(RECORD_TIME).await;
+    fixture.signal(1, "-STOP");
+    engines.extend(start_engines(&fixture, &["v2"; 2], &breaks, End::Silence).await);
+    tokio::time::sleep(RECORD_TIME).await;
+    begin(&fixture, 0, PATIENCE).await;
+    breaks.store(false, Ordering::Relaxed);
+    let begun = origins(&engines);
+    fixture.signal(1, "-CONT");
+    let counts = begun.iter().map(|(id, version)| {
+        let stream = BTreeMap::from([(id.clone(), *version)]);
+        let fixture = &fixture;
+        async move { take_up(fixture, 1, &stream).await }
+    });
+    let mixed: usize = join_all(counts).await.iter().map(|count| count.other).sum();
+    assert_eq!(mixed, 0);
+    let count = take_up(&fixture, 1, &begun).await;
+    assert!(count.other == 0 && count.same * 2 > STREAMS, "{count:?}");
+    fixture.stop().await;
+}
+
 /// Where one software version alone has served, streams go on after all instances were killed.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_taken_up_after_kill_of_all_goes_on_at_single_software() {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -8,14 +8,14 @@
 
 use acacia_platform::document::instance_key;
 use acacia_platform::instance::Presence;
-use acacia_platform::store::{Client as StoreClient, Eras, WatchFailure, Written};
+use acacia_platform::store::{Changes, Client as StoreClient, Eras, WatchFailure, Written};
 use acacia_platform::{Settings, cache};
 use acacia_policy::Time;
 use acacia_policy::gateway::configuration::Role;
 use acacia_policy::gateway::{Server, View};
 use acacia_policy::kv::{Failure, Lease, Revision};
 use rand::RngExt;
-use tokio::sync::watch;
+use tokio::sync::{Mutex, Notify, watch};
 
 use crate::client::Client;
 use crate::clock::Clock;
@@ -27,6 +27,10 @@
 /// Longest wait of a watch. Its answer proves that the replica is current, which reads from managed
 /// stores require: two waits fit into the time for which an inventory stays valid.
 const WATCH_WAIT: Duration = Duration::from_millis(700);
+/// Wait of a read of the latest changes, which answers at once.
+const CONFIRMATION_WAIT: Duration = Duration::from_millis(1);
+/// Shortest interval between two such reads, which bounds their number at hundreds of instances.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between reads of the servers' clock. Clocks drift by far less than a millisecond in it.
 const CLOCK_INTERVAL: Duration = Duration::from_secs(15);
 /// The pause between two watches is this fraction of the time within which a change must be in
@@ -59,6 +63,11 @@
     /// The newest era of the metadata store.
     pub eras: Eras,
     views: watch::Sender<Option<Arc<View>>>,
+    /// Notified by the traffic thread when a request needs a current view.
+    doubts: Arc<Notify>,
+    /// Held while all entries are read, and while a view is confirmed: a listing must not replace newer
+    /// contents.
+    listing: Mutex<()>,
 }
 
 impl Control {
@@ -68,11 +77,22 @@
         settings: Settings,
         metrics: Metrics,
         views: watch::Sender<Option<Arc<View>>>,
+        doubts: Arc<Notify>,
     ) -> Self {
         // 52 bits, which every JSON reader represents exactly.
         let incarnation = rand::rng().random::<u64>() >> 12;
         let replica = RefCell::new(Replica::new(incarnation));
-        Self { clock, settings, replica, metrics, incarnation, eras: Eras::default(), views }
+        Self {
+            clock,
+            settings,
+            replica,
+            metrics,
+            incarnation,
+            eras: Eras::default(),
+            views,
+            doubts,
+            listing: Mutex::default(),
+        }
     }
 
     /// A new client of the metadata store.
@@ -92,12 +112,14 @@
         let lease = Rc::new(RefCell::new(None));
         let registration = tokio::task::spawn_local(self.clone().keep_registered(lease.clone()));
         let sync = tokio::task::spawn_local(self.clone().sync_clock());
+        let confirmation = tokio::task::spawn_local(self.clone().confirm_views());
         let holder = Holder::new(self.clone());
         let ordering = tokio::task::spawn_local(holder.clone().run());
         let _ = stop.wait_for(|stop| *stop).await;
         ordering.abort();
         registration.abort();
         sync.abort();
+        confirmation.abort();
         holder.stop().await;
         let lease = *lease.borrow();
         if let Some(lease) = lease {
@@ -157,6 +179,7 @@
     }
 
     async fn read_all(&self, client: &mut StoreClient) -> Result<Revision, WatchFailure> {
+        let _listing = self.listing.lock().await;
         let mut entries = Vec::new();
         let mut after = String::new();
         let mut first = None;
@@ -184,14 +207,29 @@
         }
     }
 
+    /// Watches for changes once, then pauses if there were any.
     async fn watch(
         &self,
         client: &mut StoreClient,
         after: Revision,
     ) -> Result<Revision, WatchFailure> {
+        let changes = self.read_changes(client, after, WATCH_WAIT).await?;
+        if !changes.changes.is_empty() {
+            tokio::time::sleep(self.watch_pause()).await;
+        }
+        Ok(changes.revision)
+    }
+
+    /// Applies the changes after a revision, and publishes the view.
+    async fn read_changes(
+        &self,
+        client: &mut StoreClient,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Changes, WatchFailure> {
         self.metrics.store_call("watch");
         let sent = self.clock.now();
-        let changes = client.watch("", after, WATCH_WAIT).await?;
+        let changes = client.watch("", after, wait).await?;
         self.record_answer(sent);
         let now = self.clock.now();
         let mut updates = Vec::new();
@@ -203,10 +241,26 @@
             self.log_updates(updates, changes.revision);
         }
         self.publish();
-        if !changes.changes.is_empty() {
-            tokio::time::sleep(self.watch_pause()).await;
+        Ok(changes)
+    }
+
+    /// Reads the latest changes when a request needs a current view, as the watch may wait or pause.
+    async fn confirm_views(self: Rc<Self>) {
+        let mut client = self.store_client();
+        loop {
+            self.doubts.notified().await;
+            let listing = self.listing.lock().await;
+            if !self.is_current() {
+                continue;
+            }
+            let after = self.replica.borrow().revision();
+            if let Err(failure) = self.read_changes(&mut client, after, CONFIRMATION_WAIT).await {
+                // The watch notices a lost history and an outage.
+                tracing::info!(%failure, "view not confirmed");
+            }
+            drop(listing);
+            tokio::time::sleep(CONFIRMATION_INTERVAL).await;
         }
-        Ok(changes.revision)
     }
 
     /// Pause between two watches.
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -100,11 +100,12 @@
     let metrics = Metrics::new().into_diagnostic()?;
     let (views, new_views) = watch::channel(None);
     let (stop, stopped) = watch::channel(false);
+    let view_doubts = Arc::<Notify>::default();
     let control = {
-        let (settings, metrics) = (settings.clone(), metrics.clone());
+        let (settings, metrics, doubts) = (settings.clone(), metrics.clone(), view_doubts.clone());
         std::thread::Builder::new()
             .name("control".to_owned())
-            .spawn(move || control(clock, settings, metrics, views, stopped))
+            .spawn(move || control(clock, settings, metrics, views, doubts, stopped))
             .into_diagnostic()?
     };
     let terms = Terms { placement, ..terms(&settings) };
@@ -118,6 +119,8 @@
         phase: Cell::new(Phase::Serving),
         limits: watch::Sender::default(),
         weights: watch::Sender::default(),
+        confirmed: watch::Sender::default(),
+        view_doubts,
         path_changes: watch::Sender::default(),
         path_doubts: Notify::new(),
         open_connections: Cell::new(0),
@@ -142,11 +145,12 @@
     settings: Settings,
     metrics: Metrics,
     views: watch::Sender<Option<Arc<View>>>,
+    doubts: Arc<Notify>,
     stopped: watch::Receiver<bool>,
 ) {
     match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => {
-            let control = Rc::new(Control::new(clock, settings, metrics, views));
+            let control = Rc::new(Control::new(clock, settings, metrics, views, doubts));
             LocalSet::new().block_on(&runtime, control.run(stopped));
         }
         Err(error) => tracing::error!(%error, "the control thread can't start"),
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -49,7 +49,7 @@
     /// Software versions that the metadata store holds, and the revision of that entry.
     software: Software,
     software_revision: Revision,
-    /// When each version of a service was last seen.
+    /// When an entry with each version of a service was last received, or was last listed.
     software_seen: BTreeMap<(ServiceName, SoftwareVersion), Time>,
     instances: BTreeMap<String, Presence>,
     holder: Option<Holder>,
@@ -206,6 +206,11 @@
         self.as_of = self.as_of.max(sent);
     }
 
+    /// The revision up to which all changes were applied.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
     /// Records that all changes up to a revision were applied.
     pub fn advance(&mut self, revision: Revision) {
         self.revision = self.revision.max(revision);
@@ -345,9 +350,10 @@
         updates
     }
 
-    /// Applies one change from the watch; one of another era is ignored.
+    /// Applies one change from the watch; one of another era, or one that was applied before, is ignored.
     pub fn apply(&mut self, now: Time, change: &store::Change) -> Option<Update> {
-        if change.revision.era != self.era {
+        // Two reads of changes may overlap.
+        if change.revision.era != self.era || change.revision <= self.revision {
             return None;
         }
         // Its writer has written the entry again.
@@ -516,6 +522,7 @@
                 self.departures.forget(&id);
                 let was_expired = self.expired.remove(&id).is_some();
                 let server = Arc::new(server);
+                self.see_software(now, &server);
                 let old = self.servers.insert(id.clone(), server.clone());
                 (was_expired || old != Some(server)).then_some(Update::Server(id))
             }
@@ -550,8 +557,16 @@
         }
     }
 
+    /// Records the version of a server that is or was listed. It may disappear before a view shows it.
+    fn see_software(&mut self, now: Time, server: &Server) {
+        self.software_seen.retain(|_, seen| now < *seen + software::RETENTION);
+        let version = (server.service.clone(), server.software.clone());
+        self.software_seen.insert(version, now);
+    }
+
     fn remove_server(&mut self, now: Time, id: &str) -> Option<Update> {
         let server = self.servers.remove(id)?;
+        self.see_software(now, &server);
         self.departures.add(now, server.clone());
         self.expired.retain(|_, (_, returned)| now < *returned + EXPIRED_RETENTION);
         let id = server.id.clone();
--- a/crates/gateway/src/replica/view.rs
+++ b/crates/gateway/src/replica/view.rs
@@ -9,6 +9,7 @@
 use acacia_policy::gateway::configuration::{ModelName, Role};
 use acacia_policy::gateway::inventory::Store;
 use acacia_policy::gateway::mesh::Peer;
+use acacia_policy::gateway::software::{self, Versions};
 use acacia_policy::gateway::{Server, ServerId, View, WeightVersion, Weights};
 
 use super::Replica;
@@ -36,7 +37,7 @@
             configuration: self.configuration.clone()?,
             servers: self.listed_servers(),
             expired: self.expired.clone(),
-            software: self.software.0.clone(),
+            software: self.recent_software(),
             evacuated: evacuated.cloned().collect(),
             weights: self.announced_weights(),
             loading: holding.map(|h| h.loading.iter().cloned().collect()).unwrap_or_default(),
@@ -53,6 +54,18 @@
         })
     }
 
+    /// The software versions that serve or served recently, as recorded in the metadata store or
+    /// received here.
+    fn recent_software(&self) -> Versions {
+        let mut versions = self.software.0.clone();
+        let seen = self.software_seen.iter();
+        let recent = seen.filter(|(_, seen)| self.as_of < **seen + software::RETENTION);
+        for ((service, version), _) in recent {
+            versions.entry(service.clone()).or_default().insert(version.clone());
+        }
+        versions
+    }
+
     /// The listed servers. One that was leaving or gone before a restore is leaving still, until it
     /// writes its entry again.
     fn listed_servers(&self) -> BTreeMap<ServerId, Arc<Server>> {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -77,6 +77,10 @@
             };
             call.content = content_hash(payload.method.as_str(), &payload.target, &payload.body);
             let service = service.as_deref();
+            let awaits_view = traffic.gateway.borrow().awaits_view(arrived, &call);
+            if awaits_view {
+                traffic.confirm_view(arrived).await;
+            }
             let admitted = traffic.gateway.borrow_mut().admit_for(arrived, call, service);
             match admitted {
                 // An instance that goes on running is asked instead.
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use acacia_policy::Time;
 use acacia_policy::gateway::configuration::{Limits, ModelName};
@@ -17,6 +18,9 @@
 use crate::metric::Metrics;
 use crate::pool::Pool;
 
+/// Longest wait for a view that is known to be current: a hundred times the latency of the metadata
+/// store.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum number of parts in a log line.
 const LOGGED_PARTS: usize = 32;
 
@@ -40,6 +44,10 @@
     pub limits: watch::Sender<Limits>,
     /// The announced weights, by the latest view.
     pub weights: watch::Sender<BTreeMap<ModelName, Weights>>,
+    /// The time up to which the latest view contains all changes.
+    pub confirmed: watch::Sender<Time>,
+    /// Tells the control thread that a request needs a current view.
+    pub view_doubts: Arc<Notify>,
     /// Counts paths to upstreams that were lost or regained.
     pub path_changes: watch::Sender<u64>,
     /// Tells the prober of paths that a failure put in doubt.
@@ -82,6 +90,7 @@
         let mut pool = self.pool.borrow_mut();
         pool.sweep(now, |id| view.servers.contains_key(id) || view.expired.contains_key(id));
         self.gateway.borrow_mut().observe(now, view.clone());
+        self.confirmed.send_replace(view.as_of);
         self.weights.send_if_modified(|weights| {
             let is_changed = *weights != view.weights;
             weights.clone_from(&view.weights);
@@ -89,6 +98,14 @@
         });
     }
 
+    /// Waits for a view that contains all changes up to a time, for as long as one is likely to come.
+    pub async fn confirm_view(&self, time: Time) {
+        let mut confirmed = self.confirmed.subscribe();
+        self.view_doubts.notify_one();
+        let is_current = confirmed.wait_for(|as_of| *as_of >= time);
+        let _ = tokio::time::timeout(CONFIRMATION_TIMEOUT, is_current).await;
+    }
+
     /// Waits until prompts that were sent for these weights are given up if they have not begun.
     pub async fn start_ended(&self, model: &ModelName, version: WeightVersion) {
         let mut announced = self.weights.subscribe();
--- a/crates/gateway/tests/picture.rs
+++ b/crates/gateway/tests/picture.rs
@@ -142,6 +142,33 @@
     assert_eq!(replica.view("own").unwrap().expired.len(), 1, "a running server is back by then");
 }
 
+/// A server that came and left between two views tells that its version has served.
+#[test]
+fn view_keeps_software_of_departed_server() {
+    let mut replica = replica();
+    let mut entry = server();
+    entry["version"] = json!("v2");
+    replica.apply(at(1), &set("servers/i-1", entry, 2));
+    replica.apply(at(1), &removed("servers/i-1", 3));
+    replica.confirm(at(1));
+    assert!(replica.view("own").unwrap().software["s"].contains("v2"));
+    replica.confirm(at(60));
+    assert!(!replica.view("own").unwrap().software.contains_key("s"));
+}
+
+/// A change that two reads contain is applied once, in the order of revisions.
+#[test]
+fn apply_changes_again() {
+    let mut replica = replica();
+    let (added, gone) = (set("servers/i-1", server(), 2), removed("servers/i-1", 3));
+    for change in [&added, &gone] {
+        replica.apply(at(1), change);
+    }
+    replica.advance(revision(3));
+    assert_eq!(replica.apply(at(2), &added), None);
+    assert!(replica.view("own").unwrap().servers.is_empty());
+}
+
 #[test]
 fn replace_unlisted_entries() {
     let mut replica = replica();
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -44,6 +44,10 @@
 /// counts as delay.
 const PLAIN_EXPECTED_DIVISOR: u32 = 2;
 
+/// Outage of the metadata store that may be over at the next call, such as a connection that was lost
+/// while this process was suspended.
+const SHORT_OUTAGE: Duration = Duration::from_millis(500);
+
 /// Expected wait in an engine's queue up to which the time to the first token measures the prefill.
 const SHORT_WAIT: Duration = Duration::from_millis(20);
 
@@ -222,7 +226,8 @@
         let name = organisation.as_ref().map(|organisation| &*organisation.name);
         let origin = call.resumption.as_ref().and_then(|resumption| resumption.origin.as_ref());
         let stream = stream_key(name, origin.unwrap_or(&call.id));
-        let software = self.required_software(&service, route.repeat, &call, stream)?;
+        let is_current = now <= view.as_of;
+        let software = self.required_software(&service, route.repeat, &call, stream, is_current)?;
         let limit = call.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let waited = route.timeout.saturating_sub(limit);
         // The instance that received the request has counted it.
@@ -256,6 +261,25 @@
         })
     }
 
+    /// Whether a request takes up a stream whose software version only a view tells that was current
+    /// when the request arrived. If the metadata store hasn't answered for some time, there will be none
+    /// soon.
+    pub fn awaits_view(&self, arrived: Time, call: &Call) -> bool {
+        let (Some(view), Some(resumption)) = (&self.view, &call.resumption) else { return false };
+        let is_cut_off =
+            view.unavailable_since.is_some_and(|since| arrived >= since + SHORT_OUTAGE);
+        if arrived <= view.as_of || is_cut_off {
+            return false;
+        }
+        let configuration = &view.configuration;
+        let Some(route) = configuration.route(&call.host, &call.path) else { return false };
+        let organisation = call.key.as_deref().and_then(|key| configuration.organisation(key));
+        let name = organisation.map(|organisation| &*organisation.name);
+        let key = resumption.origin.as_ref().map(|origin| stream_key(name, origin));
+        route.repeat == Repeat::ResumableStream
+            && route.split.iter().any(|(service, _)| self.streams.depends_on_view(service, key))
+    }
+
     /// The service of a request: the one that another instance selected, or one by the route's split.
     fn select_service(
         &mut self,
@@ -275,12 +299,14 @@
         repeat: Repeat,
         call: &Call,
         stream: StreamKey,
+        is_current: bool,
     ) -> Result<Option<SoftwareVersion>, Refusal> {
         let Some(resumption) = call.resumption.as_ref() else { return Ok(None) };
         if repeat != Repeat::ResumableStream {
             return Ok(None);
         }
-        match self.streams.origin(service, resumption.origin.as_ref().map(|_| stream)) {
+        let key = resumption.origin.as_ref().map(|_| stream);
+        match self.streams.origin(service, key, is_current) {
             Origin::Version(version) => Ok(Some(version)),
             Origin::Gone => Err(not_run(Reason::NoUpstream)),
             Origin::Unknown => Err(not_run(Reason::UnknownStream)),
--- a/crates/policy/src/gateway/software.rs
+++ b/crates/policy/src/gateway/software.rs
@@ -5,6 +5,12 @@
 //! the version of each stream that begins. A stream whose version is unknown, as after all instances
 //! were killed, is not taken up: nothing in its answer would show that it is mixed.
 //!
+//! That one version alone serves is known only from a view that was current after the stream had begun.
+//! An instance that was suspended, or that the metadata store doesn't answer, lists what served
+//! before. So a stream of which nothing is known is taken up by a view that is confirmed after the
+//! request has arrived. While an instance is without the metadata store, it tells the others its
+//! streams, as they may be without it too.
+//!
 //! An instance that has just started can't know which versions were listed before. So the versions
 //! that serve are recorded in the metadata store, and stay there for a while after the last server
 //! of a version has gone.
@@ -61,7 +67,7 @@
     Version(SoftwareVersion),
     /// Some version that is not listed began it.
     Gone,
-    /// Any of several versions may have begun it.
+    /// Any of several versions may have begun it, or one that an outdated view doesn't list.
     Unknown,
 }
 
@@ -70,6 +76,8 @@
 pub struct Streams {
     versions: Versions,
     known: FxHashMap<StreamKey, Known>,
+    /// Whether the other instances are told the streams that begin.
+    is_telling: bool,
     /// Streams of which the other instances were not told yet.
     untold: Vec<(StreamKey, SoftwareKey)>,
     /// When the oldest of these began.
@@ -96,9 +104,10 @@
                 known.insert(server.software.clone());
             }
         }
-        let was_mixed = self.is_mixed();
         self.versions = versions;
-        if self.is_mixed() && !was_mixed {
+        let was_telling = self.is_telling;
+        self.is_telling = self.is_mixed() || view.unavailable_since.is_some();
+        if self.is_telling && !was_telling {
             self.expire(now);
             let open = self.known.iter().filter(|(_, known)| known.is_open);
             self.untold = open.map(|(key, known)| (*key, known.software)).collect();
@@ -116,7 +125,7 @@
         let software = short_hash(software);
         self.remember(now, key, software, true);
         self.latest = now;
-        if self.is_mixed() {
+        if self.is_telling {
             if self.untold.is_empty() {
                 self.untold_since = now;
             }
@@ -137,8 +146,14 @@
         streams.for_each(|(key, software)| self.remember(now, *key, *software, false));
     }
 
-    /// The version that began a stream of a service.
-    pub fn origin(&self, service: &ServiceName, key: Option<StreamKey>) -> Origin {
+    /// The version that began a stream of a service. `is_current` tells whether the view was current
+    /// after the stream had begun.
+    pub fn origin(
+        &self,
+        service: &ServiceName,
+        key: Option<StreamKey>,
+        is_current: bool,
+    ) -> Origin {
         let Some(versions) = self.versions.get(service) else { return Origin::Unknown };
         // What is known of a stream comes first: the view may not have its version yet, or any more.
         if let Some(known) = key.and_then(|key| self.known.get(&key)) {
@@ -146,11 +161,20 @@
             return version.map_or(Origin::Gone, |version| Origin::Version(version.clone()));
         }
         match (versions.len(), versions.first()) {
-            (1, Some(version)) => Origin::Version(version.clone()),
+            (1, Some(version)) if is_current => Origin::Version(version.clone()),
             _ => Origin::Unknown,
         }
     }
 
+    /// Whether a current view may tell or list the version that began a stream.
+    pub fn depends_on_view(&self, service: &ServiceName, key: Option<StreamKey>) -> bool {
+        let Some(versions) = self.versions.get(service) else { return false };
+        match key.and_then(|key| self.known.get(&key)) {
+            Some(known) => !versions.iter().any(|version| short_hash(version) == known.software),
+            None => versions.len() == 1,
+        }
+    }
+
     /// The streams of which the other instances are to be told in a digest between full ones.
     pub fn take_batch(&mut self, detail: Detail) -> Vec<Beginnings> {
         let is_early = self.latest < self.untold_since + BATCH_INTERVAL;
--- a/crates/policy/src/gateway/view.rs
+++ b/crates/policy/src/gateway/view.rs
@@ -36,7 +36,7 @@
     /// Upstreams whose entries may have expired in an outage of the metadata store, and when it was
     /// back.
     pub expired: BTreeMap<ServerId, (Arc<Server>, Time)>,
-    /// Software versions that serve or served recently, as recorded in the metadata store.
+    /// Software versions that serve or served recently.
     pub software: Versions,
     /// Availability zones that get no new requests.
     pub evacuated: BTreeSet<ZoneName>,
--- a/crates/policy/tests/gateway_software.rs
+++ b/crates/policy/tests/gateway_software.rs
@@ -20,7 +20,7 @@
 
 /// A view of six engines, of which this number has the newer version.
 fn mixed(newer: usize) -> View {
-    let mut view = view(6);
+    let mut view = View { as_of: NOW, ..view(6) };
     for (id, server) in &mut view.servers {
         let is_newer =
             id.strip_prefix("es").is_some_and(|n| n.parse::<usize>().is_ok_and(|n| n < newer));
@@ -35,24 +35,26 @@
     gateway
 }
 
-/// Admits a prompt that begins a stream, or takes one up.
-fn admit(gateway: &mut Gateway, id: &str, origin: Option<&str>) -> Result<Plan, Refusal> {
+/// A prompt that begins a stream, or takes one up.
+fn call(id: &str, origin: Option<&str>) -> Call {
     let parts = [id, "own"].map(|part| Part { id: part.to_owned(), tokens: 400 });
     let prompt =
         Prompt { model: MODEL.into(), input_tokens: 800, output_tokens: 10, parts: parts.into() };
-    gateway.admit(
-        NOW,
-        Call {
-            id: id.to_owned(),
-            host: "svc.example".to_owned(),
-            path: "/ask/".to_owned(),
-            key: Some("key".to_owned()),
-            timeout: Some(Duration::from_secs(5)),
-            prompt: Some(prompt),
-            content: content_hash("POST", "/ask/", b""),
-            resumption: origin.map(|origin| Resumption { origin: Some(origin.to_owned()) }),
-        },
-    )
+    Call {
+        id: id.to_owned(),
+        host: "svc.example".to_owned(),
+        path: "/ask/".to_owned(),
+        key: Some("key".to_owned()),
+        timeout: Some(Duration::from_secs(5)),
+        prompt: Some(prompt),
+        content: content_hash("POST", "/ask/", b""),
+        resumption: origin.map(|origin| Resumption { origin: Some(origin.to_owned()) }),
+    }
+}
+
+/// Admits such a prompt.
+fn admit(gateway: &mut Gateway, id: &str, origin: Option<&str>) -> Result<Plan, Refusal> {
+    gateway.admit(NOW, call(id, origin))
 }
 
 fn send(gateway: &mut Gateway, plan: &mut Plan) -> Attempt {
@@ -181,6 +183,57 @@
     }
 }
 
+/// Regression, ORDER of the users' own runs: an instance that was suspended, or that the metadata store did
+/// not answer, took streams up at the only version that it listed, while another one had begun them.
+#[test]
+fn admit_refuses_unknown_stream_by_old_view() {
+    let old = View { as_of: NOW - Duration::from_millis(1), ..mixed(0) };
+    let mut gateway = gateway(1, &old);
+    begin(&mut gateway, "own");
+    assert_eq!(take_up(&mut gateway, "call-1"), Err(Reason::UnknownStream));
+    assert_eq!(take_up(&mut gateway, "own").as_deref(), Ok("v1"), "it began here");
+    gateway.observe(NOW, Arc::new(mixed(0)));
+    assert_eq!(take_up(&mut gateway, "call-1").as_deref(), Ok("v1"), "the view is current");
+}
+
+/// A view is worth waiting for only if it tells the version, and if there will be one.
+#[test]
+fn awaits_view_of_unknown_stream() {
+    let old = View { as_of: NOW - Duration::from_millis(1), ..mixed(0) };
+    let awaits = |view: View, origin: &str| {
+        let mut gateway = gateway(1, &view);
+        begin(&mut gateway, "own");
+        gateway.awaits_view(NOW, &call("again", Some(origin)))
+    };
+    assert!(awaits(old.clone(), "call-1"));
+    assert!(!awaits(old.clone(), "own"), "its version is known");
+    assert!(!awaits(mixed(0), "call-1"), "the view is current");
+    assert!(!awaits(View { as_of: old.as_of, ..mixed(3) }, "call-1"), "two versions serve");
+    let cut_off = |since| View { unavailable_since: Some(since), ..old.clone() };
+    assert!(awaits(cut_off(NOW), "call-1"), "the next call may be answered");
+    assert!(!awaits(cut_off(NOW - Duration::from_secs(1)), "call-1"), "there is no newer view");
+    let (mut newer, mut second) = (gateway(2, &mixed(6)), gateway(3, &old));
+    begin(&mut newer, "told");
+    newer.observe(NOW, Arc::new(mixed(3)));
+    second.receive(NOW, digests(&mut newer).expect("streams began"));
+    assert!(second.awaits_view(NOW, &call("again", Some("told"))), "its version is not listed yet");
+}
+
+/// An instance without the metadata store tells the others its streams, as they may be without it too.
+#[test]
+fn observe_tells_streams_during_outage() {
+    let cut_off = View { as_of: Time::ZERO, unavailable_since: Some(NOW), ..mixed(0) };
+    let (mut first, mut second) = (gateway(1, &mixed(0)), gateway(2, &cut_off));
+    begin(&mut first, "earlier");
+    first.observe(NOW, Arc::new(cut_off));
+    begin(&mut first, "later");
+    second.receive(NOW, digests(&mut first).expect("streams began"));
+    for id in ["earlier", "later"] {
+        assert_eq!(take_up(&mut second, id).as_deref(), Ok("v1"), "{id}");
+    }
+    assert_eq!(take_up(&mut second, "other"), Err(Reason::UnknownStream));
+}
+
 /// A stream does not go on if no server of its version is left.
 #[test]
 fn admit_refuses_stream_of_departed_software() {
