Limit the length of a trailer

Cause: the decoder limited the length of a trailer's line only.

Change: a trailer may have 16 KiB, for all peers.

Before: body_trailer_too_long fails; plain_endless and stream_endless_event, which have a case with a trailer now, read 37 and 39 MB. After: they pass.

--- a/crates/connection/src/body.rs
+++ b/crates/connection/src/body.rs
@@ -7,8 +7,11 @@
 
 /// Maximum length of a chunk's size line, including extensions.
 const MAX_SIZE_LINE_BYTES: usize = 256;
-/// Maximum length of a trailer line.
-const MAX_TRAILER_LINE_BYTES: usize = 4096;
+/// Maximum length of a trailer, which is read and dropped.
+const MAX_TRAILER_BYTES: usize = 16 << 10;
+
+/// Length of a line break.
+const LINE_BREAK_BYTES: usize = 2;
 
 /// State of the decoding of a body.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -21,8 +24,8 @@
     ChunkData(u64),
     /// Before the line break after a chunk.
     ChunkEnd,
-    /// After the last chunk, before the end of the trailer.
-    Trailer,
+    /// After the last chunk, before the end of the trailer; the number of bytes that it may still have.
+    Trailer(usize),
     /// Body that ends when the connection is closed.
     UntilClose,
     /// At the end of the body.
@@ -53,7 +56,7 @@
     /// Decodes the next bytes of the body and removes them from the buffer.
     ///
     /// # Errors
-    /// If the chunked encoding is malformed.
+    /// If the chunked encoding is malformed, or its trailer is too long.
     pub fn decode(&mut self, buffer: &mut BytesMut) -> Result<Segment, Fault> {
         loop {
             match *self {
@@ -80,7 +83,7 @@
                     });
                 }
                 Self::ChunkSize => match read_chunk_size(buffer)? {
-                    Some(0) => *self = Self::Trailer,
+                    Some(0) => *self = Self::Trailer(MAX_TRAILER_BYTES),
                     Some(length) => *self = Self::ChunkData(length),
                     None => return Ok(Segment::Incomplete),
                 },
@@ -94,9 +97,12 @@
                     buffer.advance(2);
                     *self = Self::ChunkSize;
                 }
-                Self::Trailer => match read_line(buffer, MAX_TRAILER_LINE_BYTES)? {
+                Self::Trailer(left) => match read_line(buffer, left)? {
                     Some(line) if line.is_empty() => *self = Self::Done,
-                    Some(_) => {}
+                    Some(line) => {
+                        let left = left.checked_sub(line.len() + LINE_BREAK_BYTES);
+                        *self = Self::Trailer(left.ok_or(Fault::Malformed)?);
+                    }
                     None => return Ok(Segment::Incomplete),
                 },
             }
--- a/crates/connection/tests/exchange.rs
+++ b/crates/connection/tests/exchange.rs
@@ -86,6 +86,20 @@
     assert!(connection.is_reusable());
 }
 
+/// Regression: a trailer without end was read until the request's deadline, as only the length of its
+/// lines was limited.
+#[tokio::test]
+async fn body_trailer_too_long() {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n";
+    for (lines, is_whole) in [(400, true), (4_000, false)] {
+        let text = format!("{head}{}\r\n", "t: 1\r\n".repeat(lines));
+        let (answer, _) = exchange_once(&text, End::Keep).await;
+        let expected =
+            if is_whole { Ok((200, Bytes::from("hello"))) } else { Err(Fault::Malformed) };
+        assert_eq!(answer, expected, "{lines} lines");
+    }
+}
+
 #[tokio::test]
 async fn body_until_close() {
     let (answer, connection) = exchange_once("HTTP/1.1 200 OK\r\n\r\nhello", End::Close).await;
--- a/crates/daemon/tests/platform/answer.rs
+++ b/crates/daemon/tests/platform/answer.rs
@@ -241,10 +241,14 @@
 async fn stream_endless_event() {
     let fixture = Fixture::start(1).await;
     fixture.unregister_engines();
-    for fields in ["\r\n", "content-length: 99999999999\r\n\r\nid: 1\n\n"] {
+    for (fields, repeated) in [
+        ("\r\n", "data: x\n"),
+        ("content-length: 99999999999\r\n\r\nid: 1\n\n", "data: x\n"),
+        ("transfer-encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n0\r\n", "x-more: x\r\n"),
+    ] {
         let raw = raw::Server::start(move |request| Answer {
             bytes: raw::head(request, fields),
-            end: End::Repeat("data: x\n"),
+            end: End::Repeat(repeated),
         })
         .await;
         fixture.register(&raw, "llm");
@@ -263,6 +267,7 @@
     for (fields, repeated) in [
         ("\r\n", "xxxxxxxx"),
         ("transfer-encoding: chunked\r\n\r\n", "20\r\nxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\n"),
+        ("transfer-encoding: chunked\r\n\r\n0\r\n", "x-more: x\r\n"),
     ] {
         let raw = raw::Server::start(move |request| Answer {
             bytes: raw::head(request, fields),
