Refuse requests that are complete late in a planned stop

Cause: nothing compared the deadline of a request with the end of the process.

Ruled out: requests that are passed on to an instance that stops; it refuses what it has not sent.

Change: once an instance takes no more connections, it refuses what it has not sent and what may outlast it, not run.

Before: stop::request_complete_late_in_stop_is_refused fails, with no answer. After: it passes, and a request that ends within the grace is served.

--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -20,6 +20,7 @@
 mod resumption;
 mod silence;
 mod software;
+mod stop;
 mod weights;
 
 use std::time::Duration;
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -117,6 +117,7 @@
         log_budget: Budget::default(),
         memory: Memory::default(),
         phase: Cell::new(Phase::Serving),
+        ends: Cell::new(None),
         limits: watch::Sender::default(),
         weights: watch::Sender::default(),
         confirmed: watch::Sender::default(),
@@ -221,9 +222,9 @@
     enter(Phase::Leaving);
     tokio::time::sleep(DRAIN_DELAY.min(grace / 2)).await;
     enter(Phase::Closing);
-    while traffic.open_connections.get() > 0
-        && traffic.now() < started + grace.saturating_sub(GRACE_MARGIN)
-    {
+    let ends = started + grace.saturating_sub(GRACE_MARGIN);
+    traffic.ends.set(Some(ends));
+    while traffic.open_connections.get() > 0 && traffic.now() < ends {
         tokio::time::sleep(STOP_POLL).await;
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -36,6 +36,13 @@
 const LEAVING: Refusal =
     Refusal { reason: Reason::NoPath, verdict: Verdict::NotRun, retry_after: None };
 
+/// Refusal of a request that may outlast this instance. Other instances can serve it at once.
+const STOPPING: Refusal = Refusal {
+    reason: Reason::Stopping,
+    verdict: Verdict::NotRun,
+    retry_after: Some(Time::from_millis(50)),
+};
+
 /// Who a request comes from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Origin {
@@ -157,6 +164,11 @@
     let mut failure: Option<(Head, Bytes)> = None;
     loop {
         let now = traffic.now();
+        if traffic.may_end_before(&plan.borrow()) {
+            let plan = plan.borrow();
+            completion.record_refusal(traffic, Some(&plan), &STOPPING);
+            return answer_refusal(&plan.id, &STOPPING);
+        }
         let step = traffic.gateway.borrow_mut().next(now, &mut plan.borrow_mut());
         let attempt = match step {
             Step::Send(attempt) => *attempt,
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_policy::Time;
 use acacia_policy::gateway::configuration::{Limits, ModelName};
 use acacia_policy::gateway::quarantine::Kind as SuspectKind;
 use acacia_policy::gateway::{Attempt, Ending, Gateway, Plan, View, WeightVersion, Weights};
+use acacia_policy::{Time, Verdict};
 use tokio::sync::{Notify, watch};
 
 use crate::attempt::Progress;
@@ -40,6 +40,8 @@
     pub memory: Memory,
     /// The phase of the process.
     pub phase: Cell<Phase>,
+    /// When the process ends at the latest, once it accepts no new connections.
+    pub ends: Cell<Option<Time>>,
     /// Limits on callers' requests and connections, by the latest view.
     pub limits: watch::Sender<Limits>,
     /// The announced weights, by the latest view.
@@ -78,6 +80,13 @@
         self.phase.get() == Phase::Serving && self.gateway.borrow().view().is_some()
     }
 
+    /// Whether the process may end before a request that was not sent yet. The caller gets a refusal
+    /// then, and not a connection that is cut while an upstream runs the request.
+    pub fn may_end_before(&self, plan: &Plan) -> bool {
+        let is_unsent = plan.sends == 0 && plan.verdict == Verdict::NotRun;
+        is_unsent && self.ends.get().is_some_and(|ends| plan.deadline > ends)
+    }
+
     /// Applies a newer view.
     pub fn observe(&self, view: Arc<View>) {
         let now = self.now();
--- a/crates/policy/src/gateway/plan.rs
+++ b/crates/policy/src/gateway/plan.rs
@@ -259,6 +259,8 @@
     UnknownKey,
     /// The configuration is too old to deny a request by it.
     StaleConfiguration,
+    /// The instance stops, and may end before the request does.
+    Stopping,
     /// No upstream is eligible.
     NoUpstream,
     /// Another instance passed the request on, and this one has no path to the service either.
