--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -83,18 +83,7 @@
                 body,
             };
             call.content = content_hash(payload.method.as_str(), &payload.target, &payload.body);
-            let service = service.as_deref();
-            let awaits_view = traffic.gateway.borrow().awaits_view(arrived, &call);
-            if awaits_view {
-                traffic.confirm_view(arrived).await;
-            }
-            let admitted = traffic.gateway.borrow_mut().admit_for(arrived, call, service);
-            match admitted {
-                // An instance that goes on running is asked instead.
-                Ok(plan) if plan.is_forwarded && traffic.phase.get() != Phase::Serving => {
-                    completion.record_refusal(&traffic, Some(&plan), &LEAVING);
-                    answer_refusal(&id, &LEAVING)
-                }
+            match admit(&traffic, arrived, call, service.as_deref()).await {
                 Ok(plan) => serve(&traffic, plan, payload, completion).await,
                 Err(refusal) => {
                     completion.record_refusal(&traffic, None, &refusal);
@@ -113,6 +102,22 @@
     Ok(response)
 }
 
+/// Finds the request's route and upstreams; waits for a current view first if the decision depends on it.
+async fn admit(
+    traffic: &Traffic,
+    arrived: Time,
+    call: Call,
+    service: Option<&str>,
+) -> Result<Plan, Refusal> {
+    let awaits_view = traffic.gateway.borrow().awaits_view(arrived, &call);
+    if awaits_view {
+        traffic.confirm_view(arrived).await;
+    }
+    let plan = traffic.gateway.borrow_mut().admit_for(arrived, call, service)?;
+    // An instance that goes on running is asked instead.
+    if plan.is_forwarded && traffic.phase.get() != Phase::Serving { Err(LEAVING) } else { Ok(plan) }
+}
+
 /// Reads a request's whole body, so that the request can be retried.
 async fn read_body(traffic: &Traffic, call: &Call, mut body: Incoming) -> Result<Bytes, Refusal> {
     let refusal = |reason| Refusal { reason, verdict: Verdict::NotRun, retry_after: None };
@@ -163,13 +168,7 @@
     let (plan, payload) = (Rc::new(RefCell::new(plan)), Rc::new(payload));
     let mut failure: Option<(Head, Bytes)> = None;
     loop {
-        let now = traffic.now();
-        if traffic.may_end_before(&plan.borrow()) {
-            let plan = plan.borrow();
-            completion.record_refusal(traffic, Some(&plan), &STOPPING);
-            return answer_refusal(&plan.id, &STOPPING);
-        }
-        let step = traffic.gateway.borrow_mut().next(now, &mut plan.borrow_mut());
+        let step = next_step(traffic, &mut plan.borrow_mut());
         let attempt = match step {
             Step::Send(attempt) => *attempt,
             Step::Wait(at) => {
@@ -213,6 +212,14 @@
     }
 }
 
+/// Decides where a request goes next; nowhere if this instance may end before it does.
+fn next_step(traffic: &Traffic, plan: &mut Plan) -> Step {
+    if traffic.may_end_before(plan) {
+        return Step::Refuse(STOPPING);
+    }
+    traffic.gateway.borrow_mut().next(traffic.now(), plan)
+}
+
 /// Records the end of a request, once, in the log and the metrics.
 pub struct Completion {
     arrived: Time,
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -226,8 +226,7 @@
         let name = organisation.as_ref().map(|organisation| &*organisation.name);
         let origin = call.resumption.as_ref().and_then(|resumption| resumption.origin.as_ref());
         let stream = stream_key(name, origin.unwrap_or(&call.id));
-        let is_current = now <= view.as_of;
-        let software = self.required_software(&service, route.repeat, &call, stream, is_current)?;
+        let software = self.required_software(now, &service, route.repeat, &call, stream)?;
         let limit = call.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let waited = route.timeout.saturating_sub(limit);
         // The instance that received the request has counted it.
@@ -295,17 +294,18 @@
     /// The software version that a request requires, as it began the stream that is taken up.
     fn required_software(
         &self,
+        arrived: Time,
         service: &ServiceName,
         repeat: Repeat,
         call: &Call,
         stream: StreamKey,
-        is_current: bool,
     ) -> Result<Option<SoftwareVersion>, Refusal> {
         let Some(resumption) = call.resumption.as_ref() else { return Ok(None) };
         if repeat != Repeat::ResumableStream {
             return Ok(None);
         }
         let key = resumption.origin.as_ref().map(|_| stream);
+        let is_current = self.view.as_ref().is_some_and(|view| arrived <= view.as_of);
         match self.streams.origin(service, key, is_current) {
             Origin::Version(version) => Ok(Some(version)),
             Origin::Gone => Err(not_run(Reason::NoUpstream)),
