--- a/crates/connection/src/body.rs
+++ b/crates/connection/src/body.rs
@@ -9,7 +9,6 @@
 const MAX_SIZE_LINE_BYTES: usize = 256;
 /// Maximum length of a trailer, which is read and dropped.
 const MAX_TRAILER_BYTES: usize = 16 << 10;
-
 /// Length of a line break.
 const LINE_BREAK_BYTES: usize = 2;
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -64,7 +64,7 @@
     pub eras: Eras,
     views: watch::Sender<Option<Arc<View>>>,
     /// Notified by the traffic thread when a request needs a current view.
-    doubts: Arc<Notify>,
+    view_doubts: Arc<Notify>,
     /// Held while all entries are read, and while a view is confirmed: a listing must not replace newer
     /// contents.
     listing: Mutex<()>,
@@ -77,7 +77,7 @@
         settings: Settings,
         metrics: Metrics,
         views: watch::Sender<Option<Arc<View>>>,
-        doubts: Arc<Notify>,
+        view_doubts: Arc<Notify>,
     ) -> Self {
         // 52 bits, which every JSON reader represents exactly.
         let incarnation = rand::rng().random::<u64>() >> 12;
@@ -90,7 +90,7 @@
             incarnation,
             eras: Eras::default(),
             views,
-            doubts,
+            view_doubts,
             listing: Mutex::default(),
         }
     }
@@ -248,7 +248,7 @@
     async fn confirm_views(self: Rc<Self>) {
         let mut client = self.store_client();
         loop {
-            self.doubts.notified().await;
+            self.view_doubts.notified().await;
             let listing = self.listing.lock().await;
             if !self.is_current() {
                 continue;
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -120,7 +120,7 @@
         ends: Cell::new(None),
         limits: watch::Sender::default(),
         weights: watch::Sender::default(),
-        confirmed: watch::Sender::default(),
+        view_time: watch::Sender::default(),
         view_doubts,
         path_changes: watch::Sender::default(),
         path_doubts: Notify::new(),
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -47,7 +47,7 @@
     /// The announced weights, by the latest view.
     pub weights: watch::Sender<BTreeMap<ModelName, Weights>>,
     /// The time up to which the latest view contains all changes.
-    pub confirmed: watch::Sender<Time>,
+    pub view_time: watch::Sender<Time>,
     /// Tells the control thread that a request needs a current view.
     pub view_doubts: Arc<Notify>,
     /// Counts paths to upstreams that were lost or regained.
@@ -99,7 +99,7 @@
         let mut pool = self.pool.borrow_mut();
         pool.sweep(now, |id| view.servers.contains_key(id) || view.expired.contains_key(id));
         self.gateway.borrow_mut().observe(now, view.clone());
-        self.confirmed.send_replace(view.as_of);
+        self.view_time.send_replace(view.as_of);
         self.weights.send_if_modified(|weights| {
             let is_changed = *weights != view.weights;
             weights.clone_from(&view.weights);
@@ -109,9 +109,9 @@
 
     /// Waits for a view that contains all changes up to a time, for as long as one is likely to come.
     pub async fn confirm_view(&self, time: Time) {
-        let mut confirmed = self.confirmed.subscribe();
+        let mut view_time = self.view_time.subscribe();
         self.view_doubts.notify_one();
-        let is_current = confirmed.wait_for(|as_of| *as_of >= time);
+        let is_current = view_time.wait_for(|as_of| *as_of >= time);
         let _ = tokio::time::timeout(CONFIRMATION_TIMEOUT, is_current).await;
     }
 
--- a/crates/policy/src/gateway/save.rs
+++ b/crates/policy/src/gateway/save.rs
@@ -103,9 +103,9 @@
     }
 
     /// Records what another instance tells of its orders at a store.
-    pub fn receive(&mut self, now: Time, sender: Incarnation, store: SocketAddr, told: &Prefill) {
-        let until = now + Duration::from_millis(told.residence_ms.into());
-        for (key, tokens) in &told.parts {
+    pub fn receive(&mut self, now: Time, sender: Incarnation, store: SocketAddr, order: &Prefill) {
+        let until = now + Duration::from_millis(order.residence_ms.into());
+        for (key, tokens) in &order.parts {
             let save = self.pending.entry(*key).or_insert_with(|| Save::new(now, store, *tokens));
             // A view that is still without the part must not cause another save.
             save.at = now;
@@ -127,6 +127,7 @@
 
     /// All outstanding orders, and those that ended since the last call.
     pub fn take_all(&mut self, now: Time) -> Vec<Prefill> {
+        self.expire(now);
         let outstanding = self.pending.iter().filter(|(_, save)| save.own > 0);
         self.untold.extend(outstanding.map(|(key, _)| *key));
         self.take_untold(now)
