--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -27,8 +27,8 @@
 use super::reach::{self, Reach};
 use super::roster::Roster;
 use super::save::Saves;
-use super::software::{Origin, StreamKey, Streams, stream_key};
-use super::view::{Server, SoftwareVersion, View, Weights};
+use super::software::{Streams, stream_key};
+use super::view::{Server, View, Weights};
 use super::window::{ColdTerms, RetryBudget, RetryTerms};
 use crate::{Time, Verdict};
 
@@ -44,10 +44,6 @@
 /// counts as delay.
 const PLAIN_EXPECTED_DIVISOR: u32 = 2;
 
-/// Outage of the metadata store that may be over at the next call, such as a connection that was lost
-/// while this process was suspended.
-const SHORT_OUTAGE: Duration = Duration::from_millis(500);
-
 /// Expected wait in an engine's queue up to which the time to the first token measures the prefill.
 const SHORT_WAIT: Duration = Duration::from_millis(20);
 
@@ -260,25 +256,6 @@
         })
     }
 
-    /// Whether a request takes up a stream whose software version only a view tells that was current
-    /// when the request arrived. If the metadata store hasn't answered for some time, there will be none
-    /// soon.
-    pub fn awaits_view(&self, arrived: Time, call: &Call) -> bool {
-        let (Some(view), Some(resumption)) = (&self.view, &call.resumption) else { return false };
-        let is_cut_off =
-            view.unavailable_since.is_some_and(|since| arrived >= since + SHORT_OUTAGE);
-        if arrived <= view.as_of || is_cut_off {
-            return false;
-        }
-        let configuration = &view.configuration;
-        let Some(route) = configuration.route(&call.host, &call.path) else { return false };
-        let organisation = call.key.as_deref().and_then(|key| configuration.organisation(key));
-        let name = organisation.map(|organisation| &*organisation.name);
-        let key = resumption.origin.as_ref().map(|origin| stream_key(name, origin));
-        route.repeat == Repeat::ResumableStream
-            && route.split.iter().any(|(service, _)| self.streams.depends_on_view(service, key))
-    }
-
     /// The service of a request: the one that another instance selected, or one by the route's split.
     fn select_service(
         &mut self,
@@ -291,28 +268,6 @@
         service.cloned().ok_or(not_run(Reason::NoUpstream))
     }
 
-    /// The software version that a request requires, as it began the stream that is taken up.
-    fn required_software(
-        &self,
-        arrived: Time,
-        service: &ServiceName,
-        repeat: Repeat,
-        call: &Call,
-        stream: StreamKey,
-    ) -> Result<Option<SoftwareVersion>, Refusal> {
-        let Some(resumption) = call.resumption.as_ref() else { return Ok(None) };
-        if repeat != Repeat::ResumableStream {
-            return Ok(None);
-        }
-        let key = resumption.origin.as_ref().map(|_| stream);
-        let is_current = self.view.as_ref().is_some_and(|view| arrived <= view.as_of);
-        match self.streams.origin(service, key, is_current) {
-            Origin::Version(version) => Ok(Some(version)),
-            Origin::Gone => Err(not_run(Reason::NoUpstream)),
-            Origin::Unknown => Err(not_run(Reason::UnknownStream)),
-        }
-    }
-
     /// Decides where a request goes next.
     pub fn next(&mut self, now: Time, plan: &mut Plan) -> Step {
         let Some(view) = self.view.clone() else { return Step::Refuse(not_run(Reason::NotReady)) };
@@ -627,6 +582,6 @@
 }
 
 /// A refusal of a request that was not sent.
-fn not_run(reason: Reason) -> Refusal {
+pub(super) fn not_run(reason: Reason) -> Refusal {
     Refusal { reason, verdict: Verdict::NotRun, retry_after: Some(MIN_RETRY_AFTER) }
 }
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -40,6 +40,7 @@
 mod plan;
 pub mod quarantine;
 pub mod reach;
+mod resumption;
 pub mod rollout;
 mod roster;
 mod save;
