Ask other instances at the start for what they know

Cause: an instance tells the others the version of a stream once, when it begins. One that starts later never learned of open streams, and must not guess. Limits, suspects and departures have the same gap until the others' next full digests.

Each fact keeps its age. One that stops repeats its open streams.

Why it works: every stream that began while several versions served is known to each instance that ran then, and an instance is ready only after it was told.

--- a/crates/daemon/tests/platform/fixture.rs
+++ b/crates/daemon/tests/platform/fixture.rs
@@ -122,6 +122,27 @@
         fixture
     }
 
+    /// Starts as [`Self::start`] does, one instance beside others that the metadata store lists at
+    /// these addresses for messages.
+    pub async fn start_beside(peers: &[SocketAddr]) -> Self {
+        let mut fixture = Self::upstreams().await;
+        for (number, peer) in peers.iter().enumerate() {
+            let presence = json!({"peer": peer.to_string(), "zone": "z1"});
+            fixture.store.put(&format!("acacia/instances/other-{number}"), &presence);
+        }
+        fixture.start_instances(1).await;
+        fixture
+    }
+
+    /// Stops an instance as planned, and starts it again at other addresses.
+    pub async fn restart(&mut self, instance: usize) {
+        self.terminate(instance);
+        eventually("the instance has ended", async || self.has_ended(instance)).await;
+        self.all_cuts().for_each(|cuts| cuts.remove(self.process_id(instance)));
+        self.instances[instance] = self.start_instance(instance, self.store.address);
+        eventually("the instance is ready", async || self.is_ready(instance).await).await;
+    }
+
     /// Starts instances and waits until they are ready.
     async fn start_instances(&mut self, count: usize) {
         self.start_instances_at(count, self.store.address).await;
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -12,6 +12,7 @@
 mod cut;
 mod entry;
 mod fixture;
+mod handover;
 mod head;
 mod limit;
 mod passage;
--- a/crates/daemon/tests/platform/software.rs
+++ b/crates/daemon/tests/platform/software.rs
@@ -223,6 +223,32 @@
     fixture.stop().await;
 }
 
+/// Regression, review/5 (LOST): streams that callers take up at an instance that was restarted as
+/// planned were refused while two software versions served.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_taken_up_after_planned_restart_goes_on() {
+    let mut fixture = Fixture::start(2).await;
+    let (_engines, begun) = break_off(&fixture, &VERSIONS).await;
+    fixture.restart(1).await;
+    let count = take_up(&fixture, 1, &begun).await;
+    assert_eq!(count.other, 0, "{count:?}");
+    assert_eq!(count.same, STREAMS, "{count:?}");
+    fixture.stop().await;
+}
+
+/// As before, after both instances were restarted in turn: what an instance was told it tells the next.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_taken_up_after_restarts_in_turn_goes_on() {
+    let mut fixture = Fixture::start(2).await;
+    let (_engines, begun) = break_off(&fixture, &VERSIONS).await;
+    fixture.restart(1).await;
+    fixture.restart(0).await;
+    let count = take_up(&fixture, 0, &begun).await;
+    assert_eq!(count.other, 0, "{count:?}");
+    assert_eq!(count.same, STREAMS, "{count:?}");
+    fixture.stop().await;
+}
+
 /// Where one software version alone has served, streams go on after all instances were killed.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_taken_up_after_kill_of_all_goes_on_at_single_software() {
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -19,6 +19,7 @@
 use crate::clock::Clock;
 use crate::control::Control;
 use crate::gossip;
+use crate::handover;
 use crate::listener::{listen, serve, serve_metrics, serve_ready};
 use crate::log::Budget;
 use crate::memory::Memory;
@@ -32,6 +33,9 @@
 const DRAIN_DELAY: Duration = Duration::from_millis(2_700);
 /// Interval between checks whether all connections are closed.
 const STOP_POLL: Duration = Duration::from_millis(50);
+/// Interval in which an instance that stops repeats its open streams, as the others may be restarted
+/// meanwhile and datagrams may be lost.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// How long before the platform kills the process it exits by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
 /// Interval between reports of dropped log lines.
@@ -117,6 +121,7 @@
         log_budget: Budget::default(),
         memory: Memory::default(),
         phase: Cell::new(Phase::Serving),
+        is_informed: Cell::new(false),
         ends: Cell::new(None),
         limits: watch::Sender::default(),
         weights: watch::Sender::default(),
@@ -187,6 +192,7 @@
         }
     }
     tokio::task::spawn_local(probe::run(traffic.clone()));
+    tokio::task::spawn_local(handover::run(traffic.clone()));
     tokio::task::spawn_local(follow_views(traffic.clone(), new_views));
     tracing::info!(
         instance = settings.instance,
@@ -218,14 +224,20 @@
         );
         traffic.phase.set(phase);
         phases.send_replace(phase);
+        traffic.gateway.borrow_mut().repeat_streams(traffic.now());
     };
     enter(Phase::Leaving);
     tokio::time::sleep(DRAIN_DELAY.min(grace / 2)).await;
     enter(Phase::Closing);
     let ends = started + grace.saturating_sub(GRACE_MARGIN);
     traffic.ends.set(Some(ends));
+    let mut repeated = traffic.now();
     while traffic.open_connections.get() > 0 && traffic.now() < ends {
         tokio::time::sleep(STOP_POLL).await;
+        if traffic.now() >= repeated + REPEAT_INTERVAL {
+            repeated = traffic.now();
+            traffic.gateway.borrow_mut().repeat_streams(repeated);
+        }
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,8 @@
 //! upstream, [`hedge`] starts a second attempt beside one whose upstream does not respond, and
 //! [`relay`] forwards an event stream. [`forward`] passes a request on to another instance while
 //! this one has no path to the upstreams. [`probe`] tests suspected paths to upstreams, and [`gossip`]
-//! exchanges load digests with the other instances. Both threads write decisions to the [`log`] and count them in [`metric`].
+//! exchanges load digests with the other instances; [`handover`] asks them at the start for what they
+//! know. Both threads write decisions to the [`log`] and count them in [`metric`].
 
 mod attempt;
 mod carryover;
@@ -20,6 +21,7 @@
 mod event;
 mod forward;
 pub mod gossip;
+mod handover;
 mod hedge;
 mod holder;
 mod instance;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -13,12 +13,14 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use http::header::{CONNECTION, CONTENT_TYPE};
+use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody};
 use hyper::body::{Body as _, Frame, Incoming};
 
 use crate::attempt::{Outcome, Payload, Stream};
 use crate::forward::{Forwarded, Passed, forward};
+use crate::handover;
 use crate::hedge::send;
 use crate::log::Kind;
 use crate::relay::{Interrupted, Relay, wait_until};
@@ -60,6 +62,11 @@
 ) -> Result<Response<Body>, Infallible> {
     let arrived = traffic.now();
     let (head, incoming) = request.into_parts();
+    if origin == Origin::Instance && is_handover(&head) {
+        discard(incoming);
+        let body = Full::new(handover::answer(&traffic)).map_err(never);
+        return Ok(answer(StatusCode::OK, HeaderMap::new(), Box::pin(body)));
+    }
     let mut call = match ingress::call(&head) {
         Ok(call) => call,
         Err(problem) => {
@@ -102,6 +109,11 @@
     Ok(response)
 }
 
+/// Whether another instance that starts asks for what this one knows.
+fn is_handover(head: &Parts) -> bool {
+    head.uri.path() == handover::PATH && ingress::forwarded_service(&head.headers).is_none()
+}
+
 /// Finds the request's route and upstreams; waits for a current view first if the decision depends on it.
 async fn admit(
     traffic: &Traffic,
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -40,6 +40,8 @@
     pub memory: Memory,
     /// The phase of the process.
     pub phase: Cell<Phase>,
+    /// Whether this instance has asked others what they know, or had none to ask.
+    pub is_informed: Cell<bool>,
     /// When the process ends at the latest, once it accepts no new connections.
     pub ends: Cell<Option<Time>>,
     /// Limits on callers' requests and connections, by the latest view.
@@ -77,7 +79,7 @@
 
     /// Whether the instance accepts new callers.
     pub fn is_ready(&self) -> bool {
-        self.phase.get() == Phase::Serving && self.gateway.borrow().view().is_some()
+        self.phase.get() == Phase::Serving && self.is_informed.get()
     }
 
     /// Whether the process may end before a request that was not sent yet. The caller gets a refusal
--- a/crates/policy/src/gateway/configuration.rs
+++ b/crates/policy/src/gateway/configuration.rs
@@ -73,6 +73,11 @@
         self.keys.as_ref()?.get(key)
     }
 
+    /// All routes, in no order.
+    pub fn all_routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.values().flat_map(HashMap::values).map(|route| &**route)
+    }
+
     /// The number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(HashMap::len).sum()
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -86,7 +86,7 @@
     terms: Terms,
     pub(super) view: Option<Arc<View>>,
     /// When it received its first view.
-    started: Option<Time>,
+    pub(super) started: Option<Time>,
     pub(super) roster: Roster,
     budgets: FxHashMap<ServiceName, RetryBudget>,
     paces: FxHashMap<ServiceName, Pace>,
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -10,7 +10,8 @@
 //! [`quarantine`] holds back requests, and parts of prompts, that crash upstreams; [`limit`] tracks
 //! the rates of requests that upstreams take, [`brittle`] the rates of refusals that they bear,
 //! [`software`] which version began a stream, and [`reach`] whether this instance has a path to the
-//! upstreams; without one, [`forward`] selects another instance. Limits on all instances together are
+//! upstreams; without one, [`forward`] selects another instance. An instance that starts gets what the
+//! others know by [`handover`]. Limits on all instances together are
 //! divided into shares by [`window`], so that no request waits for another instance.
 
 mod access;
@@ -26,6 +27,7 @@
 mod exchange;
 pub mod forward;
 pub mod gossip;
+pub mod handover;
 pub mod inventory;
 mod lateness;
 pub mod limit;
--- a/crates/policy/src/gateway/software.rs
+++ b/crates/policy/src/gateway/software.rs
@@ -13,7 +13,8 @@
 //!
 //! An instance that has just started can't know which versions were listed before. So the versions
 //! that serve are recorded in the metadata store, and stay there for a while after the last server
-//! of a version has gone.
+//! of a version has gone. The versions of streams it gets from other instances (see
+//! [`super::handover`]).
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::Hash;
@@ -90,8 +91,18 @@
 struct Known {
     software: SoftwareKey,
     since: Time,
-    /// Whether it has not ended here, so that its caller may take it up.
-    is_open: bool,
+    status: Status,
+}
+
+/// Where a stream that is known is served.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Status {
+    /// Here; it has not ended, so its caller may take it up.
+    Open,
+    /// Here, and it was answered to its end.
+    Ended,
+    /// At another instance, or at an earlier incarnation of this one.
+    Told,
 }
 
 impl Streams {
@@ -108,11 +119,44 @@
         let was_telling = self.is_telling;
         self.is_telling = self.is_mixed() || view.unavailable_since.is_some();
         if self.is_telling && !was_telling {
-            self.expire(now);
-            let open = self.known.iter().filter(|(_, known)| known.is_open);
-            self.untold = open.map(|(key, known)| (*key, known.software)).collect();
-            self.untold_since = now;
+            self.repeat(now);
+        }
+    }
+
+    /// Tells the other instances all streams that are open here again.
+    pub fn repeat(&mut self, now: Time) {
+        if !self.is_telling {
+            return;
         }
+        self.expire(now);
+        let open = self.known.iter().filter(|(_, known)| known.status == Status::Open);
+        self.untold = open.map(|(key, known)| (*key, known.software)).collect();
+        self.untold_since = now;
+    }
+
+    /// The streams that may still be taken up if callers wait for `timeout`, with their ages; none
+    /// while one version alone serves each service.
+    pub fn recent(&self, now: Time, timeout: Duration) -> Vec<(StreamKey, SoftwareKey, Duration)> {
+        if !self.is_telling {
+            return Vec::new();
+        }
+        let recent = self.known.iter().filter_map(|(key, known)| {
+            let age = now.saturating_sub(known.since);
+            let may_go_on = known.status != Status::Ended && age < timeout;
+            may_go_on.then_some((*key, known.software, age))
+        });
+        recent.collect()
+    }
+
+    /// Records a stream that another instance knows; it began `age` ago.
+    pub fn receive_recent(
+        &mut self,
+        now: Time,
+        key: StreamKey,
+        software: SoftwareKey,
+        age: Duration,
+    ) {
+        self.remember(now.saturating_sub(age), key, software, Status::Told);
     }
 
     /// Whether several versions of a service serve.
@@ -123,7 +167,7 @@
     /// Records that a version began a stream.
     pub fn begin(&mut self, now: Time, key: StreamKey, software: &SoftwareVersion) {
         let software = short_hash(software);
-        self.remember(now, key, software, true);
+        self.remember(now, key, software, Status::Open);
         self.latest = now;
         if self.is_telling {
             if self.untold.is_empty() {
@@ -136,14 +180,14 @@
     /// Records that a stream was answered to its end.
     pub fn end(&mut self, key: StreamKey) {
         if let Some(known) = self.known.get_mut(&key) {
-            known.is_open = false;
+            known.status = Status::Ended;
         }
     }
 
     /// Records another instance's streams.
     pub fn receive(&mut self, now: Time, beginnings: &Beginnings) {
         let streams = beginnings.0.iter();
-        streams.for_each(|(key, software)| self.remember(now, *key, *software, false));
+        streams.for_each(|(key, software)| self.remember(now, *key, *software, Status::Told));
     }
 
     /// The version that began a stream of a service. `is_current` tells whether the view was current
@@ -187,13 +231,13 @@
         untold.chunks(NOTE_STREAMS).map(|streams| Beginnings(streams.to_vec())).collect()
     }
 
-    fn remember(&mut self, now: Time, key: StreamKey, software: SoftwareKey, is_open: bool) {
+    fn remember(&mut self, since: Time, key: StreamKey, software: SoftwareKey, status: Status) {
         if self.known.len() >= MAX_STREAMS {
-            self.expire(now);
+            self.expire(since);
         }
         // The first version counts: the stream is bound to it.
         if self.known.len() < MAX_STREAMS {
-            self.known.entry(key).or_insert(Known { software, since: now, is_open });
+            self.known.entry(key).or_insert(Known { software, since, status });
         }
     }
 
