Read from the settings whether callers contend for capacity

Placement and admission are to change only where a deployment's settings name the contract "pressure". Nothing depends on the field yet.

--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -280,5 +280,6 @@
         weights_limit: bounds.weights,
         stale_after: STALE_AFTER,
         placement: Placement::default(),
+        under_pressure: settings.pressure,
     }
 }
--- a/crates/gateway/tests/document.rs
+++ b/crates/gateway/tests/document.rs
@@ -159,6 +159,7 @@
         weights_limit: Duration::from_secs(8),
         stale_after: Duration::from_millis(500),
         placement: Placement::default(),
+        under_pressure: false,
     }
 }
 
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -64,6 +64,8 @@
     pub stale_after: Duration,
     /// What the choice of an engine takes into account.
     pub placement: Placement,
+    /// Whether callers contend for the upstreams' capacity.
+    pub under_pressure: bool,
 }
 
 /// What the choice of an engine takes into account; all but the first variant are baselines for
--- a/crates/policy/tests/gateway_simulation/mod.rs
+++ b/crates/policy/tests/gateway_simulation/mod.rs
@@ -242,6 +242,7 @@
         weights_limit: Duration::from_secs(8),
         stale_after: Duration::from_millis(500),
         placement: Placement::default(),
+        under_pressure: false,
     }
 }
 
