Test crowds of callers whose bodies never end against a bound on memory

Cause: request bodies have a limit each and none together, so callers outside anybody's control made processes run out of memory.

--- a/crates/daemon/tests/platform/fixture.rs
+++ b/crates/daemon/tests/platform/fixture.rs
@@ -10,7 +10,9 @@
 use std::time::Duration;
 
 use acacia_standin::cut::{Cut, Cuts};
-use acacia_standin::platform::document::{self, Addresses, CONFIGURATION_KEY, Deployment, MODEL};
+use acacia_standin::platform::document::{
+    self, Addresses, CONFIGURATION_KEY, Deployment, MODEL, Machine,
+};
 use acacia_standin::platform::server::{self, Engine, Execution, Peers, Performance, Settings};
 use acacia_standin::platform::{cache, store};
 use acacia_standin::proxy::Proxy;
@@ -45,6 +47,8 @@
     pub engines: Vec<server::Handle>,
     pub cache: cache::Handle,
     instances: Vec<Instance>,
+    /// Limits that the instances' settings state.
+    machine: Option<Machine>,
     /// Cuts between instances and the plain services behind proxies.
     service_cuts: Cuts,
     /// The same for engines.
@@ -113,6 +117,7 @@
             engines,
             cache,
             instances: Vec::new(),
+            machine: None,
             service_cuts: Cuts::default(),
             engine_cuts: Cuts::default(),
             proxies: Vec::new(),
@@ -122,6 +127,14 @@
         fixture
     }
 
+    /// Starts as [`Self::start`] does, one instance whose settings state the limits of its machine.
+    pub async fn start_on(machine: Machine) -> Self {
+        let mut fixture = Self::upstreams().await;
+        fixture.machine = Some(machine);
+        fixture.start_instances(1).await;
+        fixture
+    }
+
     /// Starts as [`Self::start`] does, one instance beside others that the metadata store lists at
     /// these addresses for messages.
     pub async fn start_beside(peers: &[SocketAddr]) -> Self {
@@ -177,7 +190,8 @@
         [&self.service_cuts, &self.engine_cuts].into_iter()
     }
 
-    fn process_id(&self, instance: usize) -> u32 {
+    /// Id of an instance's process.
+    pub fn process_id(&self, instance: usize) -> u32 {
         self.instances[instance].process.lock().id()
     }
 
@@ -197,7 +211,8 @@
         fs::create_dir_all(&folder).unwrap();
         let addresses = Addresses::free().unwrap();
         let name = format!("instance-{number}");
-        let text = document::settings(&name, "z1", &addresses, store);
+        let mut text = document::settings(&name, "z1", &addresses, store);
+        text.extend(self.machine.iter().map(Machine::section));
         let path = folder.join("boot.toml");
         fs::write(&path, text).unwrap();
         let log = fs::File::create(folder.join("log")).unwrap();
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod caller;
 mod change;
 mod crash;
+mod crowd;
 mod cut;
 mod entry;
 mod fixture;
--- a/crates/standin/src/platform/document.rs
+++ b/crates/standin/src/platform/document.rs
@@ -233,6 +233,22 @@
     )
 }
 
+/// Limits of the machine that an entry instance runs on.
+#[derive(Clone, Copy, Debug)]
+pub struct Machine {
+    /// Memory, in megabytes.
+    pub memory_mb: u64,
+    /// Maximum number of open descriptors.
+    pub max_fds: u64,
+}
+
+impl Machine {
+    /// Section of a settings file that states the limits.
+    pub fn section(&self) -> String {
+        format!("[limits]\nmemory_mb = {}\nmax_fds = {}\n", self.memory_mb, self.max_fds)
+    }
+}
+
 /// Key and value in the metadata store that announce a weight version of the model.
 pub fn announcement(version: u64) -> (String, Value) {
     (format!("op/version/{MODEL}"), json!({"model": MODEL, "version": version}))
