Decide who gives up memory when the process runs short of it

Change: the pure module memory counts bodies, answers, streams and connections against a budget from the machine's limits. In calm it grants all. Else the holder without progress for the longest time gives up, then the newest body of an organisation over its share, then the newest body. preview tells by a request's head what admit would refuse by view, route and key. Ruled out: a time limit on bodies, which would end slow but steady ones. Nothing uses it yet; crates/policy/tests/gateway_memory.rs replays the loads.

--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -24,6 +24,7 @@
 use super::notice::{Departure, Notice};
 use super::pace::{Mean, Pace};
 use super::plan::{Attempt, Ending, Plan, Reason, Refusal, Step};
+use super::preview::Permit;
 use super::quarantine::{Gate, Quarantine, Subjects};
 use super::reach::{self, Reach};
 use super::roster::Roster;
@@ -83,7 +84,7 @@
 
 /// Decides on all requests of one instance.
 pub struct Gateway {
-    terms: Terms,
+    pub(super) terms: Terms,
     pub(super) view: Option<Arc<View>>,
     /// When it received its first view.
     pub(super) started: Option<Time>,
@@ -209,21 +210,7 @@
         call: Call,
         forwarded: Option<&str>,
     ) -> Result<Plan, Refusal> {
-        let Some(view) = self.view.clone() else { return Err(not_run(Reason::NotReady)) };
-        let configuration = &view.configuration;
-        let outage =
-            view.unavailable_since.map_or(Duration::ZERO, |since| now.saturating_sub(since));
-        let fresh = outage < self.terms.stale_after;
-        let deny = |reason| not_run(if fresh { reason } else { Reason::StaleConfiguration });
-        let route = configuration
-            .route(&call.host, &call.path)
-            .ok_or_else(|| deny(Reason::UnknownRoute))?
-            .clone();
-        let organisation =
-            call.key.as_deref().and_then(|key| configuration.organisation(key)).cloned();
-        if organisation.is_none() && configuration.has_organisations() && !route.public {
-            return Err(deny(Reason::UnknownKey));
-        }
+        let Permit { route, organisation, version } = self.permit(now, &call)?;
         let service = self.select_service(&route, forwarded)?;
         let name = organisation.as_ref().map(|organisation| &*organisation.name);
         let origin = call.resumption.as_ref().and_then(|resumption| resumption.origin.as_ref());
@@ -245,7 +232,7 @@
             stream,
             software,
             subjects,
-            version: configuration.version,
+            version,
             arrived: now,
             waited,
             deadline: now + limit,
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -11,7 +11,8 @@
 //! the rates of requests that upstreams take, [`brittle`] the rates of refusals that they bear,
 //! [`software`] which version began a stream, and [`reach`] whether this instance has a path to the
 //! upstreams; without one, [`forward`] selects another instance. An instance that starts gets what the
-//! others know by [`handover`]. Limits on all instances together are
+//! others know by [`handover`]. [`memory`] decides who loses memory
+//! or a connection when the process runs short of them. Limits on all instances together are
 //! divided into shares by [`window`], so that no request waits for another instance.
 
 mod access;
@@ -34,12 +35,14 @@
 pub mod link;
 mod machine;
 mod member;
+pub mod memory;
 pub mod mesh;
 pub mod notice;
 pub mod outdated;
 pub mod pace;
 mod path;
 mod plan;
+mod preview;
 pub mod quarantine;
 pub mod reach;
 mod resumption;
@@ -58,4 +61,5 @@
 pub use notice::Notice;
 pub use path::Probe;
 pub use plan::{Attempt, Ending, EngineRun, Fetch, Plan, Reason, Refusal, Step};
+pub use preview::Preview;
 pub use view::{EXPIRY_LIMIT, Server, ServerId, SoftwareVersion, View, WeightVersion, Weights};
--- a/crates/policy/src/gateway/plan.rs
+++ b/crates/policy/src/gateway/plan.rs
@@ -261,6 +261,8 @@
     StaleConfiguration,
     /// The instance stops, and may end before the request does.
     Stopping,
+    /// The memory for bodies is exhausted.
+    OutOfMemory,
     /// No upstream is eligible.
     NoUpstream,
     /// Another instance passed the request on, and this one has no path to the service either.
