Bound the memory of requests, answers and connections together

Cause: 160 callers with bodies of legal size that never end took 720 to 778 MB (debug build), as each body was collected without a common limit; chunks of one byte took 40 bytes each; unknown keys were refused after the whole body. Ruled out: reserving the declared size at the head, as callers that send nothing would then use up the budget. Change: a request is refused by its head where that suffices. A body is read into one buffer that is reserved before it grows. If memory is short, a stalled holder's buffer is freed at once and its request refused with 503 and Retry-After. A whole answer counts until it is written, and long ones are written in pieces, so that a stalled reader's can be given up. Idle connections make room for new ones. A body has until its request's deadline instead of 10 s. Bodies of one read, and requests without one, take no extra step.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,6 +14,7 @@
 
 use crate::event::{End, Oversized, Splitter};
 use crate::log::Kind;
+use crate::memory::Reservation;
 use crate::traffic::Traffic;
 
 /// Connect timeout. A reachable server accepts within a few milliseconds.
@@ -376,9 +377,9 @@
             first_event(inflight, head, last_event).await
         }
         Meaning::Success | Meaning::Failure => {
-            let mut memory = traffic.memory.reservation();
+            let mut memory = Reservation::new(&traffic);
             let body = connection.body_while(|bytes| memory.enlarge(bytes)).await?;
-            Ok(Received::Whole(head, body))
+            Ok(Received::Whole(head, memory.keep(body)))
         }
     }
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -21,6 +21,7 @@
 
 use crate::attempt::{Payload, SharedPlan};
 use crate::log::Kind;
+use crate::memory::Reservation;
 use crate::relay::Interrupted;
 use crate::request::Completion;
 use crate::traffic::{Traffic, millis};
@@ -163,9 +164,9 @@
     if is_stream && head.status.is_success() {
         return Ok(Answer::Stream(head, connection));
     }
-    let mut memory = exchange.traffic.memory.reservation();
+    let mut memory = Reservation::new(&exchange.traffic);
     let body = connection.body_while(|bytes| memory.enlarge(bytes)).await.map_err(broken)?;
-    Ok(Answer::Whole(head, body))
+    Ok(Answer::Whole(head, memory.keep(body)))
 }
 
 impl Passed {
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use acacia_platform::Settings;
+use acacia_policy::gateway::memory;
 use acacia_policy::gateway::window::{ColdTerms, RetryTerms};
 use acacia_policy::gateway::{Gateway, Placement, Terms, View};
 use miette::IntoDiagnostic;
@@ -113,13 +114,15 @@
             .into_diagnostic()?
     };
     let terms = Terms { placement, ..terms(&settings) };
+    let memory = Memory::default();
+    memory.set_terms(memory_terms(&settings));
     let traffic = Rc::new(Traffic {
         clock,
         gateway: RefCell::new(Gateway::new(terms, rand::rng().random())),
         pool: RefCell::default(),
         metrics,
         log_budget: Budget::default(),
-        memory: Memory::default(),
+        memory,
         phase: Cell::new(Phase::Serving),
         is_informed: Cell::new(false),
         ends: Cell::new(None),
@@ -208,6 +211,7 @@
         grace = settings.bounds.grace;
         let placement = traffic.gateway.borrow().terms().placement;
         traffic.gateway.borrow_mut().set_terms(Terms { placement, ..terms(&settings) });
+        traffic.memory.set_terms(memory_terms(&settings));
     }
     shut_down(&traffic, &phases, grace).await;
     Ok(())
@@ -266,6 +270,11 @@
     }
 }
 
+/// The limits of the machine from the settings.
+fn memory_terms(settings: &Settings) -> memory::Terms {
+    memory::Terms::new(settings.limits.memory, settings.limits.descriptors)
+}
+
 /// The deployment's limits from the settings.
 fn terms(settings: &Settings) -> Terms {
     let bounds = &settings.bounds;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,8 @@
 //! also orders weight loads and maintains the [`inventory`] of each managed KV cache store.
 //!
 //! The traffic thread serves callers: [`listener`] accepts connections, [`request`] takes one
-//! request through the decisions of [`acacia_policy::gateway`], [`attempt`] sends it to one
+//! request through the decisions of [`acacia_policy::gateway`], [`body`] reads its body into [`memory`]
+//! that all share, [`attempt`] sends it to one
 //! upstream, [`hedge`] starts a second attempt beside one whose upstream does not respond, and
 //! [`relay`] forwards an event stream. [`forward`] passes a request on to another instance while
 //! this one has no path to the upstreams. [`probe`] tests suspected paths to upstreams, and [`gossip`]
@@ -14,6 +15,7 @@
 //! know. Both threads write decisions to the [`log`] and count them in [`metric`].
 
 mod attempt;
+mod body;
 mod carryover;
 mod client;
 mod clock;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -15,10 +15,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::body::discard;
 use crate::log::Kind;
-use crate::request::{Body, Origin, discard, handle, plain};
+use crate::memory::Connected;
+use crate::request::{Body, Origin, handle, plain};
 use crate::socket::{Closing, Socket};
-use crate::timer::{HasReceived, Timer};
+use crate::timer::{Activity, Timer};
 use crate::traffic::{Phase, Traffic};
 
 /// Pause after a failed accept, so that a lack of file descriptors causes no busy loop.
@@ -55,10 +57,25 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                let activity = Activity::new(traffic.clock);
+                // Other instances have a few connections each.
+                let connected = match origin {
+                    Origin::Caller => Connected::new(&traffic, activity.clone()).map(Some),
+                    Origin::Instance => Some(None),
+                };
+                let Some(connected) = connected else { continue };
                 traffic.open_connections.set(traffic.open_connections.get() + 1);
                 let (traffic, phase) = (traffic.clone(), phase.clone());
                 tokio::task::spawn_local(async move {
-                    connection(&traffic, stream, phase, origin).await;
+                    let served = connection(&traffic, stream, phase, origin, activity);
+                    match &connected {
+                        Some(connected) => tokio::select! {
+                            biased;
+                            () = connected.replaced() => {}
+                            () = served => {}
+                        },
+                        None => served.await,
+                    }
                     traffic.open_connections.set(traffic.open_connections.get() - 1);
                 });
             }
@@ -76,15 +93,16 @@
     stream: TcpStream,
     mut phase: watch::Receiver<Phase>,
     origin: Origin,
+    activity: Activity,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "failed to set TCP_NODELAY for a caller");
     }
     let buffer = traffic.limits.borrow().head_bytes.max(HEAD_BUFFER);
     let closing = Rc::new(Cell::new(Closing::Plain));
-    let has_received = HasReceived::default();
-    let socket = Socket::new(stream, closing.clone(), has_received.clone());
+    let socket = Socket::new(stream, closing.clone(), activity.clone());
     let service = service_fn(async |request| {
+        activity.begin_request();
         if request.version() < Version::HTTP_11 {
             closing.set(Closing::Requested);
         }
@@ -96,7 +114,7 @@
         handle(traffic.clone(), origin, request).await
     });
     let connection = http1::Builder::new()
-        .timer(Timer::new(traffic.limits.subscribe(), has_received))
+        .timer(Timer::new(traffic.limits.subscribe(), activity.clone()))
         // The timer adds the limits in force.
         .header_read_timeout(Duration::ZERO)
         .max_buf_size(buffer)
@@ -149,7 +167,10 @@
 /// Serves metrics at `/metrics`.
 pub async fn serve_metrics(traffic: Rc<Traffic>, listener: TcpListener) {
     serve_text(listener, move |path| match path {
-        "/metrics" => (StatusCode::OK, traffic.metrics.text()),
+        "/metrics" => {
+            traffic.metrics.memory(&traffic.memory.usage());
+            (StatusCode::OK, traffic.metrics.text())
+        }
         _ => (StatusCode::NOT_FOUND, "there is no such page; hint: /metrics\n".to_owned()),
     })
     .await;
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider as _};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
@@ -30,6 +30,8 @@
     message_bytes: Counter<u64>,
     lines_dropped: Counter<u64>,
     values_skipped: Counter<u64>,
+    memory_bytes: Gauge<u64>,
+    memory_reclaimed: Counter<u64>,
     first_byte_seconds: Histogram<f64>,
     answer_seconds: Histogram<f64>,
 }
@@ -63,6 +65,8 @@
             message_bytes: counter("acacia_gateway_message_bytes"),
             values_skipped: counter("acacia_gateway_store_values_skipped"),
             lines_dropped: counter("acacia_gateway_log_lines_dropped"),
+            memory_bytes: meter.u64_gauge("acacia_gateway_memory_bytes").build(),
+            memory_reclaimed: counter("acacia_gateway_memory_reclaimed"),
             first_byte_seconds: histogram("acacia_gateway_first_byte"),
             answer_seconds: histogram("acacia_gateway_answer"),
             registry,
@@ -139,6 +143,19 @@
         self.values_skipped.add(1, &[]);
     }
 
+    /// Records the memory in use by holder.
+    pub fn memory(&self, usage: &[(&'static str, usize)]) {
+        for (holder, bytes) in usage {
+            self.memory_bytes.record(*bytes as u64, &[KeyValue::new("holder", *holder)]);
+        }
+    }
+
+    /// Counts memory or a connection that was given up or refused.
+    pub fn memory_reclaimed(&self, holder: &'static str, cause: &'static str) {
+        let labels = [KeyValue::new("holder", holder), KeyValue::new("cause", cause)];
+        self.memory_reclaimed.add(1, &labels);
+    }
+
     /// Counts dropped log lines.
     pub fn lines_dropped(&self, lines: u64) {
         self.lines_dropped.add(lines, &[]);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -15,31 +15,28 @@
 use http::header::{CONNECTION, CONTENT_TYPE};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody};
-use hyper::body::{Body as _, Frame, Incoming};
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
 
 use crate::attempt::{Outcome, Payload, Stream};
+use crate::body::{self, discard};
 use crate::forward::{Forwarded, Passed, forward};
 use crate::handover;
 use crate::hedge::send;
 use crate::log::Kind;
+use crate::memory::Written;
 use crate::relay::{Interrupted, Relay, wait_until};
 use crate::traffic::{Phase, Traffic, millis};
 
 /// Body of an answer.
 pub type Body = Pin<Box<dyn hyper::body::Body<Data = Bytes, Error = Interrupted>>>;
 
-/// Size limit of a refused request's body that is skipped, in bytes.
-const DISCARD_BYTES: usize = 16 << 20;
-/// Time limit for reading a request's body if the caller states no deadline.
-const BODY_TIMEOUT: Time = Time::from_secs(10);
-
 /// Refusal of a request that another instance passes on while this one stops.
-const LEAVING: Refusal =
+pub const LEAVING: Refusal =
     Refusal { reason: Reason::NoPath, verdict: Verdict::NotRun, retry_after: None };
 
 /// Refusal of a request that may outlast this instance. Other instances can serve it at once.
-const STOPPING: Refusal = Refusal {
+pub const STOPPING: Refusal = Refusal {
     reason: Reason::Stopping,
     verdict: Verdict::NotRun,
     retry_after: Some(Time::from_millis(50)),
@@ -76,12 +73,13 @@
     };
     let id = call.id.clone();
     let mut completion = Completion { arrived, id: id.clone() };
-    let mut response = match read_body(&traffic, &call, incoming).await {
+    let service = match origin {
+        Origin::Caller => None,
+        Origin::Instance => ingress::forwarded_service(&head.headers).map(str::to_owned),
+    };
+    let received = body::read(&traffic, &call, arrived, service.is_some(), incoming).await;
+    let mut response = match received {
         Ok(body) => {
-            let service = match origin {
-                Origin::Caller => None,
-                Origin::Instance => ingress::forwarded_service(&head.headers).map(str::to_owned),
-            };
             let payload = Payload {
                 target: head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned(),
                 headers: upstream::forwarded(&head.headers),
@@ -130,45 +128,6 @@
     if plan.is_forwarded && traffic.phase.get() != Phase::Serving { Err(LEAVING) } else { Ok(plan) }
 }
 
-/// Reads a request's whole body, so that the request can be retried.
-async fn read_body(traffic: &Traffic, call: &Call, mut body: Incoming) -> Result<Bytes, Refusal> {
-    let refusal = |reason| Refusal { reason, verdict: Verdict::NotRun, retry_after: None };
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let view = traffic.gateway.borrow().view().cloned();
-    let limits = view.map(|view| view.configuration.limits.clone()).unwrap_or_default();
-    if body.size_hint().lower() > limits.body_bytes as u64 {
-        discard(body);
-        return Err(refusal(Reason::TooLarge));
-    }
-    let whole = Limited::new(&mut body, limits.body_bytes).collect();
-    let timeout = call.timeout.unwrap_or(BODY_TIMEOUT);
-    let reason = match tokio::time::timeout(timeout, whole).await {
-        Ok(Ok(body)) => return Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Reason::TooLarge,
-        Ok(Err(_)) => Reason::Malformed,
-        Err(_) => Reason::Expired,
-    };
-    discard(body);
-    Err(refusal(reason))
-}
-
-/// Skips the rest of a refused request's body. If the connection were closed before, the caller
-/// would get a reset instead of the refusal.
-pub fn discard(mut body: Incoming) {
-    let rest = async move {
-        let mut bytes = 0;
-        while let Some(Ok(frame)) = body.frame().await {
-            bytes += frame.data_ref().map_or(0, Bytes::len);
-            if bytes > DISCARD_BYTES {
-                return;
-            }
-        }
-    };
-    tokio::task::spawn_local(tokio::time::timeout(BODY_TIMEOUT, rest));
-}
-
 /// Sends a request to the upstreams that the gateway's decisions select, until it is answered or
 /// refused.
 async fn serve(
@@ -190,9 +149,11 @@
             Step::Forward(peer) => match forward(traffic, &plan, &payload, peer).await {
                 Forwarded::Whole(head, body) => {
                     completion.record(traffic, Some(&plan.borrow()), "passed_on");
-                    return answer_whole(&head, body);
+                    return answer_whole(traffic, &head, body);
+                }
+                Forwarded::Stream(stream) => {
+                    return answer_passed_on(traffic, *stream, completion);
                 }
-                Forwarded::Stream(stream) => return answer_passed_on(*stream, completion),
                 Forwarded::None => continue,
             },
             Step::Refuse(refusal) => {
@@ -200,7 +161,7 @@
                 // The upstream's own error is more specific than a refusal.
                 if let Some((head, body)) = failure {
                     completion.record(traffic, Some(&plan), "failed");
-                    return answer_whole(&head, body);
+                    return answer_whole(traffic, &head, body);
                 }
                 completion.record_refusal(traffic, Some(&plan), &refusal);
                 return answer_refusal(&plan.id, &refusal);
@@ -215,7 +176,7 @@
                 if !head.status.is_server_error() || !plan.may_run_again() {
                     let outcome = if head.status.is_server_error() { "failed" } else { "answered" };
                     completion.record(traffic, Some(&plan), outcome);
-                    return answer_whole(&head, body);
+                    return answer_whole(traffic, &head, body);
                 }
                 failure = Some((head, body));
             }
@@ -370,6 +331,9 @@
     if let (StatusCode::SERVICE_UNAVAILABLE, Some(after)) = (status, refusal.retry_after) {
         ingress::set_retry_after(&mut headers, after);
     }
+    if refusal.reason == Reason::OutOfMemory {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     if refusal.reason == Reason::NoPath && refusal.verdict == Verdict::NotRun {
         ingress::set_no_path(&mut headers);
     }
@@ -396,20 +360,31 @@
 ) -> Response<Body> {
     let headers = upstream::returned(&stream.head.headers);
     let status = stream.head.status;
+    let counted = traffic.memory.stream();
     let relay = Relay::new(traffic.clone(), payload, stream, completion);
-    let chunks = relay.into_chunks().map(|chunk| chunk.map(Frame::data));
+    let chunks = relay.into_chunks().map(move |chunk| {
+        let _counted = &counted;
+        chunk.map(Frame::data)
+    });
     answer(status, headers, Box::pin(StreamBody::new(chunks)))
 }
 
-fn answer_passed_on(stream: Passed, completion: Completion) -> Response<Body> {
+fn answer_passed_on(traffic: &Traffic, stream: Passed, completion: Completion) -> Response<Body> {
     let headers = upstream::returned(&stream.head.headers);
     let status = stream.head.status;
-    let chunks = stream.into_chunks(completion).map(|chunk| chunk.map(Frame::data));
+    let counted = traffic.memory.stream();
+    let chunks = stream.into_chunks(completion).map(move |chunk| {
+        let _counted = &counted;
+        chunk.map(Frame::data)
+    });
     answer(status, headers, Box::pin(StreamBody::new(chunks)))
 }
 
-fn answer_whole(head: &Head, body: Bytes) -> Response<Body> {
+fn answer_whole(traffic: &Rc<Traffic>, head: &Head, body: Bytes) -> Response<Body> {
     let headers = upstream::returned(&head.headers);
+    if Written::is_apt(&body) {
+        return answer(head.status, headers, Box::pin(Written::new(traffic, body)));
+    }
     answer(head.status, headers, Box::pin(Full::new(body).map_err(never)))
 }
 
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -8,7 +8,6 @@
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::sync::atomic::Ordering;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -16,7 +15,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use crate::timer::HasReceived;
+use crate::timer::Activity;
 
 /// Size limit of one read, in bytes. hyper enlarges its buffer, up to the longest head, after each
 /// read that fills it.
@@ -26,7 +25,7 @@
 pub struct Socket {
     stream: TcpStream,
     closing: Rc<Cell<Closing>>,
-    has_received: HasReceived,
+    activity: Activity,
 }
 
 /// What the end of the connection means to the caller.
@@ -42,9 +41,9 @@
 
 impl Socket {
     /// Wraps a connection; `closing` is changed to [`Closing::Requested`] by its owner, and
-    /// `has_received` is set when bytes arrive.
-    pub fn new(stream: TcpStream, closing: Rc<Cell<Closing>>, has_received: HasReceived) -> Self {
-        Self { stream, closing, has_received }
+    /// `activity` records the arrival of bytes.
+    pub fn new(stream: TcpStream, closing: Rc<Cell<Closing>>, activity: Activity) -> Self {
+        Self { stream, closing, activity }
     }
 
     /// Makes the operating system reset the connection when it is closed, if that was requested.
@@ -69,7 +68,7 @@
         let received = part.filled().len();
         buffer.advance(received);
         if received > 0 {
-            self.has_received.store(true, Ordering::Relaxed);
+            self.activity.receive();
         }
         polled
     }
--- a/crates/gateway/src/timer.rs
+++ b/crates/gateway/src/timer.rs
@@ -7,30 +7,80 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
+use acacia_policy::Time;
 use acacia_policy::gateway::configuration::Limits;
 use hyper::rt::Sleep;
 use tokio::sync::watch;
 use tokio::time::Instant as TokioInstant;
 
+use crate::clock::Clock;
+
 /// The timer of one connection. Its waits begin at the given time and last as long as the limits
 /// allow.
 #[derive(Clone, Debug)]
 pub struct Timer {
     limits: watch::Receiver<Limits>,
-    has_received: HasReceived,
+    activity: Activity,
 }
 
-/// Whether a connection has received bytes since its wait began.
-pub type HasReceived = Arc<AtomicBool>;
+/// What a connection does, for its timer and for the decision which connections are closed.
+#[derive(Clone, Debug)]
+pub struct Activity(Arc<Marks>);
+
+#[derive(Debug)]
+struct Marks {
+    clock: Clock,
+    /// Whether bytes were received since the wait for a request began.
+    has_received: AtomicBool,
+    /// When that wait began, in milliseconds of the clock; zero while there is a request.
+    idle_since: AtomicU64,
+}
+
+impl Activity {
+    /// The activity of a new connection.
+    pub fn new(clock: Clock) -> Self {
+        let marks =
+            Marks { clock, has_received: AtomicBool::default(), idle_since: AtomicU64::default() };
+        let activity = Self(Arc::new(marks));
+        activity.begin_wait();
+        activity
+    }
+
+    /// Records that bytes were received.
+    pub fn receive(&self) {
+        self.0.has_received.store(true, Ordering::Relaxed);
+    }
+
+    /// Records that the connection has a request.
+    pub fn begin_request(&self) {
+        self.0.idle_since.store(0, Ordering::Relaxed);
+    }
+
+    /// Since when the connection waits for a request; none if it has one.
+    pub fn idle_since(&self) -> Option<Time> {
+        let since = self.0.idle_since.load(Ordering::Relaxed);
+        (since > 0).then(|| Time::from_millis(since))
+    }
+
+    fn begin_wait(&self) {
+        self.0.has_received.store(false, Ordering::Relaxed);
+        let now = u64::try_from(self.0.clock.now().as_millis()).unwrap_or(u64::MAX);
+        self.0.idle_since.store(now, Ordering::Relaxed);
+    }
+
+    fn has_received(&self) -> bool {
+        self.0.has_received.load(Ordering::Relaxed)
+    }
+}
 
 impl Timer {
-    /// A timer that follows `limits`; the connection sets `has_received`.
-    pub fn new(limits: watch::Receiver<Limits>, has_received: HasReceived) -> Self {
-        Self { limits, has_received }
+    /// A timer that follows `limits`; the connection records its `activity`.
+    pub fn new(limits: watch::Receiver<Limits>, activity: Activity) -> Self {
+        Self { limits, activity }
     }
 }
 
@@ -41,7 +91,7 @@
 
     /// The deadline is the start, as hyper's own limit is zero.
     fn sleep_until(&self, start: Instant) -> Pin<Box<dyn Sleep>> {
-        self.has_received.store(false, Ordering::Relaxed);
+        self.activity.begin_wait();
         Box::pin(Wait::new(start, self.clone()))
     }
 }
@@ -77,7 +127,7 @@
 
     /// Polled by hyper after it has received bytes that don't complete a head, too.
     fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
-        if self.head.is_none() && self.timer.has_received.load(Ordering::Relaxed) {
+        if self.head.is_none() && self.timer.activity.has_received() {
             let time = self.timer.limits.borrow().head_time;
             self.head = Some(Head { start: Instant::now(), time });
         }
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -36,7 +36,7 @@
     pub metrics: Metrics,
     /// Budget of log lines on requests.
     pub log_budget: Budget,
-    /// Memory of answers that are not yet complete.
+    /// Memory that requests, answers and connections share.
     pub memory: Memory,
     /// The phase of the process.
     pub phase: Cell<Phase>,
