Move a service's traffic to a new software version by an order

Cause: operators start a version beside the old one and write op/rollout/SERVICE; until now every listed version got requests at once, whether it was good or bad.

Change: policy::gateway::canary gives the target a small constant share until shortly before the order's end, then a steep rise, and compares it with the old version by route and span. Evidence goes to the others in notes with a subject of their own, and to an instance that starts. The holder of the order lease writes status/rollout/SERVICE if neither that key nor the order has changed meanwhile. Without such keys nothing changes.

Fixtures of existing tests get the new fields; gossip.rs also checks the size of the new note.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -18,6 +18,7 @@
 use rand::RngExt;
 use tokio::sync::{Mutex, Notify, watch};
 
+use crate::canary::Resolutions;
 use crate::client::Client;
 use crate::clock::Clock;
 use crate::holder::Holder;
@@ -69,6 +70,8 @@
     pub incarnation: u64,
     /// The newest era of the metadata store.
     pub eras: Eras,
+    /// The states of orders to move traffic, as the traffic thread has found them.
+    pub resolutions: watch::Receiver<Resolutions>,
     views: watch::Sender<Option<Arc<View>>>,
     /// Notified by the traffic thread when a request needs a current view.
     view_doubts: Arc<Notify>,
@@ -85,6 +88,7 @@
         metrics: Metrics,
         views: watch::Sender<Option<Arc<View>>>,
         view_doubts: Arc<Notify>,
+        resolutions: watch::Receiver<Resolutions>,
     ) -> Self {
         // 52 bits, which every JSON reader represents exactly.
         let incarnation = rand::rng().random::<u64>() >> 12;
@@ -96,6 +100,7 @@
             metrics,
             incarnation,
             eras: Eras::default(),
+            resolutions,
             views,
             view_doubts,
             listing: Mutex::default(),
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -20,6 +20,7 @@
 use http::StatusCode;
 use rand::seq::SliceRandom;
 
+use crate::canary::Recorder;
 use crate::client::{ANSWER_TIMEOUT, Client};
 use crate::control::Control;
 use crate::inventory::Manager;
@@ -62,6 +63,7 @@
     fenced: Cell<bool>,
     announcements_written: Cell<Time>,
     software_written: Cell<Time>,
+    recorder: tokio::sync::Mutex<Recorder>,
     http: Rc<Client>,
     /// Whether this instance may hold the lease.
     duty: Rc<RefCell<Duty>>,
@@ -92,6 +94,7 @@
             fenced: Cell::default(),
             announcements_written: Cell::default(),
             software_written: Cell::default(),
+            recorder: tokio::sync::Mutex::default(),
         })
     }
 
@@ -291,6 +294,7 @@
         self.inventory.reconcile();
         self.write_announcements(client).await;
         self.write_software(client).await;
+        self.recorder.lock().await.record(&self.control, client).await;
         let now = self.control.clock.now();
         if !term.allows_orders(now) {
             return;
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use acacia_platform::Settings;
+use acacia_policy::gateway::canary;
 use acacia_policy::gateway::window::{ColdTerms, RetryTerms};
 use acacia_policy::gateway::{Gateway, Placement, Terms, View};
 use miette::IntoDiagnostic;
@@ -16,6 +17,7 @@
 use tokio::task::LocalSet;
 use tracing_appender::non_blocking::ErrorCounter;
 
+use crate::canary::{self as orders, Resolutions};
 use crate::clock::Clock;
 use crate::control::Control;
 use crate::gossip;
@@ -104,12 +106,16 @@
     let metrics = Metrics::new().into_diagnostic()?;
     let (views, new_views) = watch::channel(None);
     let (stop, stopped) = watch::channel(false);
+    let (resolved, resolutions) = watch::channel(Resolutions::default());
     let view_doubts = Arc::<Notify>::default();
     let control = {
         let (settings, metrics, doubts) = (settings.clone(), metrics.clone(), view_doubts.clone());
         std::thread::Builder::new()
             .name("control".to_owned())
-            .spawn(move || control(clock, settings, metrics, views, doubts, stopped))
+            .spawn(move || {
+                let control = Control::new(clock, settings, metrics, views, doubts, resolutions);
+                control_thread(control, stopped);
+            })
             .into_diagnostic()?
     };
     let terms = Terms { placement, ..terms(&settings) };
@@ -135,6 +141,7 @@
     let ended = LocalSet::new().block_on(&runtime.into_diagnostic()?, async {
         let commands = commands(&settings).await;
         tokio::task::spawn_local(report_dropped_lines(traffic.clone(), dropped_lines));
+        tokio::task::spawn_local(orders::run(traffic.clone(), resolved));
         serve_all(traffic, settings, new_views, commands).await
     });
     stop.send_replace(true);
@@ -146,18 +153,10 @@
 }
 
 /// Runs the control thread.
-fn control(
-    clock: Clock,
-    settings: Settings,
-    metrics: Metrics,
-    views: watch::Sender<Option<Arc<View>>>,
-    doubts: Arc<Notify>,
-    stopped: watch::Receiver<bool>,
-) {
+fn control_thread(control: Control, stopped: watch::Receiver<bool>) {
     match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => {
-            let control = Rc::new(Control::new(clock, settings, metrics, views, doubts));
-            LocalSet::new().block_on(&runtime, control.run(stopped));
+            LocalSet::new().block_on(&runtime, Rc::new(control).run(stopped));
         }
         Err(error) => tracing::error!(%error, "the control thread can't start"),
     }
@@ -280,5 +279,10 @@
         weights_limit: bounds.weights,
         stale_after: STALE_AFTER,
         placement: Placement::default(),
+        canary: canary::Terms {
+            share: bounds.expose_share,
+            slack: bounds.expose_slack,
+            rollback: bounds.rollback,
+        },
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! know. Both threads write decisions to the [`log`] and count them in [`metric`].
 
 mod attempt;
+mod canary;
 mod carryover;
 mod client;
 mod clock;
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -24,6 +24,7 @@
     paths: Counter<u64>,
     passages: Counter<u64>,
     tolerances: Counter<u64>,
+    rollouts: Counter<u64>,
     connections: Counter<u64>,
     store_calls: Counter<u64>,
     store_bytes: Counter<u64>,
@@ -57,6 +58,7 @@
             paths: counter("acacia_gateway_path_changes"),
             passages: counter("acacia_gateway_passed_on"),
             tolerances: counter("acacia_gateway_refusal_limit_changes"),
+            rollouts: counter("acacia_gateway_rollout_changes"),
             connections: counter("acacia_gateway_connections"),
             store_calls: counter("acacia_gateway_store_calls"),
             store_bytes: counter("acacia_gateway_store_bytes"),
@@ -108,6 +110,11 @@
         self.tolerances.add(1, &[KeyValue::new("state", state)]);
     }
 
+    /// Counts a change of the progress of an order to move traffic.
+    pub fn rollout(&self, progress: &'static str) {
+        self.rollouts.add(1, &[KeyValue::new("progress", progress)]);
+    }
+
     /// Records the time to the first event or to a whole plain answer.
     pub fn first_byte(&self, route: &str, took: Duration) {
         self.first_byte_seconds
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -12,6 +12,7 @@
 use acacia_platform::instance::{AnnouncementTimes, OrderLease, Presence, Software};
 use acacia_platform::{Document, store};
 use acacia_policy::Time;
+use acacia_policy::gateway::canary;
 use acacia_policy::gateway::configuration::{ModelName, ServiceName, ZoneName};
 use acacia_policy::gateway::inventory::{Inventory, Progress};
 use acacia_policy::gateway::software;
@@ -22,6 +23,7 @@
 
 use crate::carryover::{Carryover, Departures};
 
+mod rollout;
 mod view;
 
 /// Longest time from an answer to the next one while this process runs: the pause between two watches
@@ -41,6 +43,8 @@
     expired: BTreeMap<ServerId, (Arc<Server>, Time)>,
     evacuated: BTreeSet<ZoneName>,
     weights: BTreeMap<ModelName, Weights>,
+    /// Orders to move traffic to new software versions, and their recorded states.
+    rollouts: BTreeMap<ServiceName, canary::Listing>,
     /// Announcement times that the metadata store holds.
     announcements: AnnouncementTimes,
     announcements_revision: Revision,
@@ -111,6 +115,10 @@
     Restored(ZoneName),
     /// Newer weights were announced.
     Weights(ModelName, WeightVersion),
+    /// An order to move a service's traffic was written or removed.
+    Rollout(ServiceName),
+    /// The state of such an order was recorded.
+    RolloutState(ServiceName, canary::State),
     /// The holder of the order lease, or its published state, changed.
     Holder,
     /// The registered instances changed; their number.
@@ -422,6 +430,8 @@
                 self.evacuated.insert(zone.clone()).then_some(Update::Evacuated(zone))
             }
             Subject::Weights(model) => self.set_weights(now, key, model, value),
+            Subject::Rollout(service) => self.set_rollout(now, change, service, value),
+            Subject::RolloutState(service) => self.set_rollout_state(change, service, value),
             Subject::Server(id) => self.set_server(now, key, id, value),
             Subject::Instance(name) => match Presence::decode(name, value) {
                 Ok(presence) => {
@@ -575,6 +585,8 @@
                 let is_carried = self.carryover.evacuated(now).any(|carried| **carried == *zone);
                 (was_evacuated && !is_carried).then(|| Update::Restored(zone.into()))
             }
+            Subject::Rollout(service) => self.remove_rollout(service),
+            Subject::RolloutState(service) => self.remove_rollout_state(service),
             Subject::Server(id) => self.remove_server(now, id),
             Subject::Instance(name) => {
                 self.instances.remove(name).map(|_| Update::Instances(self.instances.len()))
@@ -620,7 +632,8 @@
         let instances = self.instances.keys().map(|name| document::instance_key(name));
         let holder = self.holder.iter().map(|_| document::holder_key());
         let inventories = self.inventories.keys().map(|service| document::inventory_key(service));
-        servers.chain(zones).chain(instances).chain(holder).chain(inventories).collect()
+        let keys = servers.chain(zones).chain(instances).chain(holder);
+        keys.chain(inventories).chain(self.rollout_keys()).collect()
     }
 }
 
--- a/crates/gateway/src/replica/view.rs
+++ b/crates/gateway/src/replica/view.rs
@@ -38,6 +38,7 @@
             servers: self.listed_servers(),
             expired: self.expired.clone(),
             software: self.recent_software(),
+            rollouts: self.rollouts.clone(),
             evacuated: evacuated.cloned().collect(),
             weights: self.announced_weights(),
             loading: holding.map(|h| h.loading.iter().cloned().collect()).unwrap_or_default(),
--- a/crates/gateway/tests/document.rs
+++ b/crates/gateway/tests/document.rs
@@ -10,6 +10,7 @@
 use acacia_platform::ingress;
 use acacia_platform::store::Change;
 use acacia_policy::Time;
+use acacia_policy::gateway::canary;
 use acacia_policy::gateway::window::{ColdTerms, RetryTerms};
 use acacia_policy::gateway::{Ending, Gateway, Placement, Step, Terms};
 use acacia_policy::kv::Revision;
@@ -159,6 +160,7 @@
         weights_limit: Duration::from_secs(8),
         stale_after: Duration::from_millis(500),
         placement: Placement::default(),
+        canary: canary::Terms::default(),
     }
 }
 
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -2,6 +2,8 @@
 
 use acacia_gateway::gossip::{DATAGRAM_BYTES, datagrams, split};
 use acacia_policy::gateway::brittle::Refusal;
+use acacia_policy::gateway::canary::Progress;
+use acacia_policy::gateway::canary::evidence::{Cell, Evidence, MESSAGE_ROWS, Tally, Version};
 use acacia_policy::gateway::gossip::{Digest, Load, Message, Note};
 use acacia_policy::gateway::notice::Departure;
 use acacia_policy::gateway::quarantine::{Clearance, Sighting, Suspicion};
@@ -19,6 +21,22 @@
     };
     let report =
         Report { server: u64::MAX, born: Some(u64::MAX), rate: Some(f64::MAX), age_ms: u32::MAX };
+    let cell = Cell { route: u32::MAX, span: u8::MAX, version: Version::Target };
+    let tally = Tally {
+        responses: u32::MAX,
+        failed: u32::MAX,
+        timed: u32::MAX,
+        slow: u32::MAX,
+        first: u32::MAX,
+        rest: u32::MAX,
+    };
+    let evidence = |count: usize| Evidence {
+        order: u32::MAX,
+        reporter: u64::MAX,
+        age_ms: u32::MAX,
+        progress: Progress::RolledBack,
+        rows: vec![(cell, tally); count],
+    };
     let notes = counts.iter().flat_map(|count| {
         let crashes = vec![sighting; usize::from(count % 13)];
         [
@@ -27,6 +45,7 @@
             Note::Tried(u64::MAX),
             Note::Cleared(Clearance { key: u64::MAX, age_ms: u32::MAX }),
             Note::Began(Beginnings(vec![(u32::MAX, u32::MAX); usize::from(count % 65)])),
+            Note::Canary(evidence(usize::from(*count) % (MESSAGE_ROWS + 1))),
             Note::Limited(report),
             Note::Brittle(report),
             Note::Refused(Refusal { server: u64::MAX, born: Some(u64::MAX), room: u32::MAX }),
--- a/crates/policy/src/gateway/choice.rs
+++ b/crates/policy/src/gateway/choice.rs
@@ -135,6 +135,8 @@
     expected: f64,
     /// Expected time in an engine's queue, in seconds.
     wait: f64,
+    /// The part of that time that follows from its load.
+    load_wait: f64,
     /// If the request would be refused rather than wait for so long: when room is expected.
     turned_away: Option<Duration>,
     /// How an engine would obtain the prompt's parts.
@@ -328,11 +330,13 @@
             cost += delay + PLAIN_REQUEST_S * f64::from(load.running) / slots;
             let expected = latency_target / 2.0 + delay;
             let (wait, turned_away) = (0.0, None);
-            return Some(Offer { key, cost, expected, wait, turned_away, access: None });
+            let load_wait = 0.0;
+            return Some(Offer { key, cost, expected, wait, load_wait, turned_away, access: None });
         };
         // The fewer requests run there, the less the delay of earlier ones says about the next.
         let busy = (f64::from(load.running) / BUSY_REQUESTS).min(1.0);
-        let wait = (delay * busy).max(self.pace.wait(load, prompt, spec));
+        let load_wait = self.pace.wait(load, prompt, spec);
+        let wait = (delay * busy).max(load_wait);
         let (weights, stale) = self.weights(member, prompt, wait.max(member.lateness(self.now)))?;
         cost += if stale { OLD_WEIGHTS_COST_TARGETS * latency_target } else { 0.0 };
         cost += BATCH_STEP_S * f64::from(load.running);
@@ -345,7 +349,7 @@
         }
         let (cost, access) = (cost + access.cost, Some(access));
         let turned_away = self.turned_away(prompt, spec, wait, expected);
-        Some(Offer { key, cost, expected, wait, turned_away, access })
+        Some(Offer { key, cost, expected, wait, load_wait, turned_away, access })
     }
 
     /// When room is expected, if a prompt is refused rather than wait at an engine.
@@ -419,7 +423,10 @@
     fn primary(&self) -> Option<MemberKey> {
         let part = self.plan.prompt.as_ref()?.longest_shared()?;
         self.roster.primary(&self.plan.service, &part.id, |member| {
-            !member.is_leaving() && !member.status.evacuated && !member.is_limited(self.now)
+            let is_open = !member.is_leaving() && !member.status.evacuated;
+            is_open
+                && !member.is_limited(self.now)
+                && self.plan.canary.side.accepts(&member.server.software)
         })
     }
 
@@ -470,6 +477,7 @@
             event_timeout,
             expected: Duration::from_secs_f64(offer.expected),
             wait: Duration::from_secs_f64(offer.wait),
+            foreseen: Duration::from_secs_f64(offer.expected + offer.load_wait),
             prefill_tokens: offer.access.as_ref().map_or(0, |access| access.prefill_tokens.into()),
             sent: self.now,
             began: None,
--- a/crates/policy/src/gateway/exchange.rs
+++ b/crates/policy/src/gateway/exchange.rs
@@ -26,13 +26,7 @@
         }
         for note in &digest.notes {
             match note {
-                Note::Departed(departure) => {
-                    if let Some(key) = self.roster.by_server_key(departure.server)
-                        && self.roster[key].server.born == departure.born
-                    {
-                        self.roster[key].standing.is_leaving = true;
-                    }
-                }
+                Note::Departed(departure) => self.receive_departure(departure),
                 Note::Confirmed(confirmation) => {
                     if let Some(view) = &self.view {
                         self.confirmed.receive(view, confirmation);
@@ -65,6 +59,7 @@
                     }
                 }
                 Note::Refused(refusal) => self.receive_refusal(now, refusal),
+                Note::Canary(evidence) => self.canaries.receive(now, evidence),
             }
         }
         let sender = digest.incarnation;
@@ -73,6 +68,15 @@
         }
     }
 
+    /// Records that another instance was told that an upstream is leaving.
+    fn receive_departure(&mut self, departure: &Departure) {
+        if let Some(key) = self.roster.by_server_key(departure.server)
+            && self.roster[key].server.born == departure.born
+        {
+            self.roster[key].standing.is_leaving = true;
+        }
+    }
+
     /// Records a prompt that another instance sent to an engine, or its order to save a part.
     fn receive_prefill(&mut self, now: Time, sender: Incarnation, prefill: &Prefill) {
         match self.store_by_key(prefill.server) {
@@ -113,6 +117,7 @@
         notes.extend(self.take_brittle_notes());
         notes.extend(self.quarantine.take_notes());
         notes.extend(self.streams.take_batch(detail).into_iter().map(Note::Began));
+        notes.extend(self.order_notes(now, detail, false));
         notes.extend(self.take_outage(false).map(Note::CutOff));
         if changed.is_empty() && prefills.is_empty() && notes.is_empty() {
             return None;
@@ -137,6 +142,7 @@
         notes.extend(self.take_brittle_notes());
         notes.extend(self.quarantine.take_notes());
         notes.extend(self.streams.take_untold().into_iter().map(Note::Began));
+        notes.extend(self.order_notes(now, detail, true));
         notes.extend(self.take_outage(true).map(Note::CutOff));
         let share = u64::from(self.view.as_ref().map_or(1, |view| view.instances));
         let share = share.div_ceil(REPEATING_INSTANCES.into()).max(1);
--- a/crates/policy/src/gateway/gossip.rs
+++ b/crates/policy/src/gateway/gossip.rs
@@ -15,6 +15,7 @@
 
 use super::brittle::Refusal;
 use super::call::Prompt;
+use super::canary::evidence::Evidence;
 use super::confirmation::Confirmation;
 use super::forward::Outage;
 use super::limit;
@@ -80,6 +81,8 @@
     Brittle(statement::Report),
     /// A brittle upstream refused a request of the sender.
     Refused(Refusal),
+    /// Responses of the versions of a service.
+    Canary(Evidence),
 }
 
 /// What a note is about. Instances of an earlier version can't read a message with notes that they
@@ -98,6 +101,8 @@
     Path,
     /// Brittle upstreams.
     Brittle,
+    /// Orders to move traffic to new software versions.
+    Canary,
 }
 
 impl Note {
@@ -110,6 +115,7 @@
             Self::Began(_) => Subject::Stream,
             Self::CutOff(_) => Subject::Path,
             Self::Brittle(_) | Self::Refused(_) => Subject::Brittle,
+            Self::Canary(_) => Subject::Canary,
         }
     }
 
@@ -119,6 +125,7 @@
             Self::Suspected(suspicion) => 42 + suspicion.crashes.len() * 29,
             Self::Began(Beginnings(streams)) => 42 + streams.len() * 11,
             Self::CutOff(outage) => 84 + outage.services.len() * 9,
+            Self::Canary(evidence) => 42 + evidence.rows.len() * 40,
             _ => 42,
         }
     }
--- a/crates/policy/src/gateway/handover.rs
+++ b/crates/policy/src/gateway/handover.rs
@@ -114,6 +114,7 @@
         notes.extend(limits.map(Note::Limited));
         let tolerances = members().filter_map(|m| m.standing.tolerance.report(now, &m.server));
         notes.extend(tolerances.map(Note::Brittle));
+        notes.extend(self.canaries.all_evidence(now).into_iter().map(Note::Canary));
         notes
     }
 }
--- a/crates/policy/src/gateway/machine.rs
+++ b/crates/policy/src/gateway/machine.rs
@@ -12,6 +12,7 @@
 
 use super::brittle;
 use super::call::{Call, Prompt};
+use super::canary::{self, Canaries};
 use super::choice::{Candidate, Chooser};
 use super::configuration::{Repeat, Role, Route, ServiceName, ZoneName};
 use super::confirmation::Confirmed;
@@ -64,6 +65,8 @@
     pub stale_after: Duration,
     /// What the choice of an engine takes into account.
     pub placement: Placement,
+    /// Bounds on the requests to a bad software version.
+    pub canary: canary::Terms,
 }
 
 /// What the choice of an engine takes into account; all but the first variant are baselines for
@@ -116,6 +119,8 @@
     pub(super) quarantine: Quarantine,
     /// Software versions of streams.
     pub(super) streams: Streams,
+    /// Orders to move traffic to new software versions.
+    pub(super) canaries: Canaries,
     /// Paths to upstreams.
     pub(super) reach: Reach,
     /// Other instances that requests may be passed on to.
@@ -151,6 +156,7 @@
             confirmed: Confirmed::default(),
             quarantine: Quarantine::default(),
             streams: Streams::default(),
+            canaries: Canaries::default(),
             reach: Reach::default(),
             helpers: Helpers::default(),
             path_changes: Vec::new(),
@@ -174,6 +180,7 @@
         self.roster.observe(now, &view);
         self.probe_new_upstreams(&view);
         self.streams.observe(now, &view);
+        self.observe_orders(now, &view);
         self.links.retain(|address| view.stores.iter().any(|store| store.address == address));
         let stores = view.stores.iter().map(|store| store.address);
         self.stores = stores.map(|address| (store_key(address), address)).collect();
@@ -230,7 +237,6 @@
         let stream = stream_key(name, origin.unwrap_or(&call.id));
         let software = self.required_software(now, &service, route.repeat, &call, stream)?;
         let limit = call.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
-        let waited = route.timeout.saturating_sub(limit);
         // The instance that received the request has counted it.
         if forwarded.is_none() {
             self.budget(now, &service).record_first(now);
@@ -244,10 +250,11 @@
             resumption: call.resumption,
             stream,
             software,
+            canary: canary::Seat::default(),
             subjects,
             version: configuration.version,
             arrived: now,
-            waited,
+            waited: route.timeout.saturating_sub(limit),
             deadline: now + limit,
             tried: Vec::new(),
             in_progress: Vec::new(),
@@ -301,8 +308,7 @@
                 return self.refuse(now, plan, held(cause), Some(until));
             }
         };
-        let chooser = Chooser { is_trial, ..self.chooser(now, &view, plan) };
-        match chooser.choose() {
+        match self.choose(now, &view, plan, is_trial) {
             Candidate::Best(attempt) => self.send(now, plan, *attempt),
             Candidate::Full(after) => self.refuse(now, plan, Reason::QueueFull, Some(now + after)),
             Candidate::Later(at) => match self.pass_to_slot(now, plan) {
@@ -314,6 +320,20 @@
         }
     }
 
+    /// Selects the upstream among the versions that the orders leave.
+    fn choose(&mut self, now: Time, view: &View, plan: &mut Plan, is_trial: bool) -> Candidate {
+        let split = self.draw_side(now, plan);
+        let candidate = Chooser { is_trial, ..self.chooser(now, view, plan) }.choose();
+        match (split, candidate) {
+            (_, Candidate::Best(attempt)) => Candidate::Best(attempt),
+            (Some(split), _) if Self::falls_back(plan, &split) => {
+                plan.canary.side = split.old_side();
+                Chooser { is_trial, ..self.chooser(now, view, plan) }.choose()
+            }
+            (_, candidate) => candidate,
+        }
+    }
+
     fn chooser<'a>(&'a mut self, now: Time, view: &'a View, plan: &'a Plan) -> Chooser<'a> {
         Chooser {
             now,
@@ -339,6 +359,7 @@
             return self.refuse(now, plan, Reason::RetryBudget, None);
         }
         plan.sends += 1;
+        self.mark_target(plan, &attempt);
         plan.in_progress.push(attempt.server.id.clone());
         self.quarantine.sent(now, &plan.subjects);
         if let Some(member) = self.roster.get_mut(&attempt.server.id) {
@@ -437,7 +458,7 @@
     }
 
     /// An attempt that is likely to answer in time, within the request's limits on repeats.
-    fn alternative(&mut self, now: Time, plan: &Plan) -> Option<Attempt> {
+    fn alternative(&mut self, now: Time, plan: &mut Plan) -> Option<Attempt> {
         let view = self.view.clone()?;
         if self.quarantine.is_restricted(&plan.subjects) {
             return None;
@@ -448,7 +469,7 @@
         if now >= plan.deadline || !plan.may_run_again() || !may_repeat {
             return None;
         }
-        let choice = self.chooser(now, &view, plan).choose();
+        let choice = self.choose(now, &view, plan, false);
         let Candidate::Best(other) = choice else { return None };
         let delay = self.roster.get(&other.server.id).map_or(0.0, |member| member.delay(now));
         let wait = other.wait.max(Duration::from_secs_f64(delay));
@@ -509,6 +530,7 @@
         }
         self.finish_saves(plan, attempt);
         self.record_evidence(now, plan, attempt, ending);
+        self.record_outcome(now, plan, attempt, ending);
         let view = self.view.clone();
         let Some(member) = self.roster.get_mut(&attempt.server.id) else { return };
         let memory_tokens = plan.prompt.as_ref().map_or(0, Prompt::memory_tokens);
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -9,7 +9,7 @@
 //! Instances report by [`gossip`] what they sent where, and [`mesh`] selects the recipients.
 //! [`quarantine`] holds back requests, and parts of prompts, that crash upstreams; [`limit`] tracks
 //! the rates of requests that upstreams take, [`brittle`] the rates of refusals that they bear,
-//! [`software`] which version began a stream, and [`reach`] whether this instance has a path to the
+//! [`software`] which version began a stream, [`canary`] moves the traffic to a new one, and [`reach`] whether this instance has a path to the
 //! upstreams; without one, [`forward`] selects another instance. An instance that starts gets what the
 //! others know by [`handover`]. Limits on all instances together are
 //! divided into shares by [`window`], so that no request waits for another instance.
@@ -19,6 +19,7 @@
 pub mod brittle;
 pub mod cache;
 pub mod call;
+pub mod canary;
 mod choice;
 pub mod configuration;
 pub mod confirmation;
--- a/crates/policy/src/gateway/plan.rs
+++ b/crates/policy/src/gateway/plan.rs
@@ -7,6 +7,7 @@
 use strum::{Display, IntoStaticStr};
 
 use super::call::{CallId, Prompt, Resumption};
+use super::canary;
 use super::configuration::{ModelName, Organisation, Route, ServiceName, Version};
 use super::quarantine::Subjects;
 use super::software::StreamKey;
@@ -32,6 +33,8 @@
     pub resumption: Option<Resumption>,
     /// The only software version that may go on with its stream; none before the first event.
     pub software: Option<SoftwareVersion>,
+    /// How an order to move the traffic concerns it.
+    pub canary: canary::Seat,
     /// What may crash an upstream that begins to run it.
     pub subjects: Subjects,
     /// The configuration that it was admitted by.
@@ -76,7 +79,8 @@
 
     /// Whether a server's software may answer the rest of the request.
     pub fn accepts_software(&self, server: &Server) -> bool {
-        self.software.as_ref().is_none_or(|software| *software == server.software)
+        let is_bound = |software: &SoftwareVersion| *software == server.software;
+        self.software.as_ref().is_none_or(is_bound) && self.canary.side.accepts(&server.software)
     }
 
     /// Priority; zero is the highest.
@@ -119,6 +123,8 @@
     pub expected: Duration,
     /// Expected time in an engine's queue.
     pub wait: Duration,
+    /// Expected time to the first event, by the load and the prompt alone.
+    pub foreseen: Duration,
     /// Outstanding prefill in tokens.
     pub prefill_tokens: u64,
     /// When it was sent.
--- a/crates/policy/src/gateway/view.rs
+++ b/crates/policy/src/gateway/view.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::canary;
 use super::configuration::{Configuration, ModelName, ServiceName, ZoneName};
 use super::inventory::Store;
 use super::mesh::Peer;
@@ -38,6 +39,8 @@
     pub expired: BTreeMap<ServerId, (Arc<Server>, Time)>,
     /// Software versions that serve or served recently.
     pub software: Versions,
+    /// Orders to move traffic to new software versions, by service.
+    pub rollouts: BTreeMap<ServiceName, canary::Listing>,
     /// Availability zones that get no new requests.
     pub evacuated: BTreeSet<ZoneName>,
     /// The announced weights of each model.
--- a/crates/policy/tests/gateway_simulation/mod.rs
+++ b/crates/policy/tests/gateway_simulation/mod.rs
@@ -9,6 +9,7 @@
 
 use acacia_policy::Time;
 use acacia_policy::gateway::call::content_hash;
+use acacia_policy::gateway::canary;
 use acacia_policy::gateway::configuration::{
     EngineSpec, Limits, Organisation, Repeat, Role, Route, Service,
 };
@@ -242,6 +243,7 @@
         weights_limit: Duration::from_secs(8),
         stale_after: Duration::from_millis(500),
         placement: Placement::default(),
+        canary: canary::Terms::default(),
     }
 }
 
@@ -258,6 +260,7 @@
         servers: servers.map(|server| (server.id.clone(), Arc::new(server))).collect(),
         expired: BTreeMap::new(),
         software: BTreeMap::new(),
+        rollouts: BTreeMap::new(),
         evacuated: BTreeSet::new(),
         weights: BTreeMap::new(),
         loading: BTreeSet::new(),
