--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod attempt;
 mod body;
+mod canary;
 mod carryover;
 mod client;
 mod clock;
