--- a/crates/daemon/tests/platform/fixture.rs
+++ b/crates/daemon/tests/platform/fixture.rs
@@ -12,7 +12,7 @@
 use acacia_standin::cut::{Cut, Cuts};
 use acacia_standin::platform::document::{self, Addresses, CONFIGURATION_KEY, Deployment, MODEL};
 use acacia_standin::platform::server::{self, Engine, Execution, Peers, Performance, Settings};
-use acacia_standin::platform::{cache, store};
+use acacia_standin::platform::{cache, rollout, store};
 use acacia_standin::proxy::Proxy;
 use parking_lot::Mutex;
 use serde_json::{Value, json};
@@ -51,6 +51,8 @@
     engine_cuts: Cuts,
     proxies: Vec<Proxy>,
     peers: Peers,
+    /// Bounds in a deployment that has rollouts.
+    rollouts: Option<rollout::Bounds>,
 }
 
 struct Instance {
@@ -68,6 +70,14 @@
         fixture
     }
 
+    /// Starts as [`Self::start`] does, a deployment that has rollouts with these bounds.
+    pub async fn start_with_rollouts(count: usize, bounds: rollout::Bounds) -> Self {
+        let mut fixture = Self::upstreams().await;
+        fixture.rollouts = Some(bounds);
+        fixture.start_instances(count).await;
+        fixture
+    }
+
     /// Starts as [`Self::start`] does, with a proxy in front of each server and engine, so that
     /// instances can be cut off.
     pub async fn start_behind_proxies(count: usize) -> Self {
@@ -117,6 +127,7 @@
             engine_cuts: Cuts::default(),
             proxies: Vec::new(),
             peers,
+            rollouts: None,
         };
         fixture.store.put(CONFIGURATION_KEY, &fixture.configuration(1, "key-1"));
         fixture
@@ -197,7 +208,7 @@
         fs::create_dir_all(&folder).unwrap();
         let addresses = Addresses::free().unwrap();
         let name = format!("instance-{number}");
-        let text = document::settings(&name, "z1", &addresses, store);
+        let text = document::settings_with(&name, "z1", &addresses, store, self.rollouts);
         let path = folder.join("boot.toml");
         fs::write(&path, text).unwrap();
         let log = fs::File::create(folder.join("log")).unwrap();
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -20,6 +20,7 @@
 mod raw;
 mod refusal;
 mod resumption;
+mod rollout;
 mod silence;
 mod slow;
 mod software;
--- a/crates/standin/src/platform/document.rs
+++ b/crates/standin/src/platform/document.rs
@@ -9,6 +9,8 @@
 use rand::RngExt;
 use serde_json::{Value, json};
 
+use super::rollout;
+
 /// Name of the model that engines serve.
 pub const MODEL: &str = "m";
 /// Value of the `host` header of callers.
@@ -222,12 +224,29 @@
 
 /// Settings file of an entry instance.
 pub fn settings(name: &str, zone: &str, addresses: &Addresses, store: SocketAddr) -> String {
+    settings_with(name, zone, addresses, store, None)
+}
+
+/// Settings file of an entry instance, in a deployment that has rollouts if there are bounds.
+pub fn settings_with(
+    name: &str,
+    zone: &str,
+    addresses: &Addresses,
+    store: SocketAddr,
+    rollouts: Option<rollout::Bounds>,
+) -> String {
     let Addresses { callers, ready, metrics, peers } = addresses;
+    let contracts = rollouts.map_or("", |_| "contracts = [\"other\", \"rollout\"]\n");
+    let bounds = rollouts.map(|rollout::Bounds { share, slack, rollback }| {
+        let rollback_ms = rollback.as_millis();
+        format!("expose_share = {share:?}\nexpose_slack = {slack}\nrollback_ms = {rollback_ms}\n")
+    });
+    let bounds = bounds.unwrap_or_default();
     format!(
         "node_name = \"{name}\"\nzone = \"{zone}\"\nport_range = [{}, {}]\nnew_field = 1\n\
-         [listen_addrs]\nfront = \"{callers}\"\nready = \"{ready}\"\n\
+         {contracts}[listen_addrs]\nfront = \"{callers}\"\nready = \"{ready}\"\n\
          [bounds]\nlease_ms = 300\nbudget_slack = 1000\nbudget_ratio = 1.0\nbudget_window_s = 1\n\
-         [provider]\naddress = \"{store}\"\nform = \"kv\"\nttl_min_ms = 1000\n",
+         {bounds}[provider]\naddress = \"{store}\"\nform = \"kv\"\nttl_min_ms = 1000\n",
         metrics.port(),
         peers.port(),
     )
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -18,6 +18,7 @@
 use super::brittle::Period;
 use super::limit::Limit;
 use super::memory::Memory;
+use super::release::{Release, Symptom};
 use super::run::{End, Entry, Ledger, Run};
 use super::{cache, crash, store};
 use crate::counter::{Counter, Tally};
@@ -27,6 +28,9 @@
 use crate::pace::Pace;
 use crate::slots::{Slot, Slots};
 
+/// Software version of a server that is of no other one.
+const SOFTWARE: &str = "v1";
+
 /// A running server.
 pub type Handle = host::Handle<State>;
 
@@ -116,6 +120,18 @@
 /// # Errors
 /// If no port can be bound.
 pub async fn start(settings: Settings, store: &store::Handle) -> std::io::Result<Handle> {
+    start_release(settings, Release::new(SOFTWARE), store).await
+}
+
+/// Starts as [`start`] does, a server of this software version.
+///
+/// # Errors
+/// If no port can be bound.
+pub async fn start_release(
+    settings: Settings,
+    release: Arc<Release>,
+    store: &store::Handle,
+) -> std::io::Result<Handle> {
     let state = Arc::new(State {
         tally: Tally::default(),
         weights: AtomicU64::new(1),
@@ -141,6 +157,7 @@
         slots: Slots::new(settings.slots),
         prefill_pace: Pace::default(),
         link: Pace::default(),
+        release,
         settings,
     });
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -179,6 +196,7 @@
     slots: Arc<Slots>,
     prefill_pace: Pace,
     link: Pace,
+    release: Arc<Release>,
 }
 
 impl Handle {
@@ -332,7 +350,7 @@
             "service": self.settings.service,
             "address": address,
             "zone": self.settings.zone,
-            "version": "v1",
+            "version": self.release.version(),
             "slots": self.settings.slots,
             "state": state,
             "cold_left_ms": 0,
@@ -368,13 +386,18 @@
         if let Some(engine) = &self.settings.engine {
             self.prefill(engine, call).await;
         }
-        tokio::time::sleep(self.settings.latency).await;
+        let symptom = self.release.draw(call);
+        let latency = symptom.map_or(self.settings.latency, |it| it.latency(self.settings.latency));
+        tokio::time::sleep(latency).await;
         self.wait_for_end_of_silence(&entry).await;
+        if symptom.is_some() {
+            self.release.fail();
+        }
         if !causes.is_empty() {
             self.crash(&causes);
             std::future::pending::<()>().await;
         }
-        if consume(&self.failures) {
+        if consume(&self.failures) || symptom == Some(Symptom::Failure) {
             entry.end(End::Answered);
             let body = "injected server failure";
             return Ok(
@@ -383,7 +406,7 @@
         }
         let answer = match &self.settings.engine {
             Some(_) => {
-                let answer = self.clone().stream(slot, call, entry);
+                let answer = self.clone().stream(slot, call, entry, latency);
                 answer.with("x-weight-versions", self.weights())
             }
             None => {
@@ -508,12 +531,12 @@
         }
     }
 
-    /// The events of an answer, after the one in `last-event-id`.
-    fn stream(self: Arc<Self>, slot: Slot, call: &Call, entry: Entry) -> Answer {
+    /// The events of an answer, after the one in `last-event-id`, with this time between them.
+    fn stream(self: Arc<Self>, slot: Slot, call: &Call, entry: Entry, latency: Duration) -> Answer {
         let first = call.header("last-event-id").parse::<u32>().map_or(1, |last| last + 1);
         let usage = call.header("x-token-usage").split_once(',');
         let count = usage.and_then(|(_, output)| output.trim().parse().ok()).unwrap_or(1);
-        let (id, latency) = (call.header("x-request-id").to_owned(), self.settings.latency);
+        let id = call.header("x-request-id").to_owned();
         let broken = self.broken.lock().as_mut().and_then(|(event, times)| {
             *times = times.checked_sub(1)?;
             Some(*event)
@@ -619,6 +642,7 @@
             _ if self.closing.load(Ordering::Relaxed) => return Answer::disconnect(),
             _ => {
                 limit = self.count_arrival();
+                self.release.arrive(&call);
                 self.run(&call).await
             }
         };
