--- a/crates/daemon/tests/platform/fixture.rs
+++ b/crates/daemon/tests/platform/fixture.rs
@@ -14,7 +14,7 @@
     self, Addresses, CONFIGURATION_KEY, Deployment, MODEL, Machine,
 };
 use acacia_standin::platform::server::{self, Engine, Execution, Peers, Performance, Settings};
-use acacia_standin::platform::{cache, store};
+use acacia_standin::platform::{cache, rollout, store};
 use acacia_standin::proxy::Proxy;
 use parking_lot::Mutex;
 use serde_json::{Value, json};
@@ -55,6 +55,8 @@
     engine_cuts: Cuts,
     proxies: Vec<Proxy>,
     peers: Peers,
+    /// Bounds in a deployment that has rollouts.
+    rollouts: Option<rollout::Bounds>,
 }
 
 struct Instance {
@@ -72,6 +74,14 @@
         fixture
     }
 
+    /// Starts as [`Self::start`] does, a deployment that has rollouts with these bounds.
+    pub async fn start_with_rollouts(count: usize, bounds: rollout::Bounds) -> Self {
+        let mut fixture = Self::upstreams().await;
+        fixture.rollouts = Some(bounds);
+        fixture.start_instances(count).await;
+        fixture
+    }
+
     /// Starts as [`Self::start`] does, with a proxy in front of each server and engine, so that
     /// instances can be cut off.
     pub async fn start_behind_proxies(count: usize) -> Self {
@@ -122,6 +132,7 @@
             engine_cuts: Cuts::default(),
             proxies: Vec::new(),
             peers,
+            rollouts: None,
         };
         fixture.store.put(CONFIGURATION_KEY, &fixture.configuration(1, "key-1"));
         fixture
@@ -211,7 +222,7 @@
         fs::create_dir_all(&folder).unwrap();
         let addresses = Addresses::free().unwrap();
         let name = format!("instance-{number}");
-        let mut text = document::settings(&name, "z1", &addresses, store);
+        let mut text = document::settings_with(&name, "z1", &addresses, store, self.rollouts);
         text.extend(self.machine.iter().map(Machine::section));
         let path = folder.join("boot.toml");
         fs::write(&path, text).unwrap();
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -21,6 +21,7 @@
 mod raw;
 mod refusal;
 mod resumption;
+mod rollout;
 mod silence;
 mod slow;
 mod software;
