Test instances beside silent readers, idle connections and slow bodies

Guards what the crowd tests don't send: answers whose callers read nothing, more idle connections than descriptors, and a slow body of full legal size on the smallest machine, which must be served.

--- a/crates/daemon/tests/platform/crowd.rs
+++ b/crates/daemon/tests/platform/crowd.rs
@@ -17,7 +17,7 @@
 use crate::fixture::{self, Fixture, TIMEOUT};
 
 /// Largest legal body, in bytes: the default of `limits.max_body_bytes`.
-const LEGAL_BYTES: usize = 4 << 20;
+pub const LEGAL_BYTES: usize = 4 << 20;
 /// Bytes that most callers lack to the end of their bodies.
 const MISSING_BYTES: usize = 16;
 /// Size of a large chunk, and of one write, in bytes.
@@ -44,10 +44,10 @@
 const PATHS: [&str; 2] = ["/read/", "/ask/"];
 
 const PIECE: &[u8] = &[b'x'; PIECE_BYTES];
-const LEGAL_BODY: &[u8] = &[b'x'; LEGAL_BYTES];
+pub const LEGAL_BODY: &[u8] = &[b'x'; LEGAL_BYTES];
 
 /// Crowds need processor time, so that no two of them send at once.
-static TURN: Mutex<()> = Mutex::const_new(());
+pub static TURN: Mutex<()> = Mutex::const_new(());
 
 /// What each caller of a crowd sends.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -230,7 +230,7 @@
 }
 
 /// Number of descriptors that the instance has open.
-fn descriptors(fixture: &Fixture) -> u64 {
+pub fn descriptors(fixture: &Fixture) -> u64 {
     fs::read_dir(format!("/proc/{}/fd", fixture.process_id(0))).unwrap().count() as u64
 }
 
@@ -246,7 +246,7 @@
 }
 
 /// Sends a request until it is answered by its service.
-async fn answered(fixture: &Fixture, path: &str, body: &'static [u8]) {
+pub async fn answered(fixture: &Fixture, path: &str, body: &'static [u8]) {
     let what = format!("a body of {} bytes on {path} is answered", body.len());
     fixture::eventually(&what, async || {
         let headers = fixture.prompt("ordinary", 2);
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -16,6 +16,7 @@
 mod handover;
 mod head;
 mod limit;
+mod machine;
 mod passage;
 mod path;
 mod raw;
