Test a crowd on the smallest machine

60 callers on 88 MB, large bodies declared and in chunks, on both paths; a request of full legal size is answered afterwards. Load, PATHS and run of crowd.rs are public now, otherwise unchanged.

--- a/crates/daemon/tests/platform/crowd.rs
+++ b/crates/daemon/tests/platform/crowd.rs
@@ -41,7 +41,7 @@
 /// Number of callers, and the memory that a process may use in megabytes.
 const CROWDS: [(usize, u64); 2] = [(160, 160), (60, 110)];
 /// Paths of a plain service and of an engine.
-const PATHS: [&str; 2] = ["/read/", "/ask/"];
+pub const PATHS: [&str; 2] = ["/read/", "/ask/"];
 
 const PIECE: &[u8] = &[b'x'; PIECE_BYTES];
 pub const LEGAL_BODY: &[u8] = &[b'x'; LEGAL_BYTES];
@@ -51,7 +51,7 @@
 
 /// What each caller of a crowd sends.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Load {
+pub enum Load {
     /// All but the last bytes of a declared body of legal size.
     Declared,
     /// The same in pieces.
@@ -124,7 +124,7 @@
 }
 
 /// Runs one crowd; returns the peak of the memory in KiB and the number of descriptors.
-async fn run(load: Load, path: &'static str, callers: usize, memory_mb: u64) -> (u64, u64) {
+pub async fn run(load: Load, path: &'static str, callers: usize, memory_mb: u64) -> (u64, u64) {
     let machine = Machine { memory_mb, max_fds: MAX_FDS };
     let fixture = Fixture::start_on(machine).await;
     answered(&fixture, path, b"x").await;
--- a/crates/daemon/tests/platform/machine.rs
+++ b/crates/daemon/tests/platform/machine.rs
@@ -6,12 +6,14 @@
 use tokio::net::TcpStream;
 
 use crate::caller::{Caller, call, request_head};
-use crate::crowd::{LEGAL_BODY, LEGAL_BYTES, TURN, answered, descriptors};
+use crate::crowd::{self, LEGAL_BODY, LEGAL_BYTES, Load, PATHS, TURN, answered, descriptors};
 use crate::fixture::Fixture;
 use crate::raw::{self, Answer, End, Request};
 
 /// Memory of the smallest machine, in megabytes.
 const SMALLEST_MB: u64 = 88;
+/// Callers of a crowd there.
+const SMALL_CROWD: usize = 60;
 /// Descriptors of a machine with few.
 const FEW_FDS: u64 = 160;
 /// Connections without a request: more than the descriptors.
@@ -52,6 +54,19 @@
     fixture.stop().await;
 }
 
+/// The smallest machine lives beside a crowd, and serves a request of full legal size.
+#[tokio::test(flavor = "multi_thread")]
+async fn machine_smallest_crowd() {
+    let _turn = TURN.lock().await;
+    for load in [Load::Declared, Load::Chunks] {
+        for path in PATHS {
+            let (peak, _) = crowd::run(load, path, SMALL_CROWD, SMALLEST_MB).await;
+            println!("smallest machine: {load:?} on {path}: {peak} KiB");
+            assert!(peak * 1_024 < SMALLEST_MB * 1_000_000, "{load:?} on {path}: {peak} KiB");
+        }
+    }
+}
+
 /// Callers that read nothing of long answers don't use up the memory.
 #[tokio::test(flavor = "multi_thread")]
 async fn machine_silent_readers() {
