--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -120,10 +120,28 @@
             })
             .into_diagnostic()?
     };
-    let terms = Terms { placement, ..terms(&settings) };
+    let traffic = Rc::new(Traffic { view_doubts, ..traffic(clock, &settings, placement, metrics) });
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let ended = LocalSet::new().block_on(&runtime.into_diagnostic()?, async {
+        let commands = commands(&settings).await;
+        tokio::task::spawn_local(report_dropped_lines(traffic.clone(), dropped_lines));
+        tokio::task::spawn_local(orders::run(traffic.clone(), resolved));
+        serve_all(traffic, settings, new_views, commands).await
+    });
+    stop.send_replace(true);
+    if control.join().is_err() {
+        tracing::error!("the control thread panicked");
+    }
+    tracing::info!("stopped");
+    ended
+}
+
+/// State of the traffic thread as it starts.
+fn traffic(clock: Clock, settings: &Settings, placement: Placement, metrics: Metrics) -> Traffic {
+    let terms = Terms { placement, ..terms(settings) };
     let memory = Memory::default();
-    memory.set_terms(memory_terms(&settings));
-    let traffic = Rc::new(Traffic {
+    memory.set_terms(memory_terms(settings));
+    Traffic {
         clock,
         gateway: RefCell::new(Gateway::new(terms, rand::rng().random())),
         pool: RefCell::default(),
@@ -136,25 +154,12 @@
         limits: watch::Sender::default(),
         weights: watch::Sender::default(),
         view_time: watch::Sender::default(),
-        view_doubts,
+        view_doubts: Arc::default(),
         path_changes: watch::Sender::default(),
         path_doubts: Notify::new(),
         untold_prompts: Notify::new(),
         open_connections: Cell::new(0),
-    });
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let ended = LocalSet::new().block_on(&runtime.into_diagnostic()?, async {
-        let commands = commands(&settings).await;
-        tokio::task::spawn_local(report_dropped_lines(traffic.clone(), dropped_lines));
-        tokio::task::spawn_local(orders::run(traffic.clone(), resolved));
-        serve_all(traffic, settings, new_views, commands).await
-    });
-    stop.send_replace(true);
-    if control.join().is_err() {
-        tracing::error!("the control thread panicked");
     }
-    tracing::info!("stopped");
-    ended
 }
 
 /// Runs the control thread.
