Run the tests beside crowds in a program of their own

They check memory and must run one at a time, apart from other load; cargo runs one test program after the other. Crowds, bounds and checks are unchanged; two tests that did not take the turn do now.

--- a/crates/daemon/tests/platform/machine.rs
+++ b/crates/daemon/tests/crowd/machine.rs
@@ -1,13 +1,12 @@
-//! Instances on machines with little memory or few descriptors, beside the crowds of [`crate::crowd`].
+//! Instances on machines with little memory or few descriptors, beside the crowds of [`crate::body`].
 
 use std::time::Duration;
 
 use acacia_standin::platform::document::Machine;
 use tokio::net::TcpStream;
 
-use crate::caller::{Caller, call, request_head};
-use crate::crowd::{self, LEGAL_BODY, LEGAL_BYTES, Load, PATHS, TURN, answered, descriptors};
-use crate::fixture::Fixture;
+use crate::body::{self, LEGAL_BODY, LEGAL_BYTES, Load, PATHS, TURN, answered, descriptors};
+use crate::fixture::{Caller, Fixture, call, request_head};
 use crate::raw::{self, Answer, End, Request};
 
 /// Memory of the smallest machine, in megabytes.
@@ -34,6 +33,7 @@
 /// A slow but steady body of full legal size is served while nobody else needs memory.
 #[tokio::test(flavor = "multi_thread")]
 async fn machine_smallest_slow_body() {
+    let _turn = TURN.lock().await;
     let fixture = Fixture::start_on(smallest()).await;
     for path in ["/charge/", "/ask/"] {
         answered(&fixture, path, b"x").await;
@@ -60,7 +60,7 @@
     let _turn = TURN.lock().await;
     for load in [Load::Declared, Load::Chunks] {
         for path in PATHS {
-            let (peak, _) = crowd::run(load, path, SMALL_CROWD, SMALLEST_MB).await;
+            let (peak, _) = body::run(load, path, SMALL_CROWD, SMALLEST_MB).await;
             println!("smallest machine: {load:?} on {path}: {peak} KiB");
             assert!(peak * 1_024 < SMALLEST_MB * 1_000_000, "{load:?} on {path}: {peak} KiB");
         }
@@ -106,6 +106,7 @@
 /// Connections without a request make room for callers with one.
 #[tokio::test(flavor = "multi_thread")]
 async fn machine_few_descriptors() {
+    let _turn = TURN.lock().await;
     let fixture = Fixture::start_on(Machine { memory_mb: 160, max_fds: FEW_FDS }).await;
     let mut idle = Vec::new();
     for _ in 0..IDLE_CONNECTIONS {
--- a/crates/daemon/tests/platform/fixture.rs
+++ b/crates/daemon/tests/platform/fixture.rs
@@ -139,6 +139,7 @@
     }
 
     /// Starts as [`Self::start`] does, one instance whose settings state the limits of its machine.
+    #[allow(dead_code, reason = "only the tests of crowds state the machine")]
     pub async fn start_on(machine: Machine) -> Self {
         let mut fixture = Self::upstreams().await;
         fixture.machine = Some(machine);
