Limit how many others an instance that starts asks

Cause, by reading: where all instances start at once, none that is asked is informed, so each went on to ask all others for 0.7 s. Change: at most eight are asked. A second round follows 2 s later as before.

--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -29,6 +29,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time after which the others list an instance that has started, and tell it what they learn.
 const LISTING_TIME: Duration = Duration::from_secs(2);
+/// Number of instances that are asked at most. Where all start at once, none is informed, and each
+/// would ask hundreds of others.
+const MAX_ASKED: usize = 8;
 /// Size limit of an answer: as many streams as an instance remembers take less.
 const ANSWER_BYTES: usize = 1 << 20;
 /// Ends an exchange with an instance whose host has become unreachable.
@@ -75,11 +78,13 @@
         return;
     }
     peers.shuffle(&mut rand::rng());
+    let listed = peers.len();
+    peers.truncate(MAX_ASKED);
     let mut summary = Summary::default();
     let timed_out = tokio::time::timeout(TIMEOUT, gather(traffic, &peers, &mut summary)).await;
     tracing::info!(
         cause,
-        peers = peers.len(),
+        peers = listed,
         asked = summary.asked,
         informed = summary.informed,
         uninformed = summary.uninformed,
