--- a/crates/policy/src/gateway/mesh.rs
+++ b/crates/policy/src/gateway/mesh.rs
@@ -52,8 +52,8 @@
     Large,
 }
 
-/// Bandwidth of a link, in bits per second, that bears a datagram for each long prompt. A hub among 300
-/// instances forwards some 1,500 a second, of 100 bytes.
+/// Bandwidth of a link, in bits per second, that bears a datagram for each long prompt. By
+/// computation, a hub among 300 instances forwards some 1,500 a second, of 100 bytes.
 const FAST_LINK: u64 = 24_000_000;
 /// Processor time, in thousandths of a core, that bears them: a datagram takes some 10 µs.
 const FAST_PROCESSOR: u64 = 250;
