--- a/review/world-2/world.py
+++ b/review/world-2/world.py
@@ -653,8 +653,13 @@
     instances = []
     with tempfile.TemporaryDirectory() as folder:
         async def main():
+            task = asyncio.current_task()
+            for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+                asyncio.get_running_loop().add_signal_handler(number, task.cancel)
             try:
                 return await scenario(record, folder, instances)
+            except asyncio.CancelledError:
+                return 2
             finally:
                 for instance in instances:
                     instance.signal(signal.SIGCONT)
