--- a/review/world-2/world.py
+++ b/review/world-2/world.py
@@ -28,14 +28,17 @@
 
 
 def free_ports(count):
-    """Free loopback ports, all different."""
-    sockets = []
-    for _ in range(count):
+    """Free loopback ports, all different, below those that the system gives to outgoing connections."""
+    held = []
+    while len(held) < count:
         s = socket.socket()
-        s.bind(("127.0.0.1", 0))
-        sockets.append(s)
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
+        try:
+            s.bind(("127.0.0.1", random.randint(10000, 19999)))
+            held.append(s)
+        except OSError:
+            s.close()
+    ports = [s.getsockname()[1] for s in held]
+    for s in held:
         s.close()
     return ports
 
@@ -168,7 +171,11 @@
 
     def reset(self, writer):
         linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
-        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        try:
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        except OSError:
+            # It is closed already.
+            pass
         writer.transport.abort()
 
     def reset_all(self):
