Keep the own registration until the metadata store shows it

Cause: the registration was written without a condition, and a lease that is alive passed for an entry that is there. A write without an answer was repeated under a second lease; the first one, executed later, put the key under the first lease again, which nobody renewed.

Change: `ephemeral::Entry` (policy) goes by what the contents of the metadata store show under its own lease. Writes are repeated under the same lease, and each states the revision that it replaces, so that a late one fails once anything was written since, by this process or an earlier one. An entry that is gone or another's is written again, logged and counted. Until the entry has been listed for 2 s, an instance fetches nothing from KV cache stores, as it can't know of the others' orders.

Ruled out: a condition alone, as a write of an earlier process or build may still replace the entry; a renewal that fails, as none did.

--- a/crates/daemon/tests/platform/fixture.rs
+++ b/crates/daemon/tests/platform/fixture.rs
@@ -74,6 +74,15 @@
         fixture
     }
 
+    /// Starts as [`Self::start`] does, with a metadata store that `prepare` has changed.
+    #[allow(dead_code, reason = "the tests of crowds change nothing in the store")]
+    pub async fn start_prepared(count: usize, prepare: impl FnOnce(&store::Handle)) -> Self {
+        let mut fixture = Self::upstreams().await;
+        prepare(&fixture.store);
+        fixture.start_instances(count).await;
+        fixture
+    }
+
     /// Starts as [`Self::start`] does, a deployment that has rollouts with these bounds.
     pub async fn start_with_rollouts(count: usize, bounds: rollout::Bounds) -> Self {
         let mut fixture = Self::upstreams().await;
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -19,6 +19,7 @@
 mod path;
 mod raw;
 mod refusal;
+mod registration;
 mod resumption;
 mod rollout;
 mod silence;
--- /dev/null
+++ b/crates/daemon/tests/platform/registration.rs
@@ -0,0 +1,71 @@
+//! Registrations that the metadata store carries out late or never, and entries that others replace.
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use crate::fixture::{self, Fixture};
+
+/// Prefix of the instances' entries.
+const INSTANCES: &str = "acacia/instances/";
+/// Time after which a write without an answer is executed.
+const DELAY: Duration = Duration::from_secs(4);
+/// Time after which a lease that is not renewed has ended, from the late write on.
+const LEASE_TIME: Duration = Duration::from_secs(8);
+/// Interval between looks at the store.
+const INTERVAL: Duration = Duration::from_millis(100);
+
+/// Starts instances whose first registration gets no answer.
+async fn start(count: usize, delay: Option<Duration>) -> Fixture {
+    Fixture::start_prepared(count, |store| store.lose_first_writes(INSTANCES, delay)).await
+}
+
+/// The entry of an instance in the metadata store.
+fn entry(fixture: &Fixture, instance: usize) -> Option<Value> {
+    let value = fixture.store.value(&format!("{INSTANCES}instance-{instance}"))?;
+    serde_json::from_slice(&value).ok()
+}
+
+fn are_listed(fixture: &Fixture, count: usize) -> bool {
+    (0..count).all(|instance| entry(fixture, instance).is_some())
+}
+
+/// Guards against review case 6: once the lease of a late write had ended, its instance was not listed
+/// any more, and was told nothing by the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn write_executed_late_keeps_instance_listed() {
+    let fixture = start(2, Some(DELAY)).await;
+    fixture::eventually("all are listed", async || are_listed(&fixture, 2)).await;
+    tokio::time::sleep(DELAY).await;
+    let ends = tokio::time::Instant::now() + LEASE_TIME;
+    while tokio::time::Instant::now() < ends {
+        assert!(are_listed(&fixture, 2), "an instance is not listed");
+        tokio::time::sleep(INTERVAL).await;
+    }
+    fixture.stop().await;
+}
+
+/// Guards against an instance that waits for the watch to show a write that was never executed.
+#[tokio::test(flavor = "multi_thread")]
+async fn write_never_executed_is_repeated() {
+    let fixture = start(2, None).await;
+    fixture::eventually("all are listed", async || are_listed(&fixture, 2)).await;
+    fixture.stop().await;
+}
+
+/// Guards against the same for entries that an earlier process of the instance replaces or takes with
+/// its lease.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_replaced_or_removed_is_written_again() {
+    let fixture = Fixture::start(1).await;
+    let own = async || entry(&fixture, 0).is_some_and(|entry| entry["peer"] != json!(null));
+    fixture::eventually("the instance is listed", own).await;
+    let key = format!("{INSTANCES}instance-0");
+    fixture.store.put(&key, &json!({"peer": null, "zone": "z9"}));
+    fixture::eventually("the entry is written again", own).await;
+    fixture.store.remove(&key);
+    fixture::eventually("the entry is written again", own).await;
+    assert!(fixture.logged(0, &["this instance is no longer listed"]) > 0);
+    assert!(fixture.logged(0, &["this instance is listed by the entry of another"]) > 0);
+    fixture.stop().await;
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -7,9 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use acacia_platform::document::{Subject, URGENT, instance_key};
-use acacia_platform::instance::Presence;
-use acacia_platform::store::{Changes, Client as StoreClient, Eras, WatchFailure, Written};
+use acacia_platform::document::{Subject, URGENT};
+use acacia_platform::store::{Changes, Client as StoreClient, Eras, WatchFailure};
 use acacia_platform::{Settings, cache};
 use acacia_policy::Time;
 use acacia_policy::gateway::configuration::Role;
@@ -23,6 +22,7 @@
 use crate::clock::Clock;
 use crate::holder::Holder;
 use crate::metric::Metrics;
+use crate::registration::Registration;
 use crate::replica::{Replica, Update};
 use crate::traffic::millis;
 
@@ -39,6 +39,8 @@
 const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between reads of the servers' clock. Clocks drift by far less than a millisecond in it.
 const CLOCK_INTERVAL: Duration = Duration::from_secs(15);
+/// The same while no server has answered.
+const CLOCK_RETRY: Duration = Duration::from_secs(1);
 /// The pause between two watches is this fraction of the time within which a change must be in
 /// force. Changes are batched during the pause.
 const WATCH_PAUSE_DIVISOR: u32 = 5;
@@ -51,10 +53,6 @@
 const SLOW_TRANSFER: Duration = Duration::from_millis(150);
 /// Longest pause after failed calls. A recovered metadata store must be noticed within a second.
 const MAX_BACKOFF: Duration = Duration::from_millis(400);
-/// How long this instance stays registered after its last heartbeat.
-const REGISTRATION_TTL: Duration = Duration::from_secs(10);
-/// Interval between heartbeats. Three fit into the lease.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(3);
 
 /// State of the control thread.
 pub struct Control {
@@ -121,22 +119,19 @@
     /// Runs until `stop` becomes true, then ends the leases.
     pub async fn run(self: Rc<Self>, mut stop: watch::Receiver<bool>) {
         let follow = tokio::task::spawn_local(self.clone().follow());
-        let lease = Rc::new(RefCell::new(None));
-        let registration = tokio::task::spawn_local(self.clone().keep_registered(lease.clone()));
+        let registration = Registration::new(self.clone());
+        let registering = tokio::task::spawn_local(registration.clone().run());
         let sync = tokio::task::spawn_local(self.clone().sync_clock());
         let confirmation = tokio::task::spawn_local(self.clone().confirm_views());
         let holder = Holder::new(self.clone());
         let ordering = tokio::task::spawn_local(holder.clone().run());
         let _ = stop.wait_for(|stop| *stop).await;
         ordering.abort();
-        registration.abort();
+        registering.abort();
         sync.abort();
         confirmation.abort();
         holder.stop().await;
-        let lease = *lease.borrow();
-        if let Some(lease) = lease {
-            self.end_lease(lease).await;
-        }
+        registration.stop().await;
         follow.abort();
     }
 
@@ -419,7 +414,7 @@
                     break;
                 }
             }
-            tokio::time::sleep(if is_known { CLOCK_INTERVAL } else { REGISTRATION_TTL / 10 }).await;
+            tokio::time::sleep(if is_known { CLOCK_INTERVAL } else { CLOCK_RETRY }).await;
         }
     }
 
@@ -445,46 +440,4 @@
         stores.sort_unstable();
         stores.into_iter().map(|(_, address)| address).collect()
     }
-
-    /// Keeps this instance registered. Limits are divided by the number of registered instances.
-    async fn keep_registered(self: Rc<Self>, lease: Rc<RefCell<Option<Lease>>>) {
-        let mut client = self.store_client();
-        loop {
-            let kept = *lease.borrow();
-            let registered = match kept {
-                Some(kept) => {
-                    self.metrics.store_call("renew");
-                    client.renew(kept).await.map(|is_alive| is_alive.then_some(kept))
-                }
-                None => self.register(&mut client).await,
-            };
-            match registered {
-                Ok(Some(kept)) => {
-                    lease.replace(Some(kept));
-                    tokio::time::sleep(HEARTBEAT_INTERVAL).await;
-                }
-                Ok(None) => {
-                    lease.replace(None);
-                    tokio::time::sleep(MIN_BACKOFF).await;
-                }
-                Err(failure) => {
-                    tracing::debug!(%failure, "heartbeat failed");
-                    tokio::time::sleep(MAX_BACKOFF).await;
-                }
-            }
-        }
-    }
-
-    async fn register(&self, client: &mut StoreClient) -> Result<Option<Lease>, Failure> {
-        self.metrics.store_call("grant");
-        let (lease, _) = client.grant(REGISTRATION_TTL.max(self.settings.min_lease_ttl)).await?;
-        self.metrics.store_call("write");
-        let key = instance_key(&self.settings.instance);
-        let presence =
-            Presence { peer: self.settings.peer_address, zone: self.settings.zone.clone() };
-        match client.write(&key, &presence.encode(), None, Some(lease)).await? {
-            Written::Done(_) => Ok(Some(lease)),
-            Written::Conflict | Written::LeaseEnded => Ok(None),
-        }
-    }
 }
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -221,7 +221,7 @@
     fn acquire_delay(&self) -> Duration {
         let replica = self.control.replica.borrow();
         let own = &self.control.settings.instance;
-        let before = replica.instances().keys().take_while(|name| *name < own).count();
+        let before = replica.instances().take_while(|name| *name < own).count();
         ACQUIRE_DELAY_STEP * u32::try_from(before).unwrap_or(0).min(MAX_DELAY_STEPS)
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! The control thread, [`control`], follows the metadata store. It keeps a [`replica`] of the
 //! configuration, the upstreams and the announced weights, and passes a new view of it to the
-//! traffic thread after each change. While this instance is the [`holder`] of the order lease, it
+//! traffic thread after each change, and [`registration`] keeps this instance listed. While this instance is the [`holder`] of the order lease, it
 //! also orders weight loads and maintains the [`inventory`] of each managed KV cache store.
 //!
 //! The traffic thread serves callers: [`listener`] accepts connections, [`request`] takes one
@@ -36,6 +36,7 @@
 mod pool;
 mod probe;
 mod process;
+mod registration;
 mod relay;
 pub mod replica;
 mod request;
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -25,6 +25,7 @@
     passages: Counter<u64>,
     tolerances: Counter<u64>,
     rollouts: Counter<u64>,
+    registrations: Counter<u64>,
     connections: Counter<u64>,
     store_calls: Counter<u64>,
     store_bytes: Counter<u64>,
@@ -61,6 +62,7 @@
             passages: counter("acacia_gateway_passed_on"),
             tolerances: counter("acacia_gateway_refusal_limit_changes"),
             rollouts: counter("acacia_gateway_rollout_changes"),
+            registrations: counter("acacia_gateway_registration_changes"),
             connections: counter("acacia_gateway_connections"),
             store_calls: counter("acacia_gateway_store_calls"),
             store_bytes: counter("acacia_gateway_store_bytes"),
@@ -119,6 +121,11 @@
         self.rollouts.add(1, &[KeyValue::new("progress", progress)]);
     }
 
+    /// Counts a change of the status of this instance's entry in the metadata store.
+    pub fn registration(&self, status: &'static str) {
+        self.registrations.add(1, &[KeyValue::new("status", status)]);
+    }
+
     /// Records the time to the first event or to a whole plain answer.
     pub fn first_byte(&self, route: &str, took: Duration) {
         self.first_byte_seconds
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -14,12 +14,13 @@
 use acacia_policy::Time;
 use acacia_policy::gateway::canary;
 use acacia_policy::gateway::configuration::{ModelName, ServiceName, ZoneName};
+use acacia_policy::gateway::ephemeral;
 use acacia_policy::gateway::inventory::{Inventory, Progress};
 use acacia_policy::gateway::software;
 use acacia_policy::gateway::{
     Configuration, EXPIRY_LIMIT, Server, ServerId, SoftwareVersion, WeightVersion, Weights,
 };
-use acacia_policy::kv::{Era, Revision};
+use acacia_policy::kv::{Era, LeaseId, Revision};
 
 use crate::carryover::{Carryover, Departures};
 
@@ -55,7 +56,7 @@
     software_revision: Revision,
     /// When an entry with each version of a service was last received, or was last listed.
     software_seen: BTreeMap<(ServiceName, SoftwareVersion), Time>,
-    instances: BTreeMap<String, Presence>,
+    instances: BTreeMap<String, Registration>,
     holder: Option<Holder>,
     inventories: BTreeMap<String, (Arc<Inventory>, Revision)>,
     era: Era,
@@ -87,6 +88,15 @@
     own_incarnation: u64,
 }
 
+/// The entry of an instance.
+#[derive(Clone, Debug)]
+struct Registration {
+    presence: Presence,
+    row: ephemeral::Row,
+    /// Since when there has been an entry of this instance.
+    since: Time,
+}
+
 /// The holder of the order lease.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Holder {
@@ -96,6 +106,8 @@
     pub revision: Revision,
     /// Revision at which it acquired the lease, which determines the fencing token.
     pub created: Revision,
+    /// The lease that its entry is under, if the metadata store states it.
+    pub lease: Option<LeaseId>,
 }
 
 /// An update of the replica, for the log.
@@ -300,9 +312,15 @@
         self.last_holder_write
     }
 
-    /// The registered instances.
-    pub fn instances(&self) -> &BTreeMap<String, Presence> {
-        &self.instances
+    /// Names of the registered instances, in order.
+    pub fn instances(&self) -> impl Iterator<Item = &String> {
+        self.instances.keys()
+    }
+
+    /// The entry of an instance.
+    pub fn registration(&self, instance: &str) -> ephemeral::Listing {
+        let row = self.instances.get(instance).map(|registration| registration.row);
+        ephemeral::Listing { as_of: self.revision, row }
     }
 
     /// Whether any engine is reloading.
@@ -416,8 +434,10 @@
         self.returned = Some(now);
         let closed = self.servers.values().filter(|server| server.leaving).cloned();
         let closed = closed.chain(self.departures.recent(now)).collect();
-        self.carryover =
-            Carryover::new(now, self.evacuated.clone(), self.instances.clone(), closed);
+        let instances = self.instances.iter();
+        let instances =
+            instances.map(|(name, instance)| (name.clone(), instance.presence.clone())).collect();
+        self.carryover = Carryover::new(now, self.evacuated.clone(), instances, closed);
     }
 
     fn set(&mut self, now: Time, change: &store::Change) -> Option<Update> {
@@ -433,13 +453,7 @@
             Subject::Rollout(service) => self.set_rollout(now, change, service, value),
             Subject::RolloutState(service) => self.set_rollout_state(change, service, value),
             Subject::Server(id) => self.set_server(now, key, id, value),
-            Subject::Instance(name) => match Presence::decode(name, value) {
-                Ok(presence) => {
-                    let old = self.instances.insert(name.to_owned(), presence.clone());
-                    (old != Some(presence)).then_some(Update::Instances(self.instances.len()))
-                }
-                Err(problem) => Some(malformed(key, value, &problem)),
-            },
+            Subject::Instance(name) => self.set_instance(now, change, name, value),
             Subject::AnnouncementTimes => self.set_announcement_times(key, value, revision),
             Subject::Software => match Software::decode("", value) {
                 Ok(software) => {
@@ -454,6 +468,27 @@
         }
     }
 
+    fn set_instance(
+        &mut self,
+        now: Time,
+        change: &store::Change,
+        name: &str,
+        value: &[u8],
+    ) -> Option<Update> {
+        let store::Change { key, revision, lease, .. } = change;
+        match Presence::decode(name, value) {
+            Ok(presence) => {
+                let old = self.instances.get(name);
+                let is_new = old.is_none_or(|old| old.presence != presence);
+                let since = old.map_or(now, |old| old.since);
+                let row = ephemeral::Row { lease: *lease, revision: *revision };
+                self.instances.insert(name.to_owned(), Registration { presence, row, since });
+                is_new.then_some(Update::Instances(self.instances.len()))
+            }
+            Err(problem) => Some(malformed(key, value, &problem)),
+        }
+    }
+
     fn set_announcement_times(
         &mut self,
         key: &str,
@@ -499,7 +534,7 @@
     }
 
     fn set_holder(&mut self, now: Time, change: &store::Change, value: &[u8]) -> Option<Update> {
-        let store::Change { key, revision, created, .. } = change;
+        let store::Change { key, revision, created, lease, .. } = change;
         let revision = *revision;
         match OrderLease::decode("", value) {
             Ok(holding) => {
@@ -513,7 +548,7 @@
                 if self.holder.as_ref().is_some_and(|known| known.revision >= revision) {
                     return None;
                 }
-                self.holder = Some(Holder { holding, revision, created });
+                self.holder = Some(Holder { holding, revision, created, lease: *lease });
                 Some(Update::Holder)
             }
             Err(problem) => Some(malformed(key, value, &problem)),
--- a/crates/gateway/src/replica/view.rs
+++ b/crates/gateway/src/replica/view.rs
@@ -9,6 +9,7 @@
 use acacia_policy::gateway::configuration::{ModelName, Role};
 use acacia_policy::gateway::inventory::Store;
 use acacia_policy::gateway::mesh::Peer;
+use acacia_policy::gateway::save::TELLING_TIME;
 use acacia_policy::gateway::software::{self, Versions};
 use acacia_policy::gateway::{Server, ServerId, View, WeightVersion, Weights};
 
@@ -31,7 +32,9 @@
         });
         let carried = self.carryover.instances(self.as_of);
         let carried = carried.filter(|(name, _)| !self.instances.contains_key(*name));
-        let others = self.instances.iter().chain(carried).filter(|(name, _)| *name != own);
+        let listed = self.instances.iter().map(|(name, instance)| (name, &instance.presence));
+        let others = listed.chain(carried).filter(|(name, _)| *name != own);
+        let own = self.instances.get(own);
         let evacuated = self.evacuated.iter().chain(self.carryover.evacuated(self.as_of));
         Some(View {
             configuration: self.configuration.clone()?,
@@ -44,7 +47,8 @@
             loading: holding.map(|h| h.loading.iter().cloned().collect()).unwrap_or_default(),
             loaded: loaded.collect(),
             instances: self.instance_count(),
-            own_address: self.instances.get(own).and_then(|presence| presence.peer),
+            own_address: own.and_then(|own| own.presence.peer),
+            told_from: own.map(|own| own.since + TELLING_TIME),
             peers: others.filter_map(|(_, presence)| peer(presence)).collect(),
             stores: self.cache_stores(),
             as_of: self.as_of,
--- a/crates/gateway/tests/document.rs
+++ b/crates/gateway/tests/document.rs
@@ -148,7 +148,7 @@
             }
         };
         let revision = Revision { era: 0, number: number as i64 };
-        Change { key, value: Some(value.into_bytes()), revision, created: revision }
+        Change { key, value: Some(value.into_bytes()), revision, created: revision, lease: None }
     }
 }
 
@@ -219,7 +219,13 @@
         let mut gateway = Gateway::new(terms(), 1);
         let (key, value) = choices.configuration(1);
         let revision = Revision { era: 0, number: 1 };
-        let first = Change { key, value: Some(value.into_bytes()), revision, created: revision };
+        let first = Change {
+            key,
+            value: Some(value.into_bytes()),
+            revision,
+            created: revision,
+            lease: None,
+        };
         replica.apply(now, &first);
         for number in 2..CHANGES {
             replica.apply(now, &choices.change(number));
--- a/crates/gateway/tests/picture.rs
+++ b/crates/gateway/tests/picture.rs
@@ -20,11 +20,17 @@
 
 fn set(key: &str, value: Value, number: i64) -> Change {
     let (revision, value) = (revision(number), Some(value.to_string().into_bytes()));
-    Change { key: key.to_owned(), value, revision, created: revision }
+    Change { key: key.to_owned(), value, revision, created: revision, lease: None }
 }
 
 fn removed(key: &str, number: i64) -> Change {
-    Change { key: key.to_owned(), value: None, revision: revision(number), created: revision(0) }
+    Change {
+        key: key.to_owned(),
+        value: None,
+        revision: revision(number),
+        created: revision(0),
+        lease: None,
+    }
 }
 
 /// The same change in another era.
@@ -438,6 +444,22 @@
     );
 }
 
+/// An instance is told what the others tell all from some time after its entry is listed.
+#[test]
+fn view_told_from_own_registration() {
+    let mut replica = replica();
+    assert_eq!(replica.view("own").unwrap().told_from, None);
+    let entry = |number| set("acacia/instances/own", json!({"peer": null}), number);
+    replica.apply(at(10), &entry(2));
+    replica.apply(at(11), &Change { lease: Some(7), ..entry(3) });
+    assert_eq!(replica.view("own").unwrap().told_from, Some(at(12)));
+    assert_eq!(replica.view("other").unwrap().told_from, None);
+    let row = replica.registration("own").row.unwrap();
+    assert_eq!((row.lease, row.revision), (Some(7), revision(3)));
+    replica.apply(at(20), &removed("acacia/instances/own", 4));
+    assert_eq!(replica.view("own").unwrap().told_from, None);
+}
+
 fn holding(incarnation: u64, word: u64) -> Value {
     json!({"instance": "i", "life": incarnation, "word": word, "loading": [], "loaded": {}})
 }
--- a/crates/gateway/tests/rollout.rs
+++ b/crates/gateway/tests/rollout.rs
@@ -22,12 +22,12 @@
 
 fn set(key: &str, value: Value, revision: Revision) -> Change {
     let value = Some(value.to_string().into_bytes());
-    Change { key: key.to_owned(), value, revision, created: revision }
+    Change { key: key.to_owned(), value, revision, created: revision, lease: None }
 }
 
 fn removed(key: &str, number: i64) -> Change {
     let revision = revision(0, number);
-    Change { key: key.to_owned(), value: None, revision, created: revision }
+    Change { key: key.to_owned(), value: None, revision, created: revision, lease: None }
 }
 
 fn order(target: &str) -> Value {
--- a/crates/policy/src/gateway/access.rs
+++ b/crates/policy/src/gateway/access.rs
@@ -156,6 +156,7 @@
         // Without the servers' clock no deadline can be set for a fetch.
         if self.inventories_as_of + READ_LIMIT < self.now + MIN_FETCH_TIME
             || self.view.server_clock.is_none()
+            || !self.knows_orders()
         {
             return None;
         }
@@ -176,6 +177,11 @@
         Some(Access { variant, source: Source::Stores, time, cost: time, prefill_tokens: rest })
     }
 
+    /// Whether the others have told this instance which parts they save.
+    fn knows_orders(&self) -> bool {
+        self.view.told_from.is_some_and(|from| self.now >= from)
+    }
+
     /// Visits the parts that an engine would fetch from stores, with their index in the prompt;
     /// returns the number of tokens at the prompt's start that it then holds.
     pub(super) fn stored(
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -5,7 +5,7 @@
 //! [`choice`], which [`pace`] gives the expected wait at an engine, and [`admission`] refuses what
 //! can't be served in time; [`Gateway::ended`] records how an [`Attempt`] ended. [`rollout`] brings
 //! announced weights to the engines, and [`inventory`] tracks the contents of KV cache stores, on the
-//! instance that [`duty`] lets hold the order lease; [`outdated`] ends the use of older weights.
+//! instance that [`duty`] lets hold the order lease; [`ephemeral`] tells whether an entry that an instance keeps in the metadata store is there; [`outdated`] ends the use of older weights.
 //! Instances report by [`gossip`] what they sent where, and [`mesh`] selects the recipients.
 //! [`quarantine`] holds back requests, and parts of prompts, that crash upstreams; [`limit`] tracks
 //! the rates of requests that upstreams take, [`brittle`] the rates of refusals that they bear,
@@ -25,6 +25,7 @@
 pub mod configuration;
 pub mod confirmation;
 pub mod duty;
+pub mod ephemeral;
 mod evidence;
 mod exchange;
 pub mod forward;
@@ -49,7 +50,7 @@
 mod resumption;
 pub mod rollout;
 mod roster;
-mod save;
+pub mod save;
 pub mod software;
 pub mod statement;
 mod view;
--- a/crates/policy/src/gateway/save.rs
+++ b/crates/policy/src/gateway/save.rs
@@ -8,6 +8,9 @@
 //! message is sent as many times, so an order is given only with a prompt that is worth telling
 //! them of.
 //!
+//! An instance that the others don't list is told nothing, so it fetches nothing from the stores, whatever
+//! it knows, until it has been listed for [`TELLING_TIME`].
+//!
 //! On the wire an order is a [`Prefill`] at the key of the store. Instances that don't know such
 //! orders ignore a prefill at an unknown upstream.
 
@@ -25,12 +28,16 @@
 /// part within a second, and the inventory lists it within another.
 const SAVE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time after which an instance that is listed knows of all outstanding orders: the others learn of it
+/// within a second, and each then repeats its orders within another.
+pub const TELLING_TIME: Duration = Duration::from_secs(2);
+
 /// Largest number of parts in one prefill, so that those of a digest fit a datagram.
 const PARTS_PER_PREFILL: usize = 4;
 
 /// Requested saves that no inventory lists yet, or that engines have not carried out.
 #[derive(Debug, Default)]
-pub struct Saves {
+pub(super) struct Saves {
     pending: FxHashMap<PartKey, Save>,
     /// Parts of which the other instances have to be told that this instance orders or has ended a
     /// save.
@@ -217,7 +224,7 @@
 }
 
 /// The key of a store in messages between instances.
-pub fn store_key(store: SocketAddr) -> ServerKey {
+pub(super) fn store_key(store: SocketAddr) -> ServerKey {
     stable_hash(&store)
 }
 
--- a/crates/policy/src/gateway/view.rs
+++ b/crates/policy/src/gateway/view.rs
@@ -53,6 +53,9 @@
     pub instances: u32,
     /// Where this instance listens for messages of the others.
     pub own_address: Option<SocketAddr>,
+    /// From when on the others have told this instance what they tell all; none while they don't list
+    /// it.
+    pub told_from: Option<Time>,
     /// The other instances that listen for messages.
     pub peers: Vec<Peer>,
     /// KV cache stores.
--- a/crates/policy/tests/gateway_save.rs
+++ b/crates/policy/tests/gateway_save.rs
@@ -117,6 +117,19 @@
     assert!(fetches(&late), "{late:?}");
 }
 
+/// Regression, MIXED of review case 6: an instance that the others didn't list was told of no orders, and
+/// had a part fetched that an engine could still save anew.
+#[test]
+fn next_fetches_nothing_before_others_tell_orders() {
+    for (told_from, is_fetched) in [(None, false), (Some(1), false), (Some(0), true)] {
+        let mut reader = instance(2, &["p"]);
+        reader.change(|view, now| {
+            view.told_from = told_from.map(|seconds| now + Duration::from_secs(seconds));
+        });
+        assert_eq!(fetches(&send(&mut reader, "p").1), is_fetched, "{told_from:?}");
+    }
+}
+
 /// An instance that was not told of an order, or not of its end, learns it from a full digest.
 #[test]
 fn full_digest_repeats_outstanding_orders() {
--- a/crates/policy/tests/gateway_simulation/mod.rs
+++ b/crates/policy/tests/gateway_simulation/mod.rs
@@ -268,6 +268,7 @@
         loaded: Vec::new(),
         instances: 3,
         own_address: None,
+        told_from: Some(Time::ZERO),
         peers: Vec::new(),
         stores: Vec::new(),
         as_of: Time::ZERO,
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -1,6 +1,6 @@
 //! Metadata store of the platform.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
@@ -56,6 +56,7 @@
         era: AtomicU64::new(FIRST_ERA),
         copies: Mutex::default(),
         outside_writes: Mutex::default(),
+        loss: Mutex::default(),
     });
     tokio::spawn(expire(Arc::downgrade(&state)));
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -82,9 +83,41 @@
     copies: Mutex<VecDeque<(Instant, Keyspace)>>,
     /// Writes of operators and servers, which they repeat after a restore, oldest first.
     outside_writes: Mutex<VecDeque<(Instant, Operation)>>,
+    loss: Mutex<Option<Loss>>,
+}
+
+/// Calls whose answers are lost: the first write of each key with a prefix.
+struct Loss {
+    prefix: String,
+    /// Time after which such a write is executed; none if it never is.
+    delay: Option<Duration>,
+    /// Keys of the writes so far.
+    keys: BTreeSet<String>,
 }
 
 impl State {
+    /// Loses the answer to the first write of each key that begins with `prefix`. The write is executed
+    /// after `delay`, if its condition still holds, or never.
+    pub fn lose_first_writes(&self, prefix: &str, delay: Option<Duration>) {
+        let (prefix, keys) = (prefix.to_owned(), BTreeSet::new());
+        *self.loss.lock() = Some(Loss { prefix, delay, keys });
+    }
+
+    /// Answers all writes again. Those that are late are executed yet.
+    pub fn answer_writes(&self) {
+        *self.loss.lock() = None;
+    }
+
+    /// Whether the answer to a call is lost, and when the call is executed.
+    fn loses(&self, call: &Call) -> Option<Option<Duration>> {
+        let mut loss = self.loss.lock();
+        let loss = loss.as_mut().filter(|_| call.path.ends_with("/kv-txn"))?;
+        let body: TransactionBody = call.json().ok()?;
+        let keys = body.set_keys.into_iter().map(|row| row.key);
+        let mut keys = keys.filter(|key| key.starts_with(&loss.prefix));
+        keys.any(|key| loss.keys.insert(key)).then_some(loss.delay)
+    }
+
     /// Copies the keyspace from time to time.
     fn copy(&self) {
         let now = Instant::now();
@@ -312,6 +345,17 @@
     }
 
     async fn respond(self: Arc<Self>, call: Call) -> Answer {
+        if let Some(delay) = self.loses(&call) {
+            if let Some(delay) = delay {
+                let store = self.clone();
+                tokio::spawn(async move {
+                    tokio::time::sleep(delay).await;
+                    // Nobody reads the answer.
+                    let _ = store.transaction(&call);
+                });
+            }
+            return std::future::pending().await;
+        }
         let answer = self.route(&call).await.unwrap_or_else(|refusal| refusal);
         answer.with("store-era", self.era.load(Ordering::Relaxed))
     }
