Claim the order lease until the metadata store shows it

If that happened to all, no engine got new weights.

Cause: after a write without an answer, `Holder` waited for the watch to show it, for as long as its lease could be renewed. Nor did it notice that its entry was gone, or that its entry stood under an earlier lease of its own, which ends at another time.

Change: the holder's entry is an `ephemeral::Entry`, as the registration is. A claim without an answer is repeated under the same lease while the key is vacant; a holder whose entry is gone or another's releases its lease and may acquire it anew; the term counts only under the current lease.

Tests: registration::order_lease_claim_never_executed_is_repeated and registration::order_lease_removed_is_claimed_again fail on (with the stand-in and tests of this commit) and pass now; registration::order_lease_claim_executed_late_is_harmless passes on both.

--- a/crates/daemon/tests/platform/registration.rs
+++ b/crates/daemon/tests/platform/registration.rs
@@ -1,13 +1,18 @@
-//! Registrations that the metadata store carries out late or never, and entries that others replace.
+//! Registrations and claims of the order lease that the metadata store executes late or never, and
+//! entries that others replace.
 
 use std::time::Duration;
 
+use acacia_standin::platform::document;
+use acacia_standin::platform::store::{self, Lost};
 use serde_json::{Value, json};
 
 use crate::fixture::{self, Fixture};
 
 /// Prefix of the instances' entries.
 const INSTANCES: &str = "acacia/instances/";
+/// Key of the order lease.
+const ORDER_LEASE: &str = "acacia/holder";
 /// Time after which a write without an answer is executed.
 const DELAY: Duration = Duration::from_secs(4);
 /// Time after which a lease that is not renewed has ended, from the late write on.
@@ -16,8 +21,8 @@
 const INTERVAL: Duration = Duration::from_millis(100);
 
 /// Starts instances whose first registration gets no answer.
-async fn start(count: usize, delay: Option<Duration>) -> Fixture {
-    Fixture::start_prepared(count, |store| store.lose_first_writes(INSTANCES, delay)).await
+async fn start(count: usize, lost: Lost) -> Fixture {
+    Fixture::start_prepared(count, |store| store.lose_first_writes(INSTANCES, lost)).await
 }
 
 /// The entry of an instance in the metadata store.
@@ -34,7 +39,7 @@
 /// any more, and was told nothing by the others.
 #[tokio::test(flavor = "multi_thread")]
 async fn write_executed_late_keeps_instance_listed() {
-    let fixture = start(2, Some(DELAY)).await;
+    let fixture = start(2, Lost::Delayed(DELAY)).await;
     fixture::eventually("all are listed", async || are_listed(&fixture, 2)).await;
     tokio::time::sleep(DELAY).await;
     let ends = tokio::time::Instant::now() + LEASE_TIME;
@@ -48,7 +53,7 @@
 /// Guards against an instance that waits for the watch to show a write that was never executed.
 #[tokio::test(flavor = "multi_thread")]
 async fn write_never_executed_is_repeated() {
-    let fixture = start(2, None).await;
+    let fixture = start(2, Lost::Dropped).await;
     fixture::eventually("all are listed", async || are_listed(&fixture, 2)).await;
     fixture.stop().await;
 }
@@ -69,3 +74,39 @@
     assert!(fixture.logged(0, &["this instance is listed by the entry of another"]) > 0);
     fixture.stop().await;
 }
+
+/// An instance whose claim of the order lease gets no answer claims it again, and orders weights.
+async fn claim_order_lease(lost: Lost) {
+    let prepare = |store: &store::Handle| store.lose_first_writes(ORDER_LEASE, lost);
+    let fixture = Fixture::start_prepared(1, prepare).await;
+    let (key, value) = document::announcement(2);
+    fixture.store.put(&key, &value);
+    let is_loaded = async || fixture.weights() == [2; 3];
+    fixture::eventually("all engines have the new weights", is_loaded).await;
+    assert!(fixture.engines.iter().all(|engine| engine.orders() == 1), "each engine loads once");
+    fixture.stop().await;
+}
+
+/// Guards against a holder that renews a lease under which nothing was ever written: no instance
+/// orders weights then.
+#[tokio::test(flavor = "multi_thread")]
+async fn order_lease_claim_never_executed_is_repeated() {
+    claim_order_lease(Lost::Reset).await;
+}
+
+/// The same while the first claim is executed late.
+#[tokio::test(flavor = "multi_thread")]
+async fn order_lease_claim_executed_late_is_harmless() {
+    claim_order_lease(Lost::Delayed(Duration::from_secs(1))).await;
+}
+
+/// Guards against a holder that goes on after its entry was removed.
+#[tokio::test(flavor = "multi_thread")]
+async fn order_lease_removed_is_claimed_again() {
+    let fixture = Fixture::start(1).await;
+    let is_held = async || fixture.store.value(ORDER_LEASE).is_some();
+    fixture::eventually("the order lease is held", is_held).await;
+    fixture.store.remove(ORDER_LEASE);
+    fixture::eventually("the order lease is held again", is_held).await;
+    fixture.stop().await;
+}
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -13,6 +13,7 @@
 use acacia_policy::Time;
 use acacia_policy::gateway::Server;
 use acacia_policy::gateway::duty::{self, Duty};
+use acacia_policy::gateway::ephemeral::{Entry, Status};
 use acacia_policy::gateway::rollout::{Action, LEASE_MARGIN, LeaseTerm, Receipt, Rollout};
 use acacia_policy::kv::{Failure, Lease, Revision};
 use bytes::Bytes;
@@ -58,6 +59,8 @@
 pub struct Holder {
     control: Rc<Control>,
     grant: Cell<Option<Grant>>,
+    /// The entry that names this instance as the holder.
+    entry: RefCell<Entry>,
     rollout: RefCell<Rollout>,
     published: RefCell<OrderLease>,
     fenced: Cell<bool>,
@@ -89,6 +92,7 @@
             duty,
             inventory,
             grant: Cell::default(),
+            entry: RefCell::default(),
             rollout: RefCell::default(),
             published: RefCell::default(),
             fenced: Cell::default(),
@@ -114,11 +118,16 @@
                     self.release().await;
                     self.lose("an engine has seen a higher fencing token");
                 }
+                Some(_) if self.is_replaced() => {
+                    self.release().await;
+                    self.lose("its entry is gone, or is another holder's");
+                }
                 Some(_) if self.is_sample_due(now) => self.check_path().await,
                 Some(grant) if now >= renewed + RENEWAL_INTERVAL => {
                     renewed = now;
                     self.renew(&mut client, grant).await;
                 }
+                Some(grant) if self.is_claim_due(now) => self.claim(&mut client, grant).await,
                 Some(_) => self.order(&mut client).await,
                 None if self.is_vacant() => {
                     tokio::time::sleep(self.acquire_delay()).await;
@@ -197,6 +206,7 @@
 
     /// Revokes the lease, if there is one.
     async fn release(&self) {
+        self.entry.borrow_mut().ended();
         if let Some(grant) = self.grant.take() {
             self.control.end_lease(grant.lease).await;
         }
@@ -225,28 +235,56 @@
         ACQUIRE_DELAY_STEP * u32::try_from(before).unwrap_or(0).min(MAX_DELAY_STEPS)
     }
 
+    /// Whether the entry of this holder is there.
+    fn status(&self) -> Status {
+        let listing = self.control.replica.borrow().order_lease();
+        self.entry.borrow_mut().status(listing)
+    }
+
+    /// Whether this instance has a lease, but is not the holder any more.
+    fn is_replaced(&self) -> bool {
+        matches!(self.status(), Status::Missing | Status::Displaced)
+    }
+
+    /// Whether the entry is to be written again, as a write without an answer may never be executed.
+    fn is_claim_due(&self, now: Time) -> bool {
+        self.status() == Status::Unwritten && self.entry.borrow().may_write(now)
+    }
+
     async fn acquire(&self, client: &mut StoreClient) {
         let now = self.control.clock.now();
-        let taken = async {
-            self.control.metrics.store_call("grant");
-            let (lease, ttl) = client.grant(self.lease_ttl()).await?;
-            self.grant.set(Some(Grant { lease, ends: now + ttl }));
-            let holding = self.holding();
-            self.control.metrics.store_call("write");
-            let absent = Revision::absent(lease.era);
-            let written =
-                client.write(&holder_key(), &holding.encode(), Some(absent), Some(lease)).await?;
-            self.published.replace(holding);
-            Ok::<_, Failure>(written)
-        };
-        match taken.await {
-            Ok(Written::Done(revision)) => {
+        self.control.metrics.store_call("grant");
+        match client.grant(self.lease_ttl()).await {
+            Ok((lease, ttl)) => {
+                let grant = Grant { lease, ends: now + ttl };
+                self.grant.set(Some(grant));
+                self.entry.borrow_mut().granted(lease);
                 self.fenced.set(false);
                 self.rollout.borrow_mut().reset();
+                self.claim(client, grant).await;
+            }
+            Err(failure) => tracing::debug!(%failure, "no lease granted for orders"),
+        }
+    }
+
+    /// Writes the entry that names this instance as the holder, if there is none.
+    async fn claim(&self, client: &mut StoreClient, grant: Grant) {
+        let holding = self.holding();
+        self.published.replace(holding.clone());
+        let is_repeated = self.entry.borrow().is_attempted();
+        self.entry.borrow_mut().attempted(self.control.clock.now());
+        self.control.metrics.store_call("write");
+        let (value, absent) = (holding.encode(), Revision::absent(grant.lease.era));
+        match client.write(&holder_key(), &value, Some(absent), Some(grant.lease)).await {
+            Ok(Written::Done(revision)) => {
+                self.entry.borrow_mut().written(revision);
                 tracing::info!(fence = revision.fencing_token(), "acquired the order lease");
             }
-            // The watch will show whether this instance holds the lease.
-            Err(Failure::Ambiguous) => tracing::info!("no answer on acquiring the order lease"),
+            Err(Failure::Ambiguous) => {
+                tracing::info!(is_repeated, "no answer on acquiring the order lease");
+            }
+            // An earlier write may have been executed. The watch will show whose entry it is.
+            Ok(Written::Conflict) if is_repeated => {}
             Ok(Written::Conflict | Written::LeaseEnded) | Err(_) => self.release().await,
         }
     }
@@ -264,6 +302,7 @@
     fn lose(&self, reason: &str) {
         tracing::warn!(reason, "lost the order lease");
         self.grant.set(None);
+        self.entry.borrow_mut().ended();
         self.inventory.stop_all();
         self.rollout.borrow_mut().reset();
     }
@@ -275,6 +314,7 @@
         let holder = replica.holder().filter(|holder| {
             holder.holding.incarnation == self.control.incarnation
                 && holder.created.era == grant.lease.era
+                && holder.lease.is_none_or(|lease| lease == grant.lease.id)
         })?;
         let bounds = &self.control.settings.bounds;
         // Engines that check no fencing tokens execute an order of the previous holder even if it
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -343,6 +343,13 @@
         self.era_began
     }
 
+    /// The entry of the holder of the order lease.
+    pub fn order_lease(&self) -> ephemeral::Listing {
+        let holder = self.holder.as_ref();
+        let row = holder.map(|h| ephemeral::Row { lease: h.lease, revision: h.revision });
+        ephemeral::Listing { as_of: self.revision, row }
+    }
+
     /// Records a failed call to the metadata store; true if it was the first after an answer.
     pub fn fail(&mut self, now: Time) -> bool {
         self.failures += 1;
--- a/crates/policy/src/gateway/ephemeral.rs
+++ b/crates/policy/src/gateway/ephemeral.rs
@@ -90,6 +90,11 @@
         self.attempted = Some(now);
     }
 
+    /// Whether a write under the current lease was sent.
+    pub fn is_attempted(&self) -> bool {
+        self.attempted.is_some()
+    }
+
     /// Records that a write was executed.
     pub fn written(&mut self, revision: Revision) {
         self.written = Some(revision);
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -86,36 +86,40 @@
     loss: Mutex<Option<Loss>>,
 }
 
+/// What happens to a write whose answer is lost.
+#[derive(Clone, Copy, Debug)]
+pub enum Lost {
+    /// It is never executed.
+    Dropped,
+    /// It is never executed, and its connection closes.
+    Reset,
+    /// It is executed after some time, if its condition still holds.
+    Delayed(Duration),
+}
+
 /// Calls whose answers are lost: the first write of each key with a prefix.
 struct Loss {
     prefix: String,
-    /// Time after which such a write is executed; none if it never is.
-    delay: Option<Duration>,
+    lost: Lost,
     /// Keys of the writes so far.
     keys: BTreeSet<String>,
 }
 
 impl State {
-    /// Loses the answer to the first write of each key that begins with `prefix`. The write is executed
-    /// after `delay`, if its condition still holds, or never.
-    pub fn lose_first_writes(&self, prefix: &str, delay: Option<Duration>) {
+    /// Loses the answer to the first write of each key that begins with `prefix`.
+    pub fn lose_first_writes(&self, prefix: &str, lost: Lost) {
         let (prefix, keys) = (prefix.to_owned(), BTreeSet::new());
-        *self.loss.lock() = Some(Loss { prefix, delay, keys });
-    }
-
-    /// Answers all writes again. Those that are late are executed yet.
-    pub fn answer_writes(&self) {
-        *self.loss.lock() = None;
+        *self.loss.lock() = Some(Loss { prefix, lost, keys });
     }
 
-    /// Whether the answer to a call is lost, and when the call is executed.
-    fn loses(&self, call: &Call) -> Option<Option<Duration>> {
+    /// What happens to a call, if its answer is lost.
+    fn loses(&self, call: &Call) -> Option<Lost> {
         let mut loss = self.loss.lock();
         let loss = loss.as_mut().filter(|_| call.path.ends_with("/kv-txn"))?;
         let body: TransactionBody = call.json().ok()?;
         let keys = body.set_keys.into_iter().map(|row| row.key);
         let mut keys = keys.filter(|key| key.starts_with(&loss.prefix));
-        keys.any(|key| loss.keys.insert(key)).then_some(loss.delay)
+        keys.any(|key| loss.keys.insert(key)).then_some(loss.lost)
     }
 
     /// Copies the keyspace from time to time.
@@ -345,16 +349,19 @@
     }
 
     async fn respond(self: Arc<Self>, call: Call) -> Answer {
-        if let Some(delay) = self.loses(&call) {
-            if let Some(delay) = delay {
+        match self.loses(&call) {
+            Some(Lost::Dropped) => return std::future::pending().await,
+            Some(Lost::Reset) => return Answer::disconnect(),
+            Some(Lost::Delayed(delay)) => {
                 let store = self.clone();
                 tokio::spawn(async move {
                     tokio::time::sleep(delay).await;
                     // Nobody reads the answer.
                     let _ = store.transaction(&call);
                 });
+                return std::future::pending().await;
             }
-            return std::future::pending().await;
+            None => {}
         }
         let answer = self.route(&call).await.unwrap_or_else(|refusal| refusal);
         answer.with("store-era", self.era.load(Ordering::Relaxed))
