Name the shared namespace after the isolated organisations

Cause: the namespace depended on the asking organisation alone, so what an organisation left in the shared one kept its name when the right to it was gone.

Change: `policy::gateway::namespace`. The shared namespace is named after the set of isolated organisations, so it never holds a part of one that is isolated while it is in use: an organisation that becomes isolated leaves its parts behind, and one that is shared in between finds these again. The name follows from the configuration alone: instances that start, after a kill of all too, choose the same. A request goes by the configuration in force when it is sent; one that was admitted before its organisation became isolated would have put parts into the new shared namespace. Parts in namespaces that are not in use any more are unlisted in managed KV cache stores and freed. While none is isolated, names are as before.

Ruled out: a counter of changes, which has to be stored and may go back with the metadata store; freeing the parts of the organisation, as engines free none on request and lists name no maker.

--- a/crates/daemon/tests/platform/fixture.rs
+++ b/crates/daemon/tests/platform/fixture.rs
@@ -454,6 +454,12 @@
         self.deployment().configuration(version, &[("acme", key)])
     }
 
+    /// A configuration with these organisations and their keys.
+    #[allow(dead_code, reason = "the tests of crowds have one organisation")]
+    pub fn configuration_of(&self, version: u64, organisations: &[(&str, &str)]) -> Value {
+        self.deployment().configuration(version, organisations)
+    }
+
     fn deployment(&self) -> Deployment {
         Deployment {
             timeout_ms: 20_000,
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -14,6 +14,7 @@
 mod fixture;
 mod handover;
 mod head;
+mod isolation;
 mod limit;
 mod passage;
 mod path;
--- a/crates/gateway/src/inventory.rs
+++ b/crates/gateway/src/inventory.rs
@@ -209,7 +209,7 @@
         }
     }
 
-    /// Retires prompt parts of older weights, writes the inventory if it changed, and frees the
+    /// Retires prompt parts of older weights and in unused namespaces, writes the inventory if it changed, and frees the
     /// parts that are due.
     async fn update(&self, store: &Store) {
         if store.ledger.borrow().era() != self.control.eras.current() {
@@ -220,6 +220,9 @@
             let weights = self.control.replica.borrow().weights().clone();
             store.ledger.borrow_mut().retire(|model| weights.get(model).map(Weights::version));
         }
+        if let Some(configuration) = self.control.replica.borrow().configuration() {
+            store.ledger.borrow_mut().retire_unused(&configuration.namespaces);
+        }
         let (written, revision) = match self.control.replica.borrow().inventory(&store.service) {
             Some((inventory, revision)) => (Some(inventory.clone()), revision),
             None => (None, Revision::absent(self.control.eras.current())),
--- a/crates/policy/src/gateway/access.rs
+++ b/crates/policy/src/gateway/access.rs
@@ -9,7 +9,7 @@
 use super::choice::Chooser;
 use super::configuration::EngineSpec;
 use super::gossip::{PartKey, part_keys};
-use super::inventory::{READ_LIMIT, Store, salt};
+use super::inventory::{READ_LIMIT, Store};
 use super::member::Member;
 use super::roster::MemberKey;
 use super::view::WeightVersion;
@@ -66,10 +66,8 @@
         if let Some(known) = known {
             return known;
         }
-        // The salt keeps parts apart that were computed on other weights, or for another
-        // organisation if one of the two is isolated.
-        let organisation = self.plan.organisation.as_ref().filter(|o| o.isolated);
-        let salt = salt(weights, organisation.map(|organisation| &*organisation.name));
+        let organisation = self.plan.organisation.as_ref().map(|organisation| &*organisation.name);
+        let salt = self.view.configuration.namespaces.name(weights, organisation);
         let parts = part_keys(prompt, &salt);
         let point = self.rng.random::<u32>() as usize;
         let holders = self.roster.holders(&parts, point, |member| {
--- a/crates/policy/src/gateway/configuration.rs
+++ b/crates/policy/src/gateway/configuration.rs
@@ -7,6 +7,8 @@
 
 use strum::{Display, IntoStaticStr};
 
+use super::namespace::Namespaces;
+
 /// Version of a configuration; increases in uneven steps.
 pub type Version = u64;
 /// Name of a service.
@@ -25,6 +27,8 @@
     pub services: BTreeMap<ServiceName, Service>,
     /// Limits on callers' requests and connections.
     pub limits: Limits,
+    /// Namespaces of cached parts.
+    pub namespaces: Namespaces,
     routes: HashMap<String, HashMap<String, Arc<Route>>>,
     keys: Option<HashMap<String, Arc<Organisation>>>,
 }
@@ -44,6 +48,10 @@
             let host = by_host.entry(route.host.clone()).or_default();
             host.insert(route.prefix.clone(), Arc::new(route));
         }
+        // An organisation without keys may have had some.
+        let isolated = organisations.iter().flatten().map(|(organisation, _)| organisation);
+        let isolated = isolated.filter(|organisation| organisation.isolated);
+        let namespaces = Namespaces::new(isolated.map(|organisation| organisation.name.clone()));
         let keys = organisations.map(|organisations| {
             let owned = organisations.into_iter().flat_map(|(organisation, keys)| {
                 let organisation = Arc::new(organisation);
@@ -52,7 +60,7 @@
             owned.collect()
         });
         let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
-        Self { version, services, limits, routes: by_host, keys }
+        Self { version, services, limits, namespaces, routes: by_host, keys }
     }
 
     /// The route with the longest prefix of the path.
--- a/crates/policy/src/gateway/inventory.rs
+++ b/crates/policy/src/gateway/inventory.rs
@@ -25,6 +25,7 @@
 use super::configuration::{ModelName, ZoneName};
 use super::gossip::PartKey;
 use super::gossip::part_key;
+use super::namespace::{Namespaces, weights_of};
 use super::view::WeightVersion;
 use crate::Time;
 use crate::kv::Era;
@@ -251,13 +252,21 @@
     /// Unlists parts on other than the newest weights. They are due to be freed some time after the
     /// inventory without them was published.
     pub fn retire(&mut self, newest: impl Fn(&ModelName) -> Option<WeightVersion>) {
-        let is_old = |name: &Name, model: &ModelName| {
+        self.retire_if(|name, model| {
             let version = weights_of(&name.salt);
             newest(model).is_some_and(|newest| version.is_none_or(|version| version < newest))
-        };
+        });
+    }
+
+    /// Unlists parts in namespaces that are not in use any more, likewise.
+    pub fn retire_unused(&mut self, namespaces: &Namespaces) {
+        self.retire_if(|name, _| !namespaces.contains(&name.salt));
+    }
+
+    fn retire_if(&mut self, is_over: impl Fn(&Name, &ModelName) -> bool) {
         let before = self.retired.len();
         self.held.retain(|name, (tokens, model)| {
-            let is_kept = !is_old(name, model);
+            let is_kept = !is_over(name, model);
             if !is_kept {
                 self.retired.push((name.clone(), *tokens));
                 self.retired_models.insert(model.clone());
@@ -267,12 +276,12 @@
         if self.retired.len() == before {
             return;
         }
-        // An incomplete part is freed with the parts on its weights; one on newer weights may still
-        // be in progress.
+        // An incomplete part is freed with the others that are over; one on newer weights may still be
+        // in progress.
         let incomplete = std::mem::take(&mut self.incomplete);
         let (old, kept) = incomplete.into_iter().partition(|(name, _)| {
             let models = self.retired_models.iter();
-            !self.retired_models.is_empty() && models.clone().all(|model| is_old(name, model))
+            !self.retired_models.is_empty() && models.clone().all(|model| is_over(name, model))
         });
         self.incomplete = kept;
         self.retired.extend::<Vec<_>>(old);
@@ -343,16 +352,3 @@
         self.epoch != 0 && matches!(self.opening, Opening::At(at) if now >= at)
     }
 }
-
-/// The namespace of parts on a version of weights, separate for each isolated organisation.
-pub fn salt(weights: WeightVersion, isolated: Option<&str>) -> String {
-    match isolated {
-        Some(organisation) => format!("{weights}/{organisation}"),
-        None => weights.to_string(),
-    }
-}
-
-/// The version of the weights that a namespace belongs to.
-fn weights_of(salt: &str) -> Option<WeightVersion> {
-    salt.split('/').next()?.parse().ok()
-}
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -4,7 +4,7 @@
 //! creates a [`Plan`]; [`Gateway::next`] decides each [`Step`] of it, with an upstream from
 //! [`choice`], which [`pace`] gives the expected wait at an engine, and [`admission`] refuses what
 //! can't be served in time; [`Gateway::ended`] records how an [`Attempt`] ended. [`rollout`] brings
-//! announced weights to the engines, and [`inventory`] tracks the contents of KV cache stores, on the
+//! announced weights to the engines, and [`inventory`] tracks the contents of KV cache stores, whose [`namespace`]s keep isolated organisations apart, on the
 //! instance that [`duty`] lets hold the order lease; [`ephemeral`] tells whether an entry that an instance keeps in the metadata store is there; [`outdated`] ends the use of older weights.
 //! Instances report by [`gossip`] what they sent where, and [`mesh`] selects the recipients.
 //! [`quarantine`] holds back requests, and parts of prompts, that crash upstreams; [`limit`] tracks
@@ -39,6 +39,7 @@
 mod member;
 pub mod memory;
 pub mod mesh;
+pub mod namespace;
 pub mod notice;
 pub mod outdated;
 pub mod pace;
--- a/crates/policy/tests/gateway_save.rs
+++ b/crates/policy/tests/gateway_save.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use acacia_policy::gateway::gossip::{Digest, Message, Prefill, part_key};
-use acacia_policy::gateway::inventory::{Inventory, Store, salt};
+use acacia_policy::gateway::inventory::{Inventory, Store};
 use acacia_policy::gateway::mesh::{Detail, Peer};
+use acacia_policy::gateway::namespace::Namespaces;
 use acacia_policy::gateway::{Attempt, Ending, Fetch, Plan};
 
 use gateway_simulation::Simulation;
@@ -29,7 +30,8 @@
 
 /// Lists parts in the store.
 fn list(simulation: &mut Simulation, parts: &[&str]) {
-    let parts = parts.iter().map(|part| (part_key(&salt(1, None), part), TOKENS));
+    let parts =
+        parts.iter().map(|part| (part_key(&Namespaces::default().name(1, None), part), TOKENS));
     let inventory =
         Inventory { epoch: 1, is_open: true, parts: parts.collect(), ..Inventory::default() };
     simulation.change(|view, now| {
--- a/crates/policy/tests/gateway_stock.rs
+++ b/crates/policy/tests/gateway_stock.rs
@@ -6,6 +6,7 @@
 use acacia_policy::gateway::inventory::{
     Change, Inventory, Item, Ledger, Listing, Name, Progress, Publication, READ_LIMIT,
 };
+use acacia_policy::gateway::namespace::Namespaces;
 
 const MODEL: &str = "m";
 
@@ -70,6 +71,21 @@
     assert_eq!(ledger.inventory(at(0)).parts.len(), 1);
 }
 
+/// A managed store evicts nothing, so parts that nobody may use any more must be freed.
+#[test]
+fn retire_unused_frees_parts_of_earlier_namespaces() {
+    let used = Namespaces::new(["x".to_owned()]);
+    let shared = used.name(1, None);
+    let mut ledger = Ledger::default();
+    ledger.list(at(0), listing(&[("1", "a"), ("1/x", "a"), (&shared, "a")], &[]), Some(&known()));
+    ledger.retire_unused(&used);
+    assert_eq!(ledger.inventory(at(0)).parts.len(), 2);
+    ledger.published(at(0));
+    assert_eq!(ledger.take_due(at(60_000)), [name("1", "a")]);
+    ledger.retire_unused(&used);
+    assert_eq!(ledger.take_due(at(60_000)), []);
+}
+
 #[test]
 fn retire_restarts_wait_for_each_inventory() {
     let mut ledger = Ledger::default();
