--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -157,12 +157,23 @@
     ReplaceOther,
     /// An instance that is not cut off is killed and started again.
     KillOther,
+    /// Every lease in the metadata store expires, and the store executes the first write of each entry
+    /// of the instances late, without an answer.
+    StoreDelaysWrites,
+    /// An organisation becomes isolated, is shared again, and becomes isolated again.
+    Isolate,
 }
 
 /// Kinds that were added after seeds had been recorded; they are drawn separately, so that the
 /// other faults of a seed stay the same.
-const LATER_KINDS: [Kind; 4] =
-    [Kind::StoreRestored, Kind::ServerLeaving, Kind::ServerPaused, Kind::StreamsBreakUntilClose];
+const LATER_KINDS: [Kind; 6] = [
+    Kind::StoreRestored,
+    Kind::ServerLeaving,
+    Kind::ServerPaused,
+    Kind::StreamsBreakUntilClose,
+    Kind::StoreDelaysWrites,
+    Kind::Isolate,
+];
 
 /// Kinds that only [`Scenario::Silences`] has.
 const SILENCE_KINDS: [Kind; 4] =
--- a/crates/soak/src/fixture.rs
+++ b/crates/soak/src/fixture.rs
@@ -29,6 +29,8 @@
 
 /// Organisations with their keys.
 pub const ORGANISATIONS: [(&str, &str); 2] = [("north", "key-north"), ("south", "key-south")];
+/// Key of the instances' entries in the metadata store, without their names.
+const INSTANCES_KEY: &str = "acacia/instances";
 /// Organisation that changes of the configuration add and remove.
 const CHANGING_ORGANISATION: (&str, &str) = ("east", "key-east");
 /// Number of plain servers, and of model engines.
@@ -116,7 +118,7 @@
         let mut fixture = Self::servers(folder, scenario).await?;
         match scenario {
             Scenario::ShortBudgets => fixture.vary(1, &terms::initial()),
-            _ => fixture.configure(1),
+            _ => fixture.configure(1, None),
         }
         for number in 0..count {
             let instance = fixture.instance(daemon, number)?;
@@ -177,7 +179,7 @@
     fn instance(&self, daemon: &Path, number: usize) -> io::Result<Instance> {
         let addresses = Addresses::free()?;
         let settings = self.folder.join(format!("{number}.toml"));
-        let name = format!("instance-{number}");
+        let name = instance_name(number);
         let text = document::settings(&name, &zone(number), &addresses, self.store_proxy.address);
         fs::write(&settings, text)?;
         let log = self.folder.join(format!("{number}.log"));
@@ -194,14 +196,18 @@
         Ok(Instance { caller, is_ready, process: Mutex::new(process), addresses })
     }
 
-    /// Publishes a configuration with all organisations.
-    pub fn configure(&self, version: u64) {
-        self.publish(version, &ORGANISATIONS);
+    /// Publishes a configuration with all organisations, one of which may be isolated.
+    pub fn configure(&self, version: u64, isolated: Option<&str>) {
+        self.publish(version, &ORGANISATIONS, isolated);
     }
 
     /// Publishes a configuration with the given organisations.
-    pub fn publish(&self, version: u64, organisations: &[(&str, &str)]) {
-        let configuration = self.deployment().configuration(version, organisations);
+    pub fn publish(&self, version: u64, organisations: &[(&str, &str)], isolated: Option<&str>) {
+        let mut configuration = self.deployment().configuration(version, organisations);
+        for organisation in configuration["tenants"].as_array_mut().into_iter().flatten() {
+            let is_isolated = isolated.is_some_and(|name| organisation["name"] == name);
+            organisation["isolated"] = is_isolated.into();
+        }
         self.store.put(CONFIGURATION_KEY, &configuration);
     }
 
@@ -299,6 +305,13 @@
         join_all(crashes).await;
     }
 
+    /// Number of instances that the metadata store lists.
+    pub fn listed_instances(&self) -> usize {
+        let key = |number| format!("{INSTANCES_KEY}/{}", instance_name(number));
+        let instances = 0..self.instances.len();
+        instances.filter(|number| self.store.value(&key(*number)).is_some()).count()
+    }
+
     /// Observations of the servers.
     pub fn evidence(&self) -> Evidence {
         let wrong = self.engines().iter().map(|engine| engine.count(Counter::WrongPrefixRead));
@@ -480,3 +493,8 @@
 fn zone(number: usize) -> String {
     format!("z{}", 1 + number % 2)
 }
+
+/// Name of an instance.
+fn instance_name(number: usize) -> String {
+    format!("instance-{number}")
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cut;
 pub mod fault;
 pub mod fixture;
+mod isolation;
 pub mod oracle;
 pub mod regression;
 pub mod request;
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -15,6 +15,7 @@
 use crate::brittle::judge_falls;
 use crate::culprit::{Culprit, Role, Service};
 use crate::cut::{self, Span};
+use crate::isolation;
 
 /// Time that a server needs for the rest of an answer after a silence.
 const REST_TIME: Duration = Duration::from_secs(1);
@@ -89,6 +90,8 @@
     pub restarts: Vec<Span>,
     /// When versions of the weights were announced, where requests must keep up with them.
     pub announcements: Vec<(Instant, u64)>,
+    /// When organisations became isolated or were shared again.
+    pub isolations: Vec<isolation::Change>,
     /// Cached prompt parts that were used although incomplete or computed with other weights.
     pub wrong_parts: u64,
     /// Whether no instance was stopped, killed or suspended.
@@ -129,6 +132,9 @@
     /// Cached prompt parts were used although incomplete or computed with other weights.
     #[strum(to_string = "{0} cached prompt parts were incomplete or computed with other weights")]
     WrongParts(u64),
+    /// A prompt used the namespace of another organisation, and one of the two was isolated.
+    #[strum(to_string = "{0} used parts in namespace {1:?}, which an isolated organisation shares")]
+    Foreign(String, String),
     /// A request was lost during planned changes.
     #[strum(to_string = "{0} was lost during planned changes: {1}")]
     Lost(String, String),
@@ -283,6 +289,8 @@
     violations.extend(cut::judge_recovery(records, evidence));
     let runs = evidence.runs.iter();
     violations.extend(runs.filter_map(|run| cut::judge_weights(run, &evidence.announcements)));
+    let foreign = isolation::foreign_uses(&evidence.isolations, &evidence.seen, &evidence.runs);
+    violations.extend(foreign.map(|seen| Violation::Foreign(seen.id.clone(), seen.salt.clone())));
     if evidence.wrong_parts > 0 {
         violations.insert(Violation::WrongParts(evidence.wrong_parts));
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -11,6 +11,7 @@
 use acacia_standin::cut::Cut;
 use acacia_standin::platform::caller::{Ending, Operation, Request};
 use acacia_standin::platform::document::Variation;
+use acacia_standin::platform::store::Lost;
 use acacia_standin::platform::{crash, document};
 use acacia_standin::proxy::{Mode, Proxy};
 use acacia_standin::{Fault as StandinFault, Unsupported};
@@ -27,6 +28,7 @@
 use crate::cut::Span;
 use crate::fault::{Fault, Kind, Scenario, Schedule};
 use crate::fixture::{Fixture, Instance, ORGANISATIONS, SERVERS};
+use crate::isolation;
 use crate::oracle::{Crashes, Evidence, Record, Violation, judge};
 use crate::request::{self, ANSWER_EVENTS};
 use crate::terms;
@@ -48,6 +50,8 @@
 const SLOW_DELAY: Duration = Duration::from_millis(120);
 /// Calls to the metadata store whose answers one fault loses.
 const LOST_ANSWERS: u32 = 5;
+/// Prefix of the entries that instances write under their leases or for each other.
+const INSTANCES_PREFIX: &str = "acacia/";
 /// Event before which streams are interrupted.
 const BREAK_EVENT: u32 = 4;
 
@@ -108,23 +112,7 @@
     let folder = plan.folder.join(seed.to_string());
     let (daemon, scenario) = (Path::new(&plan.daemon), plan.scenario);
     let fixture = Fixture::start(daemon, folder.clone(), plan.instances, scenario).await?;
-    let context = Arc::new(Context {
-        fixture,
-        configuration_version: AtomicU64::new(1),
-        weights_version: AtomicU64::new(1),
-        causes: culprits.iter().map(|culprit| Arc::new(culprit.cause())).collect(),
-        culprits,
-        is_crashing: AtomicBool::new(plan.scenario == Scenario::Crashes),
-        is_overloaded: AtomicBool::new(plan.scenario == Scenario::Brittle),
-        is_after_faults: AtomicBool::new(false),
-        is_finished: AtomicBool::new(false),
-        scenario: plan.scenario,
-        history: terms::History::new(plan.scenario == Scenario::ShortBudgets),
-        cuts: Mutex::default(),
-        restarts: Mutex::default(),
-        announcements: Mutex::default(),
-        failures: Mutex::default(),
-    });
+    let context = Arc::new(Context::new(fixture, plan.scenario, culprits));
     let readiness = tokio::spawn({
         let context = context.clone();
         async move { context.fixture.watch_ready().await }
@@ -191,11 +179,35 @@
     restarts: Mutex<Vec<Span>>,
     /// When weights were announced in [`Scenario::Cuts`].
     announcements: Mutex<Vec<(Instant, u64)>>,
+    /// When organisations became isolated or were shared again.
+    isolations: Mutex<Vec<isolation::Change>>,
     /// Injected faults that failed.
     failures: Mutex<Vec<String>>,
 }
 
 impl Context {
+    /// The state at the start of a run.
+    fn new(fixture: Fixture, scenario: Scenario, culprits: Vec<Culprit>) -> Self {
+        Self {
+            fixture,
+            configuration_version: AtomicU64::new(1),
+            weights_version: AtomicU64::new(1),
+            causes: culprits.iter().map(|culprit| Arc::new(culprit.cause())).collect(),
+            culprits,
+            is_crashing: AtomicBool::new(scenario == Scenario::Crashes),
+            is_overloaded: AtomicBool::new(scenario == Scenario::Brittle),
+            is_after_faults: AtomicBool::new(false),
+            is_finished: AtomicBool::new(false),
+            scenario,
+            history: terms::History::new(scenario == Scenario::ShortBudgets),
+            cuts: Mutex::default(),
+            restarts: Mutex::default(),
+            announcements: Mutex::default(),
+            isolations: Mutex::default(),
+            failures: Mutex::default(),
+        }
+    }
+
     /// What the culprits caused; they were sent until then.
     fn crashes(&self, until: Instant) -> Vec<Crashes> {
         let causes = self.culprits.iter().zip(&self.causes);
@@ -234,6 +246,7 @@
             cuts: self.cuts.lock().clone(),
             restarts: self.restarts.lock().clone(),
             announcements: self.announcements.lock().clone(),
+            isolations: self.isolations.lock().clone(),
             ..self.fixture.evidence()
         }
     }
@@ -272,11 +285,16 @@
                 self.announce_weights();
                 Ok(())
             }
+            Kind::Isolate => {
+                self.isolate(fault).await;
+                Ok(())
+            }
             Kind::StoreDown
             | Kind::StoreFrozen
             | Kind::StoreLosesAnswers
             | Kind::LeasesLapse
             | Kind::StoreRestored
+            | Kind::StoreDelaysWrites
             | Kind::StoreSlow => self.store(fault).await.map_err(io::Error::other),
             Kind::OthersRefuse | Kind::OthersClose | Kind::OthersBreakOff => {
                 self.others(fault).await.map_err(io::Error::other)
@@ -331,6 +349,13 @@
             Kind::StoreRestored => store.fault(StandinFault::Restored {
                 millis: u64::try_from(fault.length.as_millis()).unwrap_or(u64::MAX),
             }),
+            Kind::StoreDelaysWrites => {
+                store.lose_first_writes(INSTANCES_PREFIX, Lost::Delayed(fault.length * 2));
+                store.fault(StandinFault::LeaseLapse)?;
+                tokio::time::sleep(fault.length).await;
+                store.answer_writes();
+                Ok(())
+            }
             _ => {
                 set_during(store_proxy, Mode::Delay(SLOW_DELAY), fault).await;
                 Ok(())
@@ -417,7 +442,18 @@
 
     /// Publishes a configuration with the same routes.
     fn configure(&self) {
-        self.fixture.configure(self.next_version());
+        let isolated = self.isolations.lock().last().and_then(|change| change.isolated);
+        self.fixture.configure(self.next_version(), isolated);
+    }
+
+    /// Isolates an organisation twice, and shares it in between.
+    async fn isolate(&self, fault: Fault) {
+        let (organisation, _) = ORGANISATIONS[fault.target % ORGANISATIONS.len()];
+        for isolated in [Some(organisation), None, Some(organisation)] {
+            self.isolations.lock().push(isolation::Change { at: Instant::now(), isolated });
+            self.configure();
+            tokio::time::sleep(fault.length).await;
+        }
     }
 
     /// Publishes a configuration with other settings of the routes.
@@ -445,8 +481,13 @@
         if !eventually(is_updated).await {
             violations.push(Violation::TimedOut(format!("all engines have weights {newest}")));
         }
+        let names = self.fixture.instances.len();
+        let is_listed = async || self.fixture.listed_instances() == names;
+        if !eventually(is_listed).await {
+            violations.push(Violation::TimedOut("all instances are listed".to_owned()));
+        }
         let version = self.next_version();
-        self.fixture.publish(version, &ORGANISATIONS[..1]);
+        self.fixture.publish(version, &ORGANISATIONS[..1], None);
         let (_, revoked) = ORGANISATIONS[1];
         for (number, instance) in self.fixture.instances.iter().enumerate() {
             let is_denied = async || {
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -112,6 +112,11 @@
         *self.loss.lock() = Some(Loss { prefix, lost, keys });
     }
 
+    /// Answers all writes again. Those that are delayed are still executed.
+    pub fn answer_writes(&self) {
+        *self.loss.lock() = None;
+    }
+
     /// What happens to a call, if its answer is lost.
     fn loses(&self, call: &Call) -> Option<Lost> {
         let mut loss = self.loss.lock();
