Ask the others again once this instance is listed

An instance asks others for what they know when it starts, and again when they have listed it, for what they told all in between.

It now asks once its entry has been listed for `TELLING_TIME`, and once only, so that the exchange takes no more bytes than before.

registration::others_are_asked_once_instance_is_listed fails on (with the stand-in and tests of this commit) and passes now.

--- a/crates/daemon/tests/platform/registration.rs
+++ b/crates/daemon/tests/platform/registration.rs
@@ -17,6 +17,8 @@
 const DELAY: Duration = Duration::from_secs(4);
 /// Time after which a lease that is not renewed has ended, from the late write on.
 const LEASE_TIME: Duration = Duration::from_secs(8);
+/// Time in which the entry of an instance is removed again and again.
+const UNLISTED_TIME: Duration = Duration::from_secs(5);
 /// Interval between looks at the store.
 const INTERVAL: Duration = Duration::from_millis(100);
 
@@ -110,3 +112,19 @@
     fixture::eventually("the order lease is held again", is_held).await;
     fixture.stop().await;
 }
+
+/// Guards against an instance that asks the others for what it was not told as long as they didn't list
+/// it, before they do.
+#[tokio::test(flavor = "multi_thread")]
+async fn others_are_asked_once_instance_is_listed() {
+    let fixture = Fixture::start_beside(&[([127, 0, 0, 1], 1).into()]).await;
+    let asked = |cause: &str| fixture.logged(0, &["asked other instances", cause]);
+    let ends = tokio::time::Instant::now() + UNLISTED_TIME;
+    while tokio::time::Instant::now() < ends {
+        fixture.store.remove(&format!("{INSTANCES}instance-0"));
+        tokio::time::sleep(INTERVAL).await;
+    }
+    assert_eq!((asked(r#""start""#), asked(r#""listed""#)), (1, 0));
+    fixture::eventually("the others are asked again", async || asked(r#""listed""#) == 1).await;
+    fixture.stop().await;
+}
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use acacia_connection::{Connection, Fault, KeepAlive, encode_head};
+use acacia_policy::Time;
 use acacia_policy::gateway::gossip::Incarnation;
 use acacia_policy::gateway::handover::{Part, SOURCES};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -16,6 +17,7 @@
 use http::header::HOST;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use rand::seq::SliceRandom;
+use tokio::sync::watch;
 
 use crate::traffic::{Traffic, millis};
 
@@ -27,8 +29,6 @@
 const TIMEOUT: Duration = Duration::from_millis(700);
 /// Connect timeout. Another instance accepts within a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time after which the others list an instance that has started, and tell it what they learn.
-const LISTING_TIME: Duration = Duration::from_secs(2);
 /// Number of instances that are asked at most. Where all start at once, none is informed, and each
 /// would ask hundreds of others.
 const MAX_ASKED: usize = 8;
@@ -64,8 +64,25 @@
     }
     ask(&traffic, "start").await;
     traffic.is_informed.set(true);
-    tokio::time::sleep(LISTING_TIME).await;
-    ask(&traffic, "listed").await;
+    if wait_told(&traffic, view_time).await {
+        ask(&traffic, "listed").await;
+    }
+}
+
+/// Waits until the others list this instance, and tell it what they learn; false if it stops before.
+async fn wait_told(traffic: &Traffic, mut view_time: watch::Receiver<Time>) -> bool {
+    loop {
+        let told_from = traffic.gateway.borrow().view().and_then(|view| view.told_from);
+        match told_from.map(|from| from.saturating_sub(traffic.now())) {
+            Some(Duration::ZERO) => return true,
+            Some(left) => tokio::time::sleep(left).await,
+            None => {
+                if view_time.changed().await.is_err() {
+                    return false;
+                }
+            }
+        }
+    }
 }
 
 /// Asks other instances until enough of them have answered that were informed themselves.
