Log changes of the isolated organisations

After one, all shared parts are computed anew, which an operator sees as a rise in prompt tokens read.

--- a/crates/daemon/tests/platform/isolation.rs
+++ b/crates/daemon/tests/platform/isolation.rs
@@ -79,6 +79,7 @@
             left.extend(scene.namespaces(0).await);
         }
     }
+    assert_eq!(scene.fixture.logged(0, &["isolated organisations changed"]), 3);
     let before = scene.namespaces(1).await;
     scene.fixture.kill_instances().await;
     assert_eq!(scene.namespaces(1).await, before, "instances that start choose the same");
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -147,6 +147,9 @@
             Status::Missing => {
                 tracing::warn!(revision, lease, "this instance is no longer listed");
             }
+            Status::Displaced if matches!(before, Status::Unleased | Status::Unwritten) => {
+                tracing::info!(revision, lease, found, "an earlier process's entry is replaced");
+            }
             Status::Displaced => tracing::warn!(
                 revision,
                 lease,
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -100,6 +100,7 @@
             limits.clone_from(newer);
             is_changed
         });
+        self.log_isolation(&view);
         let mut pool = self.pool.borrow_mut();
         pool.sweep(now, |id| view.servers.contains_key(id) || view.expired.contains_key(id));
         self.gateway.borrow_mut().observe(now, view.clone());
@@ -111,6 +112,18 @@
         });
     }
 
+    /// Logs a change of the isolated organisations, after which shared parts are computed anew.
+    fn log_isolation(&self, view: &View) {
+        let gateway = self.gateway.borrow();
+        let known = gateway.view().map(|known| &known.configuration.namespaces);
+        let namespaces = &view.configuration.namespaces;
+        let is_changed = known.map_or(namespaces.isolated() > 0, |known| known != namespaces);
+        if is_changed {
+            let (isolated, version) = (namespaces.isolated(), view.configuration.version);
+            tracing::info!(isolated, version, "isolated organisations changed");
+        }
+    }
+
     /// Waits for a view that contains all changes up to a time, for as long as one is likely to come.
     pub async fn confirm_view(&self, time: Time) {
         let mut view_time = self.view_time.subscribe();
--- a/crates/policy/src/gateway/namespace.rs
+++ b/crates/policy/src/gateway/namespace.rs
@@ -35,6 +35,11 @@
         Self { isolated, shared }
     }
 
+    /// The number of isolated organisations.
+    pub fn isolated(&self) -> usize {
+        self.isolated.len()
+    }
+
     /// The namespace of an organisation's parts on a version of weights.
     pub fn name(&self, weights: WeightVersion, organisation: Option<&str>) -> String {
         let isolated = organisation.filter(|organisation| self.isolated.contains(*organisation));
