--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -206,7 +206,7 @@
 
     /// Revokes the lease, if there is one.
     async fn release(&self) {
-        self.entry.borrow_mut().ended();
+        self.entry.replace(Entry::default());
         if let Some(grant) = self.grant.take() {
             self.control.end_lease(grant.lease).await;
         }
@@ -302,7 +302,7 @@
     fn lose(&self, reason: &str) {
         tracing::warn!(reason, "lost the order lease");
         self.grant.set(None);
-        self.entry.borrow_mut().ended();
+        self.entry.replace(Entry::default());
         self.inventory.stop_all();
         self.rollout.borrow_mut().reset();
     }
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -93,6 +93,8 @@
 struct Registration {
     presence: Presence,
     row: ephemeral::Row,
+    /// The revision at which there was none before.
+    created: Revision,
     /// Since when there has been an entry of this instance.
     since: Time,
 }
@@ -482,14 +484,17 @@
         name: &str,
         value: &[u8],
     ) -> Option<Update> {
-        let store::Change { key, revision, lease, .. } = change;
+        let store::Change { key, revision, created, lease, .. } = change;
         match Presence::decode(name, value) {
             Ok(presence) => {
                 let old = self.instances.get(name);
                 let is_new = old.is_none_or(|old| old.presence != presence);
-                let since = old.map_or(now, |old| old.since);
+                // A removal may have been missed.
+                let same = old.filter(|old| old.created == *created);
+                let since = same.map_or(now, |old| old.since);
                 let row = ephemeral::Row { lease: *lease, revision: *revision };
-                self.instances.insert(name.to_owned(), Registration { presence, row, since });
+                let registration = Registration { presence, row, created: *created, since };
+                self.instances.insert(name.to_owned(), registration);
                 is_new.then_some(Update::Instances(self.instances.len()))
             }
             Err(problem) => Some(malformed(key, value, &problem)),
--- a/crates/gateway/tests/picture.rs
+++ b/crates/gateway/tests/picture.rs
@@ -451,13 +451,17 @@
     assert_eq!(replica.view("own").unwrap().told_from, None);
     let entry = |number| set("acacia/instances/own", json!({"peer": null}), number);
     replica.apply(at(10), &entry(2));
-    replica.apply(at(11), &Change { lease: Some(7), ..entry(3) });
+    replica.apply(at(11), &Change { lease: Some(7), created: revision(2), ..entry(3) });
     assert_eq!(replica.view("own").unwrap().told_from, Some(at(12)));
     assert_eq!(replica.view("other").unwrap().told_from, None);
     let row = replica.registration("own").row.unwrap();
     assert_eq!((row.lease, row.revision), (Some(7), revision(3)));
     replica.apply(at(20), &removed("acacia/instances/own", 4));
     assert_eq!(replica.view("own").unwrap().told_from, None);
+    replica.apply(at(21), &entry(5));
+    let listed = [set("op/config", configuration(3), 1), entry(9)];
+    replica.replace(at(30), revision(9), &listed);
+    assert_eq!(replica.view("own").unwrap().told_from, Some(at(32)), "it was gone in between");
 }
 
 fn holding(incarnation: u64, word: u64) -> Value {
--- a/crates/policy/src/gateway/ephemeral.rs
+++ b/crates/policy/src/gateway/ephemeral.rs
@@ -16,7 +16,7 @@
 use strum::IntoStaticStr;
 
 use crate::Time;
-use crate::kv::{Lease, LeaseId, Revision};
+use crate::kv::{Era, Lease, LeaseId, Revision};
 
 /// Time after which a write is repeated if the contents don't show the entry: a change usually takes
 /// less to be known here.
@@ -26,6 +26,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Entry {
     lease: Option<Lease>,
+    /// The lease before, if the metadata store has said that it is over: so are its keys.
+    over: Option<Lease>,
     /// The last revision at which the entry is known to have been written.
     written: Option<Revision>,
     /// When the last write was sent.
@@ -77,12 +79,12 @@
 
     /// Records that the metadata store granted a lease.
     pub fn granted(&mut self, lease: Lease) {
-        *self = Self { lease: Some(lease), ..Self::default() };
+        *self = Self { lease: Some(lease), over: self.over, ..Self::default() };
     }
 
-    /// Records that the lease is over.
+    /// Records that the lease is over, as the metadata store says.
     pub fn ended(&mut self) {
-        *self = Self::default();
+        *self = Self { over: self.lease.or(self.over), ..Self::default() };
     }
 
     /// Records that a write is sent.
@@ -105,7 +107,7 @@
         let Some(lease) = self.lease.filter(|lease| lease.era >= listing.as_of.era) else {
             return Status::Unleased;
         };
-        let row = listing.row.filter(|row| row.revision.era == lease.era);
+        let row = self.row(listing, lease.era);
         if let Some(row) = row.filter(|row| row.lease.is_none_or(|id| id == lease.id)) {
             self.written = Some(row.revision);
             return Status::Listed;
@@ -126,7 +128,14 @@
     /// The revision that a write replaces.
     pub fn replaced(&self, listing: Listing) -> Revision {
         let era = self.lease.map_or(listing.as_of.era, |lease| lease.era);
-        let row = listing.row.filter(|row| row.revision.era == era);
-        row.map_or(Revision::absent(era), |row| row.revision)
+        self.row(listing, era).map_or(Revision::absent(era), |row| row.revision)
+    }
+
+    /// The row that the metadata store may still hold in an era.
+    fn row(&self, listing: Listing, era: Era) -> Option<Row> {
+        let is_over = |row: &Row| {
+            self.over.is_some_and(|over| over.era == row.revision.era && row.lease == Some(over.id))
+        };
+        listing.row.filter(|row| row.revision.era == era && !is_over(row))
     }
 }
--- a/crates/policy/tests/gateway_ephemeral.rs
+++ b/crates/policy/tests/gateway_ephemeral.rs
@@ -62,6 +62,19 @@
     assert_eq!(entry.replaced(Listing { row: Some(row), as_of }), Revision::absent(2));
 }
 
+/// After an outage, the listing may be older than the end of the lease.
+#[test]
+fn status_of_row_under_ended_lease() {
+    let mut entry = leased();
+    let old = listing(4, Some((LEASE.id, 4)));
+    assert_eq!(entry.status(old), Status::Listed);
+    entry.ended();
+    assert_eq!(entry.status(old), Status::Unleased);
+    entry.granted(Lease { id: 9, ..LEASE });
+    assert_eq!(entry.status(old), Status::Unwritten);
+    assert_eq!(entry.replaced(old), Revision::absent(LEASE.era));
+}
+
 #[test]
 fn status_without_stated_lease() {
     let row = Row { lease: None, revision: revision(4) };
