Fetch from KV cache stores sooner after a restart

The wait now states what it is for: 0.8 s until the others list the instance, and 1.2 s until each has repeated its orders. An entry that the first listing contains, that of the process before, saves the former: the others tell its address already. An entry at another address begins anew.

--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -16,6 +16,7 @@
 use acacia_policy::gateway::configuration::{ModelName, ServiceName, ZoneName};
 use acacia_policy::gateway::ephemeral;
 use acacia_policy::gateway::inventory::{Inventory, Progress};
+use acacia_policy::gateway::save::{LISTING_TIME, REPETITION_TIME};
 use acacia_policy::gateway::software;
 use acacia_policy::gateway::{
     Configuration, EXPIRY_LIMIT, Server, ServerId, SoftwareVersion, WeightVersion, Weights,
@@ -95,8 +96,8 @@
     row: ephemeral::Row,
     /// The revision at which there was none before.
     created: Revision,
-    /// Since when there has been an entry of this instance.
-    since: Time,
+    /// From when on the others have told it what they tell all.
+    told_from: Time,
 }
 
 /// The holder of the order lease.
@@ -490,10 +491,13 @@
                 let old = self.instances.get(name);
                 let is_new = old.is_none_or(|old| old.presence != presence);
                 // A removal may have been missed.
-                let same = old.filter(|old| old.created == *created);
-                let since = same.map_or(now, |old| old.since);
+                let known = old.filter(|old| old.created == *created && !is_new);
+                // What the first listing contains, the others list already.
+                let listing_time = if self.is_current { LISTING_TIME } else { Duration::ZERO };
+                let told_from =
+                    known.map_or(now + listing_time + REPETITION_TIME, |known| known.told_from);
                 let row = ephemeral::Row { lease: *lease, revision: *revision };
-                let registration = Registration { presence, row, created: *created, since };
+                let registration = Registration { presence, row, created: *created, told_from };
                 self.instances.insert(name.to_owned(), registration);
                 is_new.then_some(Update::Instances(self.instances.len()))
             }
--- a/crates/gateway/src/replica/view.rs
+++ b/crates/gateway/src/replica/view.rs
@@ -9,7 +9,6 @@
 use acacia_policy::gateway::configuration::{ModelName, Role};
 use acacia_policy::gateway::inventory::Store;
 use acacia_policy::gateway::mesh::Peer;
-use acacia_policy::gateway::save::TELLING_TIME;
 use acacia_policy::gateway::software::{self, Versions};
 use acacia_policy::gateway::{Server, ServerId, View, WeightVersion, Weights};
 
@@ -48,7 +47,7 @@
             loaded: loaded.collect(),
             instances: self.instance_count(),
             own_address: own.and_then(|own| own.presence.peer),
-            told_from: own.map(|own| own.since + TELLING_TIME),
+            told_from: own.map(|own| own.told_from),
             peers: others.filter_map(|(_, presence)| peer(presence)).collect(),
             stores: self.cache_stores(),
             as_of: self.as_of,
--- a/crates/gateway/tests/picture.rs
+++ b/crates/gateway/tests/picture.rs
@@ -462,6 +462,18 @@
     let listed = [set("op/config", configuration(3), 1), entry(9)];
     replica.replace(at(30), revision(9), &listed);
     assert_eq!(replica.view("own").unwrap().told_from, Some(at(32)), "it was gone in between");
+    let moved = set("acacia/instances/own", json!({"peer": "127.0.0.1:9"}), 10);
+    replica.apply(at(40), &Change { created: revision(9), ..moved });
+    assert_eq!(replica.view("own").unwrap().told_from, Some(at(42)), "at another address");
+
+    let mut started = Replica::new(OWN);
+    started.replace(at(50), revision(9), &listed);
+    let listed_already = at(50) + Duration::from_millis(1_200);
+    assert_eq!(
+        started.view("own").unwrap().told_from,
+        Some(listed_already),
+        "the others list it already"
+    );
 }
 
 fn holding(incarnation: u64, word: u64) -> Value {
--- a/crates/policy/src/gateway/save.rs
+++ b/crates/policy/src/gateway/save.rs
@@ -8,8 +8,8 @@
 //! message is sent as many times, so an order is given only with a prompt that is worth telling
 //! them of.
 //!
-//! An instance that the others don't list is told nothing, so it fetches nothing from the stores, whatever
-//! it knows, until it has been listed for [`TELLING_TIME`].
+//! An instance that the others don't list is told nothing. So it fetches nothing from the stores until the
+//! others have had [`LISTING_TIME`] to list it, and then [`REPETITION_TIME`] to repeat their orders.
 //!
 //! On the wire an order is a [`Prefill`] at the key of the store. Instances that don't know such
 //! orders ignore a prefill at an unknown upstream.
@@ -28,9 +28,12 @@
 /// part within a second, and the inventory lists it within another.
 const SAVE_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Time after which an instance that is listed knows of all outstanding orders: the others learn of it
-/// within a second, and each then repeats its orders within another.
-pub const TELLING_TIME: Duration = Duration::from_secs(2);
+/// Time after which the others know that an instance is listed: the pause between two watches, and the
+/// answer of one.
+pub const LISTING_TIME: Duration = Duration::from_millis(800);
+/// Time within which an instance repeats its outstanding orders to those that it lists: the interval
+/// between full digests, and half a second more, as the first listing may also contain a new entry.
+pub const REPETITION_TIME: Duration = Duration::from_millis(1_200);
 
 /// Largest number of parts in one prefill, so that those of a digest fit a datagram.
 const PARTS_PER_PREFILL: usize = 4;
