Registration: tell an entry before the first write from one after it

The status now says whether this process has written (`displaced`) or not (`occupied`); what is done is the same.

--- a/crates/daemon/tests/platform/registration.rs
+++ b/crates/daemon/tests/platform/registration.rs
@@ -37,21 +37,36 @@
     (0..count).all(|instance| entry(fixture, instance).is_some())
 }
 
-/// Guards against review case 6: once the lease of a late write had ended, its instance was not listed
-/// any more, and was told nothing by the others.
-#[tokio::test(flavor = "multi_thread")]
-async fn write_executed_late_keeps_instance_listed() {
-    let fixture = start(2, Lost::Delayed(DELAY)).await;
-    fixture::eventually("all are listed", async || are_listed(&fixture, 2)).await;
+/// Waits until all instances are listed, and checks that they are after the late write, and after the
+/// end of its lease.
+async fn stay_listed(fixture: Fixture, count: usize) {
+    fixture::eventually("all are listed", async || are_listed(&fixture, count)).await;
     tokio::time::sleep(DELAY).await;
     let ends = tokio::time::Instant::now() + LEASE_TIME;
     while tokio::time::Instant::now() < ends {
-        assert!(are_listed(&fixture, 2), "an instance is not listed");
+        assert!(are_listed(&fixture, count), "an instance is not listed");
         tokio::time::sleep(INTERVAL).await;
     }
     fixture.stop().await;
 }
 
+/// Guards against review case 6: once the lease of a late write had ended, its instance was not listed
+/// any more, and was told nothing by the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn write_executed_late_keeps_instance_listed() {
+    let fixture = start(2, Lost::Delayed(DELAY)).await;
+    stay_listed(fixture, 2).await;
+}
+
+/// The same, where the late write is that of a process that was killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn write_of_killed_process_keeps_instance_listed() {
+    let mut fixture = start(2, Lost::Delayed(DELAY)).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fixture.kill_instances().await;
+    stay_listed(fixture, 2).await;
+}
+
 /// Guards against an instance that waits for the watch to show a write that was never executed.
 #[tokio::test(flavor = "multi_thread")]
 async fn write_never_executed_is_repeated() {
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -243,7 +243,7 @@
 
     /// Whether this instance has a lease, but is not the holder any more.
     fn is_replaced(&self) -> bool {
-        matches!(self.status(), Status::Missing | Status::Displaced)
+        matches!(self.status(), Status::Occupied | Status::Missing | Status::Displaced)
     }
 
     /// Whether the entry is to be written again, as a write without an answer may never be executed.
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -79,7 +79,7 @@
             _ => self.grant(client).await?,
         };
         match self.status() {
-            Status::Unwritten | Status::Missing | Status::Displaced => {
+            Status::Unwritten | Status::Occupied | Status::Missing | Status::Displaced => {
                 self.write(client, lease).await
             }
             Status::Unleased | Status::Unseen | Status::Listed => Ok(()),
@@ -147,7 +147,7 @@
             Status::Missing => {
                 tracing::warn!(revision, lease, "this instance is no longer listed");
             }
-            Status::Displaced if matches!(before, Status::Unleased | Status::Unwritten) => {
+            Status::Occupied => {
                 tracing::info!(revision, lease, found, "an earlier process's entry is replaced");
             }
             Status::Displaced => tracing::warn!(
--- a/crates/policy/src/gateway/ephemeral.rs
+++ b/crates/policy/src/gateway/ephemeral.rs
@@ -59,15 +59,17 @@
     /// There is no lease to write it under.
     #[default]
     Unleased,
-    /// Nothing is known of any write.
+    /// Nothing is known of any write, and the key is free.
     Unwritten,
+    /// Nothing is known of any write, and another entry has the key.
+    Occupied,
     /// It was written, and the listing is older than that.
     Unseen,
     /// It is there, under the current lease.
     Listed,
     /// It was written, and is gone.
     Missing,
-    /// Another entry has its key.
+    /// It was written, and another entry has the key now.
     Displaced,
 }
 
@@ -114,7 +116,8 @@
         }
         match (row, self.written) {
             (_, Some(written)) if listing.as_of < written => Status::Unseen,
-            (Some(_), _) => Status::Displaced,
+            (Some(_), Some(_)) => Status::Displaced,
+            (Some(_), None) => Status::Occupied,
             (None, Some(_)) => Status::Missing,
             (None, None) => Status::Unwritten,
         }
--- a/crates/policy/tests/gateway_ephemeral.rs
+++ b/crates/policy/tests/gateway_ephemeral.rs
@@ -36,6 +36,7 @@
     assert!(!entry.may_write(Duration::from_millis(399)));
     assert!(entry.may_write(Duration::from_millis(400)));
     assert_eq!(entry.replaced(listing(3, None)), Revision::absent(LEASE.era));
+    assert_eq!(entry.status(listing(3, Some((2, 3)))), Status::Occupied);
     assert_eq!(entry.status(listing(4, Some((LEASE.id, 4)))), Status::Listed);
     assert_eq!(entry.status(listing(5, None)), Status::Missing, "it was there");
 }
@@ -205,7 +206,7 @@
             self.renewed = self.now;
         }
         let status = self.entry.status(self.seen);
-        let is_due = matches!(status, Status::Unwritten | Status::Missing | Status::Displaced);
+        let is_due = !matches!(status, Status::Unleased | Status::Unseen | Status::Listed);
         if is_due && self.entry.may_write(self.now) {
             self.write();
         }
