--- a/crates/policy/src/gateway/ephemeral.rs
+++ b/crates/policy/src/gateway/ephemeral.rs
@@ -111,7 +111,7 @@
         };
         let row = self.row(listing, lease.era);
         if let Some(row) = row.filter(|row| row.lease.is_none_or(|id| id == lease.id)) {
-            self.written = Some(row.revision);
+            self.written = self.written.max(Some(row.revision));
             return Status::Listed;
         }
         match (row, self.written) {
