--- a/crates/gateway/src/inventory.rs
+++ b/crates/gateway/src/inventory.rs
@@ -209,8 +209,8 @@
         }
     }
 
-    /// Retires prompt parts of older weights and in unused namespaces, writes the inventory if it changed, and frees the
-    /// parts that are due.
+    /// Retires prompt parts of older weights and in unused namespaces, writes the inventory if it
+    /// changed, and frees the parts that are due.
     async fn update(&self, store: &Store) {
         if store.ledger.borrow().era() != self.control.eras.current() {
             return;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! The control thread, [`control`], follows the metadata store. It keeps a [`replica`] of the
 //! configuration, the upstreams and the announced weights, and passes a new view of it to the
-//! traffic thread after each change, and [`registration`] keeps this instance listed. While this instance is the [`holder`] of the order lease, it
-//! also orders weight loads and maintains the [`inventory`] of each managed KV cache store.
+//! traffic thread after each change. [`registration`] keeps this instance listed. While it is the
+//! [`holder`] of the order lease, it also orders weight loads and maintains the [`inventory`] of each
+//! managed KV cache store.
 //!
 //! The traffic thread serves callers: [`listener`] accepts connections, [`request`] takes one
 //! request through the decisions of [`acacia_policy::gateway`], [`body`] reads its body into [`memory`]
--- a/crates/policy/src/gateway/access.rs
+++ b/crates/policy/src/gateway/access.rs
@@ -66,6 +66,7 @@
         if let Some(known) = known {
             return known;
         }
+        // The plan's organisation is as of its admission; the configuration may have isolated it since.
         let organisation = self.plan.organisation.as_ref().map(|organisation| &*organisation.name);
         let salt = self.view.configuration.namespaces.name(weights, organisation);
         let parts = part_keys(prompt, &salt);
@@ -175,7 +176,7 @@
         Some(Access { variant, source: Source::Stores, time, cost: time, prefill_tokens: rest })
     }
 
-    /// Whether the others have told this instance which parts they save.
+    /// Whether the others have told this instance which parts they save; see [`super::save`].
     fn knows_orders(&self) -> bool {
         self.view.told_from.is_some_and(|from| self.now >= from)
     }
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -4,8 +4,10 @@
 //! creates a [`Plan`]; [`Gateway::next`] decides each [`Step`] of it, with an upstream from
 //! [`choice`], which [`pace`] gives the expected wait at an engine, and [`admission`] refuses what
 //! can't be served in time; [`Gateway::ended`] records how an [`Attempt`] ended. [`rollout`] brings
-//! announced weights to the engines, and [`inventory`] tracks the contents of KV cache stores, whose [`namespace`]s keep isolated organisations apart, on the
-//! instance that [`duty`] lets hold the order lease; [`ephemeral`] tells whether an entry that an instance keeps in the metadata store is there; [`outdated`] ends the use of older weights.
+//! announced weights to the engines, and [`inventory`] tracks the contents of KV cache stores, on the
+//! instance that [`duty`] lets hold the order lease; [`outdated`] ends the use of older weights.
+//! [`ephemeral`] tells whether an entry that an instance keeps in the metadata store is there, and
+//! [`namespace`] names cached parts so that isolated organisations share none.
 //! Instances report by [`gossip`] what they sent where, and [`mesh`] selects the recipients.
 //! [`quarantine`] holds back requests, and parts of prompts, that crash upstreams; [`limit`] tracks
 //! the rates of requests that upstreams take, [`brittle`] the rates of refusals that they bear,
