Move claims, entries of instances and final checks into files of their own

Result: lint passes; the tests of the gateway and the soak pass, and of the daemon registration::, isolation::, weights:: and handover::.

--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -13,9 +13,9 @@
 use acacia_policy::Time;
 use acacia_policy::gateway::Server;
 use acacia_policy::gateway::duty::{self, Duty};
-use acacia_policy::gateway::ephemeral::{Entry, Status};
+use acacia_policy::gateway::ephemeral::Entry;
 use acacia_policy::gateway::rollout::{Action, LEASE_MARGIN, LeaseTerm, Receipt, Rollout};
-use acacia_policy::kv::{Failure, Lease, Revision};
+use acacia_policy::kv::Lease;
 use bytes::Bytes;
 use futures::future::join_all;
 use http::StatusCode;
@@ -27,6 +27,8 @@
 use crate::inventory::Manager;
 use crate::traffic::millis;
 
+mod claim;
+
 /// Duration of the order lease after the last renewal. Short, as announced weights wait for the
 /// next holder, yet several renewals long.
 const LEASE_TTL: Duration = Duration::from_millis(1_500);
@@ -235,78 +237,6 @@
         ACQUIRE_DELAY_STEP * u32::try_from(before).unwrap_or(0).min(MAX_DELAY_STEPS)
     }
 
-    /// Whether the entry of this holder is there.
-    fn status(&self) -> Status {
-        let listing = self.control.replica.borrow().order_lease();
-        self.entry.borrow_mut().status(listing)
-    }
-
-    /// Whether this instance has a lease, but is not the holder any more.
-    fn is_replaced(&self) -> bool {
-        matches!(self.status(), Status::Occupied | Status::Missing | Status::Displaced)
-    }
-
-    /// Whether the entry is to be written again, as a write without an answer may never be executed.
-    fn is_claim_due(&self, now: Time) -> bool {
-        self.status() == Status::Unwritten && self.entry.borrow().may_write(now)
-    }
-
-    async fn acquire(&self, client: &mut StoreClient) {
-        let now = self.control.clock.now();
-        self.control.metrics.store_call("grant");
-        match client.grant(self.lease_ttl()).await {
-            Ok((lease, ttl)) => {
-                let grant = Grant { lease, ends: now + ttl };
-                self.grant.set(Some(grant));
-                self.entry.borrow_mut().granted(lease);
-                self.fenced.set(false);
-                self.rollout.borrow_mut().reset();
-                self.claim(client, grant).await;
-            }
-            Err(failure) => tracing::debug!(%failure, "no lease granted for orders"),
-        }
-    }
-
-    /// Writes the entry that names this instance as the holder, if there is none.
-    async fn claim(&self, client: &mut StoreClient, grant: Grant) {
-        let holding = self.holding();
-        self.published.replace(holding.clone());
-        let is_repeated = self.entry.borrow().is_attempted();
-        self.entry.borrow_mut().attempted(self.control.clock.now());
-        self.control.metrics.store_call("write");
-        let (value, absent) = (holding.encode(), Revision::absent(grant.lease.era));
-        match client.write(&holder_key(), &value, Some(absent), Some(grant.lease)).await {
-            Ok(Written::Done(revision)) => {
-                self.entry.borrow_mut().written(revision);
-                tracing::info!(fence = revision.fencing_token(), "acquired the order lease");
-            }
-            Err(Failure::Ambiguous) => {
-                tracing::info!(is_repeated, "no answer on acquiring the order lease");
-            }
-            // An earlier write may have been executed. The watch will show whose entry it is.
-            Ok(Written::Conflict) if is_repeated => {}
-            Ok(Written::Conflict | Written::LeaseEnded) | Err(_) => self.release().await,
-        }
-    }
-
-    async fn renew(&self, client: &mut StoreClient, grant: Grant) {
-        let sent = self.control.clock.now();
-        self.control.metrics.store_call("renew");
-        match client.renew(grant.lease).await {
-            Ok(true) => self.grant.set(Some(Grant { ends: sent + self.lease_ttl(), ..grant })),
-            Ok(false) => self.lose("the lease expired in the metadata store"),
-            Err(failure) => tracing::debug!(%failure, "order lease not renewed"),
-        }
-    }
-
-    fn lose(&self, reason: &str) {
-        tracing::warn!(reason, "lost the order lease");
-        self.grant.set(None);
-        self.entry.replace(Entry::default());
-        self.inventory.stop_all();
-        self.rollout.borrow_mut().reset();
-    }
-
     /// The lease term, if the replica shows this instance as the holder.
     fn term(&self) -> Option<LeaseTerm> {
         let grant = self.grant.get()?;
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -9,14 +9,12 @@
 use std::time::Duration;
 
 use acacia_platform::document::{self, Announcement, Subject};
-use acacia_platform::instance::{AnnouncementTimes, OrderLease, Presence, Software};
+use acacia_platform::instance::{AnnouncementTimes, OrderLease, Software};
 use acacia_platform::{Document, store};
 use acacia_policy::Time;
 use acacia_policy::gateway::canary;
 use acacia_policy::gateway::configuration::{ModelName, ServiceName, ZoneName};
-use acacia_policy::gateway::ephemeral;
 use acacia_policy::gateway::inventory::{Inventory, Progress};
-use acacia_policy::gateway::save::{LISTING_TIME, REPETITION_TIME};
 use acacia_policy::gateway::software;
 use acacia_policy::gateway::{
     Configuration, EXPIRY_LIMIT, Server, ServerId, SoftwareVersion, WeightVersion, Weights,
@@ -24,7 +22,9 @@
 use acacia_policy::kv::{Era, LeaseId, Revision};
 
 use crate::carryover::{Carryover, Departures};
+use instance::Registration;
 
+mod instance;
 mod rollout;
 mod view;
 
@@ -89,17 +89,6 @@
     own_incarnation: u64,
 }
 
-/// The entry of an instance.
-#[derive(Clone, Debug)]
-struct Registration {
-    presence: Presence,
-    row: ephemeral::Row,
-    /// The revision at which there was none before.
-    created: Revision,
-    /// From when on the others have told it what they tell all.
-    told_from: Time,
-}
-
 /// The holder of the order lease.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Holder {
@@ -315,17 +304,6 @@
         self.last_holder_write
     }
 
-    /// Names of the registered instances, in order.
-    pub fn instances(&self) -> impl Iterator<Item = &String> {
-        self.instances.keys()
-    }
-
-    /// The entry of an instance.
-    pub fn registration(&self, instance: &str) -> ephemeral::Listing {
-        let row = self.instances.get(instance).map(|registration| registration.row);
-        ephemeral::Listing { as_of: self.revision, row }
-    }
-
     /// Whether any engine is reloading.
     pub fn is_reloading(&self) -> bool {
         self.holder.as_ref().is_some_and(|holder| !holder.holding.loading.is_empty())
@@ -346,13 +324,6 @@
         self.era_began
     }
 
-    /// The entry of the holder of the order lease.
-    pub fn order_lease(&self) -> ephemeral::Listing {
-        let holder = self.holder.as_ref();
-        let row = holder.map(|h| ephemeral::Row { lease: h.lease, revision: h.revision });
-        ephemeral::Listing { as_of: self.revision, row }
-    }
-
     /// Records a failed call to the metadata store; true if it was the first after an answer.
     pub fn fail(&mut self, now: Time) -> bool {
         self.failures += 1;
@@ -444,10 +415,7 @@
         self.returned = Some(now);
         let closed = self.servers.values().filter(|server| server.leaving).cloned();
         let closed = closed.chain(self.departures.recent(now)).collect();
-        let instances = self.instances.iter();
-        let instances =
-            instances.map(|(name, instance)| (name.clone(), instance.presence.clone())).collect();
-        self.carryover = Carryover::new(now, self.evacuated.clone(), instances, closed);
+        self.carryover = Carryover::new(now, self.evacuated.clone(), self.presences(), closed);
     }
 
     fn set(&mut self, now: Time, change: &store::Change) -> Option<Update> {
@@ -478,33 +446,6 @@
         }
     }
 
-    fn set_instance(
-        &mut self,
-        now: Time,
-        change: &store::Change,
-        name: &str,
-        value: &[u8],
-    ) -> Option<Update> {
-        let store::Change { key, revision, created, lease, .. } = change;
-        match Presence::decode(name, value) {
-            Ok(presence) => {
-                let old = self.instances.get(name);
-                let is_new = old.is_none_or(|old| old.presence != presence);
-                // A removal may have been missed.
-                let known = old.filter(|old| old.created == *created && !is_new);
-                // What the first listing contains, the others list already.
-                let listing_time = if self.is_current { LISTING_TIME } else { Duration::ZERO };
-                let told_from =
-                    known.map_or(now + listing_time + REPETITION_TIME, |known| known.told_from);
-                let row = ephemeral::Row { lease: *lease, revision: *revision };
-                let registration = Registration { presence, row, created: *created, told_from };
-                self.instances.insert(name.to_owned(), registration);
-                is_new.then_some(Update::Instances(self.instances.len()))
-            }
-            Err(problem) => Some(malformed(key, value, &problem)),
-        }
-    }
-
     fn set_announcement_times(
         &mut self,
         key: &str,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use acacia_standin::cut::Cut;
-use acacia_standin::platform::caller::{Ending, Operation, Request};
+use acacia_standin::platform::caller::{Ending, Request};
 use acacia_standin::platform::document::Variation;
 use acacia_standin::platform::store::Lost;
 use acacia_standin::platform::{crash, document};
@@ -34,6 +34,7 @@
 use crate::terms;
 
 mod brittle;
+mod convergence;
 mod cuts;
 
 /// Time between two requests.
@@ -44,14 +45,12 @@
 const RECOVERY_TIME: Duration = Duration::from_secs(7);
 /// Time after the recovery in which every request must be served.
 const OBSERVATION_TIME: Duration = Duration::from_secs(3);
-/// Longest wait for the last weights and the revoked key to be in force: required limit of both.
-const CONVERGENCE_TIMEOUT: Duration = Duration::from_secs(14);
 /// Delay of a slow connection.
 const SLOW_DELAY: Duration = Duration::from_millis(120);
 /// Calls to the metadata store whose answers one fault loses.
 const LOST_ANSWERS: u32 = 5;
 /// Prefix of the entries that instances write under their leases or for each other.
-const INSTANCES_PREFIX: &str = "acacia/";
+const ENTRIES_PREFIX: &str = "acacia/";
 /// Event before which streams are interrupted.
 const BREAK_EVENT: u32 = 4;
 
@@ -350,7 +349,7 @@
                 millis: u64::try_from(fault.length.as_millis()).unwrap_or(u64::MAX),
             }),
             Kind::StoreDelaysWrites => {
-                store.lose_first_writes(INSTANCES_PREFIX, Lost::Delayed(fault.length * 2));
+                store.lose_first_writes(ENTRIES_PREFIX, Lost::Delayed(fault.length * 2));
                 store.fault(StandinFault::LeaseLapse)?;
                 tokio::time::sleep(fault.length).await;
                 store.answer_writes();
@@ -471,38 +470,6 @@
             self.announcements.lock().push((Instant::now(), version));
         }
     }
-
-    /// Checks that all engines load the latest weights and all instances deny a revoked key in
-    /// time.
-    async fn check_convergence(&self) -> Vec<Violation> {
-        let mut violations = Vec::new();
-        let newest = self.weights_version.load(Ordering::Relaxed);
-        let is_updated = async || self.fixture.engines().iter().all(|e| e.weights() == newest);
-        if !eventually(is_updated).await {
-            violations.push(Violation::TimedOut(format!("all engines have weights {newest}")));
-        }
-        let names = self.fixture.instances.len();
-        let is_listed = async || self.fixture.listed_instances() == names;
-        if !eventually(is_listed).await {
-            violations.push(Violation::TimedOut("all instances are listed".to_owned()));
-        }
-        let version = self.next_version();
-        self.fixture.publish(version, &ORGANISATIONS[..1], None);
-        let (_, revoked) = ORGANISATIONS[1];
-        for (number, instance) in self.fixture.instances.iter().enumerate() {
-            let is_denied = async || {
-                let id = format!("revoked-{number}");
-                let answer =
-                    instance.caller.send(&request::single(id, revoked, Operation::Read)).await;
-                answer.ending == Ending::Refused { status: 401, not_run: true }
-            };
-            if !eventually(is_denied).await {
-                violations
-                    .push(Violation::TimedOut(format!("instance {number} denies a revoked key")));
-            }
-        }
-        violations
-    }
 }
 
 /// Sets a proxy's mode for the duration of a fault.
@@ -512,18 +479,6 @@
     proxy.set(Mode::Pass);
 }
 
-/// Whether a condition is met within [`CONVERGENCE_TIMEOUT`].
-async fn eventually(mut condition: impl AsyncFnMut() -> bool) -> bool {
-    let end = Instant::now() + CONVERGENCE_TIMEOUT;
-    while Instant::now() < end {
-        if condition().await {
-            return true;
-        }
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
-    false
-}
-
 /// Sends requests to ready instances until the run is finished.
 async fn send_requests(context: Arc<Context>, seed: u64) -> Vec<Record> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ u64::MAX);
