Draw ports of instances without listening at them

Its instance had ended at its start, "Address already in use", 12 ms after its ports were drawn.

Cause: the draw listened at the ports while it held them. A process that another thread starts has a copy of all open sockets until it runs its program, and while it does, the port looks taken to the instance. The tests that start first, several at a time, are the most exposed.

Ruled out: another process that listened there, as no soak ran at the time and the others would have had to take one of four ports within 12 ms; two tests with one port, as a port is drawn once in a process; connections in TIME_WAIT, as instances set SO_REUSEADDR.

Change: the draw binds only.

--- a/crates/standin/src/platform/document.rs
+++ b/crates/standin/src/platform/document.rs
@@ -2,12 +2,13 @@
 //! weight announcements.
 
 use std::collections::BTreeSet;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::ops::Range;
 
 use parking_lot::Mutex;
 use rand::RngExt;
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 
 use super::rollout;
 
@@ -204,22 +205,34 @@
     /// # Errors
     /// If no port can be bound.
     pub fn free() -> std::io::Result<Self> {
-        // All listeners are open at the same time, so that no two ports are equal.
-        let held = [(); 4].map(|()| free_listener());
-        let [callers, ready, metrics, peers] = held.map(|listener| listener?.local_addr());
+        let [callers, ready, metrics, peers] = [(); 4].map(|()| free_address());
         Ok(Self { callers: callers?, ready: ready?, metrics: metrics?, peers: peers? })
     }
 }
 
-/// Listens on a random port outside the ephemeral range.
-fn free_listener() -> std::io::Result<TcpListener> {
-    let any = || SocketAddr::from(([127, 0, 0, 1], rand::rng().random_range(PORTS)));
-    let new = || {
-        let address = any();
+/// An address with a random port outside the ephemeral range that this process has not drawn before.
+fn free_address() -> std::io::Result<SocketAddr> {
+    let mut result = Err(std::io::ErrorKind::AddrInUse.into());
+    for _ in 0..PORT_TRIES {
+        let address = SocketAddr::from(([127, 0, 0, 1], rand::rng().random_range(PORTS)));
         // A port that was drawn before isn't even tried, as its instance may be about to listen.
-        DRAWN.lock().insert(address.port()).then(|| TcpListener::bind(address).ok())?
-    };
-    (1..PORT_TRIES).find_map(|_| new()).map_or_else(|| TcpListener::bind(any()), Ok)
+        if !DRAWN.lock().insert(address.port()) {
+            continue;
+        }
+        result = probe(address).map(|()| address);
+        if result.is_ok() {
+            break;
+        }
+    }
+    result
+}
+
+/// Binds an address without listening at it: a process that is being started by another thread
+/// holds a copy of the socket until it runs its program, and would keep the instance from listening.
+fn probe(address: SocketAddr) -> std::io::Result<()> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())
 }
 
 /// Settings file of an entry instance.
