Connection: a status outside 100 to 599 is no answer

Callers saw: an answer with the status 600 or 999 from an upstream in trouble, as the answer to their request. A status of 000 was never passed on.

Cause: the type for status codes takes 100 to 999, and the head's parser relied on it. What such a status means for a request isn't defined; RFC 9110, section 15, has clients treat it as a server error. Callers need to know whether their request may have run, so the answer counts as malformed: 502, or another attempt where the route allows one.

Change: codes outside 100 to 599 are malformed heads, for all that read answers through a connection.

Evidence: head_invalid_status (connection) failed before on 600, after the lines with 000, 001 and 099 had passed; head::status_invalid_is_no_answer (whole program; plain routes and streams) failed before with 999 as the answer of a stream, and passed without the two lines of 600 and 999. After: both pass.

--- a/crates/connection/src/head.rs
+++ b/crates/connection/src/head.rs
@@ -1,5 +1,7 @@
 //! Heads of requests and responses.
 
+use std::ops::RangeInclusive;
+
 use bytes::{BufMut, Bytes, BytesMut};
 use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
@@ -7,6 +9,8 @@
 
 use crate::connection::Fault;
 
+/// Valid status codes (RFC 9110, section 15).
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 /// Maximum number of header fields in a response.
 const MAX_FIELDS: usize = 96;
 
@@ -48,7 +52,8 @@
             Ok(httparse::Status::Partial) => return Ok(None),
             Err(_) => return Err(Fault::Malformed),
         };
-        let status = response.code.and_then(|code| StatusCode::from_u16(code).ok());
+        let code = response.code.filter(|code| STATUS_CODES.contains(code));
+        let status = code.and_then(|code| StatusCode::from_u16(code).ok());
         let status = status.ok_or(Fault::Malformed)?;
         let mut headers = HeaderMap::with_capacity(response.headers.len());
         for field in response.headers.iter() {
--- a/crates/connection/tests/exchange.rs
+++ b/crates/connection/tests/exchange.rs
@@ -141,6 +141,27 @@
     }
 }
 
+/// Status codes have three digits, from 100 to 599. What a peer means by others can't be known, nor
+/// whether the request has run.
+#[tokio::test]
+async fn head_invalid_status() {
+    for status in [
+        "000", "001", "099", "600", "999", "20", "2000", "-20", "+20", "0200", " 200", "2 0",
+        "2x0", "\u{b2}00", "",
+    ] {
+        for fields in ["content-length: 5\r\n\r\nhello", "content-length: 0\r\n\r\n", "\r\nhello"] {
+            let text = format!("HTTP/1.1 {status} OK\r\n{fields}");
+            let answer = exchange_once(&text, End::Close).await.0;
+            assert_eq!(answer, Err(Fault::Malformed), "{text:?}");
+        }
+    }
+    for status in [200, 299, 404, 599] {
+        let text = format!("HTTP/1.1 {status} OK\r\ncontent-length: 5\r\n\r\nhello");
+        let answer = exchange_once(&text, End::Close).await.0;
+        assert_eq!(answer, Ok((status, Bytes::from("hello"))));
+    }
+}
+
 #[tokio::test]
 async fn is_reusable_extra_bytes() {
     let text = "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\naHTTP/1.1 200 OK\r\n\r\n";
--- a/crates/daemon/tests/platform/head.rs
+++ b/crates/daemon/tests/platform/head.rs
@@ -1,4 +1,4 @@
-//! Upstreams whose answers break off inside their heads.
+//! Upstreams whose answers have malformed heads, or break off inside their heads.
 
 use std::sync::Arc;
 
@@ -13,8 +13,32 @@
 /// A whole body: the events of a stream, or the bytes of a plain answer.
 const BODY: &str = "id: 1\ndata: x\n\n";
 
-/// The answer that a request asks for with its id: whole, or the first bytes of it.
+/// Status lines without a valid status code.
+const STATUS_LINES: [&str; 12] = [
+    "HTTP/1.1 000 OK",
+    "HTTP/1.1 001 OK",
+    "HTTP/1.1 099 OK",
+    "HTTP/1.1 600 OK",
+    "HTTP/1.1 999 OK",
+    "HTTP/1.1 20 OK",
+    "HTTP/1.1 2000 OK",
+    "HTTP/1.1 -20 OK",
+    "HTTP/1.1 0200 OK",
+    "HTTP/1.1  200 OK",
+    "HTTP/1.1 2 0 OK",
+    "HTTP/1.0 000 OK",
+];
+
+/// The answer that a request asks for with its id: whole, with a malformed head, or the first bytes of
+/// it.
 fn respond(request: &Request) -> Answer {
+    if let Some((_, number)) = request.id.split_once("-status-") {
+        let head = raw::head(request, &format!("content-length: {}\r\n\r\n", BODY.len()));
+        let (_, fields) = std::str::from_utf8(&head).unwrap().split_once("\r\n").unwrap();
+        let line = STATUS_LINES[number.parse::<usize>().unwrap()];
+        let bytes = format!("{line}\r\n{fields}{BODY}").into_bytes();
+        return Answer { bytes, end: End::Keep };
+    }
     let mut bytes = raw::head(request, &format!("content-length: {}\r\n\r\n", BODY.len()));
     let head_bytes = bytes.len();
     bytes.extend(BODY.as_bytes());
@@ -56,6 +80,50 @@
     requests.filter(|request| request.id.contains("-cut-")).count()
 }
 
+/// Sends requests whose ids ask for answers with these malformed heads, on all kinds of routes, until
+/// each has reached an upstream. Checks that callers get no such answer.
+async fn check_malformed(
+    fixture: &Fixture,
+    servers: [&raw::Server; 2],
+    name: &'static str,
+    count: usize,
+) {
+    let routes = [("/charge/", 0), ("/read/", 0), ("/long/", 1)];
+    let cases = (0..count).flat_map(|number| routes.map(|(path, server)| (path, server, number)));
+    let checks = stream::iter(cases).map(async |(path, server, number)| {
+        let kind = path.trim_matches('/');
+        let path = format!("{path}{name}-{number}");
+        // Leaves a connection for the next request.
+        let id = format!("{kind}-whole-{number}");
+        call(fixture.address(0), "POST", &path, &headers(fixture, &id), b"x").await;
+        let id = format!("{kind}-{name}-{number}");
+        let server: &raw::Server = servers[server];
+        fixture::eventually("the request reaches an upstream", async || {
+            let headers = headers(fixture, &id);
+            let answer = call(fixture.address(0), "POST", &path, &headers, b"x").await;
+            assert!((500..600).contains(&answer.status), "{id}: {answer:?}");
+            let is_reached = server.requests().iter().any(|request| request.id == id);
+            assert!(!is_reached || answer.status == 502, "{id}: {answer:?}");
+            is_reached
+        })
+        .await;
+    });
+    checks.buffer_unordered(CONCURRENCY).collect::<Vec<_>>().await;
+}
+
+/// Starts upstreams of both services for an instance without others.
+async fn start_alone() -> (Fixture, [raw::Server; 2]) {
+    let fixture = Fixture::start(1).await;
+    fixture.unregister_services();
+    fixture.unregister_engines();
+    let servers = [raw::Server::start(respond).await, raw::Server::start(respond).await];
+    fixture.register(&servers[0], "app");
+    fixture.register(&servers[1], "llm");
+    fixture.answer_of(&servers[0], "/charge/").await;
+    fixture.answer_of(&servers[1], "/long/").await;
+    (fixture, servers)
+}
+
 /// A request without contents.
 fn blank() -> Request {
     Request {
@@ -72,14 +140,7 @@
 /// MIXED, ORDER of another operator's report: callers got a success with an empty or short body.
 #[tokio::test(flavor = "multi_thread")]
 async fn head_broken_off_is_no_success() {
-    let fixture = Fixture::start(1).await;
-    fixture.unregister_services();
-    fixture.unregister_engines();
-    let servers = [raw::Server::start(respond).await, raw::Server::start(respond).await];
-    fixture.register(&servers[0], "app");
-    fixture.register(&servers[1], "llm");
-    fixture.answer_of(&servers[0], "/charge/").await;
-    fixture.answer_of(&servers[1], "/long/").await;
+    let (fixture, servers) = start_alone().await;
     let reached = check_all_lengths(&fixture, [&servers[0], &servers[1]]).await;
     assert!(reached > 100, "only {reached} requests reached an upstream");
     fixture.stop().await;
@@ -107,3 +168,12 @@
     assert!(reached > 100, "only {reached} requests reached an upstream");
     fixture.stop().await;
 }
+
+/// MIXED: callers got an answer whose status was 600 or 999.
+#[tokio::test(flavor = "multi_thread")]
+async fn status_invalid_is_no_answer() {
+    let (fixture, servers) = start_alone().await;
+    let servers = [&servers[0], &servers[1]];
+    check_malformed(&fixture, servers, "status", STATUS_LINES.len()).await;
+    fixture.stop().await;
+}
