Tests: heads whose fields have invalid names are no answers

They were rejected already: httparse reads names as tokens and its exceptions for lenient clients are off. Change: tests only, of a connection (each control byte and a blank, within a name and at its end; interim responses; framing fields) and of the whole program (16 lines on plain routes and on streams). Result: head_invalid_field_name and head::field_name_invalid_is_no_answer pass on the code as it is; callers get 502.

--- a/crates/connection/tests/exchange.rs
+++ b/crates/connection/tests/exchange.rs
@@ -162,6 +162,33 @@
     }
 }
 
+/// A name of a field is a token. A line with another name can't be passed on, nor be left out, as it
+/// may be a framing field to the peer.
+#[tokio::test]
+async fn head_invalid_field_name() {
+    let names = ["x more", "x-more ", " x-more", "x-more\t", "\tx-more", "x\tmore", ""];
+    let framing = ["content-length ", "content-length\t", " content-length", "transfer-encoding "];
+    let control = (0..=0x20).chain([0x7f]).filter(|byte| *byte != b'\n').map(char::from);
+    let control = control.flat_map(|byte| [format!("x{byte}more"), format!("x-more{byte}")]);
+    let names = names.into_iter().chain(framing).map(str::to_owned).chain(control);
+    let whole = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
+    for name in names.chain(["x\u{e9}".to_owned(), "x(more)".to_owned(), "x\"more".to_owned()]) {
+        for value in ["3", "chunked"] {
+            for text in [
+                format!("HTTP/1.1 200 OK\r\n{name}: {value}\r\ncontent-length: 5\r\n\r\nhello"),
+                format!("HTTP/1.1 103 Early Hints\r\n{name}: {value}\r\n\r\n{whole}"),
+            ] {
+                let answer = exchange_once(&text, End::Close).await.0;
+                assert_eq!(answer, Err(Fault::Malformed), "{text:?}");
+            }
+        }
+    }
+    for line in ["x-more", "x-more 3", ": 3", "HTTP/1.1 200 OK"] {
+        let text = format!("HTTP/1.1 200 OK\r\n{line}\r\ncontent-length: 5\r\n\r\nhello");
+        assert_eq!(exchange_once(&text, End::Close).await.0, Err(Fault::Malformed), "{text:?}");
+    }
+}
+
 #[tokio::test]
 async fn is_reusable_extra_bytes() {
     let text = "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\naHTTP/1.1 200 OK\r\n\r\n";
--- a/crates/daemon/tests/platform/head.rs
+++ b/crates/daemon/tests/platform/head.rs
@@ -29,9 +29,34 @@
     "HTTP/1.0 000 OK",
 ];
 
+/// Lines of a head whose field has a name that holds a blank or a control byte, or none.
+const FIELD_LINES: [&str; 16] = [
+    "x more: 3",
+    "x-more : 3",
+    " x-more: 3",
+    "x-more\t: 3",
+    "\tx-more: 3",
+    "x\0more: 3",
+    "x\x01more: 3",
+    "x\x0bmore: 3",
+    "x\x7fmore: 3",
+    "x\rmore: 3",
+    ": 3",
+    "x-more",
+    "content-length : 3",
+    "content-length\t: 3",
+    "transfer-encoding : chunked",
+    "transfer\x01-encoding: chunked",
+];
+
 /// The answer that a request asks for with its id: whole, with a malformed head, or the first bytes of
 /// it.
 fn respond(request: &Request) -> Answer {
+    if let Some((_, number)) = request.id.split_once("-field-") {
+        let line = FIELD_LINES[number.parse::<usize>().unwrap()];
+        let fields = format!("{line}\r\ncontent-length: {}\r\n\r\n{BODY}", BODY.len());
+        return Answer { bytes: raw::head(request, &fields), end: End::Keep };
+    }
     if let Some((_, number)) = request.id.split_once("-status-") {
         let head = raw::head(request, &format!("content-length: {}\r\n\r\n", BODY.len()));
         let (_, fields) = std::str::from_utf8(&head).unwrap().split_once("\r\n").unwrap();
@@ -177,3 +202,12 @@
     check_malformed(&fixture, servers, "status", STATUS_LINES.len()).await;
     fixture.stop().await;
 }
+
+/// A line that can't be a field is not passed on, and does not decide where the body ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn field_name_invalid_is_no_answer() {
+    let (fixture, servers) = start_alone().await;
+    let servers = [&servers[0], &servers[1]];
+    check_malformed(&fixture, servers, "field", FIELD_LINES.len()).await;
+    fixture.stop().await;
+}
