Tests: broken answers to the clients of our own interface

The clients of our own interface (key-value service, administration API, KV cache stores, engines, plain services) read answers with reqwest. Bodies without a length that are reset, framed ones that are not whole, status 000, and fields with a blank or control byte in their names were no answers before; whole framed answers are delivered. Status 999 is an error without a meaning to the administration API's client, and an unknown outcome of a write to the key-value service.

--- a/crates/etcd/tests/kv.rs
+++ b/crates/etcd/tests/kv.rs
@@ -5,7 +5,8 @@
 
 use acacia_etcd::count::Kind;
 use acacia_etcd::kv::Client;
-use acacia_policy::kv::{Failure, Reply, Request};
+use acacia_policy::kv::{Failure, Outcome, Reply, Request};
+use acacia_standin::early::{self, LONG_BYTES};
 use acacia_standin::{Counter, Fault, kv};
 
 /// Timeout that no call reaches, even on a busy machine.
@@ -393,3 +394,30 @@
     standin.fault(Fault::Frozen { on: false }).unwrap();
     assert!(matches!(waiting.await.unwrap(), Ok(Reply::Swapped(_))));
 }
+
+/// Makes a long write at a server that answers early.
+async fn swap_answered(answer: &str) -> Outcome {
+    let server = early::Server::start(answer.to_owned()).expect("a loopback port");
+    let client = Client::new(vec![server.address]).with_timeout(CALL_TIMEOUT);
+    client.call(swap_bytes("a", 0, vec![b'x'; LONG_BYTES])).await
+}
+
+/// After an answer that breaks off or is malformed, the write may have been executed.
+#[tokio::test]
+async fn swap_answer_broken() {
+    let body = r#"{"succeeded": true, "header": {"revision": "7"}, "responses": []}"#;
+    let framed = format!("content-length: {}\r\n\r\n{body}", body.len());
+    for answer in [
+        format!("HTTP/1.1 200 OK\r\n\r\n{body}"),
+        "HTTP/1.1 200 OK\r\n\r\n".to_owned(),
+        format!("HTTP/1.1 200 OK\r\ncontent-length: 900\r\n\r\n{body}"),
+        format!("HTTP/1.1 000 OK\r\n{framed}"),
+        format!("HTTP/1.1 999 OK\r\n{framed}"),
+        format!("HTTP/1.1 200 OK\r\nx more: 1\r\n{framed}"),
+        format!("HTTP/1.1 200 OK\r\ncontent-length : 3\r\n{framed}"),
+    ] {
+        assert_eq!(swap_answered(&answer).await, Err(Failure::Ambiguous), "{answer:?}");
+    }
+    let whole = swap_answered(&format!("HTTP/1.1 200 OK\r\n{framed}")).await;
+    assert_eq!(whole, Ok(Reply::Swapped(7)));
+}
--- a/crates/operator/tests/api.rs
+++ b/crates/operator/tests/api.rs
@@ -6,12 +6,13 @@
 use acacia_catalog::diff::Change;
 use acacia_catalog::object::{AdminState, Object};
 use acacia_catalog::secret::REDACTED;
-use acacia_operator::call::{Apply, Order, Rollback, SetState};
+use acacia_operator::call::{Apply, Order, Ordered, Rollback, SetState};
 use acacia_operator::client::{Error, Outcome};
 use acacia_operator::fault::Code;
 use acacia_operator::server::BODY_LIMIT_BYTES;
 use acacia_operator::{Backend, Fault, Key, Role};
 use acacia_policy::control::{OrderDuty, OrderOutcome};
+use acacia_standin::early::{self, LONG_BYTES};
 use common::{Injection, LIVE_DAEMONS, Served, example};
 
 fn apply(id: &str, base: u64, document: Document) -> Apply {
@@ -420,3 +421,35 @@
     let client = acacia_operator::Client::new(closed.to_string(), "key").unwrap();
     assert!(matches!(client.status().await, Err(Error::Unreachable(_))));
 }
+
+/// Sends a long order to a server that answers early.
+async fn order_answered(answer: &str) -> Outcome<Ordered> {
+    let server = early::Server::start(answer.to_owned()).expect("a loopback port");
+    let client =
+        acacia_operator::Client::new(server.address.to_string(), "token").expect("a client");
+    let order = Order { id: "x".repeat(LONG_BYTES), duty: OrderDuty::SetRole("prefill".into()) };
+    client.order("engine-1", &order).await
+}
+
+/// After an answer that breaks off or is malformed, the call may have been processed.
+#[tokio::test]
+async fn answer_broken() {
+    let body = r#"{"id": "o", "outcome": "Accepted"}"#;
+    let framed = format!("content-length: {}\r\n\r\n{body}", body.len());
+    for answer in [
+        format!("HTTP/1.1 200 OK\r\n\r\n{body}"),
+        "HTTP/1.1 200 OK\r\n\r\n".to_owned(),
+        format!("HTTP/1.1 200 OK\r\ncontent-length: 900\r\n\r\n{body}"),
+        format!("HTTP/1.1 403 Forbidden\r\n\r\n{body}"),
+        format!("HTTP/1.1 000 OK\r\n{framed}"),
+        format!("HTTP/1.1 200 OK\r\nx more: 1\r\n{framed}"),
+        format!("HTTP/1.1 200 OK\r\ncontent-length : 3\r\n{framed}"),
+    ] {
+        let outcome = order_answered(&answer).await;
+        assert!(matches!(outcome, Err(Error::AnswerLost(_))), "{answer:?}: {outcome:?}");
+    }
+    let outcome = order_answered(&format!("HTTP/1.1 999 OK\r\n{framed}")).await;
+    assert!(matches!(outcome, Err(Error::Unexpected { status: 999, .. })), "{outcome:?}");
+    let outcome = order_answered(&format!("HTTP/1.1 200 OK\r\n{framed}")).await;
+    assert!(matches!(&outcome, Ok(ordered) if ordered.id == "o"), "{outcome:?}");
+}
--- a/crates/store/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use acacia_policy::request::BlockKey;
+use acacia_standin::early;
 use acacia_standin::{Counter, Fault, store};
 use acacia_store::{Client, Error, Manifest, Metadata};
 use bytes::Bytes;
@@ -168,3 +169,16 @@
     standin.fault(Fault::Down { on: false }).unwrap();
     assert_eq!(client.fetch(&KEY, &manifest).await, Ok(BODY));
 }
+
+#[tokio::test]
+async fn save_answer_malformed() {
+    for answer in [
+        "HTTP/1.1 000 OK\r\nx-incarnation: 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 999 OK\r\nx-incarnation: 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nx-incarnation: 1\r\nx more: 1\r\ncontent-length: 0\r\n\r\n",
+    ] {
+        let server = early::Server::start(answer).expect("a loopback port");
+        let saved = Client::new(server.address).save(&KEY, BODY, metadata()).await;
+        assert!(matches!(saved, Err(Error::Unreachable(_))), "{answer:?}: {saved:?}");
+    }
+}
