Clients: a write is confirmed by a whole answer, not by its head

What was seen: a KV cache store that answered 200 to a long write before it had read it, and then reset the connection with or without a part of a body, counted as having saved the block, and its manifest was written; so did an engine that imports a block, and another daemon that gets a batch of messages. Callers saw no wrong answer by it: readers verify a block's length and checksum, and batches may get lost.

Cause: these calls need nothing from the body, so it was never read, and the head alone counted.

Change: the clients of KV cache stores, engines and other daemons read these answers to their end, within the timeouts that hold already, and keep nothing of them.

Evidence: save_answer_broken_off, engine_import_until_close_reset and send_answer_broken failed before (Ok, Ok and Sent for a 200 without a length whose connection was reset) and pass now.

--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -81,8 +81,7 @@
     async fn post(&self, peer: SocketAddr, body: Vec<u8>, messages: usize) -> Outcome {
         let bytes = body.len();
         let url = format!("http://{peer}{PATH}");
-        let answer = self.http.post(url).body(body).send().await;
-        if answer.is_ok_and(|answer| answer.status().is_success()) {
+        if let Ok(true) = self.is_accepted(url, body).await {
             self.counters.batches.add(1);
             self.counters.messages.add(messages);
             self.counters.bytes.add(bytes);
@@ -91,4 +90,11 @@
         self.counters.dropped.add(messages);
         Outcome::Dropped
     }
+
+    /// Posts a batch; whether the peer accepted it, once its answer is whole.
+    async fn is_accepted(&self, url: String, body: Vec<u8>) -> reqwest::Result<bool> {
+        let mut answer = self.http.post(url).body(body).send().await?;
+        while answer.chunk().await?.is_some() {}
+        Ok(answer.status().is_success())
+    }
 }
--- a/crates/peer/tests/exchange.rs
+++ b/crates/peer/tests/exchange.rs
@@ -8,6 +8,7 @@
 use acacia_peer::server::{self, Delivery};
 use acacia_peer::{Client, Counters, MAX_BODY_BYTES, PATH};
 use acacia_policy::message::{Chunk, Envelope, Message, Sender};
+use acacia_standin::early;
 use salvo::conn::Acceptor;
 use salvo::prelude::*;
 
@@ -106,3 +107,23 @@
     assert!(inbox.lock().unwrap().is_empty());
     assert_eq!(client.send(address, &[envelope("x")]).await, Outcome::Sent);
 }
+
+/// A batch counts as sent only after the whole answer.
+#[tokio::test]
+async fn send_answer_broken() {
+    let chunk = Chunk { hash: Hash::of(b"x"), bytes: vec![7; MAX_BODY_BYTES - 1_024] };
+    let large = Envelope { message: Message::Chunk(chunk), ..envelope("x") };
+    for answer in [
+        "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n\r\nhel",
+        "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhel",
+        "HTTP/1.1 000 OK\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 999 OK\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nx more: 1\r\ncontent-length: 0\r\n\r\n",
+    ] {
+        let server = early::Server::start(answer).unwrap();
+        let client = Client::new().unwrap();
+        let outcome = client.send(server.address, std::slice::from_ref(&large)).await;
+        assert_eq!(outcome, Outcome::Dropped, "{answer:?}");
+    }
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -105,10 +105,12 @@
         let call = call.header("x-checksum", &checksum);
         let call = call.header("x-logical-bytes", metadata.logical_bytes);
         let answer = check(call.body(bytes).send().await?)?;
+        let incarnation = incarnation(&answer)?;
+        read_to_end(answer).await?;
         let manifest = Manifest {
             length,
             checksum,
-            incarnation: incarnation(&answer)?,
+            incarnation,
             logical_bytes: metadata.logical_bytes,
             version: metadata.version,
         };
@@ -119,13 +121,13 @@
     /// Removes a block and its manifest.
     pub async fn remove(&self, key: &BlockKey) -> Result<(), Error> {
         let call = self.http.delete(self.block_url(key)).timeout(self.timeout);
-        check(call.send().await?).map(drop)
+        read_to_end(check(call.send().await?)?).await
     }
 
     async fn publish(&self, key: &BlockKey, manifest: &Manifest) -> Result<(), Error> {
         let url = self.url(&format!("manifests/{}", hex(key)));
         let call = self.http.put(url).json(manifest).timeout(self.timeout);
-        check(call.send().await?).map(drop)
+        read_to_end(check(call.send().await?)?).await
     }
 
     fn block_url(&self, key: &BlockKey) -> String {
@@ -161,6 +163,12 @@
     }
 }
 
+/// Reads and drops the body of an answer, which confirms a write only if it is whole.
+async fn read_to_end(mut answer: Response) -> Result<(), Error> {
+    while answer.chunk().await?.is_some() {}
+    Ok(())
+}
+
 fn incarnation(answer: &Response) -> Result<Incarnation, Error> {
     let header = answer.headers().get("x-incarnation");
     let number = header.and_then(|value| value.to_str().ok()).and_then(|text| text.parse().ok());
--- a/crates/store/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use acacia_policy::request::BlockKey;
-use acacia_standin::early;
+use acacia_standin::early::{self, LONG_BYTES};
 use acacia_standin::{Counter, Fault, store};
 use acacia_store::{Client, Error, Manifest, Metadata};
 use bytes::Bytes;
@@ -170,6 +170,21 @@
     assert_eq!(client.fetch(&KEY, &manifest).await, Ok(BODY));
 }
 
+/// A write counts only after the whole answer to it.
+#[tokio::test]
+async fn save_answer_broken_off() {
+    let block = Bytes::from(vec![7; LONG_BYTES]);
+    for rest in ["\r\n", "\r\n{", "content-length: 2\r\n\r\n{"] {
+        let answer = format!("HTTP/1.1 200 OK\r\nx-incarnation: 1\r\n{rest}");
+        let server = early::Server::start(answer).expect("a loopback port");
+        let client = Client::new(server.address);
+        let saved = client.save(&KEY, block.clone(), metadata()).await;
+        assert!(matches!(saved, Err(Error::Unreachable(_))), "{rest:?}: {saved:?}");
+        let removed = client.remove(&KEY).await;
+        assert!(matches!(removed, Err(Error::Unreachable(_))), "{rest:?}: {removed:?}");
+    }
+}
+
 #[tokio::test]
 async fn save_answer_malformed() {
     for answer in [
--- a/crates/upstream/src/engine/admin.rs
+++ b/crates/upstream/src/engine/admin.rs
@@ -127,11 +127,11 @@
             .header(LOGICAL_BYTES_HEADER, block.logical_bytes)
             .body(block.bytes.clone());
         let response = request.send().await.map_err(|e| Failure::from_transport(&e))?;
-        if response.status().is_success() {
-            return Ok(());
-        }
         let (status, headers) = (response.status(), response.headers().clone());
         let body = read_body(response, MAX_CONTROL_BYTES).await.map_err(Failure::Broken)?;
+        if status.is_success() {
+            return Ok(());
+        }
         Err(Failure::from_response(status, &headers, &body))
     }
 
--- a/crates/upstream/tests/early.rs
+++ b/crates/upstream/tests/early.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use acacia_standin::early::{LONG_BYTES, Server};
-use acacia_upstream::engine::{self, Completion, Prompt, format_attempt_id};
+use acacia_upstream::engine::{self, Block, Completion, Prompt, format_attempt_id};
 use acacia_upstream::failure::{Failure, Fault};
 use acacia_upstream::pool::Pool;
 use acacia_upstream::service::{self, Answer, Call};
@@ -76,3 +76,23 @@
         }
     }
 }
+
+/// A block counts as written only after the whole answer.
+#[tokio::test]
+async fn engine_import_until_close_reset() {
+    let block = Block {
+        bytes: Bytes::from(vec![7; LONG_BYTES]),
+        version: "v1".into(),
+        checksum: String::new(),
+        logical_bytes: 1,
+    };
+    for rest in ["\r\n", "content-length: 2\r\n\r\n{"] {
+        let server = Server::start(format!("HTTP/1.1 200 OK\r\n{rest}")).unwrap();
+        let client = engine::Client::new(Pool::new(), server.address);
+        let written = client.import_block(&[7; 32], &block).await;
+        assert_eq!(written, Err(Failure::Broken(Fault::Ended)), "{rest:?}");
+    }
+    let server = Server::start("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").unwrap();
+    let client = engine::Client::new(Pool::new(), server.address);
+    assert_eq!(client.import_block(&[7; 32], &block).await, Ok(()));
+}
