Plain services: a status above 599 is no answer on our own interface

Callers saw: the answer of a plain service with the status 600 or 999 as the answer to their call.

Cause: as for connections: the type for status codes takes 100 to 999.

Change: such a status fails the attempt as a broken answer; the call may have run. The other clients of this interface accept success only, and know the errors that promise something by their codes.

--- a/crates/upstream/src/service.rs
+++ b/crates/upstream/src/service.rs
@@ -13,6 +13,8 @@
 use crate::failure::{Failure, Fault};
 use crate::pool::{self, Pool, REQUEST_ID};
 
+/// Largest valid status code (RFC 9110, section 15). The type allows larger ones.
+const MAX_STATUS: u16 = 599;
 /// Maximum size of an answer.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
@@ -88,6 +90,10 @@
     if echoed != Some(attempt_id) {
         return Err(Failure::Broken(Fault::WrongAttempt));
     }
+    let status = response.status();
+    if status.as_u16() > MAX_STATUS {
+        return Err(Failure::Broken(Fault::Status(status)));
+    }
     let mut body = BytesMut::new();
     while let Some(chunk) = response.chunk().await.map_err(|_| Failure::Broken(Fault::Ended))? {
         if body.len() + chunk.len() > MAX_ANSWER_BYTES {
@@ -97,7 +103,6 @@
         }
         body.extend_from_slice(&chunk);
     }
-    let status = response.status();
     if status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS {
         return Err(Failure::from_response(status, response.headers(), &body));
     }
--- a/crates/upstream/tests/early.rs
+++ b/crates/upstream/tests/early.rs
@@ -47,6 +47,15 @@
     assert_eq!((answer.status, &*answer.body), (StatusCode::OK, &b"hello"[..]));
 }
 
+/// MIXED: callers got an answer whose status was 600 or 999.
+#[tokio::test]
+async fn service_invalid_status() {
+    for status in ["000", "099", "600", "999"] {
+        let answer = call_service(status, "content-length: 5\r\n\r\nhello").await;
+        assert!(matches!(answer, Err(Failure::Broken(_))), "{status}: {answer:?}");
+    }
+}
+
 #[tokio::test]
 async fn service_invalid_field_name() {
     for line in ["x more: 3", "x-more : 3", "x\x01more: 3", "content-length : 3"] {
