Proxy stand-in: pass on a reset that a write has found

Change: a write that fails marks its side as reset, and the end of reads from that side is a reset then. EPIPE marks nothing, as the side had closed before.

--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -3,6 +3,7 @@
 use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use futures::FutureExt;
@@ -115,6 +116,14 @@
 /// A reset of a connection, which is passed on to its other side.
 struct Reset;
 
+/// How the connection to one side ended.
+#[derive(Debug, Default)]
+struct End {
+    /// Whether a write found that it was reset. The kernel reports a reset once, so a read would see an
+    /// orderly end.
+    is_reset: AtomicBool,
+}
+
 /// What currently applies to a connection.
 #[derive(Clone)]
 struct Gate {
@@ -226,10 +235,22 @@
     let ended = {
         let (from_caller, to_caller) = caller.split();
         let (from_server, to_server) = server.split();
+        let ends = [End::default(), End::default()];
+        let [caller_end, server_end] = &ends;
         let both = async {
             tokio::try_join!(
-                forward(from_caller, to_server, gate.clone(), Sender::Caller),
-                forward(from_server, to_caller, gate.clone(), Sender::Server),
+                forward(
+                    (from_caller, caller_end),
+                    (to_server, server_end),
+                    gate.clone(),
+                    Sender::Caller
+                ),
+                forward(
+                    (from_server, server_end),
+                    (to_caller, caller_end),
+                    gate.clone(),
+                    Sender::Server
+                ),
             )
         };
         let mut gate = gate.clone();
@@ -280,8 +301,8 @@
 /// Forwards bytes until their sender closes the connection. As in a network, bytes that are held
 /// are lost if one side resets the connection meanwhile.
 async fn forward(
-    mut from: ReadHalf<'_>,
-    mut to: WriteHalf<'_>,
+    (mut from, from_end): (ReadHalf<'_>, &End),
+    (mut to, to_end): (WriteHalf<'_>, &End),
     mut gate: Gate,
     sender: Sender,
 ) -> Result<(), Reset> {
@@ -293,6 +314,9 @@
             return Err(Reset);
         }
         let count = read.map_err(|_| Reset)?;
+        if count == 0 && from_end.is_reset.load(Ordering::Relaxed) {
+            return Err(Reset);
+        }
         if count == 0 {
             // Fails if the other side has closed first.
             let _ = to.shutdown().await;
@@ -301,7 +325,10 @@
         if mode == Mode::UntilClose && sender == Sender::Caller {
             lower_version(&mut buffer[..count]);
         }
-        if to.write_all(&buffer[..count]).await.is_err() {
+        if let Err(error) = to.write_all(&buffer[..count]).await {
+            // `EPIPE` means that the other side had closed its side before.
+            let is_reset = error.kind() != io::ErrorKind::BrokenPipe;
+            to_end.is_reset.store(is_reset, Ordering::Relaxed);
             return Ok(());
         }
     }
--- a/crates/standin/tests/proxy.rs
+++ b/crates/standin/tests/proxy.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use acacia_standin::cut::{Cut, Cuts};
+use acacia_standin::early;
 use acacia_standin::proxy::{Mode, Proxy};
+use bytes::Bytes;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -242,3 +244,23 @@
     proxy.set(Mode::Pass);
     assert_eq!(read(&mut server).await.unwrap_err().kind(), ErrorKind::ConnectionReset);
 }
+
+/// A server answers before it has read what its caller writes, and resets the connection. A write to
+/// the server takes the report of the reset.
+#[tokio::test]
+async fn reset_during_write_is_passed_on() {
+    let answer = Bytes::from_static(b"the answer");
+    let server = early::Server::start(answer.clone()).unwrap();
+    let proxy = Proxy::start(server.address).await.unwrap();
+    let mut caller = TcpStream::connect(proxy.address).await.unwrap();
+    let (mut reader, mut writer) = caller.split();
+    let request = [&b"\r\n\r\n"[..], &vec![b'x'; early::LONG_BYTES]].concat();
+    let mut received = Vec::new();
+    let (written, read) =
+        tokio::join!(writer.write_all(&request), reader.read_to_end(&mut received));
+    assert_eq!(received, answer);
+    // The caller's kernel reports the reset once, too.
+    let errors = [written.err(), read.err()].into_iter().flatten();
+    let kinds: Vec<_> = errors.map(|error| error.kind()).collect();
+    assert!(kinds.contains(&ErrorKind::ConnectionReset), "{kinds:?}");
+}
