Tests: a long request that one instance passes on, answered early and reset

Cause: the fault of the early reset could also reach callers through a second instance. Change: a test only, of an instance that has lost its path and passes requests on to another, which is suspended while the answer and the reset arrive.

--- a/crates/daemon/tests/platform/upload.rs
+++ b/crates/daemon/tests/platform/upload.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+use acacia_standin::cut::Cut;
+
 use crate::fixture::{self, Answer, Fixture, call};
 use crate::raw::{self, End, Request};
 
@@ -62,20 +64,24 @@
     headers
 }
 
-/// Sends requests until one reaches an upstream that answers with these parts and resets the
-/// connection; returns the caller's answer. The number is that of the case.
+/// Starts an upstream that answers with these parts and resets the connection.
+async fn start_upstream(parts: Parts) -> raw::Server {
+    raw::Server::start_early(PAUSE, move |request| raw::Answer {
+        bytes: encode(parts, request),
+        end: End::ResetAtOnce,
+    })
+    .await
+}
+
+/// Sends requests until one reaches the upstream, while which this instance is suspended; returns the
+/// caller's answer. The number is that of the case.
 async fn answer_of(
     fixture: &Fixture,
-    (service, path): (&str, &str),
+    raw: &raw::Server,
+    suspended: usize,
+    path: &str,
     number: usize,
-    parts: Parts,
 ) -> Answer {
-    let raw = raw::Server::start_early(PAUSE, move |request| raw::Answer {
-        bytes: encode(parts, request),
-        end: End::ResetAtOnce,
-    })
-    .await;
-    fixture.register(&raw, service);
     let mut answer = None;
     fixture::eventually("the upstream gets a request", async || {
         let (address, path) = (fixture.address(0), format!("{path}{number}"));
@@ -85,24 +91,37 @@
             tokio::time::sleep(POLL_INTERVAL).await;
         }
         if !raw.requests().is_empty() {
-            fixture.signal(0, "-STOP");
+            fixture.signal(suspended, "-STOP");
             tokio::time::sleep(PAUSE * 2).await;
-            fixture.signal(0, "-CONT");
+            fixture.signal(suspended, "-CONT");
         }
         answer = Some(call.await.unwrap());
         !raw.requests().is_empty()
     })
     .await;
-    fixture.unregister(&raw);
     answer.unwrap()
 }
 
+/// The answer of an instance whose only upstream of a service gives this one.
+async fn answer_with(
+    fixture: &Fixture,
+    (service, path): (&str, &str),
+    number: usize,
+    parts: Parts,
+) -> Answer {
+    let raw = start_upstream(parts).await;
+    fixture.register(&raw, service);
+    let answer = answer_of(fixture, &raw, 0, path, number).await;
+    fixture.unregister(&raw);
+    answer
+}
+
 /// Checks that callers get no part of an answer without a length as a whole one.
 async fn check_unframed(route: (&str, &str)) {
     let fixture = start().await;
     let mut passed = Vec::new();
     for (number, parts) in UNFRAMED.into_iter().enumerate() {
-        let answer = answer_of(&fixture, route, number, parts).await;
+        let answer = answer_with(&fixture, route, number, parts).await;
         let is_broken_off = answer.status == 200 && !answer.is_complete;
         if answer.status != 502 && !is_broken_off {
             passed.push((parts, answer));
@@ -134,7 +153,7 @@
 async fn framed_reset() {
     let fixture = start().await;
     for (number, (parts, status, body)) in FRAMED.into_iter().enumerate() {
-        let answer = answer_of(&fixture, ("app", "/charge/"), number, parts).await;
+        let answer = answer_with(&fixture, ("app", "/charge/"), number, parts).await;
         assert!(answer.is_complete, "{parts:?}: {answer:?}");
         assert_eq!((answer.status, &*answer.body), (status, body.as_bytes()), "{parts:?}");
     }
@@ -146,7 +165,24 @@
 async fn refusal_reset() {
     let fixture = start().await;
     let parts = ("HTTP/1.1 ", "503 Service Unavailable", "x-not-executed: 1\r\n\r\nbu");
-    let answer = answer_of(&fixture, ("app", "/charge/"), 0, parts).await;
+    let answer = answer_with(&fixture, ("app", "/charge/"), 0, parts).await;
     assert!(answer.status == 503 && answer.is_complete, "{answer:?}");
     fixture.stop().await;
 }
+
+/// The same for a request that one instance passes on to another.
+#[tokio::test(flavor = "multi_thread")]
+async fn passed_on_until_close_reset() {
+    let mut fixture = Fixture::start_behind_proxies(2).await;
+    fixture.unregister_engines();
+    fixture.unregister_services();
+    fixture.cut(0, Cut::Reset);
+    for (number, parts) in UNFRAMED.into_iter().enumerate() {
+        let raw = start_upstream(parts).await;
+        fixture.register_behind_proxy(&raw, "app").await;
+        let answer = answer_of(&fixture, &raw, 1, "/charge/", number).await;
+        assert_eq!(answer.status, 502, "{parts:?}: {answer:?}");
+        fixture.unregister(&raw);
+    }
+    fixture.stop().await;
+}
