--- a/crates/connection/src/connection.rs
+++ b/crates/connection/src/connection.rs
@@ -86,8 +86,8 @@
     user_timeout: Duration,
     /// Whether the user timeout is in force.
     is_limited: bool,
-    /// Error of a write, other than one after the peer had closed its side. The kernel reports a reset
-    /// to one call only: reads return the bytes that arrived before it, and then an orderly end.
+    /// Why a write failed, unless the peer had closed its side before. The kernel reports a reset to one
+    /// call only; after a write got it, reads return the bytes that arrived, and then an orderly end.
     write_fault: Option<Fault>,
     /// Whether the request was fully written and the peer keeps the connection open.
     can_reuse: bool,
--- a/crates/connection/tests/reset.rs
+++ b/crates/connection/tests/reset.rs
@@ -1,8 +1,8 @@
 //! Answers that arrive while a long request is still being written, from a peer that then resets or
 //! closes the connection.
 //!
-//! The peer uses blocking calls on the only thread of the runtime, so the connection sees the answer
-//! and what follows it at the same time, like a process that had to wait for a processor.
+//! The peer uses blocking calls on the only thread of the runtime, so the connection can see the
+//! answer and the end at the same time, like a process that had to wait for a processor.
 
 #![expect(clippy::unwrap_used, reason = "a helper that fails fails its test")]
 
@@ -24,7 +24,7 @@
 /// Time for the kernel to deliver what one side of a connection has done.
 const DELIVERY_TIME: Duration = Duration::from_millis(20);
 
-/// Starts of answers whose ends only the end of the connection tells.
+/// Answers, or parts of them, that only the end of the connection delimits.
 const UNFRAMED: [&str; 7] = [
     "HTTP/1.1 200 OK\r\n\r\nhel",
     "HTTP/1.1 200 OK\r\n\r\n",
--- a/crates/daemon/tests/platform/upload.rs
+++ b/crates/daemon/tests/platform/upload.rs
@@ -1,7 +1,8 @@
-//! Long requests that upstreams answer, before they have read them, with a reset after the answer.
+//! Long requests that an upstream answers before it has read them; after the answer it resets the
+//! connection.
 //!
-//! The instance is suspended while the answer and the reset arrive, as on a busy machine, so it sees
-//! both at the same time.
+//! The instance that sends the request is suspended while the answer and the reset arrive, so it sees
+//! both at the same time, as on a busy machine.
 
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 /// Size of a request's body, in bytes: the largest legal one, more than the kernel buffers.
 const BODY_BYTES: usize = 4 << 20;
 const BODY: &[u8] = &[b'x'; BODY_BYTES];
-/// Time between the head of a request and the answer to it. The instance is suspended meanwhile.
+/// Time between the head of a request and the answer to it, in which the instance is suspended.
 const PAUSE: Duration = Duration::from_millis(250);
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -73,8 +74,8 @@
     .await
 }
 
-/// Sends requests until one reaches the upstream, while which this instance is suspended; returns the
-/// caller's answer. The number is that of the case.
+/// Sends requests to the first instance until one reaches the upstream, and returns its answer. The
+/// instance `suspended` is suspended while the upstream answers. Each case has a number of its own.
 async fn answer_of(
     fixture: &Fixture,
     raw: &raw::Server,
@@ -148,6 +149,23 @@
     check_unframed(("llm", "/long/")).await;
 }
 
+/// The same, where another instance passes the request on to the one that sends it.
+#[tokio::test(flavor = "multi_thread")]
+async fn passed_on_until_close_reset() {
+    let mut fixture = Fixture::start_behind_proxies(2).await;
+    fixture.unregister_engines();
+    fixture.unregister_services();
+    fixture.cut(0, Cut::Reset);
+    for (number, parts) in UNFRAMED.into_iter().enumerate() {
+        let raw = start_upstream(parts).await;
+        fixture.register_behind_proxy(&raw, "app").await;
+        let answer = answer_of(&fixture, &raw, 1, "/charge/", number).await;
+        assert_eq!(answer.status, 502, "{parts:?}: {answer:?}");
+        fixture.unregister(&raw);
+    }
+    fixture.stop().await;
+}
+
 /// An answer that is whole by its framing is delivered, whatever happens to its connection.
 #[tokio::test(flavor = "multi_thread")]
 async fn framed_reset() {
@@ -169,20 +187,3 @@
     assert!(answer.status == 503 && answer.is_complete, "{answer:?}");
     fixture.stop().await;
 }
-
-/// The same for a request that one instance passes on to another.
-#[tokio::test(flavor = "multi_thread")]
-async fn passed_on_until_close_reset() {
-    let mut fixture = Fixture::start_behind_proxies(2).await;
-    fixture.unregister_engines();
-    fixture.unregister_services();
-    fixture.cut(0, Cut::Reset);
-    for (number, parts) in UNFRAMED.into_iter().enumerate() {
-        let raw = start_upstream(parts).await;
-        fixture.register_behind_proxy(&raw, "app").await;
-        let answer = answer_of(&fixture, &raw, 1, "/charge/", number).await;
-        assert_eq!(answer.status, 502, "{parts:?}: {answer:?}");
-        fixture.unregister(&raw);
-    }
-    fixture.stop().await;
-}
