--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,8 +5,9 @@
 //! addresses, [`Counters`] for a test oracle, and [`Fault`] switches. The control port offers
 //! counters and faults over HTTP. [`platform`] has stand-ins for the platform that Acacia runs
 //! on. A [`proxy`] stands in front of a server, and a [`cut`] separates one process from all
-//! servers behind proxies. An [`early`] server answers before it has read a request. Only [`host`] depends on the HTTP server; [`warmth`], [`slots`] and
-//! [`pace`] are the shared parts of the timing model.
+//! servers behind proxies. An [`early`] server answers before it has read a request. Only [`host`]
+//! depends on the HTTP server; [`warmth`], [`slots`] and [`pace`] are the shared parts of the
+//! timing model.
 
 pub mod command;
 pub mod counter;
