--- a/review/world3.py
+++ b/review/world3.py
@@ -327,7 +327,7 @@
                  "[zones]", f'{self.zone} = "region-a"', "[listen_addrs]",
                  f'front = "127.0.0.1:{self.front}"', f'ready = "127.0.0.1:{self.ready}"',
                  f'control = "127.0.0.1:{self.control}"', "[limits]", "cpu_share = 0.25",
-                 "cpu_cores = 1", "memory_mb = 260", "max_fds = 4100", "link_mbps = 1000.0",
+                 "cpu_cores = 1", f"memory_mb = {self.world.memory_mb}", "max_fds = 4100", "link_mbps = 1000.0",
                  "disk_mb = 0", "[fault_tolerance]", "machines = 1", "zones = 1", "regions = 0",
                  "[bounds]"]
         lines += [f"{name} = {str(value).lower()}" for name, value in bounds.items()]
@@ -406,6 +406,7 @@
         self.folder = tempfile.mkdtemp(prefix="acacia-review-")
         self.store = Store()
         self.servers, self.instances, self.tasks = [], [], []
+        self.memory_mb = 260
         # Ids of processes whose connections to servers are cut.
         self.cut = set()
 
