--- a/review/world3.py
+++ b/review/world3.py
@@ -212,7 +212,10 @@
 
     def __init__(self, world, service, zone, slots, handler, models=()):
         self.world, self.service, self.zone = world, service, zone
-        self.slots, self.handler, self.models = slots, handler, models
+        self.slots, self.handler = slots, handler
+        # The versions of its weights by model, and the number of orders that it accepted.
+        self.models = {model: 1 for model in models}
+        self.orders, self.is_busy = 0, False
         self.port = free_port()
         self.connections = set()
         self.is_up = False
@@ -236,7 +239,7 @@
                      "zone": self.zone, "version": "v1", "slots": self.slots, "state": "ready",
                      "cold_left_ms": 0, "sequence": sequence, "born": self.born}
             if self.models:
-                entry["models"] = [{"name": m, "version": 1, "adapters": []} for m in self.models]
+                entry["models"] = self.weights()
                 entry["stage"] = "colocated"
             self.world.store.put("servers/" + boot, entry)
             await asyncio.sleep(HEARTBEAT_S)
@@ -291,17 +294,35 @@
         elif target == "/healthz":
             writer.write(message("200 OK", own))
         elif target == "/acaciaarch/report":
-            models = [{"name": m, "version": 1, "adapters": []} for m in self.models]
-            report = {"stage": "colocated", "models": models, "busy": False, "sequence": 0,
+            report = {"stage": "colocated", "models": self.weights(), "busy": self.is_busy,
+                      "sequence": self.orders,
                       "waiting": 0, "running": 0, "kv_used": 0, "kv_total": 80000, "handles": 0,
                       "clock_ms": time.time() * 1000, "born": self.born}
             writer.write(message("200 OK", own, json.dumps(report).encode()))
         elif target == "/acaciaarch/order":
-            writer.write(message("200 OK", own, b"{}"))
+            writer.write(message(self.order(json.loads(body)), own, b"{}"))
         else:
             await self.handler(self, head, body, writer, own)
         await writer.drain()
 
+    def order(self, order):
+        """Loads other weights, which takes a while."""
+        if self.models.get(order["model"]) == order["version"]:
+            return "200 OK"
+        if self.is_busy or order.get("expected", self.orders) != self.orders:
+            return "409 Conflict"
+        self.orders += 1
+        self.is_busy = True
+        asyncio.ensure_future(self.load(order["model"], order["version"]))
+        return "202 Accepted"
+
+    async def load(self, model, version):
+        await asyncio.sleep(0.57)
+        self.models[model], self.is_busy = version, False
+
+    def weights(self):
+        return [{"name": m, "version": v, "adapters": []} for m, v in self.models.items()]
+
     def seal(self, request):
         return f"seal.{self.id}.{request}"
 
@@ -315,6 +336,8 @@
         self.first, self.last = free_port(), free_port()
         self.process = None
         self.misses = 2
+        # Times at which the process ended by itself, and the most memory that it used, in bytes.
+        self.ends, self.peak = [], 0
 
     def settings(self, bounds):
         lines = [f'node_name = "{self.name}"', 'role = "gateway"', 'machine_class = "edge"',
@@ -357,6 +380,28 @@
                 self.misses += 1
             await asyncio.sleep(1 if self.misses == 0 else 0.2)
 
+    async def guard(self):
+        """The platform kills a process that exceeds the memory of its machine, and starts it again."""
+        limit = self.world.memory_mb * 1_000_000
+        while True:
+            await asyncio.sleep(0.005)
+            if self.process.poll() is None:
+                try:
+                    with open(f"/proc/{self.process.pid}/statm") as file:
+                        used = int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+                except (OSError, IndexError, ValueError):
+                    continue
+                self.peak = max(self.peak, used)
+                if used <= limit:
+                    continue
+                self.world.note(f"{self.name} uses {used} bytes and is killed")
+                self.process.kill()
+            self.process.wait()
+            self.ends.append(now())
+            self.world.note(f"the process of {self.name} has ended")
+            await asyncio.sleep(0.5)
+            self.start()
+
     def is_in_rotation(self):
         return self.misses < 2
 
@@ -497,7 +542,14 @@
     with open(os.path.join(folder, "record.txt"), "w") as record:
         world = World(record)
 
+        def unhandled(_, context):
+            # Resets of connections are part of the cases.
+            error = context.get("exception")
+            if not isinstance(error, ConnectionError):
+                world.note(f"unhandled in a stand-in: {context.get('message')} {error!r}")
+
         async def main():
+            asyncio.get_running_loop().set_exception_handler(unhandled)
             await world.store.start()
             try:
                 return await asyncio.wait_for(case(world), 110)
