--- a/review/world3.py
+++ b/review/world3.py
@@ -90,6 +90,13 @@
         self.leases = {}
         self.last_lease = 0
         self.changed = asyncio.Event()
+        self.era = 1
+        self.copies = []
+        self.is_away = False
+        self.connections = set()
+        # Decides which calls get no answer, and are executed by `execute_late`.
+        self.loses = lambda method, target, body: False
+        self.pending = []
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -99,6 +106,11 @@
     async def expire(self):
         while True:
             await asyncio.sleep(0.02)
+            if self.is_away:
+                continue
+            if not self.copies or now() >= self.copies[-1][0] + 0.25:
+                copy = (dict(self.items), dict(self.leases), self.revision, self.last_lease)
+                self.copies = self.copies[-40:] + [(now(), copy)]
             for lease in [l for l, (until, _) in self.leases.items() if now() >= until]:
                 self.end_lease(lease)
 
@@ -123,26 +135,67 @@
         self.changed = asyncio.Event()
 
     def put(self, key, document):
-        """A write of an operator or a server."""
+        """A write of an operator or a server; lost while the store is away."""
+        if self.is_away:
+            return
         self.commit([(key, base64.b64encode(json.dumps(document).encode()).decode(), 0)], [])
 
     def remove(self, key):
-        if key in self.items:
+        if not self.is_away and key in self.items:
             self.commit([], [key])
 
+    async def drill(self, away_s, age_s):
+        """The store is away, and comes back from a copy that is some seconds old."""
+        self.is_away = True
+        for writer in list(self.connections):
+            reset(writer)
+        at, copy = next(c for c in reversed(self.copies) if c[0] <= now() - age_s)
+        await asyncio.sleep(away_s)
+        lost = self.items
+        items, leases, self.revision, self.last_lease = copy
+        # Leases end when they would have ended without a renewal since.
+        self.items, self.leases = dict(items), dict(leases)
+        self.log = [event for event in self.log if event["revision"] <= self.revision]
+        self.era += 1
+        self.copies = [c for c in self.copies if c[0] <= at]
+        self.is_away = False
+        # What the operator and the servers wrote since is written again.
+        for key, item in lost.items():
+            is_theirs = key.startswith(("op/", "servers/"))
+            if is_theirs and self.items.get(key, {}).get("value") != item["value"]:
+                self.commit([(key, item["value"], 0)], [])
+
+    async def execute_late(self):
+        """Executes the calls that got no answer, if their conditions still hold."""
+        results = []
+        for method, target, body in self.pending:
+            results.append((await self.call(method, target, body))[0])
+        self.pending = []
+        return results
+
     async def serve(self, reader, writer):
+        if self.is_away:
+            reset(writer)
+            return
+        self.connections.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
                 body = await read_body(reader, head[1])
                 method, target, _ = head[0].split(" ")
+                if self.loses(method, target, body):
+                    self.pending.append((method, target, body))
+                    # A connection on which a response is lost returns nothing further.
+                    await asyncio.sleep(3600)
                 status, answer = await self.call(method, target, body)
                 await asyncio.sleep(0.002)
                 content = json.dumps(answer).encode()
-                writer.write(message(status, {"Content-Type": "application/json"}, content))
+                fields = {"Content-Type": "application/json", "Store-Era": self.era}
+                writer.write(message(status, fields, content))
                 await writer.drain()
         except (ConnectionError, OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            self.connections.discard(writer)
             writer.close()
 
     async def call(self, method, target, body):
@@ -160,6 +213,8 @@
         if name == "kv-watch":
             after, until = int(query["after"]), now() + int(query["wait_ms"]) / 1000
             while True:
+                if after > self.revision:
+                    return "410 Gone", {}
                 events = [event for event in self.log if event["revision"] > after
                           and event["key"].startswith(query.get("path_prefix", ""))]
                 left = until - now()
