--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,8 +1,6 @@
-"""A write of the next order holder gets no answer and is executed after the store was restored."""
+"""An instance without a path to the servers passes streams on to another one, which freezes."""
 
 import asyncio
-import base64
-import json
 import os
 import random
 import signal
@@ -13,131 +11,141 @@
 import world3 as w
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ENGINES, INSTANCES = 4, 4
-VERSION_S, VERSION_ALL_S = 8.0, 11.0
-AWAY_S, COPY_AGE_S, LATE_S = 1.0, 3.0, 2.4
-PER_S = 6.0
+SERVERS, INSTANCES = 4, 3
+STABLE_S = 3.0
+TIMEOUT_S, DEADLINE_S = 2.0, 5.0
+# A consumer leaves after a gap of two seconds, four times the objective or eight times the pause.
+PATIENCE_S = max(2.0, 4 * 0.4, 8 * 0.3)
+# Requests a second at each machine; the share of connections per machine is uneven.
+PER_S = (24.0, 4.0, 4.0)
+EVENTS, EVENT_S = 14, 0.1
+CUT_S, FREEZE_S = 8.0, 2.8
 KEY = "key-of-north"
-HOLDER = "acacia/holder"
 
 
-async def prompt(server, head, body, writer, own):
-    fields = head[1]
-    version = str(server.models[w.MODEL])
-    if fields.get("x-expect-version", version) != version:
-        writer.write(w.message("421 Misdirected Request", own))
-        return
-    await asyncio.sleep(0.03)
-    lines = {**own, "X-Response-Seal": server.seal(fields["x-request-id"]),
-             "X-Weight-Versions": version, "Content-Type": "text/event-stream"}
-    writer.write(w.message("200 OK", lines, b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+class Request:
+    def __init__(self, instance):
+        self.instance, self.sent = instance, w.now()
+        self.ended = None       # when the consumer got the final answer
+        self.left = None        # when it left
 
 
-async def consume(world, results):
+async def answer(server, head, body, writer, own):
+    headers = head[1]
+    request = headers.get("x-request-id", "")
+    server.world.note(f"request {request} reaches {server.id}")
+    await asyncio.sleep(0.03)
+    answer_head = {**own, "X-Response-Seal": server.seal(request), "X-Weight-Versions": "1",
+                   "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+    lines = ["HTTP/1.1 200 OK"] + [f"{n}: {v}" for n, v in answer_head.items()]
+    writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+    for number in range(1, EVENTS + 1):
+        event = f"id: {number}\ndata: {request} {number}\n\n".encode()
+        writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+        await writer.drain()
+        await asyncio.sleep(EVENT_S)
+    writer.write(b"0\r\n\r\n")
+
+
+async def consume(world, requests, instance):
     request = "%016x" % random.getrandbits(64)
-    fields = {"Host": w.HOST, "X-Request-Id": request, "X-Model": w.MODEL,
-              "X-Token-Usage": "383,11", "X-Deadline-Ms": "5000",
-              "X-Prompt-Prefix": f"5c1e07a2:55,{random.getrandbits(32):08x}:246",
-              "Authorization": f"Bearer {KEY}"}
-    ready = [i for i in world.instances if i.is_in_rotation()] or world.instances
-    instance, sent, status = random.choice(ready), w.now(), None
+    headers = {"Host": w.HOST, "X-Request-Id": request, "X-Model": w.MODEL,
+               "X-Token-Usage": "383,30", "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
+               "X-Prompt-Prefix": f"5c1e07a2:55,{random.getrandbits(32):08x}:246",
+               "Authorization": f"Bearer {KEY}"}
+    entry = Request(instance)
+    requests.append(entry)
+    status, events, end = None, 0, "closed"
     try:
-        status, _, _ = await asyncio.wait_for(
-            w.exchange(instance.front, "POST", "/ask/2f", fields, b"x" * 770), 5)
-    except (asyncio.TimeoutError, ConnectionError, OSError):
-        pass
-    results.append((sent, status))
-    world.note(f"{request} at {instance.name}: {status}")
-
-
-async def send(world, results):
-    while True:
-        asyncio.ensure_future(consume(world, results))
-        await asyncio.sleep(random.expovariate(PER_S))
-
-
-async def until(condition, limit_s):
-    end = w.now() + limit_s
-    while not condition():
-        if w.now() > end:
-            raise RuntimeError("the situation of the case has not come about")
-        await asyncio.sleep(0.01)
-
-
-async def remove(world, instance):
-    """A planned removal of a machine: SIGTERM, and its process ends."""
-    world.note(f"{instance.name} gets SIGTERM and leaves")
-    instance.signal(signal.SIGTERM)
-    await until(lambda: instance.process.poll() is not None, 8)
-    world.note(f"{instance.name} has stopped")
-    world.instances.remove(instance)
+        reader, writer = await asyncio.wait_for(
+            asyncio.open_connection("127.0.0.1", instance.front), 1)
+        try:
+            writer.write(w.request("POST", "/ask/2f", headers, b"x" * 770))
+            until = entry.sent + DEADLINE_S
+            wait = lambda: max(0.01, min(PATIENCE_S, until - w.now()))
+            head = await asyncio.wait_for(w.read_head(reader), wait())
+            if head is not None:
+                status = int(head[0].split(" ")[1])
+                body = b""
+                while chunk := await asyncio.wait_for(reader.read(65536), wait()):
+                    body += chunk
+                    if body.endswith(b"0\r\n\r\n") or status != 200:
+                        end = "whole"
+                        break
+                events = body.count(b"id: ")
+            entry.ended = w.now()
+        finally:
+            writer.close()
+    except asyncio.TimeoutError:
+        entry.left, end = w.now(), "the consumer leaves"
+    except (ConnectionError, OSError) as error:
+        entry.ended, end = w.now(), repr(error)
+    took = (entry.ended or entry.left) - entry.sent
+    world.note(f"{request} at {instance.name}: {status}, {events} events, {end} after {took:.3f} s")
+
+
+async def send(world, requests, instance, per_s, until):
+    while w.now() < until:
+        if instance.is_in_rotation():
+            asyncio.ensure_future(consume(world, requests, instance))
+        await asyncio.sleep(random.expovariate(per_s))
 
 
 async def case(world):
-    store = world.store
-    for _ in range(ENGINES):
-        engine = w.Server(world, "engines", "zone-a", 64, prompt, [w.MODEL])
-        world.servers.append(engine)
-        await engine.start()
+    for _ in range(SERVERS):
+        server = w.Server(world, "engines", "zone-a", 64, answer, [w.MODEL])
+        world.servers.append(server)
+        await server.start()
     routes = [{"name": "ask", "host": w.HOST, "path_prefix": "/ask/", "kind": "streaming",
-               "timeout_ms": 5000, "target_latency_ms": 400, "priority": 0, "service": "engines",
-               "max_attempts": 2, "public": False, "session_affinity": True, "resumable": True,
-               "gap_target_ms": 300}]
+               "timeout_ms": int(TIMEOUT_S * 1000), "target_latency_ms": 400, "priority": 0,
+               "service": "engines", "max_attempts": 1, "public": False,
+               "session_affinity": True, "resumable": False, "gap_target_ms": 300}]
     services = [{"name": "engines", "health_path": "/healthz", "max_conns": 370, "protocol": "h1",
                  "tls": False, "cold_start_s": 0.0, "cold_per_s": 0.0,
                  "engine": {"slots": 64, "kv_capacity": 77656, "kv_token_bytes": 163840,
                             "link_mbps": 280000.0, "managed": True, "stride": 4,
                             "max_inflight": 12, "models": [{"name": w.MODEL}]}}]
-    store.put("op/version/" + w.MODEL, {"model": w.MODEL, "version": 1})
     await world.configure(1, routes, services, [{"name": "north", "api_keys": [KEY]}])
     await world.add_instances(INSTANCES, "zone-a")
-    await until(lambda: HOLDER in store.items, 10)
-    await asyncio.sleep(6)
-    results = []
-    world.tasks.append(asyncio.ensure_future(send(world, results)))
-    await asyncio.sleep(2)
-    # The machine that acted last leaves, as in `roll_term` with `leader` and `remove`.
-    holder = json.loads(base64.b64decode(store.items[HOLDER]["value"]))["instance"]
-    leader = next(i for i in world.instances if i.name == holder)
+    await asyncio.sleep(STABLE_S)
+    requests = []
+    first, second, _ = world.instances
+    start = w.now()
+    senders = [asyncio.ensure_future(send(world, requests, instance, per_s, start + 16))
+               for instance, per_s in zip(world.instances, PER_S)]
+    await asyncio.sleep(4)
+    if TROUBLE:
+        world.note(f"{first.name} is cut off from the servers")
+        world.cut_off(first)
+    await asyncio.sleep(STABLE_S + 1)
+    if TROUBLE:
+        world.note(f"{second.name} freezes")
+        second.signal(signal.SIGSTOP)
+    await asyncio.sleep(FREEZE_S)
     if TROUBLE:
-        def loses(method, target, body):
-            """The first write that makes another machine the holder: the store goes away then."""
-            if store.pending or not target.endswith("/kv-txn"):
-                return False
-            document = json.loads(body)
-            sets = [row["key"] for row in document["set_keys"]]
-            return HOLDER in sets and document["expected"][0]["revision"] == 0
-
-        store.loses = loses
-    leaving = asyncio.ensure_future(remove(world, leader))
+        second.signal(signal.SIGCONT)
+        world.note(f"{second.name} goes on")
+    await asyncio.sleep(CUT_S - FREEZE_S - STABLE_S - 1)
     if TROUBLE:
-        await until(lambda: store.pending, 15)
-        sent = w.now()
-        world.note("a write gets no answer: " + store.pending[0][2].decode()[:300])
-        store.loses = lambda *_: False
-        world.note("the store is away")
-        await store.drill(AWAY_S, COPY_AGE_S)
-        world.note(f"the store is back from a copy, era {store.era}")
-        await asyncio.sleep(max(0, sent + LATE_S - w.now()))
-        outcome = await store.execute_late()
-        world.note(f"the write is executed {w.now() - sent:.1f} s after it was sent: {outcome}; "
-                   f"the item is now {store.items.get(HOLDER)}")
-    await leaving
-    # Until all is calm again.
-    await asyncio.sleep(8)
-    named = w.now()
-    store.put("op/version/" + w.MODEL, {"model": w.MODEL, "version": 2})
-    world.note("version 2 of the weights is named and acknowledged")
-    await asyncio.sleep(1.5 * VERSION_S + 8)
-    old = [e.id for e in world.servers if e.models[w.MODEL] < 2]
-    late = [status for sent, status in results if sent > named + VERSION_S]
-    served = sum(1 for status in late if status == 200)
-    is_broken = len(old) > 1 and len(old) > ENGINES / 10
-    for line in (f"{len(old)} of {ENGINES} servers still have the older version "
-                 f"{w.now() - named:.0f} s after the newer one was acknowledged",
-                 f"prompts sent later than {VERSION_S:.0f} s after that: {served} of {len(late)} "
-                 "are served",
-                 f"VERSION {'broken' if is_broken else 'held'}"):
+        world.cut.clear()
+        world.note(f"{first.name} reaches the servers again")
+    await asyncio.gather(*senders)
+    await asyncio.sleep(DEADLINE_S + 1)
+    return judge(world, requests, second)
+
+
+def judge(world, requests, frozen):
+    """Only requests at the machines that did not freeze count: these are in touch."""
+    counted = [r for r in requests if r.instance is not frozen]
+    long = [r for r in counted if (r.ended or r.left) - r.sent > TIMEOUT_S]
+    limit = TIMEOUT_S + 0.5
+    open_after = [r for r in long if (r.ended or r.left) - r.sent > limit]
+    is_broken = len(open_after) >= 8 and len(open_after) > len(long) / 4
+    left = sum(1 for r in open_after if r.ended is None)
+    for line in (f"{len(counted)} requests at machines in touch, {len(long)} of which last longer "
+                 f"than their route's timeout of {TIMEOUT_S} s",
+                 f"no final answer 0.5 s after it: {len(open_after)}; {left} of these never get one",
+                 f"CONFIG {'broken' if is_broken else 'held'}"):
         world.note(line)
         print(line)
     return is_broken
