--- a/review/world3.py
+++ b/review/world3.py
@@ -596,10 +596,19 @@
         kernel.send(head + query)
         answer = kernel.recv(65536)
     if struct.unpack("=IH", answer[:6])[1] == is_error:
-        return None
+        return listed_inode(local, remote)
     return struct.unpack("=I", answer[84:88])[0]
 
 
+def listed_inode(local, remote):
+    """The same by the table in /proc, for kernels that don't answer."""
+    names = ["%08X:%04X" % (struct.unpack("<I", socket.inet_aton(end[0]))[0], end[1])
+             for end in (local, remote)]
+    with open("/proc/net/tcp") as table:
+        rows = (line.split() for line in table)
+        return next((int(row[9]) for row in rows if row[1:3] == names), None)
+
+
 def run(case, folder):
     """Runs a case and ends this process with its result."""
     if not os.path.exists(DAEMON):
